--- /dev/null
+++ b/packages/base/src/hashing/rendezvous.ts
@@ -0,0 +1,14 @@
+import createXxhash from 'xxhash-wasm'
+
+const { h64 } = await createXxhash()
+
+/** 64-bit hash of a text, the same in every process. */
+export const hash64 = (text: string): bigint => h64(text)
+
+/** Names ordered by their rendezvous weight for `key`, best first; ties by name. */
+export const rankByRendezvous = <N extends string>(key: string, names: readonly N[]): readonly N[] => {
+  const weighted = names.map(name => ({ name, weight: hash64(`${key}\u0000${name}`) }))
+  return weighted
+    .sort((a, b) => a.weight === b.weight ? (a.name < b.name ? -1 : 1) : (a.weight > b.weight ? -1 : 1))
+    .map(entry => entry.name)
+}
--- /dev/null
+++ b/packages/decisions/src/admission/types.ts
@@ -0,0 +1,20 @@
+/** What an agent knows when a request asks to be queued. */
+export interface AdmissionView {
+  readonly remainingMs: number
+  readonly expectedTokens: number
+  readonly priority: number
+  /** Expected time until the model (and adapter) is ready. */
+  readonly readyInMs: number
+  /** Work ahead of this request at its priority, in seconds at the present speed. */
+  readonly secondsAhead: number
+  readonly tokenIntervalMs: number
+  readonly queuedCount: number
+  readonly maxQueuedCount: number
+}
+
+export type AdmissionVerdict =
+  | { readonly kind: 'admit', readonly estimatedWaitMs: number }
+  | { readonly kind: 'refuse', readonly retryAfterMs: number, readonly detail: string }
+
+/** Says now whether a request can be served before its deadline. `random` yields numbers in [0, 1). */
+export type Admit = (view: AdmissionView, random: () => number) => AdmissionVerdict
--- /dev/null
+++ b/packages/decisions/src/queueing/pickFirstCome.ts
@@ -0,0 +1,10 @@
+import type { AccountServed, FairnessState, PickNext } from './types.js'
+
+/** Fairness before anybody was served. */
+export const noFairness: FairnessState = { servedByTenant: new Map(), servedByCaller: new Map(), asOfMs: 0 }
+
+/** Baseline: first come, first served. */
+export const pickFirstCome: PickNext = waiting => waiting[0]
+
+/** Baseline: nothing is accounted. */
+export const accountNothing: AccountServed = fairness => fairness
--- /dev/null
+++ b/packages/decisions/src/retries/retryAfterFixed.ts
@@ -0,0 +1,6 @@
+import type { ChooseRetryAfter } from './types.js'
+
+const FIXED_MS = 1_000
+
+/** Baseline: the same time for everybody. */
+export const retryAfterFixed: ChooseRetryAfter = () => FIXED_MS
--- /dev/null
+++ b/packages/proof/src/index.ts
@@ -0,0 +1,2 @@
+/** Placeholder until the package's first slice lands. */
+export {}
--- /dev/null
+++ b/packages/records/src/suspects/types.ts
@@ -0,0 +1,15 @@
+import type { InstanceName } from '@figmount/base'
+
+/** A request that was running when its engine died. The fingerprint covers what was asked, not the key. */
+export interface Suspect {
+  readonly fingerprint: string
+  readonly deaths: readonly SuspectDeath[]
+}
+
+/** One death of an engine. `alone`: the suspect was the only request that was running. */
+export interface SuspectDeath {
+  readonly deathId: string
+  readonly instance: InstanceName
+  readonly atMs: number
+  readonly alone: boolean
+}
