Add the operators' command line: apply with diff, get, history, rollback, retire, status, drain, explain, events

Cause: operators need one tool for the configuration and for what the system does. What: reads configuration in INI with every mistake named by file, section and key; shows the difference by value path; writes by compare-and-set against the version that the difference was made from; waits until in force everywhere. Not yet run against a router.

--- /dev/null
+++ b/packages/ctl/src/bin.ts
@@ -0,0 +1,98 @@
+/** Command line of operators. */
+import { createInterface } from 'node:readline/promises'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { createTimerService, describeFault, describeSettingsFault, ExitCode, loadSettings, VERSION } from '@figmount/base'
+
+import { runApply } from './commands/runApply.js'
+import { runGet, runHistory, runRetire, runRollBack } from './commands/runHistory.js'
+import { runDrain, runEvents, runExplain, runStatus } from './commands/runStatus.js'
+import { createOperatorClient } from './operatorClient/createOperatorClient.js'
+import { ctlSettings } from './settings/ctlSettings.js'
+
+import type { CommandContext, CommandResult } from './commands/types.js'
+
+const DEFAULT_WAIT_MS = 3_000
+
+interface CommonArguments {
+  readonly settings: string
+  readonly json: boolean
+}
+
+const exitWith = (code: number, message?: string): never => {
+  if (message) process.stderr.write(`${message}\n`)
+  process.exit(code)
+}
+
+const confirm = async (question: string): Promise<boolean> => {
+  if (!process.stdin.isTTY) return exitWith(ExitCode.Usage, 'no terminal to ask at: pass --yes')
+  const terminal = createInterface({ input: process.stdin, output: process.stdout })
+  const answer = await terminal.question(`${question} [y/N] `)
+  terminal.close()
+  return answer.trim().toLowerCase() === 'y'
+}
+
+const contextOf = ({ settings, json }: CommonArguments): CommandContext => {
+  const loaded = loadSettings(ctlSettings, settings)
+  if (loaded.isLeft()) return exitWith(ExitCode.Settings, loaded.extract().map(describeSettingsFault).join('\n'))
+  const { routers, operator } = loaded.unsafeCoerce()
+  return {
+    client: createOperatorClient(routers.addresses, operator.key),
+    timers: createTimerService(),
+    json,
+    print: text => { process.stdout.write(`${text}\n`) },
+    confirm
+  }
+}
+
+const finish = async (result: CommandResult): Promise<void> => {
+  const done = await result.run()
+  done.caseOf({
+    Left: fault => exitWith(ExitCode.Failed, describeFault(fault)),
+    Right: complete => exitWith(complete ? ExitCode.Ok : ExitCode.Failed)
+  })
+}
+
+await yargs(hideBin(process.argv))
+  .scriptName('figmountctl')
+  .option('settings', { type: 'string', default: 'figmountctl.ini', describe: 'INI file with the routers and the operator key' })
+  .option('json', { type: 'boolean', default: false, describe: 'print JSON for programs' })
+  .option('wait-ms', { type: 'number', default: DEFAULT_WAIT_MS, describe: 'time to wait until a change is in force everywhere' })
+  .command('check', 'check the settings and exit', command => command, async args => {
+    contextOf(args)
+    exitWith(ExitCode.Ok)
+  })
+  .command('apply <file>', 'apply a configuration file', command => command
+    .positional('file', { type: 'string', demandOption: true })
+    .option('yes', { type: 'boolean', default: false, describe: 'do not ask' })
+    .option('dry-run', { type: 'boolean', default: false, describe: 'show the difference and stop' }),
+  async args => await finish(runApply(contextOf(args), { file: args.file, yes: args.yes, dryRun: args.dryRun, waitMs: args.waitMs })))
+  .command('get [item]', 'show items in force', command => command.positional('item', { type: 'string', default: '' }),
+    async args => await finish(runGet(contextOf(args), args.item)))
+  .command('history <item>', 'show the versions of an item', command => command.positional('item', { type: 'string', demandOption: true }),
+    async args => await finish(runHistory(contextOf(args), args.item)))
+  .command('rollback <item> <version>', 'set an item to an earlier version', command => command
+    .positional('item', { type: 'string', demandOption: true })
+    .positional('version', { type: 'number', demandOption: true }),
+  async args => await finish(runRollBack(contextOf(args), args.item, args.version, args.waitMs)))
+  .command('retire <item>', 'retire an item', command => command.positional('item', { type: 'string', demandOption: true }),
+    async args => await finish(runRetire(contextOf(args), args.item, args.waitMs)))
+  .command('status', 'show the log, instances and replicas', command => command.option('metrics', { type: 'boolean', default: false, describe: "show the router's metrics" }),
+    async args => await finish(runStatus(contextOf(args), args.metrics)))
+  .command('drain <instance>', 'let an instance finish its work and take no more', command => command
+    .positional('instance', { type: 'string', demandOption: true })
+    .option('undo', { type: 'boolean', default: false, describe: 'take the drain back' }),
+  async args => await finish(runDrain(contextOf(args), args.instance, args.undo)))
+  .command('explain <key>', 'show why a request was refused', command => command
+    .positional('key', { type: 'string', demandOption: true })
+    .option('caller', { type: 'string', default: '', describe: 'name of the caller' }),
+  async args => await finish(runExplain(contextOf(args), args.key, args.caller)))
+  .command('events', "follow a router's events", command => command
+    .option('key', { type: 'string', default: '', describe: 'only of this request key' })
+    .option('model', { type: 'string', default: '', describe: 'only of this model' }),
+  async args => await finish(runEvents(contextOf(args), args.key, args.model)))
+  .demandCommand(1, 'a command is needed; --help lists them')
+  .version(VERSION)
+  .strict()
+  .fail((message, error) => exitWith(ExitCode.Usage, message ?? error.message))
+  .parseAsync()
--- /dev/null
+++ b/packages/ctl/src/commands/runStatus.ts
@@ -0,0 +1,43 @@
+import { EitherAsync } from 'purify-ts'
+import { faultFrom } from '@figmount/base'
+
+import { printJson } from '../output/printJson.js'
+import { renderMetrics, renderStatus } from '../status/renderStatus.js'
+
+import type { Fault } from '@figmount/base'
+import type { CommandContext, CommandResult } from './types.js'
+
+/** Shows services, replicas and instances, or metrics. */
+export const runStatus = (context: CommandContext, withMetrics: boolean): CommandResult =>
+  context.client.call('ctl.status', async rpc => await rpc.status({})).map(status => {
+    if (context.json) context.print(printJson(status))
+    else context.print(withMetrics ? renderMetrics(status) : renderStatus(status))
+    return status.logReachable
+  })
+
+/** Drains an instance or takes its drain back. */
+export const runDrain = (context: CommandContext, instance: string, undo: boolean): CommandResult =>
+  context.client.call('ctl.drain', async rpc => await rpc.drain({ instance, undo })).map(response => {
+    context.print(context.json ? printJson(response) : `${instance}: ${response.accepted ? 'accepted' : 'NOT accepted'} ${response.detail}`)
+    return response.accepted
+  })
+
+/** Shows the events of one request, to see why it was refused. */
+export const runExplain = (context: CommandContext, requestKey: string, caller: string): CommandResult =>
+  context.client.call('ctl.explain', async rpc => await rpc.explain({ requestKey, caller })).map(response => {
+    if (response.events.length === 0) context.print(`nothing is remembered of ${requestKey}; another router may know more`)
+    for (const event of response.events) context.print(event.json)
+    return response.events.length > 0
+  })
+
+/** Follows a router's events until interrupted. */
+export const runEvents = (context: CommandContext, requestKey: string, model: string): CommandResult =>
+  context.client.call('ctl.events', async rpc => await Promise.resolve(rpc.events({ requestKey, model })))
+    .chain(stream => EitherAsync<Fault, boolean>(async ({ throwE }) => {
+      try {
+        for await (const event of stream) context.print(event.json)
+        return true
+      } catch (error) {
+        return throwE(faultFrom('ctl.events', '')(error))
+      }
+    }))
--- /dev/null
+++ b/packages/ctl/src/operatorClient/createOperatorClient.ts
@@ -0,0 +1,38 @@
+import { createClient } from '@connectrpc/connect'
+import { EitherAsync } from 'purify-ts'
+import { createTransport, FaultKind, faultFrom, makeFault } from '@figmount/base'
+import { Operator } from '@figmount/schema'
+
+import type { Client } from '@connectrpc/connect'
+import type { Fault } from '@figmount/base'
+
+type OperatorRpc = Client<typeof Operator>
+
+/** Calls the operators' interface at the first router that answers. */
+export interface OperatorClient {
+  readonly call: <T>(step: string, run: (rpc: OperatorRpc) => Promise<T>) => EitherAsync<Fault, T>
+}
+
+/** Makes a client for a list of routers, each as host:port. A refusal is final; only an unreachable router is passed over. */
+export const createOperatorClient = (addresses: readonly string[], key: string): OperatorClient => {
+  const peers = addresses.map(address => ({
+    address,
+    rpc: createClient(Operator, createTransport({ address, bearerKey: key }))
+  }))
+
+  const call = <T>(step: string, run: (rpc: OperatorRpc) => Promise<T>): EitherAsync<Fault, T> =>
+    EitherAsync<Fault, T>(async ({ throwE }) => {
+      let last = makeFault(FaultKind.Invalid, step, '', 'no router address is set')
+      for (const { address, rpc } of peers) {
+        try {
+          return await run(rpc)
+        } catch (error) {
+          last = faultFrom(step, address)(error)
+          if (last.kind !== FaultKind.Unavailable) return throwE(last)
+        }
+      }
+      return throwE(last)
+    })
+
+  return { call }
+}
--- /dev/null
+++ b/packages/ctl/src/settings/ctlSettings.ts
@@ -0,0 +1,12 @@
+import { z } from 'zod'
+
+/** Settings of `figmountctl`: whom to ask, and as whom. */
+export const ctlSettings = z.strictObject({
+  routers: z.strictObject({
+    addresses: z.string('host:port, with commas between several')
+      .transform(text => text.split(',').map(address => address.trim()))
+  }),
+  operator: z.strictObject({ key: z.string('the operator key').min(1) })
+})
+
+export type CtlSettings = Readonly<z.infer<typeof ctlSettings>>
