Add the time line and the checker of promises

Cause: what the processes do together can only be judged over all of them. What: reads event lines of all processes, corrects clocks that differ by the two ends of each message, filters, prints text, draws one SVG lane for each process, and judges nine promises from the events, naming those that a run did not test. Not yet run on events of real processes.

--- /dev/null
+++ b/packages/timeline/src/drawing/buildPicture.test.ts
@@ -0,0 +1,29 @@
+import { expect } from 'chai'
+
+import { orderEvents } from '../ordering/orderEvents.js'
+import { buildPicture } from './buildPicture.js'
+import { renderSvg } from './renderSvg.js'
+
+import type { EventRecord, InstanceName } from '@figmount/base'
+
+const event = (name: string, atUnixMs: number, sequence: number, fields: Partial<EventRecord> = {}): EventRecord =>
+  ({ number: 1, name, instance: 'r1' as InstanceName, role: 'router', sequence, clock: sequence, atUnixMs, ...fields })
+
+describe('picture', () => {
+  it('joins the two ends of a span', () => {
+    const picture = buildPicture(orderEvents([
+      event('requestReceived', 0, 0, { requestKey: 'k' }), event('requestRefused', 50, 1, { requestKey: 'k' })
+    ]))
+    expect(picture.spans).to.deep.equal([{ lane: 'r1', kind: 'request', label: 'k', fromMs: 0, toMs: 50, end: 'refused' }])
+  })
+
+  it('leaves a span without an end open until the last event', () => {
+    const picture = buildPicture(orderEvents([event('requestReceived', 0, 0, { requestKey: 'k' }), event('other', 70, 1)]))
+    expect(picture.spans[0]).to.deep.include({ toMs: 70, end: 'open' })
+  })
+
+  it('escapes what it draws', () => {
+    const picture = buildPicture(orderEvents([event('requestReceived', 0, 0, { requestKey: '<k>' }), event('other', 70, 1)]))
+    expect(renderSvg(picture)).to.contain('&lt;k&gt;').and.not.to.contain('<k>')
+  })
+})
--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -1,2 +1,11 @@
-/** Placeholder until the package's first slice lands. */
-export {}
+/** The time line of events over all processes, and the checker that judges the promises from it. */
+export { checkPromises } from './checking/checkPromises.js'
+export { PromiseName } from './checking/types.js'
+export type { Verdict, Violation } from './checking/types.js'
+export { buildPicture } from './drawing/buildPicture.js'
+export { renderSvg } from './drawing/renderSvg.js'
+export { renderText } from './drawing/renderText.js'
+export { filterEvents } from './filtering/filterEvents.js'
+export { orderEvents } from './ordering/orderEvents.js'
+export type { TimedEvent } from './ordering/orderEvents.js'
+export { parseEventLine, readEvents } from './reading/readEvents.js'
--- /dev/null
+++ b/packages/timeline/src/ordering/orderEvents.test.ts
@@ -0,0 +1,40 @@
+import { expect } from 'chai'
+
+import { orderEvents } from './orderEvents.js'
+
+import type { AttemptId, EventRecord, InstanceName } from '@figmount/base'
+
+const event = (instance: string, name: string, atUnixMs: number, sequence: number, attemptId = 'r/1/1'): EventRecord => ({
+  number: 1, name, instance: instance as InstanceName, role: 'x', sequence, clock: 2 * sequence + (instance === 'a' ? 1 : 0), atUnixMs, attemptId: attemptId as AttemptId
+})
+
+const names = (events: readonly EventRecord[]): readonly string[] => orderEvents(events).map(timed => timed.event.name)
+
+describe('order of events', () => {
+  it('is by time where clocks agree', () => {
+    expect(names([event('a', 'attemptQueued', 20, 0), event('r', 'requestSent', 10, 0)]))
+      .to.deep.equal(['requestSent', 'attemptQueued'])
+  })
+
+  // A person reads that the agent queued an attempt 5 s before the router sent it.
+  // The agent's clock is behind; the time line must still show the cause first.
+  it('is by cause where clocks differ', () => {
+    const events = [
+      event('a', 'attemptQueued', 5_000, 0), event('a', 'attemptFinished', 5_100, 1),
+      event('r', 'requestSent', 10_000, 0), event('r', 'requestAnswered', 10_200, 1)
+    ]
+    expect(names(events)).to.deep.equal(['requestSent', 'attemptQueued', 'attemptFinished', 'requestAnswered'])
+  })
+
+  it('keeps the order within a process whose clock is set back', () => {
+    expect(names([event('a', 'first', 9_000, 0), event('a', 'second', 1_000, 1)])).to.deep.equal(['first', 'second'])
+  })
+
+  it('ends when pairs contradict each other', () => {
+    const events = [
+      event('a', 'attemptQueued', 0, 0), event('a', 'attemptFinished', 9_000, 1),
+      event('r', 'requestSent', 5_000, 0), event('r', 'requestAnswered', 6_000, 1)
+    ]
+    expect(names(events)).to.have.length(4)
+  })
+})
