--- /dev/null
+++ b/packages/load/src/experiment/parseExperiment.test.ts
@@ -0,0 +1,50 @@
+import { expect } from 'chai'
+import { describeSettingsFault } from '@figmount/base'
+
+import { parseExperiment } from './parseExperiment.js'
+
+const GOOD = `
+[experiment]
+name = small
+seed = 7
+duration_s = 2.5
+
+[caller/a]
+key = secret
+
+[traffic/t]
+caller = a
+service = s
+models = m1, m2
+arrivals = poisson
+rate_per_second = 4
+
+[fault/cut]
+at_s = 1
+address = 127.0.0.1:1
+path = /control
+body = {"x":1}
+`
+
+const faultsOf = (text: string): readonly string[] =>
+  parseExperiment('e.ini', text).swap().orDefault([]).map(describeSettingsFault)
+
+describe('experiment file', () => {
+  it('is read', () => {
+    const experiment = parseExperiment('e.ini', GOOD).unsafeCoerce()
+    expect(experiment).to.deep.include({ name: 'small', seed: 7, durationMs: 2500 })
+    expect(experiment.traffic[0]).to.deep.include({ models: ['m1', 'm2'], ratePerSecond: 4, untilMs: 2500, repeatable: true })
+    expect(experiment.faults[0]).to.deep.include({ atMs: 1000, bodyJson: '{"x":1}' })
+  })
+
+  it('is refused with file, section and key', () => {
+    expect(faultsOf(GOOD.replace('rate_per_second = 4', 'rate = 4')))
+      .to.include('e.ini: [traffic/t] rate: expected a known key, found an unknown key')
+    expect(faultsOf(GOOD.replace('seed = 7', 'seed = x')))
+      .to.deep.equal(['e.ini: [experiment] seed: expected a whole number, found "x"'])
+    expect(faultsOf(GOOD.replace('caller = a', 'caller = b')))
+      .to.deep.equal(['e.ini: [traffic/t] caller: expected a caller with a section of its own, found b'])
+    expect(faultsOf(GOOD.replace('{"x":1}', '{x}'))[0]).to.contain('[fault/cut] body: expected JSON')
+    expect(faultsOf(GOOD.replace('[traffic/t]', '[trafic/t]'))[0]).to.contain('[trafic/t]')
+  })
+})
--- /dev/null
+++ b/packages/load/src/faults/applyFaults.ts
@@ -0,0 +1,37 @@
+import { EitherAsync } from 'purify-ts'
+import { FaultKind, faultFrom, makeFault } from '@figmount/base'
+
+import type { Fault, TimerService, Unsubscribe } from '@figmount/base'
+import type { FaultPlan } from '../experiment/types.js'
+
+/** Carries out one planned change at a control surface. */
+const applyFault = (plan: FaultPlan): EitherAsync<Fault, void> =>
+  EitherAsync<Fault, Response>(async ({ throwE }) => {
+    try {
+      return await fetch(`http://${plan.address}${plan.path}`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: plan.bodyJson
+      })
+    } catch (error) {
+      return throwE(faultFrom(`load.fault ${plan.name}`, plan.address)(error))
+    }
+  }).chain(response => EitherAsync<Fault, void>(async ({ throwE }) => {
+    if (!response.ok) throwE(makeFault(FaultKind.Invalid, `load.fault ${plan.name}`, plan.address, `status ${response.status}`))
+  }))
+
+/** Schedules all planned faults; a fault that cannot be brought about is reported, since it makes the run worthless. */
+export const scheduleFaults = (
+  timers: TimerService,
+  plans: readonly FaultPlan[],
+  onFault: (fault: Fault) => void
+): Unsubscribe => {
+  const pending = plans.map(plan => timers.after(plan.atMs, () => {
+    applyFault(plan).run()
+      .then(result => { result.ifLeft(onFault) })
+      .catch((error: unknown) => onFault(faultFrom(`load.fault ${plan.name}`, plan.address)(error)))
+  }))
+  return () => {
+    for (const cancel of pending) cancel()
+  }
+}
