Stand in for the platform, the engines and a faulty network

Cause: nothing of figmount can run or be proved without a log, an instance list, a weight store and backend servers, and without a network that fails.

Changed: figmount-standin with one kind a process (log, instances, weights, engine, plain, proxy), each a pure core under an RPC shell by the schema, with a JSON control surface under /control for outages, slowness, lost answers, list changes and network faults.

Conclusion: the rig for the proofs can be built on it.

--- /dev/null
+++ b/packages/standin/src/engine/createGenerations.ts
@@ -0,0 +1,238 @@
+import { Code, ConnectError } from '@connectrpc/connect'
+import { ExitCode, sleep } from '@figmount/base'
+import { FinishReason } from '@figmount/schema'
+
+import { StandinEvent } from '../events.js'
+import { dropModelPrefixes, EMPTY_CACHE, hasPrefix, touchPrefix } from './prefixCache.js'
+import { answerLength, tokenAt } from './tokens.js'
+
+import type { GenerateRequest } from '@figmount/schema'
+import type { PrefixCache } from './prefixCache.js'
+import type { EngineParts, MemoryState } from './types.js'
+
+/** Tokens of one stream from an index on. */
+export interface TokenChunk {
+  readonly firstTokenIndex: number
+  readonly tokens: string[]
+  readonly last: boolean
+  readonly finishReason: FinishReason
+  readonly kvUsedMb: number
+}
+
+interface Stream {
+  readonly request: GenerateRequest
+  readonly order: number
+  readonly resumedFromKv: boolean
+  readonly tokens: string[]
+  readonly waiting: Set<() => void>
+  state: 'queued' | 'running' | 'finished' | 'ended'
+  finishReason: FinishReason
+  endReason: string
+}
+
+/** The part of the engine that generates. */
+export interface Generations {
+  readonly start: (request: GenerateRequest) => void
+  readonly chunks: (streamId: string, fromTokenIndex: number, signal: AbortSignal) => AsyncGenerator<TokenChunk>
+  readonly cancel: (streamId: string) => boolean
+  readonly endModel: (model: string) => void
+  readonly exportKv: (streamId: string) => { readonly kv: Uint8Array, readonly tokenCount: number }
+  readonly importKv: (streamId: string, kv: Uint8Array) => void
+  readonly cache: () => PrefixCache
+  readonly streamIds: () => readonly string[]
+  readonly load: () => { readonly runningCount: number, readonly queuedCount: number, readonly kvUsedMb: number }
+  readonly counters: () => { readonly runCounts: Readonly<Record<string, number>>, readonly maxRunningCount: number }
+  readonly setTokenInterval: (intervalMs: number) => void
+}
+
+/** Prompts whose runs are counted; beyond that the oldest counts are forgotten. */
+const COUNTED_PROMPTS = 50_000
+
+/** Time between the beginning of a crashing request and the death of the process, so that the event is written. */
+const POISON_DELAY_MS = 30
+
+/** Makes the generating part; `memory` tells what is resident. */
+export const createGenerations = (parts: EngineParts, memory: () => MemoryState): Generations => {
+  const { settings, timers, events } = parts
+  const streams = new Map<string, Stream>()
+  const imported = new Map<string, Uint8Array>()
+  const runCounts = new Map<string, number>()
+  let cache = EMPTY_CACHE
+  let nextOrder = 0
+  let maxRunningCount = 0
+  let tokenIntervalMs = settings.token_interval_ms
+
+  const inState = (state: Stream['state']): readonly Stream[] => [...streams.values()].filter(stream => stream.state === state)
+
+  const kvUsedMb = (): number => {
+    const tokenCount = inState('running').reduce((sum, stream) => sum + stream.tokens.length + stream.request.prompt.length / 4, 0)
+    return Math.ceil(tokenCount * settings.kv_mb_per_token)
+  }
+
+  const wakeReaders = (stream: Stream): void => {
+    const woken = [...stream.waiting]
+    stream.waiting.clear()
+    for (const wake of woken) wake()
+  }
+
+  const isRunning = (stream: Stream): boolean => stream.state === 'running'
+
+  const countRun = (prompt: string): number => {
+    const count = (runCounts.get(prompt) ?? 0) + 1
+    runCounts.delete(prompt)
+    runCounts.set(prompt, count)
+    if (runCounts.size > COUNTED_PROMPTS) runCounts.delete(runCounts.keys().next().value ?? '')
+    return count
+  }
+
+  const dieOfPoison = async (stream: Stream): Promise<void> => {
+    events.emit(StandinEvent.poisonRun, { attemptId: stream.request.streamId, model: stream.request.model })
+    await sleep(timers, POISON_DELAY_MS)
+    process.exit(ExitCode.Failed)
+  }
+
+  const finish = (stream: Stream, stops: boolean): void => {
+    stream.state = 'finished'
+    stream.finishReason = stops ? FinishReason.STOP : FinishReason.LENGTH
+    events.emit(StandinEvent.generateFinished, { attemptId: stream.request.streamId, model: stream.request.model, tokenCount: stream.tokens.length })
+    forgetLater(stream)
+  }
+
+  const forgetLater = (stream: Stream): void => {
+    timers.after(settings.stream_keep_ms, () => { streams.delete(stream.request.streamId) })
+  }
+
+  const prefill = async (stream: Stream): Promise<void> => {
+    const { model, prefixHint } = stream.request
+    const cached = prefixHint !== '' && hasPrefix(cache, model, prefixHint)
+    const waitMs = stream.resumedFromKv ? 0 : cached ? settings.cached_prefill_ms : settings.prefill_ms
+    await sleep(timers, waitMs)
+    if (prefixHint !== '') cache = touchPrefix(cache, model, prefixHint, settings.prefix_cache_count, timers.nowMs())
+  }
+
+  const run = async (stream: Stream): Promise<void> => {
+    const { request } = stream
+    stream.state = 'running'
+    const running = inState('running')
+    maxRunningCount = Math.max(maxRunningCount, running.length)
+    const runCount = countRun(request.prompt)
+    events.emit(StandinEvent.generateStarted, {
+      attemptId: request.streamId, model: request.model, version: request.version, adapter: request.adapter, count: runCount, tokenCount: request.doneTokens.length, detail: request.prompt.slice(0, 80)
+    })
+    if (settings.poison_marker !== '' && request.prompt.includes(settings.poison_marker)) return await dieOfPoison(stream)
+    await prefill(stream)
+    const { tokenCount, stops } = answerLength(request.prompt, request.maxTokens)
+    while (isRunning(stream) && stream.tokens.length < tokenCount) {
+      stream.tokens.push(tokenAt(request, stream.tokens.length))
+      if (stream.tokens.length === tokenCount) break
+      wakeReaders(stream)
+      await sleep(timers, tokenIntervalMs)
+    }
+    if (isRunning(stream)) finish(stream, stops)
+    wakeReaders(stream)
+  }
+
+  const fillBatch = (): void => {
+    const freeCount = settings.batch_size - inState('running').length
+    const queued = [...inState('queued')].sort((a, b) => b.request.priority - a.request.priority || a.order - b.order)
+    for (const stream of queued.slice(0, Math.max(0, freeCount))) {
+      if (kvUsedMb() >= settings.kv_capacity_mb) return
+      run(stream).finally(fillBatch)
+    }
+  }
+
+  const checkTarget = (request: GenerateRequest): void => {
+    const resident = memory().residents.get(request.model)
+    if (resident?.state !== 'ready') throw new ConnectError('the model is not resident', Code.FailedPrecondition)
+    if (request.version !== resident.version) throw new ConnectError(`version ${resident.version} is resident`, Code.FailedPrecondition)
+    if (request.adapter !== '' && !resident.adapters.has(request.adapter)) throw new ConnectError('the adapter is not resident', Code.FailedPrecondition)
+  }
+
+  const end = (stream: Stream, reason: string): void => {
+    stream.state = 'ended'
+    stream.endReason = reason
+    events.emit(StandinEvent.generateEnded, { attemptId: stream.request.streamId, model: stream.request.model, reason })
+    forgetLater(stream)
+    wakeReaders(stream)
+  }
+
+  const find = (streamId: string): Stream => {
+    const stream = streams.get(streamId)
+    if (!stream) throw new ConnectError(`stream ${streamId} is unknown`, Code.NotFound)
+    return stream
+  }
+
+  const isActive = (stream: Stream): boolean => stream.state === 'queued' || stream.state === 'running'
+
+  const start = (request: GenerateRequest): void => {
+    if (request.streamId === '') throw new ConnectError('streamId is missing', Code.InvalidArgument)
+    if (streams.has(request.streamId)) throw new ConnectError(`stream ${request.streamId} is known`, Code.AlreadyExists)
+    checkTarget(request)
+    const stream: Stream = {
+      request,
+      order: nextOrder++,
+      resumedFromKv: imported.delete(request.streamId),
+      tokens: [...request.doneTokens],
+      waiting: new Set(),
+      state: 'queued',
+      finishReason: FinishReason.UNSPECIFIED,
+      endReason: ''
+    }
+    streams.set(request.streamId, stream)
+    fillBatch()
+  }
+
+  const waitForMore = async (stream: Stream, signal: AbortSignal): Promise<void> => await new Promise(resolve => {
+    stream.waiting.add(resolve)
+    signal.addEventListener('abort', () => resolve(), { once: true })
+  })
+
+  const chunks = async function * (streamId: string, fromTokenIndex: number, signal: AbortSignal): AsyncGenerator<TokenChunk> {
+    const stream = find(streamId)
+    let index = fromTokenIndex
+    while (!signal.aborted) {
+      const tokens = stream.tokens.slice(index)
+      const last = stream.state === 'finished'
+      if (tokens.length > 0 || last) {
+        yield { firstTokenIndex: index, tokens, last, finishReason: stream.finishReason, kvUsedMb: kvUsedMb() }
+        index += tokens.length
+      }
+      if (last) return
+      if (stream.state === 'ended') throw new ConnectError(`stream ended: ${stream.endReason}`, Code.Aborted)
+      if (stream.tokens.length === index) await waitForMore(stream, signal)
+    }
+  }
+
+  return {
+    start,
+    chunks,
+    cancel: streamId => {
+      const stream = streams.get(streamId)
+      if (!stream || !isActive(stream)) return false
+      end(stream, 'cancelled')
+      fillBatch()
+      return true
+    },
+    endModel: model => {
+      for (const stream of streams.values()) {
+        if (stream.request.model === model && isActive(stream)) end(stream, 'model unloaded')
+      }
+      cache = dropModelPrefixes(cache, model, timers.nowMs())
+    },
+    exportKv: streamId => {
+      const stream = find(streamId)
+      const { model, version, adapter, prompt } = stream.request
+      const kv = Buffer.from(JSON.stringify({ model, version, adapter, prompt, tokens: stream.tokens }))
+      return { kv, tokenCount: stream.tokens.length }
+    },
+    importKv: (streamId, kv) => {
+      if (streams.has(streamId)) throw new ConnectError(`stream ${streamId} is known`, Code.AlreadyExists)
+      imported.set(streamId, kv)
+    },
+    cache: () => cache,
+    streamIds: () => [...streams.values()].filter(isActive).map(stream => stream.request.streamId),
+    load: () => ({ runningCount: inState('running').length, queuedCount: inState('queued').length, kvUsedMb: kvUsedMb() }),
+    counters: () => ({ runCounts: Object.fromEntries(runCounts), maxRunningCount }),
+    setTokenInterval: intervalMs => { tokenIntervalMs = intervalMs }
+  }
+}
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,2 +1,10 @@
-/** Placeholder until the package's first slice lands. */
-export {}
+/** Stand-ins for the platform and for backend servers, for tests and the demo. */
+export { StandinEvent } from './events.js'
+export { answerLength, expectedTokens, tokenAt } from './engine/tokens.js'
+export type { TokenSource } from './engine/tokens.js'
+export type { Fault as ProxyFault, Direction } from './proxy/types.js'
+export type { ListedInstance } from './instances/types.js'
+export { REQUEST_KEY_HEADER } from './plain/startPlain.js'
+export { standinSettings } from './settings/standinSettings.js'
+export type { StandinSettings } from './settings/standinSettings.js'
+export { startStandin } from './startStandin.js'
--- /dev/null
+++ b/packages/standin/src/instances/startInstances.ts
@@ -0,0 +1,76 @@
+import { serveRpc } from '@figmount/base'
+import { InstanceList, InstanceRole } from '@figmount/schema'
+import { z } from 'zod'
+
+import { createGate, gateCommand } from '../control/createGate.js'
+import { handleControl } from '../control/handleControl.js'
+import { StandinEvent } from '../events.js'
+import { markLeaving, parseInstances, pruneVersions, removeInstance, setInstance, visibleList } from './listState.js'
+
+import type { StartedStandin } from '../control/types.js'
+import type { StandinContext } from '../settings/types.js'
+import type { InstancesSettings } from './settings.js'
+import type { ListedInstance, ListVersion } from './types.js'
+
+const instance = z.strictObject({
+  name: z.string().min(1),
+  role: z.enum(['router', 'agent']),
+  dataCentre: z.string(),
+  peerAddress: z.string(),
+  backendAddress: z.string().default(''),
+  leaving: z.boolean().default(false)
+})
+
+const command = z.discriminatedUnion('action', [
+  ...gateCommand.options,
+  z.strictObject({ action: z.literal('set'), instance }),
+  z.strictObject({ action: z.literal('remove'), name: z.string() }),
+  z.strictObject({ action: z.literal('leaving'), name: z.string() }),
+  z.strictObject({ action: z.literal('lag'), lagMs: z.number().min(0) })
+])
+
+const toMessage = (listed: ListedInstance): object => ({
+  ...listed,
+  role: listed.role === 'router' ? InstanceRole.ROUTER : InstanceRole.AGENT
+})
+
+/** Starts the stand-in for the platform's list of instances. */
+export const startInstances = async (context: StandinContext<InstancesSettings>): Promise<StartedStandin> => {
+  const { settings, timers, events, metrics } = context
+  const gate = createGate(timers)
+  let lagMs = settings.lag_ms
+  let versions: readonly ListVersion[] = [{ atMs: -Infinity, instances: parseInstances(settings.instances) }]
+
+  const latest = (): readonly ListedInstance[] => versions.at(-1)?.instances ?? []
+
+  const change = (instances: readonly ListedInstance[]): void => {
+    const nowMs = timers.nowMs()
+    versions = pruneVersions([...versions, { atMs: nowMs, instances }], lagMs, nowMs)
+    events.emit(StandinEvent.listChanged, { count: instances.length, detail: instances.map(listed => listed.name).join(' ') })
+  }
+
+  const run = (given: unknown): unknown => {
+    const asked = command.parse(given)
+    events.emit(StandinEvent.controlChanged, { detail: JSON.stringify(asked) })
+    if (asked.action === 'set') change(setInstance(latest(), asked.instance))
+    else if (asked.action === 'remove') change(removeInstance(latest(), asked.name))
+    else if (asked.action === 'leaving') change(markLeaving(latest(), asked.name))
+    else if (asked.action === 'lag') lagMs = asked.lagMs
+    else gate.run(asked)
+    return { instances: latest() }
+  }
+
+  const list = async (): Promise<{ instances: object[] }> => {
+    await gate.pass()
+    return { instances: visibleList(versions, lagMs, timers.nowMs()).map(toMessage) }
+  }
+
+  const server = await serveRpc({
+    host: context.host,
+    port: context.port,
+    metrics,
+    routes: router => { router.service(InstanceList, { list }) },
+    handlePlain: handleControl({ dump: () => ({ gate: gate.state(), lagMs, instances: latest() }), run })
+  })
+  return { address: server.address, stop: server.close }
+}
--- /dev/null
+++ b/packages/standin/src/plain/settings.ts
@@ -0,0 +1,9 @@
+import { z } from 'zod'
+
+/** Settings of the plain HTTP service. */
+export const plainSettings = z.strictObject({
+  kind: z.literal('plain'),
+  delay_ms: z.coerce.number().min(0).default(20)
+})
+
+export type PlainSettings = Readonly<z.infer<typeof plainSettings>>
--- /dev/null
+++ b/packages/standin/src/plain/startPlain.ts
@@ -0,0 +1,67 @@
+import { serveRpc, sleep } from '@figmount/base'
+import { z } from 'zod'
+
+import { handleControl, readBody } from '../control/handleControl.js'
+import { StandinEvent } from '../events.js'
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { StartedStandin } from '../control/types.js'
+import type { StandinContext } from '../settings/types.js'
+import type { PlainSettings } from './settings.js'
+
+/** Header by which calls are counted. */
+export const REQUEST_KEY_HEADER = 'figmount-request-key'
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024
+
+const command = z.discriminatedUnion('action', [
+  z.strictObject({ action: z.literal('slow'), delayMs: z.number().min(0) }),
+  /** The next calls are carried out and their connection is cut before the answer. */
+  z.strictObject({ action: z.literal('lose'), count: z.number().int().min(0) })
+])
+
+/** Starts a plain HTTP service that says how often a request key was carried out. */
+export const startPlain = async (context: StandinContext<PlainSettings>): Promise<StartedStandin> => {
+  const { settings, timers, events, metrics } = context
+  const callCounts = new Map<string, number>()
+  let delayMs = settings.delay_ms
+  let loseCount = 0
+
+  const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const body = await readBody(request, MAX_BODY_BYTES)
+    const key = String(request.headers[REQUEST_KEY_HEADER] ?? '')
+    const count = (callCounts.get(key) ?? 0) + 1
+    callCounts.set(key, count)
+    events.emit(StandinEvent.plainCalled, { requestKey: key, count, detail: `${request.method} ${request.url}` })
+    await sleep(timers, delayMs)
+    if (loseCount > 0) {
+      loseCount -= 1
+      request.socket.destroy()
+      return
+    }
+    response.writeHead(200, { 'content-type': 'application/json', 'figmount-call-count': String(count) })
+    response.end(JSON.stringify({ key, count, method: request.method, path: request.url, bodyBytes: body?.length ?? 0 }))
+  }
+
+  const run = (given: unknown): unknown => {
+    const asked = command.parse(given)
+    events.emit(StandinEvent.controlChanged, { detail: JSON.stringify(asked) })
+    if (asked.action === 'slow') delayMs = asked.delayMs
+    else loseCount = asked.count
+    return {}
+  }
+
+  const control = handleControl({ dump: () => ({ delayMs, loseCount, callCounts: Object.fromEntries(callCounts) }), run })
+  const server = await serveRpc({
+    host: context.host,
+    port: context.port,
+    metrics,
+    routes: () => {},
+    handlePlain: (request, response) => {
+      if (control(request, response)) return true
+      serve(request, response)
+      return true
+    }
+  })
+  return { address: server.address, stop: server.close }
+}
--- /dev/null
+++ b/packages/standin/src/proxy/startProxy.test.ts
@@ -0,0 +1,72 @@
+import { once } from 'node:events'
+import { connect, createServer } from 'node:net'
+import { expect } from 'chai'
+
+import { startForTest } from '../testing/startForTest.js'
+
+import type { AddressInfo, Server, Socket } from 'node:net'
+import type { StandinUnderTest } from '../testing/startForTest.js'
+
+const dial = async (address: string): Promise<Socket> => {
+  const socket = connect(Number(address.split(':')[1]), '127.0.0.1')
+  socket.on('error', () => {})
+  await once(socket, 'connect')
+  return socket
+}
+
+const echo = async (socket: Socket, text: string): Promise<string> => {
+  socket.write(text)
+  const [chunk] = await once(socket, 'data')
+  return String(chunk)
+}
+
+describe('proxy stand-in', () => {
+  let target: Server
+  let standin: StandinUnderTest
+  beforeEach(async () => {
+    target = createServer(socket => { socket.on('error', () => {}).pipe(socket) }).listen(0, '127.0.0.1')
+    await once(target, 'listening')
+    standin = await startForTest({ kind: 'proxy', target: `127.0.0.1:${(target.address() as AddressInfo).port}` })
+  })
+  afterEach(async () => {
+    target.close()
+    await standin.stop()
+  })
+
+  // Something between the two ends forgets a connection: what is written on it is
+  // never heard, nothing is closed, and a new connection works.
+  it('silences open connections while new ones work', async () => {
+    const old = await dial(standin.address)
+    expect(await echo(old, 'one')).to.equal('one')
+    const heard = once(old, 'data')
+    await standin.command({ action: 'fault', fault: { kind: 'drop' }, scope: 'existing' })
+    old.write('two')
+    const fresh = await dial(standin.address)
+    expect(await echo(fresh, 'three')).to.equal('three')
+    await standin.command({ action: 'fault', fault: { kind: 'none' }, scope: 'all' })
+    old.write('four')
+    expect(String((await heard)[0])).to.equal('four')
+    old.destroy()
+    fresh.destroy()
+  })
+
+  it('holds bytes back while stalled', async () => {
+    const socket = await dial(standin.address)
+    expect(await echo(socket, 'one')).to.equal('one')
+    await standin.command({ action: 'fault', fault: { kind: 'stall' } })
+    const answered = echo(socket, 'two')
+    const fresh = await dial(standin.address)
+    await standin.command({ action: 'fault', fault: { kind: 'none' } })
+    expect(await answered).to.equal('two')
+    socket.destroy()
+    fresh.destroy()
+  })
+
+  it('resets open connections when cut', async () => {
+    const socket = await dial(standin.address)
+    expect(await echo(socket, 'one')).to.equal('one')
+    const closed = new Promise(resolve => { socket.once('close', resolve) })
+    await standin.command({ action: 'cut' })
+    await closed
+  })
+})
--- /dev/null
+++ b/packages/standin/src/settings/types.ts
@@ -0,0 +1,12 @@
+import type { EventLog, Metrics, TimerService } from '@figmount/base'
+
+/** What every stand-in is started with. */
+export interface StandinContext<Settings> {
+  readonly instance: string
+  readonly host: string
+  readonly port: number
+  readonly settings: Settings
+  readonly timers: TimerService
+  readonly events: EventLog
+  readonly metrics: Metrics
+}
