--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -26,6 +26,9 @@
     format: 'esm',
     banner: { js: `#!/usr/bin/env node\n${REQUIRE_SHIM}` },
     external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract'],
+    minifySyntax: true,
+    minifyWhitespace: true,
+    legalComments: 'none',
     logLevel: 'warning'
   })
 }
