Fold the log into agreed state, and follow the log

Changed: applyRecord and foldRecords with one file for each kind of record, selectors for services, models, callers, rights and suspects, codec with limits, reader, batched appender, answers for peers. Added to the types: writerIncarnation in each record's head, recentRecordIds in the state, and UnreadableRecord. A release counts only from the holder's present incarnation: without that a release delayed over a restart frees a slot whose replica the restarted agent has loaded. Also: bodies with doubled names and plain services with models are refused.

--- /dev/null
+++ b/packages/records/src/agents/applyAgentUp.ts
@@ -0,0 +1,43 @@
+import { GONE_AGENT_LIMIT } from '../fold/constants.js'
+import { applied, ignored } from '../fold/outcomes.js'
+
+import type { Draft } from '../fold/openDraft.js'
+import type { FoldOutcome, LogRecord, PlacedRecord } from '../fold/types.js'
+import type { AgentFacts } from './types.js'
+
+type AgentUp = Extract<LogRecord, { kind: 'agent.up' }>
+
+// Instances may come and go under ever new names; without a bound the state would grow for ever.
+const forgetOldestGone = (draft: Draft): void => {
+  const gone = [...draft.state.agents.values()].filter(agent => agent.gone)
+  if (gone.length <= GONE_AGENT_LIMIT) return
+  const oldestFirst = gone.toSorted((a, b) => a.offset - b.offset)
+  for (const agent of oldestFirst.slice(0, gone.length - GONE_AGENT_LIMIT)) {
+    draft.change('agents').delete(agent.instance)
+  }
+}
+
+/**
+ * An agent announces itself. It keeps its rights and an operator's drain over a restart.
+ * An announcement of an earlier incarnation is ignored: it was delayed on its way and would
+ * make the agent that runs now look like a stranger.
+ */
+export const applyAgentUp = (draft: Draft, placed: PlacedRecord, record: AgentUp): FoldOutcome => {
+  const known = draft.state.agents.get(record.instance)
+  if (known && record.incarnation < known.incarnation) return ignored(`incarnation ${known.incarnation} came up later`)
+  const facts: AgentFacts = {
+    instance: record.instance,
+    incarnation: record.incarnation,
+    dataCentre: record.dataCentre,
+    services: record.services,
+    backendKind: record.backendKind,
+    memoryCapacityMb: record.memoryCapacityMb,
+    enforcesFence: record.enforcesFence,
+    offset: placed.offset,
+    draining: known?.draining ?? false,
+    gone: false
+  }
+  draft.change('agents').set(record.instance, facts)
+  if (!known) forgetOldestGone(draft)
+  return applied
+}
--- /dev/null
+++ b/packages/records/src/config/parseBody.ts
@@ -0,0 +1,40 @@
+import { Either, Left, Right } from 'purify-ts'
+
+import { callerSpec, serviceSpec } from './types.js'
+
+import type { z } from 'zod'
+import type { CallerSpec, ItemName, ServiceSpec } from './types.js'
+
+/** Largest body of one item in UTF-16 units: some 1,200 models with 10,000 adapters in one service. */
+export const MAX_BODY_LENGTH = 1024 * 1024
+
+const ITEM_NAME = /^(service|caller)\/[a-z0-9][a-z0-9._-]{0,63}$/
+
+/** Whether a text names an item of the configuration. */
+export const isItemName = (text: string): text is ItemName => ITEM_NAME.test(text)
+
+const describe = (issue: z.core.$ZodIssue): string =>
+  `${issue.path.map(String).join('.') || 'body'}: ${issue.message}`
+
+const check = <T>(schema: z.ZodType<T>, body: unknown): Either<string, T> => {
+  const result = schema.safeParse(body)
+  if (result.success) return Right(result.data)
+  return Left(result.error.issues.slice(0, 5).map(describe).join('; '))
+}
+
+const parseJson = (text: string): Either<string, unknown> => {
+  if (text.length > MAX_BODY_LENGTH) return Left(`body: longer than ${MAX_BODY_LENGTH} characters`)
+  return Either.encase(() => JSON.parse(text) as unknown).mapLeft(error => `body: ${error.message}`)
+}
+
+/** Reads and checks the body of a `service/` item; the Left names each wrong field. */
+export const parseServiceBody = (bodyJson: string): Either<string, ServiceSpec> =>
+  parseJson(bodyJson).chain(body => check(serviceSpec, body))
+
+/** Reads and checks the body of a `caller/` item; the Left names each wrong field. */
+export const parseCallerBody = (bodyJson: string): Either<string, CallerSpec> =>
+  parseJson(bodyJson).chain(body => check(callerSpec, body))
+
+/** Checks a body by its item's kind, as the fold will. */
+export const checkBody = (item: ItemName, bodyJson: string): Either<string, ServiceSpec | CallerSpec> =>
+  item.startsWith('service/') ? parseServiceBody(bodyJson) : parseCallerBody(bodyJson)
--- a/packages/records/src/config/types.ts
+++ b/packages/records/src/config/types.ts
@@ -13,6 +13,9 @@
   priority: 9
 } as const
 
+const areDistinct = (names: readonly string[]): boolean => new Set(names).size === names.length
+const namesOf = (entries: ReadonlyArray<{ readonly name: string }>): readonly string[] => entries.map(entry => entry.name)
+
 const name = z.string().regex(/^[a-z0-9][a-z0-9._-]*$/, 'a name of a-z, 0-9, dot, dash and underscore').max(ConfigLimit.nameLength)
 
 const adapterSpec = z.strictObject({
@@ -34,6 +37,8 @@
   adapters: z.array(adapterSpec).max(ConfigLimit.adaptersPerModel).default([])
 }).refine(model => model.versions.includes(model.currentVersion), 'currentVersion to be one of versions')
   .refine(model => model.minReplicas <= model.maxReplicas, 'minReplicas to be at most maxReplicas')
+  .refine(model => areDistinct(model.versions), 'versions to be distinct')
+  .refine(model => areDistinct(namesOf(model.adapters)), 'names of adapters to be distinct')
 
 /** A service of models, or a plain HTTP service that is routed to as it is. */
 export const serviceSpec = z.strictObject({
@@ -43,7 +48,8 @@
   priorities: z.record(name, z.int().min(0).max(ConfigLimit.priority)).default({}),
   /** 0 weighs only tail cold-start time, 1 only idle accelerator hours. */
   idleCostWeight: z.number().min(0).max(1).default(0.5)
-})
+}).refine(service => areDistinct(namesOf(service.models)), 'names of models to be distinct')
+  .refine(service => service.kind === 'models' || service.models.length === 0, 'a plain service to have no models')
 
 /** A caller, known by the hash of its key. */
 export const callerSpec = z.strictObject({
--- a/packages/records/src/fold/types.ts
+++ b/packages/records/src/fold/types.ts
@@ -8,6 +8,8 @@
   /** Chosen by the writer, the same on every resend of one append. */
   readonly recordId: string
   readonly writer: InstanceName
+  /** Incarnation of the writer; a release counts only from the holder's present one. */
+  readonly writerIncarnation?: Incarnation
 }
 
 /** Everything figmount writes to the platform's log. */
@@ -96,8 +98,20 @@
   readonly agents: ReadonlyMap<InstanceName, AgentFacts>
   readonly rights: ReadonlyMap<RightId, RightState>
   readonly suspects: ReadonlyMap<string, Suspect>
+  /** Ids of the last RECENT_ID_COUNT records, oldest first: a second copy of an append is ignored. */
+  readonly recentRecordIds: ReadonlySet<string>
 }
 
+/** A record whose payload could not be read, or whose kind this build does not know. */
+export interface UnreadableRecord {
+  readonly offset: LogOffset
+  readonly appendedAtMs: number
+  readonly unreadable: string
+}
+
+/** What the fold takes: every offset counts, read or not. */
+export type FoldInput = PlacedRecord | UnreadableRecord
+
 /** What became of a record in the fold. */
 export type FoldOutcome =
   | { readonly applied: true }
--- /dev/null
+++ b/packages/records/src/log/createRecordsClient.ts
@@ -0,0 +1,139 @@
+import { BaseEvent } from '@figmount/base'
+
+import { createAppender } from './createAppender.js'
+import { createFollower } from './createFollower.js'
+import { createJitter } from './createJitter.js'
+import { createPeerSource } from './createPeerSource.js'
+import { createRawBuffer } from './createRawBuffer.js'
+import { createReader } from './createReader.js'
+import { reportRecord } from './reportRecord.js'
+import { RecordEvent } from './events.js'
+import { openLog } from './openLog.js'
+
+import type { EventLog, Incarnation, InstanceName, LogOffset, Metrics, TimerService } from '@figmount/base'
+import type { AgreedState, LogRecord, PlacedRecord } from '../fold/types.js'
+import type { PlatformLogCalls } from './openLog.js'
+import type { FollowingClient, RecordsClient, SnapshotSeen } from './types.js'
+
+type Listener = Parameters<RecordsClient['onChange']>[0]
+
+/** What a records client is made of. */
+export interface RecordsClientOptions {
+  /** host:port of the platform's log. */
+  readonly address: string
+  readonly instance: InstanceName
+  readonly incarnation: Incarnation
+  readonly timers: TimerService
+  readonly events: EventLog
+  readonly metrics: Metrics
+  /** Append calls a second in the long run; APPENDS_PER_SECOND if left out. */
+  readonly appendsPerSecond?: number
+  /** The log's calls, for tests; made from `address` if left out. */
+  readonly log?: PlatformLogCalls
+}
+
+/** Starts to follow the platform's log. It never gives up; `isReady` tells when there is a state. */
+export const createRecordsClient = (options: RecordsClientOptions): FollowingClient => {
+  const { address, instance, incarnation, timers, events, metrics } = options
+  const log = options.log ?? openLog(address, timers)
+  const buffer = createRawBuffer()
+  const listeners = new Set<Listener>()
+  const jitter = createJitter(`${instance}/${incarnation}`)
+  let confirmedAtMs = -Infinity
+  let knownHead = 0 as LogOffset
+  let ready = false
+  let idCount = 0
+  let lastSnapshot: SnapshotSeen | undefined
+
+  const nextId = (): string => `${incarnation}.${idCount++}`
+
+  const raiseKnownHead = (head: LogOffset): void => {
+    if (head > knownHead) knownHead = head
+  }
+
+  const tell = (records: readonly PlacedRecord[], state: AgreedState): void => {
+    for (const listen of listeners) {
+      try {
+        listen(records, state)
+      } catch (error) {
+        // A listener that throws must not end the reading of the log.
+        events.emit(BaseEvent.unexpectedFault, { step: 'records.onChange', reason: (error as Error).message })
+      }
+    }
+  }
+
+  const follower = createFollower({
+    onFolded: (records, outcomes, raw) => {
+      const readable: PlacedRecord[] = []
+      for (const [index, record] of records.entries()) {
+        const outcome = outcomes[index]
+        const bytes = raw[index]
+        if (bytes) buffer.push(bytes)
+        if (outcome) reportRecord({ record, outcome, instance, events, metrics })
+        if ('unreadable' in record) continue
+        readable.push(record)
+        if (outcome) appender.onFolded(record.record, record.offset, outcome)
+      }
+      tell(readable, follower.state())
+    },
+    onRebuilt: (state, from) => {
+      if (from === 'peer') ready = true
+      events.emit(RecordEvent.stateRebuilt, { offset: state.nextOffset, detail: from })
+      tell([], state)
+    },
+    onSnapshotRefused: reason => events.emit(RecordEvent.snapshotRefused, { reason }),
+    onSnapshotSeen: (baseOffset, completedAtMs) => { lastSnapshot = { baseOffset, completedAtMs } }
+  })
+
+  const appender = createAppender({
+    log,
+    address,
+    timers,
+    events,
+    metrics,
+    jitter,
+    ...(options.appendsPerSecond === undefined ? {} : { appendsPerSecond: options.appendsPerSecond }),
+    onAppended: raiseKnownHead
+  })
+
+  const reader = createReader({
+    log,
+    address,
+    timers,
+    events,
+    metrics,
+    jitter,
+    follower,
+    knownHead: () => knownHead,
+    onConfirmed: sentAtMs => {
+      confirmedAtMs = sentAtMs
+      ready = true
+      appender.onConfirmed(sentAtMs)
+    }
+  })
+
+  metrics.gauge('records_next_offset', () => follower.state().nextOffset)
+  metrics.gauge('records_confirmed_age_ms', () => timers.nowMs() - confirmedAtMs)
+
+  return {
+    state: follower.state,
+    confirmedAtMs: () => confirmedAtMs,
+    isReady: () => ready,
+    lastSnapshot: () => lastSnapshot,
+    onChange: listen => {
+      listeners.add(listen)
+      return () => { listeners.delete(listen) }
+    },
+    append: record => appender.append({ ...record, recordId: record.recordId ?? nextId(), writer: instance, writerIncarnation: incarnation } as LogRecord),
+    offer: records => {
+      follower.takeFromPeer(records)
+      raiseKnownHead(follower.state().nextOffset)
+    },
+    rawFrom: createPeerSource({ instance, timers, state: follower.state, buffer, nextId }),
+    stop: () => {
+      reader.stop()
+      appender.stop()
+      log.close()
+    }
+  }
+}
--- a/packages/records/src/log/types.ts
+++ b/packages/records/src/log/types.ts
@@ -2,8 +2,8 @@
 import type { Fault, LogOffset, Unsubscribe } from '@figmount/base'
 import type { AgreedState, FoldOutcome, LogRecord, PlacedRecord } from '../fold/types.js'
 
-/** A record before the client adds `recordId` and `writer`. */
-export type NewRecord = LogRecord extends infer R ? R extends LogRecord ? Omit<R, 'recordId' | 'writer'> & { readonly recordId?: string } : never : never
+/** A record before the client adds `recordId`, `writer` and `writerIncarnation`. */
+export type NewRecord = LogRecord extends infer R ? R extends LogRecord ? Omit<R, 'recordId' | 'writer' | 'writerIncarnation'> & { readonly recordId?: string } : never : never
 
 /** A record as peers pass it on: the bytes that the log holds. */
 export interface RawRecord {
@@ -31,3 +31,16 @@
   readonly rawFrom: (fromOffset: LogOffset, maxCount: number) => readonly RawRecord[]
   readonly stop: () => void
 }
+
+/** A client that also tells how old the log's latest snapshot is. */
+export interface FollowingClient extends RecordsClient {
+  /** The latest complete snapshot that was read from the log; undefined if none was. */
+  readonly lastSnapshot: () => SnapshotSeen | undefined
+}
+
+/** A complete snapshot in the log. */
+export interface SnapshotSeen {
+  readonly baseOffset: LogOffset
+  /** Log time of its last chunk. */
+  readonly completedAtMs: number
+}
--- /dev/null
+++ b/packages/records/src/rights/applyGrant.ts
@@ -0,0 +1,57 @@
+import { rightIdOf, serviceOfTarget } from './rightId.js'
+import { findModel, findService } from '../config/selectors.js'
+import { applied, ignored } from '../fold/outcomes.js'
+
+import type { Draft } from '../fold/openDraft.js'
+import type { AgreedState, FoldOutcome, LogRecord, PlacedRecord } from '../fold/types.js'
+import type { RightKey, RightState } from './types.js'
+
+type RightGrant = Extract<LogRecord, { kind: 'right.grant' }>
+
+const findKeyMistake = (state: AgreedState, key: RightKey): string | undefined => {
+  if (key.kind === 'keys' && !key.target.includes('/')) {
+    const service = findService(state, serviceOfTarget(key.target))
+    return service?.kind === 'plain' ? undefined : `no plain service ${key.target} is in force`
+  }
+  const model = findModel(state, key.target)
+  if (!model) return `no model ${key.target} is in force`
+  if (key.kind === 'replica' && key.slotIndex >= model.maxReplicas) return `${key.target} may have ${model.maxReplicas} replicas`
+  return undefined
+}
+
+const findReceiverMistake = (state: AgreedState, record: RightGrant): string | undefined => {
+  const agent = state.agents.get(record.instance)
+  if (!agent || agent.gone) return `${record.instance} is not up`
+  if (agent.incarnation !== record.incarnation) return `${record.instance} has restarted`
+  if (agent.draining) return `${record.instance} drains`
+  const service = serviceOfTarget(record.right.target)
+  return agent.services.includes(service) ? undefined : `${record.instance} does not serve ${service}`
+}
+
+const findRightMistake = (state: AgreedState, record: RightGrant, right: RightState | undefined): string | undefined => {
+  if (right && right.status !== 'free') return `the right is ${right.status}, held by ${right.holder}`
+  if ((right?.fence ?? 0) !== record.expectedFence) return `the last fence is ${right?.fence ?? 0}`
+  if (right && state.asOfMs < right.grantableFromMs) return `not to be granted before ${right.grantableFromMs}`
+  return undefined
+}
+
+/** Grants a free right. Its offset becomes the right's fence, so the first of two racing grants wins. */
+export const applyGrant = (draft: Draft, placed: PlacedRecord, record: RightGrant): FoldOutcome => {
+  const { state } = draft
+  const id = rightIdOf(record.right)
+  const mistake = findKeyMistake(state, record.right) ??
+    findReceiverMistake(state, record) ??
+    findRightMistake(state, record, state.rights.get(id))
+  if (mistake) return ignored(mistake)
+  draft.change('rights').set(id, {
+    id,
+    key: record.right,
+    status: 'granted',
+    holder: record.instance,
+    incarnation: record.incarnation,
+    fence: placed.offset,
+    tenureFromMs: state.asOfMs,
+    grantableFromMs: 0
+  })
+  return applied
+}
--- a/packages/records/src/rights/constants.ts
+++ b/packages/records/src/rights/constants.ts
@@ -19,3 +19,18 @@
 
 /** Age above which a key of a request that may not be repeated is refused. */
 export const ONCE_WINDOW_MS = 600_000
+
+/**
+ * A key issued before the tenure's start plus this margin may have been let run by the predecessor.
+ * Grounds: the predecessor permits for up to AUTHORITY_MS after it was replaced, takes keys that
+ * were issued up to CLOCK_ERROR_MS ahead of its clock, and its clock may itself be ahead by as much.
+ */
+export const TENURE_MARGIN_MS = AUTHORITY_MS + 2 * CLOCK_ERROR_MS
+
+/**
+ * How long a holder remembers a key that it let run, counted from the key's issue on the clock
+ * by which the holder refuses old keys, or from the permit, whichever is later.
+ * Grounds: a key from up to CLOCK_ERROR_MS ahead would otherwise be forgotten while it is still
+ * inside the window, and a resend be let run a second time.
+ */
+export const KEY_MEMORY_MS = ONCE_WINDOW_MS + 2 * CLOCK_ERROR_MS
