--- a/packages/records/src/log/createFollower.ts
+++ b/packages/records/src/log/createFollower.ts
@@ -122,6 +122,8 @@
       const chunk = chunkOf(record.input)
       if (chunk) gatherFromLog(chunk, record.raw.appendedAtMs)
     }
+    // What came behind the chunk that completed a snapshot.
+    if (!blocked) fold(read)
   }
 
   const takeFromPeer = (records: readonly RawRecord[]): void => {
