Propose rights and voids from state, instance list and time

Cause: routers need pure functions that say which rights to grant, revoke and void. Changed: proposeRights, proposeVoids, trackAbsences, shouldPropose. Slots of one model go to different data centres first; among the three best ranked agents the one with least memory promised is taken; the keys right goes to a holder of a slot. A void needs 30 s off the list and an engine that is silent or fenced; while an engine answers that ignores fences there is no void. Also: a batch with doubled records is folded once; a second copy met after a jump over the first one leaves the outcome unknown instead of calling it ignored.

--- a/packages/records/src/fold/foldRecords.ts
+++ b/packages/records/src/fold/foldRecords.ts
@@ -15,6 +15,9 @@
 import type { Draft } from './openDraft.js'
 import type { AgreedState, FoldInput, FoldOutcome, PlacedRecord } from './types.js'
 
+/** What becomes of a record whose id was folded before. */
+export const secondCopy: FoldOutcome = ignored('a second copy of the record')
+
 /** A folded batch; `outcomes[i]` tells what became of the i-th record. */
 export interface FoldResult {
   readonly state: AgreedState
@@ -56,7 +59,7 @@
   draft.step((input.offset + 1) as LogOffset, Math.max(state.asOfMs, input.appendedAtMs))
   if ('unreadable' in input) return ignored(input.unreadable)
   if (input.record.kind === 'snapshot.chunk') return applied
-  if (isSecondCopy(draft, input.record.recordId)) return ignored('a second copy of the record')
+  if (isSecondCopy(draft, input.record.recordId)) return secondCopy
   return applyByKind(draft, input)
 }
 
--- a/packages/records/src/log/createAppender.ts
+++ b/packages/records/src/log/createAppender.ts
@@ -4,6 +4,7 @@
 import {
   APPEND_BURST, APPEND_DEADLINE_MS, APPEND_QUEUE_LIMIT, APPENDS_PER_SECOND, BATCH_MAX_BYTES, BATCH_MAX_COUNT, MAX_PAYLOAD_BYTES
 } from './constants.js'
+import { secondCopy } from '../fold/foldRecords.js'
 import { encodeRecord } from './codec.js'
 import { RecordEvent } from './events.js'
 
@@ -179,7 +180,11 @@
       const result = enqueue(record)
       return EitherAsync.fromPromise(async () => await result)
     },
-    onFolded: (record, offset, outcome) => settle(record.recordId, Right({ outcome, offset })),
+    onFolded: (record, offset, outcome) => {
+      // The state has jumped over the first copy by a snapshot: what became of it can't be told.
+      if (outcome === secondCopy) return expire(record.recordId)
+      settle(record.recordId, Right({ outcome, offset }))
+    },
     onConfirmed,
     stop: () => {
       stopping.abort()
--- a/packages/records/src/log/createFollower.ts
+++ b/packages/records/src/log/createFollower.ts
@@ -45,6 +45,15 @@
 const chunkOf = (input: FoldInput): SnapshotChunk | undefined =>
   'record' in input && input.record.kind === 'snapshot.chunk' ? input.record : undefined
 
+/** The records that follow an offset without a gap, doubles and earlier ones left out. */
+const consecutiveFrom = (records: readonly ReadRecord[], nextOffset: LogOffset): readonly ReadRecord[] => {
+  const chosen: ReadRecord[] = []
+  for (const record of records) {
+    if (record.raw.offset === nextOffset + chosen.length) chosen.push(record)
+  }
+  return chosen
+}
+
 /** Makes a follower that has read nothing. */
 export const createFollower = (events: FollowerEvents): Follower => {
   let state = emptyState
@@ -57,14 +66,13 @@
   let position = emptyState.nextOffset
 
   const fold = (records: readonly ReadRecord[]): void => {
-    const due = records.filter(({ raw }) => raw.offset >= state.nextOffset)
+    const due = consecutiveFrom(records, state.nextOffset)
     if (due.length === 0) return
     const inputs = due.map(({ input }) => input)
     const folded = foldRecords(state, inputs)
-    const foldedCount = folded.state.nextOffset - state.nextOffset
     state = folded.state
     if (!blocked) position = state.nextOffset
-    events.onFolded(inputs.slice(0, foldedCount), folded.outcomes, due.slice(0, foldedCount).map(({ raw }) => raw))
+    events.onFolded(inputs, folded.outcomes, due.map(({ raw }) => raw))
   }
 
   const unblock = (): void => {
--- /dev/null
+++ b/packages/records/src/proposals/proposeRights.test.ts
@@ -0,0 +1,135 @@
+import { expect } from 'chai'
+
+import { LIST_ABSENT_MS } from './constants.js'
+import { proposeRights } from './proposeRights.js'
+import { findAbsent, proposeVoids } from './proposeVoids.js'
+import { shouldPropose } from './shouldPropose.js'
+import { noAbsences, trackAbsences } from './trackAbsences.js'
+import { emptyState } from '../fold/emptyState.js'
+import { foldRecords } from '../fold/foldRecords.js'
+import { VOID_WAIT_MS } from '../rights/constants.js'
+import { findKeysRight, findReplicaRights } from '../rights/selectors.js'
+import { agentUp, placeAll, setConfig } from '../testing/records.js'
+
+import type { DataCentre, InstanceName, ModelId } from '@figmount/base'
+import type { AgreedState, LogRecord } from '../fold/types.js'
+import type { NewRecord } from '../log/types.js'
+import type { ListedInstance } from './types.js'
+
+const all = { mayPropose: () => true }
+const dayMs = 86_400_000
+const router = 'r1' as InstanceName
+
+const modelOf = (name: string, maxReplicas: number, memoryMb = 10) =>
+  ({ name, versions: ['v1'], currentVersion: 'v1', minReplicas: 0, maxReplicas, memoryMb, checkpointMb: 10 })
+const serviceOf = (...models: ReadonlyArray<ReturnType<typeof modelOf>>) => ({ kind: 'models', models })
+const agentIn = (name: string, dataCentre: string): LogRecord =>
+  ({ ...agentUp(name, 'i1'), dataCentre: dataCentre as DataCentre } as LogRecord)
+const listed = (...names: readonly string[]): readonly ListedInstance[] =>
+  names.map(name => ({ name: name as InstanceName, leaving: false }))
+
+let counter = 0
+const fold = (state: AgreedState, records: ReadonlyArray<LogRecord | NewRecord>, laterMs = 0): AgreedState => {
+  const whole = records.map(record => ({ recordId: `p${counter++}`, writer: router, ...record }) as LogRecord)
+  const placed = placeAll(whole, state.nextOffset).map(record => ({ ...record, appendedAtMs: state.asOfMs + laterMs }))
+  return foldRecords(state, placed).state
+}
+
+const names = ['a1', 'a2', 'a3', 'a4', 'a5', 'a6']
+const agents = names.map((name, index) => agentIn(name, `dc-${index % 3}`))
+const start = (body: unknown): AgreedState => fold(emptyState, [setConfig('service/reader', 0, body), ...agents])
+const settle = (state: AgreedState, instances = listed(...names)): AgreedState => fold(state, proposeRights(state, instances, all, dayMs))
+const holdersOf = (state: AgreedState, model: string): readonly InstanceName[] =>
+  findReplicaRights(state, `reader/${model}` as ModelId).map(right => right.holder)
+
+describe('proposals of rights', () => {
+  it('fill every slot once, over all data centres, with the keys at a slot holder', () => {
+    const state = settle(start(serviceOf(modelOf('m', 3), modelOf('n', 1))))
+    const holders = holdersOf(state, 'm')
+    const centres = holders.map(holder => state.agents.get(holder)?.dataCentre)
+    expect(new Set(centres).size).to.equal(3)
+    expect(holdersOf(state, 'n')).to.include(findKeysRight(state, 'reader/n' as ModelId)?.holder)
+    expect(proposeRights(state, listed(...names), all, dayMs)).to.deep.equal([])
+  })
+
+  it('grant no model to an agent that can never hold it', () => {
+    expect(holdersOf(settle(start(serviceOf(modelOf('m', 2, 101)))), 'm')).to.deep.equal([])
+  })
+
+  it('spread models evenly over agents', () => {
+    const models = Array.from({ length: 38 }, (_, index) => modelOf(`m${index}`, 2))
+    const state = settle(start(serviceOf(...models)))
+    const counts = new Map<string, number>()
+    for (const { name } of models) {
+      for (const holder of holdersOf(state, name)) counts.set(holder, (counts.get(holder) ?? 0) + 1)
+    }
+    const sorted = [...counts.values()].sort((a, b) => a - b)
+    expect(sorted.reduce((sum, count) => sum + count)).to.equal(76)
+    expect((sorted.at(-1) ?? 0) - (sorted[0] ?? 0)).to.be.at.most(4)
+  })
+
+  it('leave slots alone while their holder restarts, and move them when it drains', () => {
+    const state = settle(start(serviceOf(modelOf('m', 1))))
+    const [holder] = holdersOf(state, 'm')
+    const restarted = fold(state, [agentUp(holder ?? '', 'i2')])
+    expect(proposeRights(restarted, listed(...names), all, dayMs)).to.deep.equal([])
+    const draining = fold(state, [{ kind: 'drain.set', instance: holder as InstanceName, draining: true, operatorName: 'op' }])
+    const proposed = proposeRights(draining, listed(...names), all, dayMs)
+    expect(proposed.map(record => record.kind)).to.deep.equal(['right.revoke', 'right.revoke'])
+  })
+
+  it('revoke what a lower maximum and a retired model no longer allow', () => {
+    const state = settle(start(serviceOf(modelOf('m', 3), modelOf('n', 1))))
+    const lowered = fold(state, [setConfig('service/reader', 1, serviceOf(modelOf('m', 1)))])
+    const proposed = proposeRights(lowered, listed(...names), all, dayMs)
+    expect(proposed.map(record => record.kind)).to.deep.equal(Array.from({ length: 4 }, () => 'right.revoke'))
+  })
+
+  it('stay within the batch and leave the rest to the next round', () => {
+    const state = start(serviceOf(...Array.from({ length: 10 }, (_, index) => modelOf(`m${index}`, 3))))
+    const limited = { ...all, maxCount: 7 }
+    expect(proposeRights(state, listed(...names), limited, dayMs)).to.have.length(7)
+  })
+
+  it('are shared among routers, each target at one', () => {
+    const routers = ['r1', 'r2', 'r3'] as readonly string[] as readonly InstanceName[]
+    for (const target of ['reader/a', 'reader/b', 'reader/c']) {
+      expect(routers.filter(self => shouldPropose(target, routers, self))).to.have.length(1)
+    }
+  })
+})
+
+describe('proposals of voids', () => {
+  const readAt = (atMs: number, ...present: readonly string[]) => ({ instances: listed(...present), sentAtMs: atMs, answeredAtMs: atMs })
+  const rest = names.slice(1)
+  const watch = (state: AgreedState, stepMs: number) => {
+    let absences = noAbsences
+    for (let atMs = 0; atMs <= LIST_ABSENT_MS; atMs += stepMs) absences = trackAbsences(absences, state, readAt(atMs, ...rest))
+    return absences
+  }
+
+  it('come for an instance that is off the list and silent, and its slots move after the wait', () => {
+    const state = settle(start(serviceOf(modelOf('m', 6))))
+    const absences = watch(state, 5_000)
+    const voids = proposeVoids(state, absences, { ...all, engineOf: () => 'unreachable' })
+    expect(voids.map(record => record.kind === 'instance.void' && record.instance)).to.deep.equal(['a1'])
+    const freed = fold(state, voids)
+    expect(holdersOf(freed, 'm')).to.have.length(5)
+    const later = fold(freed, [agentIn('a7', 'dc-0')], VOID_WAIT_MS)
+    expect(holdersOf(settle(later, listed(...rest, 'a7')), 'm')).to.include('a7')
+    expect(findAbsent(freed, absences)).to.deep.equal([])
+  })
+
+  it('do not come while an engine answers that ignores fences', () => {
+    // An agent is cut off from the log and taken off the list, its engine still answers. Any
+    // unload that a router orders can be undone by the agent's next order, and the model would
+    // be loaded there and at its successor.
+    const state = settle(start(serviceOf(modelOf('m', 1))))
+    expect(proposeVoids(state, watch(state, 5_000), { ...all, engineOf: () => 'reachable' })).to.deep.equal([])
+  })
+
+  it('do not come from a proposer that did not look for a while', () => {
+    const state = settle(start(serviceOf(modelOf('m', 1))))
+    expect(findAbsent(state, watch(state, LIST_ABSENT_MS))).to.deep.equal([])
+  })
+})
