Name the executor's run in a permit and let permits be withdrawn

Cause: a permit named the executor's instance only, so a restarted executor could not tell a permit that was meant for its earlier run. And when an executor refuses a permitted attempt as not run, the holder of the keys went on pointing every resend to it until the window ended. Changed: `Permit.executorIncarnation`, and `permit.withdraw` from a router to the holder. Both only add to the messages; no reader has to change. Checked: types of all packages.

--- a/packages/peers/src/messages/types.ts
+++ b/packages/peers/src/messages/types.ts
@@ -71,6 +71,8 @@
   readonly requestKey: RequestKey
   readonly attemptId: AttemptId
   readonly executor: InstanceName
+  /** The run of the executor that the permit is for; empty when the asker did not know it. */
+  readonly executorIncarnation: Incarnation
   readonly keysHolder: InstanceName
   readonly keysFence: LogOffset
 }
@@ -87,6 +89,8 @@
   | { readonly type: 'cancel', readonly attemptId: AttemptId }
   /** Asks the holder of the `keys` right whether a request may start on `executor`. */
   | { readonly type: 'permit.ask', readonly askId: number, readonly attemptId: AttemptId, readonly executor: InstanceName, readonly executorIncarnation: Incarnation, readonly request: Omit<RunRequest, 'prompt' | 'doneTokens' | 'plain'> }
+  /** The executor of a permitted attempt has refused it as not run: its key may be given to another attempt. */
+  | { readonly type: 'permit.withdraw', readonly target: ModelId, readonly caller: CallerName, readonly requestKey: RequestKey, readonly attemptId: AttemptId }
   | { readonly type: 'records', readonly records: readonly RawRecord[] }
   | { readonly type: 'records.ask', readonly fromOffset: LogOffset }
   /** Fast path of a suspicion; the log carries it too. */
