--- /dev/null
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -0,0 +1,251 @@
+import { match } from 'ts-pattern'
+import { RefusalReason, WaitState } from '@figmount/schema'
+
+import { attemptFields } from '../attempts/createAttemptStore.js'
+import { ORPHAN_MS } from '../attempts/constants.js'
+import { AgentEvent } from '../events.js'
+import { ASSUMED_TOKEN_INTERVAL_MS, INTERVAL_SMOOTHING } from '../queueing/constants.js'
+import { mayHaveRun, notRun, ran, reasonOf } from './refusals.js'
+
+import type { AttemptId } from '@figmount/base'
+import type { RefusalNote } from '@figmount/peers'
+import type { AttemptStore } from '../attempts/createAttemptStore.js'
+import type { Attempt, Progress } from '../attempts/types.js'
+import type { Queue, QueuedAttempt } from '../queueing/createQueue.js'
+import type { Pace } from '../queueing/workAhead.js'
+import type { RunEnd, RunOnBackend } from '../running/types.js'
+import type { AgentContext } from './types.js'
+
+/** What the dispatcher asks of the kind of backend server that it serves. */
+export interface BackendView {
+  readonly isUp: () => boolean
+  readonly batchSize: () => number
+  /** True when the attempt's model, version and adapter are ready. */
+  readonly canStart: (attempt: Attempt) => boolean
+  /** Why the attempt can never start here as things stand; undefined while it can. */
+  readonly refusalFor: (attempt: Attempt) => RefusalNote | undefined
+  readonly versionOf: (attempt: Attempt) => string
+  readonly progressOf: (attempt: Attempt) => Progress
+  readonly onUse: (attempt: Attempt) => void
+  readonly run: RunOnBackend
+  /** Called when a run shows that the backend server ended or cannot be reached. */
+  readonly onRunFault: (end: Extract<RunEnd, { kind: 'notRun' | 'interrupted' }>) => void
+}
+
+interface Options {
+  readonly context: AgentContext
+  readonly attempts: AttemptStore
+  readonly queue: Queue
+  readonly backend: BackendView
+  /** Called when a request that may not be repeated turned out not to have run. */
+  readonly onNotRun: (attempt: Attempt) => void
+  /** Called when a run brought a whole answer. */
+  readonly onAnswered: (attempt: Attempt) => void
+  /** Plans orders; called after starts, so that demand is current. */
+  readonly plan: () => void
+}
+
+interface Run {
+  readonly attempt: Attempt
+  readonly controller: AbortController
+  readonly isSuspect: boolean
+  /** What the attempt is refused with when its run is cancelled. */
+  cancelNote: RefusalNote | undefined
+}
+
+/** Starts queued attempts as the backend server has room and follows their runs. */
+export interface Dispatcher {
+  readonly pump: () => void
+  /** Asks for a pump soon; many asks make one. */
+  readonly poke: () => void
+  readonly running: () => readonly Attempt[]
+  readonly runningCount: () => number
+  /** Ends an attempt that nobody wants any more. */
+  readonly cancel: (id: AttemptId) => void
+  /** Ends everything that is left, for a stop at its deadline. */
+  readonly cancelAll: () => void
+  readonly pace: () => Pace
+  readonly tellProgress: () => void
+}
+
+/** Makes the dispatcher of one agent. */
+export const createDispatcher = (options: Options): Dispatcher => {
+  const { context: { timers, events, instance }, attempts, queue, backend } = options
+  const runs = new Map<AttemptId, Run>()
+  let tokenIntervalMs = ASSUMED_TOKEN_INTERVAL_MS
+  let isPoked = false
+
+  const running = (): readonly Attempt[] => [...runs.values()].map(run => run.attempt)
+
+  const measure = (intervalMs: number): void => {
+    tokenIntervalMs += INTERVAL_SMOOTHING * (intervalMs - tokenIntervalMs)
+  }
+
+  const refuseWaiting = (attempt: Attempt, refusal: RefusalNote): void => {
+    queue.remove(attempt.id)
+    attempts.refuse(attempt.id, refusal)
+    options.onNotRun(attempt)
+  }
+
+  const refuseExpired = (): void => {
+    const nowMs = timers.nowMs()
+    for (const { attempt } of [...queue.all()]) {
+      if (attempt.deadlineAtMs <= nowMs) {
+        refuseWaiting(attempt, notRun({ reason: RefusalReason.DEADLINE, detail: 'it waited until its deadline', step: 'queueing.wait', peer: instance }))
+        continue
+      }
+      const refusal = backend.refusalFor(attempt)
+      if (refusal) refuseWaiting(attempt, refusal)
+    }
+  }
+
+  const stopOverdue = (): void => {
+    const nowMs = timers.nowMs()
+    for (const run of runs.values()) {
+      const { attempt } = run
+      if (run.cancelNote) continue
+      // A request that may not be repeated runs on: its answer is kept for a resend.
+      if (!attempt.request.repeatable) continue
+      if (attempt.deadlineAtMs <= nowMs) {
+        stopRun(run, ran({ reason: RefusalReason.DEADLINE, detail: 'its run did not end before the deadline', step: 'running.deadline', peer: instance }))
+      } else if (attempts.orphanedForMs(attempt.id) > ORPHAN_MS) {
+        stopRun(run, ran({ reason: RefusalReason.STOPPING, detail: 'no router listens any more', step: 'running.orphan', peer: instance, retryAfterMs: 0 }))
+      }
+    }
+  }
+
+  const stopRun = (run: Run, note: RefusalNote): void => {
+    run.cancelNote = note
+    run.controller.abort()
+  }
+
+  const finish = (run: Run, end: RunEnd): void => match(end)
+    .with({ kind: 'finished' }, ({ finishReason, plain }) => {
+      attempts.finish(run.attempt.id, finishReason, plain)
+      options.onAnswered(run.attempt)
+    })
+    .with({ kind: 'notRun' }, faulty => {
+      backend.onRunFault(faulty)
+      const { fault } = faulty
+      attempts.refuse(run.attempt.id, notRun({ reason: reasonOf(fault), detail: fault.message, step: fault.step, peer: instance }))
+      options.onNotRun(run.attempt)
+    })
+    .with({ kind: 'interrupted' }, faulty => {
+      backend.onRunFault(faulty)
+      const { fault } = faulty
+      events.emit(AgentEvent.attemptInterrupted, { ...attemptFields(run.attempt), tokenCount: run.attempt.tokenCount, step: fault.step, peer: fault.peer, reason: fault.message })
+      const reason = run.attempt.request.repeatable ? RefusalReason.UNAVAILABLE : RefusalReason.ANSWER_LOST
+      attempts.refuse(run.attempt.id, mayHaveRun({ reason, detail: `interrupted: ${fault.message}`, step: fault.step, peer: instance }))
+    })
+    .with({ kind: 'cancelled' }, () => {
+      attempts.refuse(run.attempt.id, run.cancelNote ?? ran({ reason: RefusalReason.STOPPING, detail: 'cancelled', step: 'running.cancel', peer: instance }))
+    })
+    .exhaustive()
+
+  const follow = async (run: Run, version: string): Promise<void> => {
+    const { attempt } = run
+    let lastTokenMs = timers.nowMs()
+    let isFirst = true
+    const end = await backend.run(attempt, version, {
+      onReach: () => {
+        if (attempt.reached) return
+        attempts.markReached(attempt.id)
+        events.emit(AgentEvent.engineRunStarted, { ...attemptFields(attempt), version })
+      },
+      onTokens: (firstTokenIndex, tokens) => {
+        const nowMs = timers.nowMs()
+        if (!isFirst) measure((nowMs - lastTokenMs) / tokens.length)
+        isFirst = false
+        lastTokenMs = nowMs
+        attempts.addTokens(attempt.id, firstTokenIndex, tokens)
+      }
+    }, run.controller.signal)
+    finish(run, end)
+    runs.delete(attempt.id)
+    queue.account(attempt, attempt.tokenCount - attempt.request.doneTokens.length)
+    backend.onUse(attempt)
+    poke()
+  }
+
+  const start = ({ attempt, isSuspect }: QueuedAttempt): void => {
+    queue.remove(attempt.id)
+    const version = backend.versionOf(attempt)
+    const run: Run = { attempt, controller: new AbortController(), isSuspect, cancelNote: undefined }
+    runs.set(attempt.id, run)
+    attempts.start(attempt.id, version)
+    backend.onUse(attempt)
+    events.emit(AgentEvent.attemptStarted, { ...attemptFields(attempt), version, waitMs: Math.round(timers.nowMs() - attempt.arrivedAtMs) })
+    if (isSuspect) events.emit(AgentEvent.suspectAlone, attemptFields(attempt))
+    attempts.tell(attempt.id, { state: WaitState.RUNNING, estimatedWaitMs: 0 })
+    void follow(run, version)
+  }
+
+  const hasSuspectRunning = (): boolean => {
+    for (const run of runs.values()) {
+      if (run.isSuspect) return true
+    }
+    return false
+  }
+
+  const startReady = (): void => {
+    while (backend.isUp() && runs.size < backend.batchSize() && !hasSuspectRunning()) {
+      const next = queue.pick(({ attempt }) => backend.canStart(attempt))
+      if (!next) return
+      // A suspect waits for what runs and nothing is started meanwhile, or it would wait for ever.
+      if (next.isSuspect && runs.size > 0) return
+      start(next)
+    }
+  }
+
+  const pump = (): void => {
+    refuseExpired()
+    stopOverdue()
+    startReady()
+    options.plan()
+  }
+
+  const poke = (): void => {
+    if (isPoked) return
+    isPoked = true
+    timers.after(0, () => {
+      isPoked = false
+      pump()
+    })
+  }
+
+  const cancelQueued = (id: AttemptId): void => {
+    const attempt = attempts.get(id)
+    if (attempt?.phase !== 'waiting') return
+    refuseWaiting(attempt, notRun({ reason: RefusalReason.STOPPING, detail: 'cancelled while it waited', step: 'queueing.cancel', peer: instance, retryAfterMs: 0 }))
+  }
+
+  return {
+    pump,
+    poke,
+    running,
+    runningCount: () => runs.size,
+    cancel: id => {
+      const attempt = attempts.get(id)
+      // The caller of a request that may not be repeated comes back with its key and joins it.
+      if (!attempt?.request.repeatable) return
+      events.emit(AgentEvent.attemptCancelled, attemptFields(attempt))
+      const run = runs.get(id)
+      if (run) stopRun(run, ran({ reason: RefusalReason.STOPPING, detail: 'cancelled', step: 'running.cancel', peer: instance, retryAfterMs: 0 }))
+      else cancelQueued(id)
+      poke()
+    },
+    cancelAll: () => {
+      for (const { attempt } of [...queue.all()]) {
+        refuseWaiting(attempt, notRun({ reason: RefusalReason.STOPPING, detail: 'the agent stops', step: 'leaving.deadline', peer: instance }))
+      }
+      for (const run of runs.values()) {
+        const note = { reason: RefusalReason.STOPPING, detail: 'the agent stops', step: 'leaving.deadline', peer: instance }
+        stopRun(run, run.attempt.reached ? ran(note) : mayHaveRun(note))
+      }
+    },
+    pace: () => ({ tokenIntervalMs, batchSize: backend.batchSize() }),
+    tellProgress: () => {
+      for (const { attempt } of queue.all()) attempts.tell(attempt.id, backend.progressOf(attempt))
+    }
+  }
+}
--- /dev/null
+++ b/packages/agent/src/agent/types.ts
@@ -0,0 +1,28 @@
+import type { EventLog, Incarnation, InstanceName, Metrics, TimerService } from '@figmount/base'
+import type { AccountServed, Admit, ChooseVictims, KeepAlive, OrderLoads, PickNext } from '@figmount/decisions'
+import type { RecordsClient } from '@figmount/records'
+import type { AgentSettings } from '../settings/agentSettings.js'
+
+/** The decisions under load that the agent is given. */
+export interface AgentDecisions {
+  readonly admit: Admit
+  readonly pickNext: PickNext
+  readonly accountServed: AccountServed
+  readonly keepAlive: KeepAlive
+  readonly chooseVictims: ChooseVictims
+  readonly orderLoads: OrderLoads
+  /** Yields numbers in [0, 1). */
+  readonly random: () => number
+}
+
+/** What the parts of the agent share. */
+export interface AgentContext {
+  readonly settings: AgentSettings
+  readonly events: EventLog
+  readonly timers: TimerService
+  readonly metrics: Metrics
+  readonly records: RecordsClient
+  readonly decisions: AgentDecisions
+  readonly instance: InstanceName
+  readonly incarnation: Incarnation
+}
--- /dev/null
+++ b/packages/agent/src/engine/createEngineClient.ts
@@ -0,0 +1,74 @@
+import { Agent } from 'node:http'
+import { createClient } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { EitherAsync } from 'purify-ts'
+import { match } from 'ts-pattern'
+import { faultFrom } from '@figmount/base'
+import { ORDER_DEADLINE_MS } from '@figmount/records'
+import { CheckpointTier, Engine, ResidentState } from '@figmount/schema'
+
+import { CANCEL_TIMEOUT_MS, IDLE_CONNECTION_MS, INVENTORY_TIMEOUT_MS } from './constants.js'
+
+import type { Client } from '@connectrpc/connect'
+import type { ModelId } from '@figmount/base'
+import type { InventoryResponse, OrderResult } from '@figmount/schema'
+import type { EngineClient, EngineOrder, Inventory, Tier } from './types.js'
+
+const readTier = (tier: CheckpointTier): Tier => {
+  if (tier === CheckpointTier.MEMORY) return 'memory'
+  return tier === CheckpointTier.DISK ? 'disk' : 'remote'
+}
+
+const readInventory = (answer: InventoryResponse): Inventory => ({
+  incarnation: answer.incarnation,
+  memoryCapacityMb: answer.memoryCapacityMb,
+  memoryUsedMb: answer.memoryUsedMb,
+  batchSize: Math.max(1, answer.batchSize),
+  enforcesFence: answer.enforcesFence,
+  residents: answer.models.map(resident => ({
+    model: resident.model as ModelId,
+    version: resident.version,
+    fence: Number(resident.fence),
+    memoryMb: resident.memoryMb,
+    state: resident.state === ResidentState.READY ? 'ready' : 'loading',
+    adapters: resident.adapters.map(({ adapter, memoryMb }) => ({ adapter, memoryMb }))
+  })),
+  checkpoints: answer.checkpoints.map(({ model, version, tier }) => ({ model: model as ModelId, version, tier: readTier(tier) }))
+})
+
+const sendOrder = async (client: Client<typeof Engine>, order: EngineOrder, signal: AbortSignal): Promise<OrderResult> => {
+  const head = { fence: BigInt(order.fence), orderDeadlineMs: ORDER_DEADLINE_MS, model: order.model }
+  return await match(order)
+    .with({ kind: 'load' }, async ({ version, memoryMb, checkpointMb }) =>
+      await client.load({ ...head, version, memoryMb, checkpointMb }, { signal }))
+    .with({ kind: 'unload' }, async () => await client.unload(head, { signal }))
+    .with({ kind: 'loadAdapter' }, async ({ adapter, memoryMb }) => await client.loadAdapter({ ...head, adapter, memoryMb }, { signal }))
+    .with({ kind: 'unloadAdapter' }, async ({ adapter }) => await client.unloadAdapter({ ...head, adapter, memoryMb: 0 }, { signal }))
+    .exhaustive()
+}
+
+const clientOf = (address: string, agent: Agent): Client<typeof Engine> =>
+  createClient(Engine, createConnectTransport({ baseUrl: `http://${address}`, httpVersion: '1.1', useBinaryFormat: true, nodeOptions: { agent } }))
+
+/**
+ * Talks to one engine. Generations share pooled connections; orders, questions and resumed streams get
+ * a connection each, because a pooled one may be the very connection that has gone silent.
+ */
+export const createEngineClient = (address: string): EngineClient => {
+  const pooled = clientOf(address, new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS }))
+  const single = clientOf(address, new Agent({ keepAlive: false }))
+  return {
+    address,
+    order: (order, signal) => EitherAsync(async () => await sendOrder(single, order, signal))
+      .map(result => ({ tookMs: result.tookMs }))
+      .mapLeft(faultFrom(`engine.${order.kind}`, address)),
+    inventory: () => EitherAsync(async () => await single.inventory({}, { timeoutMs: INVENTORY_TIMEOUT_MS }))
+      .map(readInventory)
+      .mapLeft(faultFrom('engine.inventory', address)),
+    generate: (args, signal) => pooled.generate({ ...args, doneTokens: [...args.doneTokens] }, { signal }),
+    resume: (streamId, fromTokenIndex, signal) => single.resume({ streamId, fromTokenIndex }, { signal }),
+    cancel: streamId => EitherAsync(async () => await single.cancel({ streamId }, { timeoutMs: CANCEL_TIMEOUT_MS }))
+      .map(answer => answer.wasRunning)
+      .mapLeft(faultFrom('engine.cancel', address))
+  }
+}
--- /dev/null
+++ b/packages/agent/src/engine/runStream.ts
@@ -0,0 +1,131 @@
+import { FaultKind, faultFrom, makeFault, sleep } from '@figmount/base'
+
+import { ENGINE_GONE_MS, STREAM_RETRY_MS, STREAM_SILENCE_MS } from './constants.js'
+import { isRefused, neverSent } from './neverSent.js'
+
+import type { Fault, TimerService } from '@figmount/base'
+import type { FinishReason } from '@figmount/schema'
+import type { Chunk, EngineClient, GenerateArgs } from './types.js'
+
+/** How a run on the engine ended. */
+export type StreamEnd =
+  | { readonly kind: 'finished', readonly tokenCount: number, readonly finishReason: FinishReason }
+  /** No byte left for the engine. */
+  | { readonly kind: 'unreached', readonly fault: Fault }
+  /** The engine answered that it will not run this; nothing ran. */
+  | { readonly kind: 'rejected', readonly fault: Fault }
+  /** The run broke off. `died`: the engine process ended. */
+  | { readonly kind: 'interrupted', readonly died: boolean, readonly fault: Fault }
+  | { readonly kind: 'cancelled' }
+
+interface Options {
+  readonly engine: EngineClient
+  readonly timers: TimerService
+  readonly args: GenerateArgs
+  /** The engine's incarnation that holds the model. */
+  readonly incarnation: string
+  readonly signal: AbortSignal
+  /** Receives new tokens, in order, each index once. */
+  readonly onTokens: (firstTokenIndex: number, tokens: readonly string[]) => void
+  readonly onResume: (fault: Fault) => void
+}
+
+type ReadEnd =
+  | { readonly kind: 'last', readonly finishReason: FinishReason }
+  | { readonly kind: 'broken', readonly thrown: unknown, readonly fault: Fault }
+
+const DEFINITE_REFUSALS: readonly FaultKind[] = [FaultKind.Invalid, FaultKind.Exhausted, FaultKind.NotFound]
+
+/** Aborts `controller` when nothing was heard for STREAM_SILENCE_MS. */
+const watchSilence = (timers: TimerService, lastHeardMs: () => number, controller: AbortController): (() => void) =>
+  timers.every(STREAM_SILENCE_MS / 4, () => {
+    if (timers.nowMs() - lastHeardMs() >= STREAM_SILENCE_MS) controller.abort()
+  })
+
+/**
+ * Runs one generation to its end over as many connections as it takes.
+ *
+ * Guards against a connection that goes silent for good or breaks: it shows as no bytes for
+ * STREAM_SILENCE_MS or as an error. The stream outlives its connection at the engine, so it is resumed by its
+ * id from the next token index; the index decides, so a repeated token is dropped and a gap is never passed on.
+ * A second `generate` is only sent to the same incarnation, which refuses an id that it knows.
+ */
+export const runStream = async ({ engine, timers, args, incarnation, signal, onTokens, onResume }: Options): Promise<StreamEnd> => {
+  let nextIndex = args.doneTokens.length
+  let isKnown = false
+  let failingSinceMs: number | undefined
+
+  const take = (chunk: Chunk): Fault | undefined => {
+    isKnown = true
+    failingSinceMs = undefined
+    const skip = nextIndex - chunk.firstTokenIndex
+    if (skip < 0 && chunk.tokens.length > 0) return makeFault(FaultKind.Internal, 'engine.stream', engine.address, `gap before token ${chunk.firstTokenIndex}`)
+    const fresh = skip > 0 ? chunk.tokens.slice(skip) : chunk.tokens
+    if (fresh.length === 0) return undefined
+    onTokens(nextIndex, fresh)
+    nextIndex += fresh.length
+    return undefined
+  }
+
+  const read = async (open: (signal: AbortSignal) => AsyncIterable<Chunk>): Promise<ReadEnd> => {
+    const controller = new AbortController()
+    const forward = (): void => controller.abort()
+    signal.addEventListener('abort', forward, { once: true })
+    let lastHeardMs = timers.nowMs()
+    const stopWatching = watchSilence(timers, () => lastHeardMs, controller)
+    try {
+      for await (const chunk of open(controller.signal)) {
+        lastHeardMs = timers.nowMs()
+        const gap = take(chunk)
+        if (gap) return { kind: 'broken', thrown: undefined, fault: gap }
+        if (chunk.last) return { kind: 'last', finishReason: chunk.finishReason }
+      }
+      return { kind: 'broken', thrown: undefined, fault: makeFault(FaultKind.Unavailable, 'engine.stream', engine.address, 'ended without a last chunk') }
+    } catch (thrown) {
+      return { kind: 'broken', thrown, fault: faultFrom('engine.stream', engine.address)(thrown) }
+    } finally {
+      stopWatching()
+      signal.removeEventListener('abort', forward)
+      controller.abort()
+    }
+  }
+
+  /** Asks whether the engine still is the one that was given the request. */
+  const probe = async (): Promise<'same' | 'died' | 'unreachable'> => {
+    const answer = await engine.inventory().run()
+    return answer.caseOf<'same' | 'died' | 'unreachable'>({
+      Left: fault => isRefused(fault) ? 'died' : 'unreachable',
+      Right: inventory => inventory.incarnation === incarnation ? 'same' : 'died'
+    })
+  }
+
+  let isFirst = true
+  let resumes = false
+  while (true) {
+    if (signal.aborted) return { kind: 'cancelled' }
+    const end = await read(resumes
+      ? own => engine.resume(args.streamId, nextIndex, own)
+      : own => engine.generate(args, own))
+    if (end.kind === 'last') return { kind: 'finished', tokenCount: nextIndex, finishReason: end.finishReason }
+    if (signal.aborted) return { kind: 'cancelled' }
+    const { fault } = end
+    if (isFirst && neverSent(end.thrown)) return { kind: 'unreached', fault }
+    if (!resumes && !isKnown && isFirst && DEFINITE_REFUSALS.includes(fault.kind)) return { kind: 'rejected', fault }
+    isFirst = false
+    const standing = await probe()
+    if (standing === 'died') return { kind: 'interrupted', died: true, fault }
+    if (standing === 'unreachable') {
+      failingSinceMs ??= timers.nowMs()
+      if (timers.nowMs() - failingSinceMs > ENGINE_GONE_MS) return { kind: 'interrupted', died: false, fault }
+    } else if (resumes && fault.kind === FaultKind.NotFound) {
+      if (isKnown) return { kind: 'interrupted', died: false, fault }
+      // The same incarnation never saw the stream: the first call was lost on its way.
+      resumes = false
+      await sleep(timers, STREAM_RETRY_MS, signal)
+      continue
+    }
+    resumes = true
+    onResume(fault)
+    await sleep(timers, standing === 'same' ? 0 : STREAM_RETRY_MS, signal)
+  }
+}
--- /dev/null
+++ b/packages/agent/src/loading/constants.ts
@@ -0,0 +1,28 @@
+/**
+ * How long after an order's deadline the inventory is trusted to show that it never started. Grounds: the
+ * deadline counts from the engine's receipt; this covers the way there over a slow connection.
+ */
+export const ORDER_SETTLE_MS = 2_000
+
+/** Period at which the inventory is asked about an order whose answer is missing. */
+export const ORDER_POLL_MS = 1_000
+
+/** First and longest pause after a failed load of one model. */
+export const LOAD_RETRY_MS = 1_000
+export const LOAD_RETRY_MAX_MS = 30_000
+
+/** First and longest pause after the weight store refused. Grounds: it serves 2 to 4 loads a second in all. */
+export const STORE_RETRY_MS = 500
+export const STORE_RETRY_MAX_MS = 15_000
+
+/** Weight of a new measurement in smoothed times. */
+export const SMOOTHING = 0.3
+
+/** Assumed time of a load that was never measured, by where the checkpoint is. */
+export const ASSUMED_LOAD_MS = { memory: 1_000, disk: 4_000, remote: 15_000 } as const
+
+/** Gaps between bursts that are remembered for keep-alive; 40 models hold 3 KB. */
+export const GAP_COUNT = 10
+
+/** A use after a gap shorter than this belongs to the same burst. */
+export const BURST_GAP_MS = 1_000
--- /dev/null
+++ b/packages/agent/src/loading/createLoader.ts
@@ -0,0 +1,137 @@
+import { AgentEvent } from '../events.js'
+import { emptyLedger, usedMb } from '../memory/ledger.js'
+import { followOrder } from './followOrder.js'
+import { planOrders } from './planOrders.js'
+import { closeOrder, findSlot, isOvercommitted, reconcile, touch } from './slots.js'
+import { backOffStore, easeStore, freshPace } from './storePace.js'
+
+import type { EventFields, EventLog, ModelId, TimerService } from '@figmount/base'
+import type { EngineClient, EngineOrder, Inventory } from '../engine/types.js'
+import type { PlanView } from './planOrders.js'
+import type { EngineState, OrderOutcome, Slot } from './types.js'
+
+interface Options {
+  readonly engine: EngineClient
+  readonly timers: TimerService
+  readonly events: EventLog
+  readonly kvCacheMb: number
+  readonly random: () => number
+  /** Called when an order has ended. */
+  readonly onChange: () => void
+}
+
+export type PlanInputs = Omit<PlanView, 'state' | 'nowMs'>
+
+/** The models of one engine: plans orders, follows them to their end and keeps the ledger. */
+export interface Loader {
+  readonly state: () => EngineState
+  readonly plan: (inputs: PlanInputs) => void
+  readonly takeInventory: (inventory: Inventory, askedAtMs: number) => void
+  readonly touch: (model: ModelId, adapter: string) => void
+  readonly openOrderCount: () => number
+  readonly stop: () => void
+}
+
+const ORDERED = {
+  load: AgentEvent.loadOrdered,
+  unload: AgentEvent.unloadOrdered,
+  loadAdapter: AgentEvent.adapterLoadOrdered,
+  unloadAdapter: AgentEvent.adapterUnloadOrdered
+} as const
+
+const DONE = {
+  load: AgentEvent.loadReady,
+  unload: AgentEvent.unloadConfirmed,
+  loadAdapter: AgentEvent.adapterReady,
+  unloadAdapter: AgentEvent.adapterUnloadConfirmed
+} as const
+
+const FAILED = {
+  load: AgentEvent.loadFailed,
+  unload: AgentEvent.unloadFailed,
+  loadAdapter: AgentEvent.adapterLoadFailed,
+  unloadAdapter: AgentEvent.adapterUnloadFailed
+} as const
+
+/** Makes the loader of one engine. */
+export const createLoader = ({ engine, timers, events, kvCacheMb, random, onChange }: Options): Loader => {
+  let state: EngineState = { slots: new Map(), ledger: emptyLedger(0, kvCacheMb), store: freshPace }
+  let lastInputs: PlanInputs | undefined
+  const stopping = new AbortController()
+  const followed = new Set<EngineOrder>()
+
+  const fieldsOf = (order: EngineOrder): EventFields => {
+    const right = lastInputs?.rights.get(order.model)
+    const maxReplicas = lastInputs?.planOf(order.model)?.spec.maxReplicas
+    return {
+      model: order.model,
+      fence: order.fence,
+      memoryMb: usedMb(state.ledger),
+      memoryCapacityMb: state.ledger.capacityMb,
+      ...(right ? { slotIndex: right.slotIndex } : {}),
+      ...(maxReplicas === undefined ? {} : { maxReplicas }),
+      ...('adapter' in order ? { adapter: order.adapter } : {}),
+      version: order.kind === 'load' ? order.version : findSlot(state, order.model).version
+    }
+  }
+
+  const paceStore = (order: EngineOrder, slot: Slot, outcome: OrderOutcome): void => {
+    if (order.kind !== 'load') return
+    if (outcome.kind === 'done') {
+      if (slot.tier === 'remote') state = { ...state, store: easeStore(state.store) }
+      return
+    }
+    if (!outcome.storeIsFull) return
+    const waitingCount = lastInputs?.demands.get(order.model)?.waitingCount ?? 0
+    state = { ...state, store: backOffStore(state.store, waitingCount, timers.nowMs(), random) }
+    events.emit(AgentEvent.storeBackedOff, { model: order.model, count: waitingCount, waitMs: Math.round(state.store.notBeforeMs - timers.nowMs()) })
+  }
+
+  const close = (order: EngineOrder, outcome: OrderOutcome): void => {
+    const slot = findSlot(state, order.model)
+    const before = fieldsOf(order)
+    state = closeOrder(state, order, outcome, timers.nowMs())
+    paceStore(order, slot, outcome)
+    const fields = { ...before, memoryMb: usedMb(state.ledger), durationMs: Math.round(timers.nowMs() - slot.orderedAtMs) }
+    if (outcome.kind === 'done') return events.emit(DONE[order.kind], fields)
+    events.emit(FAILED[order.kind], { ...fields, reason: outcome.reason })
+  }
+
+  const follow = async (order: EngineOrder, mustSend: boolean): Promise<void> => {
+    followed.add(order)
+    const outcome = await followOrder({ engine, timers, events, order, mustSend, signal: stopping.signal })
+    followed.delete(order)
+    if (!outcome) return
+    close(order, outcome)
+    onChange()
+  }
+
+  const followOpen = (mustSend: boolean): void => {
+    for (const slot of state.slots.values()) {
+      if (slot.openOrder && !followed.has(slot.openOrder)) void follow(slot.openOrder, mustSend)
+    }
+  }
+
+  return {
+    state: () => state,
+    plan: inputs => {
+      lastInputs = inputs
+      // While the engine holds more than fits nothing is loaded; what has to go is still unloaded.
+      const mayLoad = inputs.mayLoad && !isOvercommitted(state)
+      const plan = planOrders({ ...inputs, mayLoad, state, nowMs: timers.nowMs() })
+      state = plan.state
+      for (const order of plan.orders) events.emit(ORDERED[order.kind], fieldsOf(order))
+      followOpen(true)
+    },
+    takeInventory: (inventory, askedAtMs) => {
+      const before = usedMb(state.ledger)
+      state = reconcile(state, inventory, askedAtMs, timers.nowMs())
+      const after = usedMb(state.ledger)
+      if (before !== after) events.emit(AgentEvent.inventoryDiffers, { peer: engine.address, memoryMb: after, memoryCapacityMb: state.ledger.capacityMb })
+      followOpen(false)
+    },
+    touch: (model, adapter) => { state = touch(state, model, adapter, timers.nowMs()) },
+    openOrderCount: () => followed.size,
+    stop: () => stopping.abort()
+  }
+}
--- /dev/null
+++ b/packages/agent/src/loading/planOrders.ts
@@ -0,0 +1,189 @@
+import { viewResidents } from '../eviction/viewResidents.js'
+import { viewIdle } from '../keepalive/viewIdle.js'
+import { freeMb } from '../memory/ledger.js'
+import { findSlot, openOrder } from './slots.js'
+
+import type { ModelId } from '@figmount/base'
+import type { ChooseVictims, KeepAlive, OrderLoads, ResidentView, WaitingLoad } from '@figmount/decisions'
+import type { EngineOrder } from '../engine/types.js'
+import type { Demand, EngineState, HeldSlot, ModelPlan, Slot } from './types.js'
+
+/** What the next orders are chosen from. */
+export interface PlanView {
+  readonly state: EngineState
+  readonly nowMs: number
+  readonly rights: ReadonlyMap<ModelId, HeldSlot>
+  readonly demands: ReadonlyMap<ModelId, Demand>
+  /** The model as configured; undefined when it is not. */
+  readonly planOf: (model: ModelId) => ModelPlan | undefined
+  /** False while the agent's authority is in doubt. */
+  readonly mayLoad: boolean
+  readonly draining: boolean
+  readonly maxStoreLoads: number
+  readonly keepAlive: KeepAlive
+  readonly chooseVictims: ChooseVictims
+  readonly orderLoads: OrderLoads
+}
+
+/** Orders to send and the state with their reservations made. */
+export interface OrderPlan {
+  readonly orders: readonly EngineOrder[]
+  readonly state: EngineState
+}
+
+const unloadOf = (slot: Slot, right: HeldSlot | undefined): EngineOrder =>
+  ({ kind: 'unload', model: slot.model, fence: Math.max(slot.fence, right?.fence ?? 0) })
+
+const isPinned = (view: PlanView, model: ModelId): boolean => {
+  const right = view.rights.get(model)
+  const plan = view.planOf(model)
+  return right !== undefined && !right.revoked && plan !== undefined && right.slotIndex < plan.spec.minReplicas
+}
+
+/** True when a resident model has to go for another reason than space. */
+const mustUnload = (view: PlanView, slot: Slot): boolean => {
+  const demand = view.demands.get(slot.model)
+  if ((demand?.runningCount ?? 0) > 0) return false
+  const right = view.rights.get(slot.model)
+  const plan = view.planOf(slot.model)
+  if (!right || right.revoked || !plan) return true
+  // One replica is one version: the old one is unloaded before the new one is loaded.
+  const isWaitedFor = (demand?.waitingCount ?? 0) > 0
+  if (slot.version !== (isWaitedFor && demand ? demand.version : plan.spec.currentVersion)) return true
+  if (isWaitedFor || isPinned(view, slot.model)) return false
+  return view.keepAlive(viewIdle(slot, plan, view.state.ledger.capacityMb, view.nowMs)) <= 0
+}
+
+const planUnloads = (view: PlanView): readonly EngineOrder[] => {
+  const orders: EngineOrder[] = []
+  for (const slot of view.state.slots.values()) {
+    if (slot.phase !== 'ready' || slot.openOrder || slot.notBeforeMs > view.nowMs) continue
+    if (mustUnload(view, slot)) orders.push(unloadOf(slot, view.rights.get(slot.model)))
+  }
+  return orders
+}
+
+const waitingLoads = (view: PlanView): readonly WaitingLoad[] => {
+  if (!view.mayLoad) return []
+  const loads: WaitingLoad[] = []
+  for (const right of view.rights.values()) {
+    const slot = findSlot(view.state, right.model)
+    const demand = view.demands.get(right.model)
+    const plan = view.planOf(right.model)
+    const waitingCount = demand?.waitingCount ?? 0
+    const wanted = waitingCount > 0 || (isPinned(view, right.model) && !view.draining)
+    if (!wanted || !plan || right.revoked || slot.phase !== 'cold' || slot.openOrder) continue
+    const heldBackMs = Math.max(slot.notBeforeMs, slot.tier === 'remote' ? view.state.store.notBeforeMs : 0)
+    if (heldBackMs > view.nowMs) continue
+    loads.push({
+      model: right.model,
+      waitingCount,
+      highestPriority: demand?.highestPriority ?? 0,
+      earliestDeadlineMs: demand?.earliestDeadlineMs ?? Number.POSITIVE_INFINITY,
+      askedAtMs: demand?.askedAtMs ?? view.nowMs,
+      checkpointMb: plan.spec.checkpointMb,
+      tier: slot.tier
+    })
+  }
+  return view.orderLoads(loads, view.nowMs)
+}
+
+const victimOrder = (view: PlanView, victim: ResidentView): EngineOrder => {
+  const slot = findSlot(view.state, victim.model)
+  const right = view.rights.get(victim.model)
+  if (victim.adapter === '') return unloadOf(slot, right)
+  return { kind: 'unloadAdapter', model: victim.model, adapter: victim.adapter, fence: Math.max(slot.fence, right?.fence ?? 0) }
+}
+
+/** Memory that open unloads will free. */
+const leavingMb = (state: EngineState): number => {
+  let sumMb = 0
+  for (const slot of state.slots.values()) {
+    if (slot.phase === 'unloading') sumMb += slot.memoryMb
+    for (const adapter of slot.adapters.values()) {
+      if (slot.phase === 'unloading' || adapter.phase === 'unloading') sumMb += adapter.memoryMb
+    }
+  }
+  return sumMb
+}
+
+/** Orders that make room for `neededMb` more; undefined when that cannot be had now. */
+const makeRoom = (view: PlanView, state: EngineState, neededMb: number): readonly EngineOrder[] | undefined => {
+  const missingMb = neededMb - freeMb(state.ledger) - leavingMb(state)
+  if (missingMb <= 0) return []
+  const residents = viewResidents({
+    state, nowMs: view.nowMs, demandOf: model => view.demands.get(model), isPinned: model => isPinned(view, model)
+  })
+  return view.chooseVictims(residents, missingMb)?.map(victim => victimOrder(view, victim))
+}
+
+const loadOf = (view: PlanView, model: ModelId): EngineOrder | undefined => {
+  const right = view.rights.get(model)
+  const plan = view.planOf(model)
+  if (!right || !plan) return undefined
+  const demand = view.demands.get(model)
+  const version = demand && demand.waitingCount > 0 ? demand.version : plan.spec.currentVersion
+  return { kind: 'load', model, fence: right.fence, version, memoryMb: plan.spec.memoryMb, checkpointMb: plan.spec.checkpointMb }
+}
+
+const adapterLoads = (view: PlanView): readonly EngineOrder[] => {
+  if (!view.mayLoad) return []
+  const orders: EngineOrder[] = []
+  for (const [model, demand] of view.demands) {
+    const slot = findSlot(view.state, model)
+    const right = view.rights.get(model)
+    const plan = view.planOf(model)
+    if (slot.phase !== 'ready' || slot.openOrder || !right || right.revoked || !plan || slot.notBeforeMs > view.nowMs) continue
+    for (const wanted of demand.wantedAdapters) {
+      const spec = plan.spec.adapters.find(adapter => adapter.name === wanted)
+      if (!spec || slot.adapters.has(wanted) || right.slotIndex >= (spec.maxReplicas ?? plan.spec.maxReplicas)) continue
+      orders.push({ kind: 'loadAdapter', model, adapter: wanted, fence: right.fence, memoryMb: spec.memoryMb })
+      break
+    }
+  }
+  return orders
+}
+
+const openStoreLoads = (state: EngineState): number => {
+  let count = 0
+  for (const slot of state.slots.values()) {
+    if (slot.openOrder?.kind === 'load' && slot.tier === 'remote') count += 1
+  }
+  return count
+}
+
+/**
+ * Chooses the next orders to the engine: what must be unloaded, then loads in the order that `orderLoads` gives, as
+ * far as memory goes, with unloads that make room for the first that does not fit. Every order in the plan is
+ * opened in the returned state, so that its memory is reserved before it leaves.
+ */
+export const planOrders = (view: PlanView): OrderPlan => {
+  let state = view.state
+  const orders: EngineOrder[] = []
+
+  const open = (order: EngineOrder): boolean => {
+    const next = openOrder(state, order, view.nowMs)
+    if (!next) return false
+    state = next
+    orders.push(order)
+    return true
+  }
+
+  for (const order of planUnloads(view)) open(order)
+
+  const wanted = [
+    ...waitingLoads(view).flatMap(load => loadOf(view, load.model) ?? []),
+    ...adapterLoads(view)
+  ]
+  for (const order of wanted) {
+    if (order.kind === 'load' && findSlot(state, order.model).tier === 'remote' && openStoreLoads(state) >= view.maxStoreLoads) continue
+    if (open(order)) continue
+    const neededMb = order.kind === 'load' || order.kind === 'loadAdapter' ? order.memoryMb : 0
+    const victims = makeRoom(view, state, neededMb)
+    if (!victims) continue
+    for (const victim of victims) open(victim)
+    // What is freed belongs to this load: a smaller one behind it would take the room away again and again.
+    break
+  }
+  return { orders, state }
+}
--- /dev/null
+++ b/packages/agent/src/loading/slots.ts
@@ -0,0 +1,199 @@
+import { adopt, freeMb, release, reserve, resize } from '../memory/ledger.js'
+import { ASSUMED_LOAD_MS, BURST_GAP_MS, GAP_COUNT, LOAD_RETRY_MAX_MS, LOAD_RETRY_MS, SMOOTHING } from './constants.js'
+
+import type { ModelId } from '@figmount/base'
+import type { EngineOrder, Inventory, Resident } from '../engine/types.js'
+import type { Ledger } from '../memory/types.js'
+import type { AdapterSlot, EngineState, OrderOutcome, Slot } from './types.js'
+
+/** A model of which nothing is on the engine. */
+export const coldSlot = (model: ModelId): Slot => ({
+  model,
+  phase: 'cold',
+  version: '',
+  fence: 0,
+  memoryMb: 0,
+  adapters: new Map(),
+  orderedAtMs: 0,
+  changedAtMs: 0,
+  tier: 'remote',
+  lastUsedMs: 0,
+  loadMs: 0,
+  pastGapsMs: [],
+  notBeforeMs: 0,
+  failureCount: 0,
+  lastFailure: ''
+})
+
+export const findSlot = (state: EngineState, model: ModelId): Slot => state.slots.get(model) ?? coldSlot(model)
+
+const putSlot = (state: EngineState, slot: Slot, ledger: Ledger = state.ledger): EngineState =>
+  ({ ...state, ledger, slots: new Map(state.slots).set(slot.model, slot) })
+
+const putAdapter = (slot: Slot, adapter: AdapterSlot): Slot =>
+  ({ ...slot, adapters: new Map(slot.adapters).set(adapter.adapter, adapter) })
+
+const dropAdapter = (slot: Slot, name: string): Slot =>
+  ({ ...slot, adapters: new Map([...slot.adapters].filter(([adapter]) => adapter !== name)) })
+
+/** Opens an order and reserves what it needs; undefined when it does not fit or another is open. */
+export const openOrder = (state: EngineState, order: EngineOrder, nowMs: number): EngineState | undefined => {
+  const slot = findSlot(state, order.model)
+  if (slot.openOrder) return undefined
+  const base = { ...slot, openOrder: order, orderedAtMs: nowMs, changedAtMs: nowMs, fence: Math.max(slot.fence, order.fence) }
+  switch (order.kind) {
+    case 'load': {
+      if (slot.phase !== 'cold') return undefined
+      const ledger = reserve(state.ledger, { model: order.model, adapter: '', memoryMb: order.memoryMb })
+      if (!ledger) return undefined
+      return putSlot(state, { ...base, phase: 'loading', version: order.version, memoryMb: order.memoryMb, lastUsedMs: nowMs }, ledger)
+    }
+    case 'unload':
+      return putSlot(state, { ...base, phase: 'unloading' })
+    case 'loadAdapter': {
+      const ledger = reserve(state.ledger, { model: order.model, adapter: order.adapter, memoryMb: order.memoryMb })
+      if (!ledger || slot.phase !== 'ready') return undefined
+      return putSlot(state, putAdapter(base, { adapter: order.adapter, phase: 'loading', memoryMb: order.memoryMb, lastUsedMs: nowMs }), ledger)
+    }
+    case 'unloadAdapter': {
+      const adapter = slot.adapters.get(order.adapter)
+      return adapter && putSlot(state, putAdapter(base, { ...adapter, phase: 'unloading' }))
+    }
+    default:
+      return order satisfies never
+  }
+}
+
+const afterFailure = (slot: Slot, reason: string, nowMs: number): Slot => {
+  const failureCount = slot.failureCount + 1
+  const pauseMs = Math.min(LOAD_RETRY_MAX_MS, LOAD_RETRY_MS * 2 ** (failureCount - 1))
+  return { ...slot, failureCount, notBeforeMs: nowMs + pauseMs, lastFailure: reason }
+}
+
+const asCold = (slot: Slot): Slot => ({ ...slot, phase: 'cold', version: '', memoryMb: 0, adapters: new Map() })
+
+const smooth = (known: number, measured: number): number => known === 0 ? measured : known + SMOOTHING * (measured - known)
+
+const applyOutcome = (state: EngineState, order: EngineOrder, outcome: OrderOutcome, nowMs: number): EngineState => {
+  const { openOrder: _open, ...before } = findSlot(state, order.model)
+  const slot: Slot = { ...before, changedAtMs: nowMs }
+  const isDone = outcome.kind === 'done'
+  switch (order.kind) {
+    case 'load': {
+      if (isDone) {
+        const loadMs = smooth(slot.loadMs, nowMs - slot.orderedAtMs)
+        return putSlot(state, { ...slot, phase: 'ready', loadMs, failureCount: 0, notBeforeMs: 0, lastFailure: '' })
+      }
+      const cold = asCold(slot)
+      // A full weight store says nothing against this model: the store's own pace holds it back.
+      const failed = outcome.storeIsFull ? { ...cold, lastFailure: outcome.reason } : afterFailure(cold, outcome.reason, nowMs)
+      return putSlot(state, failed, release(state.ledger, order.model, ''))
+    }
+    case 'unload': {
+      if (outcome.kind === 'notDone') return putSlot(state, afterFailure({ ...slot, phase: 'ready' }, outcome.reason, nowMs))
+      return putSlot(state, { ...asCold(slot), tier: 'memory' }, release(state.ledger, order.model, ''))
+    }
+    case 'loadAdapter': {
+      const adapter = slot.adapters.get(order.adapter)
+      if (isDone && adapter) return putSlot(state, putAdapter(slot, { ...adapter, phase: 'ready' }))
+      const failed = outcome.kind === 'notDone' ? afterFailure(slot, outcome.reason, nowMs) : slot
+      return putSlot(state, dropAdapter(failed, order.adapter), release(state.ledger, order.model, order.adapter))
+    }
+    case 'unloadAdapter': {
+      const adapter = slot.adapters.get(order.adapter)
+      if (!isDone && adapter) return putSlot(state, putAdapter(slot, { ...adapter, phase: 'ready' }))
+      return putSlot(state, dropAdapter(slot, order.adapter), release(state.ledger, order.model, order.adapter))
+    }
+    default:
+      return order satisfies never
+  }
+}
+
+const adoptResident = (slot: Slot, resident: Resident, nowMs: number): Slot => ({
+  ...slot,
+  phase: resident.state === 'ready' ? 'ready' : 'loading',
+  version: resident.version,
+  fence: Math.max(slot.fence, resident.fence),
+  memoryMb: resident.memoryMb,
+  lastUsedMs: slot.lastUsedMs === 0 ? nowMs : slot.lastUsedMs,
+  adapters: new Map(resident.adapters.map(({ adapter, memoryMb }) => [
+    adapter,
+    { adapter, memoryMb, phase: 'ready', lastUsedMs: slot.adapters.get(adapter)?.lastUsedMs ?? nowMs } satisfies AdapterSlot
+  ]))
+})
+
+/** An engine that was found loading has an order in hand from before a restart of the agent; it is followed like an own one. */
+const followLoad = (slot: Slot, nowMs: number): Slot => {
+  if (slot.phase !== 'loading') return slot
+  const { model, fence, version, memoryMb } = slot
+  return { ...slot, orderedAtMs: nowMs, openOrder: { kind: 'load', model, fence, version, memoryMb, checkpointMb: 0 } }
+}
+
+const adoptMemory = (ledger: Ledger, resident: Resident): Ledger => {
+  let next = adopt(release(ledger, resident.model, ''), { model: resident.model, adapter: '', memoryMb: resident.memoryMb })
+  for (const { adapter, memoryMb } of resident.adapters) next = adopt(next, { model: resident.model, adapter, memoryMb })
+  return next
+}
+
+/**
+ * Brings slots and ledger in line with an inventory. Slots with an open order keep their reservation: the order may
+ * take effect after the inventory was taken. `sentAtMs` is when the inventory was asked for: a slot whose
+ * order was closed later is left alone, as the answer may be older than that.
+ */
+export const reconcile = (state: EngineState, inventory: Inventory, sentAtMs: number, nowMs: number): EngineState => {
+  const models = new Set([
+    ...state.slots.keys(),
+    ...inventory.residents.map(({ model }) => model),
+    ...inventory.checkpoints.map(({ model }) => model)
+  ])
+  return reconcileModels(state, inventory, [...models], sentAtMs, nowMs)
+}
+
+const reconcileModels = (state: EngineState, inventory: Inventory, models: readonly ModelId[], sentAtMs: number, nowMs: number): EngineState => {
+  const residents = new Map(inventory.residents.map(resident => [resident.model, resident]))
+  const tiers = new Map(inventory.checkpoints.map(checkpoint => [checkpoint.model, checkpoint.tier]))
+  let next: EngineState = { ...state, ledger: resize(state.ledger, inventory.memoryCapacityMb) }
+  for (const model of models) {
+    const slot = findSlot(next, model)
+    if (slot.openOrder || slot.changedAtMs > sentAtMs) continue
+    const resident = residents.get(model)
+    const tier = tiers.get(model) ?? (resident ? 'memory' : 'remote')
+    next = resident
+      ? putSlot(next, followLoad({ ...adoptResident(slot, resident, nowMs), tier }, nowMs), adoptMemory(next.ledger, resident))
+      : putSlot(next, { ...asCold(slot), tier }, release(next.ledger, model, ''))
+  }
+  return next
+}
+
+/** Closes the open order of a model with what became of it; after a failure the model is taken from the inventory that showed it. */
+export const closeOrder = (state: EngineState, order: EngineOrder, outcome: OrderOutcome, nowMs: number): EngineState => {
+  const closed = applyOutcome(state, order, outcome, nowMs)
+  if (outcome.kind === 'done') return closed
+  const residents = outcome.inventory.residents.filter(({ model }) => model === order.model)
+  return reconcileModels(closed, { ...outcome.inventory, residents }, [order.model], nowMs, nowMs)
+}
+
+/** Notes that a model or adapter was used, and the gap since its last burst. */
+export const touch = (state: EngineState, model: ModelId, adapter: string, nowMs: number): EngineState => {
+  const slot = findSlot(state, model)
+  const gapMs = nowMs - slot.lastUsedMs
+  const pastGapsMs = slot.lastUsedMs > 0 && gapMs >= BURST_GAP_MS ? [...slot.pastGapsMs, gapMs].slice(-GAP_COUNT) : slot.pastGapsMs
+  const used = slot.adapters.get(adapter)
+  const touched = { ...slot, lastUsedMs: nowMs, pastGapsMs }
+  return putSlot(state, used ? putAdapter(touched, { ...used, lastUsedMs: nowMs }) : touched)
+}
+
+/** Expected time of a load. */
+export const expectedLoadMs = (slot: Slot): number => slot.loadMs > 0 ? slot.loadMs : ASSUMED_LOAD_MS[slot.tier]
+
+/** Expected time until a model can serve; 0 when it can. */
+export const readyInMs = (state: EngineState, slot: Slot, nowMs: number): number => {
+  if (slot.phase === 'ready') return 0
+  const loadMs = expectedLoadMs(slot)
+  if (slot.phase === 'loading') return Math.max(0, slot.orderedAtMs + loadMs - nowMs)
+  const heldBackMs = slot.tier === 'remote' ? Math.max(slot.notBeforeMs, state.store.notBeforeMs) : slot.notBeforeMs
+  return Math.max(0, heldBackMs - nowMs) + loadMs
+}
+
+/** True when the engine was found to hold more than fits. */
+export const isOvercommitted = (state: EngineState): boolean => freeMb(state.ledger) < 0
--- /dev/null
+++ b/packages/agent/src/once/judgePermit.ts
@@ -0,0 +1,43 @@
+import { CLOCK_ERROR_MS, ONCE_WINDOW_MS } from '@figmount/records'
+import { RefusalReason, RunState } from '@figmount/schema'
+
+import { PERMIT_RETRY_MS } from './constants.js'
+
+import type { PermitVerdict, PermitView } from './types.js'
+
+const refuse = (runState: RunState, reason: RefusalReason, retryAfterMs: number, detail: string): PermitVerdict =>
+  ({ kind: 'refuse', refusal: { runState, reason, retryAfterMs: Math.max(0, Math.ceil(retryAfterMs)), detail, step: 'once.permit', peer: '' } })
+
+/** What is true of a key that another holder may have decided on: nothing of a first send can have run. */
+const unlessResent = (view: PermitView): RunState => view.resendCount === 0 ? RunState.NOT_RUN : RunState.MAY_HAVE_RUN
+
+/**
+ * Decides on a key that the holder does not know.
+ *
+ * Guards against a second run of a request whose first run an earlier holder permitted: shows as a
+ * resend at a holder that never saw the key. Every key that an earlier holder can have permitted was issued
+ * before the tenure began, up to the margin, so only keys issued later are let run.
+ */
+export const judgePermit = (view: PermitView): PermitVerdict => {
+  const { tenure, issuedAtMs, nowUnixMs } = view
+  if (issuedAtMs > nowUnixMs + CLOCK_ERROR_MS) {
+    return refuse(RunState.NOT_RUN, RefusalReason.INVALID, 0, 'the key is issued in the future')
+  }
+  if (issuedAtMs < nowUnixMs - ONCE_WINDOW_MS) {
+    return refuse(unlessResent(view), RefusalReason.KEY_EXPIRED, 0, 'the key is too old')
+  }
+  if (!tenure) return refuse(unlessResent(view), RefusalReason.UNAVAILABLE, PERMIT_RETRY_MS, 'the keys are decided on elsewhere')
+  const firstIssueMs = tenure.fromMs + tenure.marginMs
+  if (!tenure.isFirst && issuedAtMs < firstIssueMs) {
+    return refuse(unlessResent(view), RefusalReason.UNAVAILABLE, firstIssueMs - nowUnixMs, 'the key is older than the tenure of its holder')
+  }
+  if (view.authority === 'none') {
+    return refuse(unlessResent(view), RefusalReason.LOG_UNREACHABLE, PERMIT_RETRY_MS, 'the holder of the keys is not sure of its right')
+  }
+  if (view.authority === 'outage') {
+    return refuse(RunState.NOT_RUN, RefusalReason.LOG_UNREACHABLE, PERMIT_RETRY_MS, 'the log is out of reach')
+  }
+  if (view.draining) return refuse(RunState.NOT_RUN, RefusalReason.STOPPING, PERMIT_RETRY_MS, 'the holder of the keys is leaving')
+  if (view.isFull) return refuse(RunState.NOT_RUN, RefusalReason.OVERLOADED, PERMIT_RETRY_MS, 'too many keys are remembered')
+  return { kind: 'grant' }
+}
--- /dev/null
+++ b/packages/agent/src/plain/callPlain.ts
@@ -0,0 +1,123 @@
+import { Agent, request as httpRequest } from 'node:http'
+import { FaultKind, faultFrom, makeFault } from '@figmount/base'
+
+import { isRefused } from '../engine/neverSent.js'
+import { DIAL_TIMEOUT_MS, HOP_HEADERS, IDLE_SOCKET_MS, MAX_ANSWER_BYTES, POOLED_SILENCE_MS } from './constants.js'
+
+import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { Fault, TimerService } from '@figmount/base'
+import type { PlainAnswer, PlainCall } from '@figmount/peers'
+
+/** How one call to a plain service ended. `sent`: a byte of it may have left. */
+export type CallEnd =
+  | { readonly kind: 'answered', readonly answer: PlainAnswer }
+  | { readonly kind: 'failed', readonly sent: boolean, readonly fault: Fault }
+
+interface CallOptions {
+  readonly call: PlainCall
+  readonly repeatable: boolean
+  readonly signal: AbortSignal
+  readonly onReach: () => void
+}
+
+/** Passes calls on to one plain service. */
+export type CallPlain = (options: CallOptions) => Promise<CallEnd>
+
+type Headers = PlainCall['headers']
+
+const headersOf = (call: PlainCall): Record<string, string | string[]> => {
+  const headers: Record<string, string | string[]> = {}
+  for (const [name, value] of call.headers) {
+    const key = name.toLowerCase()
+    if (HOP_HEADERS.has(key)) continue
+    const known = headers[key]
+    headers[key] = known === undefined ? value : [...(Array.isArray(known) ? known : [known]), value]
+  }
+  headers['content-length'] = String(call.body.length)
+  return headers
+}
+
+const answerHeaders = (response: IncomingMessage): Headers => {
+  const pairs: Array<readonly [string, string]> = []
+  for (let index = 0; index + 1 < response.rawHeaders.length; index += 2) {
+    const [name = '', value = ''] = response.rawHeaders.slice(index, index + 2)
+    if (!HOP_HEADERS.has(name.toLowerCase())) pairs.push([name, value])
+  }
+  return pairs
+}
+
+const readBody = async (response: IncomingMessage): Promise<Uint8Array> => {
+  const parts: Buffer[] = []
+  let sizeBytes = 0
+  for await (const part of response as AsyncIterable<Buffer>) {
+    sizeBytes += part.length
+    if (sizeBytes > MAX_ANSWER_BYTES) throw new Error(`answer above ${MAX_ANSWER_BYTES} bytes`)
+    parts.push(part)
+  }
+  return Buffer.concat(parts)
+}
+
+/**
+ * Makes the caller of one plain service over Node's `http`.
+ *
+ * Guards against idle pooled connections that went silent: a call on one would hang, and whether it ran is not
+ * known. Calls that may not be repeated therefore never use a pooled connection. Repeatable ones do, and are
+ * sent again over a new one when nothing comes back on a reused connection.
+ */
+export const createPlainCaller = (address: string, timers: TimerService): CallPlain => {
+  const pool = new Agent({ keepAlive: true, timeout: IDLE_SOCKET_MS })
+  const single = new Agent({ keepAlive: false })
+  const [host = '', portText = ''] = address.split(':')
+  const fail = faultFrom('plain.call', address)
+
+  const callOnce = async ({ call, signal, onReach }: CallOptions, agent: Agent): Promise<CallEnd & { readonly onReused: boolean }> => {
+    let sent = false
+    let request: ClientRequest | undefined
+    let stopWatching = (): void => {}
+    const isReused = (): boolean => request?.reusedSocket ?? false
+    try {
+      const response = await new Promise<IncomingMessage>((resolve, reject) => {
+        const opened = httpRequest({ host, port: Number(portText), method: call.method, path: call.path, headers: headersOf(call), agent, signal })
+        request = opened
+        opened.once('response', resolve)
+        opened.on('error', reject)
+        opened.once('socket', socket => {
+          const write = (): void => {
+            sent = true
+            onReach()
+            opened.end(call.body)
+            if (opened.reusedSocket) stopWatching = timers.after(POOLED_SILENCE_MS, () => opened.destroy(new Error('pooled connection is silent')))
+          }
+          if (!socket.connecting) return write()
+          stopWatching = timers.after(DIAL_TIMEOUT_MS, () => {
+            if (!sent) opened.destroy(new Error('ECONNREFUSED: no connection in time'))
+          })
+          socket.once('connect', () => {
+            stopWatching()
+            write()
+          })
+        })
+      })
+      stopWatching()
+      const body = await readBody(response)
+      return { kind: 'answered', answer: { status: response.statusCode ?? 0, headers: answerHeaders(response), body }, onReused: isReused() }
+    } catch (thrown) {
+      stopWatching()
+      request?.destroy()
+      return { kind: 'failed', sent, fault: fail(thrown), onReused: isReused() }
+    }
+  }
+
+  return async options => {
+    if (!options.repeatable) return await callOnce(options, single)
+    const end = await callOnce(options, pool)
+    if (end.kind === 'answered' || !end.onReused || options.signal.aborted) return end
+    return await callOnce(options, single)
+  }
+}
+
+/** A fault for an attempt that carries no call though its target is a plain service. */
+export const missingCall = (address: string): Fault => makeFault(FaultKind.Invalid, 'plain.call', address, 'the request carries no HTTP call')
+
+/** True when nothing listens at the service's address. */
+export const isServiceDown = (fault: Fault): boolean => isRefused(fault)
--- /dev/null
+++ b/packages/agent/src/queueing/createQueue.ts
@@ -0,0 +1,71 @@
+import { noFairness } from '@figmount/decisions'
+
+import type { AttemptId, ModelId, TimerService } from '@figmount/base'
+import type { AccountServed, FairnessState, PickNext, WaitingRequest } from '@figmount/decisions'
+import type { Attempt } from '../attempts/types.js'
+
+/** A queued attempt with what the order of service is decided on. */
+export interface QueuedAttempt {
+  readonly attempt: Attempt
+  readonly waiting: WaitingRequest<AttemptId>
+  readonly isSuspect: boolean
+}
+
+interface Options {
+  readonly timers: TimerService
+  readonly pickNext: PickNext
+  readonly accountServed: AccountServed
+}
+
+/** The bounded queue of one agent; its bound is kept at admission. */
+export interface Queue {
+  readonly add: (attempt: Attempt, isSuspect: boolean) => void
+  readonly remove: (id: AttemptId) => void
+  readonly all: () => Iterable<QueuedAttempt>
+  readonly count: () => number
+  /** Picks the next among those that can start now; it stays queued until removed. */
+  readonly pick: (canStart: (queued: QueuedAttempt) => boolean) => QueuedAttempt | undefined
+  readonly account: (attempt: Attempt, tokenCount: number) => void
+}
+
+const waitingOf = ({ id, request, arrivedAtMs, deadlineAtMs }: Attempt): WaitingRequest<AttemptId> => ({
+  id,
+  model: request.model,
+  adapter: request.adapter,
+  caller: request.caller,
+  tenant: request.tenant,
+  share: request.share,
+  priority: request.priority,
+  expectedTokens: request.maxTokens - request.doneTokens.length,
+  arrivedAtMs,
+  deadlineAtMs
+})
+
+/** Makes the queue of one agent. */
+export const createQueue = ({ timers, pickNext, accountServed }: Options): Queue => {
+  const queued = new Map<AttemptId, QueuedAttempt>()
+  let fairness: FairnessState = noFairness
+
+  return {
+    add: (attempt, isSuspect) => { queued.set(attempt.id, { attempt, waiting: waitingOf(attempt), isSuspect }) },
+    remove: id => { queued.delete(id) },
+    all: () => queued.values(),
+    count: () => queued.size,
+    pick: canStart => {
+      const waiting: Array<WaitingRequest<AttemptId>> = []
+      for (const entry of queued.values()) {
+        if (canStart(entry)) waiting.push(entry.waiting)
+      }
+      if (waiting.length === 0) return undefined
+      const picked = pickNext(waiting, fairness, timers.nowMs())
+      return picked && queued.get(picked.id)
+    },
+    account: (attempt, tokenCount) => {
+      fairness = accountServed(fairness, waitingOf(attempt), tokenCount, timers.nowMs())
+    }
+  }
+}
+
+/** Waiting requests of one model, in order of arrival. */
+export const queuedFor = (queue: Queue, model: ModelId): readonly QueuedAttempt[] =>
+  [...queue.all()].filter(({ attempt }) => attempt.request.model === model)
--- /dev/null
+++ b/packages/agent/src/running/runOnEngine.ts
@@ -0,0 +1,58 @@
+import { match } from 'ts-pattern'
+
+import { AgentEvent } from '../events.js'
+import { runStream } from '../engine/runStream.js'
+
+import type { EventLog, TimerService } from '@figmount/base'
+import type { EngineClient } from '../engine/types.js'
+import type { RunEnd, RunOnBackend } from './types.js'
+
+interface Options {
+  readonly engine: EngineClient
+  readonly timers: TimerService
+  readonly events: EventLog
+  /** The engine's incarnation as last seen. */
+  readonly incarnation: () => string
+}
+
+/** Runs attempts on a model engine; the attempt's id is the stream's id, so an attempt starts there once. */
+export const runOnEngine = ({ engine, timers, events, incarnation }: Options): RunOnBackend => async (attempt, version, hooks, signal) => {
+  const { id, request } = attempt
+  const startedOn = incarnation()
+  const end = await runStream({
+    engine,
+    timers,
+    signal,
+    incarnation: startedOn,
+    args: {
+      streamId: id,
+      model: request.model,
+      version,
+      adapter: request.adapter,
+      prompt: request.prompt,
+      prefixHint: request.prefixHint,
+      maxTokens: request.maxTokens,
+      priority: request.priority,
+      doneTokens: request.doneTokens
+    },
+    onTokens: (firstTokenIndex, tokens) => {
+      hooks.onReach()
+      hooks.onTokens(firstTokenIndex, tokens)
+    },
+    onResume: fault => events.emit(AgentEvent.streamResumed, { attemptId: id, model: request.model, peer: fault.peer, reason: fault.message })
+  })
+  // Only now is it known whether a connection was made at all.
+  if (end.kind !== 'unreached' && end.kind !== 'rejected') hooks.onReach()
+  return match(end)
+    .returnType<RunEnd>()
+    .with({ kind: 'finished' }, ({ finishReason }) => ({ kind: 'finished', finishReason }))
+    .with({ kind: 'unreached' }, ({ fault }) => ({ kind: 'notRun', fault, isBackendDown: true }))
+    .with({ kind: 'rejected' }, ({ fault }) => ({ kind: 'notRun', fault, isBackendDown: false }))
+    .with({ kind: 'interrupted' }, ({ fault, died }) => ({ kind: 'interrupted', fault, died, incarnation: startedOn }))
+    .with({ kind: 'cancelled' }, () => {
+      // The stream outlives its connection at the engine and would go on using the accelerator.
+      void engine.cancel(id).run()
+      return { kind: 'cancelled' }
+    })
+    .exhaustive()
+}
--- /dev/null
+++ b/packages/agent/src/running/types.ts
@@ -0,0 +1,23 @@
+import type { Fault } from '@figmount/base'
+import type { PlainAnswer } from '@figmount/peers'
+import type { FinishReason } from '@figmount/schema'
+import type { Attempt } from '../attempts/types.js'
+
+/** How one run on the backend server ended. */
+export type RunEnd =
+  | { readonly kind: 'finished', readonly finishReason: FinishReason, readonly plain?: PlainAnswer }
+  /** Nothing of the request has run. */
+  | { readonly kind: 'notRun', readonly fault: Fault, readonly isBackendDown: boolean }
+  /** The run broke off and its outcome is not known. */
+  | { readonly kind: 'interrupted', readonly fault: Fault, readonly died: boolean, readonly incarnation: string }
+  | { readonly kind: 'cancelled' }
+
+/** What a run tells while it goes on. */
+export interface RunHooks {
+  /** Called when a byte has or may have left; more than once is harmless. */
+  readonly onReach: () => void
+  readonly onTokens: (firstTokenIndex: number, tokens: readonly string[]) => void
+}
+
+/** Runs one attempt on the backend server to its end. */
+export type RunOnBackend = (attempt: Attempt, version: string, hooks: RunHooks, signal: AbortSignal) => Promise<RunEnd>
