Start sites of real processes for the proofs

Cause: the promises are to be proved with the binaries as they ship, each of which can be killed, paused, cut off and begun anew while callers wait.

Changed: packages/proof/src/rig starts processes from dist, gathers their events, signals them, puts a proxy before any connection, waits on events, and ends whatever it started; a caller that checks every frame and never gives up; checkEngines judges replicas, memory and runs by the engines' own events.

Conclusion: the rig is ready for router and agent.

--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -1,2 +1,13 @@
-/** Placeholder until the package's first slice lands. */
-export {}
+/** Test rig with real processes, and checks of what a run has shown. */
+export type * from './rig/types.js'
+export type * from './rig/callTypes.js'
+export type * from './rig/sitePlan.js'
+export { modelService, plainService } from './rig/sitePlan.js'
+export { createRig } from './rig/createRig.js'
+export { createSite, OPERATOR_KEY, SHARED_KEY } from './rig/createSite.js'
+export type { Site } from './rig/createSite.js'
+export { callerItem, callerKey, operatorAt, statusAt } from './rig/operate.js'
+export { callOnce } from './rig/callOnce.js'
+export { ask, faultsOf } from './rig/ask.js'
+export { checkEngines } from './checks/checkEngines.js'
+export type { EngineFindings } from './checks/checkEngines.js'
--- /dev/null
+++ b/packages/proof/src/rig/createSite.ts
@@ -0,0 +1,146 @@
+import { hashKey } from '@figmount/base'
+
+import { createRig } from './createRig.js'
+import { applyChanges } from './operate.js'
+
+import type { AgentPlan, ConfigChange, RouterPlan, SitePlan } from './sitePlan.js'
+import type { IniSections, Rig, RigProcess } from './types.js'
+
+/** A running site. */
+export interface Site {
+  readonly rig: Rig
+  readonly log: RigProcess
+  readonly list: RigProcess
+  readonly weights: RigProcess
+  readonly router: (name: string) => RigProcess
+  readonly agent: (name: string) => RigProcess
+  /** The backend server beside an agent. */
+  readonly backend: (agentName: string) => RigProcess
+  /** The proxy on a connection, such as `a1-engine` or `r1-log`. */
+  readonly proxy: (name: string) => RigProcess
+  readonly routerAddresses: () => readonly string[]
+  readonly addAgent: (plan: AgentPlan) => Promise<void>
+  readonly addRouter: (plan: RouterPlan) => Promise<void>
+  /** Takes an instance off the platform's list. */
+  readonly delist: (name: string) => Promise<void>
+  readonly apply: (changes: readonly ConfigChange[]) => Promise<void>
+  readonly close: () => Promise<void>
+}
+
+export const SHARED_KEY = 'shared-key-of-the-rig'
+
+export const OPERATOR_KEY = 'operator-key'
+
+/** The agent reads the list often, so that a test need not wait for it. */
+const LIST_MS = 250
+
+const DEFAULT_DATA_CENTRE = 'aa-1'
+
+const lookUp = (processes: ReadonlyMap<string, RigProcess>, name: string): RigProcess => {
+  const found = processes.get(name)
+  if (!found) throw new Error(`the site has no ${name}: ${[...processes.keys()].join(' ')}`)
+  return found
+}
+
+/** Starts a site: the platform's stand-ins, then backend servers with agents, then routers. */
+export const createSite = async (plan: SitePlan): Promise<Site> => {
+  const rig = createRig(plan.name)
+  const processes = new Map<string, RigProcess>()
+
+  const startStandin = async (name: string, standin: IniSections[string]): Promise<RigProcess> => {
+    const started = await rig.start({ name, binary: 'figmount-standin', sections: { process: { instance: name }, standin } })
+    processes.set(name, started)
+    return started
+  }
+
+  const startProxy = async (name: string, target: string): Promise<string> =>
+    (await startStandin(`proxy-${name}`, { kind: 'proxy', target })).address
+
+  /** The address to use for a connection: its target, or a proxy before it. */
+  const through = async (wanted: boolean, name: string, target: string): Promise<string> =>
+    wanted ? await startProxy(name, target) : target
+
+  const platformSections = async (name: string, proxied: readonly string[]): Promise<IniSections> => ({
+    platform: {
+      log: await through(proxied.includes('log'), `${name}-log`, log.address),
+      instance_list: await through(proxied.includes('list'), `${name}-list`, list.address)
+    }
+  })
+
+  const enlist = async (name: string, role: 'router' | 'agent', dataCentre: string, peerAddress: string, backendAddress = ''): Promise<void> => {
+    await list.command({ action: 'set', instance: { name, role, dataCentre, peerAddress, backendAddress } })
+  }
+
+  const addAgent = async ({ name, services, dataCentre = DEFAULT_DATA_CENTRE, backend = 'engine', backendKeys = {}, proxied = [], sections = {} }: AgentPlan): Promise<void> => {
+    const store: IniSections[string] = backend === 'engine' ? { weight_store: weights.address } : {}
+    const server = await startStandin(`backend-${name}`, { kind: backend, ...store, ...backendKeys })
+    const address = await through(proxied.includes('engine'), `${name}-engine`, server.address)
+    const agent = await rig.start({
+      name,
+      binary: 'figmount-agent',
+      sections: {
+        process: { instance: name, data_centre: dataCentre, host: '127.0.0.1', port: 0 },
+        ...await platformSections(name, proxied),
+        trust: { shared_key: SHARED_KEY },
+        backend: { kind: backend, address, services: services.join(',') },
+        tuning: { list_ms: LIST_MS },
+        ...sections
+      }
+    })
+    processes.set(name, agent)
+    await enlist(name, 'agent', dataCentre, await through(proxied.includes('peer'), `${name}-peer`, agent.address), server.address)
+  }
+
+  const addRouter = async ({ name, dataCentre = DEFAULT_DATA_CENTRE, proxied = [], sections = {} }: RouterPlan): Promise<void> => {
+    const router = await rig.start({
+      name,
+      binary: 'figmount-router',
+      sections: {
+        process: { instance: name, data_centre: dataCentre, host: '127.0.0.1', port: 0 },
+        ...await platformSections(name, proxied),
+        trust: { shared_key: SHARED_KEY, operator_keys: `desk:${hashKey(OPERATOR_KEY)}` },
+        ...sections
+      }
+    })
+    processes.set(name, router)
+    await enlist(name, 'router', dataCentre, await through(proxied.includes('peer'), `${name}-peer`, router.address))
+  }
+
+  const startPlatform = async (): Promise<readonly [RigProcess, RigProcess, RigProcess]> => await Promise.all([
+    startStandin('log', { kind: 'log', ...plan.log }),
+    startStandin('list', { kind: 'instances', ...plan.list }),
+    startStandin('weights', { kind: 'weights', ...plan.weights })
+  ])
+
+  const routers = (): readonly RigProcess[] => plan.routers.map(router => lookUp(processes, router.name))
+
+  const closeAfter = async <T>(work: Promise<T>): Promise<T> => {
+    try {
+      return await work
+    } catch (error) {
+      await rig.close()
+      throw error
+    }
+  }
+
+  const [log, list, weights] = await closeAfter(startPlatform())
+  await closeAfter(Promise.all(plan.agents.map(addAgent)))
+  await closeAfter(Promise.all(plan.routers.map(addRouter)))
+
+  return {
+    rig,
+    log,
+    list,
+    weights,
+    router: name => lookUp(processes, name),
+    agent: name => lookUp(processes, name),
+    backend: name => lookUp(processes, `backend-${name}`),
+    proxy: name => lookUp(processes, `proxy-${name}`),
+    routerAddresses: () => routers().filter(router => router.isRunning()).map(router => router.address),
+    addAgent,
+    addRouter,
+    delist: async name => { await list.command({ action: 'remove', name }) },
+    apply: async changes => await applyChanges(rig, routers()[0]?.address ?? '', OPERATOR_KEY, changes),
+    close: rig.close
+  }
+}
--- /dev/null
+++ b/packages/proof/src/rig/operate.ts
@@ -0,0 +1,41 @@
+import { randomUUID } from 'node:crypto'
+import { createClient } from '@connectrpc/connect'
+import { createTransport, hashKey } from '@figmount/base'
+import { Operator } from '@figmount/schema'
+
+import type { Client } from '@connectrpc/connect'
+import type { ApplyResponse, StatusResponse } from '@figmount/schema'
+import type { ConfigChange } from './sitePlan.js'
+import type { Rig } from './types.js'
+
+/** The caller that tests use unless they name others; its key is its name with `-key`. */
+export const DEFAULT_CALLER = 'crew'
+
+export const callerKey = (caller: string): string => `${caller}-key`
+
+/** A configured caller whose key `callerKey` gives. */
+export const callerItem = (caller: string, kind = 'field', share = 1): ConfigChange =>
+  ({ name: `caller/${caller}`, body: { kind, keySha256: hashKey(callerKey(caller)), share } })
+
+/** An operator's client of one router. */
+export const operatorAt = (address: string, operatorKey: string): Client<typeof Operator> =>
+  createClient(Operator, createTransport({ address, bearerKey: operatorKey }))
+
+/** Applies new items and waits until they are accepted. Items of other versions: `applyAt`. */
+export const applyChanges = async (rig: Rig, address: string, operatorKey: string, changes: readonly ConfigChange[]): Promise<void> => {
+  const operator = operatorAt(address, operatorKey)
+  let last = ''
+  const tryOnce = async (): Promise<boolean> => {
+    const items = changes.map(change => ({ name: change.name, bodyJson: JSON.stringify(change.body), expectedVersion: 0n }))
+    const response: ApplyResponse | Error = await operator.apply({ items, changeId: randomUUID() }).catch((error: Error) => error)
+    last = response instanceof Error ? response.message : response.outcomes.filter(outcome => !outcome.accepted).map(outcome => `${outcome.name}: ${outcome.detail}`).join('; ')
+    if (response instanceof Error) return false
+    // A change whose answer was lost before stands already; the body tells.
+    return response.outcomes.every(outcome => outcome.accepted || outcome.current?.version === 1n)
+  }
+  await rig.until('the configuration to be accepted', tryOnce).catch((error: Error) => { throw new Error(`${error.message}: ${last}`) })
+}
+
+/** Status as a router sees it, undefined while it does not answer. */
+export const statusAt = async (address: string, operatorKey: string): Promise<StatusResponse | undefined> =>
+  await operatorAt(address, operatorKey).status({}).catch(() => undefined)
--- /dev/null
+++ b/packages/proof/src/rig/startProcess.ts
@@ -0,0 +1,152 @@
+import { spawn } from 'node:child_process'
+import { join } from 'node:path'
+import { createInterface } from 'node:readline'
+import { BaseEvent, ExitCode, sleep } from '@figmount/base'
+
+import { RESTART_TRIES, RESTART_WAIT_MS, START_MS } from './constants.js'
+import { RigEvent } from './events.js'
+import { withPort, writeIni } from './writeIni.js'
+
+import type { ChildProcess } from 'node:child_process'
+import type { EventFields, EventKind, EventRecord, InstanceName, TimerService } from '@figmount/base'
+import type { EventStore, ExitReport, IniSections, ProcessPlan, RigProcess } from './types.js'
+
+interface Parts {
+  readonly folder: string
+  readonly events: EventStore
+  readonly timers: TimerService
+}
+
+/** One run of a process from start to end. */
+interface Run {
+  readonly child: ChildProcess
+  readonly ended: Promise<ExitReport>
+  readonly address: string
+}
+
+const DIST = join(import.meta.dirname, '../../../../dist')
+
+/** Last part of what a process wrote to standard error that is kept. */
+const KEPT_ERROR_CHARACTERS = 8000
+
+const parseEvent = (line: string): EventRecord | undefined => {
+  try {
+    const value = JSON.parse(line) as EventRecord
+    return typeof value.number === 'number' ? value : undefined
+  } catch {
+    return undefined
+  }
+}
+
+const postCommand = async (address: string, command: object): Promise<unknown> => {
+  const response = await fetch(`http://${address}/control`, { method: 'POST', body: JSON.stringify(command) })
+  const result = await response.json() as unknown
+  if (!response.ok) throw new Error(`${address} refused ${JSON.stringify(command)}: ${JSON.stringify(result)}`)
+  return result
+}
+
+/** A process that ended before it listened. */
+class StartFault extends Error {
+  constructor (message: string, readonly code: number | null) { super(message) }
+}
+
+/** Starts a process and waits until it listens. */
+export const startProcess = async (plan: ProcessPlan, { folder, events, timers }: Parts): Promise<RigProcess> => {
+  const { name } = plan
+  const file = join(folder, `${name}.ini`)
+  let sections: IniSections = plan.sections
+  let errorText = ''
+
+  const report = (kind: EventKind, fields: EventFields): void => {
+    events.add({ number: kind.number, name: kind.name, instance: name as InstanceName, role: 'rig', sequence: 0, clock: 0, atUnixMs: timers.unixMs(), ...fields })
+  }
+
+  const waitForEnd = async (child: ChildProcess): Promise<ExitReport> => await new Promise(resolve => {
+    child.once('close', (code, signal) => {
+      report(RigEvent.processExited, { reason: signal ?? `code ${code}` })
+      resolve({ code, signal })
+    })
+  })
+
+  const readLines = (child: ChildProcess, onStarted: (address: string) => void): void => {
+    if (!child.stdout || !child.stderr) return
+    createInterface({ input: child.stdout }).on('line', line => {
+      const event = parseEvent(line)
+      if (!event) return
+      events.add(event)
+      if (event.number === BaseEvent.processStarted.number) onStarted(event.detail ?? '')
+    })
+    child.stderr.on('data', chunk => { errorText = (errorText + String(chunk)).slice(-KEPT_ERROR_CHARACTERS) })
+  }
+
+  const begin = async (): Promise<Run> => {
+    writeIni(file, sections)
+    const child = spawn(process.execPath, [join(DIST, `${plan.binary}.mjs`), '--settings', file, '--event-lines'], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const ended = waitForEnd(child)
+    const address = await new Promise<string>((resolve, reject) => {
+      const cancel = timers.after(START_MS, () => {
+        child.kill('SIGKILL')
+        reject(new Error(`${name} did not start in ${START_MS} ms: ${errorText}`))
+      })
+      readLines(child, started => {
+        cancel()
+        resolve(started)
+      })
+      ended.then(({ code, signal }) => {
+        cancel()
+        reject(new StartFault(`${name} ended at its start (${signal ?? code}): ${errorText}`, code))
+      })
+    })
+    return { child, ended, address }
+  }
+
+  // Between the two runs another connection of the machine may have been given the port for
+  // a moment; the process then ends with the code for an address that cannot be listened on.
+  const beginAgain = async (triesLeft: number): Promise<Run> => {
+    try {
+      return await begin()
+    } catch (error) {
+      if (triesLeft <= 1 || !(error instanceof StartFault) || error.code !== ExitCode.Listen) throw error
+      await sleep(timers, RESTART_WAIT_MS)
+      return await beginAgain(triesLeft - 1)
+    }
+  }
+
+  let run = await begin()
+  const [address = '', controlAddress = address] = run.address.split(' ')
+  sections = withPort(sections, address)
+  if (controlAddress !== address) sections = { ...sections, standin: { ...sections.standin, control_port: controlAddress.split(':')[1] ?? '' } }
+
+  const isRunning = (): boolean => run.child.exitCode === null && run.child.signalCode === null
+
+  const signal = (kind: NodeJS.Signals): void => {
+    if (!isRunning()) return
+    report(RigEvent.processSignalled, { reason: kind })
+    run.child.kill(kind)
+  }
+
+  const endBy = async (kind: NodeJS.Signals): Promise<ExitReport> => {
+    signal(kind)
+    return await run.ended
+  }
+
+  return {
+    name,
+    address,
+    controlAddress,
+    pid: () => run.child.pid ?? -1,
+    isRunning,
+    kill: async () => await endBy('SIGKILL'),
+    pause: () => signal('SIGSTOP'),
+    resume: () => signal('SIGCONT'),
+    stop: async () => await endBy('SIGTERM'),
+    ended: async () => await run.ended,
+    restart: async () => {
+      if (isRunning()) await endBy('SIGKILL')
+      run = await beginAgain(RESTART_TRIES)
+    },
+    command: async command => await postCommand(controlAddress, command),
+    dump: async () => await (await fetch(`http://${controlAddress}/control`)).json() as Record<string, unknown>,
+    errorText: () => errorText
+  }
+}
