Run the agent: from a router's start to the engine and back

Cause: the agent had parts but no process. A burst for a cold model must load once, keep within memory and answer every request. Changed: `figmount-agent` with settings, one port for links, `/metrics` and `/healthz`; announcement in the log; stock of the engine at start; load on demand under the replica right; queue, run, numbered frames, resume, ack, cancel, permits, reports, drain on SIGTERM. Suspects, plain services and release of rights are wired too and get their tests next.

--- a/packages/agent/src/agent/createDispatcher.ts
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -5,10 +5,12 @@
 import { ORPHAN_MS } from '../attempts/constants.js'
 import { AgentEvent } from '../events.js'
 import { ASSUMED_TOKEN_INTERVAL_MS, INTERVAL_SMOOTHING } from '../queueing/constants.js'
-import { mayHaveRun, notRun, ran, reasonOf } from './refusals.js'
+import { mayHaveRun, notRun, quarantined, ran, reasonOf } from './refusals.js'
+import { runInBackground } from './runInBackground.js'
 
 import type { AttemptId } from '@figmount/base'
 import type { RefusalNote } from '@figmount/peers'
+import type { SuspectVerdict } from '@figmount/records'
 import type { AttemptStore } from '../attempts/createAttemptStore.js'
 import type { Attempt, Progress } from '../attempts/types.js'
 import type { Queue, QueuedAttempt } from '../queueing/createQueue.js'
@@ -23,9 +25,11 @@
   /** True when the attempt's model, version and adapter are ready. */
   readonly canStart: (attempt: Attempt) => boolean
   /** Why the attempt can never start here as things stand; undefined while it can. */
-  readonly refusalFor: (attempt: Attempt) => RefusalNote | undefined
-  readonly versionOf: (attempt: Attempt) => string
+  readonly refusalFor: (attempt: Pick<Attempt, 'request'>) => RefusalNote | undefined
+  readonly versionOf: (attempt: Pick<Attempt, 'request'>) => string
   readonly progressOf: (attempt: Attempt) => Progress
+  /** Expected time until the attempt's model is ready; 0 when it is. */
+  readonly readyInMs: (attempt: Pick<Attempt, 'request'>) => number
   readonly onUse: (attempt: Attempt) => void
   readonly run: RunOnBackend
   /** Called when a run shows that the backend server ended or cannot be reached. */
@@ -37,6 +41,8 @@
   readonly attempts: AttemptStore
   readonly queue: Queue
   readonly backend: BackendView
+  /** How the request stands after earlier deaths of engines. */
+  readonly suspicionOf: (attempt: Attempt) => SuspectVerdict
   /** Called when a request that may not be repeated turned out not to have run. */
   readonly onNotRun: (attempt: Attempt) => void
   /** Called when a run brought a whole answer. */
@@ -94,7 +100,7 @@
         refuseWaiting(attempt, notRun({ reason: RefusalReason.DEADLINE, detail: 'it waited until its deadline', step: 'queueing.wait', peer: instance }))
         continue
       }
-      const refusal = backend.refusalFor(attempt)
+      const refusal = options.suspicionOf(attempt) === 'convicted' ? quarantined(instance) : backend.refusalFor(attempt)
       if (refusal) refuseWaiting(attempt, refusal)
     }
   }
@@ -167,7 +173,7 @@
     poke()
   }
 
-  const start = ({ attempt, isSuspect }: QueuedAttempt): void => {
+  const start = ({ attempt }: QueuedAttempt, isSuspect: boolean): void => {
     queue.remove(attempt.id)
     const version = backend.versionOf(attempt)
     const run: Run = { attempt, controller: new AbortController(), isSuspect, cancelNote: undefined }
@@ -177,7 +183,7 @@
     events.emit(AgentEvent.attemptStarted, { ...attemptFields(attempt), version, waitMs: Math.round(timers.nowMs() - attempt.arrivedAtMs) })
     if (isSuspect) events.emit(AgentEvent.suspectAlone, attemptFields(attempt))
     attempts.tell(attempt.id, { state: WaitState.RUNNING, estimatedWaitMs: 0 })
-    void follow(run, version)
+    runInBackground(events, 'running.follow', follow(run, version))
   }
 
   const hasSuspectRunning = (): boolean => {
@@ -192,8 +198,9 @@
       const next = queue.pick(({ attempt }) => backend.canStart(attempt))
       if (!next) return
       // A suspect waits for what runs and nothing is started meanwhile, or it would wait for ever.
-      if (next.isSuspect && runs.size > 0) return
-      start(next)
+      const isSuspect = options.suspicionOf(next.attempt) === 'suspect'
+      if (isSuspect && runs.size > 0) return
+      start(next, isSuspect)
     }
   }
 
--- a/packages/agent/src/agent/refusals.ts
+++ b/packages/agent/src/agent/refusals.ts
@@ -33,3 +33,12 @@
 
 /** The reason that callers are told for a fault of the backend server. */
 export const reasonOf = (fault: Fault): RefusalReason => REASON_BY_KIND[fault.kind] ?? RefusalReason.UNAVAILABLE
+
+/** The request brought down the backend servers that ran it. */
+export const quarantined = (peer: InstanceName): RefusalNote => notRun({
+  reason: RefusalReason.QUARANTINED,
+  detail: 'the request brought down the engines that ran it',
+  step: 'suspects.judge',
+  peer,
+  retryAfterMs: 0
+})
--- /dev/null
+++ b/packages/agent/src/agent/startAgent.ts
@@ -0,0 +1,55 @@
+import { makeIncarnation, serveRpc } from '@figmount/base'
+import { accountNothing, admitUntilFull, evictLeastRecent, keepFixedTime, orderByArrival, pickFirstCome } from '@figmount/decisions'
+import { acceptLinks } from '@figmount/peers'
+import { createRecordsClient } from '@figmount/records'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+
+import { createEngineClient } from '../engine/createEngineClient.js'
+import { readListingFrom } from '../membership/watchInstances.js'
+import { createAgent } from './createAgent.js'
+
+import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
+import type { FromAgent, ToAgent } from '@figmount/peers'
+import type { AgentSettings } from '../settings/agentSettings.js'
+import type { AgentContext, AgentDecisions } from './types.js'
+
+/** The decisions that the binary uses. */
+const chooseDecisions = (seed: number): AgentDecisions => {
+  const generator = xoroshiro128plus(seed)
+  return {
+    admit: admitUntilFull,
+    pickNext: pickFirstCome,
+    accountServed: accountNothing,
+    keepAlive: keepFixedTime(),
+    chooseVictims: evictLeastRecent,
+    orderLoads: orderByArrival,
+    random: () => uniformFloat64(generator)
+  }
+}
+
+/** Starts an agent: follows the log, takes stock of its backend server and listens for routers. */
+export const startAgent = async ({ settings, events, timers, metrics }: ProcessContext<AgentSettings>): Promise<RunningProcess> => {
+  const instance = settings.process.instance as InstanceName
+  const startedAtMs = timers.unixMs()
+  const incarnation = makeIncarnation(startedAtMs)
+  const records = createRecordsClient({ address: settings.platform.log, instance, incarnation, timers, events, metrics })
+  const context: AgentContext = {
+    settings, events, timers, metrics, records, instance, incarnation, decisions: chooseDecisions(startedAtMs)
+  }
+  const agent = createAgent({
+    context,
+    readListing: readListingFrom(settings.platform.instance_list),
+    ...(settings.backend.kind === 'engine' ? { engine: createEngineClient(settings.backend.address) } : {})
+  })
+  const server = await serveRpc({ host: settings.process.host, port: settings.process.port, metrics, routes: () => {} })
+  acceptLinks<FromAgent, ToAgent>(server.server, agent.linkContext, agent.runLink)
+  return {
+    address: server.address,
+    stop: async () => {
+      await agent.stop()
+      records.stop()
+      await server.close()
+    }
+  }
+}
--- a/packages/agent/src/attempts/createAttemptStore.ts
+++ b/packages/agent/src/attempts/createAttemptStore.ts
@@ -15,10 +15,15 @@
   readonly maxKeptBytes: number
 }
 
+/** What names a request that may not be repeated. */
+export type KeyOfRequest = Pick<RunRequest, 'caller' | 'requestKey' | 'model' | 'service'>
+
+const keyText = ({ caller, requestKey, model, service }: KeyOfRequest): string => `${service}\n${model}\n${caller}\n${requestKey}`
+
 /** The store's own mutable copy of an attempt. */
 interface Entry {
   readonly id: AttemptId
-  readonly request: RunRequest
+  request: RunRequest
   readonly arrivedAtMs: number
   readonly deadlineAtMs: number
   readonly keepUntilMs: number
@@ -57,6 +62,8 @@
   /** Ends one router's interest; true when nobody is left. */
   readonly unsubscribe: (asId: AttemptId, subscriber: Subscriber) => boolean
   readonly resolve: (asId: AttemptId) => AttemptId | undefined
+  /** The attempt that runs or ran a key that may not be repeated; none when it turned out not to have run. */
+  readonly findByKey: (request: KeyOfRequest) => AttemptId | undefined
   /** Frames are dropped when every listener has them; those of a request that may not be repeated stay for resends of its key. */
   readonly acknowledge: (asId: AttemptId, belowFrame: number, subscriber: Subscriber) => void
   readonly start: (id: AttemptId, version: string) => void
@@ -94,6 +101,7 @@
 export const createAttemptStore = ({ timers, events, maxKeptBytes }: Options): AttemptStore => {
   const entries = new Map<AttemptId, Entry>()
   const aliases = new Map<AttemptId, AttemptId>()
+  const idByKey = new Map<string, AttemptId>()
   const dirty = new Set<Entry>()
   let keptBytes = 0
   let flushTimer: (() => void) | undefined
@@ -138,10 +146,22 @@
     entry.firstFrame += count
   }
 
+  const freeKey = (entry: Entry): void => {
+    const key = keyText(entry.request)
+    if (idByKey.get(key) === entry.id) idByKey.delete(key)
+  }
+
+  /** An ended attempt is kept for its frames only: many large prompts would fill the memory. */
+  const dropPrompt = (entry: Entry): void => {
+    const { plain: _plain, ...request } = entry.request
+    entry.request = { ...request, prompt: '' }
+  }
+
   const forget = (entry: Entry): void => {
     dropFrames(entry, nextFrame(entry))
     dirty.delete(entry)
     entries.delete(entry.id)
+    freeKey(entry)
     for (const [asId, id] of aliases) {
       if (id === entry.id) aliases.delete(asId)
     }
@@ -177,17 +197,33 @@
       const onceUntilMs = nowMs + ONCE_WINDOW_MS - (timers.unixMs() - request.issuedAtMs)
       const keepUntilMs = request.repeatable ? deadlineAtMs + FINISHED_KEEP_MS : Math.max(deadlineAtMs, onceUntilMs)
       const entry: Entry = {
-        id, request, arrivedAtMs: nowMs, deadlineAtMs, keepUntilMs, phase: 'waiting', reached: false, tokenCount: request.doneTokens.length,
-        version: '', startedAtMs: 0, frames: [], firstFrame: 0, gathered: [], keptBytes: 0, listeners: [], orphanSinceMs: nowMs
+        id,
+        request,
+        arrivedAtMs: nowMs,
+        deadlineAtMs,
+        keepUntilMs,
+        phase: 'waiting',
+        reached: false,
+        tokenCount: request.doneTokens.length,
+        version: '',
+        startedAtMs: 0,
+        frames: [],
+        firstFrame: 0,
+        gathered: [],
+        keptBytes: 0,
+        listeners: [],
+        orphanSinceMs: nowMs
       }
       entries.set(id, entry)
       aliases.set(id, id)
+      if (!request.repeatable) idByKey.set(keyText(request), id)
       return entry
     },
     get: id => entries.get(id),
     all: () => entries.values(),
     count: () => entries.size,
     resolve: asId => aliases.get(asId),
+    findByKey: request => idByKey.get(keyText(request)),
     subscribe: (id, asId, subscriber, fromFrame) => {
       const entry = entries.get(id)
       if (!entry) return false
@@ -250,6 +286,7 @@
       if (!entry) return
       flush(entry)
       entry.phase = 'finished'
+      dropPrompt(entry)
       keep(entry, {
         type: 'final', attemptId: id, frame: nextFrame(entry), tokenCount: entry.tokenCount, finishReason, version: entry.version, ...(plain ? { plain } : {})
       })
@@ -263,10 +300,16 @@
       flush(entry)
       entry.phase = 'refused'
       entry.refusal = refusal
+      dropPrompt(entry)
+      if (refusal.runState === RunState.NOT_RUN) freeKey(entry)
       publish(entry, { type: 'refused', attemptId: id, refusal })
       events.emit(AgentEvent.attemptRefused, {
-        ...attemptFields(entry), runState: RunState[refusal.runState], reason: RefusalReason[refusal.reason], detail: refusal.detail,
-        step: refusal.step, retryAfterMs: refusal.retryAfterMs
+        ...attemptFields(entry),
+        runState: RunState[refusal.runState],
+        reason: RefusalReason[refusal.reason],
+        detail: refusal.detail,
+        step: refusal.step,
+        retryAfterMs: refusal.retryAfterMs
       })
     },
     tell: (id, progress) => {
--- /dev/null
+++ b/packages/agent/src/bin.ts
@@ -0,0 +1,14 @@
+/** Entry of `figmount-agent`. */
+import { runBinary } from '@figmount/base'
+
+import { startAgent } from './agent/startAgent.js'
+import { agentSettings } from './settings/agentSettings.js'
+
+await runBinary({
+  name: 'figmount-agent',
+  summary: 'Runs beside a backend server: orders to the engine, memory, queue, permits and drain.',
+  role: 'agent',
+  schema: agentSettings,
+  instanceOf: settings => settings.process.instance,
+  start: startAgent
+})
--- a/packages/agent/src/engine/createEngineClient.ts
+++ b/packages/agent/src/engine/createEngineClient.ts
@@ -3,11 +3,11 @@
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { EitherAsync } from 'purify-ts'
 import { match } from 'ts-pattern'
-import { faultFrom } from '@figmount/base'
 import { ORDER_DEADLINE_MS } from '@figmount/records'
 import { CheckpointTier, Engine, ResidentState } from '@figmount/schema'
 
 import { CANCEL_TIMEOUT_MS, IDLE_CONNECTION_MS, INVENTORY_TIMEOUT_MS } from './constants.js'
+import { engineFault } from './engineFaults.js'
 
 import type { Client } from '@connectrpc/connect'
 import type { ModelId } from '@figmount/base'
@@ -61,14 +61,14 @@
     address,
     order: (order, signal) => EitherAsync(async () => await sendOrder(single, order, signal))
       .map(result => ({ tookMs: result.tookMs }))
-      .mapLeft(faultFrom(`engine.${order.kind}`, address)),
+      .mapLeft(engineFault(`engine.${order.kind}`, address)),
     inventory: () => EitherAsync(async () => await single.inventory({}, { timeoutMs: INVENTORY_TIMEOUT_MS }))
       .map(readInventory)
-      .mapLeft(faultFrom('engine.inventory', address)),
+      .mapLeft(engineFault('engine.inventory', address)),
     generate: (args, signal) => pooled.generate({ ...args, doneTokens: [...args.doneTokens] }, { signal }),
     resume: (streamId, fromTokenIndex, signal) => single.resume({ streamId, fromTokenIndex }, { signal }),
     cancel: streamId => EitherAsync(async () => await single.cancel({ streamId }, { timeoutMs: CANCEL_TIMEOUT_MS }))
       .map(answer => answer.wasRunning)
-      .mapLeft(faultFrom('engine.cancel', address))
+      .mapLeft(engineFault('engine.cancel', address))
   }
 }
--- a/packages/agent/src/engine/createEngineWatch.ts
+++ b/packages/agent/src/engine/createEngineWatch.ts
@@ -1,5 +1,6 @@
 import { AgentEvent } from '../events.js'
 import { INVENTORY_MS } from './constants.js'
+import { runInBackground } from '../agent/runInBackground.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { EngineClient, Inventory } from './types.js'
@@ -74,6 +75,6 @@
     answer.caseOf({ Left: reportFault, Right: inventory => take(inventory, askedAtMs) })
   }
 
-  const stop = timers.every(INVENTORY_MS, () => { void refresh() })
+  const stop = timers.every(INVENTORY_MS, () => runInBackground(events, 'engine.inventory', refresh()))
   return { isUp: () => isUp, last: () => last, reportDeath, reportFault, refresh, stop }
 }
--- a/packages/agent/src/engine/runStream.ts
+++ b/packages/agent/src/engine/runStream.ts
@@ -1,7 +1,8 @@
-import { FaultKind, faultFrom, makeFault, sleep } from '@figmount/base'
+import { Code } from '@connectrpc/connect'
+import { FaultKind, makeFault, sleep } from '@figmount/base'
 
 import { ENGINE_GONE_MS, STREAM_RETRY_MS, STREAM_SILENCE_MS } from './constants.js'
-import { isRefused, neverSent } from './neverSent.js'
+import { answeredCode, engineFault, isRefused, neverSent } from './engineFaults.js'
 
 import type { Fault, TimerService } from '@figmount/base'
 import type { FinishReason } from '@figmount/schema'
@@ -34,7 +35,14 @@
   | { readonly kind: 'last', readonly finishReason: FinishReason }
   | { readonly kind: 'broken', readonly thrown: unknown, readonly fault: Fault }
 
-const DEFINITE_REFUSALS: readonly FaultKind[] = [FaultKind.Invalid, FaultKind.Exhausted, FaultKind.NotFound]
+/** Answers to `generate` after which nothing of the request runs. */
+const REFUSALS: ReadonlySet<Code | undefined> = new Set([
+  Code.InvalidArgument, Code.NotFound, Code.FailedPrecondition, Code.ResourceExhausted, Code.OutOfRange, Code.Unimplemented,
+  Code.PermissionDenied, Code.Unauthenticated
+])
+
+/** Answers that say nothing about the stream, after which it is asked for again. */
+const PASSING: ReadonlySet<Code | undefined> = new Set([undefined, Code.Unavailable, Code.Unknown, Code.Internal, Code.AlreadyExists])
 
 /** Aborts `controller` when nothing was heard for STREAM_SILENCE_MS. */
 const watchSilence = (timers: TimerService, lastHeardMs: () => number, controller: AbortController): (() => void) =>
@@ -54,10 +62,12 @@
   let nextIndex = args.doneTokens.length
   let isKnown = false
   let failingSinceMs: number | undefined
+  let failureCount = 0
 
   const take = (chunk: Chunk): Fault | undefined => {
     isKnown = true
     failingSinceMs = undefined
+    failureCount = 0
     const skip = nextIndex - chunk.firstTokenIndex
     if (skip < 0 && chunk.tokens.length > 0) return makeFault(FaultKind.Internal, 'engine.stream', engine.address, `gap before token ${chunk.firstTokenIndex}`)
     const fresh = skip > 0 ? chunk.tokens.slice(skip) : chunk.tokens
@@ -82,7 +92,7 @@
       }
       return { kind: 'broken', thrown: undefined, fault: makeFault(FaultKind.Unavailable, 'engine.stream', engine.address, 'ended without a last chunk') }
     } catch (thrown) {
-      return { kind: 'broken', thrown, fault: faultFrom('engine.stream', engine.address)(thrown) }
+      return { kind: 'broken', thrown, fault: engineFault('engine.stream', engine.address)(thrown) }
     } finally {
       stopWatching()
       signal.removeEventListener('abort', forward)
@@ -109,23 +119,25 @@
     if (end.kind === 'last') return { kind: 'finished', tokenCount: nextIndex, finishReason: end.finishReason }
     if (signal.aborted) return { kind: 'cancelled' }
     const { fault } = end
+    const code = answeredCode(end.thrown)
     if (isFirst && neverSent(end.thrown)) return { kind: 'unreached', fault }
-    if (!resumes && !isKnown && isFirst && DEFINITE_REFUSALS.includes(fault.kind)) return { kind: 'rejected', fault }
+    if (isFirst && !isKnown && REFUSALS.has(code)) return { kind: 'rejected', fault }
     isFirst = false
     const standing = await probe()
     if (standing === 'died') return { kind: 'interrupted', died: true, fault }
     if (standing === 'unreachable') {
       failingSinceMs ??= timers.nowMs()
       if (timers.nowMs() - failingSinceMs > ENGINE_GONE_MS) return { kind: 'interrupted', died: false, fault }
-    } else if (resumes && fault.kind === FaultKind.NotFound) {
-      if (isKnown) return { kind: 'interrupted', died: false, fault }
-      // The same incarnation never saw the stream: the first call was lost on its way.
-      resumes = false
-      await sleep(timers, STREAM_RETRY_MS, signal)
-      continue
+    } else {
+      // The same incarnation that does not know the stream never got the first call, or has forgotten the stream.
+      const isLost: boolean = resumes && code === Code.NotFound && !isKnown
+      if (!isLost && !PASSING.has(code)) return { kind: 'interrupted', died: false, fault }
+      resumes = !isLost
     }
-    resumes = true
-    onResume(fault)
-    await sleep(timers, standing === 'same' ? 0 : STREAM_RETRY_MS, signal)
+    if (resumes) onResume(fault)
+    // The first break is mended at once, so that callers do not notice; a second one in a row is not hurried.
+    await sleep(timers, failureCount === 0 && resumes ? 0 : STREAM_RETRY_MS, signal)
+    failureCount += 1
+    if (standing === 'unreachable') resumes = true
   }
 }
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,10 @@
-/** Placeholder until the package's first slice lands. */
-export {}
+/** The agent beside a backend server. */
+export { createAgent } from './agent/createAgent.js'
+export type { Agent } from './agent/createAgent.js'
+export { startAgent } from './agent/startAgent.js'
+export type { AgentContext, AgentDecisions } from './agent/types.js'
+export { createEngineClient } from './engine/createEngineClient.js'
+export type * from './engine/types.js'
+export { AgentEvent } from './events.js'
+export { agentSettings } from './settings/agentSettings.js'
+export type { AgentSettings } from './settings/agentSettings.js'
--- /dev/null
+++ b/packages/agent/src/links/constants.ts
@@ -0,0 +1,5 @@
+/** Time that a peer may be ahead before its records are asked for; the log itself mostly is faster. */
+export const BEHIND_MS = 500
+
+/** Records passed to a peer in one message: at some 500 bytes each well below the largest message. */
+export const RECORDS_PER_MESSAGE = 500
--- /dev/null
+++ b/packages/agent/src/links/createLinkBook.ts
@@ -0,0 +1,58 @@
+import { BEHIND_MS } from './constants.js'
+
+import type { LogOffset, TimerService } from '@figmount/base'
+import type { FromAgent, Link, ToAgent } from '@figmount/peers'
+
+export type RouterLink = Link<FromAgent, ToAgent>
+
+interface Lag {
+  readonly sinceMs: number
+  readonly askedAtMs: number
+}
+
+/** The open connections from routers. */
+export interface LinkBook {
+  readonly add: (link: RouterLink) => void
+  readonly remove: (link: RouterLink) => void
+  readonly sendAll: (message: FromAgent) => void
+  readonly closeAll: (reason: string) => void
+  readonly count: () => number
+  readonly bufferedBytes: () => number
+  /** Notes how far a peer has read, and asks it for records when it stays ahead. */
+  readonly notePeerOffset: (peer: string, offset: LogOffset) => void
+}
+
+/** Makes the book of open links. */
+export const createLinkBook = (timers: TimerService, ownOffset: () => LogOffset): LinkBook => {
+  const links = new Set<RouterLink>()
+  let lag: Lag | undefined
+
+  const ask = (peer: string, fromOffset: LogOffset): void => {
+    for (const link of links) {
+      if (link.peer !== peer) continue
+      link.send({ type: 'records.ask', fromOffset })
+      return
+    }
+  }
+
+  return {
+    add: link => { links.add(link) },
+    remove: link => { links.delete(link) },
+    sendAll: message => { for (const link of links) link.send(message) },
+    closeAll: reason => { for (const link of [...links]) link.close(reason) },
+    count: () => links.size,
+    bufferedBytes: () => [...links].reduce((sum, link) => sum + link.bufferedBytes(), 0),
+    notePeerOffset: (peer, offset) => {
+      const own = ownOffset()
+      if (offset <= own) {
+        lag = undefined
+        return
+      }
+      const nowMs = timers.nowMs()
+      lag ??= { sinceMs: nowMs, askedAtMs: nowMs }
+      if (nowMs - lag.sinceMs < BEHIND_MS || nowMs - lag.askedAtMs < BEHIND_MS) return
+      lag = { ...lag, askedAtMs: nowMs }
+      ask(peer, own)
+    }
+  }
+}
--- /dev/null
+++ b/packages/agent/src/links/runRouterLink.ts
@@ -0,0 +1,70 @@
+import { match } from 'ts-pattern'
+
+import { RECORDS_PER_MESSAGE } from './constants.js'
+
+import type { AttemptId, DataCentre } from '@figmount/base'
+import type { AgentReport, PermitReply, ToAgent } from '@figmount/peers'
+import type { HandleStart } from '../agent/createAdmission.js'
+import type { AgentContext } from '../agent/types.js'
+import type { AttemptStore } from '../attempts/createAttemptStore.js'
+import type { KeyName } from '../once/types.js'
+import type { RouterLink } from './createLinkBook.js'
+
+type PermitAsk = Extract<ToAgent, { type: 'permit.ask' }>
+
+/** What a router's messages are handed to. */
+export interface LinkHandlers {
+  readonly context: AgentContext
+  readonly attempts: AttemptStore
+  readonly start: HandleStart
+  readonly cancel: (id: AttemptId) => void
+  readonly askPermit: (ask: PermitAsk) => PermitReply
+  readonly withdrawPermit: (key: KeyName, attemptId: AttemptId) => void
+  readonly takeSuspicion: (fingerprints: readonly string[]) => void
+  readonly report: () => AgentReport
+  readonly onOpen: (link: RouterLink) => void
+  readonly onClose: (link: RouterLink) => void
+}
+
+const handle = (handlers: LinkHandlers, link: RouterLink, message: ToAgent): void => {
+  const { context, attempts } = handlers
+  const { records, instance, incarnation, settings } = context
+  return match(message)
+    .with({ type: 'hello' }, () => {
+      const dataCentre = settings.process.data_centre as DataCentre
+      link.send({ type: 'welcome', instance, incarnation, dataCentre, report: handlers.report() })
+    })
+    .with({ type: 'heartbeat' }, ({ sentAtMs }) => link.send({ type: 'heartbeat.ack', sentAtMs, report: handlers.report() }))
+    .with({ type: 'start' }, start => handlers.start(start, link))
+    .with({ type: 'resume' }, ({ attemptId, fromFrame }) => {
+      const known = attempts.resolve(attemptId)
+      if (known && attempts.subscribe(known, attemptId, link, fromFrame)) return
+      link.send({ type: 'unknown', attemptId, incarnation })
+    })
+    .with({ type: 'ack' }, ({ attemptId, belowFrame }) => attempts.acknowledge(attemptId, belowFrame, link))
+    .with({ type: 'cancel' }, ({ attemptId }) => {
+      const known = attempts.resolve(attemptId)
+      if (known && attempts.unsubscribe(attemptId, link)) handlers.cancel(known)
+    })
+    .with({ type: 'permit.ask' }, ask => link.send({ type: 'permit.reply', askId: ask.askId, reply: handlers.askPermit(ask) }))
+    .with({ type: 'permit.withdraw' }, ({ target, caller, requestKey, attemptId }) =>
+      handlers.withdrawPermit({ target, caller, requestKey }, attemptId))
+    .with({ type: 'records' }, ({ records: offered }) => records.offer(offered))
+    .with({ type: 'records.ask' }, ({ fromOffset }) => {
+      const found = records.rawFrom(fromOffset, RECORDS_PER_MESSAGE)
+      if (found.length > 0) link.send({ type: 'records', records: found })
+    })
+    .with({ type: 'suspect' }, ({ fingerprints }) => handlers.takeSuspicion(fingerprints))
+    .exhaustive()
+}
+
+/** The task of one router's connection: reads its messages until it ends. Attempts outlive it. */
+export const runRouterLink = (handlers: LinkHandlers) => async (link: RouterLink): Promise<void> => {
+  handlers.onOpen(link)
+  try {
+    for await (const message of link.received) handle(handlers, link, message)
+  } finally {
+    handlers.attempts.unsubscribeAll(link)
+    handlers.onClose(link)
+  }
+}
--- a/packages/agent/src/loading/createLoader.ts
+++ b/packages/agent/src/loading/createLoader.ts
@@ -4,6 +4,7 @@
 import { planOrders } from './planOrders.js'
 import { closeOrder, findSlot, isOvercommitted, reconcile, touch } from './slots.js'
 import { backOffStore, easeStore, freshPace } from './storePace.js'
+import { runInBackground } from '../agent/runInBackground.js'
 
 import type { EventFields, EventLog, ModelId, TimerService } from '@figmount/base'
 import type { EngineClient, EngineOrder, Inventory } from '../engine/types.js'
@@ -108,7 +109,7 @@
 
   const followOpen = (mustSend: boolean): void => {
     for (const slot of state.slots.values()) {
-      if (slot.openOrder && !followed.has(slot.openOrder)) void follow(slot.openOrder, mustSend)
+      if (slot.openOrder && !followed.has(slot.openOrder)) runInBackground(events, 'loading.follow', follow(slot.openOrder, mustSend))
     }
   }
 
--- /dev/null
+++ b/packages/agent/src/membership/watchInstances.ts
@@ -0,0 +1,73 @@
+import { createClient } from '@connectrpc/connect'
+import { EitherAsync } from 'purify-ts'
+import { createTransport, faultFrom } from '@figmount/base'
+import { InstanceList } from '@figmount/schema'
+import { runInBackground } from '../agent/runInBackground.js'
+
+import type { EventLog, Fault, InstanceName, TimerService } from '@figmount/base'
+
+/** What the platform's list says of this instance. */
+export interface Listing {
+  readonly listed: 'present' | 'missing' | 'unknown'
+  readonly leaving: boolean
+}
+
+/** Reads the list once. */
+export type ReadListing = (instance: InstanceName) => EitherAsync<Fault, Listing>
+
+const READ_TIMEOUT_MS = 1_500
+
+/** A reading of the list is taken as news no longer than this many periods. */
+const STALE_PERIODS = 3
+
+/** Reads the platform's instance list over RPC. */
+export const readListingFrom = (address: string): ReadListing => {
+  const client = createClient(InstanceList, createTransport({ address }))
+  return instance => EitherAsync(async () => await client.list({}, { timeoutMs: READ_TIMEOUT_MS }))
+    .mapLeft(faultFrom('membership.list', address))
+    .map(({ instances }) => {
+      const own = instances.find(({ name }) => name === instance)
+      return { listed: own ? 'present' : 'missing', leaving: own?.leaving ?? false } as const
+    })
+}
+
+interface Options {
+  readonly instance: InstanceName
+  readonly timers: TimerService
+  readonly events: EventLog
+  readonly periodMs: number
+  readonly read: ReadListing
+  readonly onChange: (listing: Listing) => void
+}
+
+/** The second source of this instance's own standing; it lags. */
+export interface InstanceWatch {
+  readonly current: () => Listing
+  readonly stop: () => void
+}
+
+const UNKNOWN: Listing = { listed: 'unknown', leaving: false }
+
+/** Follows what the instance list says of this instance. */
+export const watchInstances = ({ instance, timers, events, periodMs, read, onChange }: Options): InstanceWatch => {
+  let listing = UNKNOWN
+  let readAtMs = Number.NEGATIVE_INFINITY
+
+  const look = async (): Promise<void> => {
+    const askedAtMs = timers.nowMs()
+    const answer = (await read(instance).run()).toMaybe().extract()
+    if (!answer) return
+    const isNews = answer.listed !== listing.listed || answer.leaving !== listing.leaving
+    listing = answer
+    readAtMs = askedAtMs
+    if (isNews) onChange(answer)
+  }
+
+  runInBackground(events, 'membership.list', look())
+  const stop = timers.every(Math.max(1, periodMs), () => runInBackground(events, 'membership.list', look()))
+  return {
+    // An old reading is no evidence: the list may have dropped or taken back the instance since.
+    current: () => timers.nowMs() - readAtMs <= periodMs * STALE_PERIODS ? listing : { ...listing, listed: 'unknown' },
+    stop
+  }
+}
--- a/packages/agent/src/plain/callPlain.ts
+++ b/packages/agent/src/plain/callPlain.ts
@@ -1,7 +1,7 @@
 import { Agent, request as httpRequest } from 'node:http'
 import { FaultKind, faultFrom, makeFault } from '@figmount/base'
 
-import { isRefused } from '../engine/neverSent.js'
+import { isRefused } from '../engine/engineFaults.js'
 import { DIAL_TIMEOUT_MS, HOP_HEADERS, IDLE_SOCKET_MS, MAX_ANSWER_BYTES, POOLED_SILENCE_MS } from './constants.js'
 
 import type { ClientRequest, IncomingMessage } from 'node:http'
--- a/packages/agent/src/queueing/createQueue.ts
+++ b/packages/agent/src/queueing/createQueue.ts
@@ -1,6 +1,6 @@
 import { noFairness } from '@figmount/decisions'
 
-import type { AttemptId, ModelId, TimerService } from '@figmount/base'
+import type { AttemptId, TimerService } from '@figmount/base'
 import type { AccountServed, FairnessState, PickNext, WaitingRequest } from '@figmount/decisions'
 import type { Attempt } from '../attempts/types.js'
 
@@ -8,7 +8,6 @@
 export interface QueuedAttempt {
   readonly attempt: Attempt
   readonly waiting: WaitingRequest<AttemptId>
-  readonly isSuspect: boolean
 }
 
 interface Options {
@@ -19,7 +18,7 @@
 
 /** The bounded queue of one agent; its bound is kept at admission. */
 export interface Queue {
-  readonly add: (attempt: Attempt, isSuspect: boolean) => void
+  readonly add: (attempt: Attempt) => void
   readonly remove: (id: AttemptId) => void
   readonly all: () => Iterable<QueuedAttempt>
   readonly count: () => number
@@ -47,7 +46,7 @@
   let fairness: FairnessState = noFairness
 
   return {
-    add: (attempt, isSuspect) => { queued.set(attempt.id, { attempt, waiting: waitingOf(attempt), isSuspect }) },
+    add: attempt => { queued.set(attempt.id, { attempt, waiting: waitingOf(attempt) }) },
     remove: id => { queued.delete(id) },
     all: () => queued.values(),
     count: () => queued.size,
@@ -65,7 +64,3 @@
     }
   }
 }
-
-/** Waiting requests of one model, in order of arrival. */
-export const queuedFor = (queue: Queue, model: ModelId): readonly QueuedAttempt[] =>
-  [...queue.all()].filter(({ attempt }) => attempt.request.model === model)
--- /dev/null
+++ b/packages/agent/src/rights/appendReliably.ts
@@ -0,0 +1,32 @@
+import { sleep } from '@figmount/base'
+
+import { AgentEvent } from '../events.js'
+import { runInBackground } from '../agent/runInBackground.js'
+
+import type { NewRecord } from '@figmount/records'
+import type { AgentContext } from '../agent/types.js'
+
+/** Appends a record, again and again under one id until the log has it or `stillWanted` says no. */
+export type AppendReliably = (record: NewRecord, stillWanted?: () => boolean) => void
+
+const FIRST_RETRY_MS = 500
+const MAX_RETRY_MS = 10_000
+
+/** Makes the appender; it gives up what is still open when `signal` aborts. */
+export const createReliableAppender = (context: AgentContext, signal: AbortSignal): AppendReliably => {
+  const { records, events, timers, incarnation } = context
+  let idCount = 0
+
+  const run = async (record: NewRecord, stillWanted: () => boolean): Promise<void> => {
+    const recordId = `${incarnation}.a${idCount++}`
+    for (let retryMs = FIRST_RETRY_MS; !signal.aborted && stillWanted(); retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs)) {
+      const result = await records.append({ ...record, recordId } as NewRecord).run()
+      if (result.isRight()) return
+      const fault = result.extract() as { readonly step: string, readonly peer: string, readonly message: string }
+      events.emit(AgentEvent.appendFailed, { step: fault.step, peer: fault.peer, reason: fault.message, detail: record.kind })
+      await sleep(timers, retryMs, signal)
+    }
+  }
+
+  return (record, stillWanted = () => true) => runInBackground(events, 'rights.append', run(record, stillWanted))
+}
--- /dev/null
+++ b/packages/agent/src/rights/createRightsKeeper.ts
@@ -0,0 +1,113 @@
+import { AgentEvent } from '../events.js'
+import { tenureOf } from '../once/tenureOf.js'
+import { isAnnounced } from './keepAnnounced.js'
+import { noRights, viewRights } from './viewRights.js'
+
+import type { ModelId, Unsubscribe } from '@figmount/base'
+import type { AgreedState, PlacedRecord, RightState } from '@figmount/records'
+import type { AgentContext } from '../agent/types.js'
+import type { Tenure } from '../once/types.js'
+import type { TenureOrigin } from '../once/tenureOf.js'
+import type { AppendReliably } from './appendReliably.js'
+import type { HeldRights } from './types.js'
+
+interface Options {
+  readonly context: AgentContext
+  readonly append: AppendReliably
+  /** True when nothing of the model is on the engine and no order for it is open. */
+  readonly isUnloaded: (model: ModelId) => boolean
+  /** True when all rights are to be given back because the instance goes away. */
+  readonly isGivingUp: () => boolean
+  readonly onChange: () => void
+}
+
+/** The rights of this agent as the log grants them. */
+export interface RightsKeeper {
+  readonly current: () => HeldRights
+  readonly tenure: (target: ModelId) => Tenure | undefined
+  /** Gives back revoked rights whose models are unloaded, and renews tenures after a restart. */
+  readonly settle: () => void
+  readonly stop: Unsubscribe
+}
+
+/** Makes the keeper of this agent's rights. */
+export const createRightsKeeper = ({ context, append, isUnloaded, isGivingUp, onChange }: Options): RightsKeeper => {
+  const { records, events, instance, incarnation } = context
+  const releasing = new Set<number>()
+  const renewing = new Set<number>()
+  const released = new Set<ModelId>()
+  const origins = new Map<number, TenureOrigin>()
+  let seenState: AgreedState | undefined
+  let seenGivingUp = false
+  let held: HeldRights = noRights
+
+  /** True when no earlier version of the service can have named the target. */
+  const isNewTarget = (target: ModelId): boolean => {
+    const item = `service/${target.split('/')[0] ?? ''}` as const
+    return records.state().items.get(item)?.version === 1
+  }
+
+  // Only a grant that follows a release seen in the log has the short margin; all else counts as a void.
+  const learnOrigin = ({ record, offset }: PlacedRecord): void => {
+    if (record.kind === 'instance.void') released.clear()
+    if (record.kind === 'right.release' && record.right.kind === 'keys') released.add(record.right.target)
+    if (record.kind !== 'right.grant' || record.right.kind !== 'keys') return
+    const { target } = record.right
+    if (record.instance === instance) {
+      const isFirst = record.expectedFence === 0 && isNewTarget(target)
+      origins.set(offset, isFirst ? 'first' : released.has(target) ? 'release' : 'voidOrRestart')
+    }
+    released.delete(target)
+  }
+
+  const current = (): HeldRights => {
+    const state = records.state()
+    const givingUp = isGivingUp()
+    if (state === seenState && givingUp === seenGivingUp) return held
+    seenState = state
+    seenGivingUp = givingUp
+    // Before its own announcement has been read back an agent cannot know whether the rights are still its own.
+    held = isAnnounced(context) ? viewRights(state, instance, incarnation, givingUp) : noRights
+    return held
+  }
+
+  const canRelease = (right: RightState): boolean => {
+    if (right.key.kind === 'keys') return true
+    const slot = current().slots.get(right.key.target)
+    // Another slot of the same model is in force here: the replica on the engine counts under that one.
+    if (slot && slot.fence !== right.fence) return true
+    return isUnloaded(right.key.target)
+  }
+
+  const settle = (): void => {
+    const { revoked, keys } = current()
+    for (const right of revoked) {
+      if (releasing.has(right.fence) || !canRelease(right)) continue
+      releasing.add(right.fence)
+      const fields = { fence: right.fence, detail: right.id, model: right.key.target }
+      append({ kind: 'right.release', right: right.key, fence: right.fence })
+      events.emit(AgentEvent.rightReleased, fields)
+    }
+    for (const key of keys.values()) {
+      if (key.isOwnTenure || key.revoked || renewing.has(key.fence)) continue
+      renewing.add(key.fence)
+      events.emit(AgentEvent.tenureRenewed, { fence: key.fence, model: key.target })
+      append({ kind: 'right.renew', right: { kind: 'keys', target: key.target }, fence: key.fence, incarnation })
+    }
+  }
+
+  const stop = records.onChange(placed => {
+    for (const record of placed) learnOrigin(record)
+    onChange()
+  })
+
+  return {
+    current,
+    tenure: target => {
+      const keys = current().keys.get(target)
+      return tenureOf(keys, (keys && origins.get(keys.fence)) ?? 'voidOrRestart')
+    },
+    settle,
+    stop
+  }
+}
--- /dev/null
+++ b/packages/agent/src/rights/keepAnnounced.ts
@@ -0,0 +1,63 @@
+import { sleep } from '@figmount/base'
+
+import { AgentEvent } from '../events.js'
+import { runInBackground } from '../agent/runInBackground.js'
+
+import type { Unsubscribe } from '@figmount/base'
+import type { AgentContext } from '../agent/types.js'
+import type { AgentFacts, NewRecord } from '@figmount/records'
+
+/** Period at which the announcement is compared with what the log says. */
+const RETRY_MS = 200
+
+/** What an agent announces besides its settings. */
+export interface EngineFacts {
+  readonly memoryCapacityMb: number
+  readonly enforcesFence: boolean
+}
+
+/** True when the log names this run of the agent and has not voided it since. */
+export const isAnnounced = ({ records, instance, incarnation }: AgentContext): boolean => {
+  const facts = records.state().agents.get(instance)
+  return facts?.incarnation === incarnation && !facts.gone
+}
+
+const differs = (known: AgentFacts | undefined, facts: EngineFacts, context: AgentContext): boolean =>
+  !isAnnounced(context) || known?.memoryCapacityMb !== facts.memoryCapacityMb || known.enforcesFence !== facts.enforcesFence
+
+/**
+ * Keeps this run of the agent in the log. It is announced again after a void: the instance was taken for gone and
+ * is not, and without an announcement it would never be granted a right again.
+ */
+export const keepAnnounced = (context: AgentContext, facts: () => EngineFacts | undefined): Unsubscribe => {
+  const { records, events, timers, settings, instance, incarnation } = context
+  const stopping = new AbortController()
+
+  const announce = async (engineFacts: EngineFacts): Promise<void> => {
+    const record: NewRecord = {
+      kind: 'agent.up',
+      instance,
+      incarnation,
+      dataCentre: settings.process.data_centre as AgentFacts['dataCentre'],
+      services: settings.backend.services,
+      backendKind: settings.backend.kind,
+      ...engineFacts
+    }
+    const result = await records.append(record).run()
+    result.caseOf({
+      Right: ({ offset }) => events.emit(AgentEvent.announced, { offset }),
+      Left: fault => events.emit(AgentEvent.appendFailed, { step: fault.step, peer: fault.peer, reason: fault.message, detail: record.kind })
+    })
+  }
+
+  const run = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      const current = facts()
+      if (records.isReady() && current && differs(records.state().agents.get(instance), current, context)) await announce(current)
+      await sleep(timers, RETRY_MS, stopping.signal)
+    }
+  }
+
+  runInBackground(events, 'rights.announce', run())
+  return () => stopping.abort()
+}
--- a/packages/agent/src/rights/viewRights.ts
+++ b/packages/agent/src/rights/viewRights.ts
@@ -9,15 +9,20 @@
   return slot.slotIndex < known.slotIndex
 }
 
-/** Rights that an instance holds, whether in force or to be given back. */
-export const viewRights = (state: Pick<AgreedState, 'rights'>, instance: InstanceName, incarnation: Incarnation): HeldRights => {
+/** Rights that an instance holds, whether in force or to be given back; when it gives up, all are. */
+export const viewRights = (
+  state: Pick<AgreedState, 'rights'>,
+  instance: InstanceName,
+  incarnation: Incarnation,
+  givingUp: boolean
+): HeldRights => {
   const slots = new Map<ModelId, HeldSlot>()
   const keys = new Map<ModelId, HeldKeys>()
   const revokedRights: RightState[] = []
   for (const right of state.rights.values()) {
     if (right.holder !== instance || right.status === 'free') continue
     const { key, fence } = right
-    const revoked = right.status === 'revoked'
+    const revoked = givingUp || right.status === 'revoked'
     if (revoked) revokedRights.push(right)
     if (key.kind === 'keys') {
       const { tenureFromMs, grantableFromMs } = right
--- a/packages/agent/src/running/runOnEngine.ts
+++ b/packages/agent/src/running/runOnEngine.ts
@@ -2,6 +2,7 @@
 
 import { AgentEvent } from '../events.js'
 import { runStream } from '../engine/runStream.js'
+import { runInBackground } from '../agent/runInBackground.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
 import type { EngineClient } from '../engine/types.js'
@@ -51,7 +52,7 @@
     .with({ kind: 'interrupted' }, ({ fault, died }) => ({ kind: 'interrupted', fault, died, incarnation: startedOn }))
     .with({ kind: 'cancelled' }, () => {
       // The stream outlives its connection at the engine and would go on using the accelerator.
-      void engine.cancel(id).run()
+      runInBackground(events, 'engine.cancel', engine.cancel(id).run())
       return { kind: 'cancelled' }
     })
     .exhaustive()
