Prove the whole path with real processes

Changed: a small site for tests with callers that never give up, and the first tests of the path; the engine stand-in answers a generation for what is not resident with NOT_FOUND, which its clients take for a definite refusal.

--- /dev/null
+++ b/packages/proof/src/rig/smallSite.ts
@@ -0,0 +1,80 @@
+import { StandinEvent } from '@figmount/standin'
+import { expect } from 'chai'
+
+import { checkEngines } from '../checks/checkEngines.js'
+import { ask, faultsOf } from './ask.js'
+import { createSite } from './createSite.js'
+import { callerItem, DEFAULT_CALLER } from './operate.js'
+import { modelService } from './sitePlan.js'
+
+import type { EventRecord } from '@figmount/base'
+import type { AskOutcome, AskPlan } from './callTypes.js'
+import type { Site } from './createSite.js'
+import type { AgentPlan, ConfigChange, SitePlan } from './sitePlan.js'
+
+/** Service, model and id that most proofs ask for. */
+export const SERVICE = 'readers'
+export const MODEL = 'cracks'
+export const MODEL_ID = `${SERVICE}/${MODEL}`
+
+/** Transfer speed at which a cold start takes two seconds, long enough to meet it in the middle. */
+export const SLOW_STORE = { transfer_mb_per_second: 2000 } as const
+
+/** Token interval at which an answer of 100 tokens takes two seconds. */
+export const SLOW_TOKENS = { token_interval_ms: 20 } as const
+
+interface SmallSitePlan extends Partial<SitePlan> {
+  readonly items?: readonly ConfigChange[]
+}
+
+const DEFAULT_AGENTS: readonly AgentPlan[] = [
+  { name: 'a1', services: [SERVICE] },
+  { name: 'a2', services: [SERVICE] }
+]
+
+/** Two routers and two agents with engines, one service with one model that may have one replica. */
+export const startSmallSite = async (name: string, { items, ...plan }: SmallSitePlan = {}): Promise<Site> => {
+  const site = await createSite({ name, routers: [{ name: 'r1' }, { name: 'r2' }], agents: DEFAULT_AGENTS, ...plan })
+  try {
+    await site.apply([callerItem(DEFAULT_CALLER), ...(items ?? [modelService(SERVICE, [{ name: MODEL }])])])
+    return site
+  } catch (error) {
+    await site.close()
+    throw error
+  }
+}
+
+/** Sends one request until it is served, at all routers in turn. */
+export const askSite = async (site: Site, plan: Partial<AskPlan> & { readonly prompt: string }, timeoutMs?: number): Promise<AskOutcome> =>
+  await ask(site.routerAddresses, { service: SERVICE, model: MODEL, ...plan }, timeoutMs)
+
+/** Sends `count` requests with prompts of their own at once. */
+export const askMany = (site: Site, count: number, prompt: string, plan: Partial<AskPlan> = {}): Promise<AskOutcome[]> =>
+  Promise.all(Array.from({ length: count }, async (_, index) => await askSite(site, { ...plan, prompt: `${prompt} ${index}` })))
+
+/** Fails unless each outcome is the whole answer to its own request. */
+export const expectWhole = (outcomes: readonly AskOutcome[]): void => {
+  expect(outcomes.flatMap(faultsOf)).to.deep.equal([])
+}
+
+/** Fails if more replicas of any model were loaded at a moment than `maxReplicas`, or memory was overcommitted. */
+export const expectWithinBounds = (site: Site, maxReplicas = 1): void => {
+  const { maxReplicas: seen, overcommits } = checkEngines(site.rig.events.all())
+  expect([...seen].filter(([, count]) => count > maxReplicas)).to.deep.equal([])
+  expect(overcommits).to.deep.equal([])
+}
+
+/** How often each prompt that begins with `prefix` ran on any engine. */
+export const runCountsOf = (site: Site, prefix: string): readonly number[] =>
+  [...checkEngines(site.rig.events.all()).runCounts].filter(([prompt]) => prompt.startsWith(prefix)).map(([, count]) => count)
+
+/** Name of the agent beside the backend server that an event came from. */
+export const agentOf = (event: EventRecord): string => event.instance.replace('backend-', '')
+
+/** Waits until an engine begins to load the model; gives the agent's name. */
+export const waitForLoad = async (site: Site, sinceMark = 0): Promise<string> =>
+  agentOf(await site.rig.events.waitFor(event => event.number === StandinEvent.loadStarted.number && event.model === MODEL_ID, 'a load to begin', { sinceMark }))
+
+/** Waits until an engine begins to run a prompt; gives the agent's name. */
+export const waitForRun = async (site: Site, prompt: string, sinceMark = 0): Promise<string> =>
+  agentOf(await site.rig.events.waitFor(event => event.number === StandinEvent.generateStarted.number && event.detail === prompt, `a run of ${prompt}`, { sinceMark }))
--- a/packages/standin/src/engine/createGenerations.ts
+++ b/packages/standin/src/engine/createGenerations.ts
@@ -143,9 +143,9 @@
 
   const checkTarget = (request: GenerateRequest): void => {
     const resident = memory().residents.get(request.model)
-    if (resident?.state !== 'ready') throw new ConnectError('the model is not resident', Code.FailedPrecondition)
-    if (request.version !== resident.version) throw new ConnectError(`version ${resident.version} is resident`, Code.FailedPrecondition)
-    if (request.adapter !== '' && !resident.adapters.has(request.adapter)) throw new ConnectError('the adapter is not resident', Code.FailedPrecondition)
+    if (resident?.state !== 'ready') throw new ConnectError('the model is not resident', Code.NotFound)
+    if (request.version !== resident.version) throw new ConnectError(`version ${resident.version} is resident`, Code.NotFound)
+    if (request.adapter !== '' && !resident.adapters.has(request.adapter)) throw new ConnectError('the adapter is not resident', Code.NotFound)
   }
 
   const end = (stream: Stream, reason: string): void => {
