Serve requests through the router, end to end

Cause: the entry process was a placeholder; nothing led from a caller's request to an agent. Changed: one port with the callers' and operators' services, plain HTTP services, links of other routers, metrics and health. Agents are dialled on demand, one task for each connection; a new connection asks for every attempt by `resume` and sends none again. The answer of a request is a pure reducer by token index. A request that may not be repeated goes through the holder of its keys right; a resend always asks and joins. Refusals say "not run" only where it is true of every send of the key. A simple proposer grants free rights until the records package has its own. Checked: 16 tests with agents in memory and virtual time pass: restart elsewhere behind the tokens that the caller has, resume over a cut link, joined resends, unreachable holder and executor, crossed frames. Not run: the path with a real agent, whose binary is not there yet. Conclusion: the thin path stands on the router's side.

--- /dev/null
+++ b/packages/router/src/bin.ts
@@ -0,0 +1,37 @@
+import { makeIncarnation, runBinary } from '@figmount/base'
+import { chooseFirstReady, retryAfterFixed } from '@figmount/decisions'
+import { createRecordsClient } from '@figmount/records'
+
+import { readPlatformList } from './membership/pollInstances.js'
+import { proposeGrants } from './proposals/proposeGrants.js'
+import { startRouter } from './router/startRouter.js'
+import { routerSettings } from './settings/routerSettings.js'
+
+import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
+import type { RouterSettings } from './settings/types.js'
+
+const start = async (context: ProcessContext<RouterSettings>): Promise<RunningProcess> => {
+  const { settings, timers, events, metrics } = context
+  const instance = settings.process.instance as InstanceName
+  const incarnation = makeIncarnation(timers.unixMs())
+  return await startRouter({
+    ...context,
+    instance,
+    incarnation,
+    records: createRecordsClient({ address: settings.platform.log, instance, incarnation, timers, events, metrics }),
+    readInstances: readPlatformList(settings.platform.instance_list),
+    chooseBackend: chooseFirstReady,
+    chooseRetryAfter: retryAfterFixed,
+    proposeRights: proposeGrants,
+    random: Math.random
+  })
+}
+
+await runBinary({
+  name: 'figmount-router',
+  summary: 'Takes requests of callers and operators and sends each to a backend server.',
+  role: 'router',
+  schema: routerSettings,
+  instanceOf: settings => settings.process.instance,
+  start
+})
--- /dev/null
+++ b/packages/router/src/events.ts
@@ -0,0 +1,35 @@
+import { defineEvents } from '@figmount/base'
+
+/** Events of the router. */
+export const RouterEvent = defineEvents({
+  requestReceived: [2001, 'a caller\'s request has arrived and names a known target'],
+  requestSent: [2002, 'an attempt was handed to an agent'],
+  requestAnswered: [2003, 'the last frame of a whole answer went to the caller; count holds its frames'],
+  requestRefused: [2004, 'a request was refused with run state, reason and a time to come back'],
+  requestLeft: [2005, 'the caller went away before the last frame'],
+  attemptResumed: [2010, 'an attempt was asked for again on a new link, from a frame number on'],
+  attemptRestarted: [2011, 'a repeatable request was started elsewhere behind the tokens that the caller has'],
+  attemptLost: [2012, 'an attempt\'s agent cannot be reached or does not know the attempt'],
+  attemptJoined: [2013, 'a request was joined to an attempt of the same key that runs already'],
+  attemptCancelled: [2014, 'an attempt was cancelled because its caller left'],
+  frameDropped: [2015, 'a repeated, late or crossed frame was dropped'],
+  permitAsked: [2020, 'the holder of a keys right was asked for a permit'],
+  permitGranted: [2021, 'a permit came from the holder of a keys right'],
+  permitRefused: [2022, 'the holder of a keys right refused a permit'],
+  configAccepted: [2030, 'a change of the configuration was read back as accepted'],
+  configRefused: [2031, 'a change of the configuration lost to another or broke a rule'],
+  drainAccepted: [2032, 'an operator\'s drain of an instance was read back as accepted'],
+  operatorRefused: [2033, 'an operator\'s call came without a known key'],
+  proposalMade: [2040, 'a record on rights was proposed to the log'],
+  proposalFailed: [2041, 'a proposed record was ignored by the fold or did not reach the log'],
+  agentReached: [2050, 'an agent has welcomed this router on a new link'],
+  agentUnreachable: [2051, 'an agent could not be dialled'],
+  agentLeaving: [2052, 'an agent takes no new work'],
+  listUnreachable: [2053, 'the platform\'s instance list did not answer'],
+  peerReached: [2054, 'another router is linked'],
+  peerLeaving: [2055, 'another router is leaving'],
+  suspectHeard: [2060, 'a suspicion of a request came from a peer'],
+  suspectRefused: [2061, 'a request that brought down backend servers was refused'],
+  drainBegun: [2070, 'this router takes no new requests'],
+  drainEnded: [2071, 'the last request of this router has ended']
+})
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,2 +1,9 @@
-/** Placeholder until the package's first slice lands. */
-export {}
+/** The entry process: callers' and operators' RPC, choice of backend server, retries, proposals of records. */
+export { RouterEvent } from './events.js'
+export { readPlatformList } from './membership/pollInstances.js'
+export type { ReadInstances } from './membership/pollInstances.js'
+export type { ListedInstance } from './membership/types.js'
+export { startRouter } from './router/startRouter.js'
+export type { RouterParts } from './router/types.js'
+export { routerSettings } from './settings/routerSettings.js'
+export type { RouterSettings } from './settings/types.js'
--- /dev/null
+++ b/packages/router/src/links/createAgentLink.ts
@@ -0,0 +1,262 @@
+import { EitherAsync, Left, Right } from 'purify-ts'
+import { match } from 'ts-pattern'
+import { FaultKind, makeFault, sleep } from '@figmount/base'
+import { HEARTBEAT_MS, NO_OFFSET } from '@figmount/peers'
+
+import { createMailbox } from '../answers/createMailbox.js'
+import { RouterEvent } from '../events.js'
+import { runInBackground } from '../router/runInBackground.js'
+import { FIRST_BACKOFF_MS, IDLE_LINK_MS, LEAVING_MEMORY_MS, MAILBOX_FRAME_COUNT, MAX_BACKOFF_MS } from './constants.js'
+
+import type { Either } from 'purify-ts'
+import type { AttemptId, EventLog, Fault, Incarnation, InstanceName, TimerService } from '@figmount/base'
+import type { AgentReport, FromAgent, Link, PermitReply, ToAgent } from '@figmount/peers'
+import type { Mailbox } from '../answers/createMailbox.js'
+import type { AgentLink, AgentView, AttemptChannel, AttemptMessage, AttemptNotice, DialAgent, LinkHooks } from './types.js'
+
+export interface AgentLinkOptions {
+  readonly instance: InstanceName
+  readonly router: InstanceName
+  readonly routerIncarnation: Incarnation
+  readonly dial: DialAgent
+  readonly hooks: LinkHooks
+  readonly timers: TimerService
+  readonly events: EventLog
+  /** Yields numbers in [0, 1), to spread dialling after a common failure. */
+  readonly random: () => number
+}
+
+type OpenLink = Link<ToAgent, FromAgent>
+
+interface OpenAttempt {
+  readonly mailbox: Mailbox<AttemptNotice>
+  readonly nextFrame: () => number
+  begun: boolean
+}
+
+/**
+ * The connection to one agent. One task dials, greets, reads and dials again with
+ * back-off for as long as somebody needs the agent, then lets the connection go.
+ */
+export const createAgentLink = (options: AgentLinkOptions): AgentLink => {
+  const { instance, timers, events, hooks } = options
+  const attempts = new Map<AttemptId, OpenAttempt>()
+  const asks = new Map<number, (reply: PermitReply) => void>()
+  const openWaiters = new Set<(result: Either<Fault, AgentView>) => void>()
+  let view: AgentView = {
+    instance,
+    isOpen: false,
+    incarnation: undefined,
+    dataCentre: undefined,
+    report: undefined,
+    reportAtMs: -Infinity,
+    unreachableSinceMs: undefined,
+    leavingUntilMs: -Infinity,
+    appliedOffset: NO_OFFSET
+  }
+  let link: OpenLink | undefined
+  let isRunning = false
+  let isStopped = false
+  let lastUsedMs = timers.nowMs()
+  let lastSentMs = -Infinity
+  let downSinceMs = timers.nowMs()
+  let failedDialCount = 0
+  let nextAskId = 0
+
+  const isWanted = (): boolean =>
+    !isStopped && (attempts.size > 0 || asks.size > 0 || openWaiters.size > 0 || timers.nowMs() - lastUsedMs < IDLE_LINK_MS)
+
+  const send = (message: ToAgent): boolean => {
+    if (!link?.isOpen()) return false
+    lastSentMs = timers.nowMs()
+    link.send(message)
+    return true
+  }
+
+  const settleWaiters = (result: Either<Fault, AgentView>): void => {
+    for (const settle of [...openWaiters]) settle(result)
+  }
+
+  const takeReport = (report: AgentReport, incarnation: Incarnation | undefined): void => {
+    const isOlder = view.report && view.incarnation === incarnation && report.sequence <= view.report.sequence
+    if (isOlder) return
+    view = { ...view, report, incarnation, reportAtMs: timers.nowMs() }
+  }
+
+  // Guards against running a request twice: whatever was sent on a broken connection may have
+  // arrived, so the new one asks what became of each attempt instead of sending it again.
+  const resumeAttempts = (): void => {
+    for (const [attemptId, attempt] of attempts) {
+      if (!attempt.begun) continue
+      const fromFrame = attempt.nextFrame()
+      send({ type: 'resume', attemptId, fromFrame })
+      events.emit(RouterEvent.attemptResumed, { attemptId, peer: instance, count: fromFrame })
+    }
+  }
+
+  const takeWelcome = (welcome: Extract<FromAgent, { type: 'welcome' }>): void => {
+    const isNewIncarnation = view.incarnation !== welcome.incarnation
+    view = {
+      ...view,
+      isOpen: true,
+      incarnation: welcome.incarnation,
+      dataCentre: welcome.dataCentre,
+      report: isNewIncarnation ? undefined : view.report,
+      unreachableSinceMs: undefined,
+      leavingUntilMs: isNewIncarnation ? -Infinity : view.leavingUntilMs
+    }
+    takeReport(welcome.report, welcome.incarnation)
+    failedDialCount = 0
+    events.emit(RouterEvent.agentReached, { peer: instance })
+    resumeAttempts()
+    settleWaiters(Right(view))
+  }
+
+  const deliver = (message: AttemptMessage): void => {
+    const attempt = attempts.get(message.attemptId)
+    if (attempt) {
+      attempt.mailbox.push(message)
+      return
+    }
+    events.emit(RouterEvent.frameDropped, { attemptId: message.attemptId, peer: instance, reason: 'nobody waits for this attempt' })
+  }
+
+  const handle = (message: FromAgent): void => match(message)
+    .with({ type: 'welcome' }, takeWelcome)
+    .with({ type: 'heartbeat.ack' }, ({ report }) => { if (report) takeReport(report, view.incarnation) })
+    .with({ type: 'progress' }, { type: 'tokens' }, { type: 'final' }, { type: 'refused' }, { type: 'unknown' }, deliver)
+    .with({ type: 'permit.reply' }, ({ askId, reply }) => { asks.get(askId)?.(reply) })
+    .with({ type: 'leaving' }, leaving => {
+      view = { ...view, leavingUntilMs: Infinity }
+      events.emit(RouterEvent.agentLeaving, { peer: instance })
+      hooks.onShared(instance, leaving)
+    })
+    .with({ type: 'records' }, { type: 'records.ask' }, { type: 'suspect' }, shared => hooks.onShared(instance, shared))
+    .exhaustive()
+
+  const beat = (): void => {
+    if (!isWanted()) return link?.close('idle')
+    if (timers.nowMs() - lastSentMs < HEARTBEAT_MS / 2) return
+    send({ type: 'heartbeat', sentAtMs: timers.nowMs() })
+  }
+
+  const runConnection = async (opened: OpenLink): Promise<void> => {
+    link = opened
+    send({ type: 'hello', instance: options.router, incarnation: options.routerIncarnation, role: 'router' })
+    const stopBeating = timers.every(HEARTBEAT_MS / 2, beat)
+    for await (const message of opened.received) handle(message)
+    stopBeating()
+    link = undefined
+    downSinceMs = timers.nowMs()
+    const leavingUntilMs = Math.min(view.leavingUntilMs, downSinceMs + LEAVING_MEMORY_MS)
+    view = { ...view, isOpen: false, leavingUntilMs }
+  }
+
+  const noticeDown = (): void => {
+    const downMs = timers.nowMs() - downSinceMs
+    for (const { mailbox } of attempts.values()) mailbox.push({ type: 'link.down', downMs, failedDialCount })
+  }
+
+  const noticeFailedDial = (fault: Fault): void => {
+    failedDialCount += 1
+    if (view.unreachableSinceMs === undefined) {
+      view = { ...view, unreachableSinceMs: timers.nowMs() }
+      events.emit(RouterEvent.agentUnreachable, { peer: instance, step: fault.step, reason: fault.message })
+    }
+    settleWaiters(Left(fault))
+  }
+
+  const backOffMs = (): number => {
+    const fullMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** Math.max(0, failedDialCount - 1))
+    return fullMs * (0.5 + options.random() / 2)
+  }
+
+  const run = async (): Promise<void> => {
+    downSinceMs = timers.nowMs()
+    while (isWanted()) {
+      const dialled = await options.dial(instance, offset => {
+        view = { ...view, appliedOffset: offset }
+        hooks.onOffset(instance, offset)
+      }).run()
+      if (dialled.isRight()) await runConnection(dialled.unsafeCoerce())
+      else noticeFailedDial(dialled.swap().unsafeCoerce())
+      noticeDown()
+      if (isWanted()) await sleep(timers, backOffMs())
+    }
+    isRunning = false
+  }
+
+  const want = (): void => {
+    lastUsedMs = timers.nowMs()
+    if (isRunning || isStopped) return
+    isRunning = true
+    runInBackground(events, 'links.run', run())
+  }
+
+  const waitOpen = async (waitMs: number): Promise<Either<Fault, AgentView>> =>
+    await new Promise(resolve => {
+      const settle = (result: Either<Fault, AgentView>): void => {
+        cancel()
+        openWaiters.delete(settle)
+        resolve(result)
+      }
+      const cancel = timers.after(waitMs, () =>
+        settle(Left(makeFault(FaultKind.Timeout, 'links.whenOpen', instance, 'no welcome in time'))))
+      openWaiters.add(settle)
+    })
+
+  const openAttempt = (attemptId: AttemptId, nextFrame: () => number): AttemptChannel => {
+    const mailbox = createMailbox<AttemptNotice>(timers, MAILBOX_FRAME_COUNT)
+    const attempt: OpenAttempt = { mailbox, nextFrame, begun: false }
+    attempts.set(attemptId, attempt)
+    want()
+    return {
+      begin: message => {
+        attempt.begun = send(message)
+        return attempt.begun
+      },
+      send,
+      take: mailbox.take,
+      hasOverflowed: mailbox.hasOverflowed,
+      close: () => {
+        attempts.delete(attemptId)
+        lastUsedMs = timers.nowMs()
+      }
+    }
+  }
+
+  const waitReply = async (askId: number, waitMs: number): Promise<PermitReply | undefined> =>
+    await new Promise(resolve => {
+      const settle = (reply?: PermitReply): void => {
+        cancel()
+        asks.delete(askId)
+        resolve(reply)
+      }
+      const cancel = timers.after(waitMs, settle)
+      asks.set(askId, settle)
+    })
+
+  return {
+    view: () => view,
+    whenOpen: waitMs => EitherAsync.fromPromise(async () => {
+      if (isStopped) return Left(makeFault(FaultKind.Unavailable, 'links.whenOpen', instance, 'link is stopped'))
+      want()
+      return view.isOpen ? Right(view) : await waitOpen(waitMs)
+    }),
+    keep: want,
+    openAttempt,
+    askPermit: (ask, waitMs) => EitherAsync.fromPromise(async () => {
+      want()
+      const askId = nextAskId++
+      const sent = send({ type: 'permit.ask', askId, ...ask })
+      if (!sent) return Left(makeFault(FaultKind.Unavailable, 'links.askPermit', instance, 'no open connection'))
+      const reply = await waitReply(askId, waitMs)
+      return reply ? Right(reply) : Left(makeFault(FaultKind.Timeout, 'links.askPermit', instance, 'no reply in time'))
+    }),
+    send,
+    stop: reason => {
+      isStopped = true
+      link?.close(reason)
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/once/constants.ts
@@ -0,0 +1,5 @@
+/** Time for which the holder of a keys right is tried before the caller is refused. */
+export const HOLDER_WAIT_MS = 5_000
+
+/** Pause before a holder that did not answer is asked again. */
+export const ASK_AGAIN_MS = 250
--- /dev/null
+++ b/packages/router/src/once/serveOnce.ts
@@ -0,0 +1,85 @@
+import { match } from 'ts-pattern'
+import { findKeysRight } from '@figmount/records'
+import { RefusalReason } from '@figmount/schema'
+
+import { DEFAULT_RETRY_AFTER_MS, OPEN_WAIT_MS } from '../requests/constants.js'
+import { choosePlacement } from '../requests/choosePlacement.js'
+import { chooseRetry } from '../requests/chooseRetry.js'
+import { mayHaveRun, notRun, truthful } from '../requests/refusals.js'
+import { runAttempt } from '../requests/runAttempt.js'
+import { quarantineNote } from '../requests/serveRepeatable.js'
+import { waitWithFrames } from '../requests/waitWithFrames.js'
+import { obtainPermit } from './obtainPermit.js'
+
+import type { InstanceName } from '@figmount/base'
+import type { RefusalNote } from '@figmount/peers'
+import type { AnswerPart } from '../answers/types.js'
+import type { AdmittedRequest, AttemptOutcome, ServeContext, ServeProgress } from '../requests/types.js'
+import type { PermitDecision } from './types.js'
+
+const NO_PROGRESS: ServeProgress = { tokens: [], excluded: new Set(), attemptCount: 0, lossCount: 0, mayHaveRun: false }
+
+const noHolder = (context: ServeContext, { run }: AdmittedRequest): RefusalNote => notRun({
+  reason: RefusalReason.UNAVAILABLE,
+  detail: `nobody holds the keys right of ${run.model}`,
+  step: 'once.holder',
+  retryAfterMs: chooseRetry(context, DEFAULT_RETRY_AFTER_MS, run.resendCount)
+})
+
+/**
+ * Finds out whether a request may start, and where.
+ *
+ * A first send whose executor holds the keys right needs no trip of its own: `start` asks and
+ * begins in one. A resend always asks, because its key may run elsewhere.
+ */
+const decideStart = async (context: ServeContext, admitted: AdmittedRequest): Promise<PermitDecision> => {
+  const holder = findKeysRight(context.records.state(), admitted.run.model)?.holder
+  if (!holder) return { kind: 'refuse', note: noHolder(context, admitted), decided: false }
+  const placement = await choosePlacement(context, admitted, NO_PROGRESS)
+  const isResend = admitted.run.resendCount > 0
+  if (placement.kind === 'refuse' && !isResend) return { kind: 'refuse', note: placement.note, decided: false }
+  // A resend whose key is known is joined wherever it runs, so a full system must not keep it from asking.
+  const executor = placement.kind === 'start' ? placement.candidate.instance : holder
+  const attemptId = context.newAttemptId()
+  if (executor === holder && !isResend) return { kind: 'start', attemptId, executor }
+  return await obtainPermit({ context, admitted, holder, executor, attemptId })
+}
+
+/** What a caller is told when the outcome of an attempt that may not be repeated is not known here. */
+const unknownOutcome = (agent: InstanceName, detail: string, reason: RefusalReason, retryAfterMs: number): RefusalNote =>
+  mayHaveRun({ reason, detail, step: 'once.follow', peer: agent, retryAfterMs })
+
+const noteOf = (outcome: AttemptOutcome, admitted: AdmittedRequest): RefusalNote | undefined => match(outcome)
+  .returnType<RefusalNote | undefined>()
+  .with({ kind: 'answered' }, { kind: 'callerLeft' }, () => undefined)
+  .with({ kind: 'refused' }, ({ note }) => note)
+  .with({ kind: 'unsent' }, ({ agent, detail }) => truthful(
+    notRun({ reason: RefusalReason.UNAVAILABLE, detail, step: 'once.start', peer: agent, retryAfterMs: DEFAULT_RETRY_AFTER_MS }),
+    admitted.run.resendCount
+  ))
+  // The agent has restarted or forgotten: nobody knows any more, so coming back is of no use.
+  .with({ kind: 'lost', isKnownLost: true }, ({ agent, detail }) => unknownOutcome(agent, detail, RefusalReason.ANSWER_LOST, 0))
+  .with({ kind: 'lost' }, ({ agent, detail }) => unknownOutcome(agent, detail, RefusalReason.UNAVAILABLE, DEFAULT_RETRY_AFTER_MS))
+  .with({ kind: 'deadline' }, ({ agent }) => unknownOutcome(agent, 'the deadline has passed', RefusalReason.DEADLINE, DEFAULT_RETRY_AFTER_MS))
+  .exhaustive()
+
+/**
+ * Serves a request that may run at most once. The holder of the keys right decides alone;
+ * once an attempt was sent, it is only ever asked for again and never sent a second time.
+ */
+export const serveOnce = async function * (context: ServeContext, admitted: AdmittedRequest, signal: AbortSignal): AsyncGenerator<AnswerPart> {
+  const { resendCount } = admitted.run
+  const quarantined = quarantineNote(context, admitted)
+  if (quarantined) return yield { kind: 'refusal', note: truthful(quarantined, resendCount) }
+  const decision = yield * waitWithFrames(context.timers, decideStart(context, admitted))
+  if (decision.kind === 'refuse') return yield { kind: 'refusal', note: truthful(decision.note, resendCount, decision.decided) }
+  const { executor, attemptId } = decision
+  const joins = decision.kind === 'join'
+  yield * waitWithFrames(context.timers, context.links.linkTo(executor).whenOpen(OPEN_WAIT_MS).run())
+  const permit = decision.kind === 'start' ? decision.permit : undefined
+  const outcome = yield * runAttempt({
+    context, admitted, agent: executor, attemptId, doneTokens: [], joins, signal, ...(permit ? { permit } : {})
+  })
+  const note = noteOf(outcome, admitted)
+  if (note) yield { kind: 'refusal', note }
+}
--- /dev/null
+++ b/packages/router/src/operators/followEvents.ts
@@ -0,0 +1,45 @@
+import { create } from '@bufbuild/protobuf'
+import { EventLineSchema } from '@figmount/schema'
+
+import { createMailbox } from '../answers/createMailbox.js'
+
+import type { EventLog, EventRecord, TimerService } from '@figmount/base'
+import type { EventLine, EventsRequest, ExplainRequest } from '@figmount/schema'
+
+/** Events that wait for a slow reader; beyond it some are left out, as the gap in `sequence` shows. */
+const MAX_WAITING_EVENTS = 1_000
+const LOOK_MS = 1_000
+
+const lineOf = (event: EventRecord): EventLine => create(EventLineSchema, { json: JSON.stringify(event) })
+
+const attemptsOf = (events: readonly EventRecord[]): ReadonlySet<string> =>
+  new Set(events.flatMap(event => event.attemptId ? [event.attemptId] : []))
+
+/** The remembered events of one request, those of its attempts included. */
+export const explainRequest = (events: EventLog, request: ExplainRequest): readonly EventLine[] => {
+  const recent = events.recent()
+  const own = recent.filter(event =>
+    event.requestKey === request.requestKey && (request.caller === '' || event.caller === undefined || event.caller === request.caller))
+  const attempts = attemptsOf(own)
+  const ownSequences = new Set(own.map(event => event.sequence))
+  return recent
+    .filter(event => ownSequences.has(event.sequence) || (event.attemptId !== undefined && attempts.has(event.attemptId)))
+    .map(lineOf)
+}
+
+/** Streams events as they happen until `signal` aborts. */
+export const followEvents = async function * (events: EventLog, timers: TimerService, request: EventsRequest, signal: AbortSignal): AsyncGenerator<EventLine> {
+  const mailbox = createMailbox<EventRecord>(timers, MAX_WAITING_EVENTS)
+  const isWanted = (event: EventRecord): boolean =>
+    (request.requestKey === '' || event.requestKey === request.requestKey) && (request.model === '' || event.model === request.model)
+  const unsubscribe = events.subscribe(event => { if (isWanted(event)) mailbox.push(event) })
+  signal.addEventListener('abort', unsubscribe, { once: true })
+  try {
+    while (!signal.aborted) {
+      const event = await mailbox.take(LOOK_MS, signal)
+      if (event) yield lineOf(event)
+    }
+  } finally {
+    unsubscribe()
+  }
+}
--- /dev/null
+++ b/packages/router/src/requests/readNotice.ts
@@ -0,0 +1,80 @@
+import { match } from 'ts-pattern'
+
+import { reduceAnswer } from '../answers/reduceAnswer.js'
+import { ONCE_LOST_MS, REPEATABLE_LOST_DIALS, REPEATABLE_LOST_MS } from './constants.js'
+
+import type { InstanceName } from '@figmount/base'
+import type { AnswerFrameMessage } from '../answers/reduceAnswer.js'
+import type { AnswerPart, AnswerState } from '../answers/types.js'
+import type { AttemptNotice } from '../links/types.js'
+import type { AttemptOutcome } from './types.js'
+
+/** What a notice about an attempt asks the attempt's task to do. */
+export type NoticeAction =
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'remember', readonly waiting: AnswerPart }
+  | { readonly kind: 'show', readonly part: AnswerPart }
+  | { readonly kind: 'ask', readonly fromFrame: number }
+  | { readonly kind: 'drop', readonly reason: string }
+  | { readonly kind: 'finish', readonly part: AnswerPart }
+  | { readonly kind: 'end', readonly outcome: AttemptOutcome }
+
+interface Reading {
+  readonly state: AnswerState
+  readonly action: NoticeAction
+}
+
+export interface AttemptFacts {
+  readonly agent: InstanceName
+  readonly repeatable: boolean
+  /** True when an earlier send of the key started this attempt. */
+  readonly joined: boolean
+}
+
+type LinkDown = Extract<AttemptNotice, { type: 'link.down' }>
+
+/** True when an attempt's agent counts as lost and no longer as about to come back. */
+export const isLost = ({ downMs, failedDialCount }: LinkDown, repeatable: boolean): boolean =>
+  repeatable ? failedDialCount >= REPEATABLE_LOST_DIALS || downMs >= REPEATABLE_LOST_MS : downMs >= ONCE_LOST_MS
+
+const lost = (facts: AttemptFacts, detail: string, isKnownLost: boolean): NoticeAction =>
+  ({ kind: 'end', outcome: { kind: 'lost', agent: facts.agent, detail, isKnownLost } })
+
+const finalPart = (message: AnswerFrameMessage, facts: AttemptFacts): AnswerPart | undefined => {
+  if (message.type !== 'final') return undefined
+  const { tokenCount, finishReason, version, plain } = message
+  return { kind: 'final', tokenCount, finishReason, version, replayed: facts.joined, ...(plain ? { plain } : {}) }
+}
+
+const readFrame = (state: AnswerState, message: AnswerFrameMessage, facts: AttemptFacts): Reading => {
+  const reduction = reduceAnswer(state, message)
+  const action = match(reduction.step)
+    .returnType<NoticeAction>()
+    .with({ kind: 'deliver' }, ({ firstTokenIndex, tokens }) => ({ kind: 'show', part: { kind: 'tokens', firstTokenIndex, tokens } }))
+    .with({ kind: 'drop' }, ({ reason }) => ({ kind: 'drop', reason }))
+    .with({ kind: 'gap' }, ({ fromFrame }) => ({ kind: 'ask', fromFrame }))
+    .with({ kind: 'broken' }, ({ reason }) => lost(facts, reason, true))
+    .with({ kind: 'finish' }, () => {
+      const part = finalPart(message, facts)
+      return part ? { kind: 'finish', part } : { kind: 'wait' }
+    })
+    .exhaustive()
+  return { state: reduction.state, action }
+}
+
+/** Reads one notice: the new state of the answer and what is to be done. */
+export const readNotice = (state: AnswerState, notice: AttemptNotice, facts: AttemptFacts): Reading =>
+  match(notice)
+    .returnType<Reading>()
+    .with({ type: 'link.down' }, down => ({
+      state,
+      action: isLost(down, facts.repeatable) ? lost(facts, `no link for ${Math.round(down.downMs)} ms`, false) : { kind: 'wait' }
+    }))
+    .with({ type: 'unknown' }, () => ({ state, action: lost(facts, 'the agent does not know the attempt', true) }))
+    .with({ type: 'refused' }, ({ refusal }) => ({ state, action: { kind: 'end', outcome: { kind: 'refused', note: refusal } } }))
+    .with({ type: 'progress' }, progress => ({
+      state,
+      action: { kind: 'remember', waiting: { kind: 'waiting', state: progress.state, estimatedWaitMs: progress.estimatedWaitMs } }
+    }))
+    .with({ type: 'tokens' }, { type: 'final' }, frame => readFrame(state, frame, facts))
+    .exhaustive()
--- /dev/null
+++ b/packages/router/src/requests/serveRepeatable.ts
@@ -0,0 +1,138 @@
+import { match } from 'ts-pattern'
+import { RefusalReason, RunState } from '@figmount/schema'
+
+import { RouterEvent } from '../events.js'
+import { DEFAULT_RETRY_AFTER_MS, MAX_ATTEMPTS } from './constants.js'
+import { choosePlacement } from './choosePlacement.js'
+import { chooseRetry } from './chooseRetry.js'
+import { mayHaveRun, notRun, truthful } from './refusals.js'
+import { runAttempt } from './runAttempt.js'
+import { waitWithFrames } from './waitWithFrames.js'
+
+import type { InstanceName } from '@figmount/base'
+import type { RoutingCandidate } from '@figmount/decisions'
+import type { RefusalNote } from '@figmount/peers'
+import type { AnswerPart } from '../answers/types.js'
+import type { AdmittedRequest, AttemptOutcome, ServeContext, ServeProgress } from './types.js'
+
+const NO_PROGRESS: ServeProgress = { tokens: [], excluded: new Set(), attemptCount: 0, lossCount: 0, mayHaveRun: false }
+
+/** Refusals of one agent that say nothing about the others. */
+const ELSEWHERE_REASONS: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.OVERLOADED,
+  RefusalReason.UNAVAILABLE,
+  RefusalReason.STOPPING,
+  RefusalReason.LOAD_FAILED,
+  RefusalReason.ANSWER_LOST
+])
+
+const exclude = (progress: ServeProgress, agent: InstanceName): ReadonlySet<InstanceName> => new Set([...progress.excluded, agent])
+
+/** What one attempt's end means for the next. */
+export const afterAttempt = (progress: ServeProgress, agent: InstanceName, outcome: AttemptOutcome): ServeProgress => {
+  const counted = { ...progress, attemptCount: progress.attemptCount + 1 }
+  return match(outcome)
+    .returnType<ServeProgress>()
+    .with({ kind: 'answered' }, { kind: 'callerLeft' }, () => counted)
+    .with({ kind: 'unsent' }, () => ({ ...counted, excluded: exclude(progress, agent) }))
+    .with({ kind: 'lost' }, { kind: 'deadline' }, () =>
+      ({ ...counted, excluded: exclude(progress, agent), lossCount: progress.lossCount + 1, mayHaveRun: true }))
+    .with({ kind: 'refused' }, ({ note }) => ({
+      ...counted,
+      excluded: exclude(progress, agent),
+      mayHaveRun: progress.mayHaveRun || note.runState !== RunState.NOT_RUN
+    }))
+    .exhaustive()
+}
+
+const deadlineNote = (agent: InstanceName | ''): RefusalNote => notRun({
+  reason: RefusalReason.DEADLINE,
+  detail: 'the deadline has passed',
+  step: 'requests.serve',
+  peer: agent,
+  retryAfterMs: DEFAULT_RETRY_AFTER_MS
+})
+
+/** A refusal as the caller is to hear it, with everything that has happened to its request. */
+const finalNote = (note: RefusalNote, admitted: AdmittedRequest, progress: ServeProgress): RefusalNote => {
+  if (progress.tokens.length > 0) return { ...note, runState: RunState.RAN }
+  if (progress.mayHaveRun && note.runState === RunState.NOT_RUN) return { ...note, runState: RunState.MAY_HAVE_RUN }
+  return truthful(note, admitted.run.resendCount)
+}
+
+const noteOf = (context: ServeContext, admitted: AdmittedRequest, outcome: AttemptOutcome): RefusalNote | undefined =>
+  match(outcome)
+    .returnType<RefusalNote | undefined>()
+    .with({ kind: 'answered' }, { kind: 'callerLeft' }, () => undefined)
+    .with({ kind: 'deadline' }, ({ agent }) => deadlineNote(agent))
+    .with({ kind: 'refused' }, ({ note }) => note)
+    .with({ kind: 'lost' }, { kind: 'unsent' }, ({ agent, detail }) => mayHaveRun({
+      reason: RefusalReason.UNAVAILABLE,
+      detail,
+      step: 'requests.serve',
+      peer: agent,
+      retryAfterMs: chooseRetry(context, DEFAULT_RETRY_AFTER_MS, admitted.run.resendCount)
+    }))
+    .exhaustive()
+
+const mayGoElsewhere = (outcome: AttemptOutcome): boolean =>
+  outcome.kind === 'lost' || outcome.kind === 'unsent' || (outcome.kind === 'refused' && ELSEWHERE_REASONS.has(outcome.note.reason))
+
+const noteSend = (context: ServeContext, { run }: AdmittedRequest, candidate: RoutingCandidate): void => {
+  const workSeconds = run.maxTokens * candidate.tokenIntervalMs / 1000 / Math.max(1, candidate.batchSize)
+  context.sends.add(candidate.instance, workSeconds, context.timers.nowMs())
+  context.prefixes.note(run.model, run.prefixHint, candidate.instance)
+}
+
+/** Refuses a request that is suspected of bringing down engines too often. */
+export const quarantineNote = (context: ServeContext, { run }: AdmittedRequest): RefusalNote | undefined => {
+  if (context.suspects.verdictOf(run.fingerprint) !== 'convicted') return undefined
+  context.events.emit(RouterEvent.suspectRefused, { caller: run.caller, requestKey: run.requestKey, model: run.model, detail: run.fingerprint })
+  return notRun({
+    reason: RefusalReason.QUARANTINED,
+    detail: 'backend servers went down while they ran this request',
+    step: 'suspects.check'
+  })
+}
+
+/**
+ * Serves a request that may be repeated: when its agent is lost it is started elsewhere
+ * behind the tokens that the caller has, and the caller sees one unbroken answer.
+ */
+export const serveRepeatable = async function * (context: ServeContext, admitted: AdmittedRequest, signal: AbortSignal): AsyncGenerator<AnswerPart> {
+  const tokens: string[] = []
+  let progress: ServeProgress = { ...NO_PROGRESS, tokens }
+  let lastNote: RefusalNote | undefined
+
+  while (!signal.aborted) {
+    const quarantined = quarantineNote(context, admitted)
+    if (quarantined) return yield { kind: 'refusal', note: finalNote(quarantined, admitted, progress) }
+    if (context.timers.nowMs() >= admitted.deadlineAtMs) return yield { kind: 'refusal', note: finalNote(deadlineNote(''), admitted, progress) }
+    const placement = yield * waitWithFrames(context.timers, choosePlacement(context, admitted, progress))
+    if (placement.kind === 'refuse') return yield { kind: 'refusal', note: finalNote(lastNote ?? placement.note, admitted, progress) }
+    noteSend(context, admitted, placement.candidate)
+    const agent = placement.candidate.instance
+    const parts = runAttempt({ context, admitted, agent, attemptId: context.newAttemptId(), doneTokens: [...tokens], joins: false, signal })
+    const outcome = yield * keepTokens(parts, tokens)
+    progress = afterAttempt(progress, agent, outcome)
+    const note = noteOf(context, admitted, outcome)
+    if (!note) return
+    if (outcome.kind === 'lost') context.events.emit(RouterEvent.attemptLost, { caller: admitted.run.caller, requestKey: admitted.run.requestKey, peer: agent, reason: outcome.detail })
+    lastNote = note
+    if (!mayGoElsewhere(outcome) || progress.attemptCount >= MAX_ATTEMPTS) return yield { kind: 'refusal', note: finalNote(note, admitted, progress) }
+  }
+}
+
+/** Passes parts on and remembers the tokens, for a start elsewhere. */
+const keepTokens = async function * (parts: AsyncGenerator<AnswerPart, AttemptOutcome>, tokens: string[]): AsyncGenerator<AnswerPart, AttemptOutcome> {
+  try {
+    while (true) {
+      const next = await parts.next()
+      if (next.done) return next.value
+      if (next.value.kind === 'tokens') tokens.push(...next.value.tokens)
+      yield next.value
+    }
+  } finally {
+    await parts.return({ kind: 'callerLeft' })
+  }
+}
--- /dev/null
+++ b/packages/router/src/requests/types.ts
@@ -0,0 +1,66 @@
+import type { AttemptId, EventLog, InstanceName, Metrics, ModelId, TimerService } from '@figmount/base'
+import type { ChooseBackend, ChooseRetryAfter, RoutingCandidate } from '@figmount/decisions'
+import type { RefusalNote, RunRequest } from '@figmount/peers'
+import type { RecordsClient } from '@figmount/records'
+import type { AgentLinks } from '../links/createAgentLinks.js'
+import type { ColdStarts } from '../routing/createColdStarts.js'
+import type { RoutingSources } from '../routing/types.js'
+import type { SendLog } from '../routing/createSendLog.js'
+import type { PrefixMap } from '../routing/createPrefixMap.js'
+import type { RefusalLog } from '../retries/createRefusalLog.js'
+import type { Suspects } from '../suspects/types.js'
+
+/** A checked request of a known caller for a known target. Times are monotonic. */
+export interface AdmittedRequest {
+  readonly run: Omit<RunRequest, 'remainingMs' | 'doneTokens' | 'suspect'>
+  readonly receivedAtMs: number
+  readonly deadlineAtMs: number
+}
+
+/** What serving a request needs of the router. */
+export interface ServeContext {
+  readonly instance: InstanceName
+  readonly records: RecordsClient
+  readonly links: AgentLinks
+  /** What candidates for a request to `model` with a prompt prefix are built from. */
+  readonly sourcesFor: (model: ModelId, prefixHint: string) => RoutingSources
+  readonly sends: SendLog
+  readonly prefixes: PrefixMap
+  readonly coldStarts: ColdStarts
+  readonly suspects: Suspects
+  readonly refusals: RefusalLog
+  readonly chooseBackend: ChooseBackend
+  readonly chooseRetryAfter: ChooseRetryAfter
+  readonly newAttemptId: () => AttemptId
+  readonly random: () => number
+  readonly timers: TimerService
+  readonly events: EventLog
+  readonly metrics: Metrics
+}
+
+/** What the choice of a backend server came to. */
+export type Placement =
+  | { readonly kind: 'start', readonly candidate: RoutingCandidate }
+  | { readonly kind: 'refuse', readonly note: RefusalNote }
+
+/** How one attempt ended. */
+export type AttemptOutcome =
+  | { readonly kind: 'answered' }
+  | { readonly kind: 'callerLeft' }
+  | { readonly kind: 'refused', readonly note: RefusalNote }
+  /** The agent cannot be reached; or it does not know the attempt, which is then lost for good. */
+  | { readonly kind: 'lost', readonly agent: InstanceName, readonly detail: string, readonly isKnownLost: boolean }
+  /** Nothing left this router. */
+  | { readonly kind: 'unsent', readonly agent: InstanceName, readonly detail: string }
+  | { readonly kind: 'deadline', readonly agent: InstanceName }
+
+/** What has come of a request so far, over all its attempts. */
+export interface ServeProgress {
+  readonly tokens: readonly string[]
+  /** Agents that lost or refused it. */
+  readonly excluded: ReadonlySet<InstanceName>
+  readonly attemptCount: number
+  readonly lossCount: number
+  /** True once an attempt was sent whose agent has not said that nothing ran. */
+  readonly mayHaveRun: boolean
+}
--- /dev/null
+++ b/packages/router/src/router/createDials.ts
@@ -0,0 +1,40 @@
+import { EitherAsync, Left } from 'purify-ts'
+import { FaultKind, makeFault } from '@figmount/base'
+import { openLink } from '@figmount/peers'
+
+import type { Fault, InstanceName, LogOffset } from '@figmount/base'
+import type { BetweenRouters, LinkContext } from '@figmount/peers'
+import type { DialAgent } from '../links/types.js'
+import type { Membership } from '../membership/createMembership.js'
+import type { RouterLink } from '../peers/createRouterPeers.js'
+
+interface Dials {
+  readonly dialAgent: DialAgent
+  readonly dialRouter: (instance: InstanceName) => EitherAsync<Fault, RouterLink>
+}
+
+const unlisted = (instance: InstanceName): EitherAsync<Fault, never> =>
+  EitherAsync.liftEither(Left(makeFault(FaultKind.NotFound, 'links.open', instance, 'the instance list names no address')))
+
+/** Dials instances at the addresses that the instance list names. */
+export const createDials = (context: LinkContext, membership: Membership, hearOffset: (link: RouterLink, offset: LogOffset) => void): Dials => ({
+  dialAgent: (instance, onOffset) => {
+    const address = membership.peerAddressOf(instance)
+    if (!address) return unlisted(instance)
+    return openLink(address, { ...context, onPeerOffset: (_peer, offset) => onOffset(offset) })
+  },
+  dialRouter: instance => {
+    const address = membership.peerAddressOf(instance)
+    if (!address) return unlisted(instance)
+    let link: RouterLink | undefined
+    const opened = openLink<BetweenRouters, BetweenRouters>(address, {
+      ...context,
+      onPeerOffset: (_peer, offset) => { if (link) hearOffset(link, offset) }
+    })
+    return opened.map(made => {
+      // Known by its name like those that dialled us, not by its address.
+      link = { ...made, peer: instance }
+      return link
+    })
+  }
+})
--- /dev/null
+++ b/packages/router/src/router/types.ts
@@ -0,0 +1,19 @@
+import type { Incarnation, InstanceName, ProcessContext } from '@figmount/base'
+import type { ChooseBackend, ChooseRetryAfter } from '@figmount/decisions'
+import type { RecordsClient } from '@figmount/records'
+import type { ReadInstances } from '../membership/pollInstances.js'
+import type { ProposeRights } from '../proposals/types.js'
+import type { RouterSettings } from '../settings/types.js'
+
+/** What a router is put together from; tests pass fakes of the platform. */
+export interface RouterParts extends ProcessContext<RouterSettings> {
+  readonly instance: InstanceName
+  readonly incarnation: Incarnation
+  readonly records: RecordsClient
+  readonly readInstances: ReadInstances
+  readonly chooseBackend: ChooseBackend
+  readonly chooseRetryAfter: ChooseRetryAfter
+  readonly proposeRights: ProposeRights
+  /** Yields numbers in [0, 1). */
+  readonly random: () => number
+}
--- /dev/null
+++ b/packages/router/src/settings/types.ts
@@ -0,0 +1,10 @@
+import type { z } from 'zod'
+import type { routerSettings } from './routerSettings.js'
+
+/** An operator, known by the hash of its key. */
+export interface OperatorKey {
+  readonly name: string
+  readonly keySha256: string
+}
+
+export type RouterSettings = Readonly<z.infer<typeof routerSettings>>
