Propose rights and voids by the records package's rules

Cause: the router's own proposer was a stopgap, and nothing freed the rights of an instance that is gone. Changed: rounds of proposals use proposeRights and proposeVoids; engines of instances that are off the list are looked for first and, if they enforce fences, told to unload under a newer fence and asked for their inventory. Only silence or a confirmed unload lets a void be proposed. Conclusion: a rack lost for good gives its slots back without a replica too many.

--- a/packages/router/src/bin.ts
+++ b/packages/router/src/bin.ts
@@ -1,11 +1,11 @@
 import { makeIncarnation, runBinary } from '@figmount/base'
 import { chooseFirstReady, retryAfterFixed } from '@figmount/decisions'
-import { createRecordsClient } from '@figmount/records'
+import { createRecordsClient, proposeRights } from '@figmount/records'
 
 import { readPlatformList } from './membership/pollInstances.js'
-import { proposeGrants } from './proposals/proposeGrants.js'
 import { startRouter } from './router/startRouter.js'
 import { routerSettings } from './settings/routerSettings.js'
+import { openAbsentEngine } from './voids/openAbsentEngine.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
 import type { RouterSettings } from './settings/types.js'
@@ -22,7 +22,8 @@
     readInstances: readPlatformList(settings.platform.instance_list),
     chooseBackend: chooseFirstReady,
     chooseRetryAfter: retryAfterFixed,
-    proposeRights: proposeGrants,
+    proposeRights,
+    openAbsentEngine,
     random: Math.random
   })
 }
--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -22,6 +22,7 @@
   operatorRefused: [2033, 'an operator\'s call came without a known key'],
   proposalMade: [2040, 'a record on rights was proposed to the log'],
   proposalFailed: [2041, 'a proposed record was ignored by the fold or did not reach the log'],
+  absentEngineSeen: [2042, 'the engine of an instance that is off the list was looked for; reason says how it answered'],
   agentReached: [2050, 'an agent has welcomed this router on a new link'],
   agentUnreachable: [2051, 'an agent could not be dialled'],
   agentLeaving: [2052, 'an agent takes no new work'],
--- a/packages/router/src/membership/createMembership.ts
+++ b/packages/router/src/membership/createMembership.ts
@@ -1,4 +1,7 @@
-import type { DataCentre, InstanceName } from '@figmount/base'
+import { noAbsences, trackAbsences } from '@figmount/records'
+
+import type { InstanceName } from '@figmount/base'
+import type { Absences, AgreedState } from '@figmount/records'
 import type { InstanceList, ListedInstance } from './types.js'
 
 /** The platform's instance list and what it said before. */
@@ -9,53 +12,42 @@
   readonly peerAddressOf: (instance: InstanceName) => string | undefined
   /** The last address of the backend server beside an agent, also after the list has dropped it. */
   readonly backendAddressOf: (instance: InstanceName) => string | undefined
-  readonly dataCentreOf: (instance: InstanceName) => DataCentre | undefined
   readonly routers: () => readonly InstanceName[]
-  readonly liveAgents: () => ReadonlySet<InstanceName>
-  /** Monotonic time since which every list that was read lacked the instance; undefined if listed. */
-  readonly missingSinceMs: (instance: InstanceName) => number | undefined
+  /** Since when agents that the log knows have been off the list. */
+  readonly absences: () => Absences
+  readonly absentForMs: (instance: InstanceName) => number
 }
 
-/** Instances remembered after the list has dropped them. */
+/** Instances remembered after the list has dropped them; about 200 bytes each. */
 const MAX_REMEMBERED = 20_000
 
-/** Keeps membership. The list lags, so an address it named once stays in use until it names another. */
-export const createMembership = (): Membership => {
+/** Keeps membership. The list lags, so an address that it named once stays in use until it names another. */
+export const createMembership = (state: () => AgreedState): Membership => {
   const known = new Map<InstanceName, ListedInstance>()
-  const missingSince = new Map<InstanceName, number>()
-  let firstReadAtMs: number | undefined
-  let list: InstanceList = { instances: new Map(), readAtMs: -Infinity }
-
-  const noteMissing = (read: InstanceList): void => {
-    for (const name of known.keys()) {
-      if (read.instances.has(name)) missingSince.delete(name)
-      else if (!missingSince.has(name)) missingSince.set(name, read.readAtMs)
-    }
-  }
+  let absences = noAbsences
+  let list: InstanceList = { instances: new Map(), sentAtMs: -Infinity, answeredAtMs: -Infinity }
 
-  const forgetOldest = (): void => {
-    for (const [name] of known) {
-      if (known.size <= MAX_REMEMBERED) return
-      if (list.instances.has(name)) continue
-      known.delete(name)
-      missingSince.delete(name)
-    }
+  const remember = (entry: ListedInstance): void => {
+    known.delete(entry.name)
+    known.set(entry.name, entry)
+    const [oldest] = known.keys()
+    if (known.size > MAX_REMEMBERED && oldest) known.delete(oldest)
   }
 
   return {
     list: () => list,
     takeList: read => {
-      firstReadAtMs ??= read.readAtMs
       list = read
-      for (const [name, entry] of read.instances) known.set(name, entry)
-      noteMissing(read)
-      forgetOldest()
+      for (const entry of read.instances.values()) remember(entry)
+      absences = trackAbsences(absences, state(), { ...read, instances: [...read.instances.values()] })
     },
     peerAddressOf: instance => known.get(instance)?.peerAddress,
-    backendAddressOf: instance => known.get(instance)?.backendAddress,
-    dataCentreOf: instance => known.get(instance)?.dataCentre,
+    backendAddressOf: instance => known.get(instance)?.backendAddress || undefined,
     routers: () => [...list.instances.values()].filter(entry => entry.role === 'router' && !entry.leaving).map(entry => entry.name),
-    liveAgents: () => new Set([...list.instances.values()].filter(entry => entry.role === 'agent' && !entry.leaving).map(entry => entry.name)),
-    missingSinceMs: instance => list.instances.has(instance) ? undefined : missingSince.get(instance) ?? firstReadAtMs
+    absences: () => absences,
+    absentForMs: instance => {
+      const sinceMs = absences.sinceMs.get(instance)
+      return sinceMs === undefined ? 0 : absences.lastReadMs - sinceMs
+    }
   }
 }
--- a/packages/router/src/membership/pollInstances.ts
+++ b/packages/router/src/membership/pollInstances.ts
@@ -54,10 +54,11 @@
 export const pollInstances = async ({ read, timers, events, signal, onRead }: Options): Promise<void> => {
   let isReachable = true
   while (!signal.aborted) {
+    const sentAtMs = timers.nowMs()
     const result = await read().run()
     result.ifRight(instances => {
       isReachable = true
-      onRead({ instances: new Map(instances.map(entry => [entry.name, entry])), readAtMs: timers.nowMs() })
+      onRead({ instances: new Map(instances.map(entry => [entry.name, entry])), sentAtMs, answeredAtMs: timers.nowMs() })
     })
     result.ifLeft(fault => {
       if (isReachable) events.emit(RouterEvent.listUnreachable, { peer: fault.peer, step: fault.step, reason: fault.message })
--- a/packages/router/src/membership/types.ts
+++ b/packages/router/src/membership/types.ts
@@ -13,6 +13,7 @@
 /** The platform's instance list as last read. It lags behind the truth. */
 export interface InstanceList {
   readonly instances: ReadonlyMap<InstanceName, ListedInstance>
-  /** Monotonic time of the last read that succeeded; -Infinity if none. */
-  readonly readAtMs: number
+  /** Monotonic times of the read; -Infinity before the first. */
+  readonly sentAtMs: number
+  readonly answeredAtMs: number
 }
--- a/packages/router/src/router/startRouter.ts
+++ b/packages/router/src/router/startRouter.ts
@@ -1,5 +1,6 @@
 import { makeAttemptId, serveRpc, sleep } from '@figmount/base'
 import { acceptLinks } from '@figmount/peers'
+import { createSnapshotWriter, shouldPropose } from '@figmount/records'
 import { Inference, Operator } from '@figmount/schema'
 
 import { createGate } from '../callers/createGate.js'
@@ -19,6 +20,7 @@
 import { createPrefixMap } from '../routing/createPrefixMap.js'
 import { createSendLog } from '../routing/createSendLog.js'
 import { createSuspects } from '../suspects/createSuspects.js'
+import { watchAbsentEngines } from '../voids/watchAbsentEngines.js'
 import { createDials } from './createDials.js'
 import { createStatusSources } from './createStatusSources.js'
 import { runInBackground } from './runInBackground.js'
@@ -33,6 +35,9 @@
 /** Largest RPC message: a prompt and some room for the rest. */
 const messageBytes = (promptBytes: number): number => promptBytes * 2 + 64 * 1024
 
+/** Name under which the router that writes snapshots is chosen. */
+const SNAPSHOTS = 'snapshots'
+
 /** Connections that are still busy this long after the last request has ended are closed. */
 const CLOSE_WAIT_MS = 500
 
@@ -41,7 +46,7 @@
   const { settings, instance, incarnation, records, timers, events, metrics, random } = parts
   const stopping = new AbortController()
   const gate = createGate(timers, settings.limits.admitted_count)
-  const membership = createMembership()
+  const membership = createMembership(records.state)
   const suspects = createSuspects({ state: records.state, unixMs: timers.unixMs })
   const prefixes = createPrefixMap()
   const sends = createSendLog()
@@ -162,9 +167,27 @@
       peers.setNeighbours(pickNeighbours(instance, membership.routers()))
     }
   }))
+  const absentEngines = watchAbsentEngines({
+    instance, records, membership, links, openEngine: parts.openAbsentEngine, timers, events, signal: stopping.signal
+  })
+  runInBackground(events, 'voids.run', absentEngines.run())
   runInBackground(events, 'proposals.run', runProposer({
-    instance, records, membership, propose: parts.proposeRights, timers, events, signal: stopping.signal
+    instance,
+    records,
+    membership,
+    proposeRights: parts.proposeRights,
+    engineOf: absentEngines.reachOf,
+    timers,
+    events,
+    signal: stopping.signal
   }))
+  const stopSnapshots = createSnapshotWriter({
+    client: records,
+    timers,
+    events,
+    isMyTurn: () => shouldPropose(SNAPSHOTS, [...new Set([...membership.routers(), instance])], instance),
+    periodMs: settings.records.snapshot_period_ms
+  })
 
   return {
     address: server.address,
@@ -181,6 +204,7 @@
         }
       })
       stopping.abort()
+      stopSnapshots()
       unsubscribe()
       links.stop()
       peers.stop()
--- a/packages/router/src/settings/routerSettings.ts
+++ b/packages/router/src/settings/routerSettings.ts
@@ -49,6 +49,10 @@
     /** Requests that this router serves at a time; the rest is refused, "not run". */
     admitted_count: count(4_000)
   }).prefault({}),
+  records: z.strictObject({
+    /** Time between snapshots; at most a quarter of the log's retention. */
+    snapshot_period_ms: count(900_000)
+  }).prefault({}),
   stop: z.strictObject({
     /** New requests are still served for this long after a stop was asked for, until the balancer has noticed. */
     lame_duck_ms: count(1_000, 0),
--- a/packages/router/src/testing/createBench.ts
+++ b/packages/router/src/testing/createBench.ts
@@ -58,7 +58,7 @@
     links,
     sourcesFor: () => ({
       agents: records.state().agents,
-      list: { instances: new Map(listed), readAtMs: 0 },
+      list: { instances: new Map(listed), sentAtMs: 0, answeredAtMs: 0 },
       viewOf: links.viewOf,
       unreportedSeconds: () => 0,
       hasPrefix: () => false,
--- /dev/null
+++ b/packages/router/src/voids/openAbsentEngine.ts
@@ -0,0 +1,24 @@
+import { createClient } from '@connectrpc/connect'
+import { EitherAsync } from 'purify-ts'
+import { createTransport, faultFrom } from '@figmount/base'
+import { Engine } from '@figmount/schema'
+
+import { CALL_MS } from './constants.js'
+
+import type { AbsentEngine } from './types.js'
+
+/** Deadline that the unload order itself carries. */
+const ORDER_MS = 1_500
+
+/** Calls the engine at `address` by RPC. */
+export const openAbsentEngine = (address: string): AbsentEngine => {
+  const client = createClient(Engine, createTransport({ address }))
+  return {
+    inventory: () => EitherAsync(async () => await client.inventory({}, { timeoutMs: CALL_MS }))
+      .mapLeft(faultFrom('voids.inventory', address))
+      .map(({ models, enforcesFence }) => ({ models: models.map(entry => entry.model), enforcesFence })),
+    unload: (model, fence) => EitherAsync(async () => await client.unload({ model, fence: BigInt(fence), orderDeadlineMs: ORDER_MS }, { timeoutMs: CALL_MS }))
+      .mapLeft(faultFrom('voids.unload', address))
+      .map(() => undefined)
+  }
+}
