Add the first policies beside their baselines

Cause: each decision under load had only a simple baseline; router and agent need the better functions to pass in. The views gained optional fields only: token interval age, prefix saving, adapter load, wait ratio, memory pressure. None of the constants is measured under load yet.

--- /dev/null
+++ b/packages/decisions/src/admission/admitByDeadline.test.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+
+import { admitByDeadline } from './admitByDeadline.js'
+
+import type { AdmissionView } from './types.js'
+
+const view: AdmissionView = {
+  remainingMs: 30_000,
+  expectedTokens: 100,
+  priority: 5,
+  readyInMs: 0,
+  secondsAhead: 0,
+  tokenIntervalMs: 30,
+  queuedCount: 0,
+  maxQueuedCount: 100
+}
+const half = (): number => 0.5
+
+describe('admission', () => {
+  it('admits what ends in time and refuses what does not', () => {
+    expect(admitByDeadline({ ...view, secondsAhead: 26 }, half)).to.deep.equal({ kind: 'admit', estimatedWaitMs: 26_000 })
+    expect(admitByDeadline({ ...view, secondsAhead: 28 }, half).kind).to.equal('refuse')
+    expect(admitByDeadline({ ...view, readyInMs: 40_000 }, half).kind).to.equal('refuse')
+  })
+
+  it('leaves room for past errors', () => {
+    expect(admitByDeadline({ ...view, secondsAhead: 20, waitRatio: 1.2, waitRatioDeviation: 0.3 }, half).kind).to.equal('refuse')
+  })
+
+  it('keeps the end of the queue for high priorities', () => {
+    expect(admitByDeadline({ ...view, queuedCount: 80, priority: 0 }, half).kind).to.equal('refuse')
+    expect(admitByDeadline({ ...view, queuedCount: 80, priority: 9 }, half).kind).to.equal('admit')
+    expect(admitByDeadline({ ...view, queuedCount: 100, priority: 9 }, half).kind).to.equal('refuse')
+  })
+
+  it('never admits a request past its deadline and always names a time', () => {
+    const views = fc.record({
+      remainingMs: fc.nat(100_000), secondsAhead: fc.nat(200), readyInMs: fc.nat(60_000), queuedCount: fc.nat(120), priority: fc.nat(9)
+    })
+    fc.assert(fc.property(views, over => {
+      const verdict = admitByDeadline({ ...view, ...over }, half)
+      if (verdict.kind === 'refuse') return verdict.retryAfterMs > 0 && verdict.detail !== ''
+      return verdict.estimatedWaitMs + 3_000 <= over.remainingMs
+    }), { seed: 5, numRuns: 500 })
+  })
+})
--- a/packages/decisions/src/admission/types.ts
+++ b/packages/decisions/src/admission/types.ts
@@ -10,6 +10,15 @@
   readonly tokenIntervalMs: number
   readonly queuedCount: number
   readonly maxQueuedCount: number
+  /** Observed over predicted wait of late, 1 when left out: above it predictions were too short. */
+  readonly waitRatio?: number
+  /** Mean deviation of that ratio, 0 when left out. */
+  readonly waitRatioDeviation?: number
+  /** Requests that were refused here lately and will come back. */
+  readonly recentRefusals?: number
+  /** Requests that are served here a second. */
+  readonly servedPerSecond?: number
+  readonly resendCount?: number
 }
 
 export type AdmissionVerdict =
--- /dev/null
+++ b/packages/decisions/src/keepalive/keepByHistory.test.ts
@@ -0,0 +1,34 @@
+import { expect } from 'chai'
+
+import { keepByHistory } from './keepByHistory.js'
+
+import type { IdleView } from './types.js'
+
+const MINUTE_MS = 60_000
+const view: IdleView = { idleMs: 0, pastGapsMs: [], reloadMs: 20_000, memoryShare: 0.4, idleCostWeight: 0.5 }
+
+describe('keep-alive', () => {
+  it('stays over a short rhythm and leaves in a long one', () => {
+    const minutely = Array.from({ length: 20 }, () => 10 * MINUTE_MS)
+    const daily = Array.from({ length: 20 }, () => 24 * 60 * MINUTE_MS)
+    expect(keepByHistory({ ...view, pastGapsMs: minutely })).to.be.within(10 * MINUTE_MS, 12 * MINUTE_MS)
+    expect(keepByHistory({ ...view, pastGapsMs: daily })).to.be.below(10 * MINUTE_MS)
+  })
+
+  it('leaves when the rhythm has broken off', () => {
+    const minutely = Array.from({ length: 20 }, () => 10 * MINUTE_MS)
+    expect(keepByHistory({ ...view, pastGapsMs: minutely, idleMs: 240 * MINUTE_MS })).to.equal(0)
+  })
+
+  it('stays shorter the more idle time weighs, from always to never', () => {
+    const pastGapsMs = [2, 5, 9, 20, 45, 90, 200, 400].map(minutes => minutes * MINUTE_MS)
+    const stays = [0, 0.1, 0.25, 0.5, 0.75, 0.9, 1].map(idleCostWeight => keepByHistory({ ...view, pastGapsMs, idleCostWeight }))
+    expect(stays).to.deep.equal([...stays].sort((a, b) => b - a))
+    expect(stays.at(-1)).to.equal(0)
+  })
+
+  it('stays shorter under memory pressure', () => {
+    const pastGapsMs = [2, 5, 9, 20, 45, 90, 200].map(minutes => minutes * MINUTE_MS)
+    expect(keepByHistory({ ...view, pastGapsMs, memoryPressure: 1 })).to.be.below(keepByHistory({ ...view, pastGapsMs }))
+  })
+})
--- a/packages/decisions/src/keepalive/types.ts
+++ b/packages/decisions/src/keepalive/types.ts
@@ -8,6 +8,8 @@
   readonly memoryShare: number
   /** 0 weighs only tail cold-start time, 1 only idle accelerator hours. */
   readonly idleCostWeight: number
+  /** Share of the memory that waiting loads would take if they could, 0 to 1; 0 when left out. */
+  readonly memoryPressure?: number
 }
 
 /** Time from now for which an idle model should stay loaded; 0 unloads it now. */
--- /dev/null
+++ b/packages/decisions/src/routing/sampleIndices.ts
@@ -0,0 +1,15 @@
+/**
+ * Draws up to `count` distinct indices below `length` in random order, by Floyd's algorithm, in time that depends on
+ * `count` only. The order matters where ties go to the first: in a fixed order the last index would never win one.
+ */
+export const sampleIndices = (length: number, count: number, random: () => number): readonly number[] => {
+  const drawn: number[] = []
+  for (let limit = Math.max(0, length - count); limit < length; limit++) {
+    const index = Math.floor(random() * (limit + 1))
+    // Floyd's insertion: a new highest index goes behind the one that it collided with.
+    const collision = drawn.indexOf(index)
+    if (collision < 0) drawn.unshift(index)
+    else drawn.splice(collision + 1, 0, limit)
+  }
+  return drawn
+}
--- a/packages/decisions/src/routing/types.ts
+++ b/packages/decisions/src/routing/types.ts
@@ -20,6 +20,8 @@
   /** True when the prompt prefix is believed to be cached there. */
   readonly hasPrefix: boolean
   readonly sameDataCentre: boolean
+  /** Age of the last token that `tokenIntervalMs` was measured on; `reportAgeMs` when left out. */
+  readonly tokenIntervalAgeMs?: number
 }
 
 /** The request as far as routing needs it. */
@@ -29,6 +31,10 @@
   readonly priority: number
   /** Load cost and time that a cold slot would need. */
   readonly coldStartMs: number
+  /** Prefill time that a cached prefix saves. */
+  readonly prefixSavingMs?: number
+  /** Time that loading the adapter takes; 0 when the request wants none. */
+  readonly adapterLoadMs?: number
 }
 
 export type RoutingChoice =
