--- a/packages/records/src/proposals/types.ts
+++ b/packages/records/src/proposals/types.ts
@@ -21,7 +21,7 @@
 export type EngineReach =
   /** It does not answer. */
   | 'unreachable'
-  /** It answers, enforces fences, and confirmed an unload of everything under a newer one. */
+  /** It answers, enforces fences, and confirmed an unload of every model under the fence `state.nextOffset` or a newer one. */
   | 'fenced'
   /** It answers and may still carry out an order of its agent. */
   | 'reachable'
