--- a/packages/agent/src/agent/createEngineBackend.ts
+++ b/packages/agent/src/agent/createEngineBackend.ts
@@ -4,6 +4,7 @@
 import { createEngineWatch } from '../engine/createEngineWatch.js'
 import { createLoader } from '../loading/createLoader.js'
 import { findSlot, readyInMs } from '../loading/slots.js'
+import { isAnnounced } from '../rights/keepAnnounced.js'
 import { runOnEngine } from '../running/runOnEngine.js'
 import { notRun } from './refusals.js'
 import { runInBackground } from './runInBackground.js'
@@ -130,7 +131,8 @@
       runInBackground(events, 'engine.inventory', watch.refresh())
     },
     plan: () => {
-      if (!watch.isUp()) return
+      // Before the announcement is read back no right is known, and all that is loaded would seem to be without one.
+      if (!watch.isUp() || !isAnnounced(context)) return
       loader.plan({
         rights: rights().slots,
         demands: options.demands(),
--- a/packages/agent/src/rights/keepAnnounced.ts
+++ b/packages/agent/src/rights/keepAnnounced.ts
@@ -16,14 +16,12 @@
   readonly enforcesFence: boolean
 }
 
-/** True when the log names this run of the agent and has not voided it since. */
-export const isAnnounced = ({ records, instance, incarnation }: AgentContext): boolean => {
-  const facts = records.state().agents.get(instance)
-  return facts?.incarnation === incarnation && !facts.gone
-}
+/** True when the log names this run of the agent. Before that the agent cannot know which rights are its own. */
+export const isAnnounced = ({ records, instance, incarnation }: AgentContext): boolean =>
+  records.state().agents.get(instance)?.incarnation === incarnation
 
 const differs = (known: AgentFacts | undefined, facts: EngineFacts, context: AgentContext): boolean =>
-  !isAnnounced(context) || known?.memoryCapacityMb !== facts.memoryCapacityMb || known.enforcesFence !== facts.enforcesFence
+  !isAnnounced(context) || (known?.gone ?? false) || known?.memoryCapacityMb !== facts.memoryCapacityMb || known.enforcesFence !== facts.enforcesFence
 
 /**
  * Keeps this run of the agent in the log. It is announced again after a void: the instance was taken for gone and
