Hold the memory ledger against lost, late and refused orders

Cause: the ledger's promise (never overcommitted, nothing held uncounted) had no proof over interleavings. Conclusion: a reservation ends only when the inventory shows that it may.

--- a/packages/agent/src/testing/createFakeEngine.ts
+++ b/packages/agent/src/testing/createFakeEngine.ts
@@ -9,8 +9,11 @@
 import type { ModelId, TimerService } from '@figmount/base'
 import type { Chunk, EngineClient, EngineOrder, GenerateArgs, Inventory, OrderDone, Resident } from '../engine/types.js'
 
-/** What the engine does with an order. `lose`: carries it out and never answers. `drop`: never gets it. */
-export type OrderFate = 'answer' | 'lose' | 'drop' | 'exhausted' | 'stale'
+/** What becomes of an order. `lose`: carried out, never answered. `late`: the same, a while later. `drop`: never arrives. */
+export type OrderFate = 'answer' | 'lose' | 'late' | 'drop' | 'exhausted' | 'stale'
+
+/** How late a late order is; less than its deadline. */
+const LATE_MS = 1_500
 
 /** Knobs of the fake; tests set them at any time. */
 export interface EngineKnobs {
@@ -139,6 +142,8 @@
     if (fate === 'exhausted') throw new ConnectError('the weight store is full', Code.ResourceExhausted)
     if (fate === 'stale') throw new ConnectError('old fence', Code.FailedPrecondition)
     if (fate === 'drop') return await never(signal)
+    if (fate === 'late') timers.after(LATE_MS, () => { carryOut(asked).catch(() => {}) })
+    if (fate === 'late') return await never(signal)
     const done = carryOut(asked)
     if (fate === 'answer') return await done
     done.catch(() => {})
