--- /dev/null
+++ b/packages/agent/src/attempts/attempts.test.ts
@@ -0,0 +1,148 @@
+import { RunState } from '@figmount/schema'
+import { expect } from 'chai'
+
+import { MODEL, startAgentForTest } from '../testing/startAgentForTest.js'
+import { FINISHED_KEEP_MS, ORPHAN_MS } from './constants.js'
+
+import type { AttemptId, RequestKey } from '@figmount/base'
+import type { AgentUnderTest, FakeRouter } from '../testing/startAgentForTest.js'
+
+const started = async (): Promise<{ readonly under: AgentUnderTest, readonly router: FakeRouter }> => {
+  const under = await startAgentForTest()
+  under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
+  under.grant({ kind: 'keys', target: MODEL })
+  const router = under.connect()
+  return { under, router }
+}
+
+const framesOf = (router: FakeRouter): readonly number[] =>
+  router.heard.flatMap(message => message.type === 'tokens' || message.type === 'final' ? [message.frame] : [])
+
+const idOf = (text: string): AttemptId => text as AttemptId
+
+describe('attempts', () => {
+  it('number their frames without gaps', async () => {
+    const { under, router } = await started()
+    router.start('a', { maxTokens: 30 })
+    await under.advance(800)
+    expect(framesOf(router)).to.deep.equal(framesOf(router).map((_frame, index) => index))
+    expect(router.tokensOf('a')).to.have.length(30)
+  })
+
+  // The router's connection breaks in the middle of an answer and it dials again. Started
+  // anew the answer would be doubled; without the kept frames it would have a gap.
+  it('are resumed at a frame over a new link', async () => {
+    const { under, router } = await started()
+    router.start('a', { maxTokens: 40 })
+    await under.advance(400)
+    const seen = framesOf(router).length
+    expect(seen).to.be.above(3)
+    router.cut()
+    await under.advance(100)
+    const again = under.connect()
+    again.send({ type: 'resume', attemptId: idOf('a'), fromFrame: seen })
+    await under.advance(600)
+    expect([...router.tokensOf('a'), ...again.tokensOf('a')]).to.deep.equal(Array.from({ length: 40 }, (_unused, index) => `wall.${index}`))
+    expect(framesOf(again)[0]).to.equal(seen)
+  })
+
+  it('are unknown after they were acknowledged or never seen', async () => {
+    const { under, router } = await started()
+    router.start('a')
+    await under.advance(400)
+    router.send({ type: 'ack', attemptId: idOf('a'), belowFrame: 100 })
+    router.send({ type: 'resume', attemptId: idOf('a'), fromFrame: 0 })
+    router.send({ type: 'resume', attemptId: idOf('never'), fromFrame: 0 })
+    await under.advance(20)
+    expect(router.heard.filter(({ type }) => type === 'unknown')).to.deep.equal([
+      { type: 'unknown', attemptId: 'a', incarnation: under.incarnation },
+      { type: 'unknown', attemptId: 'never', incarnation: under.incarnation }
+    ])
+  })
+
+  // Two routers follow one attempt and the faster acknowledges. Frames dropped on its word
+  // would be missing at the slower one when it dials again.
+  it('keep frames that a second router lacks', async () => {
+    const { under, router } = await started()
+    router.start('a', { maxTokens: 20 })
+    await under.advance(200)
+    const slow = under.connect()
+    slow.send({ type: 'resume', attemptId: idOf('a'), fromFrame: 0 })
+    await under.advance(100)
+    slow.cut()
+    router.send({ type: 'ack', attemptId: idOf('a'), belowFrame: 5 })
+    const third = under.connect()
+    third.send({ type: 'resume', attemptId: idOf('a'), fromFrame: 5 })
+    await under.advance(20)
+    router.send({ type: 'ack', attemptId: idOf('a'), belowFrame: 9 })
+    await under.advance(20)
+    third.send({ type: 'resume', attemptId: idOf('a'), fromFrame: 5 })
+    await under.advance(500)
+    expect(third.finalOf('a')?.tokenCount).to.equal(20)
+    expect(third.heard.some(({ type }) => type === 'unknown')).to.equal(false)
+  })
+
+  it('end at the engine when the last router cancels', async () => {
+    const { under, router } = await started()
+    router.start('a', { maxTokens: 500 })
+    await under.advance(200)
+    const second = under.connect()
+    second.send({ type: 'resume', attemptId: idOf('a'), fromFrame: 0 })
+    await under.advance(20)
+    router.send({ type: 'cancel', attemptId: idOf('a') })
+    await under.advance(50)
+    expect(under.engine.cancelled).to.deep.equal([])
+    second.send({ type: 'cancel', attemptId: idOf('a') })
+    await under.advance(50)
+    expect(under.engine.cancelled).to.deep.equal(['a'])
+    expect(under.agent.report().runningCount).to.equal(0)
+  })
+
+  it('run on without a router if they may not be repeated', async () => {
+    const { under, router } = await started()
+    router.start('a', { repeatable: false, maxTokens: 200 })
+    router.start('b', { prompt: 'b', maxTokens: 2_000 })
+    await under.advance(200)
+    router.send({ type: 'cancel', attemptId: idOf('a') })
+    router.cut()
+    await under.advance(ORPHAN_MS + 500)
+    const again = under.connect()
+    again.start('c', { repeatable: false, resendCount: 1, maxTokens: 200 })
+    await under.advance(100)
+    expect(again.finalOf('c')?.tokenCount).to.equal(200)
+    expect(under.engine.cancelled).to.deep.equal(['b'])
+  })
+
+  it('are refused at their deadline as run', async () => {
+    const { under, router } = await started()
+    router.start('a', { maxTokens: 500, remainingMs: 1_000 })
+    await under.advance(1_200)
+    expect(router.refusalOf('a')?.runState).to.equal(RunState.RAN)
+    expect(under.engine.cancelled).to.deep.equal(['a'])
+  })
+
+  it('are forgotten after their time', async () => {
+    const { under, router } = await started()
+    router.start('a', { remainingMs: 2_000 })
+    await under.advance(2_000 + FINISHED_KEEP_MS + 1_500)
+    router.send({ type: 'resume', attemptId: idOf('a'), fromFrame: 0 })
+    await under.advance(20)
+    expect(router.heard.at(-1)?.type).to.equal('unknown')
+  })
+
+  // Answers of many once requests are kept for resends. Without a bound they would fill the
+  // process's memory; dropped without a trace, a resend would run a second time.
+  it('drop the oldest kept answers beyond the bound and say that they ran', async () => {
+    const under = await startAgentForTest({ limits: { kept_answers_mb: '0' } })
+    under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
+    under.grant({ kind: 'keys', target: MODEL })
+    const router = under.connect()
+    router.start('a', { repeatable: false, requestKey: 'k' as RequestKey })
+    await under.advance(1_500)
+    expect(router.finalOf('a')?.tokenCount).to.equal(3)
+    router.start('b', { repeatable: false, requestKey: 'k' as RequestKey, resendCount: 1 })
+    await under.advance(100)
+    expect(router.refusalOf('b')?.runState).to.equal(RunState.RAN)
+    expect(under.engine.runs).to.have.length(1)
+  })
+})
--- /dev/null
+++ b/packages/agent/src/authority/authority.test.ts
@@ -0,0 +1,66 @@
+import { AUTHORITY_MS } from '@figmount/records'
+import { RunState } from '@figmount/schema'
+import { expect } from 'chai'
+
+import { MODEL, startAgentForTest } from '../testing/startAgentForTest.js'
+import { OUTAGE_PROOF_MS } from './constants.js'
+import { judgeAuthority } from './judgeAuthority.js'
+
+const view = { nowMs: 100_000, confirmedAtMs: 99_000, awakeSinceMs: 0, listed: 'present' } as const
+
+describe('authority', () => {
+  it('is judged by the last confirmed read, pauses and the list', () => {
+    expect(judgeAuthority(view)).to.equal('fresh')
+    const stale = { ...view, confirmedAtMs: view.nowMs - AUTHORITY_MS }
+    expect(judgeAuthority(stale)).to.equal('outage')
+    expect(judgeAuthority({ ...stale, listed: 'unknown' })).to.equal('outage')
+    expect(judgeAuthority({ ...stale, listed: 'missing' })).to.equal('none')
+    expect(judgeAuthority({ ...stale, awakeSinceMs: view.nowMs - OUTAGE_PROOF_MS + 1 })).to.equal('none')
+  })
+
+  // The log is down for long while callers want a cold model. Nobody else can have been granted
+  // the right, so refusing to load would only lose callers.
+  it('lets a holder load while the log is down', async () => {
+    const under = await startAgentForTest()
+    under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
+    under.log.isUp = false
+    await under.advance(20_000)
+    const router = under.connect()
+    router.start('a')
+    await under.advance(500)
+    expect(router.finalOf('a')?.tokenCount).to.equal(3)
+  })
+
+  // The process is stopped for a minute and goes on as if nothing had been. Its right may have
+  // gone to another meanwhile, whose replica would be one too many.
+  it('does not load after a pause before it has read the log again', async () => {
+    const under = await startAgentForTest()
+    under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
+    under.log.isUp = false
+    const router = under.connect()
+    const nowMs = under.timers.nowMs
+    let pausedMs = 0
+    Object.assign(under.timers, { nowMs: () => nowMs() + pausedMs })
+    pausedMs = 60_000
+    router.start('a', { remainingMs: 120_000 })
+    await under.advance(1_000)
+    expect(under.engine.orders).to.deep.equal([])
+    expect(under.events('pauseNoticed')).to.have.length(1)
+    under.log.isUp = true
+    await under.advance(1_000)
+    expect(router.finalOf('a')?.tokenCount).to.equal(3)
+  })
+
+  it('stops loading when the list names it no more and the log is away', async () => {
+    const under = await startAgentForTest()
+    under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
+    under.log.isUp = false
+    under.listing = { listed: 'missing', leaving: false }
+    await under.advance(AUTHORITY_MS + 6_000)
+    const router = under.connect()
+    router.start('a', { remainingMs: 2_000 })
+    await under.advance(2_500)
+    expect(under.engine.orders).to.deep.equal([])
+    expect(router.refusalOf('a')?.runState).to.equal(RunState.NOT_RUN)
+  })
+})
