Bound callers and retries, choose by least cost, test the router's slices

Cause: the router used the baselines, one hot caller could hold all of its places, and every refusal of a full agent was tried at the next agents too. Changed: the binary uses chooseLeastCost and spreadByDrainTime; retries after a refusal spend the budgets of caller and service, restarts after a loss do not; once half full, places go by the operators' shares; proposals are made at once after a change and not up to half a second later. Conclusion: a storm of retries costs a bounded number of places and attempts.

--- a/packages/router/src/bin.ts
+++ b/packages/router/src/bin.ts
@@ -1,5 +1,5 @@
 import { makeIncarnation, runBinary } from '@figmount/base'
-import { chooseFirstReady, retryAfterFixed } from '@figmount/decisions'
+import { chooseLeastCost, spreadByDrainTime } from '@figmount/decisions'
 import { createRecordsClient, proposeRights } from '@figmount/records'
 
 import { readPlatformList } from './membership/pollInstances.js'
@@ -20,8 +20,8 @@
     incarnation,
     records: createRecordsClient({ address: settings.platform.log, instance, incarnation, timers, events, metrics }),
     readInstances: readPlatformList(settings.platform.instance_list),
-    chooseBackend: chooseFirstReady,
-    chooseRetryAfter: retryAfterFixed,
+    chooseBackend: chooseLeastCost,
+    chooseRetryAfter: spreadByDrainTime,
     proposeRights,
     openAbsentEngine,
     random: Math.random
--- /dev/null
+++ b/packages/router/src/callers/createGate.test.ts
@@ -0,0 +1,61 @@
+import { expect } from 'chai'
+import { Right } from 'purify-ts'
+import { createVirtualTimers } from '@figmount/base'
+import { RefusalReason } from '@figmount/schema'
+
+import { createBench, gather } from '../testing/createBench.js'
+import { createGate } from './createGate.js'
+import { openRequest } from './openRequest.js'
+
+import type { AnswerPart } from '../answers/types.js'
+import type { Behave } from '../testing/createFakeAgent.js'
+
+const never = new AbortController().signal
+const reasonOf = (parts: readonly AnswerPart[]): RefusalReason | undefined => {
+  const last = parts.at(-1)
+  return last?.kind === 'refusal' ? last.note.reason : undefined
+}
+
+describe('gate', () => {
+  it('refuses at once when the router is full, and takes in again', async () => {
+    const bench = createBench({ a1: () => {} })
+    const gate = createGate(bench.timers, 1)
+    const abort = new AbortController()
+    const open = (signal: AbortSignal) => openRequest({ context: bench.context, gate, admit: () => Right(bench.admitted()), fields: {}, resendCount: 0, signal })
+    const first = gather(open(abort.signal))
+    expect(reasonOf(await gather(open(never)))).to.equal(RefusalReason.OVERLOADED)
+    abort.abort()
+    await bench.finish(first)
+    expect(gate.count()).to.equal(0)
+    expect(gate.enter()).to.equal('admitted')
+  })
+
+  // The router is told to stop while an answer streams. New requests are refused with a short
+  // time to come back; the running one gets its last frame before the router ends.
+  it('lets running requests finish when it is closed', async () => {
+    const late: Behave = (message, say) => {
+      if (message.type !== 'start') return
+      const { attemptId } = message
+      bench.timers.after(2_000, () => say({ type: 'final', attemptId, frame: 0, tokenCount: 0, finishReason: 1, version: 'v1' }))
+    }
+    const bench = createBench({ a1: late })
+    const gate = createGate(bench.timers, 10)
+    const open = () => openRequest({ context: bench.context, gate, admit: () => Right(bench.admitted()), fields: {}, resendCount: 0, signal: never })
+    const running = gather(open())
+    await bench.settle(100)
+    gate.close()
+    expect(reasonOf(await gather(open()))).to.equal(RefusalReason.STOPPING)
+    const emptied = gate.whenEmpty(10_000)
+    expect((await bench.finish(running)).at(-1)?.kind).to.equal('final')
+    expect(await emptied).to.equal(true)
+  })
+
+  it('ends the wait at its bound', async () => {
+    const timers = createVirtualTimers()
+    const gate = createGate(timers, 1)
+    gate.enter()
+    const emptied = gate.whenEmpty(500)
+    timers.advance(500)
+    expect(await emptied).to.equal(false)
+  })
+})
--- a/packages/router/src/callers/openRequest.ts
+++ b/packages/router/src/callers/openRequest.ts
@@ -7,7 +7,7 @@
 import { STOPPING_RETRY_MS } from './constants.js'
 
 import type { Either } from 'purify-ts'
-import type { EventFields } from '@figmount/base'
+import type { CallerName, EventFields } from '@figmount/base'
 import type { RefusalNote } from '@figmount/peers'
 import type { AnswerPart } from '../answers/types.js'
 import type { AdmittedRequest, ServeContext } from '../requests/types.js'
@@ -42,6 +42,13 @@
   retryAfterMs: DEFAULT_RETRY_AFTER_MS
 })
 
+const shareHeld = (context: ServeContext, resendCount: number): RefusalNote => notRun({
+  reason: RefusalReason.RATE_LIMITED,
+  detail: 'the caller holds its share of this router\'s places',
+  step: 'callers.share',
+  retryAfterMs: chooseRetry(context, DEFAULT_RETRY_AFTER_MS, resendCount)
+})
+
 const refuse = ({ context, fields, resendCount }: OpenOptions, note: RefusalNote): AnswerPart => {
   const told = truthful(note, resendCount)
   reportRefusal(context, told, fields)
@@ -54,16 +61,23 @@
   const verdict = gate.enter()
   if (verdict !== 'admitted') return yield refuse(options, turnedAway(context, verdict, options.resendCount))
   let hasLeft = false
+  let holder: CallerName | undefined
   const leave = (): void => {
-    if (!hasLeft) gate.leave()
+    if (hasLeft) return
     hasLeft = true
+    gate.leave()
+    if (holder !== undefined) context.shares.leave(holder)
   }
   signal.addEventListener('abort', leave, { once: true })
   try {
     if (!context.records.isReady()) return yield refuse(options, notReady())
     const admitted = admit()
     if (admitted.isLeft()) return yield refuse(options, admitted.swap().unsafeCoerce())
-    yield * serveRequest(context, admitted.unsafeCoerce(), signal)
+    const request = admitted.unsafeCoerce()
+    const { caller, share } = request.run
+    if (!context.shares.enter(caller, share)) return yield refuse(options, shareHeld(context, options.resendCount))
+    holder = caller
+    yield * serveRequest(context, request, signal)
   } finally {
     signal.removeEventListener('abort', leave)
     leave()
--- /dev/null
+++ b/packages/router/src/links/createAgentLink.test.ts
@@ -0,0 +1,77 @@
+import { expect } from 'chai'
+
+import { createBench } from '../testing/createBench.js'
+import { IDLE_LINK_MS } from './constants.js'
+
+import type { AttemptId, InstanceName } from '@figmount/base'
+
+const A1 = 'a1' as InstanceName
+const ATTEMPT = 'r1/1/9' as AttemptId
+const FRAME = { type: 'tokens', attemptId: ATTEMPT, frame: 0, firstTokenIndex: 0, tokens: ['a'] } as const
+
+describe('link to an agent', () => {
+  it('is opened on demand and closed when idle', async () => {
+    const bench = createBench({ a1: () => {} })
+    const link = bench.links.linkTo(A1)
+    expect(bench.agentOf('a1').heard()).to.have.length(0)
+    await bench.finish(link.whenOpen(1_000).run())
+    expect(link.view().isOpen).to.equal(true)
+    await bench.settle(IDLE_LINK_MS + 2_000)
+    expect(link.view().isOpen).to.equal(false)
+  })
+
+  it('tells who waits that the agent cannot be reached', async () => {
+    const bench = createBench({ a1: () => {} })
+    bench.agentOf('a1').setDown(true)
+    const opened = await bench.finish(bench.links.linkTo(A1).whenOpen(1_000).run())
+    expect(opened.isLeft()).to.equal(true)
+    expect(bench.links.viewOf(A1)?.unreachableSinceMs).to.be.a('number')
+  })
+
+  // The link is cut while a request runs that may not be repeated. A start that is sent again
+  // on the new link could run it twice, so only a question may go out.
+  it('asks on a new link for every attempt that was begun, and begins none again', async () => {
+    const bench = createBench({ a1: () => {} })
+    const link = bench.links.linkTo(A1)
+    await bench.finish(link.whenOpen(1_000).run())
+    const begun = link.openAttempt(ATTEMPT, () => 7)
+    link.openAttempt('r1/1/10' as AttemptId, () => 0)
+    const { run } = bench.admitted()
+    begun.begin({ type: 'start', attemptId: ATTEMPT, request: { ...run, doneTokens: [], suspect: false, remainingMs: 1 } })
+    bench.agentOf('a1').cut()
+    await bench.settle(1_000)
+    expect(bench.agentOf('a1').heardOf('start')).to.have.length(1)
+    expect(bench.agentOf('a1').heardOf('resume')).to.deep.equal([{ type: 'resume', attemptId: ATTEMPT, fromFrame: 7 }])
+  })
+
+  // A caller reads slowly while its answer streams on. The router must not hold the answer in
+  // its memory: frames beyond the bound are dropped here and kept by the agent.
+  it('drops frames that a slow reader leaves and says so when it has caught up', async () => {
+    const bench = createBench({ a1: () => {} })
+    const link = bench.links.linkTo(A1)
+    await bench.finish(link.whenOpen(1_000).run())
+    const channel = link.openAttempt(ATTEMPT, () => 0)
+    for (let frame = 0; frame < 1_000; frame += 1) bench.agentOf('a1').say({ ...FRAME, frame })
+    await bench.settle(50)
+    let taken = 0
+    while (await channel.take(0)) taken += 1
+    expect(taken).to.equal(256)
+    expect(channel.hasOverflowed()).to.equal(true)
+    expect(channel.hasOverflowed()).to.equal(false)
+  })
+
+  // The platform restarts an agent's process in the same slot after it has said that it leaves.
+  // Its old word must not keep new work away from it for good.
+  it('forgets that an agent was leaving when it starts anew', async () => {
+    const bench = createBench({ a1: () => {} })
+    const link = bench.links.linkTo(A1)
+    await bench.finish(link.whenOpen(1_000).run())
+    bench.agentOf('a1').say({ type: 'leaving', instance: A1 })
+    await bench.settle(10)
+    expect(link.view().leavingUntilMs).to.equal(Infinity)
+    bench.agentOf('a1').setDown(true)
+    bench.agentOf('a1').cut()
+    await bench.settle(11_000)
+    expect(link.view().leavingUntilMs).to.be.lessThan(bench.timers.nowMs())
+  })
+})
--- a/packages/router/src/links/createAgentLink.ts
+++ b/packages/router/src/links/createAgentLink.ts
@@ -50,6 +50,7 @@
     dataCentre: undefined,
     report: undefined,
     reportAtMs: -Infinity,
+    intervalAtMs: -Infinity,
     unreachableSinceMs: undefined,
     leavingUntilMs: -Infinity,
     appliedOffset: NO_OFFSET
@@ -80,7 +81,9 @@
   const takeReport = (report: AgentReport, incarnation: Incarnation | undefined): void => {
     const isOlder = view.report && view.incarnation === incarnation && report.sequence <= view.report.sequence
     if (isOlder) return
-    view = { ...view, report, incarnation, reportAtMs: timers.nowMs() }
+    const nowMs = timers.nowMs()
+    const hasNewInterval = report.tokenIntervalMs !== view.report?.tokenIntervalMs
+    view = { ...view, report, incarnation, reportAtMs: nowMs, intervalAtMs: hasNewInterval ? nowMs : view.intervalAtMs }
   }
 
   // Guards against running a request twice: whatever was sent on a broken connection may have
--- a/packages/router/src/links/types.ts
+++ b/packages/router/src/links/types.ts
@@ -18,6 +18,8 @@
   readonly report: AgentReport | undefined
   /** Monotonic time at which the report came. */
   readonly reportAtMs: number
+  /** Monotonic time at which a report last brought another token interval. */
+  readonly intervalAtMs: number
   /** Monotonic time since which dialling fails; undefined while it works or was not tried. */
   readonly unreachableSinceMs: number | undefined
   /** Monotonic time until which the agent's own word counts that it takes no new work; -Infinity if it has not said so. */
--- a/packages/router/src/operators/createOperator.ts
+++ b/packages/router/src/operators/createOperator.ts
@@ -92,7 +92,7 @@
     },
     events: (request, handler) => {
       check(handler)
-      return followEvents(events, timers, request, AbortSignal.any([handler.signal, options.stopping]))
+      return followEvents({ events, timers, request, signal: handler.signal, stopping: options.stopping })
     }
   }
 }
--- a/packages/router/src/operators/followEvents.ts
+++ b/packages/router/src/operators/followEvents.ts
@@ -27,15 +27,25 @@
     .map(lineOf)
 }
 
-/** Streams events as they happen until `signal` aborts. */
-export const followEvents = async function * (events: EventLog, timers: TimerService, request: EventsRequest, signal: AbortSignal): AsyncGenerator<EventLine> {
+interface FollowOptions {
+  readonly events: EventLog
+  readonly timers: TimerService
+  readonly request: EventsRequest
+  /** Aborts when the operator leaves. */
+  readonly signal: AbortSignal
+  /** Aborts when the router stops. */
+  readonly stopping: AbortSignal
+}
+
+/** Streams events as they happen until the operator leaves or the router stops. */
+export const followEvents = async function * ({ events, timers, request, signal, stopping }: FollowOptions): AsyncGenerator<EventLine> {
   const mailbox = createMailbox<EventRecord>(timers, MAX_WAITING_EVENTS)
   const isWanted = (event: EventRecord): boolean =>
     (request.requestKey === '' || event.requestKey === request.requestKey) && (request.model === '' || event.model === request.model)
   const unsubscribe = events.subscribe(event => { if (isWanted(event)) mailbox.push(event) })
   signal.addEventListener('abort', unsubscribe, { once: true })
   try {
-    while (!signal.aborted) {
+    while (!signal.aborted && !stopping.aborted) {
       const event = await mailbox.take(LOOK_MS, signal)
       if (event) yield lineOf(event)
     }
--- a/packages/router/src/proposals/runProposer.ts
+++ b/packages/router/src/proposals/runProposer.ts
@@ -1,6 +1,7 @@
 import { sleep } from '@figmount/base'
 import { proposeVoids, shouldPropose } from '@figmount/records'
 
+import { createMailbox } from '../answers/createMailbox.js'
 import { submitProposal } from './submitProposal.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
@@ -20,8 +21,10 @@
   readonly signal: AbortSignal
 }
 
-/** Pause between rounds; a right is free for this long at most before it is granted. */
+/** Longest pause between rounds; shorter when something has changed. */
 const ROUND_MS = 500
+/** Changes that come within this time are answered by one round. */
+const GATHER_MS = 25
 /** A router whose log has not answered for this long proposes nothing: its view may be old. */
 const FRESH_MS = 5_000
 
@@ -39,10 +42,13 @@
 /** Proposes rights and voids in rounds until `signal` aborts; a round waits until its records were read back. */
 export const runProposer = async (options: Options): Promise<void> => {
   const { records, timers, signal } = options
+  const changes = createMailbox<true>(timers, 1)
+  const unsubscribe = records.onChange(() => { changes.push(true) })
   while (!signal.aborted) {
     const isFresh = records.isReady() && timers.nowMs() - records.confirmedAtMs() < FRESH_MS
     const proposals = isFresh ? findProposals(options) : []
     await Promise.all(proposals.map(async record => await submitProposal(options, record)))
-    await sleep(timers, ROUND_MS, signal)
+    if (await changes.take(ROUND_MS, signal)) await sleep(timers, GATHER_MS, signal)
   }
+  unsubscribe()
 }
--- a/packages/router/src/requests/serveRepeatable.ts
+++ b/packages/router/src/requests/serveRepeatable.ts
@@ -75,8 +75,15 @@
     }))
     .exhaustive()
 
-const mayGoElsewhere = (outcome: AttemptOutcome): boolean =>
-  outcome.kind === 'lost' || outcome.kind === 'unsent' || (outcome.kind === 'refused' && ELSEWHERE_REASONS.has(outcome.note.reason))
+/**
+ * True if another agent may be tried. What was lost goes on elsewhere in any case, because its
+ * caller may have part of the answer; what was refused only within the retry budgets.
+ */
+const mayGoElsewhere = (context: ServeContext, { run }: AdmittedRequest, outcome: AttemptOutcome): boolean => {
+  if (outcome.kind === 'lost' || outcome.kind === 'unsent') return true
+  if (outcome.kind !== 'refused' || !ELSEWHERE_REASONS.has(outcome.note.reason)) return false
+  return context.budgets.spend(run.caller, run.service, context.timers.nowMs())
+}
 
 const noteSend = (context: ServeContext, { run }: AdmittedRequest, candidate: RoutingCandidate): void => {
   const workSeconds = run.maxTokens * candidate.tokenIntervalMs / 1000 / Math.max(1, candidate.batchSize)
@@ -103,6 +110,7 @@
   const tokens: string[] = []
   let progress: ServeProgress = { ...NO_PROGRESS, tokens }
   let lastNote: RefusalNote | undefined
+  context.budgets.credit(admitted.run.caller, admitted.run.service, context.timers.nowMs())
 
   while (!signal.aborted) {
     const quarantined = quarantineNote(context, admitted)
@@ -119,7 +127,7 @@
     if (!note) return
     if (outcome.kind === 'lost') context.events.emit(RouterEvent.attemptLost, { caller: admitted.run.caller, requestKey: admitted.run.requestKey, peer: agent, reason: outcome.detail })
     lastNote = note
-    if (!mayGoElsewhere(outcome) || progress.attemptCount >= MAX_ATTEMPTS) return yield { kind: 'refusal', note: finalNote(note, admitted, progress) }
+    if (progress.attemptCount >= MAX_ATTEMPTS || !mayGoElsewhere(context, admitted, outcome)) return yield { kind: 'refusal', note: finalNote(note, admitted, progress) }
   }
 }
 
--- a/packages/router/src/requests/types.ts
+++ b/packages/router/src/requests/types.ts
@@ -7,7 +7,9 @@
 import type { RoutingSources } from '../routing/types.js'
 import type { SendLog } from '../routing/createSendLog.js'
 import type { PrefixMap } from '../routing/createPrefixMap.js'
+import type { CallerShares } from '../retries/createCallerShares.js'
 import type { RefusalLog } from '../retries/createRefusalLog.js'
+import type { RetryBudgets } from '../retries/createRetryBudgets.js'
 import type { Suspects } from '../suspects/types.js'
 
 /** A checked request of a known caller for a known target. Times are monotonic. */
@@ -29,6 +31,8 @@
   readonly coldStarts: ColdStarts
   readonly suspects: Suspects
   readonly refusals: RefusalLog
+  readonly budgets: RetryBudgets
+  readonly shares: CallerShares
   readonly chooseBackend: ChooseBackend
   readonly chooseRetryAfter: ChooseRetryAfter
   readonly newAttemptId: () => AttemptId
--- a/packages/router/src/router/startRouter.ts
+++ b/packages/router/src/router/startRouter.ts
@@ -15,7 +15,9 @@
 import { pickNeighbours } from '../peers/pickNeighbours.js'
 import { createPlainHandler } from '../plain/createPlainHandler.js'
 import { runProposer } from '../proposals/runProposer.js'
+import { createCallerShares } from '../retries/createCallerShares.js'
 import { createRefusalLog } from '../retries/createRefusalLog.js'
+import { createRetryBudgets } from '../retries/createRetryBudgets.js'
 import { createColdStarts } from '../routing/createColdStarts.js'
 import { createPrefixMap } from '../routing/createPrefixMap.js'
 import { createSendLog } from '../routing/createSendLog.js'
@@ -122,6 +124,8 @@
     coldStarts: createColdStarts(),
     suspects,
     refusals: createRefusalLog(),
+    budgets: createRetryBudgets(),
+    shares: createCallerShares(settings.limits.admitted_count),
     chooseBackend: parts.chooseBackend,
     chooseRetryAfter: parts.chooseRetryAfter,
     newAttemptId: () => makeAttemptId(instance, incarnation, attemptCount++),
--- /dev/null
+++ b/packages/router/src/routing/buildCandidates.test.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai'
+import { findReplicaRights } from '@figmount/records'
+
+import { createBench, MODEL } from '../testing/createBench.js'
+import { buildCandidates } from './buildCandidates.js'
+import { createPrefixMap } from './createPrefixMap.js'
+import { createSendLog } from './createSendLog.js'
+
+import type { InstanceName } from '@figmount/base'
+import type { RoutingSources, Wanted } from './types.js'
+
+const A1 = 'a1' as InstanceName
+
+const namesOf = (sources: RoutingSources, wanted: Wanted): readonly string[] => buildCandidates(sources, wanted).map(candidate => candidate.instance)
+
+describe('candidates', () => {
+  it('leave out agents that are drained, leaving, gone or excluded', () => {
+    const bench = createBench({ a1: () => {}, a2: () => {} })
+    const wanted: Wanted = { replicas: findReplicaRights(bench.records.state(), MODEL), adapter: '', coldStartMs: 1, excluded: new Set() }
+    const sources = bench.context.sourcesFor(MODEL, '')
+    expect(namesOf(sources, wanted)).to.deep.equal(['a1', 'a2'])
+    expect(namesOf(sources, { ...wanted, excluded: new Set([A1]) })).to.deep.equal(['a2'])
+    const listed = sources.list.instances.get(A1)
+    const leaving = new Map([...sources.list.instances, ...(listed ? [[A1, { ...listed, leaving: true }] as const] : [])])
+    expect(namesOf({ ...sources, list: { ...sources.list, instances: leaving } }, wanted)).to.deep.equal(['a2'])
+    bench.records.put({ kind: 'drain.set', instance: A1, draining: true, operatorName: 'op' })
+    expect(namesOf(bench.context.sourcesFor(MODEL, ''), wanted)).to.deep.equal(['a2'])
+  })
+
+  it('carry own sends until a report shows them', () => {
+    const sends = createSendLog()
+    sends.add(A1, 2, 1_000)
+    sends.add(A1, 3, 1_500)
+    expect(sends.unreportedSeconds(A1, 900)).to.equal(5)
+    expect(sends.unreportedSeconds(A1, 1_200)).to.equal(3)
+    expect(sends.unreportedSeconds(A1, 2_000)).to.equal(0)
+  })
+
+  it('remember a bounded number of prefixes, the latest used', () => {
+    const prefixes = createPrefixMap(2)
+    prefixes.note(MODEL, 'p1', A1)
+    prefixes.note(MODEL, 'p2', A1)
+    prefixes.note(MODEL, 'p1', A1)
+    prefixes.note(MODEL, 'p3', A1)
+    expect(['p1', 'p2', 'p3'].map(hint => prefixes.holderOf(MODEL, hint))).to.deep.equal([A1, undefined, A1])
+  })
+})
--- a/packages/router/src/testing/createBench.ts
+++ b/packages/router/src/testing/createBench.ts
@@ -1,8 +1,10 @@
-import { createEventLog, createMetrics, createVirtualTimers, makeAttemptId } from '@figmount/base'
+import { createEventLog, createMetrics, createVirtualTimers, makeAttemptId, sleep } from '@figmount/base'
 import { chooseFirstReady, retryAfterFixed } from '@figmount/decisions'
 
 import { createAgentLinks } from '../links/createAgentLinks.js'
+import { createCallerShares } from '../retries/createCallerShares.js'
 import { createRefusalLog } from '../retries/createRefusalLog.js'
+import { createRetryBudgets } from '../retries/createRetryBudgets.js'
 import { createColdStarts } from '../routing/createColdStarts.js'
 import { createPrefixMap } from '../routing/createPrefixMap.js'
 import { createSendLog } from '../routing/createSendLog.js'
@@ -70,6 +72,8 @@
     coldStarts: createColdStarts(),
     suspects: createSuspects({ state: records.state, unixMs: timers.unixMs }),
     refusals: createRefusalLog(),
+    budgets: createRetryBudgets(),
+    shares: createCallerShares(100),
     chooseBackend: chooseFirstReady,
     chooseRetryAfter: retryAfterFixed,
     newAttemptId: () => makeAttemptId(ROUTER, INCARNATION, attemptCount++),
@@ -98,6 +102,9 @@
     return await task
   }
 
+  /** Lets virtual time pass. */
+  const settle = async (durationMs: number): Promise<void> => await finish(sleep(timers, durationMs))
+
   const admitted = (run: Partial<AdmittedRequest['run']> = {}, deadlineMs = 60_000): AdmittedRequest => ({
     receivedAtMs: timers.nowMs(),
     deadlineAtMs: timers.nowMs() + deadlineMs,
@@ -126,7 +133,7 @@
     kind: 'right.grant', right: { kind: 'keys', target: MODEL }, instance: instance as InstanceName, incarnation: INCARNATION, expectedFence: 0
   })
 
-  return { context, timers, records, events, links, agentOf, finish, admitted, grantKeys }
+  return { context, timers, records, events, links, agentOf, finish, settle, admitted, grantKeys }
 }
 
 /** Gathers an answer to its end. */
