Send reports on a link only where they changed

Cause: every heartbeat answer carried the whole report, some 2 KB for an agent with 20 models; a router that uses 20 links would hear 40 KB a second, and the budget for control is 7 KB. A heartbeat answer without a report counts as a fresh one.

--- a/packages/peers/src/messages/types.ts
+++ b/packages/peers/src/messages/types.ts
@@ -99,7 +99,8 @@
 /** What an agent says to a router. */
 export type FromAgent =
   | { readonly type: 'welcome', readonly instance: InstanceName, readonly incarnation: Incarnation, readonly dataCentre: DataCentre, readonly report: AgentReport }
-  | { readonly type: 'heartbeat.ack', readonly sentAtMs: number, readonly report: AgentReport }
+  /** Without a report if nothing has changed since the last one on this link. */
+  | { readonly type: 'heartbeat.ack', readonly sentAtMs: number, readonly report?: AgentReport }
   /** The request waits, loads or runs; sent on every change and once a second while it waits. */
   | { readonly type: 'progress', readonly attemptId: AttemptId, readonly state: WaitState, readonly estimatedWaitMs: number }
   | { readonly type: 'tokens', readonly attemptId: AttemptId, readonly frame: number, readonly firstTokenIndex: number, readonly tokens: readonly string[] }
@@ -135,6 +136,10 @@
   readonly memoryCapacityMb: number
   readonly memoryUsedMb: number
   readonly models: readonly ModelReport[]
+  /** True when `models` holds only those that changed since the last report on this link. */
+  readonly partial?: boolean
+  /** With `partial`: models of earlier reports that are no longer held. */
+  readonly goneModels?: readonly ModelId[]
 }
 
 export interface ModelReport {
--- a/packages/router/src/links/createAgentLink.ts
+++ b/packages/router/src/links/createAgentLink.ts
@@ -1,7 +1,7 @@
 import { EitherAsync, Left, Right } from 'purify-ts'
 import { match } from 'ts-pattern'
 import { FaultKind, makeFault, sleep } from '@figmount/base'
-import { HEARTBEAT_MS, NO_OFFSET } from '@figmount/peers'
+import { HEARTBEAT_MS, mergeReport, NO_OFFSET } from '@figmount/peers'
 
 import { createMailbox } from '../answers/createMailbox.js'
 import { RouterEvent } from '../events.js'
@@ -83,7 +83,7 @@
     if (isOlder) return
     const nowMs = timers.nowMs()
     const hasNewInterval = report.tokenIntervalMs !== view.report?.tokenIntervalMs
-    view = { ...view, report, incarnation, reportAtMs: nowMs, intervalAtMs: hasNewInterval ? nowMs : view.intervalAtMs }
+    view = { ...view, report: mergeReport(view.report, report), incarnation, reportAtMs: nowMs, intervalAtMs: hasNewInterval ? nowMs : view.intervalAtMs }
   }
 
   // Guards against running a request twice: whatever was sent on a broken connection may have
@@ -126,7 +126,10 @@
 
   const handle = (message: FromAgent): void => match(message)
     .with({ type: 'welcome' }, takeWelcome)
-    .with({ type: 'heartbeat.ack' }, ({ report }) => { if (report) takeReport(report, view.incarnation) })
+    .with({ type: 'heartbeat.ack' }, ({ report }) => {
+      if (report) return takeReport(report, view.incarnation)
+      view = { ...view, reportAtMs: timers.nowMs() }
+    })
     .with({ type: 'progress' }, { type: 'tokens' }, { type: 'final' }, { type: 'refused' }, { type: 'unknown' }, deliver)
     .with({ type: 'permit.reply' }, ({ askId, reply }) => { asks.get(askId)?.(reply) })
     .with({ type: 'leaving' }, leaving => {
