Let the agent leave unchanged parts out of its reports

Changed: each router's link has a thinner of its own; the welcome is always whole. Conclusion: an idle link carries heartbeats only.

--- a/packages/agent/src/links/runRouterLink.ts
+++ b/packages/agent/src/links/runRouterLink.ts
@@ -1,4 +1,5 @@
 import { match } from 'ts-pattern'
+import { createReportThinner } from '@figmount/peers'
 
 import { RECORDS_PER_MESSAGE } from './constants.js'
 
@@ -10,6 +11,8 @@
 import type { KeyName } from '../once/types.js'
 import type { RouterLink } from './createLinkBook.js'
 
+type ThinReport = ReturnType<typeof createReportThinner>
+
 type PermitAsk = Extract<ToAgent, { type: 'permit.ask' }>
 
 /** What a router's messages are handed to. */
@@ -26,15 +29,19 @@
   readonly onClose: (link: RouterLink) => void
 }
 
-const handle = (handlers: LinkHandlers, link: RouterLink, message: ToAgent): void => {
+const handle = (handlers: LinkHandlers, link: RouterLink, thinReport: ThinReport, message: ToAgent): void => {
   const { context, attempts } = handlers
   const { records, instance, incarnation, settings } = context
   return match(message)
     .with({ type: 'hello' }, () => {
       const dataCentre = settings.process.data_centre as DataCentre
-      link.send({ type: 'welcome', instance, incarnation, dataCentre, report: handlers.report() })
+      const report = handlers.report()
+      link.send({ type: 'welcome', instance, incarnation, dataCentre, report: thinReport(report) ?? report })
+    })
+    .with({ type: 'heartbeat' }, ({ sentAtMs }) => {
+      const report = thinReport(handlers.report())
+      link.send({ type: 'heartbeat.ack', sentAtMs, ...(report ? { report } : {}) })
     })
-    .with({ type: 'heartbeat' }, ({ sentAtMs }) => link.send({ type: 'heartbeat.ack', sentAtMs, report: handlers.report() }))
     .with({ type: 'start' }, start => handlers.start(start, link))
     .with({ type: 'resume' }, ({ attemptId, fromFrame }) => {
       const known = attempts.resolve(attemptId)
@@ -60,9 +67,10 @@
 
 /** The task of one router's connection: reads its messages until it ends. Attempts outlive it. */
 export const runRouterLink = (handlers: LinkHandlers) => async (link: RouterLink): Promise<void> => {
+  const thinReport = createReportThinner()
   handlers.onOpen(link)
   try {
-    for await (const message of link.received) handle(handlers, link, message)
+    for await (const message of link.received) handle(handlers, link, thinReport, message)
   } finally {
     handlers.attempts.unsubscribeAll(link)
     handlers.onClose(link)
