Decide by the policies under load, with estimates of the agent's own

Cause: the agent ran on the baselines, and its prediction of a wait counted all running work as if it stood in front of a new request. Changed: admission by deadline, fair share, eviction by least loss, keep-alive by history, loads by need and back-off by need are passed in; the agent gives them what they ask for: wait until a place in the batch is free, the error of its own predictions, lengths of answers per model, recent refusals, memory pressure. Expected tokens are accounted when a request starts and corrected when it ends. A model's memory is shown to eviction without its adapters', which go with it.

--- a/packages/agent/src/agent/createAdmission.ts
+++ b/packages/agent/src/agent/createAdmission.ts
@@ -3,13 +3,13 @@
 
 import { attemptFields } from '../attempts/createAttemptStore.js'
 import { AgentEvent } from '../events.js'
-import { secondsAhead } from '../queueing/workAhead.js'
 import { mayHaveRun, notRun, quarantined } from './refusals.js'
 
 import type { AttemptId } from '@figmount/base'
 import type { Permit, RefusalNote, RunRequest } from '@figmount/peers'
 import type { AttemptStore } from '../attempts/createAttemptStore.js'
 import type { Attempt, Subscriber } from '../attempts/types.js'
+import type { Estimates } from '../queueing/createEstimates.js'
 import type { PermitLedger } from '../once/createPermitLedger.js'
 import type { Queue } from '../queueing/createQueue.js'
 import type { SuspectBook } from '../suspects/createSuspectBook.js'
@@ -24,6 +24,9 @@
   readonly suspects: SuspectBook
   readonly dispatcher: Dispatcher
   readonly backend: BackendView
+  readonly estimates: Estimates
+  /** Expected time until a request of a priority gets a place in the batch. */
+  readonly secondsAhead: (priority: number) => number
   readonly isDraining: () => boolean
   /** True when the agreed state is known and names this run of the agent. */
   readonly isReady: () => boolean
@@ -35,6 +38,8 @@
   readonly permit?: Permit
 }
 
+const MS_PER_SECOND = 1000
+
 /** Takes in what routers ask to start. */
 export type HandleStart = (start: Start, subscriber: Subscriber) => void
 
@@ -44,7 +49,7 @@
 
 /** Makes the admission of one agent. */
 export const createAdmission = (options: Options): HandleStart => {
-  const { context: { timers, events, instance, incarnation, settings, decisions }, attempts, queue, permits, backend, dispatcher } = options
+  const { context: { timers, events, instance, incarnation, settings, decisions }, attempts, queue, permits, backend, dispatcher, estimates } = options
 
   const unlessResent = (request: RunRequest): (details: Parameters<typeof notRun>[0]) => RefusalNote =>
     request.resendCount === 0 ? notRun : mayHaveRun
@@ -62,15 +67,21 @@
     const pace = dispatcher.pace()
     const verdict = decisions.admit({
       remainingMs: request.remainingMs,
-      expectedTokens: request.maxTokens - request.doneTokens.length,
+      expectedTokens: estimates.expectedTokens(request),
       priority: request.priority,
       readyInMs: backend.readyInMs(attempt),
-      secondsAhead: secondsAhead(queue.all(), dispatcher.running(), pace, request.priority),
+      secondsAhead: options.secondsAhead(request.priority),
       tokenIntervalMs: pace.tokenIntervalMs,
       queuedCount: queue.count(),
-      maxQueuedCount: settings.limits.max_queued
+      maxQueuedCount: settings.limits.max_queued,
+      waitRatio: estimates.waitRatio().mean,
+      waitRatioDeviation: estimates.waitRatio().deviation,
+      recentRefusals: estimates.recentRefusals(),
+      servedPerSecond: estimates.servedPerSecond(),
+      resendCount: request.resendCount
     }, decisions.random)
     if (verdict.kind === 'admit') return undefined
+    estimates.noteRefusal()
     return notRun({ reason: RefusalReason.OVERLOADED, detail: verdict.detail, step: 'queueing.admit', peer: instance, retryAfterMs: verdict.retryAfterMs })
   }
 
@@ -97,7 +108,7 @@
   }
 
   const enqueue = (attempt: Attempt): void => {
-    queue.add(attempt)
+    queue.add(attempt, backend.readyInMs(attempt) + options.secondsAhead(attempt.request.priority) * MS_PER_SECOND)
     events.emit(AgentEvent.attemptQueued, { ...attemptFields(attempt), version: backend.versionOf(attempt), adapter: attempt.request.adapter, count: queue.count() })
     attempts.tell(attempt.id, backend.progressOf(attempt))
     dispatcher.poke()
--- a/packages/agent/src/agent/createAgent.ts
+++ b/packages/agent/src/agent/createAgent.ts
@@ -9,7 +9,8 @@
 import { PROGRESS_MS, PUMP_MS } from '../queueing/constants.js'
 import { createQueue } from '../queueing/createQueue.js'
 import { viewDemands } from '../queueing/viewDemands.js'
-import { secondsAhead } from '../queueing/workAhead.js'
+import { createEstimates } from '../queueing/createEstimates.js'
+import { secondsAhead, secondsInAll } from '../queueing/workAhead.js'
 import { makeReport } from '../reporting/makeReport.js'
 import { createReliableAppender } from '../rights/appendReliably.js'
 import { createRightsKeeper } from '../rights/createRightsKeeper.js'
@@ -57,7 +58,8 @@
   const append = createReliableAppender(context, stopping.signal)
   const links = createLinkBook(timers, () => records.state().nextOffset)
   const attempts = createAttemptStore({ timers, events, maxKeptBytes: settings.limits.kept_answers_mb * BYTES_PER_MB })
-  const queue = createQueue({ timers, pickNext: decisions.pickNext, accountServed: decisions.accountServed })
+  const estimates = createEstimates(timers)
+  const queue = createQueue({ timers, pickNext: decisions.pickNext, accountServed: decisions.accountServed, expectedTokens: estimates.expectedTokens })
   let sequence = 0
   let demands: ReadonlyMap<ModelId, Demand> | undefined
 
@@ -76,7 +78,15 @@
     return demands
   }
 
-  const queuedMs = (): number => secondsAhead(queue.all(), dispatcher.running(), dispatcher.pace(), 0) * MS_PER_SECOND
+  const work = (): Parameters<typeof secondsInAll>[0] => ({
+    queued: queue.all(),
+    running: dispatcher.running(),
+    pace: dispatcher.pace(),
+    remainingTokens: ({ request, tokenCount }) =>
+      Math.max(1, estimates.expectedTokens(request) - (tokenCount - request.doneTokens.length))
+  })
+
+  const queuedMs = (): number => secondsAhead(work(), 0) * MS_PER_SECOND
 
   const engineBackend: EngineBackend | undefined = engine && createEngineBackend({
     context,
@@ -119,6 +129,7 @@
     attempts,
     queue,
     backend,
+    estimates,
     suspicionOf: suspects.verdictOf,
     onNotRun: ({ id, request }) => {
       if (request.repeatable) return
@@ -159,6 +170,7 @@
     queued: [...queue.all()],
     running: dispatcher.running(),
     pace: dispatcher.pace(),
+    queuedSeconds: secondsInAll(work()),
     nowMs: timers.nowMs(),
     ...(engineBackend
       ? { engine: { state: engineBackend.loader.state(), slots: rights.current().slots, demands: currentDemands(), planOf: engineBackend.planOf } }
@@ -173,6 +185,8 @@
     suspects,
     dispatcher,
     backend,
+    estimates,
+    secondsAhead: priority => secondsAhead(work(), priority),
     isDraining: () => drain.reason() !== undefined,
     isReady: () => records.isReady() && isAnnounced(context)
   })
--- a/packages/agent/src/agent/createDispatcher.ts
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -13,6 +13,7 @@
 import type { SuspectVerdict } from '@figmount/records'
 import type { AttemptStore } from '../attempts/createAttemptStore.js'
 import type { Attempt, Progress } from '../attempts/types.js'
+import type { Estimates } from '../queueing/createEstimates.js'
 import type { Queue, QueuedAttempt } from '../queueing/createQueue.js'
 import type { Pace } from '../queueing/workAhead.js'
 import type { RunEnd, RunOnBackend } from '../running/types.js'
@@ -41,6 +42,7 @@
   readonly attempts: AttemptStore
   readonly queue: Queue
   readonly backend: BackendView
+  readonly estimates: Estimates
   /** How the request stands after earlier deaths of engines. */
   readonly suspicionOf: (attempt: Attempt) => SuspectVerdict
   /** Called when a request that may not be repeated turned out not to have run. */
@@ -55,6 +57,8 @@
   readonly attempt: Attempt
   readonly controller: AbortController
   readonly isSuspect: boolean
+  /** Tokens accounted for fairness when it started. */
+  readonly accountedTokens: number
   /** What the attempt is refused with when its run is cancelled. */
   cancelNote: RefusalNote | undefined
 }
@@ -76,7 +80,7 @@
 
 /** Makes the dispatcher of one agent. */
 export const createDispatcher = (options: Options): Dispatcher => {
-  const { context: { timers, events, instance }, attempts, queue, backend } = options
+  const { context: { timers, events, instance }, attempts, queue, backend, estimates } = options
   const runs = new Map<AttemptId, Run>()
   let tokenIntervalMs = ASSUMED_TOKEN_INTERVAL_MS
   let isPoked = false
@@ -128,6 +132,7 @@
   const finish = (run: Run, end: RunEnd): void => match(end)
     .with({ kind: 'finished' }, ({ finishReason, plain }) => {
       attempts.finish(run.attempt.id, finishReason, plain)
+      estimates.noteAnswer(run.attempt.request.model, run.attempt.tokenCount)
       options.onAnswered(run.attempt)
     })
     .with({ kind: 'notRun' }, faulty => {
@@ -168,15 +173,18 @@
     }, run.controller.signal)
     finish(run, end)
     runs.delete(attempt.id)
-    queue.account(attempt, attempt.tokenCount - attempt.request.doneTokens.length)
+    queue.account(attempt, attempt.tokenCount - attempt.request.doneTokens.length - run.accountedTokens)
     backend.onUse(attempt)
     poke()
   }
 
-  const start = ({ attempt }: QueuedAttempt, isSuspect: boolean): void => {
+  const start = ({ attempt, predictedWaitMs }: QueuedAttempt, isSuspect: boolean): void => {
     queue.remove(attempt.id)
+    const accountedTokens = estimates.expectedTokens(attempt.request)
+    queue.account(attempt, accountedTokens)
+    estimates.noteWait(predictedWaitMs, timers.nowMs() - attempt.arrivedAtMs)
     const version = backend.versionOf(attempt)
-    const run: Run = { attempt, controller: new AbortController(), isSuspect, cancelNote: undefined }
+    const run: Run = { attempt, controller: new AbortController(), isSuspect, accountedTokens, cancelNote: undefined }
     runs.set(attempt.id, run)
     attempts.start(attempt.id, version)
     backend.onUse(attempt)
--- a/packages/agent/src/agent/createEngineBackend.ts
+++ b/packages/agent/src/agent/createEngineBackend.ts
@@ -48,7 +48,7 @@
   const { context, engine, authority, rights, poke } = options
   const { settings, timers, events, records, decisions, instance } = context
 
-  const loader = createLoader({ engine, timers, events, kvCacheMb: settings.limits.kv_cache_mb, random: decisions.random, onChange: poke })
+  const loader = createLoader({ engine, timers, events, kvCacheMb: settings.limits.kv_cache_mb, backOffLoad: decisions.backOffLoad, random: decisions.random, onChange: poke })
   const watch = createEngineWatch({
     engine,
     timers,
--- a/packages/agent/src/agent/startAgent.ts
+++ b/packages/agent/src/agent/startAgent.ts
@@ -1,5 +1,5 @@
 import { makeIncarnation, serveRpc } from '@figmount/base'
-import { accountNothing, admitUntilFull, evictLeastRecent, keepFixedTime, orderByArrival, pickFirstCome } from '@figmount/decisions'
+import { accountDecayed, admitByDeadline, backOffByNeed, evictLeastLoss, keepByHistory, orderByNeed, pickFairShare } from '@figmount/decisions'
 import { acceptLinks } from '@figmount/peers'
 import { createRecordsClient } from '@figmount/records'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
@@ -18,12 +18,13 @@
 const chooseDecisions = (seed: number): AgentDecisions => {
   const generator = xoroshiro128plus(seed)
   return {
-    admit: admitUntilFull,
-    pickNext: pickFirstCome,
-    accountServed: accountNothing,
-    keepAlive: keepFixedTime(),
-    chooseVictims: evictLeastRecent,
-    orderLoads: orderByArrival,
+    admit: admitByDeadline,
+    pickNext: pickFairShare,
+    accountServed: accountDecayed,
+    keepAlive: keepByHistory,
+    chooseVictims: evictLeastLoss,
+    orderLoads: orderByNeed,
+    backOffLoad: backOffByNeed,
     random: () => uniformFloat64(generator)
   }
 }
--- a/packages/agent/src/agent/types.ts
+++ b/packages/agent/src/agent/types.ts
@@ -1,5 +1,5 @@
 import type { EventLog, Incarnation, InstanceName, Metrics, TimerService } from '@figmount/base'
-import type { AccountServed, Admit, ChooseVictims, KeepAlive, OrderLoads, PickNext } from '@figmount/decisions'
+import type { AccountServed, Admit, ChooseLoadBackoff, ChooseVictims, KeepAlive, OrderLoads, PickNext } from '@figmount/decisions'
 import type { RecordsClient } from '@figmount/records'
 import type { AgentSettings } from '../settings/agentSettings.js'
 
@@ -11,6 +11,7 @@
   readonly keepAlive: KeepAlive
   readonly chooseVictims: ChooseVictims
   readonly orderLoads: OrderLoads
+  readonly backOffLoad: ChooseLoadBackoff
   /** Yields numbers in [0, 1). */
   readonly random: () => number
 }
--- a/packages/agent/src/eviction/viewResidents.ts
+++ b/packages/agent/src/eviction/viewResidents.ts
@@ -20,7 +20,7 @@
   return MS_PER_HOUR * slot.pastGapsMs.length / Math.max(1, sumMs)
 }
 
-/** Resident models and adapters without an open order, as the choice of what to unload sees them. */
+/** Resident models and adapters without an open order, as the choice of what to unload sees them; a model's memory is without its adapters'. */
 export const viewResidents = ({ state, demandOf, isPinned, nowMs }: Options): readonly ResidentView[] => {
   const views: ResidentView[] = []
   for (const slot of state.slots.values()) {
@@ -32,9 +32,7 @@
       priority: demand?.highestPriority ?? 0,
       requestsPerHour: requestsPerHour(slot)
     }
-    let adaptersMb = 0
     for (const adapter of slot.adapters.values()) {
-      adaptersMb += adapter.memoryMb
       if (adapter.phase !== 'ready') continue
       views.push({
         ...shared,
@@ -49,8 +47,7 @@
     views.push({
       ...shared,
       adapter: '',
-      // Its adapters go with a model.
-      memoryMb: slot.memoryMb + adaptersMb,
+      memoryMb: slot.memoryMb,
       runningCount: demand?.runningCount ?? 0,
       queuedCount: demand?.waitingCount ?? 0,
       idleMs: nowMs - slot.lastUsedMs,
--- a/packages/agent/src/loading/constants.ts
+++ b/packages/agent/src/loading/constants.ts
@@ -11,10 +11,6 @@
 export const LOAD_RETRY_MS = 1_000
 export const LOAD_RETRY_MAX_MS = 30_000
 
-/** First and longest pause after the weight store refused. Grounds: it serves 2 to 4 loads a second in all. */
-export const STORE_RETRY_MS = 500
-export const STORE_RETRY_MAX_MS = 15_000
-
 /** Weight of a new measurement in smoothed times. */
 export const SMOOTHING = 0.3
 
--- a/packages/agent/src/loading/createLoader.ts
+++ b/packages/agent/src/loading/createLoader.ts
@@ -2,11 +2,12 @@
 import { emptyLedger, usedMb } from '../memory/ledger.js'
 import { followOrder } from './followOrder.js'
 import { planOrders } from './planOrders.js'
-import { closeOrder, findSlot, isOvercommitted, reconcile, touch } from './slots.js'
-import { backOffStore, easeStore, freshPace } from './storePace.js'
+import { closeOrder, expectedLoadMs, findSlot, isOvercommitted, reconcile, touch } from './slots.js'
+import { easeStore, freshPace, holdBack } from './storePace.js'
 import { runInBackground } from '../agent/runInBackground.js'
 
 import type { EventFields, EventLog, ModelId, TimerService } from '@figmount/base'
+import type { ChooseLoadBackoff } from '@figmount/decisions'
 import type { EngineClient, EngineOrder, Inventory } from '../engine/types.js'
 import type { PlanView } from './planOrders.js'
 import type { EngineState, OrderOutcome, Slot } from './types.js'
@@ -16,6 +17,7 @@
   readonly timers: TimerService
   readonly events: EventLog
   readonly kvCacheMb: number
+  readonly backOffLoad: ChooseLoadBackoff
   readonly random: () => number
   /** Called when an order has ended. */
   readonly onChange: () => void
@@ -55,7 +57,7 @@
 } as const
 
 /** Makes the loader of one engine. */
-export const createLoader = ({ engine, timers, events, kvCacheMb, random, onChange }: Options): Loader => {
+export const createLoader = ({ engine, timers, events, kvCacheMb, backOffLoad, random, onChange }: Options): Loader => {
   let state: EngineState = { slots: new Map(), ledger: emptyLedger(0, kvCacheMb), store: freshPace }
   let lastInputs: PlanInputs | undefined
   const stopping = new AbortController()
@@ -83,9 +85,17 @@
       return
     }
     if (!outcome.storeIsFull) return
-    const waitingCount = lastInputs?.demands.get(order.model)?.waitingCount ?? 0
-    state = { ...state, store: backOffStore(state.store, waitingCount, timers.nowMs(), random) }
-    events.emit(AgentEvent.storeBackedOff, { model: order.model, count: waitingCount, waitMs: Math.round(state.store.notBeforeMs - timers.nowMs()) })
+    const demand = lastInputs?.demands.get(order.model)
+    const nowMs = timers.nowMs()
+    const view = {
+      waitingCount: demand?.waitingCount ?? 0,
+      highestPriority: demand?.highestPriority ?? 0,
+      refusedCount: state.store.failureCount,
+      waitedMs: demand ? nowMs - demand.askedAtMs : 0,
+      loadMs: expectedLoadMs(slot)
+    }
+    state = { ...state, store: holdBack(state.store, backOffLoad(view, random), nowMs) }
+    events.emit(AgentEvent.storeBackedOff, { model: order.model, count: view.waitingCount, waitMs: Math.round(state.store.notBeforeMs - timers.nowMs()) })
   }
 
   const close = (order: EngineOrder, outcome: OrderOutcome): void => {
--- a/packages/agent/src/loading/planOrders.ts
+++ b/packages/agent/src/loading/planOrders.ts
@@ -40,6 +40,16 @@
   return right !== undefined && !right.revoked && plan !== undefined && right.slotIndex < plan.spec.minReplicas
 }
 
+/** Share of the memory that models which are waited for would take if they could. */
+const pressureOf = (view: PlanView): number => {
+  let wantedMb = 0
+  for (const [model, demand] of view.demands) {
+    if (demand.waitingCount === 0 || findSlot(view.state, model).phase !== 'cold') continue
+    wantedMb += view.planOf(model)?.spec.memoryMb ?? 0
+  }
+  return Math.min(1, wantedMb / Math.max(1, view.state.ledger.capacityMb))
+}
+
 /** True when a resident model has to go for another reason than space. */
 const mustUnload = (view: PlanView, slot: Slot): boolean => {
   const demand = view.demands.get(slot.model)
@@ -51,7 +61,7 @@
   const isWaitedFor = (demand?.waitingCount ?? 0) > 0
   if (slot.version !== (isWaitedFor && demand ? demand.version : plan.spec.currentVersion)) return true
   if (isWaitedFor || isPinned(view, slot.model)) return false
-  return view.keepAlive(viewIdle(slot, plan, view.state.ledger.capacityMb, view.nowMs)) <= 0
+  return view.keepAlive(viewIdle(slot, plan, view.state.ledger.capacityMb, pressureOf(view), view.nowMs)) <= 0
 }
 
 const planUnloads = (view: PlanView): readonly EngineOrder[] => {
@@ -114,7 +124,10 @@
   const residents = viewResidents({
     state, nowMs: view.nowMs, demandOf: model => view.demands.get(model), isPinned: model => isPinned(view, model)
   })
-  return view.chooseVictims(residents, missingMb)?.map(victim => victimOrder(view, victim))
+  const victims = view.chooseVictims(residents, missingMb)
+  const models = new Set(victims?.filter(({ adapter }) => adapter === '').map(({ model }) => model))
+  // The adapters of a model go with it, without orders of their own.
+  return victims?.filter(({ model, adapter }) => adapter === '' || !models.has(model)).map(victim => victimOrder(view, victim))
 }
 
 const loadOf = (view: PlanView, model: ModelId): EngineOrder | undefined => {
--- a/packages/agent/src/queueing/createQueue.ts
+++ b/packages/agent/src/queueing/createQueue.ts
@@ -7,6 +7,8 @@
 /** A queued attempt with what the order of service is decided on. */
 export interface QueuedAttempt {
   readonly attempt: Attempt
+  /** What its wait was expected to be when it was admitted. */
+  readonly predictedWaitMs: number
   readonly waiting: WaitingRequest<AttemptId>
 }
 
@@ -14,20 +16,22 @@
   readonly timers: TimerService
   readonly pickNext: PickNext
   readonly accountServed: AccountServed
+  readonly expectedTokens: (request: Attempt['request']) => number
 }
 
 /** The bounded queue of one agent; its bound is kept at admission. */
 export interface Queue {
-  readonly add: (attempt: Attempt) => void
+  readonly add: (attempt: Attempt, predictedWaitMs: number) => void
   readonly remove: (id: AttemptId) => void
   readonly all: () => Iterable<QueuedAttempt>
   readonly count: () => number
   /** Picks the next among those that can start now; it stays queued until removed. */
   readonly pick: (canStart: (queued: QueuedAttempt) => boolean) => QueuedAttempt | undefined
+  /** Accounts tokens for fairness; a negative count takes back what was accounted too much. */
   readonly account: (attempt: Attempt, tokenCount: number) => void
 }
 
-const waitingOf = ({ id, request, arrivedAtMs, deadlineAtMs }: Attempt): WaitingRequest<AttemptId> => ({
+const waitingOf = ({ id, request, arrivedAtMs, deadlineAtMs }: Attempt, expectedTokens: number): WaitingRequest<AttemptId> => ({
   id,
   model: request.model,
   adapter: request.adapter,
@@ -35,18 +39,20 @@
   tenant: request.tenant,
   share: request.share,
   priority: request.priority,
-  expectedTokens: request.maxTokens - request.doneTokens.length,
+  expectedTokens,
   arrivedAtMs,
   deadlineAtMs
 })
 
 /** Makes the queue of one agent. */
-export const createQueue = ({ timers, pickNext, accountServed }: Options): Queue => {
+export const createQueue = ({ timers, pickNext, accountServed, expectedTokens }: Options): Queue => {
   const queued = new Map<AttemptId, QueuedAttempt>()
   let fairness: FairnessState = noFairness
 
   return {
-    add: attempt => { queued.set(attempt.id, { attempt, waiting: waitingOf(attempt) }) },
+    add: (attempt, predictedWaitMs) => {
+      queued.set(attempt.id, { attempt, predictedWaitMs, waiting: waitingOf(attempt, expectedTokens(attempt.request)) })
+    },
     remove: id => { queued.delete(id) },
     all: () => queued.values(),
     count: () => queued.size,
@@ -60,7 +66,7 @@
       return picked && queued.get(picked.id)
     },
     account: (attempt, tokenCount) => {
-      fairness = accountServed(fairness, waitingOf(attempt), tokenCount, timers.nowMs())
+      fairness = accountServed(fairness, waitingOf(attempt, 0), tokenCount, timers.nowMs())
     }
   }
 }
--- a/packages/agent/src/queueing/workAhead.ts
+++ b/packages/agent/src/queueing/workAhead.ts
@@ -10,22 +10,34 @@
   readonly batchSize: number
 }
 
-const remainingTokens = (attempt: Attempt): number => Math.max(1, attempt.request.maxTokens - attempt.tokenCount)
+/** Tokens that an attempt is expected to take yet. */
+export type RemainingTokens = (attempt: Attempt) => number
 
-/** Seconds of work that is queued at `priority` or above and running, at the present speed. */
-export const secondsAhead = (queued: Iterable<QueuedAttempt>, running: Iterable<Attempt>, pace: Pace, priority: number): number => {
+interface Options {
+  readonly queued: Iterable<QueuedAttempt>
+  readonly running: readonly Attempt[]
+  readonly pace: Pace
+  readonly remainingTokens: RemainingTokens
+}
+
+/**
+ * Expected time until a request of `priority` gets a place in the batch, in seconds: the queued work that goes
+ * before it, spread over the batch, and the end of the first run when the batch is full.
+ */
+export const secondsAhead = ({ queued, running, pace, remainingTokens }: Options, priority: number): number => {
   let tokenCount = 0
   for (const { attempt } of queued) {
     if (attempt.request.priority >= priority) tokenCount += remainingTokens(attempt)
   }
-  let runningCount = 0
-  for (const attempt of running) {
-    runningCount += 1
-    tokenCount += remainingTokens(attempt)
-  }
-  // With a slot of the batch free, work goes on beside what runs and nobody waits for it.
-  if (runningCount < pace.batchSize && tokenCount > 0) {
-    tokenCount = Math.max(0, tokenCount - [...running].reduce((sum, attempt) => sum + remainingTokens(attempt), 0))
-  }
+  const isFull = running.length >= pace.batchSize
+  const firstFree = isFull ? Math.min(...running.map(remainingTokens)) : 0
+  return (tokenCount / pace.batchSize + firstFree) * pace.tokenIntervalMs / MS_PER_SECOND
+}
+
+/** All work that is queued and running, in seconds at the present speed, spread over the batch. */
+export const secondsInAll = ({ queued, running, pace, remainingTokens }: Options): number => {
+  let tokenCount = 0
+  for (const { attempt } of queued) tokenCount += remainingTokens(attempt)
+  for (const attempt of running) tokenCount += remainingTokens(attempt)
   return tokenCount * pace.tokenIntervalMs / pace.batchSize / MS_PER_SECOND
 }
--- a/packages/agent/src/reporting/makeReport.ts
+++ b/packages/agent/src/reporting/makeReport.ts
@@ -1,6 +1,5 @@
 import { freeMb } from '../memory/ledger.js'
 import { findSlot, readyInMs } from '../loading/slots.js'
-import { secondsAhead } from '../queueing/workAhead.js'
 
 import type { ModelId } from '@figmount/base'
 import type { AgentReport, ModelReport } from '@figmount/peers'
@@ -15,6 +14,7 @@
   readonly queued: readonly QueuedAttempt[]
   readonly running: readonly Attempt[]
   readonly pace: Pace
+  readonly queuedSeconds: number
   /** Left out for a plain service. */
   readonly engine?: {
     readonly state: EngineState
@@ -53,7 +53,7 @@
     runningCount: running.length,
     queuedCount: queued.length,
     batchSize: pace.batchSize,
-    queuedSeconds: secondsAhead(queued, running, pace, 0),
+    queuedSeconds: options.queuedSeconds,
     tokenIntervalMs: pace.tokenIntervalMs,
     memoryCapacityMb: ledger?.capacityMb ?? 0,
     memoryUsedMb: ledger ? ledger.capacityMb - freeMb(ledger) : 0,
--- a/packages/agent/src/testing/startAgentForTest.ts
+++ b/packages/agent/src/testing/startAgentForTest.ts
@@ -119,7 +119,7 @@
       limits: options.limits ?? {}
     })
     const decisions: AgentDecisions = {
-      admit: admitUntilFull, pickNext: pickFirstCome, accountServed: accountNothing, keepAlive: keepFixedTime(), chooseVictims: evictLeastRecent, orderLoads: orderByArrival, random: () => 0.5, ...options.decisions
+      admit: admitUntilFull, pickNext: pickFirstCome, accountServed: accountNothing, keepAlive: keepFixedTime(), chooseVictims: evictLeastRecent, orderLoads: orderByArrival, backOffLoad: view => 500 * 2 ** view.refusedCount, random: () => 0.5, ...options.decisions
     }
     const under = { listing: { listed: 'present', leaving: false } as Listing }
     const agent = createAgent({
