Test the queue under overload, priorities and a hot caller

Cause: the queue's behaviour under load had no test at the agent. Changed: five tests in virtual time: ten times overload refused at once and the admitted served in time, the bound, priorities, a hot caller, progress. Conclusion: what is admitted is served before its deadline.

--- /dev/null
+++ b/packages/agent/src/queueing/queueing.test.ts
@@ -0,0 +1,81 @@
+import { accountDecayed, admitByDeadline, pickFairShare } from '@figmount/decisions'
+import { RefusalReason, RunState } from '@figmount/schema'
+import { expect } from 'chai'
+
+import { MODEL, modelSpec, startAgentForTest } from '../testing/startAgentForTest.js'
+
+import type { CallerName, ModelId } from '@figmount/base'
+import type { AgentUnderTest, FakeRouter } from '../testing/startAgentForTest.js'
+
+const ready = async (limits: object = {}): Promise<{ readonly under: AgentUnderTest, readonly router: FakeRouter }> => {
+  const under = await startAgentForTest({
+    models: [modelSpec('m'), modelSpec('cold')],
+    limits,
+    decisions: { admit: admitByDeadline, pickNext: pickFairShare, accountServed: accountDecayed }
+  })
+  under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
+  under.grant({ kind: 'replica', target: 'reader/cold' as ModelId, slotIndex: 0 })
+  const router = under.connect()
+  router.start('warm')
+  await under.advance(400)
+  return { under, router }
+}
+
+const refusedIds = (router: FakeRouter): readonly string[] =>
+  router.heard.flatMap(message => message.type === 'refused' ? [message.attemptId] : [])
+
+describe('queueing', () => {
+  // Ten times more work arrives than can be done in time. Queued all the same, every caller
+  // would wait until its deadline and be refused there.
+  it('refuses at once what cannot be served in time, and serves the rest in time', async () => {
+    const { under, router } = await ready()
+    for (let index = 0; index < 100; index += 1) router.start(`r${index}`, { prompt: `p${index}`, maxTokens: 20, remainingMs: 2_000 })
+    await under.advance(20)
+    const refused = refusedIds(router)
+    expect(refused.length).to.be.within(20, 95)
+    expect(router.refusalOf(refused[0] ?? '')).to.include({ runState: RunState.NOT_RUN, reason: RefusalReason.OVERLOADED })
+    expect(router.refusalOf(refused[0] ?? '')?.retryAfterMs).to.be.above(0)
+    await under.advance(2_500)
+    const late = refusedIds(router).length - refused.length
+    expect(late, 'admitted and then refused at the deadline').to.equal(0)
+  })
+
+  it('keeps its bound', async () => {
+    const { under, router } = await ready({ max_queued: '10' })
+    for (let index = 0; index < 40; index += 1) router.start(`r${index}`, { prompt: `p${index}`, priority: 9, maxTokens: 3 })
+    await under.advance(10)
+    expect(under.agent.report().queuedCount).to.be.at.most(10)
+    expect(refusedIds(router).length).to.be.above(20)
+  })
+
+  it('serves the higher priority first', async () => {
+    const { under, router } = await ready()
+    for (let index = 0; index < 4; index += 1) router.start(`busy${index}`, { prompt: `busy${index}`, maxTokens: 30 })
+    await under.advance(20)
+    router.start('low', { prompt: 'low', priority: 1 })
+    router.start('high', { prompt: 'high', priority: 5 })
+    await under.advance(800)
+    expect(under.engine.runs.indexOf('high')).to.be.below(under.engine.runs.indexOf('low'))
+  })
+
+  // One caller sends far more than the others. Served in order of arrival, everybody would
+  // wait behind it.
+  it('does not let a hot caller hold up another', async () => {
+    const { under, router } = await ready()
+    for (let index = 0; index < 30; index += 1) router.start(`hot${index}`, { caller: 'hot' as CallerName, tenant: 'a', prompt: `hot${index}`, maxTokens: 20 })
+    await under.advance(50)
+    router.start('quiet', { caller: 'quiet' as CallerName, tenant: 'b', prompt: 'quiet', maxTokens: 20 })
+    await under.advance(600)
+    expect(under.engine.runs.indexOf('quiet')).to.be.within(1, 10)
+  })
+
+  it('tells who waits once a second what it waits for', async () => {
+    const { under, router } = await ready()
+    under.engine.knobs.loadMs = 3_500
+    router.start('a', { model: 'reader/cold' as ModelId, prompt: 'a' })
+    await under.advance(3_000)
+    const waits = router.heard.flatMap(message => message.type === 'progress' && message.attemptId === 'a' ? [message.estimatedWaitMs] : [])
+    expect(waits.length).to.be.within(3, 5)
+    expect(waits.at(-1)).to.be.below(waits[0] ?? 0)
+  })
+})
