--- a/packages/router/src/links/createAgentLink.ts
+++ b/packages/router/src/links/createAgentLink.ts
@@ -1,7 +1,7 @@
 import { EitherAsync, Left, Right } from 'purify-ts'
 import { match } from 'ts-pattern'
 import { FaultKind, makeFault, sleep } from '@figmount/base'
-import { HEARTBEAT_MS, NO_OFFSET } from '@figmount/peers'
+import { HEARTBEAT_MS, mergeReport, NO_OFFSET } from '@figmount/peers'
 
 import { createMailbox } from '../answers/createMailbox.js'
 import { RouterEvent } from '../events.js'
@@ -50,6 +50,7 @@
     dataCentre: undefined,
     report: undefined,
     reportAtMs: -Infinity,
+    intervalAtMs: -Infinity,
     unreachableSinceMs: undefined,
     leavingUntilMs: -Infinity,
     appliedOffset: NO_OFFSET
@@ -80,7 +81,9 @@
   const takeReport = (report: AgentReport, incarnation: Incarnation | undefined): void => {
     const isOlder = view.report && view.incarnation === incarnation && report.sequence <= view.report.sequence
     if (isOlder) return
-    view = { ...view, report, incarnation, reportAtMs: timers.nowMs() }
+    const nowMs = timers.nowMs()
+    const hasNewInterval = report.tokenIntervalMs !== view.report?.tokenIntervalMs
+    view = { ...view, report: mergeReport(view.report, report), incarnation, reportAtMs: nowMs, intervalAtMs: hasNewInterval ? nowMs : view.intervalAtMs }
   }
 
   // Guards against running a request twice: whatever was sent on a broken connection may have
@@ -123,7 +126,10 @@
 
   const handle = (message: FromAgent): void => match(message)
     .with({ type: 'welcome' }, takeWelcome)
-    .with({ type: 'heartbeat.ack' }, ({ report }) => { if (report) takeReport(report, view.incarnation) })
+    .with({ type: 'heartbeat.ack' }, ({ report }) => {
+      if (report) return takeReport(report, view.incarnation)
+      view = { ...view, reportAtMs: timers.nowMs() }
+    })
     .with({ type: 'progress' }, { type: 'tokens' }, { type: 'final' }, { type: 'refused' }, { type: 'unknown' }, deliver)
     .with({ type: 'permit.reply' }, ({ askId, reply }) => { asks.get(askId)?.(reply) })
     .with({ type: 'leaving' }, leaving => {
