Give permits back, and let the keys' holder decide on what is unknown

Cause: an executor that refused as not run left its key permitted, so the next try was joined to a run that never was; a start lost with its connection told the caller that coming back was of no use. Changed: a permit under which nothing ran is withdrawn; an unknown attempt may be come back for five times, because the holder permits a key whose start never arrived; an attempt that was to be joined and cannot be reached "may have run". The test of a forgotten attempt now asks for this time and for its end. Conclusion: fewer refusals say "may have run" without need, none says "not run" without ground.

--- a/packages/router/src/once/serveOnce.test.ts
+++ b/packages/router/src/once/serveOnce.test.ts
@@ -84,14 +84,45 @@
     expect(bench.agentOf('a2').heardOf('start')).to.have.length(0)
   })
 
+  // The executor does not know the attempt: its start was lost, or the agent has restarted. A resend
+  // may find out from the keys' holder, but not for ever.
   it('may have run when its executor has forgotten it', async () => {
-    const bench = createBench({
-      a1: (message, say) => { if (message.type === 'resume') say({ type: 'unknown', attemptId: message.attemptId, incarnation: '2' as never }) }
-    })
-    bench.grantKeys('a1')
-    bench.timers.after(500, () => bench.agentOf('a1').cut())
+    for (const [resendCount, retryAfterMs] of [[0, 1_000], [5, 0]] as const) {
+      const forgetting = permitting(() => ({ kind: 'known', attemptId: EARLIER, executor: 'a1' as InstanceName }))
+      const bench = createBench({
+        a1: (message, say) => {
+          if (message.type === 'resume') say({ type: 'unknown', attemptId: message.attemptId, incarnation: '2' as never })
+          if (message.type === 'permit.ask') forgetting(message, say)
+        }
+      })
+      bench.grantKeys('a1')
+      bench.timers.after(500, () => bench.agentOf('a1').cut())
+      const parts = await bench.finish(gather(serveRequest(bench.context, bench.admitted({ repeatable: false, resendCount }), never)))
+      expect(parts.at(-1)).to.have.nested.include({ 'note.runState': RunState.MAY_HAVE_RUN, 'note.retryAfterMs': retryAfterMs })
+    }
+  })
+
+  // The executor is full and says "not run". The holder still has the key as permitted; unless it
+  // is told, the caller's next try is joined to a run that never was.
+  it('gives the permit back when nothing ran', async () => {
+    const full: Behave = (message, say) => {
+      if (message.type !== 'start') return
+      say({ type: 'refused', attemptId: message.attemptId, refusal: { runState: RunState.NOT_RUN, reason: RefusalReason.OVERLOADED, retryAfterMs: 5, detail: '', step: 's', peer: 'a1' } })
+    }
+    const bench = createBench({ a1: full, a2: granting })
+    bench.grantKeys('a2')
     const parts = await bench.finish(gather(serveRequest(bench.context, bench.admitted({ repeatable: false }), never)))
-    expect(parts.at(-1)).to.have.nested.include({ 'note.runState': RunState.MAY_HAVE_RUN, 'note.retryAfterMs': 0 })
+    expect(parts.at(-1)).to.have.nested.include({ 'note.runState': RunState.NOT_RUN })
+    expect(bench.agentOf('a2').heardOf('permit.withdraw')).to.have.length(1)
+  })
+
+  it('may have run when what it joins cannot be reached', async () => {
+    const known = permitting(() => ({ kind: 'known', attemptId: EARLIER, executor: 'a1' as InstanceName }))
+    const bench = createBench({ a1: answering, a2: known })
+    bench.grantKeys('a2')
+    bench.agentOf('a1').setDown(true)
+    const parts = await bench.finish(gather(serveRequest(bench.context, bench.admitted({ repeatable: false, resendCount: 1 }), never)))
+    expect(parts.at(-1)).to.have.nested.include({ 'note.runState': RunState.MAY_HAVE_RUN, 'note.peer': 'a1' })
   })
 
   it('runs on when its caller leaves', async () => {
--- a/packages/router/src/once/serveOnce.ts
+++ b/packages/router/src/once/serveOnce.ts
@@ -1,6 +1,6 @@
 import { match } from 'ts-pattern'
 import { findKeysRight } from '@figmount/records'
-import { RefusalReason } from '@figmount/schema'
+import { RefusalReason, RunState } from '@figmount/schema'
 
 import { DEFAULT_RETRY_AFTER_MS, OPEN_WAIT_MS } from '../requests/constants.js'
 import { choosePlacement } from '../requests/choosePlacement.js'
@@ -9,10 +9,11 @@
 import { runAttempt } from '../requests/runAttempt.js'
 import { quarantineNote } from '../requests/serveRepeatable.js'
 import { waitWithFrames } from '../requests/waitWithFrames.js'
+import { UNKNOWN_RESENDS } from './constants.js'
 import { obtainPermit } from './obtainPermit.js'
 
 import type { InstanceName } from '@figmount/base'
-import type { RefusalNote } from '@figmount/peers'
+import type { Permit, RefusalNote } from '@figmount/peers'
 import type { AnswerPart } from '../answers/types.js'
 import type { AdmittedRequest, AttemptOutcome, ServeContext, ServeProgress } from '../requests/types.js'
 import type { PermitDecision } from './types.js'
@@ -49,20 +50,36 @@
 const unknownOutcome = (agent: InstanceName, detail: string, reason: RefusalReason, retryAfterMs: number): RefusalNote =>
   mayHaveRun({ reason, detail, step: 'once.follow', peer: agent, retryAfterMs })
 
-const noteOf = (outcome: AttemptOutcome, admitted: AdmittedRequest): RefusalNote | undefined => match(outcome)
+/**
+ * When to come back after an executor has said that it does not know the attempt. The holder of
+ * the keys decides anew on a resend: it permits a key whose start was lost on the way, and the
+ * start that another router was about to send arrives meanwhile. After that nobody knows any more.
+ */
+const unknownRetryMs = (resendCount: number): number => resendCount < UNKNOWN_RESENDS ? DEFAULT_RETRY_AFTER_MS : 0
+
+const noteOf = (outcome: AttemptOutcome, joins: boolean, resendCount: number): RefusalNote | undefined => match(outcome)
   .returnType<RefusalNote | undefined>()
   .with({ kind: 'answered' }, { kind: 'callerLeft' }, () => undefined)
   .with({ kind: 'refused' }, ({ note }) => note)
-  .with({ kind: 'unsent' }, ({ agent, detail }) => truthful(
-    notRun({ reason: RefusalReason.UNAVAILABLE, detail, step: 'once.start', peer: agent, retryAfterMs: DEFAULT_RETRY_AFTER_MS }),
-    admitted.run.resendCount
-  ))
-  // The agent has restarted or forgotten: nobody knows any more, so coming back is of no use.
-  .with({ kind: 'lost', isKnownLost: true }, ({ agent, detail }) => unknownOutcome(agent, detail, RefusalReason.ANSWER_LOST, 0))
+  // Nothing left this router. What was to be joined may run all the same.
+  .with({ kind: 'unsent' }, ({ agent, detail }) => (joins ? mayHaveRun : notRun)({
+    reason: RefusalReason.UNAVAILABLE, detail, step: 'once.start', peer: agent, retryAfterMs: DEFAULT_RETRY_AFTER_MS
+  }))
+  .with({ kind: 'lost', isKnownLost: true }, ({ agent, detail }) =>
+    unknownOutcome(agent, detail, RefusalReason.ANSWER_LOST, unknownRetryMs(resendCount)))
   .with({ kind: 'lost' }, ({ agent, detail }) => unknownOutcome(agent, detail, RefusalReason.UNAVAILABLE, DEFAULT_RETRY_AFTER_MS))
   .with({ kind: 'deadline' }, ({ agent }) => unknownOutcome(agent, 'the deadline has passed', RefusalReason.DEADLINE, DEFAULT_RETRY_AFTER_MS))
   .exhaustive()
 
+/**
+ * Gives a permit back under which nothing ran. Without it the holder takes the key for one that
+ * runs, and a resend is joined to an attempt that does not exist: "may have run" without need.
+ */
+const withdraw = (context: ServeContext, permit: Permit, { run }: AdmittedRequest): void => {
+  const { attemptId, keysHolder } = permit
+  context.links.linkTo(keysHolder).send({ type: 'permit.withdraw', target: run.model, caller: run.caller, requestKey: run.requestKey, attemptId })
+}
+
 /**
  * Serves a request that may run at most once. The holder of the keys right decides alone;
  * once an attempt was sent, it is only ever asked for again and never sent a second time.
@@ -80,6 +97,7 @@
   const outcome = yield * runAttempt({
     context, admitted, agent: executor, attemptId, doneTokens: [], joins, signal, ...(permit ? { permit } : {})
   })
-  const note = noteOf(outcome, admitted)
+  const note = noteOf(outcome, joins, resendCount)
+  if (permit && note?.runState === RunState.NOT_RUN) withdraw(context, permit, admitted)
   if (note) yield { kind: 'refusal', note }
 }
