Run experiments with the load tool through the caller's library

Cause: the planning half had nobody to send for it. The caller's library tells the longest gap between tokens.

--- a/packages/client/src/calling/createCaller.ts
+++ b/packages/client/src/calling/createCaller.ts
@@ -91,10 +91,10 @@
         await sleep(timers, lossPauseMs(lossCount), signal)
         continue
       }
-      const { end, tokens, firstTokenAtMs } = received
+      const { end, tokens, firstTokenAtMs, longestGapMs } = received
       if (end.kind === 'final') {
         tell(ClientEvent.answerWhole, { ...fields, tokenCount: tokens.length, durationMs: totalMs() })
-        return { kind: 'answered', tokens, final: end.final, sendCount, firstTokenMs: Math.max(0, firstTokenAtMs - startedAtMs), totalMs: totalMs() }
+        return { kind: 'answered', tokens, final: end.final, sendCount, firstTokenMs: Math.max(0, firstTokenAtMs - startedAtMs), longestGapMs, totalMs: totalMs() }
       }
       const { refusal } = end
       tell(ClientEvent.refusalHeard, { ...fields, reason: refusal.detail, runState: RunState[refusal.runState], retryAfterMs: refusal.retryAfterMs })
--- a/packages/client/src/calling/receiveAnswer.ts
+++ b/packages/client/src/calling/receiveAnswer.ts
@@ -16,7 +16,7 @@
 
 /** How one send ended. */
 export type Received =
-  | { readonly kind: 'ended', readonly end: AnswerEnd, readonly tokens: readonly string[], readonly firstTokenAtMs: number }
+  | { readonly kind: 'ended', readonly end: AnswerEnd, readonly tokens: readonly string[], readonly firstTokenAtMs: number, readonly longestGapMs: number }
   /** The stream broke, fell silent, or its frames do not fit together. */
   | { readonly kind: 'broken', readonly mistake: string }
 
@@ -28,12 +28,19 @@
   let cancelSilence = timers.after(FRAME_SILENCE_MS, stop)
   let gathered = nothingGathered
   let firstTokenAtMs = 0
+  let lastTokenAtMs = 0
+  let longestGapMs = 0
   try {
     for await (const frame of openAnswer(address, request, abort.signal)) {
       cancelSilence()
       cancelSilence = timers.after(FRAME_SILENCE_MS, stop)
       gathered = gatherFrame(gathered, frame)
-      if (firstTokenAtMs === 0 && gathered.tokens.length > 0) firstTokenAtMs = timers.nowMs()
+      if (frame.body.case === 'tokens') {
+        const nowMs = timers.nowMs()
+        if (firstTokenAtMs === 0) firstTokenAtMs = nowMs
+        else longestGapMs = Math.max(longestGapMs, nowMs - lastTokenAtMs)
+        lastTokenAtMs = nowMs
+      }
       if (gathered.mistake !== undefined) return { kind: 'broken', mistake: gathered.mistake }
     }
   } catch (error) {
@@ -43,5 +50,5 @@
     signal.removeEventListener('abort', stop)
   }
   const { end, tokens } = gathered
-  return end ? { kind: 'ended', end, tokens, firstTokenAtMs } : { kind: 'broken', mistake: 'the stream ended without its last frame' }
+  return end ? { kind: 'ended', end, tokens, firstTokenAtMs, longestGapMs } : { kind: 'broken', mistake: 'the stream ended without its last frame' }
 }
--- a/packages/client/src/calling/types.ts
+++ b/packages/client/src/calling/types.ts
@@ -26,6 +26,8 @@
     readonly final: Final
     readonly sendCount: number
     readonly firstTokenMs: number
+    /** Longest time between two frames with tokens. */
+    readonly longestGapMs: number
     readonly totalMs: number
   }
   /** Coming back is of no use: the refusal says what is known of the run. */
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,2 +1,10 @@
-/** Placeholder until the package's first slice lands. */
-export {}
+/** Load and experiment tool: seeded open-loop callers that never give up, reports and comparisons. */
+export { LoadEvent } from './events.js'
+export { createRandom } from './arrivals/createRandom.js'
+export { planArrivals } from './arrivals/planArrivals.js'
+export { parseExperiment } from './experiment/parseExperiment.js'
+export type * from './experiment/types.js'
+export type * from './report/types.js'
+export { summarise } from './report/summarise.js'
+export { compareReports } from './report/compareReports.js'
+export { runExperiment } from './running/runExperiment.js'
--- a/packages/timeline/src/checking/checkAnswers.ts
+++ b/packages/timeline/src/checking/checkAnswers.ts
@@ -10,10 +10,10 @@
   const violations: Violation[] = []
   for (const timed of events) {
     const { event } = timed
-    if (event.name === 'answerBroken') {
+    if (event.name === 'answerWrong') {
       violations.push({ promise: PromiseName.Answers, detail: `${requestId(event)}: ${event.reason ?? 'broken answer'}`, evidence: [timed] })
     }
-    if (event.name !== 'answerTaken') continue
+    if (event.name !== 'answerWhole') continue
     const id = requestId(event)
     const first = answers.get(id)
     if (first) violations.push({ promise: PromiseName.Answers, detail: `${id} was answered twice`, evidence: [first, timed] })
--- a/packages/timeline/src/checking/checkPromises.test.ts
+++ b/packages/timeline/src/checking/checkPromises.test.ts
@@ -53,8 +53,8 @@
   })
 
   it('sees a second and a broken answer', () => {
-    expect(broken(at(0, 'c', 'load', 'answerTaken', key), at(1, 'c', 'load', 'answerTaken', key))).to.deep.equal([PromiseName.Answers])
-    expect(broken(at(0, 'c', 'load', 'answerBroken', key))).to.deep.equal([PromiseName.Answers])
+    expect(broken(at(0, 'c', 'load', 'answerWhole', key), at(1, 'c', 'load', 'answerWhole', key))).to.deep.equal([PromiseName.Answers])
+    expect(broken(at(0, 'c', 'load', 'answerWrong', key))).to.deep.equal([PromiseName.Answers])
   })
 
   it('sees work that a leaving agent takes', () => {
--- a/packages/timeline/src/checking/checkPromises.ts
+++ b/packages/timeline/src/checking/checkPromises.ts
@@ -21,7 +21,7 @@
   [PromiseName.Replicas]: { check: checkReplicas, isCase: event => event.name === 'loadStarted' },
   [PromiseName.Memory]: { check: checkMemory, isCase: event => event.memoryCapacityMb !== undefined },
   [PromiseName.Ended]: { check: checkEnded, isCase: event => event.name === 'requestReceived' },
-  [PromiseName.Answers]: { check: checkAnswers, isCase: event => event.name === 'answerTaken' },
+  [PromiseName.Answers]: { check: checkAnswers, isCase: event => event.name === 'answerWhole' },
   [PromiseName.NotRun]: { check: checkNotRun, isCase: event => event.name === 'requestRefused' && event.runState === 'not_run' },
   [PromiseName.Once]: { check: checkOnce, isCase: event => event.name === 'engineRunStarted' && event.repeatable === false },
   [PromiseName.Leaving]: { check: checkLeaving, isCase: event => event.name === 'drainStarted' },
