Move slots off agents whose slots contend for memory

An agent that joins later got nothing at all. Change: proposeMoves revokes slots where the slots of an agent do not all fit and another is less pressed, those that are not loaded first, a few a round and only while nothing else is to be granted; eight ranked choices in place of three.

--- a/packages/records/src/proposals/constants.ts
+++ b/packages/records/src/proposals/constants.ts
@@ -4,8 +4,23 @@
  */
 export const PROPOSAL_BATCH = 200
 
-/** Best-ranked agents among which the one with the least memory promised gets a slot. */
-export const RANKED_CHOICES = 3
+/**
+ * Best-ranked agents among which the one with the least memory promised gets a slot. Grounds: on a
+ * site of a dozen runners it looks at all of a service, so that slots are even; on a fleet eight
+ * choices leave hardly more unevenness than all would, and proposers that decide alike at the same
+ * moment still differ by model.
+ */
+export const RANKED_CHOICES = 8
+
+/** Slots of one service that one round moves: few, since each may cost a load. */
+export const MOVE_BATCH = 4
+
+/**
+ * A move must leave the receiver less pressed than the donor was by this share of a capacity.
+ * Grounds: half of the smallest common model on a runner that holds four; less would move slots
+ * to and fro for nothing.
+ */
+export const MOVE_MIN_GAIN = 0.1
 
 /** An instance must be off the list for this long, on the proposer's clock, before it is void. */
 export const LIST_ABSENT_MS = 30_000
--- a/packages/records/src/proposals/proposeRights.ts
+++ b/packages/records/src/proposals/proposeRights.ts
@@ -1,6 +1,8 @@
 import { chooseHolder } from './chooseHolder.js'
 import { PROPOSAL_BATCH } from './constants.js'
+import { findCandidates } from './findCandidates.js'
 import { findRevokes } from './findRevokes.js'
+import { sumPromised } from './sumPromised.js'
 import { findService, listServices, modelsOfService } from '../config/selectors.js'
 import { rightIdOf } from '../rights/rightId.js'
 
@@ -28,29 +30,6 @@
 const isOpen = (round: Round, right: RightState | undefined): boolean =>
   !right || (right.status === 'free' && right.grantableFromMs <= round.nowMs)
 
-const findCandidates = (state: AgreedState, instances: readonly ListedInstance[], service: ServiceName): Candidates => {
-  const candidates: AgentFacts[] = []
-  for (const { name, leaving } of instances) {
-    const agent = state.agents.get(name)
-    if (leaving || !agent || agent.gone || agent.draining) continue
-    if (agent.services.includes(service)) candidates.push(agent)
-  }
-  return candidates
-}
-
-const sumPromised = (state: AgreedState): Map<InstanceName, number> => {
-  const promised = new Map<InstanceName, number>()
-  for (const service of listServices(state)) {
-    for (const [target, model] of modelsOfService(state, service)) {
-      for (let slotIndex = 0; slotIndex < model.maxReplicas; slotIndex += 1) {
-        const right = rightOf(state, { kind: 'replica', target, slotIndex })
-        if (right && right.status !== 'free') promised.set(right.holder, (promised.get(right.holder) ?? 0) + model.memoryMb)
-      }
-    }
-  }
-  return promised
-}
-
 const grant = (round: Round, { key, current, memoryMb }: OpenRight, agent: AgentFacts): void => {
   round.records.push({
     kind: 'right.grant',
--- a/packages/records/src/proposals/types.ts
+++ b/packages/records/src/proposals/types.ts
@@ -1,4 +1,4 @@
-import type { InstanceName } from '@figmount/base'
+import type { InstanceName, ModelId } from '@figmount/base'
 import type { AgentFacts } from '../agents/types.js'
 import type { RightKey, RightState } from '../rights/types.js'
 
@@ -17,6 +17,12 @@
   readonly maxCount?: number
 }
 
+/** What a proposer of moves knows beside the agreed state. */
+export interface MoveFacts extends Pick<ProposalFacts, 'mayPropose'> {
+  /** Whether an agent is known to have the model loaded or loading; false where nothing is known. */
+  readonly isLoaded: (instance: InstanceName, target: ModelId) => boolean
+}
+
 /** What an engine says to a proposer that looks for it. */
 export type EngineReach =
   /** It does not answer. */
--- a/packages/router/src/bin.ts
+++ b/packages/router/src/bin.ts
@@ -1,8 +1,9 @@
 import { makeIncarnation, runBinary } from '@figmount/base'
 import { chooseLeastCost, spreadByDrainTime } from '@figmount/decisions'
-import { createRecordsClient, proposeRights } from '@figmount/records'
+import { createRecordsClient } from '@figmount/records'
 
 import { readPlatformList } from './membership/pollInstances.js'
+import { proposeRightsThenMoves } from './proposals/proposeRightsThenMoves.js'
 import { startRouter } from './router/startRouter.js'
 import { routerSettings } from './settings/routerSettings.js'
 import { openAbsentEngine } from './voids/openAbsentEngine.js'
@@ -22,7 +23,7 @@
     readInstances: readPlatformList(settings.platform.instance_list),
     chooseBackend: chooseLeastCost,
     chooseRetryAfter: spreadByDrainTime,
-    proposeRights,
+    proposeRights: proposeRightsThenMoves,
     openAbsentEngine,
     random: Math.random
   })
--- a/packages/router/src/proposals/runProposer.ts
+++ b/packages/router/src/proposals/runProposer.ts
@@ -5,7 +5,7 @@
 import { submitProposal } from './submitProposal.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
-import type { EngineReach, NewRecord, RecordsClient } from '@figmount/records'
+import type { EngineReach, MoveFacts, NewRecord, RecordsClient } from '@figmount/records'
 import type { Membership } from '../membership/createMembership.js'
 import type { ProposeRights } from './types.js'
 
@@ -16,6 +16,8 @@
   readonly proposeRights: ProposeRights
   /** What the engines of instances that are off the list have last said. */
   readonly engineOf: (instance: InstanceName) => EngineReach
+  /** Whether an agent has last reported a model as loaded or loading. */
+  readonly isLoaded: MoveFacts['isLoaded']
   readonly timers: TimerService
   readonly events: EventLog
   readonly signal: AbortSignal
@@ -28,14 +30,14 @@
 /** A router whose log has not answered for this long proposes nothing: its view may be old. */
 const FRESH_MS = 5_000
 
-const findProposals = ({ instance, records, membership, proposeRights, engineOf, timers }: Options): readonly NewRecord[] => {
+const findProposals = ({ instance, records, membership, proposeRights, engineOf, isLoaded, timers }: Options): readonly NewRecord[] => {
   const routers = [...new Set([...membership.routers(), instance])]
   const mayPropose = (target: string): boolean => shouldPropose(target, routers, instance)
   const state = records.state()
   const instances = [...membership.list().instances.values()]
   return [
     ...proposeVoids(state, membership.absences(), { mayPropose, engineOf }),
-    ...proposeRights(state, instances, { mayPropose }, timers.unixMs())
+    ...proposeRights(state, instances, { mayPropose, isLoaded }, timers.unixMs())
   ]
 }
 
--- a/packages/router/src/router/startRouter.ts
+++ b/packages/router/src/router/startRouter.ts
@@ -6,6 +6,7 @@
 import { createGate } from '../callers/createGate.js'
 import { createInference } from '../callers/createInference.js'
 import { RouterEvent } from '../events.js'
+import { isLoadedIn } from '../routing/isLoadedIn.js'
 import { createAgentLinks } from '../links/createAgentLinks.js'
 import { createMembership } from '../membership/createMembership.js'
 import { pollInstances } from '../membership/pollInstances.js'
@@ -181,6 +182,7 @@
     membership,
     proposeRights: parts.proposeRights,
     engineOf: absentEngines.reachOf,
+    isLoaded: (agent, target) => isLoadedIn(links.viewOf(agent)?.report, target),
     timers,
     events,
     signal: stopping.signal
