--- a/packages/records/src/log/constants.ts
+++ b/packages/records/src/log/constants.ts
@@ -1,3 +1,5 @@
+import type { LogOffset } from '@figmount/base'
+
 /** Largest payload of one record. Grounds: a full item's body and its envelope. */
 export const MAX_PAYLOAD_BYTES = 4 * 1024 * 1024
 
@@ -52,3 +54,6 @@
 
 /** Records kept while a process waits for a snapshot to put them on. */
 export const PENDING_MAX_BYTES = 64 * 1024 * 1024
+
+/** Offset of a snapshot's chunk that was made for a peer and never was in the log. */
+export const NOT_IN_LOG = -1 as LogOffset
--- a/packages/records/src/log/createFollower.ts
+++ b/packages/records/src/log/createFollower.ts
@@ -2,7 +2,7 @@
 import { foldRecords } from '../fold/foldRecords.js'
 import { gatherChunk, nothingGathered } from '../snapshot/gatherChunks.js'
 import { placeRecord } from './codec.js'
-import { PENDING_MAX_BYTES } from './constants.js'
+import { NOT_IN_LOG, PENDING_MAX_BYTES } from './constants.js'
 
 import type { LogOffset } from '@figmount/base'
 import type { AgreedState, FoldInput, FoldOutcome } from '../fold/types.js'
@@ -138,8 +138,7 @@
     const tail: ReadRecord[] = []
     for (const record of records.map(readOne)) {
       const chunk = chunkOf(record.input)
-      // A chunk of the log lies after its base; one that was made for a peer lies before it.
-      if (!chunk || chunk.baseOffset <= record.raw.offset) {
+      if (!chunk || record.raw.offset !== NOT_IN_LOG) {
         tail.push(record)
         continue
       }
--- a/packages/records/src/log/createPeerSource.ts
+++ b/packages/records/src/log/createPeerSource.ts
@@ -1,4 +1,4 @@
-import { OFFER_MAX_BYTES, PEER_SNAPSHOT_MS } from './constants.js'
+import { NOT_IN_LOG, OFFER_MAX_BYTES, PEER_SNAPSHOT_MS } from './constants.js'
 import { encodeRecord } from './codec.js'
 import { splitSnapshot } from '../snapshot/splitSnapshot.js'
 
@@ -24,7 +24,7 @@
 /**
  * Answers peers that are behind. Whoever asks for records that are no longer kept, or for the
  * first one, gets a snapshot of the present state in chunks that never were in the log (their
- * offset is 0, below their base), and asks for the rest from the snapshot's base on.
+ * offset is NOT_IN_LOG), and asks for the rest from the snapshot's base on.
  */
 export const createPeerSource = ({ instance, timers, state, buffer, nextId }: Options): ((fromOffset: LogOffset, maxCount: number) => readonly RawRecord[]) => {
   let prepared: Prepared | undefined
@@ -34,7 +34,7 @@
     const present = state()
     const snapshotId = nextId()
     const chunks = splitSnapshot(present, snapshotId).map((chunk): RawRecord => ({
-      offset: 0 as LogOffset,
+      offset: NOT_IN_LOG,
       appendedAtMs: present.asOfMs,
       payload: encodeRecord({ ...chunk, recordId: `${snapshotId}.${chunk.index}`, writer: instance })
     }))
--- a/packages/records/src/rights/applyGrant.ts
+++ b/packages/records/src/rights/applyGrant.ts
@@ -1,3 +1,4 @@
+import { KEY_AHEAD_MS } from './constants.js'
 import { rightIdOf, serviceOfTarget } from './rightId.js'
 import { findModel, findService } from '../config/selectors.js'
 import { applied, ignored } from '../fold/outcomes.js'
@@ -35,13 +36,24 @@
   return undefined
 }
 
+/**
+ * A right that is not in the state has never been granted, or was forgotten with its model. Only the
+ * first version of a service rules the latter out, and with it that anybody decided on keys before.
+ */
+const keysFromOf = (state: AgreedState, key: RightKey, known: RightState | undefined): number => {
+  if (known) return known.keysFromMs
+  const version = state.items.get(`service/${serviceOfTarget(key.target)}`)?.version
+  return version === 1 ? 0 : state.asOfMs + KEY_AHEAD_MS
+}
+
 /** Grants a free right. Its offset becomes the right's fence, so the first of two racing grants wins. */
 export const applyGrant = (draft: Draft, placed: PlacedRecord, record: RightGrant): FoldOutcome => {
   const { state } = draft
   const id = rightIdOf(record.right)
+  const known = state.rights.get(id)
   const mistake = findKeyMistake(state, record.right) ??
     findReceiverMistake(state, record) ??
-    findRightMistake(state, record, state.rights.get(id))
+    findRightMistake(state, record, known)
   if (mistake) return ignored(mistake)
   draft.change('rights').set(id, {
     id,
@@ -51,6 +63,7 @@
     incarnation: record.incarnation,
     fence: placed.offset,
     tenureFromMs: state.asOfMs,
+    keysFromMs: keysFromOf(state, record.right, known),
     grantableFromMs: 0
   })
   return applied
--- a/packages/records/src/rights/applyRightChange.ts
+++ b/packages/records/src/rights/applyRightChange.ts
@@ -1,3 +1,4 @@
+import { AUTHORITY_MS, KEY_AHEAD_MS } from './constants.js'
 import { rightIdOf } from './rightId.js'
 import { findModel, findService } from '../config/selectors.js'
 import { applied, ignored } from '../fold/outcomes.js'
@@ -48,7 +49,7 @@
   const incarnation = state.agents.get(right.holder)?.incarnation
   if (record.writerIncarnation !== incarnation) return ignored('the holder has restarted since')
   if (isTargetInForce(state, right)) {
-    draft.change('rights').set(right.id, { ...right, status: 'free', grantableFromMs: 0 })
+    draft.change('rights').set(right.id, { ...right, status: 'free', keysFromMs: state.asOfMs + KEY_AHEAD_MS, grantableFromMs: 0 })
   } else {
     draft.change('rights').delete(right.id)
   }
@@ -65,6 +66,9 @@
   if (record.writer !== right.holder) return ignored(`the holder is ${right.holder}`)
   if (record.incarnation !== state.agents.get(right.holder)?.incarnation) return ignored('the holder has restarted since')
   if (record.incarnation === right.incarnation) return ignored('the tenure is renewed already')
-  draft.change('rights').set(right.id, { ...right, incarnation: record.incarnation, tenureFromMs: state.asOfMs })
+  const { asOfMs } = state
+  // The run before this one may still be about, paused or cut off, until its authority runs out.
+  const keysFromMs = asOfMs + AUTHORITY_MS + KEY_AHEAD_MS
+  draft.change('rights').set(right.id, { ...right, incarnation: record.incarnation, tenureFromMs: asOfMs, keysFromMs })
   return applied
 }
--- a/packages/records/src/rights/constants.ts
+++ b/packages/records/src/rights/constants.ts
@@ -21,11 +21,11 @@
 export const ONCE_WINDOW_MS = 600_000
 
 /**
- * A key issued before the tenure's start plus this margin may have been let run by the predecessor.
- * Grounds: the predecessor permits for up to AUTHORITY_MS after it was replaced, takes keys that
- * were issued up to CLOCK_ERROR_MS ahead of its clock, and its clock may itself be ahead by as much.
+ * A key that a holder lets run may be stamped up to this much later than the moment, by the log's clock.
+ * Grounds: it is taken up to CLOCK_ERROR_MS ahead of the holder's clock, which may itself be ahead by
+ * as much; and a millisecond, because a key stamped at either bound is still taken.
  */
-export const TENURE_MARGIN_MS = AUTHORITY_MS + 2 * CLOCK_ERROR_MS
+export const KEY_AHEAD_MS = 2 * CLOCK_ERROR_MS + 1
 
 /**
  * How long a holder remembers a key that it let run, counted from the key's issue on the clock
--- a/packages/records/src/rights/types.ts
+++ b/packages/records/src/rights/types.ts
@@ -26,6 +26,11 @@
   readonly fence: LogOffset
   /** Log time from which the tenure of a `keys` right counts. */
   readonly tenureFromMs: number
+  /**
+   * For a `keys` right: a key that was issued at or after this log time, by its own stamp, can't
+   * have been let run by an earlier holder or an earlier run of this one. Margins are in it.
+   */
+  readonly keysFromMs: number
   /** A grant before this log time is ignored; set when a right became free by a void. */
   readonly grantableFromMs: number
 }
--- a/packages/records/src/snapshot/stateCodec.ts
+++ b/packages/records/src/snapshot/stateCodec.ts
@@ -15,7 +15,7 @@
 const FORMAT = 1
 const packr = new Packr({ useRecords: false, moreTypes: false })
 
-type RightRow = readonly [RightId, RightState['status'], RightState['holder'], RightState['incarnation'], number, number, number]
+type RightRow = readonly [RightId, RightState['status'], RightState['holder'], RightState['incarnation'], number, number, number, number]
 
 /** A snapshot's content. Arrays keep the order of each collection, which bounds are cut by. */
 interface Stored {
@@ -31,12 +31,12 @@
 }
 
 const rowOf = (right: RightState): RightRow =>
-  [right.id, right.status, right.holder, right.incarnation, right.fence, right.tenureFromMs, right.grantableFromMs]
+  [right.id, right.status, right.holder, right.incarnation, right.fence, right.tenureFromMs, right.keysFromMs, right.grantableFromMs]
 
-const rightOf = ([id, status, holder, incarnation, fence, tenureFromMs, grantableFromMs]: RightRow): RightState => {
+const rightOf = ([id, status, holder, incarnation, fence, tenureFromMs, keysFromMs, grantableFromMs]: RightRow): RightState => {
   const key = parseRightId(id)
   if (!key) throw new Error(`malformed right ${id}`)
-  return { id, key, status, holder, incarnation, fence: fence as LogOffset, tenureFromMs, grantableFromMs }
+  return { id, key, status, holder, incarnation, fence: fence as LogOffset, tenureFromMs, keysFromMs, grantableFromMs }
 }
 
 /** A state as bytes: msgpack, deflated. */
