--- a/packages/records/src/proposals/constants.ts
+++ b/packages/records/src/proposals/constants.ts
@@ -4,8 +4,23 @@
  */
 export const PROPOSAL_BATCH = 200
 
-/** Best-ranked agents among which the one with the least memory promised gets a slot. */
-export const RANKED_CHOICES = 3
+/**
+ * Best-ranked agents among which the one with the least memory promised gets a slot. Grounds: on a
+ * site of a dozen runners it looks at all of a service, so that slots are even; on a fleet eight
+ * choices leave hardly more unevenness than all would, and proposers that decide alike at the same
+ * moment still differ by model.
+ */
+export const RANKED_CHOICES = 8
+
+/** Slots of one service that one round moves: few, since each may cost a load. */
+export const MOVE_BATCH = 4
+
+/**
+ * A move must leave the receiver less pressed than the donor was by this share of a capacity.
+ * Grounds: half of the smallest common model on a runner that holds four; less would move slots
+ * to and fro for nothing.
+ */
+export const MOVE_MIN_GAIN = 0.1
 
 /** An instance must be off the list for this long, on the proposer's clock, before it is void. */
 export const LIST_ABSENT_MS = 30_000
@@ -16,12 +31,5 @@
  */
 export const LIST_GAP_MS = 10_000
 
-/**
- * How long a holder that can't read the log may go on loading after the sending of its last read
- * of the list that named it. Grounds: a void needs LIST_ABSENT_MS of absence, and a grant after it
- * VOID_WAIT_MS more; half of the former leaves room for lists that lag behind one another by 20 s.
- */
-export const LIST_SIGHT_MS = 15_000
-
 /** Voids proposed in one round: a rack at once, a data centre in a few rounds. */
 export const VOID_BATCH = 100
--- a/packages/records/src/proposals/proposeRights.ts
+++ b/packages/records/src/proposals/proposeRights.ts
@@ -1,7 +1,9 @@
 import { chooseHolder } from './chooseHolder.js'
 import { PROPOSAL_BATCH } from './constants.js'
+import { groupCandidates } from './findCandidates.js'
 import { findRevokes } from './findRevokes.js'
-import { findModel, findService, listServices, modelsOfService } from '../config/selectors.js'
+import { sumPromised } from './sumPromised.js'
+import { findService, listServices, modelsOfService } from '../config/selectors.js'
 import { indexRights, noTargetRights } from '../rights/indexRights.js'
 
 import type { InstanceName, ModelId, ServiceName } from '@figmount/base'
@@ -29,31 +31,6 @@
 const isOpen = (round: Round, right: RightState | undefined): boolean =>
   !right || (right.status === 'free' && right.grantableFromMs <= round.nowMs)
 
-const findCandidates = (state: AgreedState, instances: readonly ListedInstance[]): ReadonlyMap<ServiceName, Candidates> => {
-  const candidates = new Map<ServiceName, AgentFacts[]>()
-  for (const { name, leaving } of instances) {
-    const agent = state.agents.get(name)
-    if (leaving || !agent || agent.gone || agent.draining) continue
-    for (const service of agent.services) {
-      const known = candidates.get(service)
-      if (known) known.push(agent)
-      else candidates.set(service, [agent])
-    }
-  }
-  return candidates
-}
-
-const sumPromised = (state: AgreedState): Map<InstanceName, number> => {
-  const promised = new Map<InstanceName, number>()
-  for (const [target, { replicas }] of indexRights(state)) {
-    const memoryMb = findModel(state, target)?.memoryMb ?? 0
-    for (const { status, holder } of replicas.values()) {
-      if (status !== 'free') promised.set(holder, (promised.get(holder) ?? 0) + memoryMb)
-    }
-  }
-  return promised
-}
-
 const promisedIn = (round: Round): Map<InstanceName, number> => {
   round.promised ??= sumPromised(round.state)
   return round.promised
@@ -150,7 +127,7 @@
     if (isFull(round)) break
     if (facts.mayPropose(right.key.target)) revoke(round, right)
   }
-  const candidates = findCandidates(state, instances)
+  const candidates = groupCandidates(state, instances)
   for (const service of listServices(state)) {
     if (isFull(round)) break
     const serving = candidates.get(service)
