--- a/packages/records/src/log/constants.ts
+++ b/packages/records/src/log/constants.ts
@@ -1,6 +1,13 @@
+import { MAX_BODY_LENGTH } from '../config/parseBody.js'
+
+import type { LogOffset } from '@figmount/base'
+
 /** Largest payload of one record. Grounds: a full item's body and its envelope. */
 export const MAX_PAYLOAD_BYTES = 4 * 1024 * 1024
 
+/** Largest body after inflating: every character of the longest body in four bytes of UTF-8. */
+export const MAX_BODY_BYTES = 4 * MAX_BODY_LENGTH
+
 /** How long a read waits at the log for a new record. */
 export const READ_WAIT_MS = 1_000
 
@@ -52,3 +59,6 @@
 
 /** Records kept while a process waits for a snapshot to put them on. */
 export const PENDING_MAX_BYTES = 64 * 1024 * 1024
+
+/** Offset of a snapshot's chunk that was made for a peer and never was in the log. */
+export const NOT_IN_LOG = -1 as LogOffset
--- a/packages/records/src/proposals/constants.ts
+++ b/packages/records/src/proposals/constants.ts
@@ -31,12 +31,5 @@
  */
 export const LIST_GAP_MS = 10_000
 
-/**
- * How long a holder that can't read the log may go on loading after the sending of its last read
- * of the list that named it. Grounds: a void needs LIST_ABSENT_MS of absence, and a grant after it
- * VOID_WAIT_MS more; half of the former leaves room for lists that lag behind one another by 20 s.
- */
-export const LIST_SIGHT_MS = 15_000
-
 /** Voids proposed in one round: a rack at once, a data centre in a few rounds. */
 export const VOID_BATCH = 100
