Read a stream to its end so that its connection is used again

Cause: the agent left a stream at its last chunk, which makes the RPC library abort the call and close the connection: an error object with a stack and a new connection for every request. Changed: the answer is final with the last chunk, the rest of the stream is read behind it.

--- a/packages/agent/src/engine/runStream.ts
+++ b/packages/agent/src/engine/runStream.ts
@@ -77,7 +77,8 @@
     return undefined
   }
 
-  const read = async (open: (signal: AbortSignal) => AsyncIterable<Chunk>): Promise<ReadEnd> => {
+  // The connection is read to its end behind the last chunk, so that it goes back to the pool.
+  const readAll = async (open: (signal: AbortSignal) => AsyncIterable<Chunk>, onEnd: (end: ReadEnd) => void): Promise<void> => {
     const controller = new AbortController()
     const forward = (): void => controller.abort()
     signal.addEventListener('abort', forward, { once: true })
@@ -87,19 +88,22 @@
       for await (const chunk of open(controller.signal)) {
         lastHeardMs = timers.nowMs()
         const gap = take(chunk)
-        if (gap) return { kind: 'broken', thrown: undefined, fault: gap }
-        if (chunk.last) return { kind: 'last', finishReason: chunk.finishReason }
+        if (gap) return onEnd({ kind: 'broken', thrown: undefined, fault: gap })
+        if (chunk.last) onEnd({ kind: 'last', finishReason: chunk.finishReason })
       }
-      return { kind: 'broken', thrown: undefined, fault: makeFault(FaultKind.Unavailable, 'engine.stream', engine.address, 'ended without a last chunk') }
+      onEnd({ kind: 'broken', thrown: undefined, fault: makeFault(FaultKind.Unavailable, 'engine.stream', engine.address, 'ended without a last chunk') })
     } catch (thrown) {
-      return { kind: 'broken', thrown, fault: engineFault('engine.stream', engine.address)(thrown) }
+      onEnd({ kind: 'broken', thrown, fault: engineFault('engine.stream', engine.address)(thrown) })
     } finally {
       stopWatching()
       signal.removeEventListener('abort', forward)
-      controller.abort()
     }
   }
 
+  /** Reads one connection up to the last chunk or its break; what comes behind has no effect. */
+  const read = async (open: (signal: AbortSignal) => AsyncIterable<Chunk>): Promise<ReadEnd> =>
+    await new Promise((resolve, reject) => { readAll(open, resolve).catch(reject) })
+
   /** Asks whether the engine still is the one that was given the request. */
   const probe = async (): Promise<'same' | 'died' | 'unreachable'> => {
     const answer = await engine.inventory().run()
