Close orders of a dead engine at once; tell a plain service's death

Cause: after an engine died in the middle of a load its memory stayed reserved until the order's deadline, five seconds in which callers waited for nothing. And a request that crashes a plain service was never suspected. Changed: an order whose call broke counts as over once nothing listens at the engine's address: no process is left that can have got it. A plain service that broke a call off and refuses connections right after has died, and its calls in flight become suspects. followOrder is rewritten around the state of its call. Conclusion: a model is loaded again within a poll of the engine's return.

--- a/packages/agent/src/agent/createAgent.ts
+++ b/packages/agent/src/agent/createAgent.ts
@@ -88,6 +88,9 @@
 
   const queuedMs = (): number => secondsAhead(work(), 0) * MS_PER_SECOND
 
+  const onDeath = (backendRun: string): void =>
+    suspects.reportDeath(`${instance}/${backendRun}`, dispatcher.running())
+
   const engineBackend: EngineBackend | undefined = engine && createEngineBackend({
     context,
     engine,
@@ -96,10 +99,10 @@
     isDraining: () => drain.reason() !== undefined,
     demands: currentDemands,
     queuedMs,
-    onDeath: engineIncarnation => suspects.reportDeath(`${instance}/${engineIncarnation}`, dispatcher.running()),
+    onDeath,
     poke: () => dispatcher.poke()
   })
-  const backend = engineBackend ?? createPlainBackend(context, queuedMs)
+  const backend = engineBackend ?? createPlainBackend({ context, queuedMs, onDeath })
 
   const rights = createRightsKeeper({
     context,
--- a/packages/agent/src/loading/followOrder.ts
+++ b/packages/agent/src/loading/followOrder.ts
@@ -1,11 +1,12 @@
 import { FaultKind, sleep } from '@figmount/base'
 
+import { isRefused } from '../engine/engineFaults.js'
 import { AgentEvent } from '../events.js'
 import { ORDER_POLL_MS } from './constants.js'
 import { judgeOrder } from './judgeOrder.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
-import type { EngineClient, EngineOrder } from '../engine/types.js'
+import type { EngineClient, EngineOrder, Inventory } from '../engine/types.js'
 import type { OrderOutcome } from './types.js'
 
 interface Options {
@@ -23,20 +24,37 @@
   FaultKind.Invalid, FaultKind.NotFound, FaultKind.Conflict, FaultKind.Exhausted, FaultKind.Unauthenticated
 ]
 
-/** Sends an order once; wakes `onEnd` with its answer. */
-const sendOrder = async ({ engine, events, order, signal }: Options, onEnd: (answer: OrderOutcome | Fault | undefined) => void): Promise<void> => {
+/** What is known of the call that carries an order. */
+type CallState =
+  | { readonly kind: 'pending' }
+  | { readonly kind: 'done', readonly tookMs: number }
+  /** The engine itself has refused it. */
+  | { readonly kind: 'refused', readonly fault: Fault }
+  /** It broke; the order may have arrived. `isGone`: no process is left that can have got it. */
+  | { readonly kind: 'broken', readonly isGone: boolean }
+
+const sendOrder = async ({ engine, events, order, signal }: Options): Promise<CallState> => {
   const result = await engine.order(order, signal).run()
-  result.caseOf({
-    Right: ({ tookMs }) => onEnd({ kind: 'done', tookMs }),
+  return result.caseOf<CallState>({
+    Right: ({ tookMs }) => ({ kind: 'done', tookMs }),
     Left: fault => {
-      if (REFUSALS.includes(fault.kind)) return onEnd(fault)
-      if (signal.aborted) return onEnd(undefined)
-      events.emit(AgentEvent.orderDoubtful, { model: order.model, fence: order.fence, step: fault.step, peer: fault.peer, reason: fault.message })
-      onEnd(undefined)
+      if (REFUSALS.includes(fault.kind)) return { kind: 'refused', fault }
+      if (!signal.aborted) {
+        events.emit(AgentEvent.orderDoubtful, { model: order.model, fence: order.fence, step: fault.step, peer: fault.peer, reason: fault.message })
+      }
+      return { kind: 'broken', isGone: isRefused(fault) }
     }
   })
 }
 
+const notDone = (call: CallState, inventory: Inventory): OrderOutcome => {
+  if (call.kind !== 'refused') return { kind: 'notDone', reason: 'no answer, and the engine shows no effect', storeIsFull: false, inventory }
+  return { kind: 'notDone', reason: call.fault.message, storeIsFull: call.fault.kind === FaultKind.Exhausted, inventory }
+}
+
+/** True when no effect in an inventory proves that there will be none. */
+const isSettled = (call: CallState): boolean => call.kind === 'refused' || (call.kind === 'broken' && call.isGone)
+
 /**
  * Sends an order and finds out what became of it; resolves only with the truth, or undefined when `signal` aborts.
  * While the answer is out, the inventory is asked too: a connection that goes silent during a long load would
@@ -46,49 +64,46 @@
 export const followOrder = async (options: Options): Promise<OrderOutcome | undefined> => {
   const { engine, timers, order, mustSend, signal } = options
   const sentAtMs = timers.nowMs()
-  const call = new AbortController()
-  const wake = new AbortController()
+  const ending = new AbortController()
+  const answered = new AbortController()
   const abort = (): void => {
-    call.abort()
-    wake.abort()
+    ending.abort()
+    answered.abort()
   }
   signal.addEventListener('abort', abort, { once: true })
-  let done: OrderOutcome | undefined
-  let refusal: Fault | undefined
-  let isAnswered = false
+  let call: CallState = { kind: 'pending' }
+  const state = (): CallState => call
 
-  const onEnd = (answer: OrderOutcome | Fault | undefined): void => {
-    if (answer && answer.kind === 'done') done = answer as OrderOutcome
-    else refusal = answer as Fault | undefined
-    isAnswered = true
-    wake.abort()
+  const onAnswer = (answer: CallState): void => {
+    call = answer
+    answered.abort()
   }
   if (mustSend) {
-    sendOrder({ ...options, signal: call.signal }, onEnd).catch(() => onEnd(undefined))
+    sendOrder({ ...options, signal: ending.signal }).then(onAnswer, () => onAnswer({ kind: 'broken', isGone: false }))
   }
 
   try {
     while (!signal.aborted) {
-      if (!refusal || !isAnswered) await sleep(timers, ORDER_POLL_MS, isAnswered ? signal : wake.signal)
-      if (done) return done
+      await sleep(timers, ORDER_POLL_MS, state().kind === 'pending' ? answered.signal : signal)
       const askedAtMs = timers.nowMs()
-      const inventory = (await engine.inventory().run()).toMaybe().extract()
-      if (done) return done
+      const known = state()
+      if (known.kind === 'done') return known
+      const asked = await engine.inventory().run()
+      const current = state()
+      if (current.kind === 'done') return current
+      const inventory = asked.toMaybe().extract()
       if (!inventory) {
-        if (refusal) await sleep(timers, ORDER_POLL_MS, signal)
+        // Nothing listens: the process that may have got the order has ended, and its call with it.
+        if (known.kind === 'broken' && asked.swap().map(isRefused).orDefault(false)) call = { kind: 'broken', isGone: true }
         continue
       }
-      const judgement = judgeOrder(order, refusal ? Number.NEGATIVE_INFINITY : sentAtMs, inventory, askedAtMs)
+      const judgement = judgeOrder(order, isSettled(known) ? Number.NEGATIVE_INFINITY : sentAtMs, inventory, askedAtMs)
       if (judgement === 'done') return { kind: 'done', tookMs: Math.round(timers.nowMs() - sentAtMs) }
-      if (judgement === 'notDone') {
-        const reason = refusal ? refusal.message : 'no answer, and the engine shows no effect'
-        return { kind: 'notDone', reason, storeIsFull: refusal?.kind === FaultKind.Exhausted, inventory }
-      }
-      if (refusal) await sleep(timers, ORDER_POLL_MS, signal)
+      if (judgement === 'notDone') return notDone(current, inventory)
     }
     return undefined
   } finally {
     signal.removeEventListener('abort', abort)
-    call.abort()
+    ending.abort()
   }
 }
--- a/packages/agent/src/loading/loading.test.ts
+++ b/packages/agent/src/loading/loading.test.ts
@@ -75,6 +75,23 @@
     expect(kinds(under)).to.have.length(2)
   })
 
+  // The engine dies in the middle of a load and comes back empty a second later. Waiting for the
+  // order's deadline would keep callers from a model that nobody is loading.
+  it('orders again at once after the engine died in the middle', async () => {
+    const under = await startAgentForTest()
+    under.engine.knobs.loadMs = 1_000
+    under.grant(replicaOf(MODEL))
+    const router = under.connect()
+    router.start('a')
+    await under.advance(300)
+    under.engine.knobs.isDown = true
+    under.engine.knobs.restart()
+    await under.advance(1_000)
+    under.engine.knobs.isDown = false
+    await under.advance(3_600)
+    expect(router.finalOf('a')?.tokenCount).to.equal(3)
+  })
+
   it('backs off from a full weight store', async () => {
     const under = await startAgentForTest()
     let count = 0
--- a/packages/agent/src/plain/plain.test.ts
+++ b/packages/agent/src/plain/plain.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai'
 
 import { createPlainCaller } from './callPlain.js'
+import { probeService } from './probeService.js'
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
@@ -85,5 +86,10 @@
     const end = await run('/bill', false, () => { reached = true })
     expect(end).to.include({ kind: 'failed', sent: false })
     expect(reached).to.equal(false)
+    expect(await probeService(address, timers)).to.equal('refused')
+  })
+
+  it('that broke one call off is not taken for dead', async () => {
+    expect(await probeService(address, timers)).to.equal('up')
   })
 })
--- a/packages/agent/src/running/runOnPlain.ts
+++ b/packages/agent/src/running/runOnPlain.ts
@@ -3,15 +3,29 @@
 import { isServiceDown, missingCall } from '../plain/callPlain.js'
 
 import type { CallPlain } from '../plain/callPlain.js'
+import type { Probe } from '../plain/probeService.js'
 import type { RunOnBackend } from './types.js'
 
-/** Runs attempts on a plain HTTP service. */
-export const runOnPlain = (address: string, callPlain: CallPlain): RunOnBackend => async (attempt, _version, hooks, signal) => {
+interface Options {
+  readonly address: string
+  readonly callPlain: CallPlain
+  readonly probe: () => Promise<Probe>
+  /** Names the run of the service; changes when it was found dead. */
+  readonly incarnation: () => string
+}
+
+/**
+ * Runs attempts on a plain HTTP service. A service that broke a call off and refuses connections right after has
+ * ended; one that is merely cut off or closed the one connection has not.
+ */
+export const runOnPlain = ({ address, callPlain, probe, incarnation }: Options): RunOnBackend => async (attempt, _version, hooks, signal) => {
   const { plain, repeatable } = attempt.request
   if (!plain) return { kind: 'notRun', fault: missingCall(address), isBackendDown: false }
+  const startedOn = incarnation()
   const end = await callPlain({ call: plain, repeatable, signal, onReach: hooks.onReach })
   if (end.kind === 'answered') return { kind: 'finished', finishReason: FinishReason.STOP, plain: end.answer }
   if (!end.sent) return { kind: 'notRun', fault: end.fault, isBackendDown: isServiceDown(end.fault) }
   if (signal.aborted) return { kind: 'cancelled' }
-  return { kind: 'interrupted', fault: end.fault, died: false, incarnation: '' }
+  const died = await probe() === 'refused'
+  return { kind: 'interrupted', fault: end.fault, died, incarnation: startedOn }
 }
--- a/packages/agent/src/testing/createFakeEngine.ts
+++ b/packages/agent/src/testing/createFakeEngine.ts
@@ -150,6 +150,19 @@
     return await never(signal)
   }
 
+  /** The call breaks when the process ends. */
+  const orderUntilEnd = async (asked: EngineOrder, signal: AbortSignal): Promise<OrderDone> => {
+    const born = process
+    const call = order(asked, signal)
+    call.catch(() => {})
+    const isAlive = (): boolean => born === process && !knobs.isDown
+    while (isAlive()) {
+      const ended = await Promise.race([call.then(() => true, () => true), sleep(timers, 10).then(() => false)])
+      if (ended) return await call
+    }
+    throw broken()
+  }
+
   const inventory = async (): Promise<Inventory> => {
     if (knobs.isDown) throw refused()
     return {
@@ -225,7 +238,7 @@
     peakMb: () => peakMb,
     peakRunning: () => peakRunning,
     residents: () => [...residents.values()],
-    order: (asked, signal) => EitherAsync(async () => await order(asked, signal)).mapLeft(asFault),
+    order: (asked, signal) => EitherAsync(async () => await orderUntilEnd(asked, signal)).mapLeft(asFault),
     inventory: () => EitherAsync(inventory).mapLeft(asFault),
     generate,
     resume,
