--- a/packages/records/src/proposals/types.ts
+++ b/packages/records/src/proposals/types.ts
@@ -1,4 +1,4 @@
-import type { InstanceName } from '@figmount/base'
+import type { InstanceName, ModelId } from '@figmount/base'
 import type { AgentFacts } from '../agents/types.js'
 import type { RightKey, RightState } from '../rights/types.js'
 
@@ -17,11 +17,17 @@
   readonly maxCount?: number
 }
 
+/** What a proposer of moves knows beside the agreed state. */
+export interface MoveFacts extends Pick<ProposalFacts, 'mayPropose'> {
+  /** Whether an agent is known to have the model loaded or loading; false where nothing is known. */
+  readonly isLoaded: (instance: InstanceName, target: ModelId) => boolean
+}
+
 /** What an engine says to a proposer that looks for it. */
 export type EngineReach =
   /** It does not answer. */
   | 'unreachable'
-  /** It answers, enforces fences, and confirmed an unload of everything under a newer one. */
+  /** It answers, enforces fences, and confirmed an unload of every model under the fence `state.nextOffset` or a newer one. */
   | 'fenced'
   /** It answers and may still carry out an order of its agent. */
   | 'reachable'
