--- a/packages/agent/src/agent/createAdmission.ts
+++ b/packages/agent/src/agent/createAdmission.ts
@@ -1,14 +1,13 @@
 import { ONCE_WINDOW_MS } from '@figmount/records'
 import { RefusalReason, RunState } from '@figmount/schema'
 
-import { attemptFields } from '../attempts/createAttemptStore.js'
+import { attemptFields } from '../attempts/entry.js'
 import { AgentEvent } from '../events.js'
 import { mayHaveRun, notRun, quarantined } from './refusals.js'
 
 import type { AttemptId } from '@figmount/base'
 import type { Permit, RefusalNote, RunRequest } from '@figmount/peers'
-import type { AttemptStore } from '../attempts/createAttemptStore.js'
-import type { Attempt, Subscriber } from '../attempts/types.js'
+import type { Attempt, AttemptStore, Subscriber } from '../attempts/types.js'
 import type { Estimates } from '../queueing/createEstimates.js'
 import type { PermitLedger } from '../once/createPermitLedger.js'
 import type { Queue } from '../queueing/createQueue.js'
@@ -143,7 +142,7 @@
     if (known) {
       const attempt = attempts.get(known)
       if (attempt) events.emit(AgentEvent.attemptJoined, { ...attemptFields(attempt), detail: start.attemptId })
-      attempts.subscribe(known, start.attemptId, subscriber, 0)
+      if (!attempts.subscribe(known, start.attemptId, subscriber, 0)) subscriber.send({ type: 'unknown', attemptId: start.attemptId, incarnation })
       return
     }
     if (!start.request.repeatable) return startOnce(start, subscriber)
--- a/packages/agent/src/agent/createDispatcher.ts
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -1,7 +1,8 @@
+import { FaultKind, makeFault } from '@figmount/base'
 import { match } from 'ts-pattern'
 import { RefusalReason, WaitState } from '@figmount/schema'
 
-import { attemptFields } from '../attempts/createAttemptStore.js'
+import { attemptFields } from '../attempts/entry.js'
 import { ORPHAN_MS } from '../attempts/constants.js'
 import { AgentEvent } from '../events.js'
 import { ASSUMED_TOKEN_INTERVAL_MS, INTERVAL_SMOOTHING } from '../queueing/constants.js'
@@ -11,8 +12,7 @@
 import type { AttemptId } from '@figmount/base'
 import type { RefusalNote } from '@figmount/peers'
 import type { SuspectVerdict } from '@figmount/records'
-import type { AttemptStore } from '../attempts/createAttemptStore.js'
-import type { Attempt, Progress } from '../attempts/types.js'
+import type { Attempt, AttemptStore, Progress } from '../attempts/types.js'
 import type { Estimates } from '../queueing/createEstimates.js'
 import type { Queue, QueuedAttempt } from '../queueing/createQueue.js'
 import type { Pace } from '../queueing/workAhead.js'
@@ -78,6 +78,10 @@
   readonly tellProgress: () => void
 }
 
+/** What is true of a run that is ended before its answer is whole. */
+const runNote = (attempt: Attempt, options: Parameters<typeof ran>[0]): RefusalNote =>
+  attempt.reached ? ran(options) : mayHaveRun(options)
+
 /** Makes the dispatcher of one agent. */
 export const createDispatcher = (options: Options): Dispatcher => {
   const { context: { timers, events, instance }, attempts, queue, backend, estimates } = options
@@ -117,9 +121,9 @@
       // A request that may not be repeated runs on: its answer is kept for a resend.
       if (!attempt.request.repeatable) continue
       if (attempt.deadlineAtMs <= nowMs) {
-        stopRun(run, ran({ reason: RefusalReason.DEADLINE, detail: 'its run did not end before the deadline', step: 'running.deadline', peer: instance }))
+        stopRun(run, runNote(attempt, { reason: RefusalReason.DEADLINE, detail: 'its run did not end before the deadline', step: 'running.deadline', peer: instance }))
       } else if (attempts.orphanedForMs(attempt.id) > ORPHAN_MS) {
-        stopRun(run, ran({ reason: RefusalReason.STOPPING, detail: 'no router listens any more', step: 'running.orphan', peer: instance, retryAfterMs: 0 }))
+        stopRun(run, runNote(attempt, { reason: RefusalReason.STOPPING, detail: 'no router listens any more', step: 'running.orphan', peer: instance, retryAfterMs: 0 }))
       }
     }
   }
@@ -149,7 +153,7 @@
       attempts.refuse(run.attempt.id, mayHaveRun({ reason, detail: `interrupted: ${fault.message}`, step: fault.step, peer: instance }))
     })
     .with({ kind: 'cancelled' }, () => {
-      attempts.refuse(run.attempt.id, run.cancelNote ?? ran({ reason: RefusalReason.STOPPING, detail: 'cancelled', step: 'running.cancel', peer: instance }))
+      attempts.refuse(run.attempt.id, run.cancelNote ?? runNote(run.attempt, { reason: RefusalReason.STOPPING, detail: 'cancelled', step: 'running.cancel', peer: instance }))
     })
     .exhaustive()
 
@@ -157,7 +161,7 @@
     const { attempt } = run
     let lastTokenMs = timers.nowMs()
     let isFirst = true
-    const end = await backend.run(attempt, version, {
+    const task = backend.run(attempt, version, {
       onReach: () => {
         if (attempt.reached) return
         attempts.markReached(attempt.id)
@@ -171,6 +175,9 @@
         attempts.addTokens(attempt.id, firstTokenIndex, tokens)
       }
     }, run.controller.signal)
+    // A run that fails in a way nobody thought of must still free its place in the batch and tell its router.
+    const end = await task.catch((error: Error): RunEnd =>
+      ({ kind: 'interrupted', fault: makeFault(FaultKind.Internal, 'running.follow', instance, error.message), died: false, incarnation: '' }))
     finish(run, end)
     runs.delete(attempt.id)
     queue.account(attempt, attempt.tokenCount - attempt.request.doneTokens.length - run.accountedTokens)
@@ -245,7 +252,7 @@
       if (!attempt?.request.repeatable) return
       events.emit(AgentEvent.attemptCancelled, attemptFields(attempt))
       const run = runs.get(id)
-      if (run) stopRun(run, ran({ reason: RefusalReason.STOPPING, detail: 'cancelled', step: 'running.cancel', peer: instance, retryAfterMs: 0 }))
+      if (run) stopRun(run, runNote(attempt, { reason: RefusalReason.STOPPING, detail: 'cancelled', step: 'running.cancel', peer: instance, retryAfterMs: 0 }))
       else cancelQueued(id)
       poke()
     },
@@ -254,8 +261,7 @@
         refuseWaiting(attempt, notRun({ reason: RefusalReason.STOPPING, detail: 'the agent stops', step: 'leaving.deadline', peer: instance }))
       }
       for (const run of runs.values()) {
-        const note = { reason: RefusalReason.STOPPING, detail: 'the agent stops', step: 'leaving.deadline', peer: instance }
-        stopRun(run, run.attempt.reached ? ran(note) : mayHaveRun(note))
+        stopRun(run, runNote(run.attempt, { reason: RefusalReason.STOPPING, detail: 'the agent stops', step: 'leaving.deadline', peer: instance }))
       }
     },
     pace: () => ({ tokenIntervalMs, batchSize: backend.batchSize() }),
--- a/packages/agent/src/agent/createEngineBackend.ts
+++ b/packages/agent/src/agent/createEngineBackend.ts
@@ -78,7 +78,7 @@
       return refuse(RefusalReason.UNKNOWN_TARGET, `no version ${request.version}`, 'loading.find', 0)
     }
     const right = rights().slots.get(request.model)
-    if (!right || right.revoked) return refuse(RefusalReason.UNAVAILABLE, `no right to hold ${request.model}`, 'loading.right')
+    if (!right || right.revoked || right.slotIndex >= spec.maxReplicas) return refuse(RefusalReason.UNAVAILABLE, `no right to hold ${request.model}`, 'loading.right')
     if (request.adapter !== '') {
       const adapter = spec.adapters.find(({ name }) => name === request.adapter)
       if (!adapter) return refuse(RefusalReason.UNKNOWN_TARGET, `no adapter ${request.adapter}`, 'loading.find', 0)
--- a/packages/agent/src/attempts/createAttemptStore.ts
+++ b/packages/agent/src/attempts/createAttemptStore.ts
@@ -2,12 +2,12 @@
 import { RefusalReason, RunState } from '@figmount/schema'
 
 import { AgentEvent } from '../events.js'
-import { FINISHED_KEEP_MS, FRAME_GATHER_MS, FRAME_OVERHEAD_BYTES, FRAME_TOKEN_COUNT } from './constants.js'
+import { FINISHED_KEEP_MS, FRAME_GATHER_MS, FRAME_TOKEN_COUNT } from './constants.js'
+import { attemptFields, isOver, keyText, nextFrame, sizeOf, withoutListener } from './entry.js'
 
-import type { AttemptId, EventFields, EventLog, TimerService } from '@figmount/base'
-import type { FromAgent, PlainAnswer, RefusalNote, RunRequest } from '@figmount/peers'
-import type { FinishReason } from '@figmount/schema'
-import type { Attempt, AttemptPhase, Frame, Progress, Subscriber } from './types.js'
+import type { AttemptId, EventLog, TimerService } from '@figmount/base'
+import type { Entry, Listener } from './entry.js'
+import type { AttemptMessage, AttemptStore, Frame } from './types.js'
 
 interface Options {
   readonly timers: TimerService
@@ -15,88 +15,6 @@
   readonly maxKeptBytes: number
 }
 
-/** What names a request that may not be repeated. */
-export type KeyOfRequest = Pick<RunRequest, 'caller' | 'requestKey' | 'model' | 'service'>
-
-const keyText = ({ caller, requestKey, model, service }: KeyOfRequest): string => `${service}\n${model}\n${caller}\n${requestKey}`
-
-/** The store's own mutable copy of an attempt. */
-interface Entry {
-  readonly id: AttemptId
-  request: RunRequest
-  readonly arrivedAtMs: number
-  readonly deadlineAtMs: number
-  readonly keepUntilMs: number
-  phase: AttemptPhase
-  reached: boolean
-  tokenCount: number
-  refusal?: RefusalNote
-  version: string
-  startedAtMs: number
-  /** Frames from number `firstFrame` on. */
-  frames: Frame[]
-  firstFrame: number
-  gathered: string[]
-  keptBytes: number
-  listeners: readonly Listener[]
-  orphanSinceMs: number
-}
-
-/** A router that follows an attempt, under the attempt id that it asked with. */
-interface Listener {
-  readonly subscriber: Subscriber
-  readonly asId: AttemptId
-  /** Frames below this have reached the caller. */
-  readonly ackedBelow: number
-}
-
-/** The attempts of this agent and the frames that it keeps of them. */
-export interface AttemptStore {
-  readonly add: (id: AttemptId, request: RunRequest) => Attempt
-  readonly get: (id: AttemptId) => Attempt | undefined
-  readonly all: () => Iterable<Attempt>
-  readonly count: () => number
-  /** Sends what is kept from `fromFrame` on and all that follows. False when frames below are gone already. */
-  readonly subscribe: (id: AttemptId, asId: AttemptId, subscriber: Subscriber, fromFrame: number) => boolean
-  readonly unsubscribeAll: (subscriber: Subscriber) => void
-  /** Ends one router's interest; true when nobody is left. */
-  readonly unsubscribe: (asId: AttemptId, subscriber: Subscriber) => boolean
-  readonly resolve: (asId: AttemptId) => AttemptId | undefined
-  /** The attempt that runs or ran a key that may not be repeated; none when it turned out not to have run. */
-  readonly findByKey: (request: KeyOfRequest) => AttemptId | undefined
-  /** Frames are dropped when every listener has them; those of a request that may not be repeated stay for resends of its key. */
-  readonly acknowledge: (asId: AttemptId, belowFrame: number, subscriber: Subscriber) => void
-  readonly start: (id: AttemptId, version: string) => void
-  readonly markReached: (id: AttemptId) => void
-  readonly addTokens: (id: AttemptId, firstTokenIndex: number, tokens: readonly string[]) => void
-  readonly finish: (id: AttemptId, finishReason: FinishReason, plain?: PlainAnswer) => void
-  readonly refuse: (id: AttemptId, refusal: RefusalNote) => void
-  readonly tell: (id: AttemptId, progress: Progress) => void
-  readonly orphanedForMs: (id: AttemptId) => number
-  /** Forgets what is past its time, and the oldest kept answers beyond the bound. */
-  readonly sweep: () => void
-  /** True when every finished attempt has been acknowledged or nobody listens. */
-  readonly isDelivered: () => boolean
-  readonly keptBytes: () => number
-}
-
-/** Fields that every event about an attempt carries. */
-export const attemptFields = (attempt: Pick<Attempt, 'id' | 'request'>): EventFields => ({
-  attemptId: attempt.id,
-  caller: attempt.request.caller,
-  requestKey: attempt.request.requestKey,
-  service: attempt.request.service,
-  model: attempt.request.model,
-  repeatable: attempt.request.repeatable
-})
-
-const sizeOf = (frame: Frame): number => {
-  let sizeBytes = FRAME_OVERHEAD_BYTES
-  if (frame.type === 'final') return sizeBytes + (frame.plain?.body.length ?? 0)
-  for (const token of frame.tokens) sizeBytes += token.length
-  return sizeBytes
-}
-
 /** Makes the attempt store. */
 export const createAttemptStore = ({ timers, events, maxKeptBytes }: Options): AttemptStore => {
   const entries = new Map<AttemptId, Entry>()
@@ -106,7 +24,7 @@
   let keptBytes = 0
   let flushTimer: (() => void) | undefined
 
-  const publish = (entry: Entry, message: Exclude<FromAgent, { type: 'welcome' | 'heartbeat.ack' | 'permit.reply' | 'records' | 'records.ask' | 'suspect' | 'leaving' }>): void => {
+  const publish = (entry: Entry, message: AttemptMessage): void => {
     for (const { asId, subscriber } of entry.listeners) {
       subscriber.send(asId === entry.id ? message : { ...message, attemptId: asId })
     }
@@ -120,8 +38,6 @@
     publish(entry, frame)
   }
 
-  const nextFrame = (entry: Entry): number => entry.firstFrame + entry.frames.length
-
   const flush = (entry: Entry): void => {
     dirty.delete(entry)
     const tokens = entry.gathered
@@ -175,8 +91,6 @@
     events.emit(AgentEvent.answerDropped, attemptFields(entry))
   }
 
-  const isOver = (entry: Entry): boolean => entry.phase === 'finished' || entry.phase === 'refused'
-
   const open = (id: AttemptId): Entry | undefined => {
     const entry = entries.get(id)
     return entry && !isOver(entry) ? entry : undefined
@@ -187,9 +101,6 @@
     entry.listeners = listeners
   }
 
-  const without = (entry: Entry, asId: AttemptId, subscriber: Subscriber): readonly Listener[] =>
-    entry.listeners.filter(listener => listener.asId !== asId || listener.subscriber !== subscriber)
-
   return {
     add: (id, request) => {
       const nowMs = timers.nowMs()
@@ -230,7 +141,7 @@
       if (fromFrame < entry.firstFrame && entry.phase !== 'refused') return false
       flush(entry)
       aliases.set(asId, id)
-      setListeners(entry, [...without(entry, asId, subscriber), { asId, subscriber, ackedBelow: fromFrame }])
+      setListeners(entry, [...withoutListener(entry, asId, subscriber), { asId, subscriber, ackedBelow: fromFrame }])
       for (const frame of entry.frames.slice(fromFrame - entry.firstFrame)) {
         subscriber.send({ ...frame, attemptId: asId })
       }
@@ -245,13 +156,13 @@
     unsubscribe: (asId, subscriber) => {
       const entry = entries.get(aliases.get(asId) ?? asId)
       if (!entry) return false
-      setListeners(entry, without(entry, asId, subscriber))
+      setListeners(entry, withoutListener(entry, asId, subscriber))
       return entry.listeners.length === 0
     },
     acknowledge: (asId, belowFrame, subscriber) => {
       const entry = entries.get(aliases.get(asId) ?? asId)
       if (!entry) return
-      const others = without(entry, asId, subscriber)
+      const others = withoutListener(entry, asId, subscriber)
       if (others.length === entry.listeners.length) return
       const isComplete = isOver(entry) && belowFrame >= nextFrame(entry)
       setListeners(entry, isComplete ? others : [...others, { asId, subscriber, ackedBelow: belowFrame }])
--- a/packages/agent/src/engine/constants.ts
+++ b/packages/agent/src/engine/constants.ts
@@ -7,7 +7,7 @@
 /** Pause before a broken stream is tried again. */
 export const STREAM_RETRY_MS = 200
 
-/** A run whose engine cannot be reached for this long is handed back. Grounds: above one silence and one probe. */
+/** A repeatable run whose engine cannot be reached for this long is handed back. Grounds: above one silence and one probe. */
 export const ENGINE_GONE_MS = 5_000
 
 /** Deadline of an inventory, which the engine answers from memory. */
--- a/packages/agent/src/engine/runStream.ts
+++ b/packages/agent/src/engine/runStream.ts
@@ -1,7 +1,7 @@
 import { Code } from '@connectrpc/connect'
 import { FaultKind, makeFault, sleep } from '@figmount/base'
 
-import { ENGINE_GONE_MS, STREAM_RETRY_MS, STREAM_SILENCE_MS } from './constants.js'
+import { STREAM_RETRY_MS, STREAM_SILENCE_MS } from './constants.js'
 import { answeredCode, engineFault, isRefused, neverSent } from './engineFaults.js'
 
 import type { Fault, TimerService } from '@figmount/base'
@@ -25,6 +25,8 @@
   readonly args: GenerateArgs
   /** The engine's incarnation that holds the model. */
   readonly incarnation: string
+  /** Time for which the engine may be out of reach before the run is given up. */
+  readonly goneMs: number
   readonly signal: AbortSignal
   /** Receives new tokens, in order, each index once. */
   readonly onTokens: (firstTokenIndex: number, tokens: readonly string[]) => void
@@ -58,7 +60,7 @@
  * id from the next token index; the index decides, so a repeated token is dropped and a gap is never passed on.
  * A second `generate` is only sent to the same incarnation, which refuses an id that it knows.
  */
-export const runStream = async ({ engine, timers, args, incarnation, signal, onTokens, onResume }: Options): Promise<StreamEnd> => {
+export const runStream = async ({ engine, timers, args, incarnation, goneMs, signal, onTokens, onResume }: Options): Promise<StreamEnd> => {
   let nextIndex = args.doneTokens.length
   let isKnown = false
   let failingSinceMs: number | undefined
@@ -131,7 +133,7 @@
     if (standing === 'died') return { kind: 'interrupted', died: true, fault }
     if (standing === 'unreachable') {
       failingSinceMs ??= timers.nowMs()
-      if (timers.nowMs() - failingSinceMs > ENGINE_GONE_MS) return { kind: 'interrupted', died: false, fault }
+      if (timers.nowMs() - failingSinceMs > goneMs) return { kind: 'interrupted', died: false, fault }
     } else {
       // The same incarnation that does not know the stream never got the first call, or has forgotten the stream.
       const isLost: boolean = resumes && code === Code.NotFound && !isKnown
--- a/packages/agent/src/links/createLinkBook.ts
+++ b/packages/agent/src/links/createLinkBook.ts
@@ -26,6 +26,7 @@
 export const createLinkBook = (timers: TimerService, ownOffset: () => LogOffset): LinkBook => {
   const links = new Set<RouterLink>()
   let lag: Lag | undefined
+  let highest = ownOffset()
 
   const ask = (peer: string, fromOffset: LogOffset): void => {
     for (const link of links) {
@@ -44,10 +45,12 @@
     bufferedBytes: () => [...links].reduce((sum, link) => sum + link.bufferedBytes(), 0),
     notePeerOffset: (peer, offset) => {
       const own = ownOffset()
-      if (offset <= own) {
+      if (offset > highest) highest = offset
+      if (highest <= own) {
         lag = undefined
         return
       }
+      if (offset <= own) return
       const nowMs = timers.nowMs()
       lag ??= { sinceMs: nowMs, askedAtMs: nowMs }
       if (nowMs - lag.sinceMs < BEHIND_MS || nowMs - lag.askedAtMs < BEHIND_MS) return
--- a/packages/agent/src/links/runRouterLink.ts
+++ b/packages/agent/src/links/runRouterLink.ts
@@ -7,7 +7,7 @@
 import type { AgentReport, PermitReply, ToAgent } from '@figmount/peers'
 import type { HandleStart } from '../agent/createAdmission.js'
 import type { AgentContext } from '../agent/types.js'
-import type { AttemptStore } from '../attempts/createAttemptStore.js'
+import type { AttemptStore } from '../attempts/types.js'
 import type { KeyName } from '../once/types.js'
 import type { RouterLink } from './createLinkBook.js'
 
--- a/packages/agent/src/loading/loading.test.ts
+++ b/packages/agent/src/loading/loading.test.ts
@@ -196,4 +196,30 @@
     expect(under.engine.residents()).to.deep.equal([])
     expect(statusOf()).to.equal('free')
   })
+
+  // An operator lowers the greatest number of replicas. Kept loaded until its right is revoked,
+  // the model would have a replica too many for that long.
+  it('unloads above a lowered bound', async () => {
+    const under = await startAgentForTest()
+    under.grant(replicaOf(MODEL, 1))
+    const router = under.connect()
+    router.start('a')
+    await under.advance(400)
+    configure(under, 1, [modelSpec('m', { maxReplicas: 1 })])
+    router.start('b')
+    await under.advance(200)
+    expect(under.engine.residents()).to.deep.equal([])
+    expect(router.refusalOf('b')?.detail).to.contain('no right')
+  })
+
+  it('unloads an adapter that the configuration no longer has', async () => {
+    const adapters = [{ name: 'salt', memoryMb: 50 }]
+    const under = await startAgentForTest({ models: [modelSpec('m', { adapters })] })
+    under.grant(replicaOf(MODEL))
+    under.connect().start('a', { adapter: 'salt' })
+    await under.advance(500)
+    configure(under, 1, [modelSpec('m')])
+    await under.advance(200)
+    expect(under.agent.report()).to.include({ memoryUsedMb: 400 })
+  })
 })
--- a/packages/agent/src/loading/planOrders.ts
+++ b/packages/agent/src/loading/planOrders.ts
@@ -34,6 +34,9 @@
 const unloadOf = (slot: Slot, right: HeldSlot | undefined): EngineOrder =>
   ({ kind: 'unload', model: slot.model, fence: Math.max(slot.fence, right?.fence ?? 0) })
 
+/** False for a slot above a bound that the configuration has lowered since its grant. */
+const isWithinBound = (right: HeldSlot, { spec }: ModelPlan): boolean => right.slotIndex < spec.maxReplicas
+
 const isPinned = (view: PlanView, model: ModelId): boolean => {
   const right = view.rights.get(model)
   const plan = view.planOf(model)
@@ -56,7 +59,7 @@
   if ((demand?.runningCount ?? 0) > 0) return false
   const right = view.rights.get(slot.model)
   const plan = view.planOf(slot.model)
-  if (!right || right.revoked || !plan) return true
+  if (!right || right.revoked || !plan || !isWithinBound(right, plan)) return true
   // One replica is one version: the old one is unloaded before the new one is loaded.
   const isWaitedFor = (demand?.waitingCount ?? 0) > 0
   if (slot.version !== (isWaitedFor && demand ? demand.version : plan.spec.currentVersion)) return true
@@ -64,11 +67,26 @@
   return view.keepAlive(viewIdle(slot, plan, view.state.ledger.capacityMb, pressureOf(view), view.nowMs)) <= 0
 }
 
+/** Adapters that the configuration no longer has, or no longer for this slot. */
+const adapterUnloads = (view: PlanView, slot: Slot): readonly EngineOrder[] => {
+  const right = view.rights.get(slot.model)
+  const plan = view.planOf(slot.model)
+  if (!right || !plan) return []
+  for (const { adapter } of slot.adapters.values()) {
+    const spec = plan.spec.adapters.find(({ name }) => name === adapter)
+    const isAllowed = spec !== undefined && right.slotIndex < (spec.maxReplicas ?? plan.spec.maxReplicas)
+    if (isAllowed || view.demands.get(slot.model)?.runningAdapters.has(adapter)) continue
+    return [{ kind: 'unloadAdapter', model: slot.model, adapter, fence: Math.max(slot.fence, right.fence) }]
+  }
+  return []
+}
+
 const planUnloads = (view: PlanView): readonly EngineOrder[] => {
   const orders: EngineOrder[] = []
   for (const slot of view.state.slots.values()) {
     if (slot.phase !== 'ready' || slot.openOrder || slot.notBeforeMs > view.nowMs) continue
     if (mustUnload(view, slot)) orders.push(unloadOf(slot, view.rights.get(slot.model)))
+    else orders.push(...adapterUnloads(view, slot))
   }
   return orders
 }
@@ -82,7 +100,7 @@
     const plan = view.planOf(right.model)
     const waitingCount = demand?.waitingCount ?? 0
     const wanted = waitingCount > 0 || (isPinned(view, right.model) && !view.draining)
-    if (!wanted || !plan || right.revoked || slot.phase !== 'cold' || slot.openOrder) continue
+    if (!wanted || !plan || right.revoked || !isWithinBound(right, plan) || slot.phase !== 'cold' || slot.openOrder) continue
     const heldBackMs = Math.max(slot.notBeforeMs, slot.tier === 'remote' ? view.state.store.notBeforeMs : 0)
     if (heldBackMs > view.nowMs) continue
     loads.push({
--- a/packages/agent/src/running/runOnEngine.ts
+++ b/packages/agent/src/running/runOnEngine.ts
@@ -1,6 +1,7 @@
 import { match } from 'ts-pattern'
 
 import { AgentEvent } from '../events.js'
+import { ENGINE_GONE_MS } from '../engine/constants.js'
 import { runStream } from '../engine/runStream.js'
 import { runInBackground } from '../agent/runInBackground.js'
 
@@ -25,6 +26,8 @@
     timers,
     signal,
     incarnation: startedOn,
+    // Another run of it may not be tried, so the answer of this one is waited for as long as it is of use.
+    goneMs: request.repeatable ? ENGINE_GONE_MS : Math.max(ENGINE_GONE_MS, attempt.deadlineAtMs - timers.nowMs()),
     args: {
       streamId: id,
       model: request.model,
