Measure links, keep few of them, and give each router a stable subset

Changed: one heartbeat a second whatever else flows, because the report comes with its answer; at most 30 idle links; a model with more than 8 replicas is used through a subset that stays the same.

--- a/packages/router/src/links/constants.ts
+++ b/packages/router/src/links/constants.ts
@@ -5,6 +5,13 @@
  */
 export const IDLE_LINK_MS = 30_000
 
+/**
+ * Open connections without attempts that are kept; beyond it the longest unused is closed.
+ * Grounds: one costs 134 bytes and 0.3 ms of processor a second (`docs/design/silence.md`), so
+ * thirty take 4 KB of the 7 KB and a third of the 25 ms a second that control may cost.
+ */
+export const MAX_IDLE_LINKS = 30
+
 /**
  * An agent's word that it leaves outlives its link by this long. Grounds: the platform's list
  * shows it as live for some seconds more; afterwards the list is right, and the same instance
--- a/packages/router/src/links/createAgentLink.test.ts
+++ b/packages/router/src/links/createAgentLink.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 
 import { createBench } from '../testing/createBench.js'
-import { IDLE_LINK_MS } from './constants.js'
+import { IDLE_LINK_MS, MAX_IDLE_LINKS } from './constants.js'
 
 import type { AttemptId, InstanceName } from '@figmount/base'
 
@@ -20,6 +20,17 @@
     expect(link.view().isOpen).to.equal(false)
   })
 
+  it('is closed as the longest idle one beyond the bound', async () => {
+    const names = Array.from({ length: MAX_IDLE_LINKS + 1 }, (_, index) => `a${index}`)
+    const bench = createBench(Object.fromEntries(names.map(name => [name, () => {}])))
+    for (const name of names) {
+      await bench.finish(bench.links.linkTo(name as InstanceName).whenOpen(1_000).run())
+      await bench.settle(10)
+    }
+    await bench.settle(2_000)
+    expect(bench.links.views().filter(view => !view.isOpen).map(view => view.instance)).to.deep.equal(['a0'])
+  })
+
   it('tells who waits that the agent cannot be reached', async () => {
     const bench = createBench({ a1: () => {} })
     bench.agentOf('a1').setDown(true)
--- a/packages/router/src/links/createAgentLink.ts
+++ b/packages/router/src/links/createAgentLink.ts
@@ -59,7 +59,6 @@
   let isRunning = false
   let isStopped = false
   let lastUsedMs = timers.nowMs()
-  let lastSentMs = -Infinity
   let downSinceMs = timers.nowMs()
   let failedDialCount = 0
   let nextAskId = 0
@@ -69,7 +68,6 @@
 
   const send = (message: ToAgent): boolean => {
     if (!link?.isOpen()) return false
-    lastSentMs = timers.nowMs()
     link.send(message)
     return true
   }
@@ -142,14 +140,14 @@
 
   const beat = (): void => {
     if (!isWanted()) return link?.close('idle')
-    if (timers.nowMs() - lastSentMs < HEARTBEAT_MS / 2) return
     send({ type: 'heartbeat', sentAtMs: timers.nowMs() })
   }
 
   const runConnection = async (opened: OpenLink): Promise<void> => {
     link = opened
     send({ type: 'hello', instance: options.router, incarnation: options.routerIncarnation, role: 'router' })
-    const stopBeating = timers.every(HEARTBEAT_MS / 2, beat)
+    // Also while other messages flow: the agent's report comes with the answer.
+    const stopBeating = timers.every(HEARTBEAT_MS, beat)
     for await (const message of opened.received) handle(message)
     stopBeating()
     link = undefined
@@ -260,6 +258,11 @@
       return reply ? Right(reply) : Left(makeFault(FaultKind.Timeout, 'links.askPermit', instance, 'no reply in time'))
     }),
     send,
+    idleSinceMs: () => view.isOpen && attempts.size === 0 && asks.size === 0 ? lastUsedMs : undefined,
+    release: reason => {
+      lastUsedMs = -Infinity
+      link?.close(reason)
+    },
     stop: reason => {
       isStopped = true
       link?.close(reason)
--- a/packages/router/src/links/createAgentLinks.ts
+++ b/packages/router/src/links/createAgentLinks.ts
@@ -1,3 +1,4 @@
+import { MAX_IDLE_LINKS } from './constants.js'
 import { createAgentLink } from './createAgentLink.js'
 
 import type { InstanceName } from '@figmount/base'
@@ -15,10 +16,25 @@
   readonly stop: () => void
 }
 
+/** Pause between looks for idle links beyond the bound. */
+const TRIM_MS = 1_000
+
 /** Makes the links of one router; none is open before it is needed. */
 export const createAgentLinks = (options: Omit<AgentLinkOptions, 'instance'>): AgentLinks => {
   const links = new Map<InstanceName, AgentLink>()
 
+  const releaseLongestIdle = (): void => {
+    const idle = [...links.values()].flatMap(link => {
+      const sinceMs = link.idleSinceMs()
+      return sinceMs === undefined ? [] : [{ link, sinceMs }]
+    })
+    const surplus = idle.length - MAX_IDLE_LINKS
+    if (surplus <= 0) return
+    for (const { link } of idle.sort((a, b) => a.sinceMs - b.sinceMs).slice(0, surplus)) link.release('idle')
+  }
+
+  const stopTrimming = options.timers.every(TRIM_MS, releaseLongestIdle)
+
   const linkTo = (instance: InstanceName): AgentLink => {
     const known = links.get(instance)
     if (known) return known
@@ -39,6 +55,7 @@
       }
     },
     stop: () => {
+      stopTrimming()
       for (const link of links.values()) link.stop('router stops')
     }
   }
--- a/packages/router/src/links/types.ts
+++ b/packages/router/src/links/types.ts
@@ -65,6 +65,10 @@
   /** Left if the agent did not answer in time; the permit may then have been given or not. */
   readonly askPermit: (ask: PermitAsk, waitMs: number) => EitherAsync<Fault, PermitReply>
   readonly send: (message: ToAgent) => boolean
+  /** Monotonic time since which no attempt has used the open link; undefined while one does or it is not open. */
+  readonly idleSinceMs: () => number | undefined
+  /** Closes the connection; it is opened again on demand. */
+  readonly release: (reason: string) => void
   readonly stop: (reason: string) => void
 }
 
--- a/packages/router/src/requests/choosePlacement.ts
+++ b/packages/router/src/requests/choosePlacement.ts
@@ -1,41 +1,38 @@
+import { sleep } from '@figmount/base'
 import { findReplicaRights } from '@figmount/records'
 import { RefusalReason } from '@figmount/schema'
 
 import { buildCandidates, buildPlainCandidates } from '../routing/buildCandidates.js'
-import { DEFAULT_RETRY_AFTER_MS, OPEN_WAIT_MS } from './constants.js'
+import { DEFAULT_RETRY_AFTER_MS, MORE_REPORTS_WAIT_MS, OPEN_WAIT_MS } from './constants.js'
+import { pickSubset } from '../routing/pickSubset.js'
 import { chooseRetry } from './chooseRetry.js'
 import { notRun } from './refusals.js'
 
 import type { RoutingCandidate, RoutingRequest } from '@figmount/decisions'
 import type { AdmittedRequest, Placement, ServeContext, ServeProgress } from './types.js'
 
-/**
- * Agents that are dialled for a report before a request is placed. Grounds: two more than
- * are needed for a choice, and a model with hundreds of replicas must not open hundreds of links.
- */
-const MAX_DIALLED = 4
-
 const candidatesFor = (context: ServeContext, { run }: AdmittedRequest, progress: ServeProgress): readonly RoutingCandidate[] => {
   const sources = context.sourcesFor(run.model, run.prefixHint)
-  if (run.plain) return buildPlainCandidates(sources, run.service, progress.excluded)
-  return buildCandidates(sources, {
+  if (run.plain) return pickSubset(context.instance, buildPlainCandidates(sources, run.service, progress.excluded))
+  return pickSubset(context.instance, buildCandidates(sources, {
     replicas: findReplicaRights(context.records.state(), run.model),
     adapter: run.adapter,
     coldStartMs: context.coldStarts.expectedMs(run.model),
     excluded: progress.excluded
-  })
+  }))
 }
 
 const isOpen = (context: ServeContext, candidate: RoutingCandidate): boolean =>
   context.links.viewOf(candidate.instance)?.isOpen ?? false
 
-/** Opens links to some of the candidates, so that the choice is made on reports and not on guesses. */
+/** Opens links to the candidates, so that the choice is made on reports and not on guesses. */
 const openLinks = async (context: ServeContext, candidates: readonly RoutingCandidate[], waitMs: number): Promise<void> => {
-  const opened = candidates.filter(candidate => isOpen(context, candidate))
-  const missing = candidates.filter(candidate => !isOpen(context, candidate)).slice(0, Math.max(0, MAX_DIALLED - opened.length))
-  for (const candidate of opened) context.links.linkTo(candidate.instance).keep()
-  await Promise.all(missing.map(async candidate =>
-    await context.links.linkTo(candidate.instance).whenOpen(waitMs).run()))
+  const links = candidates.map(candidate => context.links.linkTo(candidate.instance))
+  for (const link of links) link.keep()
+  const opening = links.filter(link => !link.view().isOpen).map(async link => await link.whenOpen(waitMs).run())
+  if (opening.length === links.length) await Promise.all(opening)
+  // With some of the reports at hand the rest may come later: a silent agent must not hold the request up.
+  else await Promise.race([Promise.all(opening), sleep(context.timers, MORE_REPORTS_WAIT_MS)])
 }
 
 const routingRequestOf = (context: ServeContext, { run, deadlineAtMs }: AdmittedRequest): RoutingRequest => ({
--- a/packages/router/src/requests/constants.ts
+++ b/packages/router/src/requests/constants.ts
@@ -34,3 +34,6 @@
 
 /** When to come back after a refusal that names no better time. */
 export const DEFAULT_RETRY_AFTER_MS = 1_000
+
+/** Time for further agents to welcome this router when one at least has done so: a few round trips. */
+export const MORE_REPORTS_WAIT_MS = 20
--- a/packages/router/src/routing/buildCandidates.test.ts
+++ b/packages/router/src/routing/buildCandidates.test.ts
@@ -5,6 +5,7 @@
 import { buildCandidates } from './buildCandidates.js'
 import { createPrefixMap } from './createPrefixMap.js'
 import { createSendLog } from './createSendLog.js'
+import { pickSubset } from './pickSubset.js'
 
 import type { InstanceName } from '@figmount/base'
 import type { RoutingSources, Wanted } from './types.js'
@@ -36,6 +37,19 @@
     expect(sends.unreportedSeconds(A1, 2_000)).to.equal(0)
   })
 
+  it('are a stable subset that differs between routers, the lowest slots in all', () => {
+    const many = Array.from({ length: 100 }, (_, slotIndex) => ({
+      instance: `a${slotIndex}` as InstanceName, slotIndex, fence: 1 as never, state: 'ready' as const, readyInMs: 0, queuedSeconds: 0, unreportedSeconds: 0, reportAgeMs: 0, batchSize: 1, tokenIntervalMs: 1, hasAdapter: true, hasPrefix: false, sameDataCentre: slotIndex % 2 === 0
+    }))
+    const subsetOf = (router: string, candidates = many) => pickSubset(router as InstanceName, candidates).map(candidate => candidate.slotIndex)
+    expect(subsetOf('r1')).to.have.length(8).and.include.members([0, 1])
+    expect(subsetOf('r1').slice(2).every(slotIndex => slotIndex % 2 === 0)).to.equal(true)
+    expect(subsetOf('r2')).to.not.deep.equal(subsetOf('r1'))
+    const gone = subsetOf('r1')[4]
+    const left = subsetOf('r1', many.filter(candidate => candidate.slotIndex !== gone))
+    expect(subsetOf('r1').filter(slotIndex => left.includes(slotIndex))).to.have.length(7)
+  })
+
   it('remember a bounded number of prefixes, the latest used', () => {
     const prefixes = createPrefixMap(2)
     prefixes.note(MODEL, 'p1', A1)
