Forget sends whose attempt has ended, expect answers of the length that came

Cause: the path's measurement was refused after 120 requests: each of them counted as queued work until the next report, also when it had long been answered, and at the caller's max_tokens whatever the answers had. Changed: the send log takes a send back when its attempt ends; lengths of answers and cold starts are estimated by model with the decisions' estimates. Conclusion: short answers no longer make an idle agent look full for a second.

--- /dev/null
+++ b/packages/router/src/bench/measurePath.ts
@@ -0,0 +1,131 @@
+/**
+ * Measures what a router's path costs: its processor time per request and per token, through the
+ * callers' RPC and without it, for several sizes of frames. Agents and callers run in a second
+ * process. Run: `npx tsx packages/router/src/bench/measurePath.ts`.
+ */
+import { fork } from 'node:child_process'
+import { createClient } from '@connectrpc/connect'
+import { EitherAsync, Right } from 'purify-ts'
+import { createEventLog, createMetrics, createTimerService, createTransport, hashKey, makeModelId, parseSettings } from '@figmount/base'
+import { chooseLeastCost, spreadByDrainTime } from '@figmount/decisions'
+import { Inference } from '@figmount/schema'
+
+import { startRouter } from '../router/startRouter.js'
+import { routerSettings } from '../settings/routerSettings.js'
+import { createFakeRecords } from '../testing/createFakeRecords.js'
+import { BENCH_KEY, serveFakeAgents } from './serveFakeAgents.js'
+
+import type { ChildProcess } from 'node:child_process'
+import type { DataCentre, Incarnation, InstanceName, ServiceName } from '@figmount/base'
+import type { FakeAgentPlan } from './serveFakeAgents.js'
+
+interface Load {
+  readonly router: string
+  readonly requestCount: number
+  readonly tokenCount: number
+  readonly concurrency: number
+}
+
+const REQUEST_COUNT = 1_000
+const CONCURRENCY = 16
+const MICROSECONDS_PER_MS = 1000
+
+const timers = createTimerService()
+
+const sendAll = async ({ router, requestCount, tokenCount, concurrency }: Load): Promise<number> => {
+  const client = createClient(Inference, createTransport({ address: router, bearerKey: 'crew-key' }))
+  let next = 0
+  let answered = 0
+  const sendOneByOne = async (): Promise<void> => {
+    while (next < requestCount) {
+      const number = next++
+      const request = {
+        requestKey: `${process.pid}-${tokenCount}-${number}`, issuedAtMs: BigInt(Date.now()), deadlineMs: 30_000, repeatable: true, service: 'reader', model: 'model-0', prompt: 'wall', maxTokens: tokenCount
+      }
+      for await (const frame of client.infer(request)) if (frame.body.case === 'final') answered += 1
+    }
+  }
+  await Promise.all(Array.from({ length: concurrency }, sendOneByOne))
+  return answered
+}
+
+const runChild = async (plan: FakeAgentPlan): Promise<void> => {
+  const agents = await serveFakeAgents(plan)
+  process.on('message', message => {
+    sendAll(message as Load).then(answered => process.send?.(answered)).catch((error: Error) => { process.stderr.write(`${error.message}\n`) })
+  })
+  process.send?.(agents.addresses)
+}
+
+const answerOf = async <T>(child: ChildProcess): Promise<T> => await new Promise(resolve => child.once('message', message => resolve(message as T)))
+
+const startBenchRouter = async (agentAddress: string) => {
+  const instance = 'r1' as InstanceName
+  const incarnation = '1' as Incarnation
+  const agent = 'a0' as InstanceName
+  const records = createFakeRecords()
+  const model = { name: 'model-0', versions: ['v1'], currentVersion: 'v1', minReplicas: 0, maxReplicas: 1, memoryMb: 10, checkpointMb: 10 }
+  records.put({ kind: 'config.set', item: 'service/reader', expectedVersion: 0, bodyJson: JSON.stringify({ kind: 'models', models: [model] }), operatorName: 'op' })
+  records.put({ kind: 'config.set', item: 'caller/crew', expectedVersion: 0, bodyJson: JSON.stringify({ kind: 'crew', keySha256: hashKey('crew-key') }), operatorName: 'op' })
+  records.put({
+    kind: 'agent.up', instance: agent, incarnation, dataCentre: 'aa-1' as DataCentre, services: ['reader' as ServiceName], backendKind: 'engine', memoryCapacityMb: 100, enforcesFence: true
+  })
+  records.put({ kind: 'right.grant', right: { kind: 'replica', target: makeModelId('reader', 'model-0'), slotIndex: 0 }, instance: agent, incarnation, expectedFence: 0 })
+  const settings = `[process]\ninstance = r1\ndata_centre = aa-1\nport = 0\n[platform]\nlog = l:1\ninstance_list = l:1\n[trust]\nshared_key = ${BENCH_KEY}\n`
+  return await startRouter({
+    settings: parseSettings(routerSettings, 'bench', settings).unsafeCoerce(),
+    events: createEventLog({ instance, role: 'router', timers }),
+    timers,
+    metrics: createMetrics(),
+    instance,
+    incarnation,
+    records: { ...records, lastSnapshot: () => undefined },
+    readInstances: () => EitherAsync.liftEither(Right([{ name: agent, role: 'agent', dataCentre: 'aa-1' as DataCentre, peerAddress: agentAddress, backendAddress: '', leaving: false }])),
+    chooseBackend: chooseLeastCost,
+    chooseRetryAfter: spreadByDrainTime,
+    proposeRights: () => [],
+    openAbsentEngine: () => { throw new Error('no instance is off the list') },
+    random: Math.random
+  })
+}
+
+interface Cost {
+  readonly cpuMs: number
+  readonly wallMs: number
+}
+
+const costOf = async (work: () => Promise<void>): Promise<Cost> => {
+  const before = process.cpuUsage()
+  const startedAtMs = timers.nowMs()
+  await work()
+  const cpu = process.cpuUsage(before)
+  return { cpuMs: (cpu.user + cpu.system) / MICROSECONDS_PER_MS, wallMs: timers.nowMs() - startedAtMs }
+}
+
+const measure = async (tokenCount: number, tokensPerFrame: number): Promise<void> => {
+  const plan: FakeAgentPlan = { agentCount: 1, modelCount: 1, thin: true, busy: false, tokensPerFrame }
+  const child = fork(new URL(import.meta.url).pathname, [JSON.stringify(plan)], { execArgv: ['--import', 'tsx'] })
+  const [agentAddress = ''] = await answerOf<readonly string[]>(child)
+  const router = await startBenchRouter(agentAddress)
+  const run = async (requestCount: number): Promise<void> => {
+    const load: Load = { router: router.address, requestCount, tokenCount, concurrency: CONCURRENCY }
+    const answer = answerOf<number>(child)
+    child.send(load)
+    const answered = await answer
+    if (answered !== requestCount) process.stdout.write(`only ${answered} of ${requestCount} were answered\n`)
+  }
+  await run(REQUEST_COUNT / 4)
+  const cost = await costOf(async () => await run(REQUEST_COUNT))
+  const perRequestMs = cost.cpuMs / REQUEST_COUNT
+  process.stdout.write(`${String(tokenCount).padStart(5)} tokens, ${String(tokensPerFrame).padStart(3)} a frame: ${perRequestMs.toFixed(3).padStart(8)} ms of processor per request, ${(perRequestMs * MICROSECONDS_PER_MS / tokenCount).toFixed(1).padStart(7)} us per token, ${(REQUEST_COUNT / cost.wallMs * 1000).toFixed(0).padStart(5)} requests a second\n`)
+  child.disconnect()
+  child.kill()
+  await router.stop()
+}
+
+const [planText] = process.argv.slice(2)
+if (planText) await runChild(JSON.parse(planText) as FakeAgentPlan)
+else {
+  for (const [tokenCount, tokensPerFrame] of [[1, 1], [100, 1], [100, 4], [100, 16], [100, 100]] as const) await measure(tokenCount, tokensPerFrame)
+  process.exit(0)
+}
--- a/packages/router/src/requests/choosePlacement.ts
+++ b/packages/router/src/requests/choosePlacement.ts
@@ -17,7 +17,7 @@
   return pickSubset(context.instance, buildCandidates(sources, {
     replicas: findReplicaRights(context.records.state(), run.model),
     adapter: run.adapter,
-    coldStartMs: context.coldStarts.expectedMs(run.model),
+    coldStartMs: context.estimates.coldStartMs(run.model),
     excluded: progress.excluded
   }))
 }
@@ -37,9 +37,9 @@
 
 const routingRequestOf = (context: ServeContext, { run, deadlineAtMs }: AdmittedRequest): RoutingRequest => ({
   remainingMs: deadlineAtMs - context.timers.nowMs(),
-  expectedTokens: run.maxTokens,
+  expectedTokens: context.estimates.expectedTokens(run.model, run.maxTokens),
   priority: run.priority,
-  coldStartMs: context.coldStarts.expectedMs(run.model)
+  coldStartMs: context.estimates.coldStartMs(run.model)
 })
 
 const refuseUnavailable = (context: ServeContext, admitted: AdmittedRequest): Placement => ({
--- a/packages/router/src/requests/serveRequest.ts
+++ b/packages/router/src/requests/serveRequest.ts
@@ -41,6 +41,7 @@
   const nowMs = context.timers.nowMs()
   const durationMs = nowMs - admitted.receivedAtMs
   context.refusals.addServed(nowMs)
+  context.estimates.observeTokens(admitted.run.model, part.tokenCount)
   context.metrics.observeMs('answer_ms', durationMs)
   context.events.emit(RouterEvent.requestAnswered, {
     ...requestFields(admitted), version: part.version, tokenCount: part.tokenCount, count: frameCount, durationMs
@@ -50,7 +51,7 @@
 const reportFirstToken = (context: ServeContext, admitted: AdmittedRequest, wasCold: boolean): void => {
   const tookMs = context.timers.nowMs() - admitted.receivedAtMs
   context.metrics.observeMs(wasCold ? 'first_token_cold_ms' : 'first_token_warm_ms', tookMs)
-  if (wasCold) context.coldStarts.observe(admitted.run.model, tookMs)
+  if (wasCold) context.estimates.observeColdStart(admitted.run.model, tookMs)
 }
 
 const isLoaded = (context: ServeContext, { run }: AdmittedRequest): boolean =>
--- a/packages/router/src/requests/types.ts
+++ b/packages/router/src/requests/types.ts
@@ -3,7 +3,7 @@
 import type { RefusalNote, RunRequest } from '@figmount/peers'
 import type { RecordsClient } from '@figmount/records'
 import type { AgentLinks } from '../links/createAgentLinks.js'
-import type { ColdStarts } from '../routing/createColdStarts.js'
+import type { Estimates } from '../routing/createEstimates.js'
 import type { RoutingSources } from '../routing/types.js'
 import type { SendLog } from '../routing/createSendLog.js'
 import type { PrefixMap } from '../routing/createPrefixMap.js'
@@ -28,7 +28,7 @@
   readonly sourcesFor: (model: ModelId, prefixHint: string) => RoutingSources
   readonly sends: SendLog
   readonly prefixes: PrefixMap
-  readonly coldStarts: ColdStarts
+  readonly estimates: Estimates
   readonly suspects: Suspects
   readonly refusals: RefusalLog
   readonly budgets: RetryBudgets
--- a/packages/router/src/router/startRouter.ts
+++ b/packages/router/src/router/startRouter.ts
@@ -18,7 +18,7 @@
 import { createCallerShares } from '../retries/createCallerShares.js'
 import { createRefusalLog } from '../retries/createRefusalLog.js'
 import { createRetryBudgets } from '../retries/createRetryBudgets.js'
-import { createColdStarts } from '../routing/createColdStarts.js'
+import { createEstimates } from '../routing/createEstimates.js'
 import { createPrefixMap } from '../routing/createPrefixMap.js'
 import { createSendLog } from '../routing/createSendLog.js'
 import { createSuspects } from '../suspects/createSuspects.js'
@@ -121,7 +121,7 @@
     sourcesFor,
     sends,
     prefixes,
-    coldStarts: createColdStarts(),
+    estimates: createEstimates(),
     suspects,
     refusals: createRefusalLog(),
     budgets: createRetryBudgets(),
--- a/packages/router/src/routing/buildCandidates.test.ts
+++ b/packages/router/src/routing/buildCandidates.test.ts
@@ -32,6 +32,8 @@
     const sends = createSendLog()
     sends.add(A1, 2, 1_000)
     sends.add(A1, 3, 1_500)
+    const forget = sends.add(A1, 7, 1_600)
+    forget()
     expect(sends.unreportedSeconds(A1, 900)).to.equal(5)
     expect(sends.unreportedSeconds(A1, 1_200)).to.equal(3)
     expect(sends.unreportedSeconds(A1, 2_000)).to.equal(0)
--- a/packages/router/src/routing/createSendLog.ts
+++ b/packages/router/src/routing/createSendLog.ts
@@ -2,7 +2,8 @@
 
 /** Own sends that an agent's last report cannot show yet. */
 export interface SendLog {
-  readonly add: (instance: InstanceName, workSeconds: number, nowMs: number) => void
+  /** Notes a send; the returned function says that its attempt has ended. */
+  readonly add: (instance: InstanceName, workSeconds: number, nowMs: number) => () => void
   readonly unreportedSeconds: (instance: InstanceName, reportAtMs: number) => number
 }
 
@@ -13,29 +14,38 @@
 
 /** A report that came this soon after a send was made before the send arrived. */
 const TRAVEL_MS = 20
-/** Sends that are kept for each agent; more than one heartbeat's worth of a burst. */
-const MAX_SENDS = 500
 
 /**
- * Remembers own sends until a report shows them. Without it every request of a burst
- * goes to the agent whose last report looked best.
+ * Remembers own sends until a report shows them or their attempt has ended. Without it every
+ * request of a burst goes to the agent whose last report looked best. The router's bound on
+ * admitted requests bounds the log.
  */
 export const createSendLog = (): SendLog => {
-  const sends = new Map<InstanceName, readonly Send[]>()
+  const sends = new Map<InstanceName, Set<Send>>()
 
-  const unreported = (instance: InstanceName, reportAtMs: number): readonly Send[] =>
-    (sends.get(instance) ?? []).filter(send => send.atMs > reportAtMs - TRAVEL_MS)
+  const dropReported = (instance: InstanceName, known: Set<Send>, reportAtMs: number): void => {
+    for (const send of known) {
+      if (send.atMs > reportAtMs - TRAVEL_MS) break
+      known.delete(send)
+    }
+    if (known.size === 0) sends.delete(instance)
+  }
 
   return {
     add: (instance, workSeconds, nowMs) => {
-      const known = sends.get(instance) ?? []
-      sends.set(instance, [...known.slice(1 - MAX_SENDS), { atMs: nowMs, workSeconds }])
+      const known = sends.get(instance) ?? new Set<Send>()
+      sends.set(instance, known)
+      const send = { atMs: nowMs, workSeconds }
+      known.add(send)
+      return () => { known.delete(send) }
     },
     unreportedSeconds: (instance, reportAtMs) => {
-      const left = unreported(instance, reportAtMs)
-      if (left.length > 0) sends.set(instance, left)
-      else sends.delete(instance)
-      return left.reduce((sum, send) => sum + send.workSeconds, 0)
+      const known = sends.get(instance)
+      if (!known) return 0
+      dropReported(instance, known, reportAtMs)
+      let seconds = 0
+      for (const send of known) seconds += send.workSeconds
+      return seconds
     }
   }
 }
--- a/packages/router/src/testing/createBench.ts
+++ b/packages/router/src/testing/createBench.ts
@@ -5,7 +5,7 @@
 import { createCallerShares } from '../retries/createCallerShares.js'
 import { createRefusalLog } from '../retries/createRefusalLog.js'
 import { createRetryBudgets } from '../retries/createRetryBudgets.js'
-import { createColdStarts } from '../routing/createColdStarts.js'
+import { createEstimates } from '../routing/createEstimates.js'
 import { createPrefixMap } from '../routing/createPrefixMap.js'
 import { createSendLog } from '../routing/createSendLog.js'
 import { createSuspects } from '../suspects/createSuspects.js'
@@ -69,7 +69,7 @@
     }),
     sends: createSendLog(),
     prefixes: createPrefixMap(),
-    coldStarts: createColdStarts(),
+    estimates: createEstimates(),
     suspects: createSuspects({ state: records.state, unixMs: timers.unixMs }),
     refusals: createRefusalLog(),
     budgets: createRetryBudgets(),
