--- a/packages/router/src/answers/types.ts
+++ b/packages/router/src/answers/types.ts
@@ -5,10 +5,16 @@
 /** One piece of what a caller is told, before it is numbered. The last is `final` or `refusal`. */
 export type AnswerPart =
   | { readonly kind: 'waiting', readonly state: WaitState, readonly estimatedWaitMs: number }
-  | { readonly kind: 'tokens', readonly firstTokenIndex: number, readonly tokens: readonly string[] }
+  | TokensPart
   | FinalPart
   | { readonly kind: 'refusal', readonly note: RefusalNote }
 
+export interface TokensPart {
+  readonly kind: 'tokens'
+  readonly firstTokenIndex: number
+  readonly tokens: readonly string[]
+}
+
 export interface FinalPart {
   readonly kind: 'final'
   readonly tokenCount: number
--- a/packages/router/src/links/createAgentLink.ts
+++ b/packages/router/src/links/createAgentLink.ts
@@ -123,12 +123,13 @@
   }
 
   const handle = (message: FromAgent): void => match(message)
+    // First what comes most: the patterns are tried in order.
+    .with({ type: 'tokens' }, { type: 'final' }, { type: 'progress' }, { type: 'refused' }, { type: 'unknown' }, deliver)
     .with({ type: 'welcome' }, takeWelcome)
     .with({ type: 'heartbeat.ack' }, ({ report }) => {
       if (report) return takeReport(report, view.incarnation)
       view = { ...view, reportAtMs: timers.nowMs() }
     })
-    .with({ type: 'progress' }, { type: 'tokens' }, { type: 'final' }, { type: 'refused' }, { type: 'unknown' }, deliver)
     .with({ type: 'permit.reply' }, ({ askId, reply }) => { asks.get(askId)?.(reply) })
     .with({ type: 'leaving' }, leaving => {
       view = { ...view, leavingUntilMs: Infinity }
--- a/packages/router/src/requests/constants.ts
+++ b/packages/router/src/requests/constants.ts
@@ -37,3 +37,6 @@
 
 /** Time for further agents to welcome this router when one at least has done so: a few round trips. */
 export const MORE_REPORTS_WAIT_MS = 20
+
+/** Tokens in one frame to a caller; a few KB. */
+export const MAX_FRAME_TOKENS = 256
--- a/packages/router/src/requests/readNotice.ts
+++ b/packages/router/src/requests/readNotice.ts
@@ -5,7 +5,7 @@
 
 import type { InstanceName } from '@figmount/base'
 import type { AnswerFrameMessage } from '../answers/reduceAnswer.js'
-import type { AnswerPart, AnswerState } from '../answers/types.js'
+import type { AnswerPart, AnswerState, TokensPart } from '../answers/types.js'
 import type { AttemptNotice } from '../links/types.js'
 import type { AttemptOutcome } from './types.js'
 
@@ -13,7 +13,7 @@
 export type NoticeAction =
   | { readonly kind: 'wait' }
   | { readonly kind: 'remember', readonly waiting: AnswerPart }
-  | { readonly kind: 'show', readonly part: AnswerPart }
+  | { readonly kind: 'show', readonly part: TokensPart }
   | { readonly kind: 'ask', readonly fromFrame: number }
   | { readonly kind: 'drop', readonly reason: string }
   | { readonly kind: 'finish', readonly part: AnswerPart }
@@ -66,6 +66,8 @@
 export const readNotice = (state: AnswerState, notice: AttemptNotice, facts: AttemptFacts): Reading =>
   match(notice)
     .returnType<Reading>()
+    // First what comes most: the patterns are tried in order.
+    .with({ type: 'tokens' }, { type: 'final' }, frame => readFrame(state, frame, facts))
     .with({ type: 'link.down' }, down => ({
       state,
       action: isLost(down, facts.repeatable) ? lost(facts, `no link for ${Math.round(down.downMs)} ms`, false) : { kind: 'wait' }
@@ -76,5 +78,4 @@
       state,
       action: { kind: 'remember', waiting: { kind: 'waiting', state: progress.state, estimatedWaitMs: progress.estimatedWaitMs } }
     }))
-    .with({ type: 'tokens' }, { type: 'final' }, frame => readFrame(state, frame, facts))
     .exhaustive()
