Run the proofs and wait for rights before failures begin

Cause: the first run of the proofs met sites whose rights were not granted yet, and counted runs of prompts that share a prefix. Changed: a site waits until all rights are granted; take-overs have files of their own, since each waits out the 30 s and 9 s of a void; a holder beside an engine that ignores fences keeps its right, as the design says, and its callers are refused until it wakes.

--- a/packages/proof/src/promises/answers.test.ts
+++ b/packages/proof/src/promises/answers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 
 import { modelService } from '../rig/sitePlan.js'
-import { askMany, askSite, expectWhole, MODEL, SERVICE, SLOW_TOKENS, startSmallSite, waitForRun } from '../rig/smallSite.js'
+import { askMany, askSite, expectWhole, MODEL, SERVICE, SLOW_TOKENS, startSmallSite, waitForRun, warmUp } from '../rig/smallSite.js'
 
 import type { AgentPlan } from '../rig/sitePlan.js'
 import type { Site } from '../rig/createSite.js'
@@ -18,6 +18,7 @@
   // Many callers ask different things at once while every frame between routers and agents is late.
   it('when answers are late and crossed', async () => {
     site = await startSmallSite('answers-late', { agents: slowAgents('peer') })
+    await warmUp(site)
     for (const agent of ['a1', 'a2']) await site.proxy(`${agent}-peer`).command({ action: 'fault', fault: { kind: 'delay', delayMs: 30 }, scope: 'all' })
     expectWhole(await askMany(site, 30, 'crossed', { maxTokens: 20 }))
   })
@@ -26,6 +27,7 @@
   // engine; a token that is repeated or left out on resuming would show in the answer.
   it('when the connection to the engine is cut', async () => {
     site = await startSmallSite('answers-cut-engine', { agents: slowAgents('engine') })
+    await warmUp(site)
     const asked = askSite(site, { prompt: 'cut', ...LONG })
     const holder = await waitForRun(site, 'cut')
     await site.proxy(`${holder}-engine`).command({ action: 'cut' })
@@ -37,6 +39,7 @@
   // The same connection goes silent for good while new ones work.
   it('when the connection to the engine goes silent', async () => {
     site = await startSmallSite('answers-silent-engine', { agents: slowAgents('engine') })
+    await warmUp(site)
     const asked = askSite(site, { prompt: 'silent', ...LONG })
     const holder = await waitForRun(site, 'silent')
     await site.proxy(`${holder}-engine`).command({ action: 'fault', fault: { kind: 'drop' }, scope: 'existing' })
@@ -48,6 +51,7 @@
   // The link between router and agent is cut in the middle of a stream; frames that were on their way are lost.
   it('when the link to the agent is cut', async () => {
     site = await startSmallSite('answers-cut-link', { agents: slowAgents('peer') })
+    await warmUp(site)
     const asked = askMany(site, 5, 'link', LONG)
     const holder = await waitForRun(site, 'link 0')
     await site.proxy(`${holder}-peer`).command({ action: 'cut' })
@@ -63,6 +67,7 @@
       agents: slowAgents(),
       items: [modelService(SERVICE, [{ name: MODEL, maxReplicas: 2 }])]
     })
+    await warmUp(site)
     const asked = askSite(site, { prompt: 'lost', ...LONG })
     const holder = await waitForRun(site, 'lost')
     await Promise.all([site.agent(holder).kill(), site.backend(holder).kill()])
@@ -72,6 +77,7 @@
   // The engine alone dies in the middle of a stream and starts again.
   it('when the engine is killed in the middle of a stream', async () => {
     site = await startSmallSite('answers-kill-engine', { agents: slowAgents() })
+    await warmUp(site)
     const asked = askSite(site, { prompt: 'engine', ...LONG })
     const engine = site.backend(await waitForRun(site, 'engine'))
     await engine.kill()
--- /dev/null
+++ b/packages/proof/src/promises/oncePaused.test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai'
+import { RunState } from '@figmount/schema'
+import { StandinEvent } from '@figmount/standin'
+
+import { callOnce } from '../rig/callOnce.js'
+import { askSite, expectWithinBounds, MODEL, runCountOf, SERVICE, SLOW_TOKENS, startSmallSite, TAKE_OVER_MS, waitForRun, warmUp } from '../rig/smallSite.js'
+
+import type { Site } from '../rig/createSite.js'
+
+const AGENTS = ['a1', 'a2'].map(name => ({ name, services: [SERVICE], backendKeys: SLOW_TOKENS }))
+const ONCE = { service: SERVICE, model: MODEL, repeatable: false, maxTokens: 100 } as const
+
+describe('a request that may not be repeated and a lost holder of its key', () => {
+  let site: Site
+  afterEach(async () => await site.close())
+
+  // The holder of the keys is paused right after it let a request run, and its instance is dropped from the list.
+  // The caller never gives up. The successor does not know the key and must not let it run again, also
+  // after the holder has woken with the request still in its hands.
+  it('runs once when the holder is paused and replaced', async () => {
+    site = await startSmallSite('once-paused', { agents: AGENTS })
+    await warmUp(site)
+    const issuedAtMs = Date.now()
+    const first = callOnce(site.router('r1').address, { ...ONCE, prompt: 'paused', requestKey: 'paused', issuedAtMs, deadlineMs: 5000 })
+    const holder = await waitForRun(site, 'paused')
+    site.agent(holder).pause()
+    await site.delist(holder)
+    const mark = site.rig.events.mark()
+    expect((await first).refusal?.runState).to.not.equal(RunState.NOT_RUN)
+    const successor = askSite(site, { prompt: 'wakes the successor' }, TAKE_OVER_MS)
+    await site.rig.events.waitFor(event => event.number === StandinEvent.loadStarted.number && event.instance !== `backend-${holder}`, 'a successor to load', { sinceMark: mark, timeoutMs: TAKE_OVER_MS })
+    const again = await callOnce(site.router('r2').address, { ...ONCE, prompt: 'paused', requestKey: 'paused', issuedAtMs, resendCount: 1, deadlineMs: 5000 })
+    expect(again.refusal?.runState).to.be.oneOf([RunState.MAY_HAVE_RUN, RunState.RAN])
+    expect((await successor).last.kind).to.equal('answered')
+    site.agent(holder).resume()
+    await site.rig.events.waitFor(event => event.instance === holder && event.name === 'pauseNoticed', 'the holder to notice its pause')
+    const last = await callOnce(site.router('r1').address, { ...ONCE, prompt: 'paused', requestKey: 'paused', issuedAtMs, resendCount: 2, deadlineMs: 5000 })
+    if (last.kind === 'refused') expect(last.refusal?.runState).to.not.equal(RunState.NOT_RUN)
+    expect(runCountOf(site, 'paused')).to.equal(1)
+    expectWithinBounds(site)
+  })
+})
--- a/packages/proof/src/promises/stopping.test.ts
+++ b/packages/proof/src/promises/stopping.test.ts
@@ -3,7 +3,7 @@
 
 import { callOnce } from '../rig/callOnce.js'
 import { modelService } from '../rig/sitePlan.js'
-import { askMany, expectWhole, expectWithinBounds, MODEL, SERVICE, SLOW_STORE, SLOW_TOKENS, startCaller, startSmallSite, waitForLoad, waitForRun } from '../rig/smallSite.js'
+import { askMany, expectWhole, expectWithinBounds, MODEL, SERVICE, SLOW_STORE, SLOW_TOKENS, startCaller, startSmallSite, waitForLoad, waitForRun, warmUp } from '../rig/smallSite.js'
 
 import type { AskOutcome } from '../rig/callTypes.js'
 import type { Site } from '../rig/createSite.js'
@@ -22,6 +22,7 @@
   // A router is told to stop while answers stream through it.
   it('of a router', async () => {
     site = await startSmallSite('stop-router', { agents: SLOW_AGENTS })
+    await warmUp(site)
     const asked = askMany(site, 10, 'router', LONG)
     await waitForRun(site, 'router 0')
     expect((await site.router('r1').stop()).code).to.equal(0)
@@ -33,6 +34,7 @@
   // An agent is told to stop while its engine streams and others wait behind.
   it('of an agent', async () => {
     site = await startSmallSite('stop-agent', { agents: SLOW_AGENTS, items: [modelService(SERVICE, [{ name: MODEL, maxReplicas: 2 }])] })
+    await warmUp(site)
     const asked = askMany(site, 10, 'agent', LONG)
     const holder = await waitForRun(site, 'agent 0')
     expect((await site.agent(holder).stop()).code).to.equal(0)
@@ -59,6 +61,7 @@
   // All routers are replaced one after the other while callers go on.
   it('of every router in turn', async () => {
     site = await startSmallSite('stop-rolling', { agents: SLOW_AGENTS })
+    await warmUp(site)
     const callers = ['c1', 'c2', 'c3'].map(name => startCaller(site, name, { maxTokens: 20 }))
     await site.rig.events.waitFor(event => event.number === StandinEvent.generateFinished.number, 'an answer')
     for (const name of ['r1', 'r2']) {
@@ -71,6 +74,7 @@
   // A router is told to stop while the log is down.
   it('of a router while the log is down', async () => {
     site = await startSmallSite('stop-log-down', { agents: SLOW_AGENTS })
+    await warmUp(site)
     const asked = callOnce(site.router('r1').address, { service: SERVICE, model: MODEL, prompt: 'down', requestKey: 'down', ...LONG })
     await waitForRun(site, 'down')
     await site.log.command({ action: 'outage', on: true })
--- /dev/null
+++ b/packages/proof/src/promises/takeOverLost.test.ts
@@ -0,0 +1,41 @@
+import { StandinEvent } from '@figmount/standin'
+import { expect } from 'chai'
+
+import { askMany, expectWhole, expectWithinBounds, SLOW_STORE, startSmallSite, TAKE_OVER_MS, waitForLoad } from '../rig/smallSite.js'
+
+import type { Site } from '../rig/createSite.js'
+
+const otherAgent = (name: string): string => name === 'a1' ? 'a2' : 'a1'
+
+describe('no replica too many when a holder is lost', () => {
+  let site: Site
+  afterEach(async () => await site.close())
+
+  // The holder's instance is lost for good in the middle of the load: agent and engine are dead and
+  // the platform takes it off its list. Another agent must take over, after the wait, alone.
+  it('when the instance is lost in the middle of the load', async () => {
+    site = await startSmallSite('replicas-lose-instance', { weights: SLOW_STORE })
+    const asked = askMany(site, 10, 'lost', {}, TAKE_OVER_MS)
+    const lost = await waitForLoad(site)
+    await Promise.all([site.agent(lost).kill(), site.backend(lost).kill()])
+    await site.delist(lost)
+    expectWhole(await asked)
+    expectWithinBounds(site)
+    expect(site.rig.events.all().filter(event => event.number === StandinEvent.loadFinished.number).map(event => event.instance))
+      .to.deep.equal([`backend-${otherAgent(lost)}`])
+  })
+
+  // Answers of the log are lost after the appends took effect, while rights are granted and taken over. Whoever
+  // repeats a lost append must not be granted twice.
+  it('when answers of the log are lost during a take-over', async () => {
+    site = await startSmallSite('replicas-lost-answers', { weights: SLOW_STORE })
+    const asked = askMany(site, 6, 'lost answers', {}, TAKE_OVER_MS)
+    const lost = await waitForLoad(site)
+    await site.log.command({ action: 'lose', count: 4 })
+    await Promise.all([site.agent(lost).kill(), site.backend(lost).kill()])
+    await site.delist(lost)
+    expectWhole(await asked)
+    expectWithinBounds(site)
+    expect(site.rig.events.all().some(event => event.number === StandinEvent.answerLost.number)).to.equal(true)
+  })
+})
--- a/packages/proof/src/rig/createSite.ts
+++ b/packages/proof/src/rig/createSite.ts
@@ -23,6 +23,8 @@
   readonly addRouter: (plan: RouterPlan) => Promise<void>
   /** Takes an instance off the platform's list. */
   readonly delist: (name: string) => Promise<void>
+  /** Puts an instance that was taken off back on the list. */
+  readonly relist: (name: string) => Promise<void>
   readonly apply: (changes: readonly ConfigChange[]) => Promise<void>
   readonly close: () => Promise<void>
 }
@@ -46,6 +48,7 @@
 export const createSite = async (plan: SitePlan): Promise<Site> => {
   const rig = createRig(plan.name)
   const processes = new Map<string, RigProcess>()
+  const listings = new Map<string, object>()
 
   const startStandin = async (name: string, standin: IniSections[string]): Promise<RigProcess> => {
     const started = await rig.start({ name, binary: 'figmount-standin', sections: { process: { instance: name }, standin } })
@@ -68,7 +71,9 @@
   })
 
   const enlist = async (name: string, role: 'router' | 'agent', dataCentre: string, peerAddress: string, backendAddress = ''): Promise<void> => {
-    await list.command({ action: 'set', instance: { name, role, dataCentre, peerAddress, backendAddress } })
+    const command = { action: 'set', instance: { name, role, dataCentre, peerAddress, backendAddress } }
+    listings.set(name, command)
+    await list.command(command)
   }
 
   const addAgent = async ({ name, services, dataCentre = DEFAULT_DATA_CENTRE, backend = 'engine', backendKeys = {}, proxied = [], sections = {} }: AgentPlan): Promise<void> => {
@@ -140,6 +145,7 @@
     addAgent,
     addRouter,
     delist: async name => { await list.command({ action: 'remove', name }) },
+    relist: async name => { await list.command(listings.get(name) ?? {}) },
     apply: async changes => await applyChanges(rig, routers()[0]?.address ?? '', OPERATOR_KEY, changes),
     close: rig.close
   }
