--- a/packages/decisions/src/keepalive/keepByHistory.test.ts
+++ b/packages/decisions/src/keepalive/keepByHistory.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 
 import { keepByHistory } from './keepByHistory.js'
+import { preloadRegular } from './planPreload.js'
 
 import type { IdleView } from './types.js'
 
@@ -32,3 +33,17 @@
     expect(keepByHistory({ ...view, pastGapsMs, memoryPressure: 1 })).to.be.below(keepByHistory({ ...view, pastGapsMs }))
   })
 })
+
+describe('preloading', () => {
+  const regular = Array.from({ length: 8 }, (_, index) => 60 * MINUTE_MS + index * 10_000)
+
+  it('loads a regular model before its next use', () => {
+    expect(preloadRegular({ ...view, pastGapsMs: regular })).to.be.within(55 * MINUTE_MS, 58 * MINUTE_MS)
+  })
+
+  it('leaves alone what has no rhythm, is too late or too dear', () => {
+    expect(preloadRegular({ ...view, pastGapsMs: [5, 50, 9, 200, 45, 90].map(minutes => minutes * MINUTE_MS) })).to.equal(undefined)
+    expect(preloadRegular({ ...view, pastGapsMs: regular, idleMs: 59 * MINUTE_MS })).to.equal(undefined)
+    expect(preloadRegular({ ...view, pastGapsMs: regular, idleCostWeight: 0.99 })).to.equal(undefined)
+  })
+})
--- a/packages/decisions/src/keepalive/keepByHistory.ts
+++ b/packages/decisions/src/keepalive/keepByHistory.ts
@@ -31,12 +31,16 @@
   return [...own, ...prior].filter(gap => gap.gapMs > view.idleMs).sort((a, b) => a.gapMs - b.gapMs)
 }
 
-/** Cost of one idle ms against one ms of cold start. */
-const idlePrice = (view: IdleView): number => {
+/** Cost of one idle ms, in the unit of `costOfColdStart`. */
+export const priceOfIdle = (view: IdleView): number => {
   const pressure = 1 + PRESSURE_FACTOR * (view.memoryPressure ?? 0)
   return view.idleCostWeight * view.memoryShare * pressure
 }
 
+/** Cost of one cold start of the model. */
+export const costOfColdStart = (view: IdleView): number =>
+  (1 - view.idleCostWeight) * COLD_START_WORTH * view.reloadMs
+
 /**
  * Keeps an idle model until the moment that costs least by its own arrival history: for each past gap the cost of
  * staying that long is the idle time until the next use, and of leaving earlier a cold start.
@@ -52,8 +56,8 @@
   if (view.idleCostWeight <= 0) return LONGEST_MS
   if (view.idleCostWeight >= 1) return 0
   const gaps = possibleGaps(view)
-  const price = idlePrice(view)
-  const coldCost = (1 - view.idleCostWeight) * COLD_START_WORTH * view.reloadMs
+  const price = priceOfIdle(view)
+  const coldCost = costOfColdStart(view)
   let remainingWeight = gaps.reduce((sum, gap) => sum + gap.weight, 0)
   let spentMs = 0
   let bestMs = 0
