--- /dev/null
+++ b/packages/agent/src/queueing/createQueue.ts
@@ -0,0 +1,72 @@
+import { noFairness } from '@figmount/decisions'
+
+import type { AttemptId, TimerService } from '@figmount/base'
+import type { AccountServed, FairnessState, PickNext, WaitingRequest } from '@figmount/decisions'
+import type { Attempt } from '../attempts/types.js'
+
+/** A queued attempt with what the order of service is decided on. */
+export interface QueuedAttempt {
+  readonly attempt: Attempt
+  /** What its wait was expected to be when it was admitted. */
+  readonly predictedWaitMs: number
+  readonly waiting: WaitingRequest<AttemptId>
+}
+
+interface Options {
+  readonly timers: TimerService
+  readonly pickNext: PickNext
+  readonly accountServed: AccountServed
+  readonly expectedTokens: (request: Attempt['request']) => number
+}
+
+/** The bounded queue of one agent; its bound is kept at admission. */
+export interface Queue {
+  readonly add: (attempt: Attempt, predictedWaitMs: number) => void
+  readonly remove: (id: AttemptId) => void
+  readonly all: () => Iterable<QueuedAttempt>
+  readonly count: () => number
+  /** Picks the next among those that can start now; it stays queued until removed. */
+  readonly pick: (canStart: (queued: QueuedAttempt) => boolean) => QueuedAttempt | undefined
+  /** Accounts tokens for fairness; a negative count takes back what was accounted too much. */
+  readonly account: (attempt: Attempt, tokenCount: number) => void
+}
+
+const waitingOf = ({ id, request, arrivedAtMs, deadlineAtMs }: Attempt, expectedTokens: number): WaitingRequest<AttemptId> => ({
+  id,
+  model: request.model,
+  adapter: request.adapter,
+  caller: request.caller,
+  tenant: request.tenant,
+  share: request.share,
+  priority: request.priority,
+  expectedTokens,
+  arrivedAtMs,
+  deadlineAtMs
+})
+
+/** Makes the queue of one agent. */
+export const createQueue = ({ timers, pickNext, accountServed, expectedTokens }: Options): Queue => {
+  const queued = new Map<AttemptId, QueuedAttempt>()
+  let fairness: FairnessState = noFairness
+
+  return {
+    add: (attempt, predictedWaitMs) => {
+      queued.set(attempt.id, { attempt, predictedWaitMs, waiting: waitingOf(attempt, expectedTokens(attempt.request)) })
+    },
+    remove: id => { queued.delete(id) },
+    all: () => queued.values(),
+    count: () => queued.size,
+    pick: canStart => {
+      const waiting: Array<WaitingRequest<AttemptId>> = []
+      for (const entry of queued.values()) {
+        if (canStart(entry)) waiting.push(entry.waiting)
+      }
+      if (waiting.length === 0) return undefined
+      const picked = pickNext(waiting, fairness, timers.nowMs())
+      return picked && queued.get(picked.id)
+    },
+    account: (attempt, tokenCount) => {
+      fairness = accountServed(fairness, waitingOf(attempt, 0), tokenCount, timers.nowMs())
+    }
+  }
+}
--- a/packages/peers/src/messages/types.ts
+++ b/packages/peers/src/messages/types.ts
@@ -71,6 +71,8 @@
   readonly requestKey: RequestKey
   readonly attemptId: AttemptId
   readonly executor: InstanceName
+  /** The run of the executor that the permit is for; empty when the asker did not know it. */
+  readonly executorIncarnation: Incarnation
   readonly keysHolder: InstanceName
   readonly keysFence: LogOffset
 }
@@ -87,6 +89,8 @@
   | { readonly type: 'cancel', readonly attemptId: AttemptId }
   /** Asks the holder of the `keys` right whether a request may start on `executor`. */
   | { readonly type: 'permit.ask', readonly askId: number, readonly attemptId: AttemptId, readonly executor: InstanceName, readonly executorIncarnation: Incarnation, readonly request: Omit<RunRequest, 'prompt' | 'doneTokens' | 'plain'> }
+  /** The executor of a permitted attempt has refused it as not run: its key may be given to another attempt. */
+  | { readonly type: 'permit.withdraw', readonly target: ModelId, readonly caller: CallerName, readonly requestKey: RequestKey, readonly attemptId: AttemptId }
   | { readonly type: 'records', readonly records: readonly RawRecord[] }
   | { readonly type: 'records.ask', readonly fromOffset: LogOffset }
   /** Fast path of a suspicion; the log carries it too. */
@@ -95,7 +99,8 @@
 /** What an agent says to a router. */
 export type FromAgent =
   | { readonly type: 'welcome', readonly instance: InstanceName, readonly incarnation: Incarnation, readonly dataCentre: DataCentre, readonly report: AgentReport }
-  | { readonly type: 'heartbeat.ack', readonly sentAtMs: number, readonly report: AgentReport }
+  /** Without a report if nothing has changed since the last one on this link. */
+  | { readonly type: 'heartbeat.ack', readonly sentAtMs: number, readonly report?: AgentReport }
   /** The request waits, loads or runs; sent on every change and once a second while it waits. */
   | { readonly type: 'progress', readonly attemptId: AttemptId, readonly state: WaitState, readonly estimatedWaitMs: number }
   | { readonly type: 'tokens', readonly attemptId: AttemptId, readonly frame: number, readonly firstTokenIndex: number, readonly tokens: readonly string[] }
@@ -131,6 +136,10 @@
   readonly memoryCapacityMb: number
   readonly memoryUsedMb: number
   readonly models: readonly ModelReport[]
+  /** True when `models` holds only those that changed since the last report on this link. */
+  readonly partial?: boolean
+  /** With `partial`: models of earlier reports that are no longer held. */
+  readonly goneModels?: readonly ModelId[]
 }
 
 export interface ModelReport {
--- /dev/null
+++ b/packages/router/src/proposals/runProposer.ts
@@ -0,0 +1,54 @@
+import { sleep } from '@figmount/base'
+import { proposeVoids, shouldPropose } from '@figmount/records'
+
+import { createMailbox } from '../answers/createMailbox.js'
+import { submitProposal } from './submitProposal.js'
+
+import type { EventLog, InstanceName, TimerService } from '@figmount/base'
+import type { EngineReach, NewRecord, RecordsClient } from '@figmount/records'
+import type { Membership } from '../membership/createMembership.js'
+import type { ProposeRights } from './types.js'
+
+interface Options {
+  readonly instance: InstanceName
+  readonly records: RecordsClient
+  readonly membership: Membership
+  readonly proposeRights: ProposeRights
+  /** What the engines of instances that are off the list have last said. */
+  readonly engineOf: (instance: InstanceName) => EngineReach
+  readonly timers: TimerService
+  readonly events: EventLog
+  readonly signal: AbortSignal
+}
+
+/** Longest pause between rounds; shorter when something has changed. */
+const ROUND_MS = 500
+/** Changes that come within this time are answered by one round. */
+const GATHER_MS = 25
+/** A router whose log has not answered for this long proposes nothing: its view may be old. */
+const FRESH_MS = 5_000
+
+const findProposals = ({ instance, records, membership, proposeRights, engineOf, timers }: Options): readonly NewRecord[] => {
+  const routers = [...new Set([...membership.routers(), instance])]
+  const mayPropose = (target: string): boolean => shouldPropose(target, routers, instance)
+  const state = records.state()
+  const instances = [...membership.list().instances.values()]
+  return [
+    ...proposeVoids(state, membership.absences(), { mayPropose, engineOf }),
+    ...proposeRights(state, instances, { mayPropose }, timers.unixMs())
+  ]
+}
+
+/** Proposes rights and voids in rounds until `signal` aborts; a round waits until its records were read back. */
+export const runProposer = async (options: Options): Promise<void> => {
+  const { records, timers, signal } = options
+  const changes = createMailbox<true>(timers, 1)
+  const unsubscribe = records.onChange(() => { changes.push(true) })
+  while (!signal.aborted) {
+    const isFresh = records.isReady() && timers.nowMs() - records.confirmedAtMs() < FRESH_MS
+    const proposals = isFresh ? findProposals(options) : []
+    await Promise.all(proposals.map(async record => await submitProposal(options, record)))
+    if (await changes.take(ROUND_MS, signal)) await sleep(timers, GATHER_MS, signal)
+  }
+  unsubscribe()
+}
