Load for callers that were refused, so that their resend is served

Cause: a load that was never measured is taken to last 15 s. Ruled out: rights (24 granted in time), reachability (links open), memory. Change: a router refuses for readiness only when the model is loading already; the agent still refuses at once, but its refusal is remembered as a wish for the load (60 s, 256 models). Checked: two tests, red before.

--- a/packages/agent/src/agent/createAdmission.ts
+++ b/packages/agent/src/agent/createAdmission.ts
@@ -11,6 +11,7 @@
 import type { Estimates } from '../queueing/createEstimates.js'
 import type { PermitLedger } from '../once/createPermitLedger.js'
 import type { Queue } from '../queueing/createQueue.js'
+import type { Wakes } from '../queueing/createWakes.js'
 import type { SuspectBook } from '../suspects/createSuspectBook.js'
 import type { BackendView, Dispatcher } from './createDispatcher.js'
 import type { AgentContext } from './types.js'
@@ -24,6 +25,7 @@
   readonly dispatcher: Dispatcher
   readonly backend: BackendView
   readonly estimates: Estimates
+  readonly wakes: Wakes
   /** Expected time until a request of a priority gets a place in the batch. */
   readonly secondsAhead: (priority: number) => number
   readonly isDraining: () => boolean
@@ -81,6 +83,10 @@
     }, decisions.random)
     if (verdict.kind === 'admit') return undefined
     estimates.noteRefusal()
+    if (backend.readyInMs(attempt) > 0) {
+      options.wakes.note(request)
+      dispatcher.poke()
+    }
     return notRun({ reason: RefusalReason.OVERLOADED, detail: verdict.detail, step: 'queueing.admit', peer: instance, retryAfterMs: verdict.retryAfterMs })
   }
 
--- a/packages/agent/src/agent/createAgent.ts
+++ b/packages/agent/src/agent/createAgent.ts
@@ -8,6 +8,7 @@
 import { createPermitLedger } from '../once/createPermitLedger.js'
 import { PROGRESS_MS, PUMP_MS } from '../queueing/constants.js'
 import { createQueue } from '../queueing/createQueue.js'
+import { createWakes } from '../queueing/createWakes.js'
 import { viewDemands } from '../queueing/viewDemands.js'
 import { createEstimates } from '../queueing/createEstimates.js'
 import { secondsAhead, secondsInAll } from '../queueing/workAhead.js'
@@ -28,6 +29,7 @@
 import type { EngineClient } from '../engine/types.js'
 import type { RouterLink } from '../links/createLinkBook.js'
 import type { Demand } from '../loading/types.js'
+import type { Wake } from '../queueing/createWakes.js'
 import type { ReadListing } from '../membership/watchInstances.js'
 import type { AgentContext } from './types.js'
 import type { EngineBackend } from './createEngineBackend.js'
@@ -60,6 +62,7 @@
   const attempts = createAttemptStore({ timers, events, maxKeptBytes: settings.limits.kept_answers_mb * BYTES_PER_MB })
   const estimates = createEstimates(timers)
   const queue = createQueue({ timers, pickNext: decisions.pickNext, accountServed: decisions.accountServed, expectedTokens: estimates.expectedTokens })
+  const wakes = createWakes(timers)
   let sequence = 0
   let demands: ReadonlyMap<ModelId, Demand> | undefined
 
@@ -73,8 +76,21 @@
     tellRouters: suspicion => links.sendAll({ type: 'suspect', instance, ...suspicion })
   })
 
+  /** Wakes of models that cannot serve yet, with the version that the configuration means. */
+  const openWakes = (): readonly Wake[] => {
+    if (!engineBackend) return []
+    const open: Wake[] = []
+    for (const wake of wakes.current()) {
+      const version = wake.version === '' ? engineBackend.planOf(wake.model)?.spec.currentVersion ?? '' : wake.version
+      const slot = findSlot(engineBackend.loader.state(), wake.model)
+      if (slot.phase === 'ready' && slot.version === version) wakes.settle(wake.model)
+      else open.push({ ...wake, version })
+    }
+    return open
+  }
+
   const currentDemands = (): ReadonlyMap<ModelId, Demand> => {
-    demands ??= viewDemands(queue.all(), dispatcher.running(), attempt => backend.versionOf(attempt))
+    demands ??= viewDemands(queue.all(), dispatcher.running(), attempt => backend.versionOf(attempt), openWakes())
     return demands
   }
 
@@ -182,6 +198,7 @@
 
   const start = createAdmission({
     context,
+    wakes,
     attempts,
     queue,
     permits,
--- a/packages/agent/src/queueing/constants.ts
+++ b/packages/agent/src/queueing/constants.ts
@@ -9,3 +9,12 @@
 
 /** Period at which deadlines, keep-alive and held back loads are looked at. */
 export const PUMP_MS = 100
+
+/**
+ * How long a refused request's wish for a load is remembered. Grounds: longer than a load in turn at a
+ * crowded weight store takes; callers that come back renew it.
+ */
+export const WAKE_MS = 60_000
+
+/** Models whose loads refused requests may ask for at once; an agent holds fewer slots than that. */
+export const MAX_WAKES = 256
--- a/packages/agent/src/queueing/queueing.test.ts
+++ b/packages/agent/src/queueing/queueing.test.ts
@@ -40,6 +40,21 @@
     expect(late, 'admitted and then refused at the deadline').to.equal(0)
   })
 
+  // A model's first load is assumed to take 15 s and its callers give 5 s. Each is told to come
+  // back and none is ever served: nobody waits, so nothing is loaded and the assumption stands.
+  it('loads for callers that it refuses, so that the resend is served', async () => {
+    const { under, router } = await ready()
+    const cold = { model: 'reader/cold' as ModelId, remainingMs: 5_000 }
+    router.start('first', { ...cold, prompt: 'first' })
+    await under.advance(10)
+    expect(router.refusalOf('first')).to.include({ runState: RunState.NOT_RUN, reason: RefusalReason.OVERLOADED })
+    await under.advance(2_000)
+    router.start('again', { ...cold, prompt: 'again' })
+    await under.advance(500)
+    expect(router.refusalOf('again')).to.equal(undefined)
+    expect(under.engine.runs).to.include('again')
+  })
+
   it('keeps its bound', async () => {
     const { under, router } = await ready({ max_queued: '10' })
     for (let index = 0; index < 40; index += 1) router.start(`r${index}`, { prompt: `p${index}`, priority: 9, maxTokens: 3 })
--- a/packages/agent/src/queueing/viewDemands.ts
+++ b/packages/agent/src/queueing/viewDemands.ts
@@ -2,6 +2,7 @@
 import type { Attempt } from '../attempts/types.js'
 import type { Demand } from '../loading/types.js'
 import type { QueuedAttempt } from './createQueue.js'
+import type { Wake } from './createWakes.js'
 
 interface Builder {
   waitingCount: number
@@ -25,14 +26,24 @@
   runningAdapters: new Set()
 })
 
+const addWake = (builder: Builder, { version, adapter, priority, askedAtMs }: Wake): void => {
+  builder.waitingCount += 1
+  builder.highestPriority = Math.max(builder.highestPriority, priority)
+  if (adapter !== '') builder.wantedAdapters.add(adapter)
+  if (askedAtMs >= builder.askedAtMs) return
+  builder.askedAtMs = askedAtMs
+  builder.version = version
+}
+
 /**
  * Sums up who waits for and runs on each model. The version wanted is that of the request that has waited longest,
- * so that two versions asked for in turn both get served.
+ * so that two versions asked for in turn both get served. A wake counts as one who waits without a deadline.
  */
 export const viewDemands = (
   queued: Iterable<QueuedAttempt>,
   running: Iterable<Attempt>,
-  versionOf: (attempt: Attempt) => string
+  versionOf: (attempt: Pick<Attempt, 'request'>) => string,
+  wakes: readonly Wake[] = []
 ): ReadonlyMap<ModelId, Demand> => {
   const builders = new Map<ModelId, Builder>()
   const builderFor = (model: ModelId): Builder => {
@@ -57,5 +68,6 @@
     builder.runningCount += 1
     if (attempt.request.adapter !== '') builder.runningAdapters.add(attempt.request.adapter)
   }
+  for (const wake of wakes) addWake(builderFor(wake.model), wake)
   return builders
 }
--- a/packages/decisions/src/routing/chooseLeastCost.test.ts
+++ b/packages/decisions/src/routing/chooseLeastCost.test.ts
@@ -86,6 +86,15 @@
     expect(chosenNames([...fast, { ...faded, unreportedSeconds: 0.1 }])).not.to.include('slow')
   })
 
+  // A model that nobody has loaded is believed to load slower than its callers can wait. Refused
+  // here, no agent ever hears of it, and it is never loaded.
+  it('sends on to a cold slot even if it gets ready too late, so that its load begins', () => {
+    const cold = candidate('cold', { state: 'cold', readyInMs: 200_000 })
+    expect(chosenNames([cold], 3)).to.deep.equal(['cold', 'cold', 'cold'])
+    const loading = candidate('loading', { state: 'loading', readyInMs: 200_000 })
+    expect(new Set(chosenNames([loading, cold]))).to.deep.equal(new Set(['none']))
+  })
+
   it('refuses only what nobody gets ready in time, and leaves the queue to the agent', () => {
     const late = candidate('late', { state: 'loading', readyInMs: 200_000 })
     expect(new Set(chosenNames([late, late, late]))).to.deep.equal(new Set(['none']))
--- a/packages/decisions/src/routing/chooseLeastCost.ts
+++ b/packages/decisions/src/routing/chooseLeastCost.ts
@@ -108,8 +108,8 @@
  *
  * The warm choice is random so that routers deciding alike do not herd. The cold choice is not: all routers take the
  * same slot, and their loads merge into one. A cold slot is started beside warm ones only when the queue costs more
- * than the cold start by `coldStartMargin`. A request is refused here only when no candidate gets ready in time; whether
- * the queue is short enough is the agent's verdict. Grounds of the figures: `RoutingTuning` and `docs/decisions/table.md`.
+ * than the cold start by `coldStartMargin`. A request is refused here only when no candidate gets ready in time and one
+ * is loading already; whether the queue is short enough, and a cold start fast enough, is the agent's verdict. Grounds of the figures: `RoutingTuning` and `docs/decisions/table.md`.
  */
 export const chooseLeastCost: ChooseBackend = (request, candidates, random): RoutingChoice => {
   const { warm, cold } = shortlist(request, candidates, random)
@@ -120,8 +120,11 @@
   // The sample may have missed the one server that is ready in time: a refusal must hold for all that were looked at.
   const quickest = leastBy([...warm, ...cold], readinessOf)
   if (!quickest) return { kind: 'none', estimatedWaitMs: request.coldStartMs }
-  if (!isReadyInTime(request, quickest)) return { kind: 'none', estimatedWaitMs: readinessOf(quickest) }
-  return send(quickest)
+  if (isReadyInTime(request, quickest)) return send(quickest)
+  // Guards against a model that is never loaded since it seems to load too slowly: refused here, no agent
+  // hears of it. Sent on to a cold slot, it is refused there just as fast, and its load begins.
+  if (warm.length === 0 && coldBest) return send(coldBest)
+  return { kind: 'none', estimatedWaitMs: readinessOf(quickest) }
 }
 
 const coldOrQueue = (warm: CandidateCost | undefined, cold: CandidateCost | undefined): CandidateCost | undefined => {
