Answer truly for a record that is asked for again, or was sent before it was queued again

Cause: an agent repeats a record under one id until it hears of it. If the first copy was read back after the client had given up, the repeats were called second copies and unknown for ever. A record whose answer was lost and that was queued again was called not appended although it was in the log. Changed: the client keeps the outcomes of its last 1,000 own records, answers at once for ids that were folded, and remembers that a call has carried a record; an id that is being appended is refused. Failing first: the new test got 'not appended' for a record that was in the log.

--- a/packages/records/src/log/constants.ts
+++ b/packages/records/src/log/constants.ts
@@ -37,6 +37,9 @@
 export const BATCH_MAX_COUNT = 256
 export const BATCH_MAX_BYTES = 1024 * 1024
 
+/** Own records whose outcome is kept for a writer that asks again under the same id. */
+export const OUTCOMES_KEPT = 1_000
+
 /** Records that may wait for an append; more are refused at once. */
 export const APPEND_QUEUE_LIMIT = 4_000
 
--- a/packages/records/src/log/createAppender.ts
+++ b/packages/records/src/log/createAppender.ts
@@ -2,14 +2,14 @@
 import { FaultKind, makeFault, sleep } from '@figmount/base'
 
 import {
-  APPEND_BURST, APPEND_DEADLINE_MS, APPEND_QUEUE_LIMIT, APPENDS_PER_SECOND, BATCH_MAX_BYTES, BATCH_MAX_COUNT, MAX_PAYLOAD_BYTES
+  APPEND_BURST, APPEND_DEADLINE_MS, APPEND_QUEUE_LIMIT, APPENDS_PER_SECOND, BATCH_MAX_BYTES, BATCH_MAX_COUNT, MAX_PAYLOAD_BYTES, OUTCOMES_KEPT
 } from './constants.js'
 import { secondCopy } from '../fold/foldRecords.js'
 import { encodeRecord } from './codec.js'
 import { RecordEvent } from './events.js'
 
 import type { Either } from 'purify-ts'
-import type { EventLog, Fault, LogOffset, Metrics, TimerService } from '@figmount/base'
+import type { EventLog, Fault, InstanceName, LogOffset, Metrics, TimerService } from '@figmount/base'
 import type { FoldOutcome, LogRecord } from '../fold/types.js'
 import type { Jitter } from './createJitter.js'
 import type { PlatformLogCalls } from './openLog.js'
@@ -24,8 +24,10 @@
   readonly record: LogRecord
   readonly payload: Uint8Array
   readonly settle: (result: Either<Fault, Appended>) => void
-  /** `queued`: no call carries it. `sent`: a call carried it, whatever became of it. */
+  /** `queued`: the next call is to carry it. `sent`: a call carries it or has carried it. */
   readonly status: 'queued' | 'sent'
+  /** True once a call has carried it, even if it is queued again: it may be in the log. */
+  readonly wasSent: boolean
   /** Monotonic time at which a call that carried it failed; undefined while none has. */
   readonly failedAtMs?: number
 }
@@ -33,12 +35,15 @@
 interface Options {
   readonly log: PlatformLogCalls
   readonly address: string
+  readonly instance: InstanceName
   readonly timers: TimerService
   readonly events: EventLog
   readonly metrics: Metrics
   readonly jitter: Jitter
   readonly appendsPerSecond?: number
   readonly onAppended: (nextOffset: LogOffset) => void
+  /** Whether a record with this id has been folded lately, and up to which offset. */
+  readonly findFolded: (recordId: string) => LogOffset | undefined
 }
 
 /** Appends records in batches and tells each writer what became of its record. */
@@ -55,6 +60,7 @@
 export const createAppender = (options: Options): Appender => {
   const { log, address, timers, events, metrics } = options
   const waiting = new Map<string, Waiting>()
+  const ownOutcomes = new Map<string, Appended>()
   const stopping = new AbortController()
   const perSecond = options.appendsPerSecond ?? APPENDS_PER_SECOND
   let tokens = APPEND_BURST
@@ -73,7 +79,7 @@
   const expire = (recordId: string): void => {
     const entry = waiting.get(recordId)
     if (!entry) return
-    if (entry.status === 'queued') return settle(recordId, Left(fault(FaultKind.Unavailable, 'not appended, the log did not take it in time')))
+    if (!entry.wasSent) return settle(recordId, Left(fault(FaultKind.Unavailable, 'not appended, the log did not take it in time')))
     events.emit(RecordEvent.appendUnknown, { detail: entry.record.kind, step: 'records.append', peer: address })
     settle(recordId, Left(fault(FaultKind.Timeout, 'outcome unknown, the log did not answer in time')))
   }
@@ -90,7 +96,7 @@
     return batch
   }
 
-  const mark = (batch: readonly Waiting[], change: Pick<Waiting, 'status' | 'failedAtMs'>): void => {
+  const mark = (batch: readonly Waiting[], change: Partial<Waiting>): void => {
     for (const { record: { recordId } } of batch) {
       const entry = waiting.get(recordId)
       if (entry) waiting.set(recordId, { ...entry, ...change })
@@ -108,7 +114,7 @@
   }
 
   const sendBatch = async (batch: readonly Waiting[]): Promise<boolean> => {
-    mark(batch, { status: 'sent' })
+    mark(batch, { status: 'sent', wasSent: true })
     metrics.count('records_append_calls')
     metrics.count('records_append_records', batch.length)
     const sentAtMs = timers.nowMs()
@@ -121,7 +127,7 @@
       },
       Left: () => {
         metrics.count('records_append_faults')
-        mark(batch, { status: 'sent', failedAtMs: timers.nowMs() })
+        mark(batch, { failedAtMs: timers.nowMs() })
         return false
       }
     })
@@ -143,8 +149,25 @@
     }
   }
 
+  // A writer may ask again under the id of a record whose answer came too late for it.
+  const findOutcome = (recordId: string): Appended | undefined => {
+    const known = ownOutcomes.get(recordId)
+    if (known) return known
+    const offset = options.findFolded(recordId)
+    return offset === undefined ? undefined : { outcome: secondCopy, offset }
+  }
+
+  const remember = (recordId: string, appended: Appended): void => {
+    ownOutcomes.set(recordId, appended)
+    const [oldest] = ownOutcomes.keys()
+    if (oldest !== undefined && ownOutcomes.size > OUTCOMES_KEPT) ownOutcomes.delete(oldest)
+  }
+
   const enqueue = async (record: LogRecord): Promise<Either<Fault, Appended>> => {
+    const known = findOutcome(record.recordId)
+    if (known) return Right(known)
     if (stopping.signal.aborted) return Left(fault(FaultKind.Unavailable, 'not appended, the process stops'))
+    if (waiting.has(record.recordId)) return Left(fault(FaultKind.Conflict, `record ${record.recordId} is being appended`))
     if (waiting.size >= APPEND_QUEUE_LIMIT) return Left(fault(FaultKind.Exhausted, 'not appended, too many records wait'))
     const payload = encodeRecord(record)
     if (payload.byteLength > MAX_PAYLOAD_BYTES) return Left(fault(FaultKind.Invalid, `longer than ${MAX_PAYLOAD_BYTES} bytes`))
@@ -154,7 +177,7 @@
         cancel()
         resolve(result)
       }
-      waiting.set(record.recordId, { record, payload, status: 'queued', settle: finish })
+      waiting.set(record.recordId, { record, payload, status: 'queued', wasSent: false, settle: finish })
       wake?.()
     })
   }
@@ -181,9 +204,12 @@
       return EitherAsync.fromPromise(async () => await result)
     },
     onFolded: (record, offset, outcome) => {
+      if (record.writer !== options.instance) return
+      if (outcome !== secondCopy) remember(record.recordId, { outcome, offset })
+      const known = ownOutcomes.get(record.recordId)
+      if (known) return settle(record.recordId, Right(known))
       // The state has jumped over the first copy by a snapshot: what became of it can't be told.
-      if (outcome === secondCopy) return expire(record.recordId)
-      settle(record.recordId, Right({ outcome, offset }))
+      expire(record.recordId)
     },
     onConfirmed,
     stop: () => {
--- a/packages/records/src/log/createRecordsClient.test.ts
+++ b/packages/records/src/log/createRecordsClient.test.ts
@@ -100,6 +100,25 @@
     expect(log.records).to.have.length(1)
   })
 
+  it('tells a writer that asks again what became of its record', async () => {
+    // An agent gives a right back, the log is slow, and the record is read back only after the
+    // agent was told that the outcome is unknown. It tries again under the same id for as long
+    // as it hears nothing, and must hear of the first copy and not append for ever.
+    const { timers, log, client } = startRig()
+    const writer = client('r1')
+    await pass(timers, 200)
+    log.trouble.losesAnswers = true
+    log.trouble.staleHead = 0
+    const record = { ...change(0), recordId: 'one' } as NewRecord
+    expect(await outcomeOf(writer, timers, record)).to.match(/^timeout/)
+    log.trouble.staleHead = Infinity
+    await pass(timers, 3_000)
+    const copyCount = log.records.length
+    expect(await outcomeOf(writer, timers, record)).to.equal('applied at 0')
+    expect(log.records).to.have.length(copyCount)
+    expect(writer.state().items.get('service/reader')?.version).to.equal(1)
+  })
+
   it('shares one append among all that wait meanwhile', async () => {
     const { timers, log, client } = startRig()
     const writer = client('r1')
--- a/packages/records/src/log/createRecordsClient.ts
+++ b/packages/records/src/log/createRecordsClient.ts
@@ -85,9 +85,16 @@
     onSnapshotSeen: (baseOffset, completedAtMs) => { lastSnapshot = { baseOffset, completedAtMs } }
   })
 
+  const findFolded = (recordId: string): LogOffset | undefined => {
+    const { recentRecordIds, nextOffset } = follower.state()
+    return recentRecordIds.has(recordId) ? (nextOffset - 1) as LogOffset : undefined
+  }
+
   const appender = createAppender({
     log,
     address,
+    instance,
+    findFolded,
     timers,
     events,
     metrics,
