Take the tenure of a keys right from the fold in the agent

Cause: the agent added CLOCK_ERROR_MS after a release, but a holder whose clock is ahead lets keys run that are stamped up to twice that ahead: after a move such a key could be let run a second time. The property test of the keys protocol finds it. Changed: the agent compares a key with RightState.keysFromMs, which has the margins in it and counts from the release or void; its own record of where a right came from is gone. The test of a restart waits for the longer margin, 9.001 s in place of 7 s, because that is what the tenure needs now; the tests of judgePermit name the same bound as one number. In the agent's package because the rule and its use must change together.

--- a/packages/agent/src/once/judgePermit.ts
+++ b/packages/agent/src/once/judgePermit.ts
@@ -16,7 +16,7 @@
  *
  * Guards against a second run of a request whose first run an earlier holder permitted: shows as a
  * resend at a holder that never saw the key. Every key that an earlier holder can have permitted was issued
- * before the tenure began, up to the margin, so only keys issued later are let run.
+ * before the tenure's `fromMs`, so only keys issued later are let run.
  */
 export const judgePermit = (view: PermitView): PermitVerdict => {
   const { tenure, issuedAtMs, nowUnixMs } = view
@@ -27,9 +27,8 @@
     return refuse(unlessResent(view), RefusalReason.KEY_EXPIRED, 0, 'the key is too old')
   }
   if (!tenure) return refuse(unlessResent(view), RefusalReason.UNAVAILABLE, PERMIT_RETRY_MS, 'the keys are decided on elsewhere')
-  const firstIssueMs = tenure.fromMs + tenure.marginMs
-  if (!tenure.isFirst && issuedAtMs < firstIssueMs) {
-    return refuse(unlessResent(view), RefusalReason.UNAVAILABLE, firstIssueMs - nowUnixMs, 'the key is older than the tenure of its holder')
+  if (issuedAtMs < tenure.fromMs) {
+    return refuse(unlessResent(view), RefusalReason.UNAVAILABLE, tenure.fromMs - nowUnixMs, 'the key is older than the tenure of its holder')
   }
   if (view.authority === 'none') {
     return refuse(unlessResent(view), RefusalReason.LOG_UNREACHABLE, PERMIT_RETRY_MS, 'the holder of the keys is not sure of its right')
--- a/packages/agent/src/once/once.test.ts
+++ b/packages/agent/src/once/once.test.ts
@@ -1,4 +1,4 @@
-import { AUTHORITY_MS, CLOCK_ERROR_MS, ONCE_WINDOW_MS } from '@figmount/records'
+import { AUTHORITY_MS, CLOCK_ERROR_MS, KEY_AHEAD_MS, ONCE_WINDOW_MS } from '@figmount/records'
 import { RefusalReason, RunState } from '@figmount/schema'
 import { expect } from 'chai'
 
@@ -10,14 +10,14 @@
 import type { AgentUnderTest, FakeRouter } from '../testing/startAgentForTest.js'
 import type { PermitView } from './types.js'
 
-const MARGIN_MS = AUTHORITY_MS + CLOCK_ERROR_MS
+const MARGIN_MS = AUTHORITY_MS + KEY_AHEAD_MS
 const once = (more: Partial<RunRequest> = {}): Partial<RunRequest> => ({ repeatable: false, ...more })
 
 const view: PermitView = {
   issuedAtMs: 100_000,
   resendCount: 1,
   nowUnixMs: 101_000,
-  tenure: { fromMs: 50_000, marginMs: 7_000, isFirst: false },
+  tenure: { fromMs: 57_000 },
   authority: 'fresh',
   draining: false,
   isFull: false
@@ -54,7 +54,7 @@
     expect(stateOf({})).to.equal('grant')
     expect(stateOf({ issuedAtMs: 56_999 })).to.equal(RunState.MAY_HAVE_RUN)
     expect(stateOf({ issuedAtMs: 56_999, resendCount: 0 })).to.equal(RunState.NOT_RUN)
-    expect(stateOf({ issuedAtMs: 40_000, tenure: { fromMs: 50_000, marginMs: 7_000, isFirst: true } })).to.equal('grant')
+    expect(stateOf({ issuedAtMs: 40_000, tenure: { fromMs: 0 } })).to.equal('grant')
     expect(stateOf({ issuedAtMs: 101_000 + CLOCK_ERROR_MS + 1 })).to.equal(RunState.NOT_RUN)
     expect(stateOf({ nowUnixMs: 100_001 + ONCE_WINDOW_MS })).to.equal(RunState.MAY_HAVE_RUN)
     expect(stateOf({ tenure: undefined })).to.equal(RunState.MAY_HAVE_RUN)
--- a/packages/agent/src/once/types.ts
+++ b/packages/agent/src/once/types.ts
@@ -11,11 +11,8 @@
 
 /** The tenure of a `keys` right as the decision needs it. */
 export interface Tenure {
+  /** A key issued before this time may have been let run by an earlier holder; all margins are in it. */
   readonly fromMs: number
-  /** A key issued before `fromMs + marginMs` may have been let run by an earlier holder. */
-  readonly marginMs: number
-  /** True when nobody held the right before. */
-  readonly isFirst: boolean
 }
 
 /** What the holder of a `keys` right decides on. */
--- a/packages/agent/src/rights/createRightsKeeper.ts
+++ b/packages/agent/src/rights/createRightsKeeper.ts
@@ -4,10 +4,9 @@
 import { noRights, viewRights } from './viewRights.js'
 
 import type { ModelId, Unsubscribe } from '@figmount/base'
-import type { AgreedState, PlacedRecord, RightState } from '@figmount/records'
+import type { AgreedState, RightState } from '@figmount/records'
 import type { AgentContext } from '../agent/types.js'
 import type { Tenure } from '../once/types.js'
-import type { TenureOrigin } from '../once/tenureOf.js'
 import type { AppendReliably } from './appendReliably.js'
 import type { HeldRights } from './types.js'
 
@@ -35,31 +34,10 @@
   const { records, events, instance, incarnation } = context
   const releasing = new Set<number>()
   const renewing = new Set<number>()
-  const released = new Set<ModelId>()
-  const origins = new Map<number, TenureOrigin>()
   let seenState: AgreedState | undefined
   let seenGivingUp = false
   let held: HeldRights = noRights
 
-  /** True when no earlier version of the service can have named the target. */
-  const isNewTarget = (target: ModelId): boolean => {
-    const item = `service/${target.split('/')[0] ?? ''}` as const
-    return records.state().items.get(item)?.version === 1
-  }
-
-  // Only a grant that follows a release seen in the log has the short margin; all else counts as a void.
-  const learnOrigin = ({ record, offset }: PlacedRecord): void => {
-    if (record.kind === 'instance.void') released.clear()
-    if (record.kind === 'right.release' && record.right.kind === 'keys') released.add(record.right.target)
-    if (record.kind !== 'right.grant' || record.right.kind !== 'keys') return
-    const { target } = record.right
-    if (record.instance === instance) {
-      const isFirst = record.expectedFence === 0 && isNewTarget(target)
-      origins.set(offset, isFirst ? 'first' : released.has(target) ? 'release' : 'voidOrRestart')
-    }
-    released.delete(target)
-  }
-
   const current = (): HeldRights => {
     const state = records.state()
     const givingUp = isGivingUp()
@@ -96,17 +74,11 @@
     }
   }
 
-  const stop = records.onChange(placed => {
-    for (const record of placed) learnOrigin(record)
-    onChange()
-  })
+  const stop = records.onChange(() => onChange())
 
   return {
     current,
-    tenure: target => {
-      const keys = current().keys.get(target)
-      return tenureOf(keys, (keys && origins.get(keys.fence)) ?? 'voidOrRestart')
-    },
+    tenure: target => tenureOf(current().keys.get(target)),
     settle,
     stop
   }
--- a/packages/agent/src/rights/types.ts
+++ b/packages/agent/src/rights/types.ts
@@ -6,10 +6,8 @@
 export interface HeldKeys {
   readonly target: ModelId
   readonly fence: LogOffset
-  /** Log time from which the tenure counts. */
-  readonly tenureFromMs: number
-  /** Set when an earlier holder lost the right by a void. */
-  readonly grantableFromMs: number
+  /** A key issued before this log time may have been let run by an earlier holder or run of this one. */
+  readonly keysFromMs: number
   /** False until the tenure has been renewed for this run of the agent. */
   readonly isOwnTenure: boolean
   readonly revoked: boolean
--- a/packages/agent/src/rights/viewRights.ts
+++ b/packages/agent/src/rights/viewRights.ts
@@ -25,8 +25,8 @@
     const revoked = givingUp || right.status === 'revoked'
     if (revoked) revokedRights.push(right)
     if (key.kind === 'keys') {
-      const { tenureFromMs, grantableFromMs } = right
-      keys.set(key.target, { target: key.target, fence, tenureFromMs, grantableFromMs, isOwnTenure: right.incarnation === incarnation, revoked })
+      const { keysFromMs } = right
+      keys.set(key.target, { target: key.target, fence, keysFromMs, isOwnTenure: right.incarnation === incarnation, revoked })
       continue
     }
     const slot: HeldSlot = { model: key.target, slotIndex: key.slotIndex, fence, revoked }
