Hold a restarted agent's rights until no order of an earlier run can be on its way

Cause: an agent that restarts while its load order is under way finds nothing loaded; with the right revoked it gave the right back at once, and the late order then loaded the model outside any right. Changed: rights from before the agent's announcement are released no sooner than ORDER_DEADLINE_MS + ORDER_SETTLE_MS after its start; rights granted since are not delayed.

--- a/packages/agent/src/loading/loading.test.ts
+++ b/packages/agent/src/loading/loading.test.ts
@@ -1,7 +1,9 @@
+import { ORDER_DEADLINE_MS } from '@figmount/records'
 import { expect } from 'chai'
 
 import { AgentEvent } from '../events.js'
 import { MODEL, modelSpec, startAgentForTest } from '../testing/startAgentForTest.js'
+import { ORDER_SETTLE_MS } from './constants.js'
 
 import type { LogOffset, ModelId } from '@figmount/base'
 import type { AgentUnderTest } from '../testing/startAgentForTest.js'
@@ -197,6 +199,23 @@
     expect(statusOf()).to.equal('free')
   })
 
+  // An agent orders a load and restarts; the order is still on its way to the engine, which shows
+  // nothing loaded. If the restarted agent gave the right back at once, the next holder would load
+  // the model and then the late order would load it here, too.
+  it('gives nothing back while an order of an earlier run may be on its way', async () => {
+    const under = await startAgentForTest()
+    const fence = under.grant(replicaOf(MODEL))
+    await under.advance(200)
+    const again = await under.restartAgent()
+    await again.advance(200)
+    again.log.write({ kind: 'right.revoke', right: replicaOf(MODEL), fence: fence as LogOffset })
+    const statusOf = (): string | undefined => [...again.log.state().rights.values()][0]?.status
+    await again.advance(ORDER_DEADLINE_MS)
+    expect(statusOf()).to.equal('revoked')
+    await again.advance(ORDER_SETTLE_MS)
+    expect(statusOf()).to.equal('free')
+  })
+
   // An operator lowers the greatest number of replicas. Kept loaded until its right is revoked,
   // the model would have a replica too many for that long.
   it('unloads above a lowered bound', async () => {
--- a/packages/agent/src/rights/createRightsKeeper.ts
+++ b/packages/agent/src/rights/createRightsKeeper.ts
@@ -1,4 +1,7 @@
+import { ORDER_DEADLINE_MS } from '@figmount/records'
+
 import { AgentEvent } from '../events.js'
+import { ORDER_SETTLE_MS } from '../loading/constants.js'
 import { tenureOf } from '../once/tenureOf.js'
 import { isAnnounced } from './keepAnnounced.js'
 import { noRights, viewRights } from './viewRights.js'
@@ -31,7 +34,8 @@
 
 /** Makes the keeper of this agent's rights. */
 export const createRightsKeeper = ({ context, append, isUnloaded, isGivingUp, onChange }: Options): RightsKeeper => {
-  const { records, events, instance, incarnation } = context
+  const { records, events, timers, instance, incarnation } = context
+  const ordersLapseAtMs = timers.nowMs() + ORDER_DEADLINE_MS + ORDER_SETTLE_MS
   const releasing = new Set<number>()
   const renewing = new Set<number>()
   let seenState: AgreedState | undefined
@@ -49,8 +53,17 @@
     return held
   }
 
+  // Guards against an order that an earlier run of this agent has sent and that is still on its way:
+  // the engine shows nothing loaded, the right is given back and granted elsewhere, and then the
+  // order loads the model here, too. Once every such order has lapsed the inventory is the truth.
+  const mayHaveOrderOnItsWay = (right: RightState): boolean => {
+    const announcedAt = records.state().agents.get(instance)?.offset ?? 0
+    return right.fence < announcedAt && timers.nowMs() < ordersLapseAtMs
+  }
+
   const canRelease = (right: RightState): boolean => {
     if (right.key.kind === 'keys') return true
+    if (mayHaveOrderOnItsWay(right)) return false
     const slot = current().slots.get(right.key.target)
     // Another slot of the same model is in force here: the replica on the engine counts under that one.
     if (slot && slot.fence !== right.fence) return true
@@ -74,7 +87,12 @@
     }
   }
 
-  const stop = records.onChange(() => onChange())
+  const stopWaiting = timers.after(ordersLapseAtMs - timers.nowMs(), onChange)
+  const stopListening = records.onChange(() => onChange())
+  const stop = (): void => {
+    stopWaiting()
+    stopListening()
+  }
 
   return {
     current,
