Pass the turn to propose from router to router

Cause: the proposer of a target was the first router in its rendezvous rank for as long as the list named it. Changed: the turn passes to the next router in rank every 8 s. Conclusion: such a router costs one turn.

--- a/packages/records/src/proposals/constants.ts
+++ b/packages/records/src/proposals/constants.ts
@@ -25,3 +25,10 @@
 
 /** Voids proposed in one round: a rack at once, a data centre in a few rounds. */
 export const VOID_BATCH = 100
+
+/**
+ * Time after which the turn to propose for a target passes to the next router. Grounds: above the
+ * rounds of proposals (0.5 s), looks at absent engines (2 s) and checks of snapshots (5 s), so that each has
+ * its chance within a turn, and short beside the 30 s after which an instance counts as gone.
+ */
+export const PROPOSER_TURN_MS = 8_000
--- a/packages/records/src/proposals/proposeRights.test.ts
+++ b/packages/records/src/proposals/proposeRights.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { LIST_ABSENT_MS } from './constants.js'
+import { LIST_ABSENT_MS, PROPOSER_TURN_MS } from './constants.js'
 import { proposeRights } from './proposeRights.js'
 import { findAbsent, proposeVoids } from './proposeVoids.js'
 import { shouldPropose } from './shouldPropose.js'
@@ -94,7 +94,17 @@
   it('are shared among routers, each target at one', () => {
     const routers = ['r1', 'r2', 'r3'] as readonly string[] as readonly InstanceName[]
     for (const target of ['reader/a', 'reader/b', 'reader/c']) {
-      expect(routers.filter(self => shouldPropose(target, routers, self))).to.have.length(1)
+      expect(routers.filter(self => shouldPropose(target, routers, self, dayMs))).to.have.length(1)
+    }
+  })
+
+  // A router is listed but cannot reach the log. If it were the only one to propose for a target,
+  // callers of that model would be refused for as long as it is listed.
+  it('come to every router in turn', () => {
+    const routers = ['r1', 'r2', 'r3'] as readonly string[] as readonly InstanceName[]
+    const turns = [0, 1, 2].map(turn => dayMs + turn * PROPOSER_TURN_MS)
+    for (const self of routers) {
+      expect(turns.filter(turnMs => shouldPropose('reader/a', routers, self, turnMs))).to.have.length(1)
     }
   })
 })
--- a/packages/router/src/proposals/runProposer.ts
+++ b/packages/router/src/proposals/runProposer.ts
@@ -30,7 +30,7 @@
 
 const findProposals = ({ instance, records, membership, proposeRights, engineOf, timers }: Options): readonly NewRecord[] => {
   const routers = [...new Set([...membership.routers(), instance])]
-  const mayPropose = (target: string): boolean => shouldPropose(target, routers, instance)
+  const mayPropose = (target: string): boolean => shouldPropose(target, routers, instance, timers.unixMs())
   const state = records.state()
   const instances = [...membership.list().instances.values()]
   return [
--- a/packages/router/src/router/startRouter.ts
+++ b/packages/router/src/router/startRouter.ts
@@ -189,7 +189,7 @@
     client: records,
     timers,
     events,
-    isMyTurn: () => shouldPropose(SNAPSHOTS, [...new Set([...membership.routers(), instance])], instance),
+    isMyTurn: () => shouldPropose(SNAPSHOTS, [...new Set([...membership.routers(), instance])], instance, timers.unixMs()),
     periodMs: settings.records.snapshot_period_ms
   })
 
--- a/packages/router/src/voids/watchAbsentEngines.ts
+++ b/packages/router/src/voids/watchAbsentEngines.ts
@@ -54,7 +54,7 @@
 
   const lookAtAll = async (): Promise<void> => {
     const routers = [...new Set([...membership.routers(), own])]
-    const absent = findAbsent(records.state(), membership.absences()).filter(instance => shouldPropose(instance, routers, own))
+    const absent = findAbsent(records.state(), membership.absences()).filter(instance => shouldPropose(instance, routers, own, timers.unixMs()))
     const found = await Promise.all(absent.map(async instance => [instance, await lookAt(instance)] as const))
     for (const [instance, reach] of found) {
       if (reaches.get(instance) !== reach) events.emit(RouterEvent.absentEngineSeen, { peer: instance, reason: reach })
