Let configuration proofs meet a dead and a cut-off router

Cause: the test passed by luck while routers did not know each other yet. Changed: a site waits until all routers know all instances; four new models are configured, so that each router would be proposer for some; the dead router that is still listed is a case of its own.

--- a/packages/proof/src/promises/configuration.test.ts
+++ b/packages/proof/src/promises/configuration.test.ts
@@ -12,8 +12,8 @@
 
 const ITEM = `service/${SERVICE}`
 
-/** The service with one more model, named after the change. */
-const withModel = (name: string): ConfigChange => modelService(SERVICE, [{ name: MODEL }, { name }])
+/** The service with more models, named after the change. */
+const withModels = (...names: readonly string[]): ConfigChange => modelService(SERVICE, [MODEL, ...names].map(name => ({ name, memoryMb: 1000 })))
 
 describe('an accepted configuration is in force everywhere and never reverts', () => {
   let site: Site
@@ -35,7 +35,7 @@
   // Two operators change the same item at two routers at once. One wins, the other is told who won.
   it('when operators race', async () => {
     site = await startSmallSite('config-race')
-    const outcomes = await Promise.all([applyAt('r1', withModel('left'), 1n), applyAt('r2', withModel('right'), 1n)])
+    const outcomes = await Promise.all([applyAt('r1', withModels('left'), 1n), applyAt('r2', withModels('right'), 1n)])
     expect(outcomes.map(outcome => outcome?.accepted).sort()).to.deep.equal([false, true])
     const winner = outcomes.find(outcome => outcome?.accepted)
     const loser = outcomes.find(outcome => !outcome?.accepted)
@@ -45,14 +45,28 @@
     expect((await itemAt('r1'))?.bodyJson).to.equal((await itemAt('r2'))?.bodyJson)
   })
 
-  // One router cannot read the log. It must learn of the change from its peers, and serve the new model.
+  const NEW_MODELS = ['m1', 'm2', 'm3', 'm4'] as const
+
+  const expectNewModels = async (): Promise<void> => {
+    expect((await applyAt('r1', withModels(...NEW_MODELS), 1n))?.accepted).to.equal(true)
+    expectWhole(await Promise.all(NEW_MODELS.map(async model => await askSite(site, { prompt: `new ${model}`, model }))))
+  }
+
+  // One router cannot read the log. It must learn of the change from its peers and serve the new models. Rights that
+  // it would have proposed must come from the other router.
   it('when a router is cut off from the log', async () => {
     site = await startSmallSite('config-cut', { routers: [{ name: 'r1' }, { name: 'r2', proxied: ['log'] }] })
     await site.proxy('r2-log').command({ action: 'refuse', on: true })
     await site.proxy('r2-log').command({ action: 'cut' })
-    expect((await applyAt('r1', withModel('fresh'), 1n))?.accepted).to.equal(true)
+    await expectNewModels()
     await inForce('r2', 2n)
-    expectWhole([await askSite(site, { prompt: 'new model', model: 'fresh' })])
+  })
+
+  // One router is dead and the platform's list still names it when new models are configured.
+  it('when a dead router is still listed', async () => {
+    site = await startSmallSite('config-dead')
+    await site.router('r2').kill()
+    await expectNewModels()
   })
 
   // The log took the change and its answer was lost. The operator sends it again with the same change id and must
@@ -61,8 +75,8 @@
     site = await startSmallSite('config-lost')
     await site.log.command({ action: 'lose', count: 1 })
     const changeId = randomUUID()
-    const first = await applyAt('r1', withModel('lost'), 1n, changeId).catch(() => undefined)
-    const again = first ?? await applyAt('r2', withModel('lost'), 1n, changeId)
+    const first = await applyAt('r1', withModels('lost'), 1n, changeId).catch(() => undefined)
+    const again = first ?? await applyAt('r2', withModels('lost'), 1n, changeId)
     expect(again?.accepted).to.equal(true)
     await inForce('r2', 2n)
     expect((await operatorAt(site.router('r1').address, OPERATOR_KEY).history({ name: ITEM })).items).to.have.length(2)
@@ -72,7 +86,7 @@
   // its peers: it learns from them or waits.
   it('when a router restarts while the log is down', async () => {
     site = await startSmallSite('config-restart')
-    expect((await applyAt('r1', withModel('newer'), 1n))?.accepted).to.equal(true)
+    expect((await applyAt('r1', withModels('newer'), 1n))?.accepted).to.equal(true)
     await inForce('r2', 2n)
     await site.log.command({ action: 'outage', on: true })
     await site.router('r2').kill()
@@ -85,11 +99,11 @@
   it('when the log is down', async () => {
     site = await startSmallSite('config-down')
     await site.log.command({ action: 'outage', on: true })
-    const outcome = await applyAt('r1', withModel('down'), 1n).catch((error: Error) => error)
+    const outcome = await applyAt('r1', withModels('down'), 1n).catch((error: Error) => error)
     expect(outcome).to.be.instanceOf(Error)
     await site.log.command({ action: 'outage', on: false })
     const changeId = randomUUID()
-    await site.rig.until('the change to be accepted', async () => await applyAt('r1', withModel('down'), 1n, changeId).then(done => done?.accepted === true || done?.current?.version === 2n, () => false))
+    await site.rig.until('the change to be accepted', async () => await applyAt('r1', withModels('down'), 1n, changeId).then(done => done?.accepted === true || done?.current?.version === 2n, () => false))
     await inForce('r2', 2n)
   })
 })
--- a/packages/proof/src/rig/smallSite.ts
+++ b/packages/proof/src/rig/smallSite.ts
@@ -8,6 +8,7 @@
 import { modelService } from './sitePlan.js'
 
 import type { EventRecord } from '@figmount/base'
+import type { StatusResponse } from '@figmount/schema'
 import type { AskOutcome, AskPlan } from './callTypes.js'
 import type { Site } from './createSite.js'
 import type { AgentPlan, ConfigChange, SitePlan } from './sitePlan.js'
@@ -42,20 +43,25 @@
   .flatMap(({ body }) => (body as { models?: ReadonlyArray<{ maxReplicas: number }> }).models ?? [])
   .reduce((sum, { maxReplicas }) => sum + maxReplicas, 0)
 
-/** Waits until every router has read that all rights to hold a replica are granted. */
-const waitForRights = async (site: Site, slotCount: number): Promise<void> =>
+const isAtRest = (status: StatusResponse | undefined, instanceCount: number, slotCount: number): boolean =>
+  status !== undefined && status.instances.length >= instanceCount &&
+  status.replicas.filter(replica => replica.slotState === 'granted').length >= slotCount
+
+/** Waits until every router knows all instances and has read that all rights to hold a replica are granted. */
+const waitForRest = async (site: Site, instanceCount: number, slotCount: number): Promise<void> =>
   await site.rig.until(`${slotCount} rights at all routers`, async () => {
     const all = await Promise.all(site.routerAddresses().map(async address => await statusAt(address, OPERATOR_KEY)))
-    return all.every(status => (status?.replicas.filter(replica => replica.slotState === 'granted').length ?? 0) >= slotCount)
+    return all.every(status => isAtRest(status, instanceCount, slotCount))
   })
 
 /** Two routers and two agents with engines, one service with one model that may have one replica; rights are granted. */
 export const startSmallSite = async (name: string, { items, ...plan }: SmallSitePlan = {}): Promise<Site> => {
-  const site = await createSite({ name, routers: [{ name: 'r1' }, { name: 'r2' }], agents: DEFAULT_AGENTS, ...plan })
+  const whole: SitePlan = { name, routers: [{ name: 'r1' }, { name: 'r2' }], agents: DEFAULT_AGENTS, ...plan }
+  const site = await createSite(whole)
   try {
     const services = items ?? [modelService(SERVICE, [{ name: MODEL }])]
     await site.apply([callerItem(DEFAULT_CALLER), ...services])
-    await waitForRights(site, slotCountOf(services))
+    await waitForRest(site, whole.routers.length + whole.agents.length, slotCountOf(services))
     return site
   } catch (error) {
     await site.close()
