Replace the instance that holds a model in the demo

Cause: the instance that the demo replaced happened to hold nothing. Changed: steady callers go on for 3 s before and after; the holder of a model that they use is the one replaced; idle_cost_weight can be set in services.ini.

--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -14,6 +14,9 @@
 const startedMs = timers.nowMs()
 const SERVICES_FILE = join(import.meta.dirname, 'demo', 'services.ini')
 
+/** Time for which callers go on before and after the replacement. */
+const STEADY_MS = 3000
+
 /** Pause between two requests of one caller while the instance is replaced. */
 const STEADY_PAUSE_MS = 100
 
@@ -36,24 +39,31 @@
   return [first, await askTimed(site, plan)]
 }
 
-const steady = async (site: Site, caller: string, model: string, isOver: () => boolean): Promise<readonly TimedOutcome[]> => {
+const steady = async (site: Site, caller: string, model: string, over: AbortSignal): Promise<readonly TimedOutcome[]> => {
   const outcomes: TimedOutcome[] = []
-  while (!isOver()) {
+  while (!over.aborted) {
     outcomes.push(await askTimed(site, { caller, service: 'reader-models', model, prompt: `steady ${model} ${outcomes.length}`, maxTokens: 16 }))
     await sleep(timers, STEADY_PAUSE_MS)
   }
   return outcomes
 }
 
+/** The agent beside the engine that loaded the model last. */
+const holderOf = (site: Site, model: string): string => {
+  const loads = site.rig.events.all().filter(event => event.name === 'loadFinished' && event.model === model)
+  return (loads.at(-1)?.instance ?? 'backend-a1').replace('backend-', '')
+}
+
 /** A new instance comes up, then the platform announces that an old one goes, stops it and takes it off the list. */
 const replaceInstance = async (site: Site): Promise<void> => {
+  const leaving = holderOf(site, 'reader-models/cracks')
   await site.addAgent({ name: 'a4', services: ['reader-models', 'survey-app'] })
-  say('a4 is up; a1 is told to stop')
-  await site.list.command({ action: 'leaving', name: 'a1' })
-  const { code } = await site.agent('a1').stop()
-  await site.backend('a1').stop()
-  await site.delist('a1')
-  say(`a1 has stopped with code ${code}`)
+  say(`a4 is up; ${leaving}, which holds cracks, is told to stop`)
+  await site.list.command({ action: 'leaving', name: leaving })
+  const { code } = await site.agent(leaving).stop()
+  await site.backend(leaving).stop()
+  await site.delist(leaving)
+  say(`${leaving} has stopped with code ${code}`)
 }
 
 const maxReplicasIn = (changes: readonly ConfigChange[]) => (modelId: string): number => {
@@ -71,10 +81,12 @@
   say('a stream; a call that may not be repeated, and its resend')
   const single = await Promise.all([stream(site), billedTwice(site)])
   say('steady callers while one instance is replaced')
-  let isReplaced = false
-  const callers = [steady(site, 'crew', 'cracks', () => isReplaced), steady(site, 'inspector', 'water-damage', () => isReplaced)]
+  const over = new AbortController()
+  const callers = [steady(site, 'crew', 'cracks', over.signal), steady(site, 'inspector', 'water-damage', over.signal)]
+  await sleep(timers, STEADY_MS)
   await replaceInstance(site)
-  isReplaced = true
+  await sleep(timers, STEADY_MS)
+  over.abort()
   return [...cold, ...single, ...await Promise.all(callers)].flat()
 }
 
--- a/scripts/demo/readServices.ts
+++ b/scripts/demo/readServices.ts
@@ -11,7 +11,7 @@
 
 const callerSection = z.strictObject({ kind: z.string(), key: z.string(), share: z.coerce.number().positive().default(1) })
 
-const serviceSection = z.strictObject({ kind: z.enum(['models', 'plain']), priorities: pairs })
+const serviceSection = z.strictObject({ kind: z.enum(['models', 'plain']), priorities: pairs, idle_cost_weight: z.coerce.number().min(0).max(1).default(0.5) })
 
 const modelSection = z.strictObject({
   versions: z.string().default('v1').transform(text => text.split(',').map(version => version.trim())),
@@ -48,9 +48,9 @@
 }
 
 const serviceOf = (sections: Sections) => ([name, body]: readonly [string, unknown]): ConfigChange => {
-  const { kind, priorities } = serviceSection.parse(body)
+  const { kind, priorities, idle_cost_weight: idleCostWeight } = serviceSection.parse(body)
   const models = sectionsOf(sections, 'model').filter(([path]) => path.startsWith(`${name}/`)).map(([path, model]) => modelOf(path, model))
-  return { name: `service/${name}`, body: { kind, models, priorities: Object.fromEntries(priorities.map(({ name: callerKind, value }) => [callerKind, value])) } }
+  return { name: `service/${name}`, body: { kind, models, idleCostWeight, priorities: Object.fromEntries(priorities.map(({ name: callerKind, value }) => [callerKind, value])) } }
 }
 
 /** Reads callers and services from the demo's INI file, as changes for an operator to apply. */
