--- a/packages/router/src/router/startRouter.ts
+++ b/packages/router/src/router/startRouter.ts
@@ -6,6 +6,7 @@
 import { createGate } from '../callers/createGate.js'
 import { createInference } from '../callers/createInference.js'
 import { RouterEvent } from '../events.js'
+import { isLoadedIn } from '../routing/isLoadedIn.js'
 import { createAgentLinks } from '../links/createAgentLinks.js'
 import { createMembership } from '../membership/createMembership.js'
 import { pollInstances } from '../membership/pollInstances.js'
@@ -18,7 +19,7 @@
 import { createCallerShares } from '../retries/createCallerShares.js'
 import { createRefusalLog } from '../retries/createRefusalLog.js'
 import { createRetryBudgets } from '../retries/createRetryBudgets.js'
-import { createColdStarts } from '../routing/createColdStarts.js'
+import { createEstimates } from '../routing/createEstimates.js'
 import { createPrefixMap } from '../routing/createPrefixMap.js'
 import { createSendLog } from '../routing/createSendLog.js'
 import { createSuspects } from '../suspects/createSuspects.js'
@@ -121,7 +122,7 @@
     sourcesFor,
     sends,
     prefixes,
-    coldStarts: createColdStarts(),
+    estimates: createEstimates(),
     suspects,
     refusals: createRefusalLog(),
     budgets: createRetryBudgets(),
@@ -181,6 +182,7 @@
     membership,
     proposeRights: parts.proposeRights,
     engineOf: absentEngines.reachOf,
+    isLoaded: (agent, target) => isLoadedIn(links.viewOf(agent)?.report, target),
     timers,
     events,
     signal: stopping.signal
