--- a/packages/decisions/src/eviction/evictLeastLoss.ts
+++ b/packages/decisions/src/eviction/evictLeastLoss.ts
@@ -1,3 +1,4 @@
+import type { ModelId } from '@figmount/base'
 import type { ChooseVictims, ResidentView } from './types.js'
 
 const MS_PER_HOUR = 3_600_000
@@ -25,8 +26,18 @@
 const loss = (resident: ResidentView): number =>
   expectedPerHour(resident) * resident.reloadMs * PRIORITY_STEP ** resident.priority
 
-const makeUnit = (resident: ResidentView, residents: readonly ResidentView[]): Unit => {
-  const members = resident.adapter === '' ? residents.filter(one => one.model === resident.model) : [resident]
+const groupByModel = (residents: readonly ResidentView[]): ReadonlyMap<ModelId, readonly ResidentView[]> => {
+  const groups = new Map<ModelId, ResidentView[]>()
+  for (const resident of residents) {
+    const group = groups.get(resident.model)
+    if (group) group.push(resident)
+    else groups.set(resident.model, [resident])
+  }
+  return groups
+}
+
+const makeUnit = (resident: ResidentView, groups: ReadonlyMap<ModelId, readonly ResidentView[]>): Unit => {
+  const members = resident.adapter === '' ? groups.get(resident.model) ?? [] : [resident]
   const memoryMb = members.reduce((sum, one) => sum + one.memoryMb, 0)
   const lossSum = members.reduce((sum, one) => sum + loss(one), 0)
   return { resident, members, memoryMb, lossPerMb: lossSum / Math.max(1, memoryMb) }
@@ -74,8 +85,9 @@
  */
 export const evictLeastLoss: ChooseVictims = (residents, neededMb) => {
   if (neededMb <= 0) return []
+  const groups = groupByModel(residents)
   const units = residents
-    .map(resident => makeUnit(resident, residents))
+    .map(resident => makeUnit(resident, groups))
     .filter(unit => unit.members.every(isFree))
     .sort(byLoss)
   const taken = takeUntilFree(units, neededMb)
--- a/packages/decisions/src/routing/chooseLeastCost.ts
+++ b/packages/decisions/src/routing/chooseLeastCost.ts
@@ -74,8 +74,8 @@
 }
 
 /** The cheaper of a few random ones; one that holds prefix or adapter always takes part. */
-const chooseWarm = (warm: readonly CandidateCost[], random: () => number): CandidateCost | undefined => {
-  const drawn = sampleIndices(warm.length, RoutingTuning.sampleCount, random).flatMap(index => warm[index] ?? [])
+const chooseWarm = (warm: readonly CandidateCost[], sampleCount: number, random: () => number): CandidateCost | undefined => {
+  const drawn = sampleIndices(warm.length, sampleCount, random).flatMap(index => warm[index] ?? [])
   const holders = affine(warm)
   const holder = holders[Math.floor(random() * holders.length)]
   return leastBy(holder ? [...drawn, holder] : drawn, costOf)
@@ -99,7 +99,8 @@
 }
 
 /**
- * Chooses between the cheapest of two random warm servers (ready or loading) and the quickest cold one.
+ * Makes a choice between the cheapest of `sampleCount` random warm servers (ready or
+ * loading) and the quickest cold one.
  *
  * Load pattern: many routers with reports that are a second old choose at the same moment; one server may be ten
  * times slower than the rest; the model may be cold everywhere. Without it all routers send to the server that
@@ -111,9 +112,9 @@
  * than the cold start by `coldStartMargin`. A request is refused here only when no candidate gets ready in time; whether
  * the queue is short enough is the agent's verdict. Grounds of the figures: `RoutingTuning` and `docs/decisions/table.md`.
  */
-export const chooseLeastCost: ChooseBackend = (request, candidates, random): RoutingChoice => {
+export const makeChooseLeastCost = (sampleCount: number): ChooseBackend => (request, candidates, random): RoutingChoice => {
   const { warm, cold } = shortlist(request, candidates, random)
-  const warmBest = chooseWarm(warm, random)
+  const warmBest = chooseWarm(warm, sampleCount, random)
   const coldBest = chooseCold(cold)
   const chosen = coldOrQueue(warmBest, coldBest)
   if (chosen && isReadyInTime(request, chosen)) return send(chosen)
@@ -124,6 +125,9 @@
   return send(quickest)
 }
 
+/** The choice with the number of random choices that the table speaks for. */
+export const chooseLeastCost: ChooseBackend = makeChooseLeastCost(RoutingTuning.sampleCount)
+
 const coldOrQueue = (warm: CandidateCost | undefined, cold: CandidateCost | undefined): CandidateCost | undefined => {
   if (!warm || !cold) return warm ?? cold
   return warm.costMs > cold.costMs * RoutingTuning.coldStartMargin ? cold : warm
--- a/packages/decisions/src/routing/summarizeGroups.ts
+++ b/packages/decisions/src/routing/summarizeGroups.ts
@@ -20,11 +20,21 @@
 const waitMs = (candidate: RoutingCandidate): number =>
   candidate.readyInMs + (candidate.queuedSeconds + candidate.unreportedSeconds) * MS_PER_SECOND
 
+/** Puts a candidate where its wait belongs and drops what is over the bound. */
+const insertByWait = (members: RoutingCandidate[], candidate: RoutingCandidate): void => {
+  let index = members.length
+  while (index > 0 && waitMs(members[index - 1]!) > waitMs(candidate)) index -= 1
+  if (index >= DIGEST_MEMBERS) return
+  members.splice(index, 0, candidate)
+  if (members.length > DIGEST_MEMBERS) members.pop()
+}
+
 /** Keeps the least loaded members of a group; done once for each digest, not for each decision. */
-export const digestGroup = (group: string, candidates: readonly RoutingCandidate[]): GroupDigest => ({
-  group,
-  members: [...candidates].sort((a, b) => waitMs(a) - waitMs(b)).slice(0, DIGEST_MEMBERS)
-})
+export const digestGroup = (group: string, candidates: readonly RoutingCandidate[]): GroupDigest => {
+  const members: RoutingCandidate[] = []
+  for (const candidate of candidates) insertByWait(members, candidate)
+  return { group, members }
+}
 
 /**
  * Candidates for one choice out of digests: those of the own data centre and of a few random other groups. The number
--- a/packages/decisions/src/simulation/measure.ts
+++ b/packages/decisions/src/simulation/measure.ts
@@ -16,6 +16,8 @@
   readonly refusalCount: number
   /** Share of the checked refusals for which the refusing server had no place left empty until it was too late. */
   readonly trueRefusalShare: number
+  /** Time from an attempt's sending to its refusal. */
+  readonly p99RefusalMs: number
   /** Attempts that were admitted and not answered by their deadline. */
   readonly missedCount: number
   readonly attemptCount: number
@@ -38,7 +40,7 @@
 /** Collects outcomes during a run. */
 export interface Recorder {
   readonly attempt: (request: SimulatedRequest) => void
-  readonly outcome: (request: SimulatedRequest, outcome: Outcome, atMs: number) => void
+  readonly outcome: (request: SimulatedRequest, outcome: Outcome, sentAtMs: number, atMs: number) => void
   readonly judgeRefusal: (request: SimulatedRequest, isTrue: boolean) => void
   readonly coldStart: () => void
   readonly measure: (isObserved?: (request: SimulatedRequest) => boolean) => Measures
@@ -76,7 +78,7 @@
 export const createRecorder = (scenario: Scenario): Recorder => {
   const records = new Map<string, RequestRecord>()
   const attempts = new Map<string, number>()
-  const refusals: SimulatedRequest[] = []
+  const refusals: { readonly request: SimulatedRequest, readonly afterMs: number }[] = []
   const judged: { readonly request: SimulatedRequest, readonly isTrue: boolean }[] = []
   const misses: SimulatedRequest[] = []
   let coldStartCount = 0
@@ -86,9 +88,9 @@
       if (!records.has(request.id)) records.set(request.id, { request })
       attempts.set(request.id, (attempts.get(request.id) ?? 0) + 1)
     },
-    outcome: (request, outcome, atMs) => {
+    outcome: (request, outcome, sentAtMs, atMs) => {
       if (outcome.kind === 'served') records.set(request.id, { request, firstTokenAtMs: outcome.firstTokenAtMs, servedAtMs: atMs })
-      if (outcome.kind === 'refused') refusals.push(request)
+      if (outcome.kind === 'refused') refusals.push({ request, afterMs: atMs - sentAtMs })
       if (outcome.kind === 'missed') misses.push(request)
     },
     judgeRefusal: (request, isTrue) => { judged.push({ request, isTrue }) },
@@ -99,6 +101,7 @@
       const firstTokens = observed
         .map(record => (record.firstTokenAtMs ?? scenario.durationMs) - record.request.atMs)
         .sort((a, b) => a - b)
+      const refusedAfterMs = refusals.filter(refusal => isObserved(refusal.request)).map(refusal => refusal.afterMs).sort((a, b) => a - b)
       const checked = judged.filter(refusal => isObserved(refusal.request))
       const servedPerBucket = Array.from({ length: Math.ceil(scenario.durationMs / BUCKET_MS) }, () => 0)
       for (const record of served) servedPerBucket[Math.floor(record.servedAtMs! / BUCKET_MS)]! += 1
@@ -110,7 +113,8 @@
         p50FirstTokenMs: percentile(firstTokens, 0.5),
         p99FirstTokenMs: percentile(firstTokens, 0.99),
         p999FirstTokenMs: percentile(firstTokens, 0.999),
-        refusalCount: refusals.filter(isObserved).length,
+        refusalCount: refusedAfterMs.length,
+        p99RefusalMs: percentile(refusedAfterMs, 0.99),
         trueRefusalShare: checked.length === 0 ? 1 : checked.filter(one => one.isTrue).length / checked.length,
         missedCount: misses.filter(isObserved).length,
         attemptCount: observed.reduce((sum, record) => sum + (attempts.get(record.request.id) ?? 0), 0),
--- a/packages/decisions/src/simulation/simulate.ts
+++ b/packages/decisions/src/simulation/simulate.ts
@@ -33,7 +33,7 @@
   recorder.attempt(request)
   const router = routers[Math.floor(random() * routers.length)]!
   router.send({ request, resendCount, sentAtMs, deadlineAtMs: sentAtMs + request.patienceMs }, outcome => {
-    recorder.outcome(request, outcome, events.nowMs())
+    recorder.outcome(request, outcome, sentAtMs, events.nowMs())
     if (outcome.kind === 'served') return
     events.at(events.nowMs() + resendAfterMs(outcome), () => sendUntilServed(fleet, request, resendCount + 1))
   })
