Let no assumption and no stranger's pause hold back a load

The weight store had turned the load away once; the agent then slept 29 s (60 s elsewhere) with all its loads, since the pause was worked out from an assumed load of 15 s at a low priority and held for the whole agent. When at last loaded for refused callers the model was unloaded within 0.1 s, before they came back, and those were called back after the drain time of the whole server, up to a minute. Ruled out: memory (28 of 64 GB used), rights, the store (5 of 20 fetches used). Change: an unmeasured load is expected to take what other loads from the store took; a pause holds one model's load and an agent only spaces its asks; a model that was loaded and not used yet stays 10 s; callers of a loading model are called back when it is ready.

--- a/packages/agent/src/eviction/viewResidents.ts
+++ b/packages/agent/src/eviction/viewResidents.ts
@@ -28,7 +28,7 @@
     const demand = demandOf(slot.model)
     const shared = {
       model: slot.model,
-      reloadMs: expectedLoadMs(slot),
+      reloadMs: expectedLoadMs(state, slot),
       priority: demand?.highestPriority ?? 0,
       requestsPerHour: requestsPerHour(slot)
     }
--- a/packages/agent/src/keepalive/viewIdle.ts
+++ b/packages/agent/src/keepalive/viewIdle.ts
@@ -1,14 +1,14 @@
 import { expectedLoadMs } from '../loading/slots.js'
 
 import type { IdleView } from '@figmount/decisions'
-import type { ModelPlan, Slot } from '../loading/types.js'
+import type { EngineState, ModelPlan, Slot } from '../loading/types.js'
 
 /** An idle model as the choice of its stay sees it. */
-export const viewIdle = (slot: Slot, plan: ModelPlan, capacityMb: number, memoryPressure: number, nowMs: number): IdleView => ({
+export const viewIdle = (state: EngineState, slot: Slot, plan: ModelPlan, memoryPressure: number, nowMs: number): IdleView => ({
   idleMs: Math.max(0, nowMs - slot.lastUsedMs),
   pastGapsMs: slot.pastGapsMs,
-  reloadMs: expectedLoadMs(slot),
-  memoryShare: capacityMb > 0 ? slot.memoryMb / capacityMb : 0,
+  reloadMs: expectedLoadMs(state, slot),
+  memoryShare: state.ledger.capacityMb > 0 ? slot.memoryMb / state.ledger.capacityMb : 0,
   idleCostWeight: plan.idleCostWeight,
   memoryPressure
 })
--- a/packages/agent/src/loading/constants.ts
+++ b/packages/agent/src/loading/constants.ts
@@ -22,3 +22,15 @@
 
 /** A use after a gap shorter than this belongs to the same burst. */
 export const BURST_GAP_MS = 1_000
+
+/** Least time between two asks of one agent at a store that turned one away; ten a second at most. */
+export const STORE_SPACING_MS = 100
+
+/**
+ * A model that was loaded and not used yet stays this long. Grounds: callers that were refused while it
+ * loaded come back within the spread of their come-back times, a few seconds when nothing else is short.
+ */
+export const UNUSED_KEEP_MS = 10_000
+
+/** Length of a load that the pace of asking goes by before any was measured: short, so that the first is soon. */
+export const UNMEASURED_PACE_MS = 1_000
--- a/packages/agent/src/loading/createLoader.ts
+++ b/packages/agent/src/loading/createLoader.ts
@@ -1,8 +1,9 @@
 import { AgentEvent } from '../events.js'
 import { emptyLedger, usedMb } from '../memory/ledger.js'
+import { STORE_SPACING_MS, UNMEASURED_PACE_MS } from './constants.js'
 import { followOrder } from './followOrder.js'
 import { planOrders } from './planOrders.js'
-import { closeOrder, expectedLoadMs, findSlot, isOvercommitted, reconcile, touch } from './slots.js'
+import { closeOrder, expectedLoadMs, findSlot, holdSlot, isOvercommitted, reconcile, touch } from './slots.js'
 import { easeStore, freshPace, holdBack } from './storePace.js'
 import { runInBackground } from '../agent/runInBackground.js'
 
@@ -58,7 +59,7 @@
 
 /** Makes the loader of one engine. */
 export const createLoader = ({ engine, timers, events, kvCacheMb, backOffLoad, random, onChange }: Options): Loader => {
-  let state: EngineState = { slots: new Map(), ledger: emptyLedger(0, kvCacheMb), store: freshPace }
+  let state: EngineState = { slots: new Map(), ledger: emptyLedger(0, kvCacheMb), store: freshPace, typicalLoadMs: 0 }
   let lastInputs: PlanInputs | undefined
   const stopping = new AbortController()
   const followed = new Set<EngineOrder>()
@@ -92,10 +93,14 @@
       highestPriority: demand?.highestPriority ?? 0,
       refusedCount: state.store.failureCount,
       waitedMs: demand ? nowMs - demand.askedAtMs : 0,
-      loadMs: expectedLoadMs(slot)
+      // An assumption must not hold a load back for longer than the load may take.
+      loadMs: state.typicalLoadMs > 0 ? expectedLoadMs(state, slot) : UNMEASURED_PACE_MS
     }
-    state = { ...state, store: holdBack(state.store, backOffLoad(view, random), nowMs) }
-    events.emit(AgentEvent.storeBackedOff, { model: order.model, count: view.waitingCount, waitMs: Math.round(state.store.notBeforeMs - timers.nowMs()) })
+    const waitMs = backOffLoad(view, random)
+    // Guards against a load that nobody urgently waits for holding back those that many wait for: the
+    // length of the pause is one model's; the agent as a whole only spaces out its asks.
+    state = holdSlot({ ...state, store: holdBack(state.store, STORE_SPACING_MS, nowMs) }, order.model, nowMs + waitMs)
+    events.emit(AgentEvent.storeBackedOff, { model: order.model, count: view.waitingCount, waitMs: Math.round(waitMs) })
   }
 
   const close = (order: EngineOrder, outcome: OrderOutcome): void => {
--- a/packages/agent/src/loading/planOrders.ts
+++ b/packages/agent/src/loading/planOrders.ts
@@ -1,6 +1,7 @@
 import { viewResidents } from '../eviction/viewResidents.js'
 import { viewIdle } from '../keepalive/viewIdle.js'
 import { freeMb } from '../memory/ledger.js'
+import { UNUSED_KEEP_MS } from './constants.js'
 import { findSlot, openOrder } from './slots.js'
 
 import type { ModelId } from '@figmount/base'
@@ -53,6 +54,13 @@
   return Math.min(1, wantedMb / Math.max(1, view.state.ledger.capacityMb))
 }
 
+/**
+ * Guards against a load for nothing: callers that were refused while the model loaded have not come back yet,
+ * and keep-alive, which counts from the last use, would unload it in the moment in which it gets ready.
+ */
+const isNew = (slot: Slot, nowMs: number): boolean =>
+  slot.lastUsedMs <= slot.orderedAtMs && nowMs - slot.changedAtMs < UNUSED_KEEP_MS
+
 /** True when a resident model has to go for another reason than space. */
 const mustUnload = (view: PlanView, slot: Slot): boolean => {
   const demand = view.demands.get(slot.model)
@@ -64,7 +72,8 @@
   const isWaitedFor = (demand?.waitingCount ?? 0) > 0
   if (slot.version !== (isWaitedFor && demand ? demand.version : plan.spec.currentVersion)) return true
   if (isWaitedFor || isPinned(view, slot.model)) return false
-  return view.keepAlive(viewIdle(slot, plan, view.state.ledger.capacityMb, pressureOf(view), view.nowMs)) <= 0
+  if (isNew(slot, view.nowMs)) return false
+  return view.keepAlive(viewIdle(view.state, slot, plan, pressureOf(view), view.nowMs)) <= 0
 }
 
 /** Adapters that the configuration no longer has, or no longer for this slot. */
--- a/packages/agent/src/loading/slots.ts
+++ b/packages/agent/src/loading/slots.ts
@@ -81,8 +81,10 @@
   switch (order.kind) {
     case 'load': {
       if (isDone) {
-        const loadMs = smooth(slot.loadMs, nowMs - slot.orderedAtMs)
-        return putSlot(state, { ...slot, phase: 'ready', loadMs, failureCount: 0, notBeforeMs: 0, lastFailure: '' })
+        const tookMs = nowMs - slot.orderedAtMs
+        const typicalLoadMs = slot.tier === 'remote' ? smooth(state.typicalLoadMs, tookMs) : state.typicalLoadMs
+        const ready: Slot = { ...slot, phase: 'ready', loadMs: smooth(slot.loadMs, tookMs), failureCount: 0, notBeforeMs: 0, lastFailure: '' }
+        return putSlot({ ...state, typicalLoadMs }, ready)
       }
       const cold = asCold(slot)
       // A full weight store says nothing against this model: the store's own pace holds it back.
@@ -183,13 +185,23 @@
   return putSlot(state, used ? putAdapter(touched, { ...used, lastUsedMs: nowMs }) : touched)
 }
 
-/** Expected time of a load. */
-export const expectedLoadMs = (slot: Slot): number => slot.loadMs > 0 ? slot.loadMs : ASSUMED_LOAD_MS[slot.tier]
+/** Expected time of a load: the model's own, else that of other models from the weight store, else an assumption. */
+export const expectedLoadMs = (state: Pick<EngineState, 'typicalLoadMs'>, slot: Slot): number => {
+  if (slot.loadMs > 0) return slot.loadMs
+  if (slot.tier === 'remote' && state.typicalLoadMs > 0) return state.typicalLoadMs
+  return ASSUMED_LOAD_MS[slot.tier]
+}
+
+/** Holds back the load of one model that the weight store turned away; loads of others ask for themselves. */
+export const holdSlot = (state: EngineState, model: ModelId, untilMs: number): EngineState => {
+  const slot = findSlot(state, model)
+  return putSlot(state, { ...slot, notBeforeMs: Math.max(slot.notBeforeMs, untilMs) })
+}
 
 /** Expected time until a model can serve; 0 when it can. */
 export const readyInMs = (state: EngineState, slot: Slot, nowMs: number): number => {
   if (slot.phase === 'ready') return 0
-  const loadMs = expectedLoadMs(slot)
+  const loadMs = expectedLoadMs(state, slot)
   if (slot.phase === 'loading') return Math.max(0, slot.orderedAtMs + loadMs - nowMs)
   const heldBackMs = slot.tier === 'remote' ? Math.max(slot.notBeforeMs, state.store.notBeforeMs) : slot.notBeforeMs
   return Math.max(0, heldBackMs - nowMs) + loadMs
--- a/packages/agent/src/loading/types.ts
+++ b/packages/agent/src/loading/types.ts
@@ -60,6 +60,8 @@
   readonly slots: ReadonlyMap<ModelId, Slot>
   readonly ledger: Ledger
   readonly store: StorePace
+  /** Smoothed time of loads from the weight store over all models, in ms; 0 when none is known. */
+  readonly typicalLoadMs: number
 }
 
 /** Who waits for a model. Times are monotonic ms. */
--- a/packages/agent/src/queueing/queueing.test.ts
+++ b/packages/agent/src/queueing/queueing.test.ts
@@ -7,7 +7,7 @@
 import type { CallerName, ModelId } from '@figmount/base'
 import type { AgentUnderTest, FakeRouter } from '../testing/startAgentForTest.js'
 
-const ready = async (limits: object = {}): Promise<{ readonly under: AgentUnderTest, readonly router: FakeRouter }> => {
+const start = async (limits: object = {}): Promise<{ readonly under: AgentUnderTest, readonly router: FakeRouter }> => {
   const under = await startAgentForTest({
     models: [modelSpec('m'), modelSpec('cold')],
     limits,
@@ -15,10 +15,15 @@
   })
   under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
   under.grant({ kind: 'replica', target: 'reader/cold' as ModelId, slotIndex: 0 })
-  const router = under.connect()
-  router.start('warm')
-  await under.advance(400)
-  return { under, router }
+  await under.advance(100)
+  return { under, router: under.connect() }
+}
+
+const ready = async (limits: object = {}): Promise<{ readonly under: AgentUnderTest, readonly router: FakeRouter }> => {
+  const started = await start(limits)
+  started.router.start('warm')
+  await started.under.advance(400)
+  return started
 }
 
 const refusedIds = (router: FakeRouter): readonly string[] =>
@@ -43,7 +48,7 @@
   // A model's first load is assumed to take 15 s and its callers give 5 s. Each is told to come
   // back and none is ever served: nobody waits, so nothing is loaded and the assumption stands.
   it('loads for callers that it refuses, so that the resend is served', async () => {
-    const { under, router } = await ready()
+    const { under, router } = await start()
     const cold = { model: 'reader/cold' as ModelId, remainingMs: 5_000 }
     router.start('first', { ...cold, prompt: 'first' })
     await under.advance(10)
--- a/packages/decisions/src/admission/admitByDeadline.test.ts
+++ b/packages/decisions/src/admission/admitByDeadline.test.ts
@@ -24,6 +24,16 @@
     expect(admitByDeadline({ ...view, readyInMs: 40_000 }, half).kind).to.equal('refuse')
   })
 
+  // A model loads for 12 s and its callers give 10 s. The server has refused many lately, so they
+  // are told to come back within a minute: their model lies idle and they wait.
+  it('calls callers of a loading model back when it is ready, however many were refused', () => {
+    const crowded = { ...view, remainingMs: 10_000, readyInMs: 12_000, recentRefusals: 100, servedPerSecond: 1, resendCount: 3 }
+    const verdict = admitByDeadline(crowded, () => 1)
+    expect(verdict.kind === 'refuse' && verdict.retryAfterMs).to.be.within(5_000, 6_000)
+    const queued = admitByDeadline({ ...crowded, readyInMs: 0, secondsAhead: 12 }, () => 1)
+    expect(queued.kind === 'refuse' && queued.retryAfterMs).to.be.above(60_000)
+  })
+
   it('keeps the end of the queue for high priorities', () => {
     expect(admitByDeadline({ ...view, queuedCount: 80, priority: 0 }, half).kind).to.equal('refuse')
     expect(admitByDeadline({ ...view, queuedCount: 80, priority: 9 }, half).kind).to.equal('admit')
--- a/packages/decisions/src/admission/admitByDeadline.ts
+++ b/packages/decisions/src/admission/admitByDeadline.ts
@@ -25,6 +25,13 @@
   detail
 })
 
+/**
+ * A model that gets ready serves all that wait for it side by side, so its callers may come back together. Spread by
+ * the drain time of the whole server they came back up to a minute after their model was ready.
+ */
+const refuseUntilReady = (view: AdmissionView, lackMs: number, random: () => number): AdmissionVerdict =>
+  refuse({ ...view, recentRefusals: 0 }, lackMs, 'its model is not ready before its deadline', random)
+
 /**
  * Admits a request only when its last token is expected before its deadline, and refuses any other at once.
  *
@@ -40,6 +47,7 @@
   const waitMs = view.readyInMs + view.secondsAhead * MS_PER_SECOND
   const serviceMs = (view.boundTokens ?? view.expectedTokens) * view.tokenIntervalMs
   const lateMs = waitMs + serviceMs - view.remainingMs
+  if (view.readyInMs > 0 && view.readyInMs + serviceMs > view.remainingMs) return refuseUntilReady(view, lateMs, random)
   if (lateMs > 0) return refuse(view, lateMs, 'cannot be served before its deadline', random)
   if (view.queuedCount >= countLimit(view)) return refuse(view, waitMs / 2, 'queue is full at this priority', random)
   return { kind: 'admit', estimatedWaitMs: waitMs }
