Read the instance list once more at a stop of the agent

Cause: an instance that the platform marks as leaving and stops between two reads of the list took its stop for a restart and kept its rights; in the demo a model with one replica was refused for 44 s until the void. Changed: the agent reads the list when its stop begins and gives its rights back if it is leaving. Conclusion: a planned replacement costs a load, not a void.

--- a/packages/agent/src/agent/createAgent.ts
+++ b/packages/agent/src/agent/createAgent.ts
@@ -152,6 +152,7 @@
   const drain = createDrain({
     context,
     listing: instances.current,
+    refreshListing: instances.refresh,
     isIdle,
     isDelivered: () => attempts.isDelivered() && links.bufferedBytes() === 0,
     hasGivenUp: () => rights.current().slots.size === 0 && rights.current().keys.size === 0,
--- a/packages/agent/src/leaving/createDrain.ts
+++ b/packages/agent/src/leaving/createDrain.ts
@@ -11,6 +11,7 @@
 interface Options {
   readonly context: AgentContext
   readonly listing: () => Listing
+  readonly refreshListing: () => Promise<void>
   /** True when nothing runs or waits. */
   readonly isIdle: () => boolean
   /** True when the last frames have reached the routers. */
@@ -80,6 +81,9 @@
     finish: async () => {
       isStopping = true
       update()
+      // Guards against a leave that is announced in the list just before the stop: by what was read
+      // seconds ago this is a restart, and rights that nobody gave back wait half a minute for a void.
+      const refreshed = options.refreshListing()
       if (await waitFor(options.isIdle, settings.limits.drain_ms)) {
         events.emit(AgentEvent.drainEmpty)
       } else {
@@ -88,6 +92,7 @@
         await waitFor(options.isIdle, DELIVERY_MS)
       }
       await waitFor(options.isDelivered, DELIVERY_MS)
+      await refreshed
       if (isLeavingForGood()) await waitFor(options.hasGivenUp, GIVE_UP_MS)
     }
   }
--- a/packages/agent/src/leaving/leaving.test.ts
+++ b/packages/agent/src/leaving/leaving.test.ts
@@ -87,6 +87,18 @@
     expect(statusesOf(under)).to.deep.equal(['free', 'free', 'free'])
   })
 
+  // The platform marks the instance as leaving and stops it at once, between two reads of the list. Taken for a
+  // restart, it would keep its rights, and its callers would be refused until they are voided.
+  it('gives its rights back when the list says so only at the stop', async () => {
+    const { under } = await ready()
+    under.listing = { listed: 'present', leaving: true }
+    const stopping = under.agent.stop().then(() => 'stopped')
+    await under.advance(4_000)
+    expect(await Promise.race([stopping, 'still running'])).to.equal('stopped')
+    expect(under.engine.residents()).to.deep.equal([])
+    expect(statusesOf(under)).to.deep.equal(['free', 'free', 'free'])
+  })
+
   it('drains for an operator and goes on after it', async () => {
     const { under, router } = await ready()
     const drain = (draining: boolean) => under.log.write({ kind: 'drain.set', instance: 'agent-1' as InstanceName, draining, operatorName: 'op' })
--- a/packages/agent/src/membership/watchInstances.ts
+++ b/packages/agent/src/membership/watchInstances.ts
@@ -43,6 +43,8 @@
 /** The second source of this instance's own standing; it lags. */
 export interface InstanceWatch {
   readonly current: () => Listing
+  /** Reads the list now; resolves when that is done, or at its deadline. */
+  readonly refresh: () => Promise<void>
   readonly stop: () => void
 }
 
@@ -68,6 +70,7 @@
   return {
     // An old reading is no evidence: the list may have dropped or taken back the instance since.
     current: () => timers.nowMs() - readAtMs <= periodMs * STALE_PERIODS ? listing : { ...listing, listed: 'unknown' },
+    refresh: look,
     stop
   }
 }
