--- a/packages/decisions/src/queueing/pickFairShare.ts
+++ b/packages/decisions/src/queueing/pickFairShare.ts
@@ -31,10 +31,9 @@
  * everybody's queue, and a quick question waits for every review before it.
  *
  * A class that asks for less than its guaranteed share is always served at once, and no class starves. Raising a
- * priority with its age was tried first and dropped: under lasting overload all old requests reach the top, and the
- * urgent ones wait behind them as in arrival order. Strict turns between tenants and callers were dropped too, since
- * length and age then never counted (`docs/design/queueing.md`). A request whose deadline has passed is
- * not picked, since its caller has its refusal.
+ * priority with its age was dropped: under lasting overload old requests pass the urgent ones. So were strict turns
+ * between tenants and callers: length and age then never counted (`docs/design/queueing.md`). A request whose deadline
+ * has passed is not picked, since its caller has its refusal.
  */
 export const pickFairShare: PickNext = (waiting, fairness, nowMs) => {
   let best: typeof waiting[number] | undefined
