--- a/packages/agent/src/agent/createAdmission.ts
+++ b/packages/agent/src/agent/createAdmission.ts
@@ -1,17 +1,17 @@
 import { ONCE_WINDOW_MS } from '@figmount/records'
 import { RefusalReason, RunState } from '@figmount/schema'
 
-import { attemptFields } from '../attempts/createAttemptStore.js'
+import { attemptFields } from '../attempts/entry.js'
 import { AgentEvent } from '../events.js'
 import { mayHaveRun, notRun, quarantined } from './refusals.js'
 
 import type { AttemptId } from '@figmount/base'
 import type { Permit, RefusalNote, RunRequest } from '@figmount/peers'
-import type { AttemptStore } from '../attempts/createAttemptStore.js'
-import type { Attempt, Subscriber } from '../attempts/types.js'
+import type { Attempt, AttemptStore, Subscriber } from '../attempts/types.js'
 import type { Estimates } from '../queueing/createEstimates.js'
 import type { PermitLedger } from '../once/createPermitLedger.js'
 import type { Queue } from '../queueing/createQueue.js'
+import type { Wakes } from '../queueing/createWakes.js'
 import type { SuspectBook } from '../suspects/createSuspectBook.js'
 import type { BackendView, Dispatcher } from './createDispatcher.js'
 import type { AgentContext } from './types.js'
@@ -25,6 +25,7 @@
   readonly dispatcher: Dispatcher
   readonly backend: BackendView
   readonly estimates: Estimates
+  readonly wakes: Wakes
   /** Expected time until a request of a priority gets a place in the batch. */
   readonly secondsAhead: (priority: number) => number
   readonly isDraining: () => boolean
@@ -82,6 +83,10 @@
     }, decisions.random)
     if (verdict.kind === 'admit') return undefined
     estimates.noteRefusal()
+    if (backend.readyInMs(attempt) > 0) {
+      options.wakes.note(request)
+      dispatcher.poke()
+    }
     return notRun({ reason: RefusalReason.OVERLOADED, detail: verdict.detail, step: 'queueing.admit', peer: instance, retryAfterMs: verdict.retryAfterMs })
   }
 
@@ -143,7 +148,7 @@
     if (known) {
       const attempt = attempts.get(known)
       if (attempt) events.emit(AgentEvent.attemptJoined, { ...attemptFields(attempt), detail: start.attemptId })
-      attempts.subscribe(known, start.attemptId, subscriber, 0)
+      if (!attempts.subscribe(known, start.attemptId, subscriber, 0)) subscriber.send({ type: 'unknown', attemptId: start.attemptId, incarnation })
       return
     }
     if (!start.request.repeatable) return startOnce(start, subscriber)
--- a/packages/agent/src/engine/runStream.ts
+++ b/packages/agent/src/engine/runStream.ts
@@ -1,7 +1,7 @@
 import { Code } from '@connectrpc/connect'
 import { FaultKind, makeFault, sleep } from '@figmount/base'
 
-import { ENGINE_GONE_MS, STREAM_RETRY_MS, STREAM_SILENCE_MS } from './constants.js'
+import { STREAM_RETRY_MS, STREAM_SILENCE_MS } from './constants.js'
 import { answeredCode, engineFault, isRefused, neverSent } from './engineFaults.js'
 
 import type { Fault, TimerService } from '@figmount/base'
@@ -25,6 +25,8 @@
   readonly args: GenerateArgs
   /** The engine's incarnation that holds the model. */
   readonly incarnation: string
+  /** Time for which the engine may be out of reach before the run is given up. */
+  readonly goneMs: number
   readonly signal: AbortSignal
   /** Receives new tokens, in order, each index once. */
   readonly onTokens: (firstTokenIndex: number, tokens: readonly string[]) => void
@@ -58,7 +60,7 @@
  * id from the next token index; the index decides, so a repeated token is dropped and a gap is never passed on.
  * A second `generate` is only sent to the same incarnation, which refuses an id that it knows.
  */
-export const runStream = async ({ engine, timers, args, incarnation, signal, onTokens, onResume }: Options): Promise<StreamEnd> => {
+export const runStream = async ({ engine, timers, args, incarnation, goneMs, signal, onTokens, onResume }: Options): Promise<StreamEnd> => {
   let nextIndex = args.doneTokens.length
   let isKnown = false
   let failingSinceMs: number | undefined
@@ -77,7 +79,8 @@
     return undefined
   }
 
-  const read = async (open: (signal: AbortSignal) => AsyncIterable<Chunk>): Promise<ReadEnd> => {
+  // The connection is read to its end behind the last chunk, so that it goes back to the pool.
+  const readAll = async (open: (signal: AbortSignal) => AsyncIterable<Chunk>, onEnd: (end: ReadEnd) => void): Promise<void> => {
     const controller = new AbortController()
     const forward = (): void => controller.abort()
     signal.addEventListener('abort', forward, { once: true })
@@ -87,19 +90,22 @@
       for await (const chunk of open(controller.signal)) {
         lastHeardMs = timers.nowMs()
         const gap = take(chunk)
-        if (gap) return { kind: 'broken', thrown: undefined, fault: gap }
-        if (chunk.last) return { kind: 'last', finishReason: chunk.finishReason }
+        if (gap) return onEnd({ kind: 'broken', thrown: undefined, fault: gap })
+        if (chunk.last) onEnd({ kind: 'last', finishReason: chunk.finishReason })
       }
-      return { kind: 'broken', thrown: undefined, fault: makeFault(FaultKind.Unavailable, 'engine.stream', engine.address, 'ended without a last chunk') }
+      onEnd({ kind: 'broken', thrown: undefined, fault: makeFault(FaultKind.Unavailable, 'engine.stream', engine.address, 'ended without a last chunk') })
     } catch (thrown) {
-      return { kind: 'broken', thrown, fault: engineFault('engine.stream', engine.address)(thrown) }
+      onEnd({ kind: 'broken', thrown, fault: engineFault('engine.stream', engine.address)(thrown) })
     } finally {
       stopWatching()
       signal.removeEventListener('abort', forward)
-      controller.abort()
     }
   }
 
+  /** Reads one connection up to the last chunk or its break; what comes behind has no effect. */
+  const read = async (open: (signal: AbortSignal) => AsyncIterable<Chunk>): Promise<ReadEnd> =>
+    await new Promise((resolve, reject) => { readAll(open, resolve).catch(reject) })
+
   /** Asks whether the engine still is the one that was given the request. */
   const probe = async (): Promise<'same' | 'died' | 'unreachable'> => {
     const answer = await engine.inventory().run()
@@ -127,7 +133,7 @@
     if (standing === 'died') return { kind: 'interrupted', died: true, fault }
     if (standing === 'unreachable') {
       failingSinceMs ??= timers.nowMs()
-      if (timers.nowMs() - failingSinceMs > ENGINE_GONE_MS) return { kind: 'interrupted', died: false, fault }
+      if (timers.nowMs() - failingSinceMs > goneMs) return { kind: 'interrupted', died: false, fault }
     } else {
       // The same incarnation that does not know the stream never got the first call, or has forgotten the stream.
       const isLost: boolean = resumes && code === Code.NotFound && !isKnown
--- a/packages/agent/src/loading/loading.test.ts
+++ b/packages/agent/src/loading/loading.test.ts
@@ -1,7 +1,9 @@
+import { ORDER_DEADLINE_MS } from '@figmount/records'
 import { expect } from 'chai'
 
 import { AgentEvent } from '../events.js'
 import { MODEL, modelSpec, startAgentForTest } from '../testing/startAgentForTest.js'
+import { ORDER_SETTLE_MS } from './constants.js'
 
 import type { LogOffset, ModelId } from '@figmount/base'
 import type { AgentUnderTest } from '../testing/startAgentForTest.js'
@@ -75,6 +77,23 @@
     expect(kinds(under)).to.have.length(2)
   })
 
+  // The engine dies in the middle of a load and comes back empty a second later. Waiting for the
+  // order's deadline would keep callers from a model that nobody is loading.
+  it('orders again at once after the engine died in the middle', async () => {
+    const under = await startAgentForTest()
+    under.engine.knobs.loadMs = 1_000
+    under.grant(replicaOf(MODEL))
+    const router = under.connect()
+    router.start('a')
+    await under.advance(300)
+    under.engine.knobs.isDown = true
+    under.engine.knobs.restart()
+    await under.advance(1_000)
+    under.engine.knobs.isDown = false
+    await under.advance(3_600)
+    expect(router.finalOf('a')?.tokenCount).to.equal(3)
+  })
+
   it('backs off from a full weight store', async () => {
     const under = await startAgentForTest()
     let count = 0
@@ -179,4 +198,47 @@
     expect(under.engine.residents()).to.deep.equal([])
     expect(statusOf()).to.equal('free')
   })
+
+  // An agent orders a load and restarts; the order is still on its way to the engine, which shows
+  // nothing loaded. If the restarted agent gave the right back at once, the next holder would load
+  // the model and then the late order would load it here, too.
+  it('gives nothing back while an order of an earlier run may be on its way', async () => {
+    const under = await startAgentForTest()
+    const fence = under.grant(replicaOf(MODEL))
+    await under.advance(200)
+    const again = await under.restartAgent()
+    await again.advance(200)
+    again.log.write({ kind: 'right.revoke', right: replicaOf(MODEL), fence: fence as LogOffset })
+    const statusOf = (): string | undefined => [...again.log.state().rights.values()][0]?.status
+    await again.advance(ORDER_DEADLINE_MS)
+    expect(statusOf()).to.equal('revoked')
+    await again.advance(ORDER_SETTLE_MS)
+    expect(statusOf()).to.equal('free')
+  })
+
+  // An operator lowers the greatest number of replicas. Kept loaded until its right is revoked,
+  // the model would have a replica too many for that long.
+  it('unloads above a lowered bound', async () => {
+    const under = await startAgentForTest()
+    under.grant(replicaOf(MODEL, 1))
+    const router = under.connect()
+    router.start('a')
+    await under.advance(400)
+    configure(under, 1, [modelSpec('m', { maxReplicas: 1 })])
+    router.start('b')
+    await under.advance(200)
+    expect(under.engine.residents()).to.deep.equal([])
+    expect(router.refusalOf('b')?.detail).to.contain('no right')
+  })
+
+  it('unloads an adapter that the configuration no longer has', async () => {
+    const adapters = [{ name: 'salt', memoryMb: 50 }]
+    const under = await startAgentForTest({ models: [modelSpec('m', { adapters })] })
+    under.grant(replicaOf(MODEL))
+    under.connect().start('a', { adapter: 'salt' })
+    await under.advance(500)
+    configure(under, 1, [modelSpec('m')])
+    await under.advance(200)
+    expect(under.agent.report()).to.include({ memoryUsedMb: 400 })
+  })
 })
