--- a/packages/router/src/events.ts
+++ b/packages/router/src/events.ts
@@ -8,7 +8,7 @@
   requestRefused: [2004, 'a request was refused with run state, reason and a time to come back'],
   requestLeft: [2005, 'the caller went away before the last frame'],
   attemptResumed: [2010, 'an attempt was asked for again on a new link, from a frame number on'],
-  attemptRestarted: [2011, 'a repeatable request was started elsewhere behind the tokens that the caller has'],
+  attemptRestarted: [2011, 'a repeatable request goes on elsewhere behind the tokens that the caller has'],
   attemptLost: [2012, 'an attempt\'s agent cannot be reached or does not know the attempt'],
   attemptJoined: [2013, 'a request was joined to an attempt of the same key that runs already'],
   attemptCancelled: [2014, 'an attempt was cancelled because its caller left'],
--- a/packages/router/src/once/serveOnce.ts
+++ b/packages/router/src/once/serveOnce.ts
@@ -95,7 +95,7 @@
   yield * waitWithFrames(context.timers, context.links.linkTo(executor).whenOpen(OPEN_WAIT_MS).run())
   const permit = decision.kind === 'start' ? decision.permit : undefined
   const outcome = yield * runAttempt({
-    context, admitted, agent: executor, attemptId, doneTokens: [], joins, signal, ...(permit ? { permit } : {})
+    context, admitted, agent: executor, attemptId, doneTokens: [], joins, restarts: false, signal, ...(permit ? { permit } : {})
   })
   const note = noteOf(outcome, joins, resendCount)
   if (permit && note?.runState === RunState.NOT_RUN) withdraw(context, permit, admitted)
--- a/packages/router/src/requests/runAttempt.ts
+++ b/packages/router/src/requests/runAttempt.ts
@@ -20,6 +20,8 @@
   readonly permit?: Permit
   /** True to join an attempt that an earlier send of the key has started. */
   readonly joins: boolean
+  /** True behind an earlier attempt of the same request. */
+  readonly restarts: boolean
   readonly signal: AbortSignal
 }
 
@@ -31,10 +33,9 @@
   return { type: 'start', attemptId, request, ...(permit ? { permit } : {}) }
 }
 
-const noteBegun = ({ context, admitted, agent, attemptId, joins, doneTokens }: RunOptions): void => {
-  const { run } = admitted
-  const kind = joins ? RouterEvent.attemptJoined : doneTokens.length > 0 ? RouterEvent.attemptRestarted : RouterEvent.requestSent
-  context.events.emit(kind, {
+const noteBegun = ({ context, admitted, agent, attemptId, joins, restarts, doneTokens }: RunOptions): void => {
+  const { run, receivedAtMs } = admitted
+  const fields = {
     caller: run.caller,
     requestKey: run.requestKey,
     attemptId,
@@ -42,7 +43,11 @@
     peer: agent,
     repeatable: run.repeatable,
     tokenCount: doneTokens.length
-  })
+  }
+  if (joins) return context.events.emit(RouterEvent.attemptJoined, fields)
+  if (restarts) context.events.emit(RouterEvent.attemptRestarted, fields)
+  context.events.emit(RouterEvent.requestSent, fields)
+  if (!restarts) context.metrics.observeMs('routed_ms', context.timers.nowMs() - receivedAtMs)
 }
 
 /** Runs one attempt on one agent, or joins one, and yields what the caller is to be told. */
--- a/packages/router/src/requests/serveRepeatable.ts
+++ b/packages/router/src/requests/serveRepeatable.ts
@@ -124,7 +124,9 @@
     if (placement.kind === 'refuse') return yield { kind: 'refusal', note: finalNote(lastNote ?? placement.note, admitted, progress) }
     const forgetSend = noteSend(context, admitted, placement.candidate)
     const agent = placement.candidate.instance
-    const parts = runAttempt({ context, admitted, agent, attemptId: context.newAttemptId(), doneTokens: [...tokens], joins: false, signal })
+    const parts = runAttempt({
+      context, admitted, agent, attemptId: context.newAttemptId(), doneTokens: [...tokens], joins: false, restarts: progress.attemptCount > 0, signal
+    })
     const outcome = yield * keepTokens(parts, tokens)
     forgetSend()
     progress = afterAttempt(progress, agent, outcome)
