--- a/packages/router/src/peers/constants.ts
+++ b/packages/router/src/peers/constants.ts
@@ -16,3 +16,6 @@
 
 /** Pause before a router that could not be dialled is dialled again. */
 export const REDIAL_MS = 1_000
+
+/** Changes of the own offset that come within this time are announced together. */
+export const ANNOUNCE_GATHER_MS = 20
--- a/packages/router/src/peers/createRouterPeers.ts
+++ b/packages/router/src/peers/createRouterPeers.ts
@@ -4,7 +4,7 @@
 
 import { RouterEvent } from '../events.js'
 import { runInBackground } from '../router/runInBackground.js'
-import { REDIAL_MS } from './constants.js'
+import { ANNOUNCE_GATHER_MS, REDIAL_MS } from './constants.js'
 
 import type { EitherAsync } from 'purify-ts'
 import type { EventLog, Fault, Incarnation, InstanceName, LogOffset, TimerService } from '@figmount/base'
@@ -35,7 +35,7 @@
   readonly broadcast: (message: BetweenRouters, except?: string) => void
   /** Sends on a link to the named router, if one is open. */
   readonly sendTo: (peer: string, message: BetweenRouters) => void
-  /** Tells neighbours at once that the own offset has moved. */
+  /** Tells neighbours within ANNOUNCE_GATHER_MS that the own offset has moved. */
   readonly announce: () => void
   readonly views: () => ReadonlyMap<InstanceName, PeerView>
   readonly stop: () => void
@@ -49,6 +49,7 @@
   let neighbours: ReadonlySet<InstanceName> = new Set()
   const dialling = new Set<InstanceName>()
   let isStopped = false
+  let isAnnouncing = false
 
   // Only agents whose offset has moved since the last heartbeat on this link, so that an idle
   // system's heartbeat stays small however many agents there are.
@@ -122,7 +123,12 @@
       }
     },
     announce: () => {
-      for (const link of links.keys()) beat(link)
+      if (isAnnouncing) return
+      isAnnouncing = true
+      timers.after(ANNOUNCE_GATHER_MS, () => {
+        isAnnouncing = false
+        for (const link of links.keys()) beat(link)
+      })
     },
     views: () => views,
     stop: () => {
--- /dev/null
+++ b/packages/router/src/router/startTasks.ts
@@ -0,0 +1,89 @@
+import { createSnapshotWriter, shouldPropose } from '@figmount/records'
+
+import { pollInstances } from '../membership/pollInstances.js'
+import { pickNeighbours } from '../peers/pickNeighbours.js'
+import { runProposer } from '../proposals/runProposer.js'
+import { isLoadedIn } from '../routing/isLoadedIn.js'
+import { watchAbsentEngines } from '../voids/watchAbsentEngines.js'
+import { runInBackground } from './runInBackground.js'
+
+import type { Unsubscribe } from '@figmount/base'
+import type { Membership } from '../membership/createMembership.js'
+import type { Suspects } from '../suspects/types.js'
+import type { Network } from './createNetwork.js'
+import type { RouterParts } from './types.js'
+
+interface Options {
+  readonly parts: RouterParts
+  readonly membership: Membership
+  readonly network: Network
+  readonly suspects: Suspects
+}
+
+/** Name under which the router that writes snapshots is chosen. */
+const SNAPSHOTS = 'snapshots'
+
+const followRecords = ({ parts, network, suspects }: Options): Unsubscribe => parts.records.onChange(changed => {
+  for (const { record } of changed) {
+    if (record.kind === 'suspect.clear') suspects.clear(record.fingerprint)
+  }
+  network.peers.announce()
+})
+
+const followList = ({ parts, membership, network }: Options, signal: AbortSignal): void => {
+  const { instance, timers, events } = parts
+  runInBackground(events, 'membership.poll', pollInstances({
+    read: parts.readInstances,
+    timers,
+    events,
+    signal,
+    onRead: list => {
+      membership.takeList(list)
+      network.peers.setNeighbours(pickNeighbours(instance, membership.routers()))
+    }
+  }))
+}
+
+const proposeRecords = ({ parts, membership, network: { links } }: Options, signal: AbortSignal): void => {
+  const { instance, records, timers, events } = parts
+  const absentEngines = watchAbsentEngines({
+    instance, records, membership, links, openEngine: parts.openAbsentEngine, timers, events, signal
+  })
+  runInBackground(events, 'voids.run', absentEngines.run())
+  runInBackground(events, 'proposals.run', runProposer({
+    instance,
+    records,
+    membership,
+    proposeRights: parts.proposeRights,
+    engineOf: absentEngines.reachOf,
+    isLoaded: (agent, target) => isLoadedIn(links.viewOf(agent)?.report, target),
+    timers,
+    events,
+    signal
+  }))
+}
+
+const writeSnapshots = ({ parts, membership }: Options): Unsubscribe => {
+  const { settings, instance, records, timers, events } = parts
+  return createSnapshotWriter({
+    client: records,
+    timers,
+    events,
+    isMyTurn: () => shouldPropose(SNAPSHOTS, [...new Set([...membership.routers(), instance])], instance, timers.unixMs()),
+    periodMs: settings.records.snapshot_period_ms
+  })
+}
+
+/** Starts what a router does beside serving requests; the returned function ends it. */
+export const startTasks = (options: Options): Unsubscribe => {
+  const stopping = new AbortController()
+  const unfollow = followRecords(options)
+  followList(options, stopping.signal)
+  proposeRecords(options, stopping.signal)
+  const stopSnapshots = writeSnapshots(options)
+  return () => {
+    stopping.abort()
+    stopSnapshots()
+    unfollow()
+  }
+}
