Outlive unknown messages, count sends of single-run requests

Cause: a message that this build does not know ended the task of its link, and nobody dialled again; requests that may not be repeated did not count as own sends when the next choice was made. Changed: a message that cannot be taken is dropped with an event; noteSend serves both kinds of requests. Conclusion: a newer build beside an older one costs no link.

--- a/packages/router/src/links/createAgentLink.test.ts
+++ b/packages/router/src/links/createAgentLink.test.ts
@@ -71,6 +71,19 @@
     expect(channel.hasOverflowed()).to.equal(false)
   })
 
+  // An agent of a newer build sends a message that this one does not know. The link goes on.
+  it('outlives a message that it does not know', async () => {
+    const bench = createBench({ a1: () => {} })
+    const link = bench.links.linkTo(A1)
+    await bench.finish(link.whenOpen(1_000).run())
+    const channel = link.openAttempt(ATTEMPT, () => 0)
+    bench.agentOf('a1').say({ type: 'news' } as never)
+    bench.agentOf('a1').say(FRAME)
+    await bench.settle(50)
+    expect(await channel.take(0)).to.deep.equal(FRAME)
+    expect(bench.events.recent().some(event => event.name === 'badInput' && event.detail === 'news')).to.equal(true)
+  })
+
   // The platform restarts an agent's process in the same slot after it has said that it leaves.
   // Its old word must not keep new work away from it for good.
   it('forgets that an agent was leaving when it starts anew', async () => {
--- a/packages/router/src/links/createAgentLink.ts
+++ b/packages/router/src/links/createAgentLink.ts
@@ -7,6 +7,7 @@
 import { RouterEvent } from '../events.js'
 import { runInBackground } from '../router/runInBackground.js'
 import { FIRST_BACKOFF_MS, IDLE_LINK_MS, LEAVING_MEMORY_MS, MAILBOX_FRAME_COUNT, MAX_BACKOFF_MS } from './constants.js'
+import { takeSafely } from './takeSafely.js'
 
 import type { Either } from 'purify-ts'
 import type { AttemptId, EventLog, Fault, Incarnation, InstanceName, TimerService } from '@figmount/base'
@@ -149,7 +150,7 @@
     send({ type: 'hello', instance: options.router, incarnation: options.routerIncarnation, role: 'router' })
     // Also while other messages flow: the agent's report comes with the answer.
     const stopBeating = timers.every(HEARTBEAT_MS, beat)
-    for await (const message of opened.received) handle(message)
+    for await (const message of opened.received) takeSafely(events, instance, message, handle)
     stopBeating()
     link = undefined
     downSinceMs = timers.nowMs()
--- a/packages/router/src/once/serveOnce.ts
+++ b/packages/router/src/once/serveOnce.ts
@@ -5,6 +5,7 @@
 import { DEFAULT_RETRY_AFTER_MS, OPEN_WAIT_MS } from '../requests/constants.js'
 import { choosePlacement } from '../requests/choosePlacement.js'
 import { chooseRetry } from '../requests/chooseRetry.js'
+import { noteSend } from '../requests/noteSend.js'
 import { mayHaveRun, notRun, truthful } from '../requests/refusals.js'
 import { runAttempt } from '../requests/runAttempt.js'
 import { quarantineNote } from '../requests/serveRepeatable.js'
@@ -94,9 +95,11 @@
   const joins = decision.kind === 'join'
   yield * waitWithFrames(context.timers, context.links.linkTo(executor).whenOpen(OPEN_WAIT_MS).run())
   const permit = decision.kind === 'start' ? decision.permit : undefined
+  const forgetSend = joins ? undefined : noteSend(context, admitted, executor)
   const outcome = yield * runAttempt({
     context, admitted, agent: executor, attemptId, doneTokens: [], joins, restarts: false, signal, ...(permit ? { permit } : {})
   })
+  forgetSend?.()
   const note = noteOf(outcome, joins, resendCount)
   if (permit && note?.runState === RunState.NOT_RUN) withdraw(context, permit, admitted)
   if (note) yield { kind: 'refusal', note }
--- a/packages/router/src/peers/createRouterPeers.ts
+++ b/packages/router/src/peers/createRouterPeers.ts
@@ -3,6 +3,7 @@
 import { HEARTBEAT_MS } from '@figmount/peers'
 
 import { RouterEvent } from '../events.js'
+import { takeSafely } from '../links/takeSafely.js'
 import { runInBackground } from '../router/runInBackground.js'
 import { ANNOUNCE_GATHER_MS, REDIAL_MS } from './constants.js'
 
@@ -87,7 +88,7 @@
       beat(link)
     }
     const stopBeating = isDialler ? timers.every(HEARTBEAT_MS, () => beat(link)) : () => {}
-    for await (const message of link.received) handle(link, message)
+    for await (const message of link.received) takeSafely(events, link.peer, message, taken => handle(link, taken))
     stopBeating()
     links.delete(link)
   }
--- a/packages/router/src/requests/serveRepeatable.ts
+++ b/packages/router/src/requests/serveRepeatable.ts
@@ -5,18 +5,16 @@
 import { DEFAULT_RETRY_AFTER_MS, MAX_ATTEMPTS } from './constants.js'
 import { choosePlacement } from './choosePlacement.js'
 import { chooseRetry } from './chooseRetry.js'
+import { noteSend } from './noteSend.js'
 import { mayHaveRun, notRun, truthful } from './refusals.js'
 import { runAttempt } from './runAttempt.js'
 import { waitWithFrames } from './waitWithFrames.js'
 
 import type { InstanceName } from '@figmount/base'
-import type { RoutingCandidate } from '@figmount/decisions'
 import type { RefusalNote } from '@figmount/peers'
 import type { AnswerPart } from '../answers/types.js'
 import type { AdmittedRequest, AttemptOutcome, ServeContext, ServeProgress } from './types.js'
 
-const MS_PER_SECOND = 1000
-
 const NO_PROGRESS: ServeProgress = { tokens: [], excluded: new Set(), attemptCount: 0, lossCount: 0, mayHaveRun: false }
 
 /** Refusals of one agent that say nothing about the others. */
@@ -87,14 +85,6 @@
   return context.budgets.spend(run.caller, run.service, context.timers.nowMs())
 }
 
-/** Notes a send for the choices to come; the returned function takes it back when the attempt has ended. */
-const noteSend = (context: ServeContext, { run }: AdmittedRequest, candidate: RoutingCandidate): (() => void) => {
-  const tokenCount = context.estimates.expectedTokens(run.model, run.maxTokens)
-  const workSeconds = tokenCount * candidate.tokenIntervalMs / MS_PER_SECOND / Math.max(1, candidate.batchSize)
-  context.prefixes.note(run.model, run.prefixHint, candidate.instance)
-  return context.sends.add(candidate.instance, workSeconds, context.timers.nowMs())
-}
-
 /** Refuses a request that is suspected of bringing down engines too often. */
 export const quarantineNote = (context: ServeContext, { run }: AdmittedRequest): RefusalNote | undefined => {
   if (context.suspects.verdictOf(run.fingerprint) !== 'convicted') return undefined
@@ -122,7 +112,7 @@
     if (context.timers.nowMs() >= admitted.deadlineAtMs) return yield { kind: 'refusal', note: finalNote(deadlineNote(''), admitted, progress) }
     const placement = yield * waitWithFrames(context.timers, choosePlacement(context, admitted, progress))
     if (placement.kind === 'refuse') return yield { kind: 'refusal', note: finalNote(lastNote ?? placement.note, admitted, progress) }
-    const forgetSend = noteSend(context, admitted, placement.candidate)
+    const forgetSend = noteSend(context, admitted, placement.candidate.instance)
     const agent = placement.candidate.instance
     const parts = runAttempt({
       context, admitted, agent, attemptId: context.newAttemptId(), doneTokens: [...tokens], joins: false, restarts: progress.attemptCount > 0, signal
--- a/packages/router/src/requests/serveRequest.ts
+++ b/packages/router/src/requests/serveRequest.ts
@@ -55,10 +55,8 @@
 }
 
 const isLoaded = (context: ServeContext, { run }: AdmittedRequest): boolean =>
-  run.plain !== undefined || findReplicaRights(context.records.state(), run.model).some(right => {
-    const report = context.links.viewOf(right.holder)?.report
-    return report?.models.some(entry => entry.model === run.model && entry.state === 'ready') ?? false
-  })
+  run.plain !== undefined || findReplicaRights(context.records.state(), run.model).some(({ holder }) =>
+    context.links.viewOf(holder)?.report?.models.some(entry => entry.model === run.model && entry.state === 'ready') ?? false)
 
 /** Serves one request: yields what its caller is to be told, last a `final` or a `refusal`, and reports it. */
 export const serveRequest = async function * (context: ServeContext, admitted: AdmittedRequest, signal: AbortSignal): AsyncGenerator<AnswerPart> {
