Keep a model that is used again and again

Cause: with real processes the agent unloaded a model after each request that came every 0.7 s. Gaps under a second were left out of the history that keep-alive decides on, so it saw a model without history and with a reload of 45 ms, for which leaving at once is cheapest. Changed: every gap in which nothing ran is remembered; a model stays at least LEAST_STAY_MS after its last use; the time of a load no longer counts as use. Conclusion: short gaps are what keep-alive needs most.

--- a/packages/agent/src/agent/createDispatcher.ts
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -31,7 +31,8 @@
   readonly progressOf: (attempt: Attempt) => Progress
   /** Expected time until the attempt's model is ready; 0 when it is. */
   readonly readyInMs: (attempt: Pick<Attempt, 'request'>) => number
-  readonly onUse: (attempt: Attempt) => void
+  /** Called when a run starts and ends; `wasIdle`: it is the first on its model. */
+  readonly onUse: (attempt: Attempt, wasIdle: boolean) => void
   readonly run: RunOnBackend
   /** Called when a run shows that the backend server ended or cannot be reached. */
   readonly onRunFault: (end: Extract<RunEnd, { kind: 'notRun' | 'interrupted' }>) => void
@@ -181,7 +182,7 @@
     finish(run, end)
     runs.delete(attempt.id)
     queue.account(attempt, attempt.tokenCount - attempt.request.doneTokens.length - run.accountedTokens)
-    backend.onUse(attempt)
+    backend.onUse(attempt, false)
     poke()
   }
 
@@ -192,9 +193,10 @@
     estimates.noteWait(predictedWaitMs, timers.nowMs() - attempt.arrivedAtMs)
     const version = backend.versionOf(attempt)
     const run: Run = { attempt, controller: new AbortController(), isSuspect, accountedTokens, cancelNote: undefined }
+    const wasIdle = ![...runs.values()].some(other => other.attempt.request.model === attempt.request.model)
     runs.set(attempt.id, run)
     attempts.start(attempt.id, version)
-    backend.onUse(attempt)
+    backend.onUse(attempt, wasIdle)
     events.emit(AgentEvent.attemptStarted, { ...attemptFields(attempt), version, waitMs: Math.round(timers.nowMs() - attempt.arrivedAtMs) })
     if (isSuspect) events.emit(AgentEvent.suspectAlone, attemptFields(attempt))
     attempts.tell(attempt.id, { state: WaitState.RUNNING, estimatedWaitMs: 0 })
--- a/packages/agent/src/agent/createEngineBackend.ts
+++ b/packages/agent/src/agent/createEngineBackend.ts
@@ -122,7 +122,7 @@
     versionOf,
     progressOf,
     readyInMs: ({ request }) => readyInMs(loader.state(), findSlot(loader.state(), request.model), timers.nowMs()),
-    onUse: ({ request }) => loader.touch(request.model, request.adapter),
+    onUse: ({ request }, wasIdle) => loader.touch(request.model, request.adapter, wasIdle),
     run: runOnEngine({ engine, timers, events, incarnation: () => watch.last()?.incarnation ?? '' }),
     onRunFault: end => {
       if (end.kind === 'interrupted' && end.died) watch.reportDeath(end.incarnation)
--- a/packages/agent/src/eviction/viewResidents.ts
+++ b/packages/agent/src/eviction/viewResidents.ts
@@ -1,4 +1,4 @@
-import { expectedLoadMs } from '../loading/slots.js'
+import { expectedLoadMs, idleForMs } from '../loading/slots.js'
 
 import type { ModelId } from '@figmount/base'
 import type { ResidentView } from '@figmount/decisions'
@@ -50,7 +50,7 @@
       memoryMb: slot.memoryMb,
       runningCount: demand?.runningCount ?? 0,
       queuedCount: demand?.waitingCount ?? 0,
-      idleMs: nowMs - slot.lastUsedMs,
+      idleMs: idleForMs(slot, nowMs),
       pinned: isPinned(slot.model)
     })
   }
--- a/packages/agent/src/loading/constants.ts
+++ b/packages/agent/src/loading/constants.ts
@@ -16,9 +16,3 @@
 
 /** Assumed time of a load that was never measured, by where the checkpoint is. */
 export const ASSUMED_LOAD_MS = { memory: 1_000, disk: 4_000, remote: 15_000 } as const
-
-/** Gaps between bursts that are remembered for keep-alive; 40 models hold 3 KB. */
-export const GAP_COUNT = 10
-
-/** A use after a gap shorter than this belongs to the same burst. */
-export const BURST_GAP_MS = 1_000
--- a/packages/agent/src/loading/createLoader.ts
+++ b/packages/agent/src/loading/createLoader.ts
@@ -30,7 +30,7 @@
   readonly state: () => EngineState
   readonly plan: (inputs: PlanInputs) => void
   readonly takeInventory: (inventory: Inventory, askedAtMs: number) => void
-  readonly touch: (model: ModelId, adapter: string) => void
+  readonly touch: (model: ModelId, adapter: string, wasIdle: boolean) => void
   readonly openOrderCount: () => number
   readonly stop: () => void
 }
@@ -141,7 +141,7 @@
       if (before !== after) events.emit(AgentEvent.inventoryDiffers, { peer: engine.address, memoryMb: after, memoryCapacityMb: state.ledger.capacityMb })
       followOpen(false)
     },
-    touch: (model, adapter) => { state = touch(state, model, adapter, timers.nowMs()) },
+    touch: (model, adapter, wasIdle) => { state = touch(state, model, adapter, wasIdle, timers.nowMs()) },
     openOrderCount: () => followed.size,
     stop: () => stopping.abort()
   }
--- a/packages/agent/src/loading/planOrders.ts
+++ b/packages/agent/src/loading/planOrders.ts
@@ -1,7 +1,8 @@
 import { viewResidents } from '../eviction/viewResidents.js'
+import { LEAST_STAY_MS } from '../keepalive/constants.js'
 import { viewIdle } from '../keepalive/viewIdle.js'
 import { freeMb } from '../memory/ledger.js'
-import { findSlot, openOrder } from './slots.js'
+import { findSlot, idleForMs, openOrder } from './slots.js'
 
 import type { ModelId } from '@figmount/base'
 import type { ChooseVictims, KeepAlive, OrderLoads, ResidentView, WaitingLoad } from '@figmount/decisions'
@@ -64,6 +65,7 @@
   const isWaitedFor = (demand?.waitingCount ?? 0) > 0
   if (slot.version !== (isWaitedFor && demand ? demand.version : plan.spec.currentVersion)) return true
   if (isWaitedFor || isPinned(view, slot.model)) return false
+  if (idleForMs(slot, view.nowMs) < LEAST_STAY_MS) return false
   return view.keepAlive(viewIdle(slot, plan, view.state.ledger.capacityMb, pressureOf(view), view.nowMs)) <= 0
 }
 
--- a/packages/agent/src/loading/slots.ts
+++ b/packages/agent/src/loading/slots.ts
@@ -1,5 +1,6 @@
+import { GAP_COUNT } from '../keepalive/constants.js'
 import { adopt, freeMb, release, reserve, resize } from '../memory/ledger.js'
-import { ASSUMED_LOAD_MS, BURST_GAP_MS, GAP_COUNT, LOAD_RETRY_MAX_MS, LOAD_RETRY_MS, SMOOTHING } from './constants.js'
+import { ASSUMED_LOAD_MS, LOAD_RETRY_MAX_MS, LOAD_RETRY_MS, SMOOTHING } from './constants.js'
 
 import type { ModelId } from '@figmount/base'
 import type { EngineOrder, Inventory, Resident } from '../engine/types.js'
@@ -46,7 +47,7 @@
       if (slot.phase !== 'cold') return undefined
       const ledger = reserve(state.ledger, { model: order.model, adapter: '', memoryMb: order.memoryMb })
       if (!ledger) return undefined
-      return putSlot(state, { ...base, phase: 'loading', version: order.version, memoryMb: order.memoryMb, lastUsedMs: nowMs }, ledger)
+      return putSlot(state, { ...base, phase: 'loading', version: order.version, memoryMb: order.memoryMb }, ledger)
     }
     case 'unload':
       return putSlot(state, { ...base, phase: 'unloading' })
@@ -115,7 +116,6 @@
   version: resident.version,
   fence: Math.max(slot.fence, resident.fence),
   memoryMb: resident.memoryMb,
-  lastUsedMs: slot.lastUsedMs === 0 ? nowMs : slot.lastUsedMs,
   adapters: new Map(resident.adapters.map(({ adapter, memoryMb }) => [
     adapter,
     { adapter, memoryMb, phase: 'ready', lastUsedMs: slot.adapters.get(adapter)?.lastUsedMs ?? nowMs } satisfies AdapterSlot
@@ -173,16 +173,19 @@
   return reconcileModels(closed, { ...outcome.inventory, residents }, [order.model], nowMs, nowMs)
 }
 
-/** Notes that a model or adapter was used, and the gap since its last burst. */
-export const touch = (state: EngineState, model: ModelId, adapter: string, nowMs: number): EngineState => {
+/** Notes that a model or adapter is used; `wasIdle`: nothing ran on it before, so that a gap ends. */
+export const touch = (state: EngineState, model: ModelId, adapter: string, wasIdle: boolean, nowMs: number): EngineState => {
   const slot = findSlot(state, model)
-  const gapMs = nowMs - slot.lastUsedMs
-  const pastGapsMs = slot.lastUsedMs > 0 && gapMs >= BURST_GAP_MS ? [...slot.pastGapsMs, gapMs].slice(-GAP_COUNT) : slot.pastGapsMs
+  const isGap = wasIdle && slot.lastUsedMs > 0
+  const pastGapsMs = isGap ? [...slot.pastGapsMs, nowMs - slot.lastUsedMs].slice(-GAP_COUNT) : slot.pastGapsMs
   const used = slot.adapters.get(adapter)
   const touched = { ...slot, lastUsedMs: nowMs, pastGapsMs }
   return putSlot(state, used ? putAdapter(touched, { ...used, lastUsedMs: nowMs }) : touched)
 }
 
+/** Time since a model was last used or changed. */
+export const idleForMs = (slot: Slot, nowMs: number): number => Math.max(0, nowMs - Math.max(slot.lastUsedMs, slot.changedAtMs))
+
 /** Expected time of a load. */
 export const expectedLoadMs = (slot: Slot): number => slot.loadMs > 0 ? slot.loadMs : ASSUMED_LOAD_MS[slot.tier]
 
--- a/packages/agent/src/loading/types.ts
+++ b/packages/agent/src/loading/types.ts
@@ -41,7 +41,7 @@
   readonly lastUsedMs: number
   /** Smoothed time that a load took, in ms; 0 when none is known. */
   readonly loadMs: number
-  /** Gaps between bursts of use, newest last. */
+  /** Gaps between uses, newest last. */
   readonly pastGapsMs: readonly number[]
   /** No load before this, after a failed one. */
   readonly notBeforeMs: number
