--- a/packages/agent/src/rights/createRightsKeeper.ts
+++ b/packages/agent/src/rights/createRightsKeeper.ts
@@ -1,13 +1,15 @@
+import { ORDER_DEADLINE_MS } from '@figmount/records'
+
 import { AgentEvent } from '../events.js'
+import { ORDER_SETTLE_MS } from '../loading/constants.js'
 import { tenureOf } from '../once/tenureOf.js'
 import { isAnnounced } from './keepAnnounced.js'
 import { noRights, viewRights } from './viewRights.js'
 
 import type { ModelId, Unsubscribe } from '@figmount/base'
-import type { AgreedState, PlacedRecord, RightState } from '@figmount/records'
+import type { AgreedState, RightState } from '@figmount/records'
 import type { AgentContext } from '../agent/types.js'
 import type { Tenure } from '../once/types.js'
-import type { TenureOrigin } from '../once/tenureOf.js'
 import type { AppendReliably } from './appendReliably.js'
 import type { HeldRights } from './types.js'
 
@@ -32,34 +34,14 @@
 
 /** Makes the keeper of this agent's rights. */
 export const createRightsKeeper = ({ context, append, isUnloaded, isGivingUp, onChange }: Options): RightsKeeper => {
-  const { records, events, instance, incarnation } = context
+  const { records, events, timers, instance, incarnation } = context
+  const ordersLapseAtMs = timers.nowMs() + ORDER_DEADLINE_MS + ORDER_SETTLE_MS
   const releasing = new Set<number>()
   const renewing = new Set<number>()
-  const released = new Set<ModelId>()
-  const origins = new Map<number, TenureOrigin>()
   let seenState: AgreedState | undefined
   let seenGivingUp = false
   let held: HeldRights = noRights
 
-  /** True when no earlier version of the service can have named the target. */
-  const isNewTarget = (target: ModelId): boolean => {
-    const item = `service/${target.split('/')[0] ?? ''}` as const
-    return records.state().items.get(item)?.version === 1
-  }
-
-  // Only a grant that follows a release seen in the log has the short margin; all else counts as a void.
-  const learnOrigin = ({ record, offset }: PlacedRecord): void => {
-    if (record.kind === 'instance.void') released.clear()
-    if (record.kind === 'right.release' && record.right.kind === 'keys') released.add(record.right.target)
-    if (record.kind !== 'right.grant' || record.right.kind !== 'keys') return
-    const { target } = record.right
-    if (record.instance === instance) {
-      const isFirst = record.expectedFence === 0 && isNewTarget(target)
-      origins.set(offset, isFirst ? 'first' : released.has(target) ? 'release' : 'voidOrRestart')
-    }
-    released.delete(target)
-  }
-
   const current = (): HeldRights => {
     const state = records.state()
     const givingUp = isGivingUp()
@@ -71,8 +53,17 @@
     return held
   }
 
+  // Guards against an order that an earlier run of this agent has sent and that is still on its way:
+  // the engine shows nothing loaded, the right is given back and granted elsewhere, and then the
+  // order loads the model here, too. Once every such order has lapsed the inventory is the truth.
+  const mayHaveOrderOnItsWay = (right: RightState): boolean => {
+    const announcedAt = records.state().agents.get(instance)?.offset ?? 0
+    return right.fence < announcedAt && timers.nowMs() < ordersLapseAtMs
+  }
+
   const canRelease = (right: RightState): boolean => {
     if (right.key.kind === 'keys') return true
+    if (mayHaveOrderOnItsWay(right)) return false
     const slot = current().slots.get(right.key.target)
     // Another slot of the same model is in force here: the replica on the engine counts under that one.
     if (slot && slot.fence !== right.fence) return true
@@ -96,17 +87,16 @@
     }
   }
 
-  const stop = records.onChange(placed => {
-    for (const record of placed) learnOrigin(record)
-    onChange()
-  })
+  const stopWaiting = timers.after(ordersLapseAtMs - timers.nowMs(), onChange)
+  const stopListening = records.onChange(() => onChange())
+  const stop = (): void => {
+    stopWaiting()
+    stopListening()
+  }
 
   return {
     current,
-    tenure: target => {
-      const keys = current().keys.get(target)
-      return tenureOf(keys, (keys && origins.get(keys.fence)) ?? 'voidOrRestart')
-    },
+    tenure: target => tenureOf(current().keys.get(target)),
     settle,
     stop
   }
--- a/packages/records/src/proposals/sumPromised.ts
+++ b/packages/records/src/proposals/sumPromised.ts
@@ -1,5 +1,5 @@
-import { listServices, modelsOfService } from '../config/selectors.js'
-import { rightIdOf } from '../rights/rightId.js'
+import { findModel } from '../config/selectors.js'
+import { indexRights } from '../rights/indexRights.js'
 
 import type { InstanceName } from '@figmount/base'
 import type { AgreedState } from '../fold/types.js'
@@ -7,12 +7,10 @@
 /** Memory in MB of all models that each agent holds a slot of. */
 export const sumPromised = (state: AgreedState): Map<InstanceName, number> => {
   const promised = new Map<InstanceName, number>()
-  for (const service of listServices(state)) {
-    for (const [target, model] of modelsOfService(state, service)) {
-      for (let slotIndex = 0; slotIndex < model.maxReplicas; slotIndex += 1) {
-        const right = state.rights.get(rightIdOf({ kind: 'replica', target, slotIndex }))
-        if (right && right.status !== 'free') promised.set(right.holder, (promised.get(right.holder) ?? 0) + model.memoryMb)
-      }
+  for (const [target, { replicas }] of indexRights(state)) {
+    const memoryMb = findModel(state, target)?.memoryMb ?? 0
+    for (const { status, holder } of replicas.values()) {
+      if (status !== 'free') promised.set(holder, (promised.get(holder) ?? 0) + memoryMb)
     }
   }
   return promised
