Say "not run" of a resend only where no successor can be

Cause: during an outage of the log, and for a stamp in the future, the holder of the keys said "not run" of resends too; docs/design/once.md named both as left open. A successor, or an earlier holder with a clock ahead, may have let them run. Changed: in an outage only while the instance list names the holder (a void needs it dropped); for a stamp in the future only of a first send. Keys are remembered for KEY_MEMORY_MS, as in the search of the protocol. Checked: decision table extended, agent's tests pass. Conclusion: both gaps are closed; a total outage says "may have run" to resends.

--- a/packages/agent/src/agent/createAgent.ts
+++ b/packages/agent/src/agent/createAgent.ts
@@ -140,6 +140,7 @@
     heldKeys: target => rights.current().keys.get(target),
     tenure: rights.tenure,
     authority: authority.current,
+    isListed: () => instances.current().listed === 'present',
     isDraining: () => drain.reason() !== undefined
   })
 
--- a/packages/agent/src/once/createPermitLedger.ts
+++ b/packages/agent/src/once/createPermitLedger.ts
@@ -1,4 +1,4 @@
-import { CLOCK_ERROR_MS, ONCE_WINDOW_MS } from '@figmount/records'
+import { KEY_MEMORY_MS } from '@figmount/records'
 import { RefusalReason, RunState } from '@figmount/schema'
 
 import { AgentEvent } from '../events.js'
@@ -18,6 +18,7 @@
   readonly heldKeys: (target: ModelId) => HeldKeys | undefined
   readonly tenure: (target: ModelId) => Tenure | undefined
   readonly authority: () => Authority
+  readonly isListed: () => boolean
   readonly isDraining: () => boolean
 }
 
@@ -55,8 +56,8 @@
       keysHolder: instance,
       keysFence: keys.fence
     }
-    // A resend is refused by its age from ONCE_WINDOW_MS on; the margin covers a clock that is behind.
-    entries.set(key, { permit, target, forgetAtUnixMs: request.issuedAtMs + ONCE_WINDOW_MS + CLOCK_ERROR_MS })
+    // A resend is refused by its age before that, also if the clock is set back within its bound.
+    entries.set(key, { permit, target, forgetAtUnixMs: Math.max(request.issuedAtMs, timers.unixMs()) + KEY_MEMORY_MS })
     return permit
   }
 
@@ -77,6 +78,7 @@
         nowUnixMs: timers.unixMs(),
         tenure: options.tenure(target),
         authority: options.authority(),
+        isListed: options.isListed(),
         draining: options.isDraining(),
         isFull: entries.size >= maxKeys
       })
--- a/packages/agent/src/once/judgePermit.ts
+++ b/packages/agent/src/once/judgePermit.ts
@@ -21,7 +21,8 @@
 export const judgePermit = (view: PermitView): PermitVerdict => {
   const { tenure, issuedAtMs, nowUnixMs } = view
   if (issuedAtMs > nowUnixMs + CLOCK_ERROR_MS) {
-    return refuse(RunState.NOT_RUN, RefusalReason.INVALID, 0, 'the key is issued in the future')
+    // A holder before this one, with a clock that is ahead, may have taken the stamp for a good one.
+    return refuse(unlessResent(view), RefusalReason.INVALID, 0, 'the key is issued in the future')
   }
   if (issuedAtMs < nowUnixMs - ONCE_WINDOW_MS) {
     return refuse(unlessResent(view), RefusalReason.KEY_EXPIRED, 0, 'the key is too old')
@@ -34,7 +35,9 @@
     return refuse(unlessResent(view), RefusalReason.LOG_UNREACHABLE, PERMIT_RETRY_MS, 'the holder of the keys is not sure of its right')
   }
   if (view.authority === 'outage') {
-    return refuse(RunState.NOT_RUN, RefusalReason.LOG_UNREACHABLE, PERMIT_RETRY_MS, 'the log is out of reach')
+    // A void needs the list to have dropped the holder: while the list names it there is no successor.
+    const runState = view.isListed ? RunState.NOT_RUN : unlessResent(view)
+    return refuse(runState, RefusalReason.LOG_UNREACHABLE, PERMIT_RETRY_MS, 'the log is out of reach')
   }
   if (view.draining) return refuse(RunState.NOT_RUN, RefusalReason.STOPPING, PERMIT_RETRY_MS, 'the holder of the keys is leaving')
   if (view.isFull) return refuse(RunState.NOT_RUN, RefusalReason.OVERLOADED, PERMIT_RETRY_MS, 'too many keys are remembered')
--- a/packages/agent/src/once/once.test.ts
+++ b/packages/agent/src/once/once.test.ts
@@ -19,6 +19,7 @@
   nowUnixMs: 101_000,
   tenure: { fromMs: 57_000 },
   authority: 'fresh',
+  isListed: true,
   draining: false,
   isFull: false
 }
@@ -55,11 +56,13 @@
     expect(stateOf({ issuedAtMs: 56_999 })).to.equal(RunState.MAY_HAVE_RUN)
     expect(stateOf({ issuedAtMs: 56_999, resendCount: 0 })).to.equal(RunState.NOT_RUN)
     expect(stateOf({ issuedAtMs: 40_000, tenure: { fromMs: 0 } })).to.equal('grant')
-    expect(stateOf({ issuedAtMs: 101_000 + CLOCK_ERROR_MS + 1 })).to.equal(RunState.NOT_RUN)
+    expect(stateOf({ issuedAtMs: 101_000 + CLOCK_ERROR_MS + 1 })).to.equal(RunState.MAY_HAVE_RUN)
+    expect(stateOf({ issuedAtMs: 101_000 + CLOCK_ERROR_MS + 1, resendCount: 0 })).to.equal(RunState.NOT_RUN)
     expect(stateOf({ nowUnixMs: 100_001 + ONCE_WINDOW_MS })).to.equal(RunState.MAY_HAVE_RUN)
     expect(stateOf({ tenure: undefined })).to.equal(RunState.MAY_HAVE_RUN)
     expect(stateOf({ authority: 'none' })).to.equal(RunState.MAY_HAVE_RUN)
     expect(stateOf({ authority: 'outage' })).to.equal(RunState.NOT_RUN)
+    expect(stateOf({ authority: 'outage', isListed: false })).to.equal(RunState.MAY_HAVE_RUN)
     expect(stateOf({ isFull: true })).to.equal(RunState.NOT_RUN)
   })
 
@@ -164,7 +167,7 @@
   it('forgets keys after the window', async () => {
     const { under, router } = await holder()
     await ask(under, router, 'a', 'agent-2')
-    under.timers.advance(ONCE_WINDOW_MS + CLOCK_ERROR_MS + 11_000)
+    under.timers.advance(KEY_MEMORY_MS + 11_000)
     const reply = await ask(under, router, 'b', 'agent-3', { issuedAtMs: START_UNIX_MS + 300, resendCount: 1 })
     expect(reply).to.deep.include({ kind: 'refused' })
   })
--- a/packages/agent/src/once/types.ts
+++ b/packages/agent/src/once/types.ts
@@ -23,6 +23,8 @@
   /** Undefined when this agent does not hold the right, or not for this run of it. */
   readonly tenure: Tenure | undefined
   readonly authority: 'fresh' | 'outage' | 'none'
+  /** True when the instance list was read of late and names this holder. */
+  readonly isListed: boolean
   readonly draining: boolean
   readonly isFull: boolean
 }
