--- a/packages/agent/src/once/once.test.ts
+++ b/packages/agent/src/once/once.test.ts
@@ -1,4 +1,4 @@
-import { AUTHORITY_MS, CLOCK_ERROR_MS, KEY_AHEAD_MS, ONCE_WINDOW_MS } from '@figmount/records'
+import { AUTHORITY_MS, CLOCK_ERROR_MS, KEY_AHEAD_MS, KEY_MEMORY_MS, ONCE_WINDOW_MS } from '@figmount/records'
 import { RefusalReason, RunState } from '@figmount/schema'
 import { expect } from 'chai'
 
