--- a/packages/router/src/links/constants.ts
+++ b/packages/router/src/links/constants.ts
@@ -12,6 +12,13 @@
  */
 export const MAX_IDLE_LINKS = 30
 
+/**
+ * Reports asked for over all links on which other messages flow. Grounds: 541 bytes each with
+ * its question, 2.7 KB of the 7 KB a second that control may cost; five links get one every second,
+ * 440 links one in 88 s, and in between a choice goes by the own sends.
+ */
+export const REPORTS_PER_SECOND = 5
+
 /**
  * An agent's word that it leaves outlives its link by this long. Grounds: the platform's list
  * shows it as live for some seconds more; afterwards the list is right, and the same instance
--- a/packages/router/src/links/createAgentLink.test.ts
+++ b/packages/router/src/links/createAgentLink.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 
 import { createBench } from '../testing/createBench.js'
-import { IDLE_LINK_MS, MAX_IDLE_LINKS } from './constants.js'
+import { IDLE_LINK_MS, MAX_IDLE_LINKS, REPORTS_PER_SECOND } from './constants.js'
 
 import type { AttemptId, InstanceName } from '@figmount/base'
 
@@ -31,6 +31,33 @@
     expect(bench.links.views().filter(view => !view.isOpen).map(view => view.instance)).to.deep.equal(['a0'])
   })
 
+  // A large site at its peak: every router has hundreds of links on which answers stream. Each
+  // shows that it is alive by what flows on it; a heartbeat on each besides takes 30 times the
+  // bytes that control may cost.
+  it('is not asked for a report more often than all links together may', async () => {
+    const names = Array.from({ length: 100 }, (_, index) => `a${index}`)
+    const bench = createBench(Object.fromEntries(names.map(name => [name, () => {}])))
+    const channels = await Promise.all(names.map(async name => {
+      const link = bench.links.linkTo(name as InstanceName)
+      await bench.finish(link.whenOpen(1_000).run())
+      return link.openAttempt(`r1/1/${name}` as AttemptId, () => 0)
+    }))
+    const beats = (): number => names.reduce((sum, name) => sum + bench.agentOf(name).heardOf('heartbeat').length, 0)
+    const flow = async (seconds: number): Promise<void> => {
+      for (let tick = 0; tick < seconds * 2; tick += 1) {
+        for (const channel of channels) channel.send({ type: 'ack', attemptId: ATTEMPT, belowFrame: tick })
+        await bench.settle(500)
+      }
+    }
+    await flow(2)
+    const before = beats()
+    await flow(20)
+    expect(beats() - before).to.be.within(100, 20 * REPORTS_PER_SECOND)
+    const silentBefore = beats()
+    await bench.settle(2_000)
+    expect(beats() - silentBefore, 'links on which nothing is sent any more').to.be.at.least(100)
+  })
+
   it('tells who waits that the agent cannot be reached', async () => {
     const bench = createBench({ a1: () => {} })
     bench.agentOf('a1').setDown(true)
--- a/packages/router/src/links/createAgentLink.ts
+++ b/packages/router/src/links/createAgentLink.ts
@@ -25,6 +25,8 @@
   readonly events: EventLog
   /** Yields numbers in [0, 1), to spread dialling after a common failure. */
   readonly random: () => number
+  /** Age from which a report is asked for although other messages flow; grows with the number of links. */
+  readonly reportPeriodMs: () => number
 }
 
 type OpenLink = Link<ToAgent, FromAgent>
@@ -60,6 +62,7 @@
   let isRunning = false
   let isStopped = false
   let lastUsedMs = timers.nowMs()
+  let lastSentMs = timers.nowMs()
   let downSinceMs = timers.nowMs()
   let failedDialCount = 0
   let nextAskId = 0
@@ -70,6 +73,7 @@
   const send = (message: ToAgent): boolean => {
     if (!link?.isOpen()) return false
     link.send(message)
+    lastSentMs = timers.nowMs()
     return true
   }
 
@@ -140,15 +144,20 @@
     .with({ type: 'records' }, { type: 'records.ask' }, { type: 'suspect' }, shared => hooks.onShared(instance, shared))
     .exhaustive()
 
+  // The agent gives a link up on which it hears nothing; any message of the last period will do.
+  const isHeard = (): boolean => timers.nowMs() - lastSentMs < HEARTBEAT_MS
+
+  const isReportFresh = (): boolean => timers.nowMs() - view.reportAtMs < options.reportPeriodMs()
+
   const beat = (): void => {
     if (!isWanted()) return link?.close('idle')
+    if (isHeard() && isReportFresh()) return
     send({ type: 'heartbeat', sentAtMs: timers.nowMs() })
   }
 
   const runConnection = async (opened: OpenLink): Promise<void> => {
     link = opened
     send({ type: 'hello', instance: options.router, incarnation: options.routerIncarnation, role: 'router' })
-    // Also while other messages flow: the agent's report comes with the answer.
     const stopBeating = timers.every(HEARTBEAT_MS, beat)
     for await (const message of opened.received) takeSafely(events, instance, message, handle)
     stopBeating()
--- a/packages/router/src/links/createAgentLinks.ts
+++ b/packages/router/src/links/createAgentLinks.ts
@@ -1,4 +1,6 @@
-import { MAX_IDLE_LINKS } from './constants.js'
+import { HEARTBEAT_MS } from '@figmount/peers'
+
+import { MAX_IDLE_LINKS, REPORTS_PER_SECOND } from './constants.js'
 import { createAgentLink } from './createAgentLink.js'
 
 import type { InstanceName } from '@figmount/base'
@@ -19,9 +21,14 @@
 /** Pause between looks for idle links beyond the bound. */
 const TRIM_MS = 1_000
 
+const MS_PER_SECOND = 1000
+
 /** Makes the links of one router; none is open before it is needed. */
-export const createAgentLinks = (options: Omit<AgentLinkOptions, 'instance'>): AgentLinks => {
+export const createAgentLinks = (options: Omit<AgentLinkOptions, 'instance' | 'reportPeriodMs'>): AgentLinks => {
   const links = new Map<InstanceName, AgentLink>()
+  let openCount = 0
+
+  const reportPeriodMs = (): number => Math.max(HEARTBEAT_MS, openCount * MS_PER_SECOND / REPORTS_PER_SECOND)
 
   const releaseLongestIdle = (): void => {
     const idle = [...links.values()].flatMap(link => {
@@ -33,12 +40,15 @@
     for (const { link } of idle.sort((a, b) => a.sinceMs - b.sinceMs).slice(0, surplus)) link.release('idle')
   }
 
-  const stopTrimming = options.timers.every(TRIM_MS, releaseLongestIdle)
+  const stopTrimming = options.timers.every(TRIM_MS, () => {
+    openCount = [...links.values()].filter(link => link.view().isOpen).length
+    releaseLongestIdle()
+  })
 
   const linkTo = (instance: InstanceName): AgentLink => {
     const known = links.get(instance)
     if (known) return known
-    const made = createAgentLink({ ...options, instance })
+    const made = createAgentLink({ ...options, instance, reportPeriodMs })
     links.set(instance, made)
     return made
   }
