--- a/packages/proof/src/promises/waiting.test.ts
+++ b/packages/proof/src/promises/waiting.test.ts
@@ -78,6 +78,15 @@
     expect(site.rig.events.all().some(event => event.number === StandinEvent.generateStarted.number)).to.equal(false)
   })
 
+  // Callers of a cold model have less time than its load takes. Each is refused with a time to come back; if
+  // nobody loaded the model meanwhile, they would be refused for ever.
+  it('when deadlines are shorter than a cold start', async () => {
+    site = await startSmallSite('waiting-short', { weights: SLOW_STORE })
+    const outcomes = await askMany(site, 4, 'short', { deadlineMs: 1500 })
+    expectWhole(outcomes)
+    expect(outcomes.every(outcome => outcome.sends.length > 1)).to.equal(true)
+  })
+
   // A router is killed and the log is down at the same time; the requests that waited there go on
   // at the other router.
   it('when router and log fail together', async () => {
