--- a/packages/agent/src/loading/planOrders.ts
+++ b/packages/agent/src/loading/planOrders.ts
@@ -1,8 +1,9 @@
 import { viewResidents } from '../eviction/viewResidents.js'
+import { LEAST_STAY_MS } from '../keepalive/constants.js'
 import { viewIdle } from '../keepalive/viewIdle.js'
 import { freeMb } from '../memory/ledger.js'
 import { UNUSED_KEEP_MS } from './constants.js'
-import { findSlot, openOrder } from './slots.js'
+import { findSlot, idleForMs, openOrder } from './slots.js'
 
 import type { ModelId } from '@figmount/base'
 import type { ChooseVictims, KeepAlive, OrderLoads, ResidentView, WaitingLoad } from '@figmount/decisions'
@@ -72,7 +73,7 @@
   const isWaitedFor = (demand?.waitingCount ?? 0) > 0
   if (slot.version !== (isWaitedFor && demand ? demand.version : plan.spec.currentVersion)) return true
   if (isWaitedFor || isPinned(view, slot.model)) return false
-  if (isNew(slot, view.nowMs)) return false
+  if (isNew(slot, view.nowMs) || idleForMs(slot, view.nowMs) < LEAST_STAY_MS) return false
   return view.keepAlive(viewIdle(view.state, slot, plan, pressureOf(view), view.nowMs)) <= 0
 }
 
