--- a/packages/agent/src/agent/createAgent.ts
+++ b/packages/agent/src/agent/createAgent.ts
@@ -140,6 +140,7 @@
     heldKeys: target => rights.current().keys.get(target),
     tenure: rights.tenure,
     authority: authority.current,
+    isListed: () => instances.current().listed === 'present',
     isDraining: () => drain.reason() !== undefined
   })
 
@@ -168,6 +169,7 @@
   const drain = createDrain({
     context,
     listing: instances.current,
+    refreshListing: instances.refresh,
     isIdle,
     isDelivered: () => attempts.isDelivered() && links.bufferedBytes() === 0,
     hasGivenUp: () => rights.current().slots.size === 0 && rights.current().keys.size === 0,
--- a/packages/agent/src/loading/slots.ts
+++ b/packages/agent/src/loading/slots.ts
@@ -1,5 +1,6 @@
+import { GAP_COUNT } from '../keepalive/constants.js'
 import { adopt, freeMb, release, reserve, resize } from '../memory/ledger.js'
-import { ASSUMED_LOAD_MS, BURST_GAP_MS, GAP_COUNT, LOAD_RETRY_MAX_MS, LOAD_RETRY_MS, SMOOTHING } from './constants.js'
+import { ASSUMED_LOAD_MS, LOAD_RETRY_MAX_MS, LOAD_RETRY_MS, SMOOTHING } from './constants.js'
 
 import type { ModelId } from '@figmount/base'
 import type { EngineOrder, Inventory, Resident } from '../engine/types.js'
@@ -46,7 +47,7 @@
       if (slot.phase !== 'cold') return undefined
       const ledger = reserve(state.ledger, { model: order.model, adapter: '', memoryMb: order.memoryMb })
       if (!ledger) return undefined
-      return putSlot(state, { ...base, phase: 'loading', version: order.version, memoryMb: order.memoryMb, lastUsedMs: nowMs }, ledger)
+      return putSlot(state, { ...base, phase: 'loading', version: order.version, memoryMb: order.memoryMb }, ledger)
     }
     case 'unload':
       return putSlot(state, { ...base, phase: 'unloading' })
@@ -81,8 +82,10 @@
   switch (order.kind) {
     case 'load': {
       if (isDone) {
-        const loadMs = smooth(slot.loadMs, nowMs - slot.orderedAtMs)
-        return putSlot(state, { ...slot, phase: 'ready', loadMs, failureCount: 0, notBeforeMs: 0, lastFailure: '' })
+        const tookMs = nowMs - slot.orderedAtMs
+        const typicalLoadMs = slot.tier === 'remote' ? smooth(state.typicalLoadMs, tookMs) : state.typicalLoadMs
+        const ready: Slot = { ...slot, phase: 'ready', loadMs: smooth(slot.loadMs, tookMs), failureCount: 0, notBeforeMs: 0, lastFailure: '' }
+        return putSlot({ ...state, typicalLoadMs }, ready)
       }
       const cold = asCold(slot)
       // A full weight store says nothing against this model: the store's own pace holds it back.
@@ -115,7 +118,6 @@
   version: resident.version,
   fence: Math.max(slot.fence, resident.fence),
   memoryMb: resident.memoryMb,
-  lastUsedMs: slot.lastUsedMs === 0 ? nowMs : slot.lastUsedMs,
   adapters: new Map(resident.adapters.map(({ adapter, memoryMb }) => [
     adapter,
     { adapter, memoryMb, phase: 'ready', lastUsedMs: slot.adapters.get(adapter)?.lastUsedMs ?? nowMs } satisfies AdapterSlot
@@ -173,23 +175,36 @@
   return reconcileModels(closed, { ...outcome.inventory, residents }, [order.model], nowMs, nowMs)
 }
 
-/** Notes that a model or adapter was used, and the gap since its last burst. */
-export const touch = (state: EngineState, model: ModelId, adapter: string, nowMs: number): EngineState => {
+/** Notes that a model or adapter is used; `wasIdle`: nothing ran on it before, so that a gap ends. */
+export const touch = (state: EngineState, model: ModelId, adapter: string, wasIdle: boolean, nowMs: number): EngineState => {
   const slot = findSlot(state, model)
-  const gapMs = nowMs - slot.lastUsedMs
-  const pastGapsMs = slot.lastUsedMs > 0 && gapMs >= BURST_GAP_MS ? [...slot.pastGapsMs, gapMs].slice(-GAP_COUNT) : slot.pastGapsMs
+  const isGap = wasIdle && slot.lastUsedMs > 0
+  const pastGapsMs = isGap ? [...slot.pastGapsMs, nowMs - slot.lastUsedMs].slice(-GAP_COUNT) : slot.pastGapsMs
   const used = slot.adapters.get(adapter)
   const touched = { ...slot, lastUsedMs: nowMs, pastGapsMs }
   return putSlot(state, used ? putAdapter(touched, { ...used, lastUsedMs: nowMs }) : touched)
 }
 
-/** Expected time of a load. */
-export const expectedLoadMs = (slot: Slot): number => slot.loadMs > 0 ? slot.loadMs : ASSUMED_LOAD_MS[slot.tier]
+/** Time since a model was last used or changed. */
+export const idleForMs = (slot: Slot, nowMs: number): number => Math.max(0, nowMs - Math.max(slot.lastUsedMs, slot.changedAtMs))
+
+/** Expected time of a load: the model's own, else that of other models from the weight store, else an assumption. */
+export const expectedLoadMs = (state: Pick<EngineState, 'typicalLoadMs'>, slot: Slot): number => {
+  if (slot.loadMs > 0) return slot.loadMs
+  if (slot.tier === 'remote' && state.typicalLoadMs > 0) return state.typicalLoadMs
+  return ASSUMED_LOAD_MS[slot.tier]
+}
+
+/** Holds back the load of one model that the weight store turned away; loads of others ask for themselves. */
+export const holdSlot = (state: EngineState, model: ModelId, untilMs: number): EngineState => {
+  const slot = findSlot(state, model)
+  return putSlot(state, { ...slot, notBeforeMs: Math.max(slot.notBeforeMs, untilMs) })
+}
 
 /** Expected time until a model can serve; 0 when it can. */
 export const readyInMs = (state: EngineState, slot: Slot, nowMs: number): number => {
   if (slot.phase === 'ready') return 0
-  const loadMs = expectedLoadMs(slot)
+  const loadMs = expectedLoadMs(state, slot)
   if (slot.phase === 'loading') return Math.max(0, slot.orderedAtMs + loadMs - nowMs)
   const heldBackMs = slot.tier === 'remote' ? Math.max(slot.notBeforeMs, state.store.notBeforeMs) : slot.notBeforeMs
   return Math.max(0, heldBackMs - nowMs) + loadMs
