Read a plain call's body only behind the gate; keep a caller's frames linear

Cause: bodies of plain calls were read before the router knew whether it had room, and the caller's library copied all tokens with every frame of an answer. Changed: gate and caller come before the body; gatherFrame gives out the fresh tokens of each frame. Conclusion: a storm of large plain calls costs headers only; a long answer costs its own length.

--- a/packages/client/src/answers/gatherAnswer.ts
+++ b/packages/client/src/answers/gatherAnswer.ts
@@ -5,7 +5,9 @@
 /** What has come of one answer so far. */
 export interface Gathered {
   readonly frameCount: number
-  readonly tokens: readonly string[]
+  readonly tokenCount: number
+  /** Tokens that the last frame brought; whoever gathers keeps them, so that a frame costs its own size only. */
+  readonly fresh: readonly string[]
   readonly waiting: Waiting | undefined
   readonly end: AnswerEnd | undefined
   /** Why the frames are not one whole answer; undefined while they are. */
@@ -17,11 +19,11 @@
   | { readonly kind: 'refusal', readonly refusal: Refusal }
 
 /** Before the first frame. */
-export const nothingGathered: Gathered = { frameCount: 0, tokens: [], waiting: undefined, end: undefined, mistake: undefined }
+export const nothingGathered: Gathered = { frameCount: 0, tokenCount: 0, fresh: [], waiting: undefined, end: undefined, mistake: undefined }
 
 const finalMistake = (gathered: Gathered, final: Final): string | undefined => {
   if (final.frameCount !== gathered.frameCount + 1) return `the last frame counts ${final.frameCount} frames, ${gathered.frameCount + 1} came`
-  if (final.tokenCount !== gathered.tokens.length) return `the last frame counts ${final.tokenCount} tokens, ${gathered.tokens.length} came`
+  if (final.tokenCount !== gathered.tokenCount) return `the last frame counts ${final.tokenCount} tokens, ${gathered.tokenCount} came`
   return undefined
 }
 
@@ -33,12 +35,12 @@
   if (gathered.mistake !== undefined) return gathered
   if (gathered.end) return { ...gathered, mistake: 'a frame came behind the last one' }
   if (frame.number !== gathered.frameCount) return { ...gathered, mistake: `frame ${frame.number} came where ${gathered.frameCount} was due` }
-  const next = { ...gathered, frameCount: gathered.frameCount + 1 }
+  const next = { ...gathered, frameCount: gathered.frameCount + 1, fresh: [] }
   return match(frame.body)
     .returnType<Gathered>()
     .with({ case: 'tokens' }, ({ value }) => {
-      if (value.firstTokenIndex !== gathered.tokens.length) return { ...next, mistake: `token ${value.firstTokenIndex} came where ${gathered.tokens.length} was due` }
-      return { ...next, tokens: [...gathered.tokens, ...value.tokens] }
+      if (value.firstTokenIndex !== gathered.tokenCount) return { ...next, mistake: `token ${value.firstTokenIndex} came where ${gathered.tokenCount} was due` }
+      return { ...next, tokenCount: gathered.tokenCount + value.tokens.length, fresh: value.tokens }
     })
     .with({ case: 'waiting' }, ({ value }) => ({ ...next, waiting: value }))
     .with({ case: 'final' }, ({ value }) => ({ ...next, end: { kind: 'final', final: value }, mistake: finalMistake(gathered, value) }))
--- a/packages/client/src/calling/receiveAnswer.ts
+++ b/packages/client/src/calling/receiveAnswer.ts
@@ -26,6 +26,7 @@
   const stop = (): void => abort.abort()
   signal.addEventListener('abort', stop, { once: true })
   let cancelSilence = timers.after(FRAME_SILENCE_MS, stop)
+  const tokens: string[] = []
   let gathered = nothingGathered
   let firstTokenAtMs = 0
   let lastTokenAtMs = 0
@@ -35,6 +36,7 @@
       cancelSilence()
       cancelSilence = timers.after(FRAME_SILENCE_MS, stop)
       gathered = gatherFrame(gathered, frame)
+      tokens.push(...gathered.fresh)
       if (frame.body.case === 'tokens') {
         const nowMs = timers.nowMs()
         if (firstTokenAtMs === 0) firstTokenAtMs = nowMs
@@ -49,6 +51,6 @@
     cancelSilence()
     signal.removeEventListener('abort', stop)
   }
-  const { end, tokens } = gathered
+  const { end } = gathered
   return end ? { kind: 'ended', end, tokens, firstTokenAtMs, longestGapMs } : { kind: 'broken', mistake: 'the stream ended without its last frame' }
 }
--- a/packages/router/src/callers/openRequest.ts
+++ b/packages/router/src/callers/openRequest.ts
@@ -17,7 +17,7 @@
   readonly context: ServeContext
   readonly gate: Gate
   /** Checks who asks for what; not run before the gate lets the request in. */
-  readonly admit: () => Either<RefusalNote, AdmittedRequest>
+  readonly admit: () => Either<RefusalNote, AdmittedRequest> | Promise<Either<RefusalNote, AdmittedRequest>>
   /** What is known of the request before it is checked. */
   readonly fields: EventFields
   readonly resendCount: number
@@ -71,7 +71,7 @@
   signal.addEventListener('abort', leave, { once: true })
   try {
     if (!context.records.isReady()) return yield refuse(options, notReady())
-    const admitted = admit()
+    const admitted = await admit()
     if (admitted.isLeft()) return yield refuse(options, admitted.swap().unsafeCoerce())
     const request = admitted.unsafeCoerce()
     const { caller, share } = request.run
--- a/packages/router/src/plain/createPlainHandler.ts
+++ b/packages/router/src/plain/createPlainHandler.ts
@@ -1,3 +1,4 @@
+import { Left } from 'purify-ts'
 import { BaseEvent } from '@figmount/base'
 import { RefusalReason } from '@figmount/schema'
 
@@ -9,8 +10,10 @@
 import { PLAIN_PREFIX, PlainHeader } from './constants.js'
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Either } from 'purify-ts'
+import type { RefusalNote } from '@figmount/peers'
 import type { Gate } from '../callers/createGate.js'
-import type { ServeContext } from '../requests/types.js'
+import type { AdmittedRequest, ServeContext } from '../requests/types.js'
 import type { RouterSettings } from '../settings/types.js'
 
 interface Options {
@@ -37,24 +40,36 @@
   return abort.signal
 }
 
+const methodOf = (request: IncomingMessage): string => request.method ?? 'GET'
+
+const urlOf = (request: IncomingMessage): string => request.url ?? PLAIN_PREFIX
+
 const resendCountOf = (request: IncomingMessage): number => Number(request.headers[PlainHeader.resendCount] ?? 0) || 0
 
-const serve = async ({ context, gate, limits }: Options, request: IncomingMessage, response: ServerResponse): Promise<void> => {
-  const signal = leaveSignal(response)
+const tooLarge = (maxBytes: number): RefusalNote =>
+  notRun({ reason: RefusalReason.INVALID, detail: `the body is larger than ${maxBytes} bytes`, step: 'plain.read' })
+
+// The caller is known and the gate has let the call in before its body is read, so that a storm
+// of large calls costs no memory.
+const admit = async ({ context, limits }: Options, request: IncomingMessage): Promise<Either<RefusalNote, AdmittedRequest>> => {
+  const state = context.records.state()
+  const caller = authenticateCaller(state, request.headers.authorization ?? null)
+  if (caller.isLeft()) return Left(caller.swap().unsafeCoerce())
   const body = await readBody(request, limits.prompt_bytes)
-  if (!body) return answerRefusal(response, notRun({ reason: RefusalReason.INVALID, detail: `the body is larger than ${limits.prompt_bytes} bytes`, step: 'plain.read' }))
-  const call = { method: request.method ?? 'GET', url: request.url ?? PLAIN_PREFIX, headers: request.headers, body }
+  if (!body) return Left(tooLarge(limits.prompt_bytes))
+  const call = { method: methodOf(request), url: urlOf(request), headers: request.headers, body }
+  const options = { state, limits, nowMs: context.timers.nowMs(), unixMs: context.timers.unixMs() }
+  return caller.chain(known => admitPlain(options, known, call))
+}
+
+const serve = async (options: Options, request: IncomingMessage, response: ServerResponse): Promise<void> => {
   const parts = openRequest({
-    context,
-    gate,
-    admit: () => {
-      const state = context.records.state()
-      const options = { state, limits, nowMs: context.timers.nowMs(), unixMs: context.timers.unixMs() }
-      return authenticateCaller(state, request.headers.authorization ?? null).chain(caller => admitPlain(options, caller, call))
-    },
-    fields: { service: splitPath(call.url).service, repeatable: isRepeatable(call) },
+    context: options.context,
+    gate: options.gate,
+    admit: async () => await admit(options, request),
+    fields: { service: splitPath(urlOf(request)).service, repeatable: isRepeatable({ method: methodOf(request), headers: request.headers }) },
     resendCount: resendCountOf(request),
-    signal
+    signal: leaveSignal(response)
   })
   for await (const part of parts) {
     if (part.kind === 'refusal') return answerRefusal(response, part.note)
