Measure a storm of retries at a full router

Cause: the bound on admitted requests was tested, its cost and the memory under a storm were not measured.

--- a/packages/router/src/bench/measurePath.ts
+++ b/packages/router/src/bench/measurePath.ts
@@ -5,18 +5,13 @@
  */
 import { fork } from 'node:child_process'
 import { createClient } from '@connectrpc/connect'
-import { EitherAsync, Right } from 'purify-ts'
-import { createEventLog, createMetrics, createTimerService, createTransport, hashKey, makeModelId, parseSettings } from '@figmount/base'
-import { chooseLeastCost, spreadByDrainTime } from '@figmount/decisions'
+import { createTimerService, createTransport } from '@figmount/base'
 import { Inference } from '@figmount/schema'
 
-import { startRouter } from '../router/startRouter.js'
-import { routerSettings } from '../settings/routerSettings.js'
-import { createFakeRecords } from '../testing/createFakeRecords.js'
-import { BENCH_KEY, serveFakeAgents } from './serveFakeAgents.js'
+import { serveFakeAgents } from './serveFakeAgents.js'
+import { startBenchRouter } from './startBenchRouter.js'
 
 import type { ChildProcess } from 'node:child_process'
-import type { DataCentre, Incarnation, InstanceName, ServiceName } from '@figmount/base'
 import type { FakeAgentPlan } from './serveFakeAgents.js'
 
 interface Load {
@@ -59,36 +54,6 @@
 
 const answerOf = async <T>(child: ChildProcess): Promise<T> => await new Promise(resolve => child.once('message', message => resolve(message as T)))
 
-const startBenchRouter = async (agentAddress: string) => {
-  const instance = 'r1' as InstanceName
-  const incarnation = '1' as Incarnation
-  const agent = 'a0' as InstanceName
-  const records = createFakeRecords()
-  const model = { name: 'model-0', versions: ['v1'], currentVersion: 'v1', minReplicas: 0, maxReplicas: 1, memoryMb: 10, checkpointMb: 10 }
-  records.put({ kind: 'config.set', item: 'service/reader', expectedVersion: 0, bodyJson: JSON.stringify({ kind: 'models', models: [model] }), operatorName: 'op' })
-  records.put({ kind: 'config.set', item: 'caller/crew', expectedVersion: 0, bodyJson: JSON.stringify({ kind: 'crew', keySha256: hashKey('crew-key') }), operatorName: 'op' })
-  records.put({
-    kind: 'agent.up', instance: agent, incarnation, dataCentre: 'aa-1' as DataCentre, services: ['reader' as ServiceName], backendKind: 'engine', memoryCapacityMb: 100, enforcesFence: true
-  })
-  records.put({ kind: 'right.grant', right: { kind: 'replica', target: makeModelId('reader', 'model-0'), slotIndex: 0 }, instance: agent, incarnation, expectedFence: 0 })
-  const settings = `[process]\ninstance = r1\ndata_centre = aa-1\nport = 0\n[platform]\nlog = l:1\ninstance_list = l:1\n[trust]\nshared_key = ${BENCH_KEY}\n`
-  return await startRouter({
-    settings: parseSettings(routerSettings, 'bench', settings).unsafeCoerce(),
-    events: createEventLog({ instance, role: 'router', timers }),
-    timers,
-    metrics: createMetrics(),
-    instance,
-    incarnation,
-    records: { ...records, lastSnapshot: () => undefined },
-    readInstances: () => EitherAsync.liftEither(Right([{ name: agent, role: 'agent', dataCentre: 'aa-1' as DataCentre, peerAddress: agentAddress, backendAddress: '', leaving: false }])),
-    chooseBackend: chooseLeastCost,
-    chooseRetryAfter: spreadByDrainTime,
-    proposeRights: () => [],
-    openAbsentEngine: () => { throw new Error('no instance is off the list') },
-    random: Math.random
-  })
-}
-
 interface Cost {
   readonly cpuMs: number
   readonly wallMs: number
--- a/packages/router/src/bench/serveFakeAgents.ts
+++ b/packages/router/src/bench/serveFakeAgents.ts
@@ -15,6 +15,8 @@
   /** True to change one model's counts and the queue with every report. */
   readonly busy: boolean
   readonly tokensPerFrame: number
+  /** True to take requests and never answer them. */
+  readonly holds?: boolean
 }
 
 export interface FakeAgents {
@@ -75,7 +77,7 @@
       const report = plan.thin ? thin(whole) : whole
       link.send({ type: 'heartbeat.ack', sentAtMs: message.sentAtMs, ...(report ? { report } : {}) })
     }
-    if (message.type === 'start') sendAnswer(link, message.attemptId, message.request.maxTokens, plan.tokensPerFrame)
+    if (message.type === 'start' && !plan.holds) sendAnswer(link, message.attemptId, message.request.maxTokens, plan.tokensPerFrame)
   }
 }
 
