Let a process say at /healthz that it leaves

Cause: a router that stops serves on until the balancer has noticed, but /healthz answered "ok" all the while. Changed: serveRpc takes isHealthy; without it /healthz answers as before. Conclusion: a balancer that polls /healthz notices within its own period.

--- a/packages/base/src/rpc/serveRpc.ts
+++ b/packages/base/src/rpc/serveRpc.ts
@@ -14,6 +14,8 @@
   readonly metrics?: Metrics
   /** Takes what is no RPC; returns false to let it be answered with 404. */
   readonly handlePlain?: (request: IncomingMessage, response: ServerResponse) => boolean
+  /** False once the process leaves: `/healthz` then answers 503. Always true if left out. */
+  readonly isHealthy?: () => boolean
   /** Largest RPC message in bytes. */
   readonly maxMessageBytes?: number
 }
@@ -35,8 +37,9 @@
 
 /** Serves RPC, `/metrics` and `/healthz` on one port of Node's `http`. */
 export const serveRpc = async (options: Options): Promise<RpcServer> => {
+  const { isHealthy = () => true } = options
   const fallback = (request: IncomingMessage, response: ServerResponse): void => {
-    if (request.url === '/healthz') return answerText(response, 200, 'ok\n')
+    if (request.url === '/healthz') return isHealthy() ? answerText(response, 200, 'ok\n') : answerText(response, 503, 'leaving\n')
     if (request.url === '/metrics' && options.metrics) return answerText(response, 200, options.metrics.text())
     if (options.handlePlain?.(request, response)) return
     answerText(response, 404, 'not found\n')
