Drive serving through random failures, tell the balancer of a stop

Cause: each failure had a test of its own; their combinations had none. A stopping router looked healthy. Changed: a seeded property test cuts links, lets agents die, lose starts, refuse, stall and fall silent in any order, at both kinds of requests; /healthz answers 503 from SIGTERM on while requests are still served. Conclusion: whole answers, true "not run" and single starts hold under the combinations tried.

--- /dev/null
+++ b/packages/router/src/requests/serveRequest.property.test.ts
@@ -0,0 +1,102 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { FinishReason, RefusalReason, RunState } from '@figmount/schema'
+
+import { createBench, gather, tokensOf } from '../testing/createBench.js'
+import { DEADLINE_GRACE_MS } from './constants.js'
+import { serveRequest } from './serveRequest.js'
+
+import type { AttemptId, InstanceName } from '@figmount/base'
+import type { FromAgent } from '@figmount/peers'
+import type { Behave } from '../testing/createFakeAgent.js'
+
+const SEED = 20_261_202
+const DEADLINE_MS = 30_000
+const WORDS = ['a', 'b', 'c', 'd']
+const never = new AbortController().signal
+
+/** What an agent does with the starts that it gets, in turn, and with a question for one that it has. */
+type Deed = 'answer' | 'stall' | 'refuse' | 'lose' | 'crash' | 'cut' | 'die' | 'silent'
+const deeds = fc.array(fc.constantFrom<Deed>('answer', 'stall', 'refuse', 'lose', 'crash', 'cut', 'die', 'silent'), { minLength: 1, maxLength: 3 })
+
+const refusal = (attemptId: AttemptId, runState: RunState): FromAgent =>
+  ({ type: 'refused', attemptId, refusal: { runState, reason: RefusalReason.UNAVAILABLE, retryAfterMs: 5, detail: '', step: 's', peer: 'p' } })
+
+const framesFrom = (attemptId: AttemptId, done: number): readonly FromAgent[] => [
+  { type: 'tokens', attemptId, frame: 0, firstTokenIndex: done, tokens: WORDS.slice(done) },
+  { type: 'final', attemptId, frame: 1, tokenCount: WORDS.length, finishReason: FinishReason.STOP, version: 'v1' }
+]
+
+interface Site {
+  readonly behaviours: Readonly<Record<string, Behave>>
+  /** Attempts that began to run, by whatever an agent did with them. */
+  readonly ran: Set<AttemptId>
+  /** Set once the agents stand. */
+  readonly trouble: { cut: (agent: string) => void, die: (agent: string) => void }
+}
+
+/** Agents that permit what is asked of them and do the given deeds. */
+const createSite = (plan: Readonly<Record<string, readonly Deed[]>>): Site => {
+  const ran = new Set<AttemptId>()
+  const trouble = { cut: (_agent: string): void => {}, die: (_agent: string): void => {} }
+  const behaviourOf = (agent: string, turns: readonly Deed[]): Behave => {
+    let turn = 0
+    const kept = new Map<AttemptId, readonly FromAgent[]>()
+    return (message, say) => {
+      if (message.type === 'permit.ask') {
+        const { attemptId, executor, executorIncarnation, request: { caller, requestKey } } = message
+        const permit = { caller, requestKey, attemptId, executor, executorIncarnation, keysHolder: agent as InstanceName, keysFence: 1 as never }
+        return say({ type: 'permit.reply', askId: message.askId, reply: { kind: 'granted', permit } })
+      }
+      if (message.type === 'resume') {
+        const frames = kept.get(message.attemptId)
+        if (!frames) return say({ type: 'unknown', attemptId: message.attemptId, incarnation: '1' as never })
+        for (const frame of frames.slice(message.fromFrame)) say(frame)
+      }
+      if (message.type !== 'start') return
+      const { attemptId, request } = message
+      const deed = turns[turn++ % turns.length]
+      const frames = framesFrom(attemptId, request.doneTokens.length)
+      if (deed === 'refuse') return say(refusal(attemptId, RunState.NOT_RUN))
+      if (deed === 'silent') return
+      if (deed === 'lose') return trouble.cut(agent)
+      ran.add(attemptId)
+      if (deed === 'crash') return say(refusal(attemptId, RunState.MAY_HAVE_RUN))
+      if (deed === 'stall') return say({ type: 'tokens', attemptId, frame: 0, firstTokenIndex: request.doneTokens.length, tokens: WORDS.slice(request.doneTokens.length, request.doneTokens.length + 1) })
+      kept.set(attemptId, frames)
+      if (deed === 'cut') return trouble.cut(agent)
+      if (deed === 'die') return trouble.die(agent)
+      for (const frame of frames) say(frame)
+    }
+  }
+  const behaviours = Object.fromEntries(Object.entries(plan).map(([agent, turns]) => [agent, behaviourOf(agent, turns)]))
+  return { behaviours, ran, trouble }
+}
+
+describe('serving through random failures', () => {
+  // Links are cut, agents die, lose a start, refuse, stall or say nothing, in any order. Whatever
+  // happens, the caller gets its own whole answer or a refusal in time, "not run" only if nothing
+  // ran, and a request that may not be repeated is sent to one agent at most.
+  it('keeps what is promised', async () => {
+    await fc.assert(fc.asyncProperty(deeds, deeds, fc.boolean(), fc.constantFrom('a1', 'a2'), async (first, second, repeatable, holder) => {
+      const site = createSite({ a1: first, a2: second })
+      const bench = createBench(site.behaviours)
+      site.trouble.cut = agent => bench.agentOf(agent).cut()
+      site.trouble.die = agent => {
+        bench.agentOf(agent).setDown(true)
+        bench.agentOf(agent).cut()
+      }
+      bench.grantKeys(holder)
+      const beganAtMs = bench.timers.nowMs()
+      const parts = await bench.finish(gather(serveRequest(bench.context, bench.admitted({ repeatable }, DEADLINE_MS), never)))
+      const last = parts.at(-1)
+      expect(last?.kind).to.be.oneOf(['final', 'refusal'])
+      expect(bench.timers.nowMs() - beganAtMs).to.be.at.most(DEADLINE_MS + DEADLINE_GRACE_MS + 1_000)
+      expect(tokensOf(parts)).to.deep.equal(WORDS.slice(0, tokensOf(parts).length))
+      if (last?.kind === 'final') expect(tokensOf(parts)).to.have.length(WORDS.length)
+      if (last?.kind === 'refusal' && last.note.runState === RunState.NOT_RUN) expect(site.ran.size).to.equal(0)
+      const startCount = ['a1', 'a2'].reduce((count, agent) => count + bench.agentOf(agent).heardOf('start').length, 0)
+      if (!repeatable) expect(startCount).to.be.at.most(1)
+    }), { seed: SEED, numRuns: 60 })
+  }).timeout(60_000)
+})
--- a/packages/router/src/router/startRouter.test.ts
+++ b/packages/router/src/router/startRouter.test.ts
@@ -1,13 +1,14 @@
 import { expect } from 'chai'
 import { EitherAsync, Right } from 'purify-ts'
-import { createEventLog, createMetrics, createTimerService, hashKey, parseSettings } from '@figmount/base'
+import { createEventLog, createMetrics, createTimerService, createVirtualTimers, hashKey, parseSettings } from '@figmount/base'
 import { chooseFirstReady, retryAfterFixed } from '@figmount/decisions'
 
 import { routerSettings } from '../settings/routerSettings.js'
 import { createFakeRecords } from '../testing/createFakeRecords.js'
 import { startRouter } from './startRouter.js'
 
-import type { Incarnation, InstanceName, RunningProcess } from '@figmount/base'
+import type { Incarnation, InstanceName, RunningProcess, TimerService } from '@figmount/base'
+import type { FakeRecords } from '../testing/createFakeRecords.js'
 
 const SETTINGS = `[process]
 instance = r1
@@ -22,34 +23,34 @@
 [limits]
 prompt_bytes = 100
 [stop]
-lame_duck_ms = 0
+lame_duck_ms = 5
 `
 
 const CALLER_BODY = JSON.stringify({ kind: 'crew', keySha256: hashKey('crew-key') })
 
+const startForTest = async (timers: TimerService, records: FakeRecords): Promise<RunningProcess> => await startRouter({
+  settings: parseSettings(routerSettings, 'r.ini', SETTINGS).unsafeCoerce(),
+  events: createEventLog({ instance: 'r1' as InstanceName, role: 'router', timers }),
+  timers,
+  metrics: createMetrics(),
+  instance: 'r1' as InstanceName,
+  incarnation: '1' as Incarnation,
+  records: { ...records, lastSnapshot: () => undefined },
+  readInstances: () => EitherAsync.liftEither(Right([])),
+  chooseBackend: chooseFirstReady,
+  chooseRetryAfter: retryAfterFixed,
+  proposeRights: () => [],
+  openAbsentEngine: () => { throw new Error('no instance is off the list') },
+  random: () => 0.5
+})
+
 describe('router on its port', () => {
   let router: RunningProcess
   const records = createFakeRecords()
-  const timers = createTimerService()
 
   before(async () => {
-    const events = createEventLog({ instance: 'r1' as InstanceName, role: 'router', timers })
     records.put({ kind: 'config.set', item: 'caller/crew', expectedVersion: 0, bodyJson: CALLER_BODY, operatorName: 'op' })
-    router = await startRouter({
-      settings: parseSettings(routerSettings, 'r.ini', SETTINGS).unsafeCoerce(),
-      events,
-      timers,
-      metrics: createMetrics(),
-      instance: 'r1' as InstanceName,
-      incarnation: '1' as Incarnation,
-      records: { ...records, lastSnapshot: () => undefined },
-      readInstances: () => EitherAsync.liftEither(Right([])),
-      chooseBackend: chooseFirstReady,
-      chooseRetryAfter: retryAfterFixed,
-      proposeRights: () => [],
-      openAbsentEngine: () => { throw new Error('no instance is off the list') },
-      random: () => 0.5
-    })
+    router = await startForTest(createTimerService(), records)
   })
   after(async () => await router.stop())
 
@@ -106,4 +107,18 @@
     expect((await post('figmount.v1.Operator/Status', {}, 'crew-key')).status).to.equal(401)
     expect((await post('figmount.v1.Operator/Status', {}, 'desk-key')).body['instances']).to.have.length(1)
   })
+
+  // The router is told to stop while the balancer still sends it requests. It says at once that it
+  // is leaving, serves on for the lame-duck time, and only then refuses.
+  it('serves on until the balancer has noticed that it leaves', async () => {
+    const timers = createVirtualTimers()
+    const leaving = await startForTest(timers, createFakeRecords())
+    const stopped = leaving.stop()
+    expect((await fetch(`http://${leaving.address}/healthz`)).status).to.equal(503)
+    const plain = async (): Promise<string> => await (await fetch(`http://${leaving.address}/plain/none/x`)).text()
+    expect(await plain()).to.contain('"unauthenticated"')
+    const done = stopped.then(() => true)
+    while (!await Promise.race([done, new Promise<false>(resolve => setImmediate(() => resolve(false)))])) timers.advance(100)
+    expect(await plain().catch(() => 'closed')).to.equal('closed')
+  })
 })
--- a/packages/router/src/router/startRouter.ts
+++ b/packages/router/src/router/startRouter.ts
@@ -45,6 +45,7 @@
       router.service(Operator, createOperator({ records, events, timers, operatorKeys: settings.trust.operator_keys, status, stopping: stopping.signal }))
     },
     metrics,
+    isHealthy: () => !isDraining,
     handlePlain: createPlainHandler({ context, gate, limits }),
     maxMessageBytes: messageBytes(limits.prompt_bytes)
   })
