--- a/packages/router/src/peers/createRouterPeers.ts
+++ b/packages/router/src/peers/createRouterPeers.ts
@@ -3,8 +3,9 @@
 import { HEARTBEAT_MS } from '@figmount/peers'
 
 import { RouterEvent } from '../events.js'
+import { takeSafely } from '../links/takeSafely.js'
 import { runInBackground } from '../router/runInBackground.js'
-import { REDIAL_MS } from './constants.js'
+import { ANNOUNCE_GATHER_MS, REDIAL_MS } from './constants.js'
 
 import type { EitherAsync } from 'purify-ts'
 import type { EventLog, Fault, Incarnation, InstanceName, LogOffset, TimerService } from '@figmount/base'
@@ -35,7 +36,7 @@
   readonly broadcast: (message: BetweenRouters, except?: string) => void
   /** Sends on a link to the named router, if one is open. */
   readonly sendTo: (peer: string, message: BetweenRouters) => void
-  /** Tells neighbours at once that the own offset has moved. */
+  /** Tells neighbours within ANNOUNCE_GATHER_MS that the own offset has moved. */
   readonly announce: () => void
   readonly views: () => ReadonlyMap<InstanceName, PeerView>
   readonly stop: () => void
@@ -49,6 +50,7 @@
   let neighbours: ReadonlySet<InstanceName> = new Set()
   const dialling = new Set<InstanceName>()
   let isStopped = false
+  let isAnnouncing = false
 
   // Only agents whose offset has moved since the last heartbeat on this link, so that an idle
   // system's heartbeat stays small however many agents there are.
@@ -86,7 +88,7 @@
       beat(link)
     }
     const stopBeating = isDialler ? timers.every(HEARTBEAT_MS, () => beat(link)) : () => {}
-    for await (const message of link.received) handle(link, message)
+    for await (const message of link.received) takeSafely(events, link.peer, message, taken => handle(link, taken))
     stopBeating()
     links.delete(link)
   }
@@ -122,7 +124,12 @@
       }
     },
     announce: () => {
-      for (const link of links.keys()) beat(link)
+      if (isAnnouncing) return
+      isAnnouncing = true
+      timers.after(ANNOUNCE_GATHER_MS, () => {
+        isAnnouncing = false
+        for (const link of links.keys()) beat(link)
+      })
     },
     views: () => views,
     stop: () => {
