Survive unknown messages; forget an attempt without a walk over all

Cause: a message of a newer build, or one without its fields, ended the link's task, and with it every attempt that the link followed. Forgetting an attempt walked over all ids: with 100,000 kept answers each end of a request would cost milliseconds. Changed: such a message is told as bad input and passed over; an attempt knows the ids it was asked for with.

--- a/packages/agent/src/agent/createAgent.test.ts
+++ b/packages/agent/src/agent/createAgent.test.ts
@@ -4,6 +4,7 @@
 import { MODEL, modelSpec, startAgentForTest } from '../testing/startAgentForTest.js'
 
 import type { InstanceName } from '@figmount/base'
+import type { ToAgent } from '@figmount/peers'
 
 const replica = { kind: 'replica', target: MODEL, slotIndex: 0 } as const
 
@@ -38,6 +39,18 @@
     expect(engine.orders).to.deep.equal([])
   })
 
+  it('passes over a message that it does not know', async () => {
+    const { advance, connect, grant, events } = await startAgentForTest()
+    grant(replica)
+    const router = connect()
+    router.send({ type: 'of a newer build' } as unknown as ToAgent)
+    router.send({ type: 'start', attemptId: 'bad' } as unknown as ToAgent)
+    router.start('a')
+    await advance(500)
+    expect(router.finalOf('a')?.tokenCount).to.equal(3)
+    expect(events('badInput')).to.have.length(2)
+  })
+
   it('refuses at its deadline', async () => {
     const { advance, connect, grant, engine } = await startAgentForTest()
     engine.knobs.loadMs = 5_000
--- a/packages/agent/src/attempts/createAttemptStore.ts
+++ b/packages/agent/src/attempts/createAttemptStore.ts
@@ -78,9 +78,7 @@
     dirty.delete(entry)
     entries.delete(entry.id)
     freeKey(entry)
-    for (const [asId, id] of aliases) {
-      if (id === entry.id) aliases.delete(asId)
-    }
+    for (const asId of entry.askedAs) aliases.delete(asId)
   }
 
   /** Leaves of a kept answer only that it ran, so that a resend hears the truth. */
@@ -123,6 +121,7 @@
         gathered: [],
         keptBytes: 0,
         listeners: [],
+        askedAs: new Set([id]),
         orphanSinceMs: nowMs
       }
       entries.set(id, entry)
@@ -141,6 +140,7 @@
       if (fromFrame < entry.firstFrame && entry.phase !== 'refused') return false
       flush(entry)
       aliases.set(asId, id)
+      entry.askedAs.add(asId)
       setListeners(entry, [...withoutListener(entry, asId, subscriber), { asId, subscriber, ackedBelow: fromFrame }])
       for (const frame of entry.frames.slice(fromFrame - entry.firstFrame)) {
         subscriber.send({ ...frame, attemptId: asId })
@@ -150,6 +150,7 @@
     },
     unsubscribeAll: subscriber => {
       for (const entry of entries.values()) {
+        if (entry.listeners.length === 0) continue
         setListeners(entry, entry.listeners.filter(listener => listener.subscriber !== subscriber))
       }
     },
--- a/packages/agent/src/attempts/entry.ts
+++ b/packages/agent/src/attempts/entry.ts
@@ -23,6 +23,8 @@
   gathered: string[]
   keptBytes: number
   listeners: readonly Listener[]
+  /** Ids that routers have asked for it with, its own included. */
+  readonly askedAs: Set<AttemptId>
   orphanSinceMs: number
 }
 
--- a/packages/agent/src/links/constants.ts
+++ b/packages/agent/src/links/constants.ts
@@ -3,3 +3,6 @@
 
 /** Records passed to a peer in one message: at some 500 bytes each well below the largest message. */
 export const RECORDS_PER_MESSAGE = 500
+
+/** An event names a message that could not be handled by so much of its error. */
+export const MAX_REASON_LENGTH = 200
--- a/packages/agent/src/links/runRouterLink.ts
+++ b/packages/agent/src/links/runRouterLink.ts
@@ -1,7 +1,8 @@
 import { match } from 'ts-pattern'
+import { BaseEvent } from '@figmount/base'
 import { createReportThinner } from '@figmount/peers'
 
-import { RECORDS_PER_MESSAGE } from './constants.js'
+import { MAX_REASON_LENGTH, RECORDS_PER_MESSAGE } from './constants.js'
 
 import type { AttemptId, DataCentre } from '@figmount/base'
 import type { AgentReport, PermitReply, ToAgent } from '@figmount/peers'
@@ -65,12 +66,21 @@
     .exhaustive()
 }
 
+/** A message of a newer build, or one without a field, is told and passed over; the link's other attempts go on. */
+const handleSafely = (handlers: LinkHandlers, link: RouterLink, thinReport: ThinReport, message: ToAgent): void => {
+  try {
+    handle(handlers, link, thinReport, message)
+  } catch (error) {
+    handlers.context.events.emit(BaseEvent.badInput, { peer: link.peer, step: 'links.handle', reason: (error as Error).message.slice(0, MAX_REASON_LENGTH) })
+  }
+}
+
 /** The task of one router's connection: reads its messages until it ends. Attempts outlive it. */
 export const runRouterLink = (handlers: LinkHandlers) => async (link: RouterLink): Promise<void> => {
   const thinReport = createReportThinner()
   handlers.onOpen(link)
   try {
-    for await (const message of link.received) handle(handlers, link, thinReport, message)
+    for await (const message of link.received) handleSafely(handlers, link, thinReport, message)
   } finally {
     handlers.attempts.unsubscribeAll(link)
     handlers.onClose(link)
