Convict by what came over links while the log is down

Cause: with the log down a request that crashes engines was only ever a suspect, and each agent that ran it alone lost its engine. Conclusion: the bound of two engines no longer needs the log.

--- a/packages/agent/src/links/runRouterLink.ts
+++ b/packages/agent/src/links/runRouterLink.ts
@@ -9,6 +9,7 @@
 import type { HandleStart } from '../agent/createAdmission.js'
 import type { AgentContext } from '../agent/types.js'
 import type { AttemptStore } from '../attempts/types.js'
+import type { FastSuspicion } from '../suspects/createSuspectBook.js'
 import type { KeyName } from '../once/types.js'
 import type { RouterLink } from './createLinkBook.js'
 
@@ -24,7 +25,7 @@
   readonly cancel: (id: AttemptId) => void
   readonly askPermit: (ask: PermitAsk) => PermitReply
   readonly withdrawPermit: (key: KeyName, attemptId: AttemptId) => void
-  readonly takeSuspicion: (fingerprints: readonly string[]) => void
+  readonly takeSuspicion: (suspicion: FastSuspicion) => void
   readonly report: () => AgentReport
   readonly onOpen: (link: RouterLink) => void
   readonly onClose: (link: RouterLink) => void
@@ -62,7 +63,7 @@
       const found = records.rawFrom(fromOffset, RECORDS_PER_MESSAGE)
       if (found.length > 0) link.send({ type: 'records', records: found })
     })
-    .with({ type: 'suspect' }, ({ fingerprints }) => handlers.takeSuspicion(fingerprints))
+    .with({ type: 'suspect' }, handlers.takeSuspicion)
     .exhaustive()
 }
 
--- a/packages/agent/src/suspects/constants.ts
+++ b/packages/agent/src/suspects/constants.ts
@@ -6,3 +6,6 @@
 
 /** Fast suspicions remembered at once. */
 export const FAST_SUSPICION_COUNT = 1_000
+
+/** Deaths remembered of one fast suspicion; two convict. */
+export const FAST_DEATH_COUNT = 4
--- a/packages/agent/src/suspects/createSuspectBook.ts
+++ b/packages/agent/src/suspects/createSuspectBook.ts
@@ -1,9 +1,10 @@
 import { judgeSuspect } from '@figmount/records'
 
 import { AgentEvent } from '../events.js'
-import { FAST_SUSPICION_COUNT, FAST_SUSPICION_MS } from './constants.js'
+import { FAST_DEATH_COUNT, FAST_SUSPICION_COUNT, FAST_SUSPICION_MS } from './constants.js'
 
-import type { SuspectVerdict } from '@figmount/records'
+import type { InstanceName } from '@figmount/base'
+import type { SuspectDeath, SuspectVerdict } from '@figmount/records'
 import type { AgentContext } from '../agent/types.js'
 import type { AppendReliably } from '../rights/appendReliably.js'
 import type { Attempt } from '../attempts/types.js'
@@ -14,6 +15,11 @@
   readonly deathId: string
 }
 
+/** A suspicion as it comes from a peer. */
+export interface FastSuspicion extends Suspicion {
+  readonly instance: InstanceName
+}
+
 interface Options {
   readonly context: AgentContext
   readonly append: AppendReliably
@@ -26,7 +32,7 @@
   readonly verdictOf: (attempt: Pick<Attempt, 'request'>) => SuspectVerdict
   readonly reportDeath: (deathId: string, inFlight: readonly Attempt[]) => void
   /** Takes a suspicion from a peer, ahead of the log. */
-  readonly takeFast: (fingerprints: readonly string[]) => void
+  readonly takeFast: (suspicion: FastSuspicion) => void
   /** A request got its answer. */
   readonly clear: (attempt: Attempt) => void
 }
@@ -35,16 +41,20 @@
  * Makes the book of suspects.
  *
  * Guards against a request that crashes every engine that runs it and that its caller sends again: the routers and
- * the log hear of it before the request is handed back, so that the next agent already runs it alone.
+ * the log hear of it before the request is handed back, so that the next agent already runs it alone. What
+ * came over links convicts as the log does, so that an outage of the log costs no third engine.
  */
 export const createSuspectBook = ({ context, append, tellRouters }: Options): SuspectBook => {
   const { records, events, timers, instance } = context
-  const fast = new Map<string, number>()
+  const fast = new Map<string, readonly SuspectDeath[]>()
 
-  const takeFast = (fingerprints: readonly string[]): void => {
+  const takeFast = ({ fingerprints, deathId, instance: place }: FastSuspicion): void => {
+    const death: SuspectDeath = { deathId, instance: place, atMs: timers.unixMs(), alone: fingerprints.length === 1 }
     for (const fingerprint of fingerprints) {
+      const known = fast.get(fingerprint) ?? []
+      if (known.some(earlier => earlier.deathId === deathId)) continue
       fast.delete(fingerprint)
-      fast.set(fingerprint, timers.nowMs() + FAST_SUSPICION_MS)
+      fast.set(fingerprint, [...known, death].slice(-FAST_DEATH_COUNT))
     }
     for (const oldest of fast.keys()) {
       if (fast.size <= FAST_SUSPICION_COUNT) break
@@ -52,18 +62,30 @@
     }
   }
 
+  /** The deaths that the log knows and those that it may not have yet. */
+  const deathsOf = (fingerprint: string): readonly SuspectDeath[] => {
+    const logged = records.state().suspects.get(fingerprint)?.deaths ?? []
+    const recent = (fast.get(fingerprint) ?? []).filter(({ atMs }) => timers.unixMs() - atMs <= FAST_SUSPICION_MS)
+    return [...logged, ...recent.filter(({ deathId }) => !logged.some(death => death.deathId === deathId))]
+  }
+
+  const judge = (fingerprint: string): SuspectVerdict => {
+    const state = records.state()
+    if (!fast.has(fingerprint)) return judgeSuspect(state, fingerprint, timers.unixMs())
+    const suspects = new Map([[fingerprint, { fingerprint, deaths: deathsOf(fingerprint) }]])
+    return judgeSuspect({ ...state, suspects }, fingerprint, timers.unixMs())
+  }
+
   return {
     verdictOf: ({ request }) => {
-      const verdict = judgeSuspect(records.state(), request.fingerprint, timers.unixMs())
-      if (verdict !== 'none') return verdict
-      const isFast = (fast.get(request.fingerprint) ?? 0) > timers.nowMs()
-      return isFast || request.suspect ? 'suspect' : 'none'
+      const verdict = judge(request.fingerprint)
+      return verdict === 'none' && request.suspect ? 'suspect' : verdict
     },
     reportDeath: (deathId, inFlight) => {
       const fingerprints = [...new Set(inFlight.map(({ request }) => request.fingerprint))].filter(fingerprint => fingerprint !== '')
       if (fingerprints.length === 0) return
       events.emit(AgentEvent.suspectsReported, { detail: deathId, count: fingerprints.length })
-      takeFast(fingerprints)
+      takeFast({ fingerprints, deathId, instance })
       tellRouters({ fingerprints, deathId })
       append({ kind: 'suspect.add', fingerprints, deathId, instance })
     },
--- a/packages/agent/src/suspects/suspects.test.ts
+++ b/packages/agent/src/suspects/suspects.test.ts
@@ -61,6 +61,22 @@
     expect(router.finalOf('late')?.tokenCount).to.equal(5)
   })
 
+  // The log is down while one request crashes engine after engine. Without the log's word every
+  // agent would run it alone once more, and lose its engine each time.
+  it('are convicted by what came over links while the log is down', async () => {
+    const { under, router } = await ready()
+    under.log.isUp = false
+    const instance = 'agent-9' as InstanceName
+    router.send({ type: 'suspect', fingerprints: ['bomb', 'other'], deathId: 'agent-8/e1', instance })
+    router.send({ type: 'suspect', fingerprints: ['bomb'], deathId: 'agent-9/e1', instance })
+    router.send({ type: 'suspect', fingerprints: ['bomb'], deathId: 'agent-9/e1', instance })
+    router.start('x', { prompt: 'bomb' })
+    router.start('y', { prompt: 'other' })
+    await under.advance(400)
+    expect(router.refusalOf('x')?.reason).to.equal(RefusalReason.QUARANTINED)
+    expect(router.finalOf('y')?.tokenCount).to.equal(3)
+  })
+
   it('are believed from a peer ahead of the log', async () => {
     const { under, router } = await ready()
     router.send({ type: 'suspect', fingerprints: ['s'], deathId: 'agent-9/e1', instance: 'agent-9' as InstanceName })
