--- a/packages/agent/src/bench/measureHotPath.ts
+++ b/packages/agent/src/bench/measureHotPath.ts
@@ -62,7 +62,9 @@
 address = ${engine}
 services = reader
 `)
-const child = spawn(process.execPath, [...(process.env.PROF ? ['--cpu-prof', '--cpu-prof-dir=/tmp/agprof'] : []), 'dist/figmount-agent.mjs', '--settings', settingsFile, '--event-lines'], { stdio: ['ignore', 'pipe', 'inherit'] })
+/** Where the agent writes a processor profile; none if unset. */
+const profileDir = process.env['FIGMOUNT_PROFILE_DIR']
+const child = spawn(process.execPath, [...(profileDir ? ['--cpu-prof', `--cpu-prof-dir=${profileDir}`] : []), 'dist/figmount-agent.mjs', '--settings', settingsFile, '--event-lines'], { stdio: ['ignore', 'pipe', 'inherit'] })
 const pid = child.pid ?? 0
 const address = await new Promise<string>(resolve => {
   let text = ''
