--- a/packages/capacity/src/measuring/measureSites.ts
+++ b/packages/capacity/src/measuring/measureSites.ts
@@ -23,6 +23,9 @@
   readonly agentIdleUs: number
 }
 
+/** The default of the agent's settings; the rig reads the list far more often. */
+const DEFAULT_LIST_MS = 5_000
+
 const timers = createTimerService()
 
 const configure = async (site: Site, modelCount: number): Promise<void> => {
@@ -36,7 +39,7 @@
 
 const measureSite = async (modelCount: number): Promise<SiteFigures> => {
   const services = Array.from({ length: Math.ceil(modelCount / MODELS_PER_SERVICE) }, (_, index) => `s${index}`)
-  const site = await createSite({ name: `capacity-${modelCount}`, routers: [{ name: 'r1' }], agents: [{ name: 'a1', services }, { name: 'a2', services }] })
+  const site = await createSite({ name: `capacity-${modelCount}`, routers: [{ name: 'r1' }], agents: ['a1', 'a2'].map(name => ({ name, services, sections: { tuning: { list_ms: DEFAULT_LIST_MS } } })) })
   try {
     await configure(site, modelCount)
     await site.rig.until('every right to be granted', () =>
