Leave routers that cannot propose out of the turn

Cause: a router that is cut off from the log kept its turns, so rights of new models waited for the turn to pass on while their callers came back ever later. Changed: the routers' digest says whether the sender may propose; neighbours that cannot be dialled count as unable; the list of proposers stays the same array while its members do.

--- a/packages/peers/src/messages/types.ts
+++ b/packages/peers/src/messages/types.ts
@@ -171,4 +171,6 @@
   readonly appliedOffset: LogOffset
   readonly agents: ReadonlyArray<readonly [instance: InstanceName, appliedOffset: LogOffset]>
   readonly draining: boolean
+  /** False while the router's view of the log is not fresh: it proposes nothing, so others must. */
+  readonly canPropose?: boolean
 }
--- a/packages/router/src/peers/createRouterPeers.ts
+++ b/packages/router/src/peers/createRouterPeers.ts
@@ -20,6 +20,7 @@
   readonly dial: (instance: InstanceName) => EitherAsync<Fault, RouterLink>
   readonly ownOffset: () => LogOffset
   readonly isDraining: () => boolean
+  readonly canPropose: () => boolean
   /** Offsets at the agents that this router has a link to. */
   readonly agentOffsets: () => ReadonlyMap<InstanceName, LogOffset>
   readonly onShared: (peer: string, message: SharedMessage, link: RouterLink) => void
@@ -39,6 +40,8 @@
   /** Tells neighbours within ANNOUNCE_GATHER_MS that the own offset has moved. */
   readonly announce: () => void
   readonly views: () => ReadonlyMap<InstanceName, PeerView>
+  /** Neighbours that are known to propose nothing now: they cannot be dialled, or say so themselves. */
+  readonly cannotPropose: (peer: InstanceName) => boolean
   readonly stop: () => void
 }
 
@@ -49,6 +52,7 @@
   const views = new Map<InstanceName, PeerView>()
   let neighbours: ReadonlySet<InstanceName> = new Set()
   const dialling = new Set<InstanceName>()
+  const unreachable = new Set<InstanceName>()
   let isStopped = false
   let isAnnouncing = false
 
@@ -58,14 +62,14 @@
     const told = links.get(link) ?? new Map<InstanceName, LogOffset>()
     const moved = [...options.agentOffsets()].filter(([agent, offset]) => told.get(agent) !== offset)
     for (const [agent, offset] of moved) told.set(agent, offset)
-    return { instance: options.instance, appliedOffset: options.ownOffset(), agents: moved, draining: options.isDraining() }
+    return { instance: options.instance, appliedOffset: options.ownOffset(), agents: moved, draining: options.isDraining(), canPropose: options.canPropose() }
   }
 
   const takeDigest = (digest: RouterDigest): void => {
     const known = views.get(digest.instance)
     const appliedOffset = Math.max(known?.appliedOffset ?? 0, digest.appliedOffset) as LogOffset
     const agentOffsets = new Map([...(known?.agentOffsets ?? []), ...digest.agents])
-    views.set(digest.instance, { instance: digest.instance, appliedOffset, draining: digest.draining, agentOffsets })
+    views.set(digest.instance, { instance: digest.instance, appliedOffset, draining: digest.draining, canPropose: digest.canPropose ?? true, agentOffsets })
   }
 
   const beat = (link: RouterLink): void => link.send({ type: 'heartbeat', sentAtMs: timers.nowMs(), digest: digestFor(link) })
@@ -99,10 +103,15 @@
     dialling.add(peer)
     while (isWanted(peer)) {
       const dialled = await options.dial(peer).run()
-      if (dialled.isRight()) await runLink(dialled.unsafeCoerce(), true)
+      if (dialled.isLeft()) unreachable.add(peer)
+      else {
+        unreachable.delete(peer)
+        await runLink(dialled.unsafeCoerce(), true)
+      }
       await sleep(timers, REDIAL_MS)
     }
     dialling.delete(peer)
+    unreachable.delete(peer)
   }
 
   return {
@@ -132,6 +141,7 @@
       })
     },
     views: () => views,
+    cannotPropose: peer => unreachable.has(peer) || views.get(peer)?.canPropose === false,
     stop: () => {
       isStopped = true
       for (const link of links.keys()) link.close('router stops')
--- a/packages/router/src/peers/types.ts
+++ b/packages/router/src/peers/types.ts
@@ -17,5 +17,6 @@
   readonly instance: InstanceName
   readonly appliedOffset: LogOffset
   readonly draining: boolean
+  readonly canPropose: boolean
   readonly agentOffsets: ReadonlyMap<InstanceName, LogOffset>
 }
--- /dev/null
+++ b/packages/router/src/proposals/createProposerList.test.ts
@@ -0,0 +1,21 @@
+import { expect } from 'chai'
+
+import { createProposerList } from './createProposerList.js'
+
+import type { InstanceName } from '@figmount/base'
+
+const names = (...texts: string[]): readonly InstanceName[] => texts as readonly string[] as readonly InstanceName[]
+
+describe('routers that may propose', () => {
+  // One of two routers is cut off from the log while new models are configured. Rights whose turn is
+  // its own must be granted by the other one, and callers of these models wait for it.
+  it('leave out those that cannot, but never the own one', () => {
+    const cut = new Set<string>()
+    const proposers = createProposerList({ own: 'r1' as InstanceName, listed: () => names('r1', 'r2', 'r3'), cannotPropose: peer => cut.has(peer) })
+    const all = proposers()
+    expect(all).to.deep.equal(['r1', 'r2', 'r3'])
+    expect(proposers()).to.equal(all)
+    cut.add('r2').add('r1')
+    expect(proposers()).to.deep.equal(['r1', 'r3'])
+  })
+})
--- a/packages/router/src/proposals/runProposer.ts
+++ b/packages/router/src/proposals/runProposer.ts
@@ -2,6 +2,7 @@
 import { proposeVoids, shouldPropose } from '@figmount/records'
 
 import { createMailbox } from '../answers/createMailbox.js'
+import { isLogFresh } from './isLogFresh.js'
 import { submitProposal } from './submitProposal.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
@@ -13,6 +14,8 @@
   readonly instance: InstanceName
   readonly records: RecordsClient
   readonly membership: Membership
+  /** Routers among which the turn to propose is drawn. */
+  readonly proposers: () => readonly InstanceName[]
   readonly proposeRights: ProposeRights
   /** What the engines of instances that are off the list have last said. */
   readonly engineOf: (instance: InstanceName) => EngineReach
@@ -27,11 +30,9 @@
 const ROUND_MS = 500
 /** Changes that come within this time are answered by one round. */
 const GATHER_MS = 25
-/** A router whose log has not answered for this long proposes nothing: its view may be old. */
-const FRESH_MS = 5_000
 
-const findProposals = ({ instance, records, membership, proposeRights, engineOf, isLoaded, timers }: Options): readonly NewRecord[] => {
-  const routers = [...new Set([...membership.routers(), instance])]
+const findProposals = ({ instance, records, membership, proposers, proposeRights, engineOf, isLoaded, timers }: Options): readonly NewRecord[] => {
+  const routers = proposers()
   const mayPropose = (target: string): boolean => shouldPropose(target, routers, instance, timers.unixMs())
   const state = records.state()
   const instances = [...membership.list().instances.values()]
@@ -47,8 +48,7 @@
   const changes = createMailbox<true>(timers, 1)
   const unsubscribe = records.onChange(() => { changes.push(true) })
   while (!signal.aborted) {
-    const isFresh = records.isReady() && timers.nowMs() - records.confirmedAtMs() < FRESH_MS
-    const proposals = isFresh ? findProposals(options) : []
+    const proposals = isLogFresh(records, timers) ? findProposals(options) : []
     await Promise.all(proposals.map(async record => await submitProposal(options, record)))
     if (await changes.take(ROUND_MS, signal)) await sleep(timers, GATHER_MS, signal)
   }
--- a/packages/router/src/router/createNetwork.ts
+++ b/packages/router/src/router/createNetwork.ts
@@ -2,6 +2,7 @@
 import { createAgentLinks } from '../links/createAgentLinks.js'
 import { createExchange } from '../peers/createExchange.js'
 import { createRouterPeers } from '../peers/createRouterPeers.js'
+import { isLogFresh } from '../proposals/isLogFresh.js'
 import { createDials } from './createDials.js'
 
 import type { LinkContext } from '@figmount/peers'
@@ -66,6 +67,7 @@
     dial: dials.dialRouter,
     ownOffset: () => records.state().nextOffset,
     isDraining,
+    canPropose: () => !isDraining() && isLogFresh(records, timers),
     agentOffsets: () => new Map(links.views().filter(view => view.isOpen).map(view => [view.instance, view.appliedOffset])),
     onShared: (peer, message, link) => exchange.take(peer, message, link.send),
     timers,
--- a/packages/router/src/router/startTasks.ts
+++ b/packages/router/src/router/startTasks.ts
@@ -2,12 +2,13 @@
 
 import { pollInstances } from '../membership/pollInstances.js'
 import { pickNeighbours } from '../peers/pickNeighbours.js'
+import { createProposerList } from '../proposals/createProposerList.js'
 import { runProposer } from '../proposals/runProposer.js'
 import { isLoadedIn } from '../routing/isLoadedIn.js'
 import { watchAbsentEngines } from '../voids/watchAbsentEngines.js'
 import { runInBackground } from './runInBackground.js'
 
-import type { Unsubscribe } from '@figmount/base'
+import type { InstanceName, Unsubscribe } from '@figmount/base'
 import type { Membership } from '../membership/createMembership.js'
 import type { Suspects } from '../suspects/types.js'
 import type { Network } from './createNetwork.js'
@@ -23,6 +24,9 @@
 /** Name under which the router that writes snapshots is chosen. */
 const SNAPSHOTS = 'snapshots'
 
+const proposersOf = ({ parts, membership, network }: Options): (() => readonly InstanceName[]) =>
+  createProposerList({ own: parts.instance, listed: membership.routers, cannotPropose: network.peers.cannotPropose })
+
 const followRecords = ({ parts, network, suspects }: Options): Unsubscribe => parts.records.onChange(changed => {
   for (const { record } of changed) {
     if (record.kind === 'suspect.clear') suspects.clear(record.fingerprint)
@@ -44,16 +48,19 @@
   }))
 }
 
-const proposeRecords = ({ parts, membership, network: { links } }: Options, signal: AbortSignal): void => {
+const proposeRecords = (options: Options, signal: AbortSignal): void => {
+  const { parts, membership, network: { links } } = options
+  const proposers = proposersOf(options)
   const { instance, records, timers, events } = parts
   const absentEngines = watchAbsentEngines({
-    instance, records, membership, links, openEngine: parts.openAbsentEngine, timers, events, signal
+    instance, records, membership, links, proposers, openEngine: parts.openAbsentEngine, timers, events, signal
   })
   runInBackground(events, 'voids.run', absentEngines.run())
   runInBackground(events, 'proposals.run', runProposer({
     instance,
     records,
     membership,
+    proposers,
     proposeRights: parts.proposeRights,
     engineOf: absentEngines.reachOf,
     isLoaded: (agent, target) => isLoadedIn(links.viewOf(agent)?.report, target),
@@ -63,13 +70,15 @@
   }))
 }
 
-const writeSnapshots = ({ parts, membership }: Options): Unsubscribe => {
+const writeSnapshots = (options: Options): Unsubscribe => {
+  const { parts } = options
+  const proposers = proposersOf(options)
   const { settings, instance, records, timers, events } = parts
   return createSnapshotWriter({
     client: records,
     timers,
     events,
-    isMyTurn: () => shouldPropose(SNAPSHOTS, [...new Set([...membership.routers(), instance])], instance, timers.unixMs()),
+    isMyTurn: () => shouldPropose(SNAPSHOTS, proposers(), instance, timers.unixMs()),
     periodMs: settings.records.snapshot_period_ms
   })
 }
--- a/packages/router/src/voids/watchAbsentEngines.ts
+++ b/packages/router/src/voids/watchAbsentEngines.ts
@@ -16,6 +16,8 @@
   readonly records: RecordsClient
   readonly membership: Membership
   readonly links: AgentLinks
+  /** Routers among which the turn to propose is drawn. */
+  readonly proposers: () => readonly InstanceName[]
   readonly openEngine: (address: string) => AbsentEngine
   readonly timers: TimerService
   readonly events: EventLog
@@ -53,7 +55,7 @@
   }
 
   const lookAtAll = async (): Promise<void> => {
-    const routers = [...new Set([...membership.routers(), own])]
+    const routers = options.proposers()
     const absent = findAbsent(records.state(), membership.absences()).filter(instance => shouldPropose(instance, routers, own, timers.unixMs()))
     const found = await Promise.all(absent.map(async instance => [instance, await lookAt(instance)] as const))
     for (const [instance, reach] of found) {
