--- a/packages/agent/src/links/runRouterLink.ts
+++ b/packages/agent/src/links/runRouterLink.ts
@@ -1,13 +1,15 @@
 import { match } from 'ts-pattern'
+import { BaseEvent } from '@figmount/base'
 import { createReportThinner } from '@figmount/peers'
 
-import { RECORDS_PER_MESSAGE } from './constants.js'
+import { MAX_REASON_LENGTH, RECORDS_PER_MESSAGE } from './constants.js'
 
 import type { AttemptId, DataCentre } from '@figmount/base'
 import type { AgentReport, PermitReply, ToAgent } from '@figmount/peers'
 import type { HandleStart } from '../agent/createAdmission.js'
 import type { AgentContext } from '../agent/types.js'
 import type { AttemptStore } from '../attempts/types.js'
+import type { FastSuspicion } from '../suspects/createSuspectBook.js'
 import type { KeyName } from '../once/types.js'
 import type { RouterLink } from './createLinkBook.js'
 
@@ -23,7 +25,7 @@
   readonly cancel: (id: AttemptId) => void
   readonly askPermit: (ask: PermitAsk) => PermitReply
   readonly withdrawPermit: (key: KeyName, attemptId: AttemptId) => void
-  readonly takeSuspicion: (fingerprints: readonly string[]) => void
+  readonly takeSuspicion: (suspicion: FastSuspicion) => void
   readonly report: () => AgentReport
   readonly onOpen: (link: RouterLink) => void
   readonly onClose: (link: RouterLink) => void
@@ -61,16 +63,25 @@
       const found = records.rawFrom(fromOffset, RECORDS_PER_MESSAGE)
       if (found.length > 0) link.send({ type: 'records', records: found })
     })
-    .with({ type: 'suspect' }, ({ fingerprints }) => handlers.takeSuspicion(fingerprints))
+    .with({ type: 'suspect' }, handlers.takeSuspicion)
     .exhaustive()
 }
 
+/** A message of a newer build, or one without a field, is told and passed over; the link's other attempts go on. */
+const handleSafely = (handlers: LinkHandlers, link: RouterLink, thinReport: ThinReport, message: ToAgent): void => {
+  try {
+    handle(handlers, link, thinReport, message)
+  } catch (error) {
+    handlers.context.events.emit(BaseEvent.badInput, { peer: link.peer, step: 'links.handle', reason: (error as Error).message.slice(0, MAX_REASON_LENGTH) })
+  }
+}
+
 /** The task of one router's connection: reads its messages until it ends. Attempts outlive it. */
 export const runRouterLink = (handlers: LinkHandlers) => async (link: RouterLink): Promise<void> => {
   const thinReport = createReportThinner()
   handlers.onOpen(link)
   try {
-    for await (const message of link.received) handle(handlers, link, thinReport, message)
+    for await (const message of link.received) handleSafely(handlers, link, thinReport, message)
   } finally {
     handlers.attempts.unsubscribeAll(link)
     handlers.onClose(link)
