Weigh the present once for a pick, not once for each request

Changed: the weight of now is worked out once for a queue; the bench has the estimate of the work ahead.

--- a/packages/decisions/src/queueing/estimateAhead.ts
+++ b/packages/decisions/src/queueing/estimateAhead.ts
@@ -11,10 +11,10 @@
  * Work of the same priority with an earlier virtual arrival. Each request that is served puts off the next ones of its
  * caller, so that only the first few of a hot caller are ahead of a quiet one.
  */
-const aheadInPriority = (waiting: readonly WaitingRequest[], request: WaitingRequest, fairness: FairnessState, nowMs: number): number => {
+const aheadInPriority = (waiting: readonly WaitingRequest[], request: WaitingRequest, fairness: FairnessState, nowWeight: number): number => {
   const before = new Map<CallerName, number>()
   const ownTokens = waiting.reduce((sum, one) => one.caller === request.caller ? sum + one.expectedTokens : sum, 0)
-  const ownMs = virtualArrivalMs(request, fairness, nowMs) + ownTokens / request.share * QueueTuning.servedWeightMs
+  const ownMs = virtualArrivalMs(request, fairness, nowWeight) + ownTokens / request.share * QueueTuning.servedWeightMs
   let ahead = ownTokens
   for (const one of waiting) {
     if (one.caller === request.caller) continue
@@ -22,15 +22,14 @@
     before.set(one.caller, tokensBefore + one.expectedTokens)
     const levels = 1 / one.share + (one.tenant === request.tenant ? 0 : 1)
     const putOffMs = tokensBefore * levels * QueueTuning.servedWeightMs
-    if (virtualArrivalMs(one, fairness, nowMs) + putOffMs < ownMs) ahead += one.expectedTokens
+    if (virtualArrivalMs(one, fairness, nowWeight) + putOffMs < ownMs) ahead += one.expectedTokens
   }
   return ahead
 }
 
 /** Work of other priorities: each is served first for as long as its share is short of the own one. */
-const aheadOfOthers = (waiting: readonly WaitingRequest[], request: WaitingRequest, inPriority: number, fairness: FairnessState, nowMs: number): number => {
-  const scale = weightOfNow(fairness.asOfMs, nowMs)
-  const servedOf = (priority: number): number => (fairness.servedByPriority?.get(priority) ?? 0) / scale
+const aheadOfOthers = (waiting: readonly WaitingRequest[], request: WaitingRequest, inPriority: number, fairness: FairnessState, nowWeight: number): number => {
+  const servedOf = (priority: number): number => (fairness.servedByPriority?.get(priority) ?? 0) / nowWeight
   const servedAtTurn = servedOf(request.priority) + inPriority / weightOfPriority(request.priority)
   const tokens = new Map<number, number>()
   for (const one of waiting) tokens.set(one.priority, (tokens.get(one.priority) ?? 0) + one.expectedTokens)
@@ -50,7 +49,8 @@
  * brings is measured by `waitRatio` of the estimates. `waiting` is in order of arrival.
  */
 export const fairAhead: EstimateAhead = (waiting, request, fairness, nowMs) => {
+  const nowWeight = weightOfNow(fairness.asOfMs, nowMs)
   const same = waiting.filter(one => one.priority === request.priority)
-  const inPriority = aheadInPriority(same, request, fairness, nowMs)
-  return inPriority + aheadOfOthers(waiting, request, inPriority, fairness, nowMs)
+  const inPriority = aheadInPriority(same, request, fairness, nowWeight)
+  return inPriority + aheadOfOthers(waiting, request, inPriority, fairness, nowWeight)
 }
--- a/packages/decisions/src/queueing/pickFairShare.ts
+++ b/packages/decisions/src/queueing/pickFairShare.ts
@@ -1,3 +1,4 @@
+import { weightOfNow } from './constants.js'
 import { virtualArrivalMs } from './virtualArrival.js'
 
 import type { FairnessState, PickNext, WaitingRequest } from './types.js'
@@ -9,10 +10,10 @@
   readonly virtualArrivalMs: number
 }
 
-const rank = (request: WaitingRequest, fairness: FairnessState, nowMs: number): Rank => ({
+const rank = (request: WaitingRequest, fairness: FairnessState, nowWeight: number): Rank => ({
   servedByPriority: fairness.servedByPriority?.get(request.priority) ?? 0,
   negatedPriority: -request.priority,
-  virtualArrivalMs: virtualArrivalMs(request, fairness, nowMs)
+  virtualArrivalMs: virtualArrivalMs(request, fairness, nowWeight)
 })
 
 const isBefore = (a: Rank, b: Rank): boolean => {
@@ -36,11 +37,12 @@
  * has passed is not picked, since its caller has its refusal.
  */
 export const pickFairShare: PickNext = (waiting, fairness, nowMs) => {
+  const nowWeight = weightOfNow(fairness.asOfMs, nowMs)
   let best: typeof waiting[number] | undefined
   let bestRank: Rank | undefined
   for (const request of waiting) {
     if (request.deadlineAtMs <= nowMs) continue
-    const own = rank(request, fairness, nowMs)
+    const own = rank(request, fairness, nowWeight)
     if (bestRank && !isBefore(own, bestRank)) continue
     best = request
     bestRank = own
--- a/scripts/benchDecisions.ts
+++ b/scripts/benchDecisions.ts
@@ -1,5 +1,5 @@
 import {
-  accountDecayed, admitByDeadline, candidatesFromDigests, chooseFirstReady, chooseLeastCost, digestGroup, evictLeastLoss, keepByHistory, noFairness,
+  accountDecayed, admitByDeadline, candidatesFromDigests, chooseFirstReady, chooseLeastCost, digestGroup, evictLeastLoss, fairAhead, keepByHistory, noFairness,
   orderByNeed, pickFairShare, spreadByDrainTime
 } from '../packages/decisions/src/index.js'
 import { makeRandom } from '../packages/decisions/src/simulation/makeRandom.js'
@@ -105,6 +105,7 @@
   let fairness = noFairness
   for (const one of queue) fairness = accountDecayed(fairness, one, 100, 10)
   report('order of service', 'waiting', size, () => pickFairShare(queue, fairness, 10))
+  report('work ahead', 'waiting', size, () => fairAhead(queue, queue[0]!, fairness, 10))
   report('accounting', 'waiting', size, () => accountDecayed(fairness, queue[0]!, 100, 10))
 }
 for (const size of [8, 64, 512]) {
