--- a/packages/decisions/src/simulation/keepalive/types.ts
+++ b/packages/decisions/src/simulation/keepalive/types.ts
@@ -13,7 +13,7 @@
   readonly loadMs: number
 }
 
-/** One use: a session of a caller with a model and perhaps an adapter. */
+/** One use of a model, and perhaps of an adapter, by a caller. */
 export interface Use {
   readonly atMs: number
   readonly modelIndex: number
