Ask for new reports before a refusal

Changed: a choice that finds nobody in time is made once more on reports that are asked for, unless they are younger than 200 ms, which bounds what refusals ask for to five reports a second and link. Conclusion: a refusal rests on what the agent says now.

--- a/packages/router/src/links/createAgentLink.ts
+++ b/packages/router/src/links/createAgentLink.ts
@@ -46,6 +46,7 @@
   const attempts = new Map<AttemptId, OpenAttempt>()
   const asks = new Map<number, (reply: PermitReply) => void>()
   const openWaiters = new Set<(result: Either<Fault, AgentView>) => void>()
+  const reportWaiters = new Set<() => void>()
   let view: AgentView = {
     instance,
     isOpen: false,
@@ -132,6 +133,7 @@
     .with({ type: 'tokens' }, { type: 'final' }, { type: 'progress' }, { type: 'refused' }, { type: 'unknown' }, deliver)
     .with({ type: 'welcome' }, takeWelcome)
     .with({ type: 'heartbeat.ack' }, ({ report }) => {
+      for (const settle of [...reportWaiters]) settle()
       if (report) return takeReport(report, view.incarnation)
       view = { ...view, reportAtMs: timers.nowMs() }
     })
@@ -258,6 +260,16 @@
       want()
       return view.isOpen ? Right(view) : await waitOpen(waitMs)
     }),
+    refresh: async waitMs => await new Promise(resolve => {
+      const settle = (): void => {
+        cancel()
+        reportWaiters.delete(settle)
+        resolve()
+      }
+      const cancel = timers.after(waitMs, settle)
+      reportWaiters.add(settle)
+      send({ type: 'heartbeat', sentAtMs: timers.nowMs() })
+    }),
     keep: want,
     openAttempt,
     askPermit: (ask, waitMs) => EitherAsync.fromPromise(async () => {
--- a/packages/router/src/links/types.ts
+++ b/packages/router/src/links/types.ts
@@ -59,6 +59,8 @@
   readonly view: () => AgentView
   /** Opens a connection unless one is open; Right when the agent has welcomed this router. */
   readonly whenOpen: (waitMs: number) => EitherAsync<Fault, AgentView>
+  /** Asks for a report now; resolves when it has come or after `waitMs`. */
+  readonly refresh: (waitMs: number) => Promise<void>
   /** Keeps the link from being closed as idle. */
   readonly keep: () => void
   readonly openAttempt: (attemptId: AttemptId, nextFrame: () => number) => AttemptChannel
--- a/packages/router/src/requests/choosePlacement.ts
+++ b/packages/router/src/requests/choosePlacement.ts
@@ -3,12 +3,12 @@
 import { RefusalReason } from '@figmount/schema'
 
 import { buildCandidates, buildPlainCandidates } from '../routing/buildCandidates.js'
-import { DEFAULT_RETRY_AFTER_MS, MORE_REPORTS_WAIT_MS, OPEN_WAIT_MS } from './constants.js'
+import { DEFAULT_RETRY_AFTER_MS, MORE_REPORTS_WAIT_MS, OPEN_WAIT_MS, RECENT_REPORT_MS, REFRESH_WAIT_MS } from './constants.js'
 import { pickSubset } from '../routing/pickSubset.js'
 import { chooseRetry } from './chooseRetry.js'
 import { notRun } from './refusals.js'
 
-import type { RoutingCandidate, RoutingRequest } from '@figmount/decisions'
+import type { RoutingCandidate, RoutingChoice, RoutingRequest } from '@figmount/decisions'
 import type { AdmittedRequest, Placement, ServeContext, ServeProgress } from './types.js'
 
 const candidatesFor = (context: ServeContext, { run }: AdmittedRequest, progress: ServeProgress): readonly RoutingCandidate[] => {
@@ -52,13 +52,30 @@
   })
 })
 
+/**
+ * Chooses once more on new reports before a request is refused.
+ *
+ * Guards against a refusal on an old report: a burst is queued when the report is made and served
+ * within the second, and the next caller hears that it would have to wait for all of it.
+ */
+const chooseAgain = async (
+  context: ServeContext, admitted: AdmittedRequest, progress: ServeProgress, candidates: readonly RoutingCandidate[], refused: RoutingChoice
+): Promise<RoutingChoice> => {
+  const stale = candidates.filter(candidate => candidate.reportAgeMs > RECENT_REPORT_MS)
+  if (stale.length === 0) return refused
+  await Promise.all(stale.map(async candidate => await context.links.linkTo(candidate.instance).refresh(REFRESH_WAIT_MS)))
+  const renewed = candidatesFor(context, admitted, progress).filter(candidate => isOpen(context, candidate))
+  return context.chooseBackend(routingRequestOf(context, admitted), renewed, context.random)
+}
+
 /** Chooses where a request goes. Agents that cannot be reached are passed over. */
 export const choosePlacement = async (context: ServeContext, admitted: AdmittedRequest, progress: ServeProgress): Promise<Placement> => {
   const remainingMs = admitted.deadlineAtMs - context.timers.nowMs()
   await openLinks(context, candidatesFor(context, admitted, progress), Math.min(OPEN_WAIT_MS, remainingMs))
   const reachable = candidatesFor(context, admitted, progress).filter(candidate => isOpen(context, candidate))
   if (reachable.length === 0) return refuseUnavailable(context, admitted)
-  const choice = context.chooseBackend(routingRequestOf(context, admitted), reachable, context.random)
+  const first = context.chooseBackend(routingRequestOf(context, admitted), reachable, context.random)
+  const choice = first.kind === 'send' ? first : await chooseAgain(context, admitted, progress, reachable, first)
   if (choice.kind === 'send') return { kind: 'start', candidate: choice.candidate }
   return {
     kind: 'refuse',
--- a/packages/router/src/requests/constants.ts
+++ b/packages/router/src/requests/constants.ts
@@ -40,3 +40,9 @@
 
 /** Tokens in one frame to a caller; a few KB. */
 export const MAX_FRAME_TOKENS = 256
+
+/** A refusal may rest on reports of this age; it bounds the reports that refusals ask for to five a second and link. */
+export const RECENT_REPORT_MS = 200
+
+/** Time for an agent to report when it is asked before a refusal. */
+export const REFRESH_WAIT_MS = 100
--- a/packages/router/src/requests/serveRequest.test.ts
+++ b/packages/router/src/requests/serveRequest.test.ts
@@ -85,6 +85,18 @@
     expect(bench.agentOf('a2').heardOf('start')).to.have.length(1)
   })
 
+  // A burst was queued when the agent reported and is served by now. The next caller must not be
+  // refused for a queue that is gone.
+  it('is not refused on an old report', async () => {
+    const bench = createBench({ a1: answering })
+    bench.agentOf('a1').setQueuedSeconds(100)
+    await bench.finish(bench.links.linkTo('a1' as never).whenOpen(1_000).run())
+    bench.agentOf('a1').setQueuedSeconds(0)
+    await bench.settle(500)
+    const parts = await bench.finish(gather(serveRequest(bench.context, bench.admitted({}, 10_000), never)))
+    expect(parts.at(-1)?.kind).to.equal('final')
+  })
+
   it('does not say "not run" when tokens came', async () => {
     const bench = createBench({ a1: stalling })
     const parts = await bench.finish(gather(serveRequest(bench.context, bench.admitted({}, 4_000), never)))
--- a/packages/router/src/testing/createFakeAgent.ts
+++ b/packages/router/src/testing/createFakeAgent.ts
@@ -19,6 +19,7 @@
   /** Dials fail while the agent is down. */
   readonly setDown: (isDown: boolean) => void
   readonly setModels: (models: readonly ModelReport[]) => void
+  readonly setQueuedSeconds: (seconds: number) => void
   readonly say: (message: FromAgent) => void
 }
 
@@ -28,6 +29,7 @@
   let isDown = false
   let sequence = 0
   let models: readonly ModelReport[] = []
+  let queuedSeconds = 0
 
   const report = (): AgentReport => ({
     sequence: sequence++,
@@ -83,6 +85,7 @@
     cut: () => { for (const link of [...links]) link.end() },
     setDown: value => { isDown = value },
     setModels: value => { models = value },
+    setQueuedSeconds: value => { queuedSeconds = value },
     say: message => { for (const link of links) link.say(message) }
   }
 }
