--- a/packages/router/src/testing/createFakeAgent.ts
+++ b/packages/router/src/testing/createFakeAgent.ts
@@ -37,7 +37,7 @@
     runningCount: 0,
     queuedCount: 0,
     batchSize: 4,
-    queuedSeconds: 0,
+    queuedSeconds,
     tokenIntervalMs: 10,
     memoryCapacityMb: 100,
     memoryUsedMb: 0,
