Count the work ahead at the agent by its order of service

Cause: the agent counted all queued work of the same or a higher priority as ahead, so a quiet caller was refused for a hot caller's queue, and it took the upper bound of the lengths for both the queue and the request itself. Change: fairAhead gives the tokens ahead; expectedTokens is the mean and boundTokens goes to admission apart from it. The new test of the quiet caller fails with allAhead in place of fairAhead (refused as overloaded). Types and lint clean.

--- a/packages/agent/src/agent/createAdmission.ts
+++ b/packages/agent/src/agent/createAdmission.ts
@@ -26,8 +26,8 @@
   readonly backend: BackendView
   readonly estimates: Estimates
   readonly wakes: Wakes
-  /** Expected time until a request of a priority gets a place in the batch. */
-  readonly secondsAhead: (priority: number) => number
+  /** Expected time until a request that arrives now gets a place in the batch. */
+  readonly secondsAhead: (request: RunRequest) => number
   readonly isDraining: () => boolean
   /** True when the agreed state is known and names this run of the agent. */
   readonly isReady: () => boolean
@@ -69,9 +69,10 @@
     const verdict = decisions.admit({
       remainingMs: request.remainingMs,
       expectedTokens: estimates.expectedTokens(request),
+      boundTokens: estimates.boundTokens(request),
       priority: request.priority,
       readyInMs: backend.readyInMs(attempt),
-      secondsAhead: options.secondsAhead(request.priority),
+      secondsAhead: options.secondsAhead(request),
       tokenIntervalMs: pace.tokenIntervalMs,
       queuedCount: queue.count(),
       maxQueuedCount: settings.limits.max_queued,
@@ -113,7 +114,7 @@
   }
 
   const enqueue = (attempt: Attempt): void => {
-    queue.add(attempt, backend.readyInMs(attempt) + options.secondsAhead(attempt.request.priority) * MS_PER_SECOND)
+    queue.add(attempt, backend.readyInMs(attempt) + options.secondsAhead(attempt.request) * MS_PER_SECOND)
     events.emit(AgentEvent.attemptQueued, { ...attemptFields(attempt), version: backend.versionOf(attempt), adapter: attempt.request.adapter, count: queue.count() })
     attempts.tell(attempt.id, backend.progressOf(attempt))
     dispatcher.poke()
--- a/packages/agent/src/agent/createAgent.ts
+++ b/packages/agent/src/agent/createAgent.ts
@@ -11,7 +11,7 @@
 import { createWakes } from '../queueing/createWakes.js'
 import { viewDemands } from '../queueing/viewDemands.js'
 import { createEstimates } from '../queueing/createEstimates.js'
-import { secondsAhead, secondsInAll } from '../queueing/workAhead.js'
+import { secondsAhead, secondsInAll, tokensQueued } from '../queueing/workAhead.js'
 import { makeReport } from '../reporting/makeReport.js'
 import { createReliableAppender } from '../rights/appendReliably.js'
 import { createRightsKeeper } from '../rights/createRightsKeeper.js'
@@ -61,7 +61,7 @@
   const links = createLinkBook(timers, () => records.state().nextOffset)
   const attempts = createAttemptStore({ timers, events, maxKeptBytes: settings.limits.kept_answers_mb * BYTES_PER_MB })
   const estimates = createEstimates(timers)
-  const queue = createQueue({ timers, pickNext: decisions.pickNext, accountServed: decisions.accountServed, expectedTokens: estimates.expectedTokens })
+  const queue = createQueue({ ...decisions, timers, estimates })
   const wakes = createWakes(timers)
   let sequence = 0
   let demands: ReadonlyMap<ModelId, Demand> | undefined
@@ -102,7 +102,7 @@
       Math.max(1, estimates.expectedTokens(request) - (tokenCount - request.doneTokens.length))
   })
 
-  const queuedMs = (): number => secondsAhead(work(), 0) * MS_PER_SECOND
+  const queuedMs = (): number => secondsAhead(work(), tokensQueued(work())) * MS_PER_SECOND
 
   const onDeath = (backendRun: string): void =>
     suspects.reportDeath(`${instance}/${backendRun}`, dispatcher.running())
@@ -208,7 +208,7 @@
     dispatcher,
     backend,
     estimates,
-    secondsAhead: priority => secondsAhead(work(), priority),
+    secondsAhead: request => secondsAhead(work(), queue.tokensAhead(request)),
     isDraining: () => drain.reason() !== undefined,
     isReady: () => records.isReady() && isAnnounced(context)
   })
--- a/packages/agent/src/agent/createDispatcher.ts
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -88,12 +88,16 @@
   const { context: { timers, events, instance }, attempts, queue, backend, estimates } = options
   const runs = new Map<AttemptId, Run>()
   let tokenIntervalMs = ASSUMED_TOKEN_INTERVAL_MS
+  let isMeasured = false
   let isPoked = false
 
   const running = (): readonly Attempt[] => [...runs.values()].map(run => run.attempt)
 
   const measure = (intervalMs: number): void => {
-    tokenIntervalMs += INTERVAL_SMOOTHING * (intervalMs - tokenIntervalMs)
+    // The assumption ends with the first measurement: smoothed out, it has a fast server refuse for a minute.
+    const weight = isMeasured ? INTERVAL_SMOOTHING : 1
+    isMeasured = true
+    tokenIntervalMs += weight * (intervalMs - tokenIntervalMs)
   }
 
   const refuseWaiting = (attempt: Attempt, refusal: RefusalNote): void => {
@@ -137,7 +141,7 @@
   const finish = (run: Run, end: RunEnd): void => match(end)
     .with({ kind: 'finished' }, ({ finishReason, plain }) => {
       attempts.finish(run.attempt.id, finishReason, plain)
-      estimates.noteAnswer(run.attempt.request.model, run.attempt.tokenCount)
+      estimates.noteAnswer(run.attempt.request, run.attempt.tokenCount)
       options.onAnswered(run.attempt)
     })
     .with({ kind: 'notRun' }, faulty => {
@@ -160,8 +164,9 @@
 
   const follow = async (run: Run, version: string): Promise<void> => {
     const { attempt } = run
-    let lastTokenMs = timers.nowMs()
-    let isFirst = true
+    const startedMs = timers.nowMs()
+    let lastTokenMs = startedMs
+    let prefillMs: number | undefined
     const task = backend.run(attempt, version, {
       onReach: () => {
         if (attempt.reached) return
@@ -170,8 +175,8 @@
       },
       onTokens: (firstTokenIndex, tokens) => {
         const nowMs = timers.nowMs()
-        if (!isFirst) measure((nowMs - lastTokenMs) / tokens.length)
-        isFirst = false
+        if (prefillMs !== undefined) measure((nowMs - lastTokenMs) / tokens.length)
+        prefillMs ??= nowMs - startedMs
         lastTokenMs = nowMs
         attempts.addTokens(attempt.id, firstTokenIndex, tokens)
       }
@@ -180,6 +185,8 @@
     const end = await task.catch((error: Error): RunEnd =>
       ({ kind: 'interrupted', fault: makeFault(FaultKind.Internal, 'running.follow', instance, error.message), died: false, incarnation: '' }))
     finish(run, end)
+    // Only at the end is an interval known to count it in, also of the first run.
+    if (prefillMs !== undefined && isMeasured) estimates.notePrefill(prefillMs / tokenIntervalMs)
     runs.delete(attempt.id)
     queue.account(attempt, attempt.tokenCount - attempt.request.doneTokens.length - run.accountedTokens)
     backend.onUse(attempt, false)
--- a/packages/agent/src/agent/startAgent.ts
+++ b/packages/agent/src/agent/startAgent.ts
@@ -1,5 +1,5 @@
 import { makeIncarnation, serveRpc } from '@figmount/base'
-import { accountDecayed, admitByDeadline, backOffByNeed, evictLeastLoss, keepByHistory, orderByNeed, pickFairShare } from '@figmount/decisions'
+import { accountDecayed, admitByDeadline, backOffByNeed, evictLeastLoss, fairAhead, keepByHistory, orderByNeed, pickFairShare } from '@figmount/decisions'
 import { acceptLinks } from '@figmount/peers'
 import { createRecordsClient } from '@figmount/records'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
@@ -21,6 +21,7 @@
     admit: admitByDeadline,
     pickNext: pickFairShare,
     accountServed: accountDecayed,
+    estimateAhead: fairAhead,
     keepAlive: keepByHistory,
     chooseVictims: evictLeastLoss,
     orderLoads: orderByNeed,
--- a/packages/agent/src/agent/types.ts
+++ b/packages/agent/src/agent/types.ts
@@ -1,5 +1,5 @@
 import type { EventLog, Incarnation, InstanceName, Metrics, TimerService } from '@figmount/base'
-import type { AccountServed, Admit, ChooseLoadBackoff, ChooseVictims, KeepAlive, OrderLoads, PickNext } from '@figmount/decisions'
+import type { AccountServed, Admit, ChooseLoadBackoff, ChooseVictims, EstimateAhead, KeepAlive, OrderLoads, PickNext } from '@figmount/decisions'
 import type { RecordsClient } from '@figmount/records'
 import type { AgentSettings } from '../settings/agentSettings.js'
 
@@ -8,6 +8,7 @@
   readonly admit: Admit
   readonly pickNext: PickNext
   readonly accountServed: AccountServed
+  readonly estimateAhead: EstimateAhead
   readonly keepAlive: KeepAlive
   readonly chooseVictims: ChooseVictims
   readonly orderLoads: OrderLoads
--- a/packages/agent/src/queueing/createEstimates.ts
+++ b/packages/agent/src/queueing/createEstimates.ts
@@ -18,11 +18,21 @@
   readonly asOfMs: number
 }
 
+type TokenRequest = Pick<RunRequest, 'model' | 'maxTokens' | 'doneTokens'>
+
 /** What the agent has measured of its own predictions and traffic. */
 export interface Estimates {
-  /** Tokens to expect of a request: what its model's answers mostly stay under, at most what was asked for. */
-  readonly expectedTokens: (request: Pick<RunRequest, 'model' | 'maxTokens' | 'doneTokens'>) => number
-  readonly noteAnswer: (model: ModelId, tokenCount: number) => void
+  /**
+   * Tokens to expect of a request: the mean of its model's answers, at most what was asked for, and the time to the
+   * first token as the tokens that take as long.
+   */
+  readonly expectedTokens: (request: TokenRequest) => number
+  /** The same with the tokens that most answers of its model stay under. */
+  readonly boundTokens: (request: TokenRequest) => number
+  /** Notes a whole answer of `tokenCount` tokens, those done elsewhere included. */
+  readonly noteAnswer: (request: TokenRequest, tokenCount: number) => void
+  /** Notes the time from a start to its first token, in token intervals. */
+  readonly notePrefill: (tokenCount: number) => void
   readonly noteWait: (predictedMs: number, actualMs: number) => void
   readonly noteRefusal: () => void
   readonly waitRatio: () => Estimate
@@ -36,6 +46,7 @@
 export const createEstimates = (timers: TimerService): Estimates => {
   const tokens = new Map<ModelId, Estimate>()
   let waitRatio: Estimate = { mean: 1, deviation: 0, observedCount: 0 }
+  let prefillTokens: Estimate = { mean: 0, deviation: 0, observedCount: 0 }
   let refused: Decayed = { count: 0, asOfMs: 0 }
   let served: Decayed = { count: 0, asOfMs: 0 }
 
@@ -44,17 +55,25 @@
     return { count: decayedTo(known, nowMs) + 1, asOfMs: nowMs }
   }
 
+  const tokensBy = (valueOf: (known: Estimate) => number) => ({ model, maxTokens, doneTokens }: TokenRequest): number => {
+    const known = tokens.get(model)
+    const whole = known ? Math.min(maxTokens, valueOf(known)) : maxTokens
+    return Math.max(1, whole - doneTokens.length) + prefillTokens.mean
+  }
+
   return {
-    expectedTokens: ({ model, maxTokens, doneTokens }) => {
-      const known = tokens.get(model)
-      const whole = known ? Math.min(maxTokens, upperBound(known)) : maxTokens
-      return Math.max(1, whole - doneTokens.length)
-    },
-    noteAnswer: (model, tokenCount) => {
-      if (tokens.size >= MAX_MODELS && !tokens.has(model)) tokens.clear()
-      tokens.set(model, observe(tokens.get(model) ?? guess(tokenCount), tokenCount))
+    expectedTokens: tokensBy(({ mean }) => mean),
+    boundTokens: tokensBy(upperBound),
+    noteAnswer: ({ model, maxTokens }, tokenCount) => {
       served = plusOne(served)
+      // An answer cut at its limit shows only that the length is no less. Taken as the length, one short
+      // limit makes long requests look short, and more are admitted than end before their deadlines.
+      const known = tokens.get(model)
+      if (tokenCount >= maxTokens && tokenCount <= (known?.mean ?? Number.POSITIVE_INFINITY)) return
+      if (tokens.size >= MAX_MODELS && !known) tokens.clear()
+      tokens.set(model, observe(known ?? guess(tokenCount), tokenCount))
     },
+    notePrefill: tokenCount => { prefillTokens = observe(prefillTokens, tokenCount) },
     noteWait: (predictedMs, actualMs) => {
       // A prediction of next to nothing says nothing about the ratio.
       if (predictedMs >= 1) waitRatio = observe(waitRatio, actualMs / predictedMs)
--- a/packages/agent/src/queueing/createQueue.ts
+++ b/packages/agent/src/queueing/createQueue.ts
@@ -1,8 +1,9 @@
 import { noFairness } from '@figmount/decisions'
 
 import type { AttemptId, TimerService } from '@figmount/base'
-import type { AccountServed, FairnessState, PickNext, WaitingRequest } from '@figmount/decisions'
+import type { AccountServed, EstimateAhead, FairnessState, PickNext, WaitingRequest } from '@figmount/decisions'
 import type { Attempt } from '../attempts/types.js'
+import type { Estimates } from './createEstimates.js'
 
 /** A queued attempt with what the order of service is decided on. */
 export interface QueuedAttempt {
@@ -16,22 +17,30 @@
   readonly timers: TimerService
   readonly pickNext: PickNext
   readonly accountServed: AccountServed
-  readonly expectedTokens: (request: Attempt['request']) => number
+  readonly estimateAhead: EstimateAhead
+  readonly estimates: Pick<Estimates, 'expectedTokens' | 'boundTokens'>
 }
 
+/** Stands for the id of a request that asks to be queued; nothing is looked up by it. */
+const NO_ATTEMPT = '' as AttemptId
+
 /** The bounded queue of one agent; its bound is kept at admission. */
 export interface Queue {
   readonly add: (attempt: Attempt, predictedWaitMs: number) => void
   readonly remove: (id: AttemptId) => void
   readonly all: () => Iterable<QueuedAttempt>
   readonly count: () => number
+  /** Expected tokens that are served before a request that arrives now, by the order of service. */
+  readonly tokensAhead: (request: Attempt['request']) => number
   /** Picks the next among those that can start now; it stays queued until removed. */
   readonly pick: (canStart: (queued: QueuedAttempt) => boolean) => QueuedAttempt | undefined
   /** Accounts tokens for fairness; a negative count takes back what was accounted too much. */
   readonly account: (attempt: Attempt, tokenCount: number) => void
 }
 
-const waitingOf = ({ id, request, arrivedAtMs, deadlineAtMs }: Attempt, expectedTokens: number): WaitingRequest<AttemptId> => ({
+type Arrival = Pick<Attempt, 'id' | 'request' | 'arrivedAtMs' | 'deadlineAtMs'>
+
+const waitingOf = ({ id, request, arrivedAtMs, deadlineAtMs }: Arrival, expectedTokens: number): WaitingRequest<AttemptId> => ({
   id,
   model: request.model,
   adapter: request.adapter,
@@ -45,17 +54,28 @@
 })
 
 /** Makes the queue of one agent. */
-export const createQueue = ({ timers, pickNext, accountServed, expectedTokens }: Options): Queue => {
+export const createQueue = ({ timers, pickNext, accountServed, estimateAhead, estimates }: Options): Queue => {
   const queued = new Map<AttemptId, QueuedAttempt>()
   let fairness: FairnessState = noFairness
 
+  const estimated = (arrival: Arrival): WaitingRequest<AttemptId> => ({
+    ...waitingOf(arrival, estimates.expectedTokens(arrival.request)),
+    boundTokens: estimates.boundTokens(arrival.request)
+  })
+
   return {
     add: (attempt, predictedWaitMs) => {
-      queued.set(attempt.id, { attempt, predictedWaitMs, waiting: waitingOf(attempt, expectedTokens(attempt.request)) })
+      queued.set(attempt.id, { attempt, predictedWaitMs, waiting: estimated(attempt) })
     },
     remove: id => { queued.delete(id) },
     all: () => queued.values(),
     count: () => queued.size,
+    tokensAhead: request => {
+      const nowMs = timers.nowMs()
+      const waiting = [...queued.values()].map(entry => entry.waiting)
+      const arrival = { id: NO_ATTEMPT, request, arrivedAtMs: nowMs, deadlineAtMs: nowMs + request.remainingMs }
+      return estimateAhead(waiting, estimated(arrival), fairness, nowMs)
+    },
     pick: canStart => {
       const waiting: Array<WaitingRequest<AttemptId>> = []
       for (const entry of queued.values()) {
--- a/packages/agent/src/queueing/queueing.test.ts
+++ b/packages/agent/src/queueing/queueing.test.ts
@@ -1,4 +1,4 @@
-import { accountDecayed, admitByDeadline, pickFairShare } from '@figmount/decisions'
+import { accountDecayed, admitByDeadline, fairAhead, pickFairShare } from '@figmount/decisions'
 import { RefusalReason, RunState } from '@figmount/schema'
 import { expect } from 'chai'
 
@@ -11,7 +11,7 @@
   const under = await startAgentForTest({
     models: [modelSpec('m'), modelSpec('cold')],
     limits,
-    decisions: { admit: admitByDeadline, pickNext: pickFairShare, accountServed: accountDecayed }
+    decisions: { admit: admitByDeadline, pickNext: pickFairShare, accountServed: accountDecayed, estimateAhead: fairAhead }
   })
   under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
   under.grant({ kind: 'replica', target: 'reader/cold' as ModelId, slotIndex: 0 })
@@ -89,6 +89,19 @@
     expect(under.engine.runs.indexOf('quiet')).to.be.within(1, 10)
   })
 
+  // A hot caller's queue takes longer than a quiet caller's deadline. Counted whole, it has the quiet
+  // one refused for work that is served after its own.
+  it('does not refuse a quiet caller for the queue of a hot one', async () => {
+    const { under, router } = await ready()
+    for (let index = 0; index < 60; index += 1) router.start(`hot${index}`, { caller: 'hot' as CallerName, tenant: 'a', prompt: `hot${index}`, maxTokens: 20 })
+    await under.advance(50)
+    const quiet = { caller: 'quiet' as CallerName, tenant: 'b', prompt: 'quiet', maxTokens: 20, remainingMs: 1_500 }
+    router.start('quiet', quiet)
+    await under.advance(1_500)
+    expect(router.refusalOf('quiet')).to.equal(undefined)
+    expect(router.finalOf('quiet')).to.not.equal(undefined)
+  })
+
   it('tells who waits once a second what it waits for', async () => {
     const { under, router } = await ready()
     under.engine.knobs.loadMs = 3_500
--- a/packages/agent/src/queueing/workAhead.ts
+++ b/packages/agent/src/queueing/workAhead.ts
@@ -20,24 +20,26 @@
   readonly remainingTokens: RemainingTokens
 }
 
+/** Expected tokens of all that waits. */
+export const tokensQueued = ({ queued, remainingTokens }: Pick<Options, 'queued' | 'remainingTokens'>): number => {
+  let tokenCount = 0
+  for (const { attempt } of queued) tokenCount += remainingTokens(attempt)
+  return tokenCount
+}
+
 /**
- * Expected time until a request of `priority` gets a place in the batch, in seconds: the queued work that goes
- * before it, spread over the batch, and the end of the first run when the batch is full.
+ * Expected time until a request gets a place in the batch, in seconds: the `tokensAhead` that are served before it,
+ * spread over the batch, and the end of the first run when the batch is full.
  */
-export const secondsAhead = ({ queued, running, pace, remainingTokens }: Options, priority: number): number => {
-  let tokenCount = 0
-  for (const { attempt } of queued) {
-    if (attempt.request.priority >= priority) tokenCount += remainingTokens(attempt)
-  }
+export const secondsAhead = ({ running, pace, remainingTokens }: Omit<Options, 'queued'>, tokensAhead: number): number => {
   const isFull = running.length >= pace.batchSize
   const firstFree = isFull ? Math.min(...running.map(remainingTokens)) : 0
-  return (tokenCount / pace.batchSize + firstFree) * pace.tokenIntervalMs / MS_PER_SECOND
+  return (tokensAhead / pace.batchSize + firstFree) * pace.tokenIntervalMs / MS_PER_SECOND
 }
 
 /** All work that is queued and running, in seconds at the present speed, spread over the batch. */
 export const secondsInAll = ({ queued, running, pace, remainingTokens }: Options): number => {
-  let tokenCount = 0
-  for (const { attempt } of queued) tokenCount += remainingTokens(attempt)
+  let tokenCount = tokensQueued({ queued, remainingTokens })
   for (const attempt of running) tokenCount += remainingTokens(attempt)
   return tokenCount * pace.tokenIntervalMs / pace.batchSize / MS_PER_SECOND
 }
