Give up hopeless requests at the agent before each start

Cause: a request that had been admitted and then could no longer end in time, since its backend server became slow or others passed it, was started all the same, held a place until its deadline and was cut off there. Change: the dispatcher asks shedHopeless before each start and refuses what it names at once, "not run", with a time to come back that is spread over the other refusals (spreadByDrainTime).

--- a/packages/agent/src/agent/createDispatcher.ts
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -14,7 +14,7 @@
 import type { SuspectVerdict } from '@figmount/records'
 import type { Attempt, AttemptStore, Progress } from '../attempts/types.js'
 import type { Estimates } from '../queueing/createEstimates.js'
-import type { Queue, QueuedAttempt } from '../queueing/createQueue.js'
+import type { Queue, QueuedAttempt, ReadyRequests } from '../queueing/createQueue.js'
 import type { Pace } from '../queueing/workAhead.js'
 import type { RunEnd, RunOnBackend } from '../running/types.js'
 import type { AgentContext } from './types.js'
@@ -85,7 +85,7 @@
 
 /** Makes the dispatcher of one agent. */
 export const createDispatcher = (options: Options): Dispatcher => {
-  const { context: { timers, events, instance }, attempts, queue, backend, estimates } = options
+  const { context: { timers, events, instance, decisions }, attempts, queue, backend, estimates } = options
   const runs = new Map<AttemptId, Run>()
   let tokenIntervalMs = ASSUMED_TOKEN_INTERVAL_MS
   let isMeasured = false
@@ -217,9 +217,31 @@
     return false
   }
 
+  /** Refuses those that could not end in time if they started now, and yields the rest of those that can start. */
+  const shed = (): ReadyRequests => {
+    const ready = queue.ready(backend.canStart)
+    const hopeless = new Set(decisions.shedWaiting(ready, tokenIntervalMs, timers.nowMs()).map(({ id }) => id))
+    for (const id of hopeless) {
+      const entry = queue.get(id)
+      if (entry) refuseHopeless(entry.attempt)
+    }
+    return ready.filter(({ id }) => !hopeless.has(id))
+  }
+
+  const refuseHopeless = (attempt: Attempt): void => {
+    estimates.noteRefusal()
+    const retryAfterMs = decisions.chooseRetryAfter({
+      estimatedWaitMs: 0,
+      recentRefusals: estimates.recentRefusals(),
+      servedPerSecond: estimates.servedPerSecond(),
+      resendCount: attempt.request.resendCount
+    }, decisions.random)
+    refuseWaiting(attempt, notRun({ reason: RefusalReason.OVERLOADED, detail: 'it can no longer end before its deadline', step: 'queueing.shed', peer: instance, retryAfterMs }))
+  }
+
   const startReady = (): void => {
     while (backend.isUp() && runs.size < backend.batchSize() && !hasSuspectRunning()) {
-      const next = queue.pick(({ attempt }) => backend.canStart(attempt))
+      const next = queue.pick(shed())
       if (!next) return
       // A suspect waits for what runs and nothing is started meanwhile, or it would wait for ever.
       const isSuspect = options.suspicionOf(next.attempt) === 'suspect'
--- a/packages/agent/src/queueing/createQueue.ts
+++ b/packages/agent/src/queueing/createQueue.ts
@@ -13,6 +13,9 @@
   readonly waiting: WaitingRequest<AttemptId>
 }
 
+/** Waiting requests whose model, version and adapter are ready, in order of arrival. */
+export type ReadyRequests = ReadonlyArray<WaitingRequest<AttemptId>>
+
 interface Options {
   readonly timers: TimerService
   readonly pickNext: PickNext
@@ -32,8 +35,11 @@
   readonly count: () => number
   /** Expected tokens that are served before a request that arrives now, by the order of service. */
   readonly tokensAhead: (request: Attempt['request']) => number
-  /** Picks the next among those that can start now; it stays queued until removed. */
-  readonly pick: (canStart: (queued: QueuedAttempt) => boolean) => QueuedAttempt | undefined
+  /** Those that can start now. */
+  readonly ready: (canStart: (attempt: Attempt) => boolean) => ReadyRequests
+  readonly get: (id: AttemptId) => QueuedAttempt | undefined
+  /** Picks the next of `ready`; it stays queued until removed. */
+  readonly pick: (ready: ReadyRequests) => QueuedAttempt | undefined
   /** Accounts tokens for fairness; a negative count takes back what was accounted too much. */
   readonly account: (attempt: Attempt, tokenCount: number) => void
 }
@@ -76,13 +82,17 @@
       const arrival = { id: NO_ATTEMPT, request, arrivedAtMs: nowMs, deadlineAtMs: nowMs + request.remainingMs }
       return estimateAhead(waiting, estimated(arrival), fairness, nowMs)
     },
-    pick: canStart => {
-      const waiting: Array<WaitingRequest<AttemptId>> = []
-      for (const entry of queued.values()) {
-        if (canStart(entry)) waiting.push(entry.waiting)
+    ready: canStart => {
+      const ready: Array<WaitingRequest<AttemptId>> = []
+      for (const { attempt, waiting } of queued.values()) {
+        if (canStart(attempt)) ready.push(waiting)
       }
-      if (waiting.length === 0) return undefined
-      const picked = pickNext(waiting, fairness, timers.nowMs())
+      return ready
+    },
+    get: id => queued.get(id),
+    pick: ready => {
+      if (ready.length === 0) return undefined
+      const picked = pickNext(ready, fairness, timers.nowMs())
       return picked && queued.get(picked.id)
     },
     account: (attempt, tokenCount) => {
--- a/packages/agent/src/queueing/queueing.test.ts
+++ b/packages/agent/src/queueing/queueing.test.ts
@@ -1,4 +1,4 @@
-import { accountDecayed, admitByDeadline, fairAhead, pickFairShare } from '@figmount/decisions'
+import { accountDecayed, admitByDeadline, fairAhead, pickFairShare, shedHopeless, spreadByDrainTime } from '@figmount/decisions'
 import { RefusalReason, RunState } from '@figmount/schema'
 import { expect } from 'chai'
 
@@ -11,7 +11,7 @@
   const under = await startAgentForTest({
     models: [modelSpec('m'), modelSpec('cold')],
     limits,
-    decisions: { admit: admitByDeadline, pickNext: pickFairShare, accountServed: accountDecayed, estimateAhead: fairAhead }
+    decisions: { admit: admitByDeadline, pickNext: pickFairShare, accountServed: accountDecayed, estimateAhead: fairAhead, shedWaiting: shedHopeless, chooseRetryAfter: spreadByDrainTime }
   })
   under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
   under.grant({ kind: 'replica', target: 'reader/cold' as ModelId, slotIndex: 0 })
@@ -102,6 +102,22 @@
     expect(router.finalOf('quiet')).to.not.equal(undefined)
   })
 
+  // The engine becomes slow after a request was admitted. Started all the same, it holds a place in the
+  // batch until its deadline, is cut off there, and its caller learns of it only then.
+  it('gives up what can no longer end in time, before it runs', async () => {
+    const { under, router } = await ready()
+    for (let index = 0; index < 4; index += 1) router.start(`busy${index}`, { prompt: `busy${index}`, maxTokens: 30 })
+    await under.advance(20)
+    router.start('late', { prompt: 'late', maxTokens: 30, remainingMs: 1_500 })
+    await under.advance(20)
+    expect(router.refusalOf('late'), 'admitted').to.equal(undefined)
+    under.engine.knobs.tokenIntervalMs = 40
+    await under.advance(1_300)
+    expect(router.refusalOf('late')).to.include({ runState: RunState.NOT_RUN, reason: RefusalReason.OVERLOADED, step: 'queueing.shed' })
+    expect(router.refusalOf('late')?.retryAfterMs).to.be.above(0)
+    expect(under.engine.runs).to.not.include('late')
+  })
+
   it('tells who waits once a second what it waits for', async () => {
     const { under, router } = await ready()
     under.engine.knobs.loadMs = 3_500
