Keep places free of long requests at the agent

Change: the dispatcher picks among what limitLong lets start, given the running requests and the mean expected tokens of those that were started of late. Checked: agent tests 80 passing; the new test of reports among questions fails without the limit (4 reports run at once for 3). Types and lint clean.

--- a/packages/agent/src/agent/createDispatcher.ts
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -56,6 +56,7 @@
 
 interface Run {
   readonly attempt: Attempt
+  readonly waiting: QueuedAttempt['waiting']
   readonly controller: AbortController
   readonly isSuspect: boolean
   /** Tokens accounted for fairness when it started. */
@@ -193,13 +194,14 @@
     poke()
   }
 
-  const start = ({ attempt, predictedWaitMs }: QueuedAttempt, isSuspect: boolean): void => {
+  const start = ({ attempt, waiting, predictedWaitMs }: QueuedAttempt, isSuspect: boolean): void => {
     queue.remove(attempt.id)
     const accountedTokens = estimates.expectedTokens(attempt.request)
     queue.account(attempt, accountedTokens)
+    estimates.noteStart(waiting.expectedTokens)
     estimates.noteWait(predictedWaitMs, timers.nowMs() - attempt.arrivedAtMs)
     const version = backend.versionOf(attempt)
-    const run: Run = { attempt, controller: new AbortController(), isSuspect, accountedTokens, cancelNote: undefined }
+    const run: Run = { attempt, waiting, controller: new AbortController(), isSuspect, accountedTokens, cancelNote: undefined }
     const wasIdle = ![...runs.values()].some(other => other.attempt.request.model === attempt.request.model)
     runs.set(attempt.id, run)
     attempts.start(attempt.id, version)
@@ -239,9 +241,16 @@
     refuseWaiting(attempt, notRun({ reason: RefusalReason.OVERLOADED, detail: 'it can no longer end before its deadline', step: 'queueing.shed', peer: instance, retryAfterMs }))
   }
 
+  /** Those that may start now: without the hopeless, and without long ones while these hold their part of the batch. */
+  const startable = (): ReadyRequests => decisions.limitLong(shed(), {
+    batchSlots: backend.batchSize(),
+    running: [...runs.values()].map(run => run.waiting),
+    meanTokens: estimates.meanTokens()
+  })
+
   const startReady = (): void => {
     while (backend.isUp() && runs.size < backend.batchSize() && !hasSuspectRunning()) {
-      const next = queue.pick(shed())
+      const next = queue.pick(startable())
       if (!next) return
       // A suspect waits for what runs and nothing is started meanwhile, or it would wait for ever.
       const isSuspect = options.suspicionOf(next.attempt) === 'suspect'
--- a/packages/agent/src/agent/startAgent.ts
+++ b/packages/agent/src/agent/startAgent.ts
@@ -1,5 +1,5 @@
 import { makeIncarnation, serveRpc } from '@figmount/base'
-import { accountDecayed, admitByDeadline, backOffByNeed, evictLeastLoss, fairAhead, keepByHistory, orderByNeed, pickFairShare, shedHopeless, spreadByDrainTime } from '@figmount/decisions'
+import { accountDecayed, admitByDeadline, backOffByNeed, evictLeastLoss, fairAhead, keepByHistory, limitLong, orderByNeed, pickFairShare, shedHopeless, spreadByDrainTime } from '@figmount/decisions'
 import { acceptLinks } from '@figmount/peers'
 import { createRecordsClient } from '@figmount/records'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
@@ -22,6 +22,7 @@
     pickNext: pickFairShare,
     accountServed: accountDecayed,
     estimateAhead: fairAhead,
+    limitLong,
     shedWaiting: shedHopeless,
     chooseRetryAfter: spreadByDrainTime,
     keepAlive: keepByHistory,
--- a/packages/agent/src/agent/types.ts
+++ b/packages/agent/src/agent/types.ts
@@ -1,5 +1,5 @@
 import type { EventLog, Incarnation, InstanceName, Metrics, TimerService } from '@figmount/base'
-import type { AccountServed, Admit, ChooseLoadBackoff, ChooseVictims, EstimateAhead, KeepAlive, ChooseRetryAfter, OrderLoads, PickNext, ShedWaiting } from '@figmount/decisions'
+import type { AccountServed, Admit, ChooseLoadBackoff, ChooseVictims, EstimateAhead, KeepAlive, LimitLong, ChooseRetryAfter, OrderLoads, PickNext, ShedWaiting } from '@figmount/decisions'
 import type { RecordsClient } from '@figmount/records'
 import type { AgentSettings } from '../settings/agentSettings.js'
 
@@ -9,6 +9,7 @@
   readonly pickNext: PickNext
   readonly accountServed: AccountServed
   readonly estimateAhead: EstimateAhead
+  readonly limitLong: LimitLong
   readonly shedWaiting: ShedWaiting
   /** Says when those come back that are given up while they wait. */
   readonly chooseRetryAfter: ChooseRetryAfter
--- a/packages/agent/src/queueing/createEstimates.ts
+++ b/packages/agent/src/queueing/createEstimates.ts
@@ -31,6 +31,10 @@
   readonly boundTokens: (request: TokenRequest) => number
   /** Notes a whole answer of `tokenCount` tokens, those done elsewhere included. */
   readonly noteAnswer: (request: TokenRequest, tokenCount: number) => void
+  /** Notes the expected tokens of a request that starts. */
+  readonly noteStart: (tokenCount: number) => void
+  /** Mean expected tokens of those that started of late; 0 before the first. */
+  readonly meanTokens: () => number
   /** Notes the time from a start to its first token, in token intervals. */
   readonly notePrefill: (tokenCount: number) => void
   readonly noteWait: (predictedMs: number, actualMs: number) => void
@@ -47,6 +51,7 @@
   const tokens = new Map<ModelId, Estimate>()
   let waitRatio: Estimate = { mean: 1, deviation: 0, observedCount: 0 }
   let prefillTokens: Estimate = { mean: 0, deviation: 0, observedCount: 0 }
+  let startedTokens: Estimate = { mean: 0, deviation: 0, observedCount: 0 }
   let refused: Decayed = { count: 0, asOfMs: 0 }
   let served: Decayed = { count: 0, asOfMs: 0 }
 
@@ -73,6 +78,8 @@
       if (tokens.size >= MAX_MODELS && !known) tokens.clear()
       tokens.set(model, observe(known ?? guess(tokenCount), tokenCount))
     },
+    noteStart: tokenCount => { startedTokens = observe(startedTokens, tokenCount) },
+    meanTokens: () => startedTokens.mean,
     notePrefill: tokenCount => { prefillTokens = observe(prefillTokens, tokenCount) },
     noteWait: (predictedMs, actualMs) => {
       // A prediction of next to nothing says nothing about the ratio.
--- a/packages/agent/src/queueing/queueing.test.ts
+++ b/packages/agent/src/queueing/queueing.test.ts
@@ -1,4 +1,4 @@
-import { accountDecayed, admitByDeadline, fairAhead, pickFairShare, shedHopeless, spreadByDrainTime } from '@figmount/decisions'
+import { accountDecayed, admitByDeadline, fairAhead, limitLong, pickFairShare, shedHopeless, spreadByDrainTime } from '@figmount/decisions'
 import { RefusalReason, RunState } from '@figmount/schema'
 import { expect } from 'chai'
 
@@ -11,7 +11,7 @@
   const under = await startAgentForTest({
     models: [modelSpec('m'), modelSpec('cold')],
     limits,
-    decisions: { admit: admitByDeadline, pickNext: pickFairShare, accountServed: accountDecayed, estimateAhead: fairAhead, shedWaiting: shedHopeless, chooseRetryAfter: spreadByDrainTime }
+    decisions: { admit: admitByDeadline, pickNext: pickFairShare, accountServed: accountDecayed, estimateAhead: fairAhead, limitLong, shedWaiting: shedHopeless, chooseRetryAfter: spreadByDrainTime }
   })
   under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
   under.grant({ kind: 'replica', target: 'reader/cold' as ModelId, slotIndex: 0 })
@@ -118,6 +118,22 @@
     expect(under.engine.runs).to.not.include('late')
   })
 
+  // Now and then a long report arrives among many short questions. Once reports hold every place, a
+  // question waits until the first of them is whole.
+  it('keeps a place free of long requests', async () => {
+    const { under, router } = await ready()
+    const reports = (): readonly string[] => under.engine.runs.filter(prompt => prompt.startsWith('report'))
+    for (let index = 0; index < 40; index += 1) {
+      if (index % 8 === 0) router.start(`report${index}`, { prompt: `report${index}`, maxTokens: 400 })
+      router.start(`question${index}`, { prompt: `question${index}`, maxTokens: 4 })
+      await under.advance(80)
+    }
+    expect(reports()).to.have.length(3)
+    expect(router.finalOf('question39')).to.not.equal(undefined)
+    await under.advance(8_000)
+    expect(reports()).to.have.length(5)
+  })
+
   it('tells who waits once a second what it waits for', async () => {
     const { under, router } = await ready()
     under.engine.knobs.loadMs = 3_500
--- a/packages/agent/src/testing/startAgentForTest.ts
+++ b/packages/agent/src/testing/startAgentForTest.ts
@@ -1,6 +1,6 @@
 /** An agent in virtual time between a fake log, a fake engine and fake routers. */
 import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
-import { accountNothing, admitUntilFull, allAhead, evictLeastRecent, keepFixedTime, orderByArrival, pickFirstCome, retryAfterFixed, shedNothing } from '@figmount/decisions'
+import { accountNothing, admitUntilFull, allAhead, evictLeastRecent, keepFixedTime, limitNothing, orderByArrival, pickFirstCome, retryAfterFixed, shedNothing } from '@figmount/decisions'
 import { createInbox } from '@figmount/peers'
 import { EitherAsync, Right } from 'purify-ts'
 
@@ -119,7 +119,7 @@
       limits: options.limits ?? {}
     })
     const decisions: AgentDecisions = {
-      admit: admitUntilFull, pickNext: pickFirstCome, accountServed: accountNothing, estimateAhead: allAhead, shedWaiting: shedNothing, chooseRetryAfter: retryAfterFixed, keepAlive: keepFixedTime(), chooseVictims: evictLeastRecent, orderLoads: orderByArrival, backOffLoad: view => 500 * 2 ** view.refusedCount, random: () => 0.5, ...options.decisions
+      admit: admitUntilFull, pickNext: pickFirstCome, accountServed: accountNothing, estimateAhead: allAhead, limitLong: limitNothing, shedWaiting: shedNothing, chooseRetryAfter: retryAfterFixed, keepAlive: keepFixedTime(), chooseVictims: evictLeastRecent, orderLoads: orderByArrival, backOffLoad: view => 500 * 2 ** view.refusedCount, random: () => 0.5, ...options.decisions
     }
     const under = { listing: { listed: 'present', leaving: false } as Listing }
     const agent = createAgent({
