--- a/packages/agent/src/agent/createDispatcher.ts
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -14,7 +14,7 @@
 import type { SuspectVerdict } from '@figmount/records'
 import type { Attempt, AttemptStore, Progress } from '../attempts/types.js'
 import type { Estimates } from '../queueing/createEstimates.js'
-import type { Queue, QueuedAttempt } from '../queueing/createQueue.js'
+import type { Queue, QueuedAttempt, ReadyRequests } from '../queueing/createQueue.js'
 import type { Pace } from '../queueing/workAhead.js'
 import type { RunEnd, RunOnBackend } from '../running/types.js'
 import type { AgentContext } from './types.js'
@@ -56,6 +56,7 @@
 
 interface Run {
   readonly attempt: Attempt
+  readonly waiting: QueuedAttempt['waiting']
   readonly controller: AbortController
   readonly isSuspect: boolean
   /** Tokens accounted for fairness when it started. */
@@ -85,15 +86,19 @@
 
 /** Makes the dispatcher of one agent. */
 export const createDispatcher = (options: Options): Dispatcher => {
-  const { context: { timers, events, instance }, attempts, queue, backend, estimates } = options
+  const { context: { timers, events, instance, decisions }, attempts, queue, backend, estimates } = options
   const runs = new Map<AttemptId, Run>()
   let tokenIntervalMs = ASSUMED_TOKEN_INTERVAL_MS
+  let isMeasured = false
   let isPoked = false
 
   const running = (): readonly Attempt[] => [...runs.values()].map(run => run.attempt)
 
   const measure = (intervalMs: number): void => {
-    tokenIntervalMs += INTERVAL_SMOOTHING * (intervalMs - tokenIntervalMs)
+    // The assumption ends with the first measurement: smoothed out, it has a fast server refuse for a minute.
+    const weight = isMeasured ? INTERVAL_SMOOTHING : 1
+    isMeasured = true
+    tokenIntervalMs += weight * (intervalMs - tokenIntervalMs)
   }
 
   const refuseWaiting = (attempt: Attempt, refusal: RefusalNote): void => {
@@ -137,7 +142,7 @@
   const finish = (run: Run, end: RunEnd): void => match(end)
     .with({ kind: 'finished' }, ({ finishReason, plain }) => {
       attempts.finish(run.attempt.id, finishReason, plain)
-      estimates.noteAnswer(run.attempt.request.model, run.attempt.tokenCount)
+      estimates.noteAnswer(run.attempt.request, run.attempt.tokenCount)
       options.onAnswered(run.attempt)
     })
     .with({ kind: 'notRun' }, faulty => {
@@ -160,8 +165,9 @@
 
   const follow = async (run: Run, version: string): Promise<void> => {
     const { attempt } = run
-    let lastTokenMs = timers.nowMs()
-    let isFirst = true
+    const startedMs = timers.nowMs()
+    let lastTokenMs = startedMs
+    let prefillMs: number | undefined
     const task = backend.run(attempt, version, {
       onReach: () => {
         if (attempt.reached) return
@@ -170,8 +176,8 @@
       },
       onTokens: (firstTokenIndex, tokens) => {
         const nowMs = timers.nowMs()
-        if (!isFirst) measure((nowMs - lastTokenMs) / tokens.length)
-        isFirst = false
+        if (prefillMs !== undefined) measure((nowMs - lastTokenMs) / tokens.length)
+        prefillMs ??= nowMs - startedMs
         lastTokenMs = nowMs
         attempts.addTokens(attempt.id, firstTokenIndex, tokens)
       }
@@ -180,19 +186,22 @@
     const end = await task.catch((error: Error): RunEnd =>
       ({ kind: 'interrupted', fault: makeFault(FaultKind.Internal, 'running.follow', instance, error.message), died: false, incarnation: '' }))
     finish(run, end)
+    // Only at the end is an interval known to count it in, also of the first run.
+    if (prefillMs !== undefined && isMeasured) estimates.notePrefill(prefillMs / tokenIntervalMs)
     runs.delete(attempt.id)
     queue.account(attempt, attempt.tokenCount - attempt.request.doneTokens.length - run.accountedTokens)
     backend.onUse(attempt, false)
     poke()
   }
 
-  const start = ({ attempt, predictedWaitMs }: QueuedAttempt, isSuspect: boolean): void => {
+  const start = ({ attempt, waiting, predictedWaitMs }: QueuedAttempt, isSuspect: boolean): void => {
     queue.remove(attempt.id)
     const accountedTokens = estimates.expectedTokens(attempt.request)
     queue.account(attempt, accountedTokens)
+    estimates.noteStart(waiting.expectedTokens)
     estimates.noteWait(predictedWaitMs, timers.nowMs() - attempt.arrivedAtMs)
     const version = backend.versionOf(attempt)
-    const run: Run = { attempt, controller: new AbortController(), isSuspect, accountedTokens, cancelNote: undefined }
+    const run: Run = { attempt, waiting, controller: new AbortController(), isSuspect, accountedTokens, cancelNote: undefined }
     const wasIdle = ![...runs.values()].some(other => other.attempt.request.model === attempt.request.model)
     runs.set(attempt.id, run)
     attempts.start(attempt.id, version)
@@ -210,9 +219,38 @@
     return false
   }
 
+  /** Refuses those that could not end in time if they started now, and yields the rest of those that can start. */
+  const shed = (): ReadyRequests => {
+    const ready = queue.ready(backend.canStart)
+    const hopeless = new Set(decisions.shedWaiting(ready, tokenIntervalMs, timers.nowMs()).map(({ id }) => id))
+    for (const id of hopeless) {
+      const entry = queue.get(id)
+      if (entry) refuseHopeless(entry.attempt)
+    }
+    return ready.filter(({ id }) => !hopeless.has(id))
+  }
+
+  const refuseHopeless = (attempt: Attempt): void => {
+    estimates.noteRefusal()
+    const retryAfterMs = decisions.chooseRetryAfter({
+      estimatedWaitMs: 0,
+      recentRefusals: estimates.recentRefusals(),
+      servedPerSecond: estimates.servedPerSecond(),
+      resendCount: attempt.request.resendCount
+    }, decisions.random)
+    refuseWaiting(attempt, notRun({ reason: RefusalReason.OVERLOADED, detail: 'it can no longer end before its deadline', step: 'queueing.shed', peer: instance, retryAfterMs }))
+  }
+
+  /** Those that may start now: without the hopeless, and without long ones while these hold their part of the batch. */
+  const startable = (): ReadyRequests => decisions.limitLong(shed(), {
+    batchSlots: backend.batchSize(),
+    running: [...runs.values()].map(run => run.waiting),
+    meanTokens: estimates.meanTokens()
+  })
+
   const startReady = (): void => {
     while (backend.isUp() && runs.size < backend.batchSize() && !hasSuspectRunning()) {
-      const next = queue.pick(({ attempt }) => backend.canStart(attempt))
+      const next = queue.pick(startable())
       if (!next) return
       // A suspect waits for what runs and nothing is started meanwhile, or it would wait for ever.
       const isSuspect = options.suspicionOf(next.attempt) === 'suspect'
--- a/packages/agent/src/queueing/queueing.test.ts
+++ b/packages/agent/src/queueing/queueing.test.ts
@@ -1,4 +1,4 @@
-import { accountDecayed, admitByDeadline, pickFairShare } from '@figmount/decisions'
+import { accountDecayed, admitByDeadline, fairAhead, limitLong, pickFairShare, shedHopeless, spreadByDrainTime } from '@figmount/decisions'
 import { RefusalReason, RunState } from '@figmount/schema'
 import { expect } from 'chai'
 
@@ -11,7 +11,7 @@
   const under = await startAgentForTest({
     models: [modelSpec('m'), modelSpec('cold')],
     limits,
-    decisions: { admit: admitByDeadline, pickNext: pickFairShare, accountServed: accountDecayed }
+    decisions: { admit: admitByDeadline, pickNext: pickFairShare, accountServed: accountDecayed, estimateAhead: fairAhead, limitLong, shedWaiting: shedHopeless, chooseRetryAfter: spreadByDrainTime }
   })
   under.grant({ kind: 'replica', target: MODEL, slotIndex: 0 })
   under.grant({ kind: 'replica', target: 'reader/cold' as ModelId, slotIndex: 0 })
@@ -89,6 +89,51 @@
     expect(under.engine.runs.indexOf('quiet')).to.be.within(1, 10)
   })
 
+  // A hot caller's queue takes longer than a quiet caller's deadline. Counted whole, it has the quiet
+  // one refused for work that is served after its own.
+  it('does not refuse a quiet caller for the queue of a hot one', async () => {
+    const { under, router } = await ready()
+    for (let index = 0; index < 60; index += 1) router.start(`hot${index}`, { caller: 'hot' as CallerName, tenant: 'a', prompt: `hot${index}`, maxTokens: 20 })
+    await under.advance(50)
+    const quiet = { caller: 'quiet' as CallerName, tenant: 'b', prompt: 'quiet', maxTokens: 20, remainingMs: 1_500 }
+    router.start('quiet', quiet)
+    await under.advance(1_500)
+    expect(router.refusalOf('quiet')).to.equal(undefined)
+    expect(router.finalOf('quiet')).to.not.equal(undefined)
+  })
+
+  // The engine becomes slow after a request was admitted. Started all the same, it holds a place in the
+  // batch until its deadline, is cut off there, and its caller learns of it only then.
+  it('gives up what can no longer end in time, before it runs', async () => {
+    const { under, router } = await ready()
+    for (let index = 0; index < 4; index += 1) router.start(`busy${index}`, { prompt: `busy${index}`, maxTokens: 30 })
+    await under.advance(20)
+    router.start('late', { prompt: 'late', maxTokens: 30, remainingMs: 1_500 })
+    await under.advance(20)
+    expect(router.refusalOf('late'), 'admitted').to.equal(undefined)
+    under.engine.knobs.tokenIntervalMs = 40
+    await under.advance(1_300)
+    expect(router.refusalOf('late')).to.include({ runState: RunState.NOT_RUN, reason: RefusalReason.OVERLOADED, step: 'queueing.shed' })
+    expect(router.refusalOf('late')?.retryAfterMs).to.be.above(0)
+    expect(under.engine.runs).to.not.include('late')
+  })
+
+  // Now and then a long report arrives among many short questions. Once reports hold every place, a
+  // question waits until the first of them is whole.
+  it('keeps a place free of long requests', async () => {
+    const { under, router } = await ready()
+    const reports = (): readonly string[] => under.engine.runs.filter(prompt => prompt.startsWith('report'))
+    for (let index = 0; index < 40; index += 1) {
+      if (index % 8 === 0) router.start(`report${index}`, { prompt: `report${index}`, maxTokens: 400 })
+      router.start(`question${index}`, { prompt: `question${index}`, maxTokens: 4 })
+      await under.advance(80)
+    }
+    expect(reports()).to.have.length(3)
+    expect(router.finalOf('question39')).to.not.equal(undefined)
+    await under.advance(8_000)
+    expect(reports()).to.have.length(5)
+  })
+
   it('tells who waits once a second what it waits for', async () => {
     const { under, router } = await ready()
     under.engine.knobs.loadMs = 3_500
