Add npm run bench: one table of what figmount costs

Cause: package.json named a bench script that did not exist, and the figures of the path, of recovery and of start-up came from separate scripts.

--- /dev/null
+++ b/scripts/bench/measureAll.ts
@@ -0,0 +1,78 @@
+import { createTimerService } from '@figmount/base'
+import { callerItem, createSite, modelService } from '@figmount/proof'
+
+import { MODEL, QUICK_ENGINE, SERVICE } from './constants.js'
+import { createCalls } from './createCalls.js'
+import { measureLatency } from './measureLatency.js'
+import { measureProcessor } from './measureProcessor.js'
+import { measureRecords } from './measureRecords.js'
+import { measureRecovery } from './measureRecovery.js'
+import { measureRpc } from './measureRpc.js'
+import { measureStarts } from './measureStarts.js'
+
+import type { Site } from '@figmount/proof'
+import type { BenchRow } from './types.js'
+
+const COLD_MODELS = ['c1', 'c2', 'c3'] as const
+/** Routers of the site for agreement and recovery; one agent comes beside them. */
+const ROUTERS = ['r1', 'r2'] as const
+const READY_MS = 30_000
+
+const startSite = async (name: string, routerNames: readonly string[], models: readonly string[]): Promise<Site> => {
+  const site = await createSite({
+    name, routers: routerNames.map(router => ({ name: router })), agents: [{ name: 'a1', services: [SERVICE], backendKeys: QUICK_ENGINE }]
+  })
+  try {
+    await site.apply([callerItem('crew'), modelService(SERVICE, models.map(model => ({ name: model })))])
+    await site.rig.until('every slot to be granted', () =>
+      site.rig.events.all().filter(event => event.name === 'proposalMade').length >= models.length, READY_MS)
+    return site
+  } catch (error) {
+    await site.close()
+    throw error
+  }
+}
+
+const withSite = async (starting: Promise<Site>, measure: (site: Site) => Promise<readonly BenchRow[]>): Promise<readonly BenchRow[]> => {
+  const site = await starting
+  try {
+    return await measure(site)
+  } finally {
+    await site.close()
+  }
+}
+
+const timers = createTimerService()
+
+/** Says on standard error how long a measurement took, so that whoever lengthens the run sees where. */
+const timed = async (name: string, measure: () => Promise<readonly BenchRow[]>): Promise<readonly BenchRow[]> => {
+  const startedMs = timers.nowMs()
+  const rows = await measure()
+  process.stderr.write(`${name}: ${Math.round(timers.nowMs() - startedMs)} ms\n`)
+  return rows
+}
+
+/** The path of requests at one router and one agent. */
+const measurePath = async (site: Site): Promise<readonly BenchRow[]> => {
+  const calls = createCalls(site)
+  // The first request loads the model; the engine's own RPC needs it resident.
+  await site.rig.until('the first answer', async () => await calls.stream(1)().then(() => true, () => false), READY_MS)
+  const latency = await timed('latency', async () => await measureLatency(calls))
+  const rpc = await timed('rpc', async () => await measureRpc(calls))
+  const processor = await timed('processor', async () => await measureProcessor(site, calls))
+  return [...latency, ...rpc, ...processor, ...await timed('starts', async () => await measureStarts(site))]
+}
+
+/** Agreement and recovery at two routers and one agent. */
+const measureAgreement = async (site: Site): Promise<readonly BenchRow[]> => {
+  const processCount = ROUTERS.length + 1
+  const records = await timed('records', async () => await measureRecords(site, COLD_MODELS, processCount))
+  return [...records, ...await timed('recovery', async () => await measureRecovery(site))]
+}
+
+/** Takes all figures, one measurement after the other so that none disturbs another. */
+export const measureAll = async (): Promise<readonly BenchRow[]> => {
+  const path = await withSite(startSite('bench-path', ['r1'], [MODEL]), measurePath)
+  const agreement = await withSite(startSite('bench-agreement', ROUTERS, [MODEL, ...COLD_MODELS]), measureAgreement)
+  return [...path, ...agreement]
+}
--- /dev/null
+++ b/scripts/bench/measureStarts.ts
@@ -0,0 +1,52 @@
+import { execFile } from 'node:child_process'
+import { readdirSync, statSync } from 'node:fs'
+import { promisify } from 'node:util'
+import { createTimerService } from '@figmount/base'
+
+import { residentMbOf } from '../../packages/capacity/src/measuring/readProcess.js'
+import { START_COUNT } from './constants.js'
+import { createQuantiles } from './createQuantiles.js'
+
+import type { RigProcess, Site } from '@figmount/proof'
+import type { BenchRow } from './types.js'
+
+const DIST = 'dist'
+const MEDIAN = 50
+const BYTES_PER_KB = 1024
+const TOOLS = ['figmountctl', 'figmount-timeline', 'figmount-load'] as const
+
+const timers = createTimerService()
+const run = promisify(execFile)
+
+const medianMs = async (prepare: () => Promise<unknown>, start: () => Promise<unknown>): Promise<number> => {
+  const quantiles = createQuantiles()
+  for (let index = 0; index < START_COUNT; index += 1) {
+    await prepare()
+    const startedMs = timers.nowMs()
+    await start()
+    quantiles.recordMs(timers.nowMs() - startedMs)
+  }
+  return quantiles.atMs(MEDIAN)
+}
+
+const rowsOf = async (name: string, process: RigProcess): Promise<readonly BenchRow[]> => [
+  { name: `memory.${name}`, value: residentMbOf(process.pid()), unit: 'MB', method: 'resident, after the requests of this run' },
+  { name: `start.${name}`, value: await medianMs(process.kill, process.restart), unit: 'ms', method: `spawn to processStarted, median of ${START_COUNT}` }
+]
+
+const toolRow = async (name: string): Promise<BenchRow> => ({
+  name: `start.${name}`,
+  value: await medianMs(async () => {}, async () => await run(process.execPath, [`${DIST}/${name}.mjs`, '--version'])),
+  unit: 'ms',
+  method: `spawn to exit of --version, median of ${START_COUNT}`
+})
+
+const sizeRows = (): readonly BenchRow[] => readdirSync(DIST).sort().map(file =>
+  ({ name: `size.${file}`, value: statSync(`${DIST}/${file}`).size / BYTES_PER_KB, unit: 'KB', method: `size of ${DIST}/${file}` }))
+
+/** Start-up time and resident memory of router and agent, start-up time of the tools, and sizes of the bundles. */
+export const measureStarts = async (site: Site): Promise<readonly BenchRow[]> => {
+  const rows = [...await rowsOf('figmount-router', site.router('r1')), ...await rowsOf('figmount-agent', site.agent('a1'))]
+  for (const name of TOOLS) rows.push(await toolRow(name))
+  return [...rows, ...sizeRows()]
+}
--- /dev/null
+++ b/scripts/bench/timeCalls.ts
@@ -0,0 +1,24 @@
+import { createTimerService } from '@figmount/base'
+
+import { SAMPLE_COUNT, WARM_UP_COUNT } from './constants.js'
+import { createQuantiles } from './createQuantiles.js'
+
+import type { Quantiles } from './createQuantiles.js'
+
+const timers = createTimerService()
+
+/** One call to its whole answer; rejects when there is none. */
+export type Call = () => Promise<void>
+
+/** Times calls of several kinds one after the other, interleaved so that a busy moment of the machine meets all kinds. */
+export const timeCalls = async (calls: readonly Call[]): Promise<readonly Quantiles[]> => {
+  const quantiles = calls.map(createQuantiles)
+  for (let round = -WARM_UP_COUNT; round < SAMPLE_COUNT; round += 1) {
+    for (const [index, call] of calls.entries()) {
+      const startedMs = timers.nowMs()
+      await call()
+      if (round >= 0) quantiles[index]?.recordMs(timers.nowMs() - startedMs)
+    }
+  }
+  return quantiles
+}
