End processes that are still starting when their rig closes

Cause: two engines of the poison proof, begun anew in the moment its rig was closed, outlived two runs of the suite. Changed: the rig knows a process from its spawn on and ends it then too. Checked: poison and rig tests pass (4 of 4), none of their processes is left; the race itself was not brought about on purpose. Conclusion: a closed rig leaves nothing behind.

--- a/packages/proof/src/rig/startProcess.ts
+++ b/packages/proof/src/rig/startProcess.ts
@@ -79,9 +79,13 @@
     child.stderr.on('data', chunk => { errorText = (errorText + String(chunk)).slice(-KEPT_ERROR_CHARACTERS) })
   }
 
+  // Known from the spawn on, so that a process which is still starting when its rig is closed is ended as well.
+  let current: ChildProcess | undefined
+
   const begin = async (): Promise<Run> => {
     writeIni(file, sections)
     const child = spawn(process.execPath, [join(DIST, `${plan.binary}.mjs`), '--settings', file, '--event-lines'], { stdio: ['ignore', 'pipe', 'pipe'] })
+    current = child
     const ended = waitForEnd(child)
     const address = await new Promise<string>((resolve, reject) => {
       const cancel = timers.after(START_MS, () => {
@@ -117,24 +121,30 @@
   sections = withPort(sections, address)
   if (controlAddress !== address) sections = { ...sections, standin: { ...sections.standin, control_port: controlAddress.split(':')[1] ?? '' } }
 
-  const isRunning = (): boolean => run.child.exitCode === null && run.child.signalCode === null
+  const isRunning = (): boolean => current?.exitCode === null && current.signalCode === null
 
   const signal = (kind: NodeJS.Signals): void => {
     if (!isRunning()) return
     report(RigEvent.processSignalled, { reason: kind })
-    run.child.kill(kind)
+    current?.kill(kind)
   }
 
+  const endOf = async (child: ChildProcess | undefined): Promise<ExitReport> => await new Promise(resolve => {
+    if (!child || child.exitCode !== null || child.signalCode !== null) return resolve({ code: child?.exitCode ?? null, signal: child?.signalCode ?? null })
+    child.once('close', (code, cause) => resolve({ code, signal: cause }))
+  })
+
   const endBy = async (kind: NodeJS.Signals): Promise<ExitReport> => {
+    const ended = current === run.child ? run.ended : undefined
     signal(kind)
-    return await run.ended
+    return await (ended ?? endOf(current))
   }
 
   return {
     name,
     address,
     controlAddress,
-    pid: () => run.child.pid ?? -1,
+    pid: () => current?.pid ?? -1,
     isRunning,
     kill: async () => await endBy('SIGKILL'),
     pause: () => signal('SIGSTOP'),
