Ask an agent once more that does not know an attempt

Cause: a repeatable request that was on its way when its link broke was lost; its agent, asked on a new link, said that it does not know the attempt, and was passed over like one that is gone. Where the model has one replica the caller was refused. Two proofs had been changed to wait until no request is on its way. Change: an agent that answers is asked once more; after a second loss it is passed over. The waiting proof is as strict again as it was, and the answers proof has the case beside the later one.

--- a/packages/proof/src/promises/answers.test.ts
+++ b/packages/proof/src/promises/answers.test.ts
@@ -60,6 +60,19 @@
     expect(outcomes.filter(outcome => outcome.sends.length > 1)).to.deep.equal([])
   })
 
+  // The link is cut while some requests stream and others are still on their way to the agent, which is
+  // the only one that may hold the model. Those on their way must be started again there.
+  it('when the link is cut under requests on their way', async () => {
+    site = await startSmallSite('answers-cut-early', { agents: slowAgents('peer') })
+    await warmUp(site)
+    const asked = askMany(site, 5, 'link', LONG)
+    const holder = await waitForRun(site, 'link 0')
+    await site.proxy(`${holder}-peer`).command({ action: 'cut' })
+    const outcomes = await asked
+    expectWhole(outcomes)
+    expect(outcomes.filter(outcome => outcome.sends.length > 1)).to.deep.equal([])
+  })
+
   // Engine and agent die in the middle of a stream. A second replica goes on behind the tokens that the caller
   // has, and the caller sees one unbroken answer.
   it('when the instance is lost in the middle of a stream', async () => {
--- a/packages/proof/src/promises/waiting.test.ts
+++ b/packages/proof/src/promises/waiting.test.ts
@@ -30,7 +30,6 @@
     site = await startSmallSite('waiting-silent-link', { weights: SLOW_STORE, agents: proxiedAgents('peer') })
     const asked = askMany(site, 10, 'link')
     const holder = await waitForLoad(site)
-    await site.rig.events.waitFor(event => event.name === 'attemptQueued' && event.count === 10, 'all requests to wait at the agent')
     await site.proxy(`${holder}-peer`).command({ action: 'fault', fault: { kind: 'drop' }, scope: 'existing' })
     const outcomes = await asked
     expectWhole(outcomes)
--- a/packages/router/src/requests/serveRepeatable.ts
+++ b/packages/router/src/requests/serveRepeatable.ts
@@ -35,6 +35,14 @@
     .returnType<ServeProgress>()
     .with({ kind: 'answered' }, { kind: 'callerLeft' }, () => counted)
     .with({ kind: 'unsent' }, () => ({ ...counted, excluded: exclude(progress, agent) }))
+    // Guards against refusing for want of another replica what merely got lost on its way: an agent that
+    // answers that it does not know the attempt is there, so it may be asked once more.
+    .with({ kind: 'lost', isKnownLost: true }, () => ({
+      ...counted,
+      excluded: progress.lossCount === 0 ? progress.excluded : exclude(progress, agent),
+      lossCount: progress.lossCount + 1,
+      mayHaveRun: true
+    }))
     .with({ kind: 'lost' }, { kind: 'deadline' }, () =>
       ({ ...counted, excluded: exclude(progress, agent), lossCount: progress.lossCount + 1, mayHaveRun: true }))
     .with({ kind: 'refused' }, ({ note }) => ({
--- a/packages/router/src/requests/serveRequest.test.ts
+++ b/packages/router/src/requests/serveRequest.test.ts
@@ -4,7 +4,7 @@
 import { createBench, gather, tokensOf } from '../testing/createBench.js'
 import { serveRequest } from './serveRequest.js'
 
-import type { AttemptId } from '@figmount/base'
+import type { AttemptId, Incarnation } from '@figmount/base'
 import type { FromAgent } from '@figmount/peers'
 import type { Behave } from '../testing/createFakeAgent.js'
 
@@ -77,6 +77,36 @@
     expect(bench.agentOf('a1').heardOf('resume').map(message => message.fromFrame)).to.deep.equal([1])
   })
 
+  // A start is on its way when the link goes silent. The agent, asked on a new link, does not know
+  // the attempt. It is the only one that may hold the model; passed over, its caller is refused.
+  it('starts again at the same agent that does not know the attempt', async () => {
+    let startCount = 0
+    const bench = createBench({
+      a1: (message, say) => {
+        if (message.type === 'resume') say({ type: 'unknown', attemptId: message.attemptId, incarnation: '1' as Incarnation })
+        if (message.type === 'start' && ++startCount > 1) answering(message, say)
+      }
+    })
+    bench.timers.after(500, () => bench.agentOf('a1').cut())
+    const parts = await bench.finish(gather(serveRequest(bench.context, bench.admitted(), never)))
+    expect(tokensOf(parts)).to.deep.equal(words)
+    expect(parts.at(-1)).to.include({ kind: 'final', tokenCount: 4 })
+  })
+
+  // The agent loses every attempt, since its process dies under each. The request must not go on for ever.
+  it('gives up an agent that loses it twice', async () => {
+    const bench = createBench({
+      a1: (message, say) => {
+        if (message.type === 'resume') say({ type: 'unknown', attemptId: message.attemptId, incarnation: '1' as Incarnation })
+      }
+    })
+    const stopCutting = bench.timers.every(500, () => bench.agentOf('a1').cut())
+    const parts = await bench.finish(gather(serveRequest(bench.context, bench.admitted(), never)))
+    stopCutting()
+    expect(parts.at(-1)).to.have.nested.include({ 'note.runState': RunState.MAY_HAVE_RUN, 'note.reason': RefusalReason.UNAVAILABLE })
+    expect(bench.agentOf('a1').heardOf('start')).to.have.length(2)
+  })
+
   it('tries another agent after a refusal and then refuses', async () => {
     const full = refusing(RunState.NOT_RUN, RefusalReason.OVERLOADED)
     const bench = createBench({ a1: full, a2: full })
