Serve what the engine holds after a restart while the log is down

Ruled out: the engine (alive, model ready), the state (heard from a router). Change: before the log has named it an agent serves what is ready on its engine, which adds no replica; it loads, gives back and permits nothing.

--- a/packages/agent/src/agent/createAdmission.ts
+++ b/packages/agent/src/agent/createAdmission.ts
@@ -29,8 +29,10 @@
   /** Expected time until a request that arrives now gets a place in the batch. */
   readonly secondsAhead: (request: RunRequest) => number
   readonly isDraining: () => boolean
-  /** True when the agreed state is known and names this run of the agent. */
+  /** True when the agreed state is known. */
   readonly isReady: () => boolean
+  /** True when the agreed state names this run of the agent, which may then load. */
+  readonly isAnnounced: () => boolean
 }
 
 interface Start {
@@ -59,6 +61,11 @@
   const findRefusal = (attempt: Pick<Attempt, 'request'>): RefusalNote | undefined => {
     const { request } = attempt
     if (!options.isReady()) return notRun({ reason: RefusalReason.UNAVAILABLE, detail: 'the agent has just started', step: 'agent.start', peer: instance })
+    // Guards against an outage of the log in which every restarted agent serves nothing: what its engine
+    // holds it held before, so serving it adds no replica.
+    if (!options.isAnnounced() && !backend.canStart(attempt)) {
+      return notRun({ reason: RefusalReason.UNAVAILABLE, detail: 'the agent may not load before the log has named it', step: 'agent.start', peer: instance })
+    }
     if (options.isDraining()) return notRun({ reason: RefusalReason.STOPPING, detail: 'the agent is leaving', step: 'leaving.refuse', peer: instance })
     const refusal = backend.refusalFor(attempt)
     if (refusal) return refusal
--- a/packages/agent/src/agent/createAgent.ts
+++ b/packages/agent/src/agent/createAgent.ts
@@ -172,7 +172,7 @@
     refreshListing: instances.refresh,
     isIdle,
     isDelivered: () => attempts.isDelivered() && links.bufferedBytes() === 0,
-    hasGivenUp: () => rights.current().slots.size === 0 && rights.current().keys.size === 0,
+    hasGivenUp: () => !isAnnounced(context) || (rights.current().slots.size === 0 && rights.current().keys.size === 0),
     cancelAll: dispatcher.cancelAll,
     onChange: reason => {
       if (reason === 'stop' || reason === 'instanceList') links.sendAll({ type: 'leaving', instance })
@@ -210,7 +210,8 @@
     estimates,
     secondsAhead: request => secondsAhead(work(), queue.tokensAhead(request)),
     isDraining: () => drain.reason() !== undefined,
-    isReady: () => records.isReady() && isAnnounced(context)
+    isReady: records.isReady,
+    isAnnounced: () => isAnnounced(context)
   })
 
   metrics.gauge('agent_running_count', dispatcher.runningCount)
--- a/packages/agent/src/agent/createDispatcher.ts
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -24,7 +24,7 @@
   readonly isUp: () => boolean
   readonly batchSize: () => number
   /** True when the attempt's model, version and adapter are ready. */
-  readonly canStart: (attempt: Attempt) => boolean
+  readonly canStart: (attempt: Pick<Attempt, 'request'>) => boolean
   /** Why the attempt can never start here as things stand; undefined while it can. */
   readonly refusalFor: (attempt: Pick<Attempt, 'request'>) => RefusalNote | undefined
   readonly versionOf: (attempt: Pick<Attempt, 'request'>) => string
--- a/packages/agent/src/agent/createEngineBackend.ts
+++ b/packages/agent/src/agent/createEngineBackend.ts
@@ -97,7 +97,7 @@
     return undefined
   }
 
-  const canStart = (attempt: Attempt): boolean => {
+  const canStart = (attempt: Pick<Attempt, 'request'>): boolean => {
     const slot = findSlot(loader.state(), attempt.request.model)
     if (slot.phase !== 'ready' || slot.version !== versionOf(attempt)) return false
     if (slot.openOrder?.kind === 'unload') return false
--- a/packages/agent/src/loading/loading.test.ts
+++ b/packages/agent/src/loading/loading.test.ts
@@ -1,5 +1,6 @@
 import { keepByHistory } from '@figmount/decisions'
 import { ORDER_DEADLINE_MS } from '@figmount/records'
+import { RunState } from '@figmount/schema'
 import { expect } from 'chai'
 
 import { AgentEvent } from '../events.js'
@@ -31,6 +32,28 @@
     expect(kinds(again)).to.deep.equal([`load ${MODEL}`])
   })
 
+  // The log is down, and an agent is killed and started again beside an engine that holds its model.
+  // It cannot be named by the log, and its callers would be refused until the outage ends.
+  it('serves what its engine holds after a restart while the log is down, and loads nothing', async () => {
+    const cold = 'reader/cold' as ModelId
+    const under = await startAgentForTest({ models: [modelSpec('m'), modelSpec('cold')] })
+    under.grant(replicaOf(MODEL))
+    under.grant(replicaOf(cold))
+    under.connect().start('a')
+    await under.advance(500)
+    under.log.isUp = false
+    const again = await under.restartAgent()
+    const router = again.connect()
+    router.start('b')
+    router.start('c', { model: cold })
+    router.start('d', { repeatable: false })
+    await again.advance(500)
+    expect(router.finalOf('b')?.tokenCount).to.equal(3)
+    expect(router.refusalOf('c')).to.include({ runState: RunState.NOT_RUN, step: 'agent.start' })
+    expect(router.refusalOf('d')?.runState).to.equal(RunState.NOT_RUN)
+    expect(kinds(again)).to.deep.equal([`load ${MODEL}`])
+  })
+
   // The agent dies in the middle of a load. Its next run finds the engine loading; without
   // counting that, it would order a second load or give the memory away.
   it('takes over a load that an earlier run ordered', async () => {
--- a/packages/agent/src/rights/createRightsKeeper.ts
+++ b/packages/agent/src/rights/createRightsKeeper.ts
@@ -48,8 +48,10 @@
     if (state === seenState && givingUp === seenGivingUp) return held
     seenState = state
     seenGivingUp = givingUp
+    const rights = viewRights(state, instance, incarnation, givingUp)
     // Before its own announcement has been read back an agent cannot know whether the rights are still its own.
-    held = isAnnounced(context) ? viewRights(state, instance, incarnation, givingUp) : noRights
+    // Its slots only say what it may go on serving from an engine that holds it; nothing is loaded or given back.
+    held = isAnnounced(context) ? rights : { ...noRights, slots: rights.slots }
     return held
   }
 
