Import the validation library as a namespace, so that bundles leave out what is unused

Cause: the named import pulled in all of its translations, half of a bundle. Types, lint and build are clean.

--- a/packages/base/src/binary/runBinary.ts
+++ b/packages/base/src/binary/runBinary.ts
@@ -8,7 +8,7 @@
 import { createTimerService } from '../timers/createTimerService.js'
 import { ExitCode } from './types.js'
 
-import type { z } from 'zod'
+import type * as z from 'zod'
 import type { InstanceName } from '../ids/types.js'
 import type { ProcessContext, RunningProcess } from './types.js'
 
--- a/packages/base/src/settings/loadSettings.test.ts
+++ b/packages/base/src/settings/loadSettings.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { describeSettingsFault, parseSettings } from './loadSettings.js'
 
--- a/packages/base/src/settings/loadSettings.ts
+++ b/packages/base/src/settings/loadSettings.ts
@@ -2,7 +2,7 @@
 import { Either, Left, Right } from 'purify-ts'
 import { parse } from 'ini'
 
-import type { z } from 'zod'
+import type * as z from 'zod'
 import type { SettingsFault } from './types.js'
 
 const readText = (file: string): Either<readonly SettingsFault[], string> =>
--- a/packages/ctl/src/configFile/parseConfigFile.ts
+++ b/packages/ctl/src/configFile/parseConfigFile.ts
@@ -5,7 +5,7 @@
 import { adapterSection, callerSection, modelSection, serviceSection } from './fileSchemas.js'
 
 import type { Either } from 'purify-ts'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import type { SettingsFault } from '@figmount/base'
 import type { ConfigDraft } from './types.js'
 
--- a/packages/ctl/src/settings/ctlSettings.ts
+++ b/packages/ctl/src/settings/ctlSettings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Settings of `figmountctl`: whom to ask, and as whom. */
 export const ctlSettings = z.strictObject({
--- a/packages/load/src/experiment/parseExperiment.ts
+++ b/packages/load/src/experiment/parseExperiment.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
 import { parse } from 'ini'
 import { Either, Left, Right } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { ArrivalKind } from './types.js'
 
--- a/packages/records/src/config/parseBody.ts
+++ b/packages/records/src/config/parseBody.ts
@@ -2,7 +2,7 @@
 
 import { callerSpec, serviceSpec } from './types.js'
 
-import type { z } from 'zod'
+import type * as z from 'zod'
 import type { CallerSpec, ItemName, ServiceSpec } from './types.js'
 
 /** Largest body of one item in UTF-16 units: some 1,200 models with 10,000 adapters in one service. */
--- a/packages/records/src/log/recordSchema.ts
+++ b/packages/records/src/log/recordSchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { ConfigLimit } from '../config/types.js'
 import { MAX_BODY_LENGTH } from '../config/parseBody.js'
--- a/packages/router/src/settings/routerSettings.ts
+++ b/packages/router/src/settings/routerSettings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 import type { OperatorKey } from './types.js'
 
--- a/packages/router/src/settings/types.ts
+++ b/packages/router/src/settings/types.ts
@@ -1,4 +1,4 @@
-import type { z } from 'zod'
+import type * as z from 'zod'
 import type { routerSettings } from './routerSettings.js'
 
 /** An operator, known by the hash of its key. */
--- a/packages/standin/src/control/createGate.ts
+++ b/packages/standin/src/control/createGate.ts
@@ -1,6 +1,6 @@
 import { Code, ConnectError } from '@connectrpc/connect'
 import { sleep } from '@figmount/base'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import type { TimerService } from '@figmount/base'
 
--- a/packages/standin/src/engine/settings.ts
+++ b/packages/standin/src/engine/settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 const flag = z.union([z.boolean(), z.enum(['true', 'false'])]).transform(value => value === true || value === 'true')
 
--- a/packages/standin/src/engine/startEngine.ts
+++ b/packages/standin/src/engine/startEngine.ts
@@ -1,7 +1,7 @@
 import { Code, ConnectError } from '@connectrpc/connect'
 import { makeIncarnation, serveRpc } from '@figmount/base'
 import { CheckpointTier, Engine, EngineRole, ResidentState } from '@figmount/schema'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { createGate, gateCommand } from '../control/createGate.js'
 import { handleControl } from '../control/handleControl.js'
--- a/packages/standin/src/instances/startInstances.ts
+++ b/packages/standin/src/instances/startInstances.ts
@@ -1,6 +1,6 @@
 import { serveRpc } from '@figmount/base'
 import { InstanceList, InstanceRole } from '@figmount/schema'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { createGate, gateCommand } from '../control/createGate.js'
 import { handleControl } from '../control/handleControl.js'
--- a/packages/standin/src/log/settings.ts
+++ b/packages/standin/src/log/settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Settings of the stand-in for the platform's log. */
 export const logSettings = z.strictObject({
--- a/packages/standin/src/log/startLog.ts
+++ b/packages/standin/src/log/startLog.ts
@@ -1,7 +1,7 @@
 import { Code, ConnectError } from '@connectrpc/connect'
 import { serveRpc, sleep } from '@figmount/base'
 import { PlatformLog } from '@figmount/schema'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { createGate, gateCommand } from '../control/createGate.js'
 import { createTokenBucket } from '../control/createTokenBucket.js'
--- a/packages/standin/src/plain/settings.ts
+++ b/packages/standin/src/plain/settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Settings of the plain HTTP service. */
 export const plainSettings = z.strictObject({
--- a/packages/standin/src/plain/startPlain.ts
+++ b/packages/standin/src/plain/startPlain.ts
@@ -1,5 +1,5 @@
 import { serveRpc, sleep } from '@figmount/base'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { handleControl, readBody } from '../control/handleControl.js'
 import { StandinEvent } from '../events.js'
--- a/packages/standin/src/proxy/settings.ts
+++ b/packages/standin/src/proxy/settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Settings of the fault-injecting TCP proxy. */
 export const proxySettings = z.strictObject({
--- a/packages/standin/src/proxy/startProxy.ts
+++ b/packages/standin/src/proxy/startProxy.ts
@@ -1,6 +1,6 @@
 import { connect, createServer } from 'node:net'
 import { serveRpc } from '@figmount/base'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { handleControl } from '../control/handleControl.js'
 import { StandinEvent } from '../events.js'
--- a/packages/standin/src/settings/standinSettings.ts
+++ b/packages/standin/src/settings/standinSettings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { engineSettings } from '../engine/settings.js'
 import { instancesSettings } from '../instances/settings.js'
--- a/packages/timeline/src/reading/readEvents.ts
+++ b/packages/timeline/src/reading/readEvents.ts
@@ -1,6 +1,6 @@
 import { createReadStream } from 'node:fs'
 import { createInterface } from 'node:readline'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import type { EventRecord } from '@figmount/base'
 
--- a/scripts/demo/readServices.ts
+++ b/scripts/demo/readServices.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs'
 import { hashKey, parseSettings } from '@figmount/base'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import type { ConfigChange } from '@figmount/proof'
 
