Open the links of both link benches in one place

Cause: the capacity page's measurement repeated the router's bench line by line. Change: openBenchLinks serves both.

--- a/packages/capacity/src/measuring/measureLinks.ts
+++ b/packages/capacity/src/measuring/measureLinks.ts
@@ -1,13 +1,11 @@
 import { fork } from 'node:child_process'
-import { createEventLog, createTimerService } from '@figmount/base'
-import { NO_OFFSET, openLink } from '@figmount/peers'
+import { createTimerService } from '@figmount/base'
 
-import { createAgentLinks } from '../../../router/src/links/createAgentLinks.js'
-import { BENCH_KEY, serveFakeAgents } from '../../../router/src/bench/serveFakeAgents.js'
+import { openBenchLinks } from '../../../router/src/bench/openBenchLinks.js'
+import { serveFakeAgents } from '../../../router/src/bench/serveFakeAgents.js'
 import { sleepAwake } from './sleepAwake.js'
 
 import type { ChildProcess } from 'node:child_process'
-import type { Incarnation, InstanceName } from '@figmount/base'
 import type { FakeAgentPlan } from '../../../router/src/bench/serveFakeAgents.js'
 import type { Measurement, Point } from '../slopes/types.js'
 
@@ -40,19 +38,7 @@
   const plan: FakeAgentPlan = { agentCount, modelCount: MODEL_COUNT, thin: true, busy, tokensPerFrame: 1 }
   const child = fork(new URL('./runFakeAgents.ts', import.meta.url).pathname, [JSON.stringify(plan)], { execArgv: ['--import', 'tsx'] })
   const addresses = await answerOf<readonly string[]>(child)
-  const instance = 'r1' as InstanceName
-  const events = createEventLog({ instance, role: 'router', timers })
-  const context = { instance, sharedKey: BENCH_KEY, timers, events, offset: () => NO_OFFSET, onPeerOffset: () => {} }
-  const links = createAgentLinks({
-    router: instance,
-    routerIncarnation: '1' as Incarnation,
-    dial: agent => openLink(addresses[Number(agent.slice(1))] ?? '', context),
-    hooks: { onOffset: () => {}, onShared: () => {} },
-    timers,
-    events,
-    random: Math.random
-  })
-  await Promise.all(addresses.map(async (_, index) => await links.linkTo(`a${index}` as InstanceName).whenOpen(SETTLE_MS).run()))
+  const links = await openBenchLinks(addresses)
   await sleepAwake(timers, SETTLE_MS)
   child.send('bytes')
   const bytesBefore = await answerOf<number>(child)
--- a/packages/router/src/bench/measureLinks.ts
+++ b/packages/router/src/bench/measureLinks.ts
@@ -4,14 +4,12 @@
  * processor time is the router's alone. Run: `npx tsx packages/router/src/bench/measureLinks.ts`.
  */
 import { fork } from 'node:child_process'
-import { createEventLog, createTimerService, sleep } from '@figmount/base'
-import { NO_OFFSET, openLink } from '@figmount/peers'
+import { createTimerService, sleep } from '@figmount/base'
 
-import { createAgentLinks } from '../links/createAgentLinks.js'
-import { BENCH_KEY, serveFakeAgents } from './serveFakeAgents.js'
+import { openBenchLinks } from './openBenchLinks.js'
+import { serveFakeAgents } from './serveFakeAgents.js'
 
 import type { ChildProcess } from 'node:child_process'
-import type { Incarnation, InstanceName } from '@figmount/base'
 import type { FakeAgentPlan } from './serveFakeAgents.js'
 
 const AGENT_COUNT = 30
@@ -38,20 +36,7 @@
   const plan: FakeAgentPlan = { agentCount: AGENT_COUNT, modelCount: MODEL_COUNT, thin, busy, tokensPerFrame: 1 }
   const child = fork(new URL(import.meta.url).pathname, [JSON.stringify(plan)], { execArgv: ['--import', 'tsx'] })
   const addresses = await new Promise<readonly string[]>(resolve => child.once('message', message => resolve(message as string[])))
-  const instance = 'r1' as InstanceName
-  const events = createEventLog({ instance, role: 'router', timers })
-  const context = { instance, sharedKey: BENCH_KEY, timers, events, offset: () => NO_OFFSET, onPeerOffset: () => {} }
-  const links = createAgentLinks({
-    router: instance,
-    routerIncarnation: '1' as Incarnation,
-    dial: agent => openLink(addresses[Number(agent.slice(1))] ?? '', context),
-    hooks: { onOffset: () => {}, onShared: () => {} },
-    timers,
-    events,
-    random: Math.random
-  })
-  const names = addresses.map((_, index) => `a${index}` as InstanceName)
-  await Promise.all(names.map(async agent => await links.linkTo(agent).whenOpen(SETTLE_MS).run()))
+  const links = await openBenchLinks(addresses)
   await sleepAwake(SETTLE_MS)
   const bytesBefore = await ask<number>(child)
   const cpuBefore = process.cpuUsage()
