--- a/packages/timeline/src/drawing/buildPicture.test.ts
+++ b/packages/timeline/src/drawing/buildPicture.test.ts
@@ -22,6 +22,15 @@
     expect(picture.spans[0]).to.deep.include({ toMs: 70, end: 'open' })
   })
 
+  it('leaves out processes that only started, and shows those to which something happened', () => {
+    const started = { instance: 'idle' as InstanceName }
+    const died = { instance: 'dead' as InstanceName }
+    const picture = buildPicture(orderEvents([
+      event('processStarted', 0, 0, started), event('engineDied', 5, 0, died), event('requestReceived', 10, 0, { requestKey: 'k' })
+    ]))
+    expect(picture.lanes).to.deep.equal(['dead', 'r1'])
+  })
+
   it('escapes what it draws', () => {
     const picture = buildPicture(orderEvents([event('requestReceived', 0, 0, { requestKey: '<k>' }), event('other', 70, 1)]))
     expect(renderSvg(picture)).to.contain('&lt;k&gt;').and.not.to.contain('<k>')
--- a/packages/timeline/src/drawing/buildPicture.ts
+++ b/packages/timeline/src/drawing/buildPicture.ts
@@ -45,10 +45,14 @@
 export const buildPicture = (events: readonly TimedEvent[]): Picture => {
   const fromMs = events[0]?.atMs ?? 0
   const toMs = events.at(-1)?.atMs ?? 0
+  const spans = SPAN_RULES.flatMap(rule => spansOf(events, rule, toMs))
+  const marks = events.map(markOf).filter(mark => mark !== undefined)
+  // A process that only started says nothing; dozens of such lanes hide those that do.
+  const telling = new Set([...spans, ...marks.filter(mark => mark.severe)].map(({ lane }) => lane))
   return {
-    lanes: lanesOf(events),
-    spans: SPAN_RULES.flatMap(rule => spansOf(events, rule, toMs)),
-    marks: events.map(markOf).filter(mark => mark !== undefined),
+    lanes: lanesOf(events).filter(lane => telling.has(lane)),
+    spans,
+    marks: marks.filter(mark => telling.has(mark.lane)),
     fromMs,
     toMs
   }
