Hold every proof's run against the checker when its site closes

Cause: each proof looked only at what it was written for. Change: the events of every site are judged for replicas, memory and configuration, the three checks that allow for no time; an engine that has ended counts as empty, which a trace shows to be right: in two runs a lost instance's model was loaded elsewhere 39 s after the engine's end and counted as a second replica.

--- a/packages/proof/src/rig/createSite.ts
+++ b/packages/proof/src/rig/createSite.ts
@@ -1,5 +1,6 @@
 import { hashKey } from '@figmount/base'
 
+import { judgeRun } from '../checks/judgeRun.js'
 import { createRig } from './createRig.js'
 import { applyChanges } from './operate.js'
 
@@ -26,6 +27,7 @@
   /** Puts an instance that was taken off back on the list. */
   readonly relist: (name: string) => Promise<void>
   readonly apply: (changes: readonly ConfigChange[]) => Promise<void>
+  /** Ends all processes and fails if their events show a broken promise. */
   readonly close: () => Promise<void>
 }
 
@@ -147,6 +149,10 @@
     delist: async name => { await list.command({ action: 'remove', name }) },
     relist: async name => { await list.command(listings.get(name) ?? {}) },
     apply: async changes => await applyChanges(rig, routers()[0]?.address ?? '', OPERATOR_KEY, changes),
-    close: rig.close
+    close: async () => {
+      await rig.close()
+      const broken = judgeRun(rig.events.all())
+      if (broken.length > 0) throw new Error(`the events of ${plan.name} show: ${broken.join('; ')}`)
+    }
   }
 }
--- a/packages/timeline/src/checking/checkPromises.test.ts
+++ b/packages/timeline/src/checking/checkPromises.test.ts
@@ -25,6 +25,7 @@
     expect(broken(load, first, second)).to.deep.equal([PromiseName.Replicas])
     expect(broken(load, first, at(2, 'engine-1', 'engine', 'modelUnloaded', { model: 's/m' }), second)).to.deep.equal([])
     expect(broken(load, first, at(2, 'engine-1', 'engine', 'engineStarted'), second)).to.deep.equal([])
+    expect(broken(load, first, at(2, 'engine-1', 'rig', 'processExited'), second)).to.deep.equal([])
   })
 
   it('sees memory that is overcommitted', () => {
--- a/packages/timeline/src/checking/checkReplicas.ts
+++ b/packages/timeline/src/checking/checkReplicas.ts
@@ -35,7 +35,8 @@
     const { event } = timed
     const model = event.model ?? ''
     if (event.name === 'loadOrdered' && event.maxReplicas !== undefined) maxReplicas.set(model, event.maxReplicas)
-    if (event.name === 'engineStarted') held.delete(event.instance)
+    // An engine that has ended holds nothing, whether or not another run of it follows.
+    if (event.name === 'engineStarted' || event.name === 'processExited') held.delete(event.instance)
     if (event.name === 'loadFailed' && event.role === 'engine') heldBy(held, event.instance).delete(model)
     if (event.name === 'modelUnloaded') heldBy(held, event.instance).delete(model)
     if (event.name !== 'loadStarted') return
