--- a/packages/capacity/src/measuring/sleepAwake.ts
+++ b/packages/capacity/src/measuring/sleepAwake.ts
@@ -1,10 +1,10 @@
-import { sleep } from '@figmount/base'
+import { sleep, stayAwake } from '@figmount/base'
 
 import type { TimerService } from '@figmount/base'
 
 /** Sleeps and keeps the process alive, which figmount's own timers do not. */
 export const sleepAwake = async (timers: TimerService, durationMs: number): Promise<void> => {
-  const awake = setInterval(() => {}, durationMs)
+  const release = stayAwake()
   await sleep(timers, durationMs)
-  clearInterval(awake)
+  release()
 }
--- a/packages/ctl/src/apply/waitInForce.ts
+++ b/packages/ctl/src/apply/waitInForce.ts
@@ -24,7 +24,7 @@
     while (true) {
       const status = await fromPromise(client.call('ctl.status', async rpc => await rpc.status({})).run())
       const missing = status.instances
-        .filter(instance => mustHave(instance) && instance.appliedOffset < offset)
+        .filter(instance => mustHave(instance) && instance.appliedOffset <= offset)
         .map(instance => instance.instance)
       const tookMs = Math.round(timers.nowMs() - startMs)
       if (missing.length === 0) return { everywhere: true, tookMs, missing }
--- a/packages/ctl/src/bin.ts
+++ b/packages/ctl/src/bin.ts
@@ -2,7 +2,7 @@
 import { createInterface } from 'node:readline/promises'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
-import { createTimerService, describeFault, describeSettingsFault, ExitCode, loadSettings, VERSION } from '@figmount/base'
+import { createTimerService, describeFault, describeSettingsFault, ExitCode, loadSettings, stayAwake, VERSION } from '@figmount/base'
 
 import { runApply } from './commands/runApply.js'
 import { runGet, runHistory, runRetire, runRollBack } from './commands/runHistory.js'
@@ -53,6 +53,9 @@
   })
 }
 
+// Every command ends the process itself.
+stayAwake()
+
 await yargs(hideBin(process.argv))
   .scriptName('figmountctl')
   .option('settings', { type: 'string', default: 'figmountctl.ini', describe: 'INI file with the routers and the operator key' })
@@ -71,10 +74,10 @@
     async args => await finish(runGet(contextOf(args), args.item)))
   .command('history <item>', 'show the versions of an item', command => command.positional('item', { type: 'string', demandOption: true }),
     async args => await finish(runHistory(contextOf(args), args.item)))
-  .command('rollback <item> <version>', 'set an item to an earlier version', command => command
+  .command('rollback <item> <to>', 'set an item to an earlier version', command => command
     .positional('item', { type: 'string', demandOption: true })
-    .positional('version', { type: 'number', demandOption: true }),
-  async args => await finish(runRollBack(contextOf(args), args.item, args.version, args.waitMs)))
+    .positional('to', { type: 'number', demandOption: true, describe: 'version to go back to' }),
+  async args => await finish(runRollBack(contextOf(args), args.item, args.to, args.waitMs)))
   .command('retire <item>', 'retire an item', command => command.positional('item', { type: 'string', demandOption: true }),
     async args => await finish(runRetire(contextOf(args), args.item, args.waitMs)))
   .command('status', 'show the log, instances and replicas', command => command.option('metrics', { type: 'boolean', default: false, describe: "show the router's metrics" }),
--- a/packages/ctl/src/commands/runStatus.ts
+++ b/packages/ctl/src/commands/runStatus.ts
@@ -24,10 +24,11 @@
 
 /** Shows the events of one request, to see why it was refused. */
 export const runExplain = (context: CommandContext, requestKey: string, caller: string): CommandResult =>
-  context.client.call('ctl.explain', async rpc => await rpc.explain({ requestKey, caller })).map(response => {
-    if (response.events.length === 0) context.print(`nothing is remembered of ${requestKey}; another router may know more`)
-    for (const event of response.events) context.print(event.json)
-    return response.events.length > 0
+  context.client.callEach('ctl.explain', async rpc => await rpc.explain({ requestKey, caller })).map(responses => {
+    const events = responses.flatMap(response => response.events)
+    if (events.length === 0) context.print(`no router that answers remembers ${requestKey}`)
+    for (const event of events) context.print(event.json)
+    return events.length > 0
   })
 
 /** Follows a router's events until interrupted. */
--- a/packages/ctl/src/operatorClient/createOperatorClient.ts
+++ b/packages/ctl/src/operatorClient/createOperatorClient.ts
@@ -11,6 +11,8 @@
 /** Calls the operators' interface at the first router that answers. */
 export interface OperatorClient {
   readonly call: <T>(step: string, run: (rpc: OperatorRpc) => Promise<T>) => EitherAsync<Fault, T>
+  /** Asks every router, for what each remembers only of its own; fails when none answers. */
+  readonly callEach: <T>(step: string, run: (rpc: OperatorRpc) => Promise<T>) => EitherAsync<Fault, readonly T[]>
 }
 
 /** Makes a client for a list of routers, each as host:port. A refusal is final; only an unreachable router is passed over. */
@@ -34,5 +36,16 @@
       return throwE(last)
     })
 
-  return { call }
+  const callEach = <T>(step: string, run: (rpc: OperatorRpc) => Promise<T>): EitherAsync<Fault, readonly T[]> =>
+    EitherAsync<Fault, readonly T[]>(async ({ throwE }) => {
+      const answers: T[] = []
+      let last = makeFault(FaultKind.Invalid, step, '', 'no router address is set')
+      for (const { address, rpc } of peers) {
+        const answer = await EitherAsync(async () => await run(rpc)).mapLeft(faultFrom(step, address)).run()
+        answer.caseOf({ Left: fault => { last = fault }, Right: value => { answers.push(value) } })
+      }
+      return answers.length > 0 ? answers : throwE(last)
+    })
+
+  return { call, callEach }
 }
--- a/packages/load/src/bin.ts
+++ b/packages/load/src/bin.ts
@@ -2,7 +2,7 @@
 import { createWriteStream, readFileSync, writeFileSync } from 'node:fs'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
-import { createEventLog, createTimerService, describeSettingsFault, ExitCode, VERSION } from '@figmount/base'
+import { createEventLog, createTimerService, describeSettingsFault, ExitCode, stayAwake, VERSION } from '@figmount/base'
 import { renderTable } from '@figmount/ctl'
 import { expectedTokens } from '@figmount/standin'
 
@@ -67,6 +67,9 @@
   return expected.length === tokens.length && expected.every((token, index) => token === tokens[index])
 }
 
+// Between two requests nothing but a timer may be pending.
+stayAwake()
+
 const stop = new AbortController()
 process.once('SIGINT', () => stop.abort())
 process.once('SIGTERM', () => stop.abort())
--- a/packages/router/src/router/createStatusSources.ts
+++ b/packages/router/src/router/createStatusSources.ts
@@ -24,6 +24,23 @@
   return known.length > 0 ? Math.max(...known) as LogOffset : undefined
 }
 
+/** Agents that one status looks for besides those with a link; more are heard of through neighbours only. */
+const MAX_SOUGHT_AGENTS = 30
+
+/**
+ * Opens links to agents of which nothing is known, so that the next status knows them. Without it an agent that
+ * no request needs would seem to have no configuration in force for ever.
+ */
+const seekUnknown = (options: Options): void => {
+  let soughtCount = 0
+  for (const [name, listed] of options.membership.list().instances) {
+    if (listed.role !== 'agent' || soughtCount >= MAX_SOUGHT_AGENTS) continue
+    if (appliedOffsetOf(options, name)) continue
+    options.links.linkTo(name).keep()
+    soughtCount += 1
+  }
+}
+
 /** Gathers what the operators' status is made of. */
 export const createStatusSources = (options: Options): StatusSources => {
   const { parts, membership, links, gate } = options
@@ -33,7 +50,10 @@
     isStopping: options.isStopping,
     requestCount: gate.count,
     records: parts.records,
-    list: membership.list,
+    list: () => {
+      seekUnknown(options)
+      return membership.list()
+    },
     viewOf: links.viewOf,
     appliedOffsetOf: instance => appliedOffsetOf(options, instance),
     metrics: parts.metrics,
