Look for unknown agents once a status, and check stand-in tokens in one place

Cause: read as a newcomer would, the status's list had a hidden effect: it opened links, and ran once for every instance shown. The load tool and the experiment script held the same token check. Change: the operators' status asks once to look for unknown agents, under a name of its own; checkStandinTokens serves both.

--- a/packages/load/src/bin.ts
+++ b/packages/load/src/bin.ts
@@ -4,11 +4,11 @@
 import { hideBin } from 'yargs/helpers'
 import { createEventLog, createTimerService, describeSettingsFault, ExitCode, stayAwake, VERSION } from '@figmount/base'
 import { renderTable } from '@figmount/ctl'
-import { expectedTokens } from '@figmount/standin'
 
 import { loadExperiment } from './experiment/parseExperiment.js'
 import { compareReports } from './report/compareReports.js'
 import { renderReport, reportTable } from './report/renderReport.js'
+import { checkStandinTokens } from './running/checkStandinTokens.js'
 import { runExperiment } from './running/runExperiment.js'
 
 import type { InstanceName } from '@figmount/base'
@@ -60,12 +60,7 @@
   ...(eventFile ? { writeLine: (line: string): void => { eventFile.write(`${line}\n`) } } : {})
 })
 
-const checkTokens: CheckTokens = (request, version, tokens) => {
-  if (!args.standinTokens) return true
-  const model = `${request.traffic.service}/${request.model}`
-  const expected = expectedTokens({ model, version, adapter: request.adapter, prompt: request.prompt }, request.traffic.maxTokens)
-  return expected.length === tokens.length && expected.every((token, index) => token === tokens[index])
-}
+const checkTokens: CheckTokens = (...answer) => !args.standinTokens || checkStandinTokens(...answer)
 
 // Between two requests nothing but a timer may be pending.
 stayAwake()
--- a/packages/router/src/operators/createOperator.ts
+++ b/packages/router/src/operators/createOperator.ts
@@ -83,6 +83,7 @@
     },
     status: (_request, handler) => {
       check(handler)
+      options.status.seekUnknown()
       return describeStatus(options.status)
     },
     drain: async (request, handler) => await drain(options, check(handler), request),
--- a/packages/router/src/operators/describeStatus.ts
+++ b/packages/router/src/operators/describeStatus.ts
@@ -15,6 +15,8 @@
   readonly records: RecordsClient
   readonly list: () => InstanceList
   readonly viewOf: (instance: InstanceName) => AgentView | undefined
+  /** Opens links to some agents of which nothing is known, for the next status. */
+  readonly seekUnknown: () => void
   /** The highest offset known to be in force at an instance, from links and from other routers. */
   readonly appliedOffsetOf: (instance: InstanceName) => LogOffset | undefined
   readonly metrics: Metrics
--- a/packages/router/src/router/createStatusSources.ts
+++ b/packages/router/src/router/createStatusSources.ts
@@ -50,10 +50,8 @@
     isStopping: options.isStopping,
     requestCount: gate.count,
     records: parts.records,
-    list: () => {
-      seekUnknown(options)
-      return membership.list()
-    },
+    list: membership.list,
+    seekUnknown: () => seekUnknown(options),
     viewOf: links.viewOf,
     appliedOffsetOf: instance => appliedOffsetOf(options, instance),
     metrics: parts.metrics,
--- a/scripts/experiment.ts
+++ b/scripts/experiment.ts
@@ -1,18 +1,16 @@
 /** Starts a deployment of stand-ins and real processes, runs its experiment file against it and judges the run. */
 import { createEventLog, createTimerService } from '@figmount/base'
 import { renderTable } from '@figmount/ctl'
-import { expectedTokens } from '@figmount/standin'
 import { createSite } from '@figmount/proof'
 import { checkPromises, orderEvents } from '@figmount/timeline'
 import { mkdirSync, readFileSync, writeFileSync } from 'node:fs'
 
-import { parseExperiment, runExperiment } from '@figmount/load'
+import { checkStandinTokens, parseExperiment, runExperiment } from '@figmount/load'
 import { reportTable, renderReport } from '../packages/load/src/report/renderReport.js'
 import { measureAccelerators } from './experiments/measureAccelerators.js'
 import { DEPLOYMENTS } from './experiments/deployments.js'
 
 import type { EventRecord, InstanceName } from '@figmount/base'
-import type { CheckTokens } from '../packages/load/src/running/createSender.js'
 
 const OUT_FOLDER = 'out'
 const READY_MS = 30_000
@@ -28,12 +26,6 @@
 const events = createEventLog({ instance: 'load' as InstanceName, role: 'load', timers })
 events.subscribe(event => { own.push(event) })
 
-const checkTokens: CheckTokens = (request, version, tokens) => {
-  const model = `${request.traffic.service}/${request.model}`
-  const expected = expectedTokens({ model, version, adapter: request.adapter, prompt: request.prompt }, request.traffic.maxTokens)
-  return expected.length === tokens.length && expected.every((token, index) => token === tokens[index])
-}
-
 const site = await createSite(deployment.site)
 try {
   await site.apply(deployment.changes)
@@ -44,7 +36,7 @@
     return await Promise.resolve(granted >= slotCount)
   }, READY_MS)
   const figures = await runExperiment({ ...experiment, routers: site.routerAddresses() }, {
-    timers, events, checkTokens, onProgress: progress => { process.stderr.write(`${progress.endedCount} ended of ${progress.sentCount} sent\n`) }, signal: new AbortController().signal
+    timers, events, checkTokens: checkStandinTokens, onProgress: progress => { process.stderr.write(`${progress.endedCount} ended of ${progress.sentCount} sent\n`) }, signal: new AbortController().signal
   })
   const all = orderEvents([...site.rig.events.all(), ...own])
   const verdict = checkPromises(all)
