--- a/packages/agent/src/bench/measureHotPath.ts
+++ b/packages/agent/src/bench/measureHotPath.ts
@@ -3,7 +3,7 @@
  * run in this process, the agent in its own, from `dist/`. Run with `npx tsx packages/agent/src/bench/measureHotPath.ts`.
  */
 import { spawn } from 'node:child_process'
-import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createEventLog, createMetrics, createTimerService, makeIncarnation, sleep } from '@figmount/base'
@@ -11,6 +11,7 @@
 import { createRecordsClient } from '@figmount/records'
 import { standinSettings, startStandin } from '@figmount/standin'
 
+import { processorUsOf, residentMbOf } from '../../../capacity/src/measuring/readProcess.js'
 import { aRequest, MODEL, modelSpec } from '../testing/startAgentForTest.js'
 
 import type { AttemptId, InstanceName, LogOffset } from '@figmount/base'
@@ -21,8 +22,6 @@
 const SMALL_REQUEST_COUNT = 4_000
 const IN_FLIGHT = 32
 const IDLE_MS = 5_000
-/** Ticks a second of /proc/PID/stat on Linux. */
-const TICKS_PER_SECOND = 100
 const MS_PER_SECOND = 1000
 const US_PER_MS = 1000
 
@@ -35,13 +34,7 @@
   return started.address.split(' ')[0] ?? ''
 }
 
-const cpuMsOf = (pid: number): number => {
-  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? []
-  return (Number(fields[11]) + Number(fields[12])) * MS_PER_SECOND / TICKS_PER_SECOND
-}
-
-const memoryMbOf = (pid: number): number =>
-  Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? 0) / 1024
+const cpuMsOf = (pid: number): number => processorUsOf(pid) / US_PER_MS
 
 const log = await standinOf({ kind: 'log' })
 const list = await standinOf({ kind: 'instances', instances: 'agent-1 agent aa-1 127.0.0.1:1 127.0.0.1:2' })
@@ -136,7 +129,7 @@
 })
 const counted = tokenCount - tokensBefore
 print(`${STREAM_COUNT} streams: ${(streams.cpuMs * US_PER_MS / counted).toFixed(1)} us per token, ${(counted / streams.wallMs * MS_PER_SECOND).toFixed(0)} tokens a second, ${(streams.cpuMs / streams.wallMs * 100).toFixed(1)} % of a core`)
-print(`memory: ${memoryMbOf(pid).toFixed(0)} MB, refused: ${refusedCount}`)
+print(`memory: ${residentMbOf(pid).toFixed(0)} MB, refused: ${refusedCount}`)
 child.kill('SIGTERM')
 link.close('bench ends')
 await new Promise(resolve => child.once('exit', resolve))
