--- a/packages/agent/src/agent/createAgent.ts
+++ b/packages/agent/src/agent/createAgent.ts
@@ -1,3 +1,4 @@
+import { runInBackground } from '@figmount/base'
 import { createAttemptStore } from '../attempts/createAttemptStore.js'
 import { createAuthority } from '../authority/createAuthority.js'
 import { createLinkBook } from '../links/createLinkBook.js'
@@ -22,7 +23,6 @@
 import { createDispatcher } from './createDispatcher.js'
 import { createEngineBackend } from './createEngineBackend.js'
 import { createPlainBackend } from './createPlainBackend.js'
-import { runInBackground } from './runInBackground.js'
 
 import type { ModelId } from '@figmount/base'
 import type { AgentReport, LinkContext } from '@figmount/peers'
--- a/packages/agent/src/agent/createDispatcher.ts
+++ b/packages/agent/src/agent/createDispatcher.ts
@@ -1,4 +1,4 @@
-import { FaultKind, makeFault } from '@figmount/base'
+import { FaultKind, makeFault, runInBackground } from '@figmount/base'
 import { match } from 'ts-pattern'
 import { RefusalReason, WaitState } from '@figmount/schema'
 
@@ -7,7 +7,6 @@
 import { AgentEvent } from '../events.js'
 import { ASSUMED_TOKEN_INTERVAL_MS, INTERVAL_SMOOTHING } from '../queueing/constants.js'
 import { mayHaveRun, notRun, quarantined, ran, reasonOf } from './refusals.js'
-import { runInBackground } from './runInBackground.js'
 
 import type { AttemptId } from '@figmount/base'
 import type { RefusalNote } from '@figmount/peers'
--- a/packages/agent/src/agent/createEngineBackend.ts
+++ b/packages/agent/src/agent/createEngineBackend.ts
@@ -1,3 +1,4 @@
+import { runInBackground } from '@figmount/base'
 import { findModel, findService } from '@figmount/records'
 import { RefusalReason, WaitState } from '@figmount/schema'
 
@@ -7,7 +8,6 @@
 import { isAnnounced } from '../rights/keepAnnounced.js'
 import { runOnEngine } from '../running/runOnEngine.js'
 import { notRun } from './refusals.js'
-import { runInBackground } from './runInBackground.js'
 
 import type { ModelId } from '@figmount/base'
 import type { RefusalNote } from '@figmount/peers'
--- a/packages/agent/src/engine/createEngineWatch.ts
+++ b/packages/agent/src/engine/createEngineWatch.ts
@@ -1,6 +1,6 @@
+import { runInBackground } from '@figmount/base'
 import { AgentEvent } from '../events.js'
 import { INVENTORY_MS } from './constants.js'
-import { runInBackground } from '../agent/runInBackground.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { EngineClient, Inventory } from './types.js'
--- a/packages/agent/src/loading/createLoader.ts
+++ b/packages/agent/src/loading/createLoader.ts
@@ -1,3 +1,4 @@
+import { runInBackground } from '@figmount/base'
 import { AgentEvent } from '../events.js'
 import { emptyLedger, usedMb } from '../memory/ledger.js'
 import { STORE_SPACING_MS, UNMEASURED_PACE_MS } from './constants.js'
@@ -5,7 +6,6 @@
 import { planOrders } from './planOrders.js'
 import { closeOrder, expectedLoadMs, findSlot, holdSlot, isOvercommitted, reconcile, touch } from './slots.js'
 import { easeStore, freshPace, holdBack } from './storePace.js'
-import { runInBackground } from '../agent/runInBackground.js'
 
 import type { EventFields, EventLog, ModelId, TimerService } from '@figmount/base'
 import type { ChooseLoadBackoff } from '@figmount/decisions'
--- a/packages/agent/src/membership/watchInstances.ts
+++ b/packages/agent/src/membership/watchInstances.ts
@@ -1,8 +1,7 @@
 import { createClient } from '@connectrpc/connect'
 import { EitherAsync } from 'purify-ts'
-import { createTransport, faultFrom } from '@figmount/base'
+import { createTransport, faultFrom, runInBackground } from '@figmount/base'
 import { InstanceList } from '@figmount/schema'
-import { runInBackground } from '../agent/runInBackground.js'
 
 import type { EventLog, Fault, InstanceName, TimerService } from '@figmount/base'
 
--- a/packages/agent/src/rights/appendReliably.ts
+++ b/packages/agent/src/rights/appendReliably.ts
@@ -1,7 +1,6 @@
-import { sleep } from '@figmount/base'
+import { runInBackground, sleep } from '@figmount/base'
 
 import { AgentEvent } from '../events.js'
-import { runInBackground } from '../agent/runInBackground.js'
 
 import type { NewRecord } from '@figmount/records'
 import type { AgentContext } from '../agent/types.js'
--- a/packages/agent/src/running/runOnEngine.ts
+++ b/packages/agent/src/running/runOnEngine.ts
@@ -1,9 +1,9 @@
+import { runInBackground } from '@figmount/base'
 import { match } from 'ts-pattern'
 
 import { AgentEvent } from '../events.js'
 import { ENGINE_GONE_MS } from '../engine/constants.js'
 import { runStream } from '../engine/runStream.js'
-import { runInBackground } from '../agent/runInBackground.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
 import type { EngineClient } from '../engine/types.js'
--- a/packages/base/src/binary/runBinary.ts
+++ b/packages/base/src/binary/runBinary.ts
@@ -3,13 +3,17 @@
 
 import { BaseEvent } from '../events/catalogue.js'
 import { createEventLog } from '../events/createEventLog.js'
+import { createLineWriter } from '../logs/createLineWriter.js'
 import { createMetrics } from '../metrics/createMetrics.js'
 import { describeSettingsFault, loadSettings } from '../settings/loadSettings.js'
 import { createTimerService } from '../timers/createTimerService.js'
 import { ExitCode } from './types.js'
 
 import type * as z from 'zod'
+import type { EventLog } from '../events/types.js'
 import type { InstanceName } from '../ids/types.js'
+import type { Metrics } from '../metrics/types.js'
+import type { TimerService } from '../timers/types.js'
 import type { ProcessContext, RunningProcess } from './types.js'
 
 /** Version that every binary reports. */
@@ -22,13 +26,14 @@
   readonly role: string
   readonly schema: z.ZodType<Settings>
   readonly instanceOf: (settings: Settings) => string
-  readonly start: (context: ProcessContext<Settings>) => Promise<RunningProcess>
+  readonly start: (context: ProcessContext<Settings>) => Promise<RunningProcess<Settings>>
 }
 
 interface Arguments {
   readonly settings: string
   readonly check: boolean
   readonly eventLines: boolean
+  readonly eventLinesPerS: number
 }
 
 const readArguments = async (name: string, summary: string): Promise<Arguments> => {
@@ -38,6 +43,7 @@
     .option('settings', { type: 'string', demandOption: true, describe: 'INI file with the settings' })
     .option('check', { type: 'boolean', default: false, describe: 'check the settings and exit' })
     .option('event-lines', { type: 'boolean', default: false, describe: 'write events to standard output, one JSON object a line' })
+    .option('event-lines-per-s', { type: 'number', default: 0, describe: 'most event lines a second; the rest is left out and counted; 0 writes all' })
     .version(VERSION)
     .strict()
     .fail((message, error) => {
@@ -45,7 +51,7 @@
       process.exit(ExitCode.Usage)
     })
     .parseAsync()
-  return { settings: parsed.settings, check: parsed.check, eventLines: parsed.eventLines }
+  return { settings: parsed.settings, check: parsed.check, eventLines: parsed.eventLines, eventLinesPerS: parsed.eventLinesPerS }
 }
 
 const waitForStop = async (): Promise<void> => await new Promise(resolve => {
@@ -58,6 +64,29 @@
   process.exit(code)
 }
 
+const lineWriterFor = (linesPerS: number, timers: TimerService, metrics: Metrics): (line: string) => void => {
+  if (linesPerS === 0) return line => { process.stdout.write(`${line}\n`) }
+  const writer = createLineWriter(process.stdout, timers, linesPerS)
+  metrics.gauge('event_lines_left_out_total', writer.leftOutCount)
+  return writer.write
+}
+
+/**
+ * Takes in a settings file that has changed. Settings that do not hold are reported and the ones in force stay; a
+ * process that ended here would take its open requests with it.
+ */
+const reload = <Settings>(options: Options<Settings>, file: string, events: EventLog, running: RunningProcess<Settings>): void => {
+  loadSettings(options.schema, file).caseOf({
+    Left: faults => {
+      for (const fault of faults) events.emit(BaseEvent.settingsRefused, { reason: describeSettingsFault(fault) })
+    },
+    Right: settings => {
+      running.reload?.(settings)
+      events.emit(BaseEvent.settingsReloaded, { detail: file })
+    }
+  })
+}
+
 /** Runs a daemon from its command line: settings, events, start, and a graceful stop on SIGTERM. */
 export const runBinary = async <Settings>(options: Options<Settings>): Promise<void> => {
   const args = await readArguments(options.name, options.summary)
@@ -74,11 +103,12 @@
   const timers = createTimerService()
   const metrics = createMetrics()
   const instance = options.instanceOf(settings) as InstanceName
-  const writeLine = args.eventLines ? (line: string): void => { process.stdout.write(`${line}\n`) } : undefined
+  const writeLine = args.eventLines ? lineWriterFor(args.eventLinesPerS, timers, metrics) : undefined
   const events = createEventLog({ instance, role: options.role, timers, ...(writeLine ? { writeLine } : {}) })
   try {
     const running = await options.start({ settings, events, timers, metrics })
     events.emit(BaseEvent.processStarted, { detail: running.address })
+    process.on('SIGHUP', () => reload(options, args.settings, events, running))
     await waitForStop()
     events.emit(BaseEvent.processStopping)
     await running.stop()
--- a/packages/base/src/binary/types.ts
+++ b/packages/base/src/binary/types.ts
@@ -15,11 +15,13 @@
 } as const
 
 /** A started process. */
-export interface RunningProcess {
+export interface RunningProcess<Settings = unknown> {
   /** host:port it listens on, printed with the event `processStarted`. */
   readonly address: string
   /** Drains and stops; resolves when nothing is left. */
   readonly stop: () => Promise<void>
+  /** Takes over changed settings as far as that is possible while it runs. */
+  readonly reload?: (settings: Settings) => void
 }
 
 /** What a binary's start function is given. */
--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -31,6 +31,9 @@
   readonly durationMs?: number
   readonly waitMs?: number
   readonly retryAfterMs?: number
+  /** Age of the knowledge that decided. */
+  readonly ageMs?: number
+  readonly statusCode?: number
   readonly memoryMb?: number
   readonly memoryCapacityMb?: number
   readonly repeatable?: boolean
--- /dev/null
+++ b/packages/base/src/metrics/serveMetrics.ts
@@ -0,0 +1,22 @@
+import { createServer } from 'node:http'
+
+import type { Metrics } from './types.js'
+
+const CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+/** Serves a process's metrics as text at `host:port`, whatever the path. Resolves to a function that ends it. */
+export const serveMetrics = async (address: string, metrics: Metrics): Promise<() => void> => {
+  const [host = '', port = ''] = address.split(':')
+  const server = createServer((_message, response) => {
+    response.writeHead(200, { 'content-type': CONTENT_TYPE })
+    response.end(metrics.text())
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ host, port: Number(port) }, resolve)
+  })
+  return () => {
+    server.close()
+    server.closeAllConnections()
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/placing/chooseVictims.ts
@@ -0,0 +1,44 @@
+import { LEAST_HELD_MS, LEAST_IDLE_MS, PROMPT_TOKENS_PER_MS, REPLICA_USE_LIMIT, RETURN_SCALE_MS } from './constants.js'
+
+import type { PlacedModel } from './types.js'
+
+const MS_PER_S = 1_000
+
+/** Requests a second that wait longer once the replica has gone, weighed by how much longer. */
+export const evictionLossOf = (resident: PlacedModel): number => {
+  if (resident.replicaCount <= 1) return resident.requestsPerS * resident.returnsMs / RETURN_SCALE_MS
+  const useAfter = resident.promptTokensPerS / (PROMPT_TOKENS_PER_MS * MS_PER_S) / (resident.replicaCount - 1)
+  return useAfter < REPLICA_USE_LIMIT ? 0 : resident.requestsPerS * useAfter
+}
+
+const mayGo = (resident: PlacedModel): boolean =>
+  resident.heldMs >= LEAST_HELD_MS && resident.idleMs >= LEAST_IDLE_MS
+
+/** Models to unload, and what their callers lose. */
+export interface Eviction {
+  readonly modelNames: readonly string[]
+  readonly loss: number
+}
+
+/**
+ * The models that make room for `neededMb` at the least loss; undefined while none may go yet.
+ *
+ * Load pattern: more models than fit, with demand that moves. Without it the model that was loaded first goes, be it
+ * the busiest; with least-recent use alone a model with ten replicas stays where the only replica of another one goes.
+ * Of equal losses the one that was idle longest goes.
+ */
+export const chooseVictims = (residents: readonly PlacedModel[], neededMb: number): Eviction | undefined => {
+  const movable = residents
+    .filter(mayGo)
+    .sort((a, b) => evictionLossOf(a) - evictionLossOf(b) || b.idleMs - a.idleMs)
+  const modelNames: string[] = []
+  let freedMb = 0
+  let loss = 0
+  for (const resident of movable) {
+    if (freedMb >= neededMb) break
+    modelNames.push(resident.modelName)
+    freedMb += resident.weightsMb
+    loss += evictionLossOf(resident)
+  }
+  return freedMb >= neededMb ? { modelNames, loss } : undefined
+}
--- /dev/null
+++ b/packages/decisions/src/placing/constants.ts
@@ -0,0 +1,37 @@
+/**
+ * Prompt tokens that an engine computes in a ms. The deployments' engines do 38 to 44; only ratios of costs depend on it.
+ */
+export const PROMPT_TOKENS_PER_MS = 40
+
+/** Delay that one running request adds to a new one: a batch step of 4 to 6 ms is shared, so each adds little. */
+export const RUNNING_COST_MS = 2
+
+/** Delay that one waiting request adds: a prompt of a thousand tokens or so is computed before. */
+export const WAITING_COST_MS = 40
+
+/** Asking an agent for an adapter and fetching it: 5 to 10 ms and two messages. */
+export const ADAPTER_COST_MS = 20
+
+/** A failed request costs its caller a retry, about a second; weighed by the share that fails. */
+export const FAILURE_COST_MS = 1_000
+
+/** A server in the router's own data centre saves one to three ms and bytes between data centres. */
+export const OTHER_DATA_CENTRE_COST_MS = 4
+
+/**
+ * Part of an engine's prompt rate that one model's replicas may use before another is loaded. Waiting grows with
+ * 1 / (1 - use): at a third it is half a prompt's own time, at two thirds twice that.
+ */
+export const REPLICA_USE_LIMIT = 0.3
+
+/** Part of an engine's prompt rate below which the last but one replica may go: half of the limit, so that none comes and goes. */
+export const REPLICA_USE_FLOOR = 0.15
+
+/** A model that has just been loaded stays this long, so that those who waited for it reach it. */
+export const LEAST_HELD_MS = 1_500
+
+/** A model that was used this lately may have requests on their way. */
+export const LEAST_IDLE_MS = 150
+
+/** Loss by the eviction of a sole replica that comes back at once, relative to one that takes a second. */
+export const RETURN_SCALE_MS = 1_000
--- /dev/null
+++ b/packages/decisions/src/placing/planOrder.ts
@@ -0,0 +1,112 @@
+import { chooseVictims } from './chooseVictims.js'
+
+import type { PlacedModel } from './types.js'
+
+/** An adapter that an engine holds. */
+export interface ResidentAdapter {
+  readonly modelName: string
+  readonly adapterName: string
+  readonly idleMs: number
+}
+
+/** Something that routers want in place. */
+export interface WantView {
+  readonly modelName: string
+  /** Empty when the model alone is wanted. */
+  readonly adapterName: string
+  /** Requests that wait; 0 when it is wanted ahead of any. */
+  readonly waitingCount: number
+  readonly ageMs: number
+  readonly weightsMb: number
+  readonly adapterMb: number
+  readonly isAtHand: boolean
+}
+
+/** One engine and what is wanted of it. */
+export interface EngineView {
+  readonly residents: readonly PlacedModel[]
+  readonly adapters: readonly ResidentAdapter[]
+  /** Adapters held or being fetched, as `model/adapter`. */
+  readonly adapterKeys: ReadonlySet<string>
+  readonly freeMb: number
+  readonly freeAdapterSlots: number
+  readonly isBusy: boolean
+  /** A load from the weight store may begin now. */
+  readonly mayLoadCold: boolean
+  readonly wants: readonly WantView[]
+}
+
+/** The next order to give. */
+export interface PlannedOrder {
+  readonly operation: 'load' | 'unload'
+  readonly modelName: string
+  readonly adapterName: string
+  readonly isCold: boolean
+}
+
+/** An adapter in use is not unloaded by the engine; one that was used this lately is likely to be. */
+const ADAPTER_IDLE_MS = 200
+
+/** Requests a second that may lose a replica for a model that nobody waits for yet. */
+const PRELOAD_LOSS_LIMIT = 0.05
+
+const adapterKey = (modelName: string, adapterName: string): string => `${modelName}/${adapterName}`
+
+const planAdapter = (engine: EngineView, want: WantView): PlannedOrder | undefined => {
+  if (engine.adapterKeys.has(adapterKey(want.modelName, want.adapterName))) return undefined
+  const hasRoom = engine.freeAdapterSlots > 0 && engine.freeMb >= want.adapterMb
+  if (hasRoom) return { operation: 'load', modelName: want.modelName, adapterName: want.adapterName, isCold: false }
+  const wanted = new Set(engine.wants.map(other => adapterKey(other.modelName, other.adapterName)))
+  let oldest: ResidentAdapter | undefined
+  for (const adapter of engine.adapters) {
+    if (adapter.idleMs < ADAPTER_IDLE_MS) continue
+    if (wanted.has(adapterKey(adapter.modelName, adapter.adapterName))) continue
+    if (oldest && oldest.idleMs >= adapter.idleMs) continue
+    oldest = adapter
+  }
+  return oldest && { operation: 'unload', modelName: oldest.modelName, adapterName: oldest.adapterName, isCold: false }
+}
+
+const planModel = (engine: EngineView, want: WantView): PlannedOrder | undefined => {
+  if (!want.isAtHand && !engine.mayLoadCold) return undefined
+  if (engine.freeMb >= want.weightsMb) {
+    return { operation: 'load', modelName: want.modelName, adapterName: '', isCold: !want.isAtHand }
+  }
+  const wantedModels = new Set(engine.wants.filter(other => other.waitingCount > 0).map(other => other.modelName))
+  const movable = engine.residents.filter(resident => !wantedModels.has(resident.modelName))
+  const eviction = chooseVictims(movable, want.weightsMb - engine.freeMb)
+  if (!eviction) return undefined
+  if (want.waitingCount === 0 && eviction.loss > PRELOAD_LOSS_LIMIT) return undefined
+  const [modelName = ''] = eviction.modelNames
+  return { operation: 'unload', modelName, adapterName: '', isCold: false }
+}
+
+/** Those that wait go before preloads, what is at hand before the weight store, then the longest wait. */
+const byUrgency = (a: WantView, b: WantView): number =>
+  Number(b.waitingCount > 0) - Number(a.waitingCount > 0) ||
+  Number(b.isAtHand) - Number(a.isAtHand) ||
+  b.ageMs - a.ageMs
+
+/**
+ * The next order for an engine, or undefined when nothing is wanted or possible now.
+ *
+ * Load pattern: a burst for a model that is not there, beside adapters for those that are. Adapters go first: they take
+ * 5 ms and hold up no other order. Room is made before a load is ordered, by the engine's own figures, so that weights
+ * and adapters never exceed what it holds.
+ */
+export const planOrder = (engine: EngineView): PlannedOrder | undefined => {
+  const held = new Set(engine.residents.map(resident => resident.modelName))
+  const wants = [...engine.wants].sort(byUrgency)
+  for (const want of wants) {
+    if (want.adapterName === '' || !held.has(want.modelName)) continue
+    const order = planAdapter(engine, want)
+    if (order) return order
+  }
+  if (engine.isBusy) return undefined
+  for (const want of wants) {
+    if (held.has(want.modelName)) continue
+    const order = planModel(engine, want)
+    if (order) return order
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/decisions/src/placing/types.ts
@@ -0,0 +1,61 @@
+/** A backend server as a candidate for one request. */
+export interface ServerView {
+  readonly serverId: string
+  readonly dataCentre: string
+  readonly hasAdapter: boolean
+  /** Prompt tokens sent there that have not led to a first event. */
+  readonly pendingTokens: number
+  readonly runningCount: number
+  readonly waitingCount: number
+  /** Leading prompt tokens of this request that the server has computed before. */
+  readonly cachedTokens: number
+  /** 0 for a server without failures, towards 1 for one that fails always. */
+  readonly failureShare: number
+}
+
+/** A backend server that could load a model. */
+export interface LoaderView {
+  readonly serverId: string
+  readonly isInMemory: boolean
+  readonly isOnDisk: boolean
+  /** The model is being loaded or is waiting to be. */
+  readonly isLoading: boolean
+  /** Time until the server can begin: its running load and what waits before. */
+  readonly busyMs: number
+  /** Requests a second that lose their replica there. */
+  readonly evictionLoss: number
+  readonly heldCount: number
+  readonly failureShare: number
+}
+
+/** How long the ways to load a model take. */
+export interface LoadTimes {
+  readonly coldLoadMs: number
+  readonly diskLoadMs: number
+  readonly memoryLoadMs: number
+}
+
+/** A model that an engine holds, as a candidate to make way. */
+export interface PlacedModel {
+  readonly modelName: string
+  readonly weightsMb: number
+  /** Requests a second for the model, over all routers. */
+  readonly requestsPerS: number
+  readonly promptTokensPerS: number
+  readonly replicaCount: number
+  /** A copy stays on the server after the model is unloaded. */
+  readonly returnsMs: number
+  /** Time since its load ended. */
+  readonly heldMs: number
+  /** Time since a router last sent a request for it here or asked for it. */
+  readonly idleMs: number
+}
+
+/** Demand for one model and who holds it. */
+export interface ReplicaView {
+  readonly modelName: string
+  readonly promptTokensPerS: number
+  readonly replicaCount: number
+  /** Loads of it that are under way or asked for. */
+  readonly comingCount: number
+}
--- /dev/null
+++ b/packages/fleet/src/deployment/matchRoute.ts
@@ -0,0 +1,21 @@
+import type { Route } from './types.js'
+
+/** A host header's name without port, in lower case. */
+export const hostNameOf = (hostHeader: string): string => {
+  const [name = ''] = hostHeader.split(':')
+  return name.toLowerCase()
+}
+
+/** The route of the host with the longest prefix of the path; the path's query is ignored. */
+export const matchRoute = (routes: readonly Route[], hostHeader: string, url: string): Route | undefined => {
+  const host = hostNameOf(hostHeader)
+  const [path = ''] = url.split('?')
+  let best: Route | undefined
+  for (const route of routes) {
+    if (route.host !== host) continue
+    if (!path.startsWith(route.pathPrefix)) continue
+    if (best && best.pathPrefix.length >= route.pathPrefix.length) continue
+    best = route
+  }
+  return best
+}
--- /dev/null
+++ b/packages/fleet/src/deployment/types.ts
@@ -0,0 +1,85 @@
+/** What may be done with a request whose outcome is unknown. */
+export const RequestKind = {
+  /** May run any number of times. */
+  Idempotent: 'idempotent',
+  /** May run once for each attempt of its caller. */
+  AtMostOnce: 'at_most_once',
+  /** A stream of numbered events. */
+  Stream: 'stream'
+} as const
+
+export type RequestKind = typeof RequestKind[keyof typeof RequestKind]
+
+/** One of the services that share a route's requests. */
+export interface ServiceShare {
+  readonly serviceName: string
+  readonly weight: number
+}
+
+/** Where requests of one host and path go, and within which bounds. */
+export interface Route {
+  readonly name: string
+  /** In lower case, without a port. */
+  readonly host: string
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string
+  readonly kind: RequestKind
+  /** A request has its final answer within this time of its arrival. */
+  readonly timeoutMs: number
+  /** Time to the answer, or to a stream's first event, that callers are content with. */
+  readonly objectiveMs: number
+  /** Rank among routes, 0 the most urgent. */
+  readonly priority: number
+  readonly shares: readonly ServiceShare[]
+  /** Backend servers on which one request may run. */
+  readonly maxAttempts: number
+  readonly isResumable: boolean
+}
+
+/** A model of a service's engines. */
+export interface ModelSpec {
+  readonly name: string
+  readonly weightsMb: number
+  /** Load from the weight store, alone. */
+  readonly coldLoadMs: number
+  /** Load from the backend server's own disk. */
+  readonly diskLoadMs: number
+  /** Load from the backend server's own memory. */
+  readonly memoryLoadMs: number
+  readonly adapterCount: number
+  readonly adapterMb: number
+}
+
+/** What every engine of a service has. */
+export interface EngineSpec {
+  readonly models: readonly ModelSpec[]
+  /** Room for weights and adapters together. */
+  readonly weightsCapacityMb: number
+  readonly adapterSlots: number
+  readonly coldLoadsPerS: number
+  readonly kvCapacityTokens: number
+}
+
+/** A group of backend servers. Without an engine it is a plain service. */
+export interface Service {
+  readonly name: string
+  readonly maxConnections: number
+  readonly engine?: EngineSpec
+}
+
+/** Bounds on what a caller may send, and on how long it may take. */
+export interface CallerLimits {
+  readonly headerBytes: number
+  readonly bodyBytes: number
+  readonly headerTimeoutMs: number
+  readonly idleTimeoutMs: number
+}
+
+/** One accepted configuration, whole. */
+export interface Deployment {
+  /** Grows with each accepted configuration, in uneven steps. */
+  readonly version: number
+  readonly routes: readonly Route[]
+  readonly services: readonly Service[]
+  readonly limits: CallerLimits
+}
--- /dev/null
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -0,0 +1,110 @@
+import { runInBackground, sleep } from '@figmount/base'
+
+import { FIRST_RETRY_MS, LAST_RETRY_MS, READ_GRACE_MS } from './constants.js'
+
+import type { Either } from 'purify-ts'
+import type { EventLog, Fault, TimerService } from '@figmount/base'
+import type { FeedPage, FeedRecord, KeyedFeed } from './types.js'
+
+interface Options {
+  readonly feed: KeyedFeed
+  readonly timers: TimerService
+  readonly events: EventLog
+  /** Time that a read waits at the store for news; 0 polls. */
+  readonly waitMs: number
+  /** Pause between reads. */
+  readonly periodMs: number
+  /** Records in order of their offsets, never an older one after a newer one of its key. */
+  readonly take: (records: readonly FeedRecord[]) => void
+  /** The whole list of keys was read, in place of changes: keys that are missing have gone. */
+  readonly takeKeys: (keys: ReadonlySet<string>) => void
+  readonly lost: (fault: Fault) => void
+  readonly regained: (outageMs: number) => void
+}
+
+/** Follows one feed of the store and takes in what peers pass on. */
+export interface FeedFollower {
+  /** Takes in records that a peer has read. */
+  readonly offer: (records: readonly FeedRecord[]) => void
+  /** Age of the newest answer from the store. */
+  readonly ageMs: () => number
+  readonly isCurrent: () => boolean
+  readonly stop: () => void
+}
+
+/** Reads a feed until it is stopped. */
+export const createFeedFollower = (options: Options): FeedFollower => {
+  const { feed, timers } = options
+  const stopping = new AbortController()
+  const newestOffset = new Map<string, number>()
+  let lastAnswerMs = timers.nowMs()
+  let outageSinceMs: number | undefined
+  let nextOffset: number | undefined
+  let isCurrent = false
+
+  const accept = (records: readonly FeedRecord[]): void => {
+    const fresh: FeedRecord[] = []
+    for (const record of records) {
+      // Guards against an older value that arrives late, through a slow answer or a peer: it would bring back a
+      // configuration or a server that has been replaced. Offsets only grow, so the greater one is the newer.
+      if (record.offset <= (newestOffset.get(record.key) ?? -1)) continue
+      newestOffset.set(record.key, record.offset)
+      fresh.push(record)
+    }
+    if (fresh.length > 0) options.take(fresh)
+  }
+
+  const acceptAll = (page: FeedPage): void => {
+    accept(page.records)
+    options.takeKeys(new Set(page.records.map(record => record.key)))
+  }
+
+  // Guards against a connection that went silent: no answer and no error ever comes. The read is given up in time and
+  // made again on another connection.
+  const readOnce = async (): Promise<Either<Fault, FeedPage>> => {
+    if (nextOffset === undefined) return await feed.readNewest(READ_GRACE_MS).run()
+    return await feed.readSince(nextOffset, options.waitMs, options.waitMs + READ_GRACE_MS).run()
+  }
+
+  const noteAnswer = (page: FeedPage): void => {
+    const isWhole = nextOffset === undefined
+    lastAnswerMs = timers.nowMs()
+    if (outageSinceMs !== undefined) options.regained(lastAnswerMs - outageSinceMs)
+    outageSinceMs = undefined
+    nextOffset = page.isExpired ? undefined : page.nextOffset
+    if (page.isExpired) return
+    isCurrent = true
+    if (isWhole) return acceptAll(page)
+    accept(page.records)
+  }
+
+  const noteFault = (fault: Fault): void => {
+    if (outageSinceMs !== undefined) return
+    outageSinceMs = timers.nowMs()
+    options.lost(fault)
+  }
+
+  const follow = async (): Promise<void> => {
+    let retryMs = FIRST_RETRY_MS
+    while (!stopping.signal.aborted) {
+      const result = await readOnce()
+      if (stopping.signal.aborted) return
+      result.caseOf({ Left: noteFault, Right: noteAnswer })
+      if (result.isRight()) {
+        retryMs = FIRST_RETRY_MS
+        if (nextOffset !== undefined) await sleep(timers, options.periodMs, stopping.signal)
+        continue
+      }
+      await sleep(timers, retryMs, stopping.signal)
+      retryMs = Math.min(LAST_RETRY_MS, retryMs * 2)
+    }
+  }
+
+  runInBackground(options.events, `feeds.follow ${feed.name}`, follow())
+  return {
+    offer: accept,
+    ageMs: () => timers.nowMs() - lastAnswerMs,
+    isCurrent: () => isCurrent,
+    stop: () => { stopping.abort() }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/feeds/types.ts
@@ -0,0 +1,29 @@
+import type { EitherAsync } from 'purify-ts'
+import type { Fault } from '@figmount/base'
+
+/** The newest value of one key. */
+export interface FeedRecord {
+  readonly key: string
+  /** Undefined when the key was dropped. */
+  readonly value: Uint8Array | undefined
+  /** Place in the feed's order; a greater one is newer. */
+  readonly offset: number
+}
+
+/** What one read of a feed returned. */
+export interface FeedPage {
+  readonly records: readonly FeedRecord[]
+  /** Where the next read goes on. */
+  readonly nextOffset: number
+  /** The records asked for have expired: only the newest values can be read. */
+  readonly isExpired: boolean
+}
+
+/** A feed of keyed records in the platform's store. */
+export interface KeyedFeed {
+  readonly name: string
+  /** The newest record of every key; a fault when the store does not answer in time. */
+  readonly readNewest: (timeoutMs: number) => EitherAsync<Fault, FeedPage>
+  /** Records from an offset on; the store waits up to `waitMs` for the first one. */
+  readonly readSince: (offset: number, waitMs: number, timeoutMs: number) => EitherAsync<Fault, FeedPage>
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,13 @@
+/** What routers and agents on the HTTP path share: deployment, servers, feeds of the store, messages, ports to a platform. */
+export { RequestKind } from './deployment/types.js'
+export type * from './deployment/types.js'
+export { hostNameOf, matchRoute } from './deployment/matchRoute.js'
+export { pickService } from './deployment/pickService.js'
+export type * from './servers/types.js'
+export type * from './feeds/types.js'
+export { LONG_POLL_MS, POLL_PERIOD_MS, REAPPEAR_MS } from './feeds/constants.js'
+export { createFeedFollower } from './feeds/createFeedFollower.js'
+export type { FeedFollower } from './feeds/createFeedFollower.js'
+export type * from './messages/types.js'
+export { OrderAnswer } from './ports/types.js'
+export type * from './ports/types.js'
--- /dev/null
+++ b/packages/fleet/src/messages/types.ts
@@ -0,0 +1,101 @@
+/** Messages between routers and agents. */
+import type { FeedRecord } from '../feeds/types.js'
+import type { HeldModel } from '../servers/types.js'
+
+/** Keeps a silent link open. */
+export interface Heartbeat {
+  readonly type: 'heartbeat'
+}
+
+/** A router asks that a model, or an adapter of it, be in place. */
+export interface Want {
+  readonly type: 'want'
+  readonly wantId: number
+  readonly serverId: string
+  readonly modelName: string
+  readonly adapterName?: string
+  /** Requests that wait for it. 0: asked ahead of any request. */
+  readonly waitingCount: number
+  /** The agent gives the want up after this time. */
+  readonly timeLeftMs: number
+}
+
+/** Demand for one model as one router sees it. */
+export interface ModelDemand {
+  readonly modelName: string
+  readonly requestsPerS: number
+  /** Prompt tokens to be computed, a second. */
+  readonly promptTokensPerS: number
+  /** Backend servers that hold the model, as the router knows. */
+  readonly replicaCount: number
+  /** Time since the router's newest request for it. */
+  readonly idleMs: number
+  /** Adapters of it that were asked for since the last message. */
+  readonly adapterNames: readonly string[]
+}
+
+/** A router's demand, several times a second while it changes. */
+export interface Demand {
+  readonly type: 'demand'
+  readonly models: readonly ModelDemand[]
+}
+
+/** Records of the store that a router has read, for those that the store does not answer. */
+export interface Relay {
+  readonly type: 'relay'
+  readonly feedName: string
+  readonly records: readonly FeedRecord[]
+}
+
+/** A request that was running when its backend server died, by the hash of what would be sent again. */
+export interface CrashNotice {
+  readonly type: 'crash'
+  readonly requestHash: string
+  readonly serverId: string
+}
+
+export type RouterMessage = Heartbeat | Want | Demand | Relay | CrashNotice
+
+/** What an agent's server holds and does. Sent whenever it changes. */
+export interface AgentState {
+  readonly type: 'state'
+  /** Empty while the agent does not know which start of the server it speaks for. */
+  readonly serverId: string
+  readonly isUp: boolean
+  readonly isDraining: boolean
+  readonly models: readonly HeldModel[]
+  /** Models that take no new requests: an order to unload is about to be given. */
+  readonly leavingModels: readonly string[]
+  /** Model that is being loaded. */
+  readonly loadingModel: string
+  /** Time until that load ends, as far as is known. */
+  readonly loadingLeftMs: number
+  /** Models that are wanted and not begun, in order. */
+  readonly queuedModels: readonly string[]
+  readonly inMemory: readonly string[]
+  readonly onDisk: readonly string[]
+  /** Requests a second that would lose their replica by the cheapest eviction. */
+  readonly evictionLoss: number
+  /** Demand of all routers for the models held, prompt tokens a second. */
+  readonly demandTokensPerS: readonly number[]
+  /** Routers that are linked to the agent. */
+  readonly routerCount: number
+}
+
+/** A server's load, a few times a second while it changes. */
+export interface AgentLoad {
+  readonly type: 'load'
+  readonly runningCount: number
+  readonly waitingCount: number
+  readonly kvUsedTokens: number
+}
+
+/** A want is met, or given up. */
+export interface WantSettled {
+  readonly type: 'wantSettled'
+  readonly wantId: number
+  readonly isReady: boolean
+  readonly reason: string
+}
+
+export type AgentMessage = Heartbeat | AgentState | AgentLoad | WantSettled | Relay | CrashNotice
--- /dev/null
+++ b/packages/gateway/src/agents/constants.ts
@@ -0,0 +1,11 @@
+/** First pause before a link that broke is opened again; it doubles up to `LAST_REDIAL_MS`. */
+export const FIRST_REDIAL_MS = 200
+
+/** Longest pause between tries to reach an agent that does not answer: a restarted one is heard of within a second. */
+export const LAST_REDIAL_MS = 1_000
+
+/** An agent whose server is no longer listed is given up after this time: lists lapse for seconds at times. */
+export const UNLISTED_MS = 10_000
+
+/** Agents through which a router passes on what it has read: two, in case one is down. */
+export const RELAY_COUNT = 2
--- /dev/null
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -0,0 +1,96 @@
+import { runInBackground, sleep } from '@figmount/base'
+import { HEARTBEAT_MS, openLink } from '@figmount/peers'
+
+import { GatewayEvent } from '../events.js'
+import { FIRST_REDIAL_MS, LAST_REDIAL_MS } from './constants.js'
+
+import type { AgentMessage, RouterMessage } from '@figmount/fleet'
+import type { Link, LinkContext } from '@figmount/peers'
+import type { AgentHandlers, AgentLink, WantOutcome } from './types.js'
+
+type OpenLink = Link<RouterMessage, AgentMessage>
+
+interface Options {
+  /** Address of the engine that the agent acts on. */
+  readonly serverAddress: string
+  readonly agentAddress: string
+  readonly context: LinkContext
+  readonly handlers: AgentHandlers
+}
+
+/** Keeps a link to one agent open until it is closed. */
+export const createAgentLink = ({ serverAddress, agentAddress, context, handlers }: Options): AgentLink => {
+  const { timers, events } = context
+  const closing = new AbortController()
+  const wants = new Map<number, (outcome: WantOutcome) => void>()
+  let link: OpenLink | undefined
+  let nextWantId = 1
+
+  const settle = (wantId: number, outcome: WantOutcome): void => {
+    wants.get(wantId)?.(outcome)
+    wants.delete(wantId)
+  }
+
+  const settleAll = (reason: string): void => {
+    for (const wantId of [...wants.keys()]) settle(wantId, { isReady: false, reason })
+  }
+
+  const take = (message: AgentMessage): void => {
+    if (message.type === 'state') return handlers.takeState(serverAddress, message)
+    if (message.type === 'load') return handlers.takeLoad(serverAddress, message)
+    if (message.type === 'wantSettled') return settle(message.wantId, { isReady: message.isReady, reason: message.reason })
+    if (message.type === 'relay') return handlers.takeRelay(message)
+    if (message.type === 'crash') handlers.takeCrash(message.requestHash, message.serverId)
+  }
+
+  const serve = async (open: OpenLink): Promise<void> => {
+    link = open
+    events.emit(GatewayEvent.agentFound, { peer: agentAddress })
+    for await (const message of open.received) take(message)
+    link = undefined
+    settleAll('the agent does not answer')
+    handlers.lost(serverAddress)
+    events.emit(GatewayEvent.agentLost, { peer: agentAddress })
+  }
+
+  const keepOpen = async (): Promise<void> => {
+    let redialMs = FIRST_REDIAL_MS
+    while (!closing.signal.aborted) {
+      const opened = await openLink<RouterMessage, AgentMessage>(agentAddress, context).run()
+      const open = opened.toMaybe().extractNullable()
+      if (open && closing.signal.aborted) return open.close('no longer needed')
+      if (open) {
+        redialMs = FIRST_REDIAL_MS
+        await serve(open)
+      }
+      await sleep(timers, redialMs, closing.signal)
+      redialMs = Math.min(LAST_REDIAL_MS, redialMs * 2)
+    }
+  }
+
+  const stopHeartbeat = timers.every(HEARTBEAT_MS, () => { link?.send({ type: 'heartbeat' }) })
+  runInBackground(events, 'agents.keepOpen', keepOpen())
+
+  return {
+    want: async request => await new Promise(resolve => {
+      if (!link) return resolve({ isReady: false, reason: 'the agent does not answer' })
+      const wantId = nextWantId++
+      wants.set(wantId, resolve)
+      const { adapterName, ...rest } = request
+      link.send({ type: 'want', wantId, ...rest, ...(adapterName === '' ? {} : { adapterName }) })
+      // The agent settles each want within its time. This covers an answer that is lost with the link's other end.
+      timers.after(request.timeLeftMs + HEARTBEAT_MS, () => settle(wantId, { isReady: false, reason: 'the agent did not answer in time' }))
+    }),
+    send: message => {
+      link?.send(message)
+      return link !== undefined
+    },
+    isOpen: () => link !== undefined,
+    close: () => {
+      closing.abort()
+      stopHeartbeat()
+      link?.close('no longer needed')
+      settleAll('no longer needed')
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -0,0 +1,70 @@
+import { RELAY_COUNT, UNLISTED_MS } from './constants.js'
+import { createAgentLink } from './createAgentLink.js'
+
+import type { RouterMessage, ServerEntry } from '@figmount/fleet'
+import type { LinkContext } from '@figmount/peers'
+import type { AgentHandlers, AgentLink } from './types.js'
+
+interface Options {
+  /** Agents of all instances listen on the same port. */
+  readonly agentPort: number
+  readonly context: LinkContext
+  readonly handlers: AgentHandlers
+}
+
+/** Links to the agents of all engines that are listed. */
+export interface AgentLinks {
+  /** Opens links to new servers' agents and gives up those of servers that were not listed for long. */
+  readonly follow: (entries: readonly ServerEntry[], hasAgent: (entry: ServerEntry) => boolean) => void
+  readonly find: (serverAddress: string) => AgentLink | undefined
+  readonly sendToAll: (message: RouterMessage) => void
+  /** Sends through a few agents, which pass it on to all other routers. */
+  readonly relay: (message: RouterMessage) => void
+  readonly close: () => void
+}
+
+/** Makes the links of one router. */
+export const createAgentLinks = ({ agentPort, context, handlers }: Options): AgentLinks => {
+  const links = new Map<string, AgentLink>()
+  const listedMs = new Map<string, number>()
+
+  const open = (serverAddress: string): void => {
+    const [host = ''] = serverAddress.split(':')
+    links.set(serverAddress, createAgentLink({ serverAddress, agentAddress: `${host}:${agentPort}`, context, handlers }))
+  }
+
+  const drop = (serverAddress: string): void => {
+    links.get(serverAddress)?.close()
+    links.delete(serverAddress)
+    listedMs.delete(serverAddress)
+    handlers.lost(serverAddress)
+  }
+
+  return {
+    follow: (entries, hasAgent) => {
+      const nowMs = context.timers.nowMs()
+      for (const entry of entries) {
+        if (!hasAgent(entry)) continue
+        listedMs.set(entry.address, nowMs)
+        if (!links.has(entry.address)) open(entry.address)
+      }
+      for (const [address, atMs] of [...listedMs]) {
+        if (nowMs - atMs > UNLISTED_MS) drop(address)
+      }
+    },
+    find: serverAddress => links.get(serverAddress),
+    sendToAll: message => {
+      for (const link of links.values()) link.send(message)
+    },
+    relay: message => {
+      let sent = 0
+      for (const link of links.values()) {
+        if (sent >= RELAY_COUNT) return
+        if (link.send(message)) sent += 1
+      }
+    },
+    close: () => {
+      for (const link of links.values()) link.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/directory/createPrefixMemory.ts
@@ -0,0 +1,66 @@
+import { MAX_PREFIXES } from './constants.js'
+
+import type { PromptPart } from '@figmount/fleet'
+
+/** Which beginnings of prompts a server has computed for this router. */
+export interface PrefixMemory {
+  /** Leading tokens of a prompt that the server is likely to keep. */
+  readonly cachedTokens: (serverId: string, owner: string, parts: readonly PromptPart[]) => number
+  readonly remember: (serverId: string, owner: string, parts: readonly PromptPart[]) => void
+  readonly forget: (serverId: string) => void
+  /** Drops what a server kept for models that it holds no longer. */
+  readonly keepOnly: (serverId: string, modelNames: ReadonlySet<string>) => void
+}
+
+const modelOf = (owner: string): string => owner.split('/')[0] ?? ''
+
+/** Makes the memory of one router. `owner` is the model, and its adapter after a slash: nothing is shared across them. */
+export const createPrefixMemory = (): PrefixMemory => {
+  const servers = new Map<string, Map<string, Set<string>>>()
+
+  const keysOf = (parts: readonly PromptPart[]): readonly string[] => {
+    const keys: string[] = []
+    let key = ''
+    for (const part of parts) {
+      key = `${key}/${part.partId}`
+      keys.push(key)
+    }
+    return keys
+  }
+
+  return {
+    cachedTokens: (serverId, owner, parts) => {
+      const known = servers.get(serverId)?.get(owner)
+      if (!known) return 0
+      let tokens = 0
+      const keys = keysOf(parts)
+      for (const [index, part] of parts.entries()) {
+        if (!known.has(keys[index] ?? '')) break
+        tokens += part.tokenCount
+      }
+      return tokens
+    },
+    remember: (serverId, owner, parts) => {
+      const owners = servers.get(serverId) ?? new Map<string, Set<string>>()
+      servers.set(serverId, owners)
+      const known = owners.get(owner) ?? new Set<string>()
+      owners.set(owner, known)
+      for (const key of keysOf(parts)) {
+        known.delete(key)
+        known.add(key)
+      }
+      for (const key of known) {
+        if (known.size <= MAX_PREFIXES) break
+        known.delete(key)
+      }
+    },
+    forget: serverId => { servers.delete(serverId) },
+    keepOnly: (serverId, modelNames) => {
+      const owners = servers.get(serverId)
+      if (!owners) return
+      for (const owner of [...owners.keys()]) {
+        if (!modelNames.has(modelOf(owner))) owners.delete(owner)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/directory/types.ts
@@ -0,0 +1,16 @@
+import type { FailureShare } from '@figmount/decisions'
+import type { AgentState, AgentLoad, ServerEntry } from '@figmount/fleet'
+
+/** What a router knows of one backend server. */
+export interface KnownServer {
+  readonly entry: ServerEntry
+  /** The agent's newest word; undefined while no agent answers for this start of the server. */
+  readonly state: AgentState | undefined
+  readonly load: AgentLoad | undefined
+  readonly stateAsOfMs: number
+  readonly failures: FailureShare
+  /** Own requests there that have no final answer. */
+  readonly ownCount: number
+  /** Prompt tokens of own requests there that have no first event. */
+  readonly pendingTokens: number
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/createConnectionPool.ts
@@ -0,0 +1,80 @@
+import { Agent } from 'node:http'
+
+import { IDLE_MARGIN_MS, IDLE_TIMEOUT_MS, LEAST_IDLE_MS } from './constants.js'
+
+import type { Socket } from 'node:net'
+import type { IncomingMessage } from 'node:http'
+
+const MS_PER_S = 1_000
+const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/
+
+/** Kept connections, one set for each start of a server. */
+export interface ConnectionPool {
+  readonly agentFor: (serverId: string) => Agent
+  /** Notes how long the server keeps the connection of this answer open. */
+  readonly noteAnswer: (message: IncomingMessage) => void
+  /** Called when a connection is taken into use. */
+  readonly noteUse: (socket: Socket) => void
+  /** Closes the idle connections of servers that are not in use any more. */
+  readonly keepOnly: (serverIds: ReadonlySet<string>) => void
+  readonly close: () => void
+}
+
+/** Makes the pool of one router. */
+export const createConnectionPool = (): ConnectionPool => {
+  const agents = new Map<string, Agent>()
+  const idleMs = new WeakMap<Socket, number>()
+
+  // Guards against bytes that a server sends when no request waits for an answer: they would be taken for the answer
+  // to the next request on the connection. A connection on which anything arrives while idle is destroyed.
+  const rejectSurplus = function (this: Socket): void {
+    this.destroy()
+  }
+
+  const rest = (socket: Socket): void => {
+    if (socket.destroyed) return
+    socket.on('data', rejectSurplus)
+    socket.setTimeout(idleMs.get(socket) ?? IDLE_TIMEOUT_MS)
+  }
+
+  const make = (): Agent => {
+    const agent = new Agent({ keepAlive: true, timeout: IDLE_TIMEOUT_MS, scheduling: 'lifo' })
+    agent.on('free', rest)
+    return agent
+  }
+
+  const destroy = (serverId: string): void => {
+    const agent = agents.get(serverId)
+    if (!agent) return
+    agents.delete(serverId)
+    for (const sockets of Object.values(agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy()
+    }
+  }
+
+  return {
+    agentFor: serverId => {
+      const agent = agents.get(serverId) ?? make()
+      agents.set(serverId, agent)
+      return agent
+    },
+    noteAnswer: message => {
+      const [, seconds] = KEEP_ALIVE_TIMEOUT.exec(String(message.headers['keep-alive'] ?? '')) ?? []
+      if (seconds === undefined) return
+      const keptMs = Math.max(LEAST_IDLE_MS, Number(seconds) * MS_PER_S - IDLE_MARGIN_MS)
+      idleMs.set(message.socket, Math.min(IDLE_TIMEOUT_MS, keptMs))
+    },
+    noteUse: socket => {
+      socket.off('data', rejectSurplus)
+      socket.setTimeout(0)
+    },
+    keepOnly: serverIds => {
+      for (const serverId of [...agents.keys()]) {
+        if (!serverIds.has(serverId)) destroy(serverId)
+      }
+    },
+    close: () => {
+      for (const agent of agents.values()) agent.destroy()
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -0,0 +1,94 @@
+import { request as httpRequest } from 'node:http'
+import { Left, Right } from 'purify-ts'
+import { makeFault } from '@figmount/base'
+
+import { CONNECT_TIMEOUT_MS } from './constants.js'
+
+import type { IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Either } from 'purify-ts'
+import type { FaultKind, TimerService } from '@figmount/base'
+import type { HeaderCodec } from '@figmount/fleet'
+import type { ConnectionPool } from './createConnectionPool.js'
+import type { OpenAnswer, OutboundRequest, SendFault } from './types.js'
+
+/** What sending needs. */
+export interface SendContext {
+  readonly pool: ConnectionPool
+  readonly codec: HeaderCodec
+  readonly timers: TimerService
+}
+
+const STEP = 'forwarding.send'
+
+/**
+ * Sends one request to one server and returns once the answer's head is there. Aborting the signal ends the exchange
+ * at any time, and the server stops working on it.
+ */
+export const sendToServer = async (
+  context: SendContext, outbound: OutboundRequest, signal: AbortSignal
+): Promise<Either<SendFault, OpenAnswer>> => await new Promise(resolve => {
+  const { pool, codec, timers } = context
+  const [host = '', port = ''] = outbound.address.split(':')
+  let isConnected = false
+  let isSettled = false
+
+  const request = httpRequest({
+    host,
+    port: Number(port),
+    method: outbound.method,
+    path: outbound.url,
+    headers: outbound.headers,
+    agent: pool.agentFor(outbound.serverId),
+    setHost: false
+  })
+
+  const abort = (): void => { request.destroy() }
+
+  const settle = (result: Either<SendFault, OpenAnswer>): void => {
+    if (isSettled) return
+    isSettled = true
+    stopConnectTimer()
+    stopHeadTimer()
+    resolve(result)
+  }
+
+  const fail = (kind: FaultKind, message: string): void => {
+    settle(Left({ fault: makeFault(kind, STEP, outbound.serverId, message), mayHaveRun: isConnected }))
+    abort()
+  }
+
+  const takeAnswer = (message: IncomingMessage): void => {
+    pool.noteAnswer(message)
+    const answer = codec.decodeAnswer(message.rawHeaders)
+    settle(Right({ message, answer, abort }))
+  }
+
+  const noteConnected = (): void => {
+    isConnected = true
+    stopConnectTimer()
+  }
+
+  const takeSocket = (socket: Socket): void => {
+    pool.noteUse(socket)
+    socket.setNoDelay(true)
+    if (!socket.connecting) return noteConnected()
+    socket.once('connect', noteConnected)
+  }
+
+  // Guards against an instance that is off: its connections stay open half-way for minutes. Nothing was sent, so the
+  // request can go elsewhere.
+  const stopConnectTimer = timers.after(CONNECT_TIMEOUT_MS, () => { if (!isConnected) fail('timeout', 'no connection in time') })
+  const stopHeadTimer = timers.after(outbound.headTimeoutMs, () => fail('timeout', 'no answer in time'))
+
+  request.once('socket', takeSocket)
+  request.once('response', takeAnswer)
+  request.on('error', (error: Error) => fail('unavailable', error.message))
+  request.once('close', () => fail('unavailable', 'connection closed'))
+  signal.addEventListener('abort', () => {
+    fail('timeout', 'given up')
+    abort()
+  }, { once: true })
+  if (signal.aborted) return fail('timeout', 'given up')
+  request.end(outbound.body.length > 0 ? outbound.body : undefined)
+})
--- /dev/null
+++ b/packages/gateway/src/ingress/serveReady.ts
@@ -0,0 +1,19 @@
+import { createServer } from 'node:http'
+
+import { listen } from './startIngress.js'
+
+const READY = 200
+const NOT_READY = 503
+
+/** Answers the balancer's question whether new connections may come; any path will do. */
+export const serveReady = async (address: string, isReady: () => boolean): Promise<() => void> => {
+  const server = createServer((_message, response) => {
+    response.writeHead(isReady() ? READY : NOT_READY, { 'content-length': 0 })
+    response.end()
+  })
+  await listen(server, address)
+  return () => {
+    server.close()
+    server.closeAllConnections()
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -0,0 +1,103 @@
+import { createHash } from 'node:crypto'
+import { matchRoute, pickService, RequestKind } from '@figmount/fleet'
+
+import { GatewayEvent } from '../events.js'
+import { UNKNOWN_RETRY_MS } from '../requests/constants.js'
+import { Status } from '../requests/endRequest.js'
+import { serveModel } from '../requests/serveModel.js'
+import { servePlain } from '../requests/servePlain.js'
+import { readBody } from './readBody.js'
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { CallerRequest, Deployment, Route } from '@figmount/fleet'
+import type { GatewayContext, RoutedRequest } from '../requests/types.js'
+
+const hashOf = (message: IncomingMessage, body: Buffer): string =>
+  createHash('sha1').update(`${message.headers.host ?? ''} ${message.url ?? ''}\n`).update(body).digest('base64')
+
+const headerBytesOf = (message: IncomingMessage): number => {
+  let bytes = 0
+  for (const text of message.rawHeaders) bytes += text.length + 2
+  return bytes
+}
+
+const endEarly = (context: GatewayContext, response: ServerResponse, status: number, reason: string): void => {
+  context.metrics.count('requests_rejected_total')
+  context.events.emit(GatewayEvent.requestMalformed, { statusCode: status, reason })
+  if (response.headersSent || response.destroyed) return
+  response.writeHead(status, { 'content-length': 0 })
+  response.end()
+}
+
+const endUnknown = (context: GatewayContext, response: ServerResponse, requestId: string): void => {
+  context.events.emit(GatewayEvent.requestRefused, { requestKey: requestId, reason: 'no deployment known yet', retryAfterMs: UNKNOWN_RETRY_MS })
+  if (response.destroyed) return
+  response.writeHead(Status.Unavailable, [...context.codec.encodeRefusal(requestId, UNKNOWN_RETRY_MS)])
+  response.end()
+}
+
+const watchLeaving = (response: ServerResponse): AbortSignal => {
+  const leaving = new AbortController()
+  response.once('close', () => {
+    if (!response.writableFinished) leaving.abort()
+  })
+  return leaving.signal
+}
+
+const serve = async (
+  context: GatewayContext, deployment: Deployment, caller: CallerRequest, route: Route,
+  message: IncomingMessage, response: ServerResponse, body: Buffer, arrivedMs: number, left: AbortSignal
+): Promise<void> => {
+  const serviceName = pickService(route, context.random()) ?? ''
+  const deadlineMs = caller.deadlineMs ?? route.timeoutMs
+  const request: RoutedRequest = {
+    caller,
+    route,
+    serviceName,
+    method: message.method ?? 'GET',
+    url: message.url ?? '/',
+    headers: message.rawHeaders,
+    body,
+    arrivedMs,
+    callerUntilMs: arrivedMs + deadlineMs,
+    untilMs: arrivedMs + Math.min(deadlineMs, route.timeoutMs),
+    response,
+    left,
+    requestHash: hashOf(message, body)
+  }
+  context.metrics.count('requests_total')
+  context.events.emit(GatewayEvent.requestTaken, {
+    requestKey: caller.requestId,
+    item: route.name,
+    service: serviceName,
+    model: caller.modelName,
+    adapter: caller.adapterName,
+    version: String(deployment.version),
+    tokenCount: caller.promptTokens,
+    waitMs: Math.round(request.untilMs - arrivedMs)
+  })
+  context.budget.noteRequest(serviceName)
+  const isModel = deployment.services.some(service => service.name === serviceName && service.engine)
+  if (isModel && route.kind === RequestKind.Stream) return await serveModel(context, request)
+  await servePlain(context, request)
+}
+
+/** Takes one request from a caller and answers it. */
+export const takeRequest = async (context: GatewayContext, message: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const arrivedMs = context.timers.nowMs()
+  const left = watchLeaving(response)
+  if (context.isStopping()) response.shouldKeepAlive = false
+  const limits = context.deployment()?.limits
+  if (limits && headerBytesOf(message) > limits.headerBytes) return endEarly(context, response, Status.HeadersTooLarge, 'headers too large')
+  const read = await readBody(message, limits?.bodyBytes ?? Infinity)
+  if (read.type === 'brokenOff') return
+  if (read.type === 'tooLarge') return endEarly(context, response, Status.TooLarge, 'body too large')
+  const decoded = context.codec.decodeRequest(message.rawHeaders)
+  if (decoded.isLeft()) return endEarly(context, response, Status.BadRequest, decoded.swap().unsafeCoerce().message)
+  const caller = decoded.unsafeCoerce()
+  const deployment = context.deployment()
+  if (!deployment || !context.directory.isKnown()) return endUnknown(context, response, caller.requestId)
+  const route = matchRoute(deployment.routes, message.headers.host ?? '', message.url ?? '/')
+  if (!route) return endEarly(context, response, Status.NotFound, `no route for ${message.headers.host ?? ''}${message.url ?? ''}`)
+  await serve(context, deployment, caller, route, message, response, read.body, arrivedMs, left)
+}
--- /dev/null
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -0,0 +1,78 @@
+import type { LoaderView, ServerView } from '@figmount/decisions'
+import type { EngineSpec, HeldModel, ModelSpec } from '@figmount/fleet'
+import type { Directory } from '../directory/createDirectory.js'
+import type { KnownServer } from '../directory/types.js'
+import type { RoutedRequest } from '../requests/types.js'
+
+/** The server's copy of a model, when it takes requests for it. */
+export const heldModel = (server: KnownServer, modelName: string): HeldModel | undefined => {
+  if (server.state?.leavingModels.includes(modelName)) return undefined
+  const models = server.state ? server.state.models : server.entry.models
+  return models.find(model => model.name === modelName)
+}
+
+/** The engines that hold the request's model. */
+export const viewHolders = (directory: Directory, request: RoutedRequest, servers: readonly KnownServer[]): readonly ServerView[] => {
+  const { modelName, adapterName, promptParts } = request.caller
+  const owner = `${modelName}/${adapterName}`
+  const views: ServerView[] = []
+  for (const server of servers) {
+    const held = heldModel(server, modelName)
+    if (!held) continue
+    const { serverId, dataCentre } = server.entry
+    views.push({
+      serverId,
+      dataCentre,
+      hasAdapter: adapterName === '' || held.adapters.includes(adapterName),
+      pendingTokens: server.pendingTokens,
+      runningCount: Math.max(server.load?.runningCount ?? 0, server.ownCount),
+      waitingCount: server.load?.waitingCount ?? 0,
+      cachedTokens: directory.prefixes.cachedTokens(serverId, owner, promptParts),
+      failureShare: directory.failureShareOf(server)
+    })
+  }
+  return views
+}
+
+const loadMs = (spec: EngineSpec, server: KnownServer, modelName: string): number => {
+  const model = spec.models.find(candidate => candidate.name === modelName)
+  if (!model) return 0
+  if (server.state?.inMemory.includes(modelName)) return model.memoryLoadMs
+  return server.state?.onDisk.includes(modelName) ? model.diskLoadMs : model.coldLoadMs
+}
+
+/** Time until an agent can begin with something new. */
+const busyMsOf = (spec: EngineSpec, server: KnownServer, modelName: string, ageMs: number): number => {
+  const { state } = server
+  if (!state) return 0
+  let busyMs = Math.max(0, state.loadingLeftMs - ageMs)
+  if (state.loadingModel === modelName) return busyMs
+  for (const queued of state.queuedModels) {
+    if (queued === modelName) return busyMs + loadMs(spec, server, modelName)
+    busyMs += loadMs(spec, server, queued)
+  }
+  return busyMs
+}
+
+/** The engines whose agents could load the model. */
+export const viewLoaders = (
+  directory: Directory, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], nowMs: number
+): readonly LoaderView[] => {
+  const views: LoaderView[] = []
+  for (const server of servers) {
+    const { state } = server
+    if (!state || model.weightsMb > spec.weightsCapacityMb) continue
+    if (heldModel(server, model.name)) continue
+    views.push({
+      serverId: server.entry.serverId,
+      isInMemory: state.inMemory.includes(model.name),
+      isOnDisk: state.onDisk.includes(model.name),
+      isLoading: state.loadingModel === model.name || state.queuedModels.includes(model.name),
+      busyMs: busyMsOf(spec, server, model.name, nowMs - server.stateAsOfMs),
+      evictionLoss: state.evictionLoss,
+      heldCount: state.models.length,
+      failureShare: directory.failureShareOf(server)
+    })
+  }
+  return views
+}
--- /dev/null
+++ b/packages/gateway/src/placing/watchReplicas.ts
@@ -0,0 +1,83 @@
+import { runInBackground } from '@figmount/base'
+import { chooseLoader, planReplicas } from '@figmount/decisions'
+
+import { GatewayEvent } from '../events.js'
+import { heldModel, viewLoaders } from './viewServers.js'
+
+import type { EngineSpec, ModelSpec, Service } from '@figmount/fleet'
+import type { KnownServer } from '../directory/types.js'
+import type { GatewayContext } from '../requests/types.js'
+
+/** Time between two looks at the replicas. */
+export const REPLICA_PERIOD_MS = 250
+
+/** A replica that was asked for ahead of requests is given up after this time: a slow load takes 13 s and its queue. */
+const AHEAD_WANT_MS = 30_000
+
+/** Loads from the weight store ahead of requests at a time: few run at full speed, and callers' own go first. */
+const MAX_PRELOADS = 3
+
+interface ModelStanding {
+  readonly model: ModelSpec
+  readonly replicaCount: number
+  readonly comingCount: number
+  readonly isAtHand: boolean
+  readonly promptTokensPerS: number
+}
+
+const standingOf = (model: ModelSpec, servers: readonly KnownServer[]): ModelStanding => {
+  let replicaCount = 0
+  let comingCount = 0
+  let isAtHand = false
+  let promptTokensPerS = 0
+  for (const server of servers) {
+    const { state } = server
+    if (heldModel(server, model.name)) replicaCount += 1
+    if (!state) continue
+    const index = state.models.findIndex(held => held.name === model.name)
+    promptTokensPerS = Math.max(promptTokensPerS, state.demandTokensPerS[index] ?? 0)
+    isAtHand ||= state.inMemory.includes(model.name) || state.onDisk.includes(model.name)
+    if (state.loadingModel === model.name || state.queuedModels.includes(model.name)) comingCount += 1
+  }
+  return { model, replicaCount, comingCount, isAtHand, promptTokensPerS }
+}
+
+const askFor = (context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], reason: string): void => {
+  const loaders = viewLoaders(context.directory, spec, model, servers, context.timers.nowMs())
+  const choice = chooseLoader(model, loaders)
+  const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
+  if (!choice || !server) return
+  context.events.emit(GatewayEvent.replicaAsked, { model: model.name, peer: choice.serverId, reason, waitMs: Math.round(choice.readyInMs) })
+  const agent = context.agents.find(server.entry.address)
+  if (!agent) return
+  runInBackground(context.events, 'placing.want', agent.want({
+    serverId: choice.serverId, modelName: model.name, adapterName: '', waitingCount: 0, timeLeftMs: AHEAD_WANT_MS
+  }))
+}
+
+const reviewEngine = (context: GatewayContext, service: Service, spec: EngineSpec): void => {
+  const servers = context.directory.serving(service.name)
+  const standings = spec.models.map(model => standingOf(model, servers))
+  const [short] = planReplicas(standings.map(standing => ({ ...standing, modelName: standing.model.name })))
+  const busiest = standings.find(standing => standing.model.name === short)
+  if (busiest) askFor(context, spec, busiest.model, servers, 'demand')
+  // A model that no engine holds and none has a copy of costs its next caller a load from the weight store. Bringing
+  // it while nobody waits leaves a copy on the engine's disk, from which it is back in half a second.
+  let coming = 0
+  for (const standing of standings) {
+    if (!standing.isAtHand && standing.replicaCount === 0) coming += standing.comingCount
+  }
+  const absent = standings.find(standing => !standing.isAtHand && standing.replicaCount === 0 && standing.comingCount === 0)
+  if (absent && coming < MAX_PRELOADS) askFor(context, spec, absent.model, servers, 'no copy')
+}
+
+/**
+ * Looks after the replicas of all models. Every router does so by the same figures; each acts at one look in as many
+ * as there are routers, drawn at random, so that a shortage is not answered by all of them at once.
+ */
+export const watchReplicas = (context: GatewayContext): void => {
+  if (context.random() * Math.max(1, context.routerCount()) > 1) return
+  for (const service of context.deployment()?.services ?? []) {
+    if (service.engine) reviewEngine(context, service, service.engine)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/constants.ts
@@ -0,0 +1,32 @@
+/** A server answers at the deadline that it was given; its answer needs this long to arrive. */
+export const ANSWER_GRACE_MS = 150
+
+/** With less time than this left nothing can be served: a message to a server and back takes 2 to 8 ms. */
+export const LEAST_SERVE_MS = 20
+
+/** Come-back time while a router knows no deployment yet: it starts within a second. */
+export const UNKNOWN_RETRY_MS = 500
+
+/** Come-back time when all servers turned a request away: their queues move within this time. */
+export const FULL_RETRY_MS = 300
+
+/** Come-back time while no server of a service is known: a crashed one is back after seconds. */
+export const NO_SERVER_RETRY_MS = 1_000
+
+/** Time for an agent to put an adapter in place: it is fetched in 5 to 10 ms, under a rush in ten times that. */
+export const ADAPTER_WAIT_MS = 1_500
+
+/** Sends of one request that servers turned away, after which it is refused: each costs time and a repeat. */
+export const MAX_TURNED_AWAY = 4
+
+/** Share of a request's time that a load may take; the rest is for queueing and computing. */
+export const LOAD_SHARE = 0.85
+
+/** A stream without an event for this long is broken: twice the longest pause that callers accept, 1 s at least. */
+export const LEAST_SILENCE_MS = 1_000
+
+/** The first event may take a long prompt's time and a queue's. */
+export const FIRST_EVENT_SILENCE_MS = 2_500
+
+/** Crashes of servers by one request after which it is not run again. */
+export const MAX_CRASHES = 2
--- /dev/null
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -0,0 +1,66 @@
+import { GatewayEvent } from '../events.js'
+
+import type { RawHeaders } from '@figmount/fleet'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+/** HTTP status of an ending of figmount's own. */
+export const Status = {
+  BadRequest: 400,
+  NotFound: 404,
+  TooLarge: 413,
+  HeadersTooLarge: 431,
+  BadGateway: 502,
+  Unavailable: 503,
+  GatewayTimeout: 504
+} as const
+
+const isOpen = ({ response }: RoutedRequest): boolean => !response.headersSent && !response.destroyed
+
+const nameMs = (context: GatewayContext, request: RoutedRequest): number =>
+  Math.round(context.timers.nowMs() - request.arrivedMs)
+
+/** Refuses a request that has not run and never will, and tells when to come back. */
+export const refuse = (context: GatewayContext, request: RoutedRequest, reason: string, retryAfterMs: number): void => {
+  context.metrics.count('requests_refused_total')
+  context.events.emit(GatewayEvent.requestRefused, {
+    requestKey: request.caller.requestId, reason, retryAfterMs: Math.round(retryAfterMs), waitMs: nameMs(context, request)
+  })
+  if (!isOpen(request)) return
+  request.response.writeHead(Status.Unavailable, [...context.codec.encodeRefusal(request.caller.requestId, retryAfterMs)])
+  request.response.end()
+}
+
+/** Ends a request that may have run. After the answer's head went out, only breaking off shows that it is not whole. */
+export const fail = (context: GatewayContext, request: RoutedRequest, reason: string, peer: string): void => {
+  const isLate = context.timers.nowMs() >= request.untilMs
+  context.metrics.count('requests_failed_total')
+  context.events.emit(GatewayEvent.requestFailed, { requestKey: request.caller.requestId, reason, peer, waitMs: nameMs(context, request) })
+  if (!isOpen(request)) {
+    request.response.destroy()
+    return
+  }
+  request.response.writeHead(isLate ? Status.GatewayTimeout : Status.BadGateway, { 'content-length': 0 })
+  request.response.end()
+}
+
+/** Gives the caller a server's answer that was read whole. */
+export const answerWhole = (context: GatewayContext, request: RoutedRequest, status: number, headers: RawHeaders, body: Buffer, peer: string): void => {
+  noteAnswered(context, request, peer, status)
+  if (!isOpen(request)) return
+  request.response.writeHead(status, [...headers, 'content-length', String(body.length)])
+  request.response.end(body)
+}
+
+/** Logs and counts an answer that was given whole. */
+export const noteAnswered = (context: GatewayContext, request: RoutedRequest, peer: string, status: number): void => {
+  const tookMs = context.timers.nowMs() - request.arrivedMs
+  context.metrics.count('requests_answered_total')
+  context.metrics.observeMs('request_ms', tookMs)
+  context.events.emit(GatewayEvent.requestAnswered, { requestKey: request.caller.requestId, peer, durationMs: Math.round(tookMs), statusCode: status })
+}
+
+/** Logs that the caller left. */
+export const noteLeft = (context: GatewayContext, request: RoutedRequest): void => {
+  context.metrics.count('requests_left_total')
+  context.events.emit(GatewayEvent.requestLeft, { requestKey: request.caller.requestId, waitMs: nameMs(context, request) })
+}
--- /dev/null
+++ b/packages/gateway/src/requests/exchange.ts
@@ -0,0 +1,39 @@
+import { sendToServer } from '../forwarding/sendToServer.js'
+import { GatewayEvent } from '../events.js'
+import { ANSWER_GRACE_MS } from './constants.js'
+
+import type { Either } from 'purify-ts'
+import type { KnownServer } from '../directory/types.js'
+import type { OpenAnswer, SendFault } from '../forwarding/types.js'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+/** Sends a request to one server with the time that is left, and logs it. */
+export const openExchange = async (
+  context: GatewayContext, request: RoutedRequest, server: KnownServer, lastEventId: string, signal: AbortSignal
+): Promise<Either<SendFault, OpenAnswer>> => {
+  const { timers, codec } = context
+  const leftMs = Math.max(1, Math.floor(request.untilMs - timers.nowMs()))
+  const { serverId, address } = server.entry
+  context.events.emit(GatewayEvent.requestSent, {
+    requestKey: request.caller.requestId,
+    peer: serverId,
+    ageMs: Math.round(Math.min(timers.nowMs() - server.stateAsOfMs, Number.MAX_SAFE_INTEGER)),
+    count: server.ownCount,
+    waitMs: Math.round(timers.nowMs() - request.arrivedMs)
+  })
+  const forwarded = codec.encodeForward(request.headers, { serverId, deadlineMs: leftMs, priority: request.route.priority, lastEventId })
+  const framing = request.body.length > 0 || request.method !== 'GET' ? ['Content-Length', String(request.body.length)] : []
+  return await sendToServer(context, {
+    serverId,
+    address,
+    method: request.method,
+    url: request.url,
+    headers: [...forwarded, ...framing],
+    body: request.body,
+    headTimeoutMs: leftMs + ANSWER_GRACE_MS
+  }, signal)
+}
+
+/** The answer belongs to another request: a late one on a kept connection, or a stranger's. */
+export const isForeign = (request: RoutedRequest, open: OpenAnswer): boolean =>
+  open.answer.requestId !== '' && open.answer.requestId !== request.caller.requestId
--- /dev/null
+++ b/packages/gateway/src/requests/runStream.ts
@@ -0,0 +1,64 @@
+import { readWhole } from '../forwarding/readWhole.js'
+import { relayEvents } from '../streams/relayEvents.js'
+import { FIRST_EVENT_SILENCE_MS } from './constants.js'
+import { answerWhole } from './endRequest.js'
+import { isForeign, openExchange } from './exchange.js'
+
+import type { KnownServer } from '../directory/types.js'
+import type { OpenAnswer } from '../forwarding/types.js'
+import type { CallerStream } from './streamToCaller.js'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+/** How one run of a stream ended. */
+export type RunEnd =
+  | { readonly type: 'finished' }
+  /** The server states that it has not run the request, or nothing was sent. */
+  | { readonly type: 'notRun', readonly reason: string, readonly isMisplaced: boolean }
+  | { readonly type: 'broken', readonly reason: string }
+
+const OK = 200
+const MISDIRECTED = 421
+
+const relay = async (context: GatewayContext, stream: CallerStream, open: OpenAnswer, firstEvent: () => void): Promise<RunEnd> => {
+  stream.open(open.message.statusCode ?? OK, context.codec.encodeAnswer(open.message.rawHeaders))
+  const end = await relayEvents({
+    answer: open,
+    timers: context.timers,
+    take: event => {
+      firstEvent()
+      return stream.take(event)
+    },
+    onceDrained: stream.onceDrained,
+    silenceMs: FIRST_EVENT_SILENCE_MS
+  })
+  if (stream.hasGap()) return { type: 'broken', reason: 'an event is missing' }
+  return end.isWhole ? { type: 'finished' } : { type: 'broken', reason: end.reason }
+}
+
+/** Runs a stream at one server and passes its events on. */
+export const runStream = async (
+  context: GatewayContext, request: RoutedRequest, server: KnownServer, stream: CallerStream, signal: AbortSignal, firstEvent: () => void
+): Promise<RunEnd> => {
+  const { serverId } = server.entry
+  const opened = await openExchange(context, request, server, stream.lastEventId(), signal)
+  if (opened.isLeft()) {
+    const { fault, mayHaveRun } = opened.swap().unsafeCoerce()
+    if (mayHaveRun) return { type: 'broken', reason: fault.message }
+    return { type: 'notRun', reason: fault.message, isMisplaced: false }
+  }
+  const open = opened.unsafeCoerce()
+  const status = open.message.statusCode ?? 0
+  if (isForeign(request, open)) {
+    open.abort()
+    return { type: 'broken', reason: 'answer to another request' }
+  }
+  if (status === OK && !open.answer.isNotRun) return await relay(context, stream, open, firstEvent)
+  const read = await readWhole(open, serverId)
+  if (status === MISDIRECTED || open.answer.isNotRun) {
+    return { type: 'notRun', reason: `turned away with ${status}`, isMisplaced: status === MISDIRECTED }
+  }
+  if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
+  if (stream.hasBegun()) return { type: 'broken', reason: `status ${status}` }
+  answerWhole(context, request, status, context.codec.encodeAnswer(open.message.rawHeaders), read.unsafeCoerce(), serverId)
+  return { type: 'finished' }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -0,0 +1,126 @@
+import { rankServers } from '@figmount/decisions'
+
+import { GatewayEvent } from '../events.js'
+import { viewHolders } from '../placing/viewServers.js'
+import { awaitAdapter, awaitModel } from './awaitModel.js'
+import { FULL_RETRY_MS, LEAST_SERVE_MS, MAX_CRASHES, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS } from './constants.js'
+import { fail, noteLeft, refuse } from './endRequest.js'
+import { runStream } from './runStream.js'
+import { createCallerStream } from './streamToCaller.js'
+
+import type { KnownServer } from '../directory/types.js'
+import type { RunEnd } from './runStream.js'
+import type { CallerStream } from './streamToCaller.js'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+interface Choice {
+  readonly server: KnownServer
+  readonly hasAdapter: boolean
+  /** Prompt tokens that the server has to compute. */
+  readonly newTokens: number
+}
+
+const choose = (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[]): Choice | undefined => {
+  const views = viewHolders(context.directory, request, servers)
+  const { promptTokens } = request.caller
+  const [best] = rankServers({ promptTokens, dataCentre: context.dataCentre }, views)
+  const server = servers.find(candidate => candidate.entry.serverId === best?.serverId)
+  if (!best || !server) return undefined
+  return { server, hasAdapter: best.hasAdapter, newTokens: Math.max(0, promptTokens - best.cachedTokens) }
+}
+
+/** Runs the request at the chosen server and keeps the router's books on it. */
+const runAt = async (context: GatewayContext, request: RoutedRequest, choice: Choice, stream: CallerStream): Promise<RunEnd> => {
+  const { directory } = context
+  const { serverId } = choice.server.entry
+  const { modelName, adapterName, promptParts } = request.caller
+  const ending = new AbortController()
+  const stopTimer = context.timers.after(Math.max(0, request.untilMs - context.timers.nowMs()), () => ending.abort())
+  const signal = AbortSignal.any([request.left, ending.signal])
+  let isPending = true
+  const settlePending = (): void => {
+    if (!isPending) return
+    isPending = false
+    directory.noteFirstEvent(serverId, choice.newTokens)
+  }
+  directory.noteSent(serverId, choice.newTokens)
+  directory.prefixes.remember(serverId, `${modelName}/${adapterName}`, promptParts)
+  const end = await runStream(context, request, choice.server, stream, signal, settlePending)
+  settlePending()
+  directory.noteEnded(serverId)
+  stopTimer()
+  if (!request.left.aborted) directory.noteOutcome(serverId, end.type === 'broken' || (end.type === 'notRun' && !end.isMisplaced))
+  return end
+}
+
+const noteCrash = (context: GatewayContext, request: RoutedRequest, serverId: string): void => {
+  context.crashes.note(request.requestHash, serverId)
+  context.agents.relay({ type: 'crash', requestHash: request.requestHash, serverId })
+}
+
+/**
+ * Serves a request to a model: at an engine that holds it, or after having it loaded. A stream that breaks off goes on
+ * at another engine where its route allows that; otherwise it is run once.
+ */
+export const serveModel = async (context: GatewayContext, request: RoutedRequest): Promise<void> => {
+  const { directory, timers, budget } = context
+  const { caller, route, serviceName } = request
+  const stream = createCallerStream(context, request)
+  const avoided = new Set<string>()
+  let runs = 0
+  let sends = 0
+  let turnedAway = 0
+  let lastPeer = ''
+
+  const giveUp = (reason: string, retryAfterMs: number): void => {
+    if (request.left.aborted) return noteLeft(context, request)
+    if (runs > 0) return fail(context, request, reason, lastPeer)
+    refuse(context, request, reason, retryAfterMs)
+  }
+
+  context.demand.note(caller.modelName, caller.adapterName, caller.promptTokens)
+  if (context.crashes.crashCount(request.requestHash) >= MAX_CRASHES) {
+    return giveUp('backend servers died while they ran it', NO_SERVER_RETRY_MS * 10)
+  }
+
+  for (;;) {
+    if (request.left.aborted || request.untilMs - timers.nowMs() < LEAST_SERVE_MS) return giveUp('no time left', FULL_RETRY_MS)
+    const servers = directory.serving(serviceName).filter(server => !avoided.has(server.entry.serverId))
+    if (servers.length === 0) return giveUp('no server', NO_SERVER_RETRY_MS)
+    const choice = choose(context, request, servers)
+    if (!choice) {
+      const wait = await awaitModel(context, request, servers)
+      if (wait.isReady) continue
+      return giveUp(wait.reason, wait.retryAfterMs)
+    }
+    const { serverId } = choice.server.entry
+    if (!choice.hasAdapter && !await awaitAdapter(context, request, choice.server)) {
+      turnedAway += 1
+      avoided.add(serverId)
+      if (turnedAway >= MAX_TURNED_AWAY) return giveUp('the adapter did not come', FULL_RETRY_MS)
+      continue
+    }
+    if (request.left.aborted) return noteLeft(context, request)
+    if (sends > 0 && !budget.takeRepeat(serviceName, context.routerCount())) return giveUp('no repeats left', FULL_RETRY_MS)
+    if (sends > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: caller.requestId, peer: serverId, count: sends })
+    sends += 1
+    lastPeer = serverId
+    const end = await runAt(context, request, choice, stream)
+    if (end.type === 'finished') {
+      if (!request.response.writableEnded) stream.finish(serverId)
+      return
+    }
+    if (request.left.aborted) return noteLeft(context, request)
+    avoided.add(serverId)
+    if (end.type === 'notRun') {
+      turnedAway += 1
+      if (turnedAway >= MAX_TURNED_AWAY) return giveUp(end.reason, FULL_RETRY_MS)
+      continue
+    }
+    runs += 1
+    if (timers.nowMs() < request.untilMs) noteCrash(context, request, serverId)
+    const mayGoOn = route.isResumable && runs < route.maxAttempts && !stream.hasGap()
+    if (!mayGoOn) return fail(context, request, end.reason, serverId)
+    context.events.emit(GatewayEvent.streamResumed, { requestKey: caller.requestId, reason: end.reason, peer: serverId, detail: stream.lastEventId() })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -0,0 +1,118 @@
+import { RequestKind } from '@figmount/fleet'
+import { rankServers } from '@figmount/decisions'
+
+import { GatewayEvent } from '../events.js'
+import { readWhole } from '../forwarding/readWhole.js'
+import { FULL_RETRY_MS, LEAST_SERVE_MS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS } from './constants.js'
+import { answerWhole, fail, noteLeft, refuse } from './endRequest.js'
+import { isForeign, openExchange } from './exchange.js'
+
+import type { KnownServer } from '../directory/types.js'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+/** How one try at one server ended. */
+type TryEnd =
+  | { readonly type: 'answered' }
+  | { readonly type: 'notRun', readonly reason: string }
+  | { readonly type: 'notSent', readonly reason: string }
+  | { readonly type: 'unknown', readonly reason: string }
+  /** A whole answer that says the server failed. */
+  | { readonly type: 'failed', readonly status: number, readonly deliver: () => void }
+
+const FIRST_SERVER_ERROR = 500
+const MISDIRECTED = 421
+
+const choose = (context: GatewayContext, request: RoutedRequest, tried: ReadonlySet<string>): KnownServer | undefined => {
+  const { directory } = context
+  const servers = directory.serving(request.serviceName).filter(server => !tried.has(server.entry.serverId))
+  const offset = Math.floor(context.random() * servers.length)
+  // Equal servers are taken in a random order, so that routers don't all begin with the same one.
+  const shuffled = [...servers.slice(offset), ...servers.slice(0, offset)]
+  const views = shuffled.map(server => ({
+    serverId: server.entry.serverId,
+    dataCentre: server.entry.dataCentre,
+    hasAdapter: true,
+    pendingTokens: 0,
+    runningCount: 0,
+    waitingCount: server.ownCount,
+    cachedTokens: 0,
+    failureShare: directory.failureShareOf(server)
+  }))
+  const [best] = rankServers({ promptTokens: 0, dataCentre: context.dataCentre }, views)
+  return servers.find(server => server.entry.serverId === best?.serverId)
+}
+
+const tryOnce = async (context: GatewayContext, request: RoutedRequest, server: KnownServer, signal: AbortSignal): Promise<TryEnd> => {
+  const { serverId } = server.entry
+  const opened = await openExchange(context, request, server, '', signal)
+  if (opened.isLeft()) {
+    const { fault, mayHaveRun } = opened.swap().unsafeCoerce()
+    return { type: mayHaveRun ? 'unknown' : 'notSent', reason: fault.message }
+  }
+  const open = opened.unsafeCoerce()
+  if (isForeign(request, open)) {
+    open.abort()
+    return { type: 'unknown', reason: 'answer to another request' }
+  }
+  const status = open.message.statusCode ?? 0
+  const read = await readWhole(open, serverId)
+  if (open.answer.isNotRun || status === MISDIRECTED) {
+    if (status === MISDIRECTED) context.directory.noteReplaced(serverId)
+    return { type: 'notRun', reason: `turned away with ${status}` }
+  }
+  if (read.isLeft()) return { type: 'unknown', reason: read.swap().unsafeCoerce().message }
+  const deliver = (): void => {
+    answerWhole(context, request, status, context.codec.encodeAnswer(open.message.rawHeaders), read.unsafeCoerce(), serverId)
+  }
+  if (status >= FIRST_SERVER_ERROR) return { type: 'failed', status, deliver }
+  deliver()
+  return { type: 'answered' }
+}
+
+/**
+ * Serves a request to a plain service. One that may run once goes to another server only if the one before states
+ * that it has not run; one that is idempotent also after a failure, within the route's attempts and the repeats that
+ * all routers share.
+ */
+export const servePlain = async (context: GatewayContext, request: RoutedRequest): Promise<void> => {
+  const { directory, budget, timers } = context
+  const mayRunAgain = request.route.kind === RequestKind.Idempotent
+  const tried = new Set<string>()
+  let runs = 0
+  let turnedAway = 0
+  let pending: (() => void) | undefined
+  let lastPeer = ''
+
+  const finish = (reason: string): void => {
+    if (request.left.aborted) return noteLeft(context, request)
+    if (pending) return pending()
+    if (runs > 0) return fail(context, request, reason, lastPeer)
+    refuse(context, request, reason, tried.size > 0 ? FULL_RETRY_MS : NO_SERVER_RETRY_MS)
+  }
+
+  for (;;) {
+    if (request.left.aborted || request.untilMs - timers.nowMs() < LEAST_SERVE_MS) return finish('no time left')
+    const server = choose(context, request, tried)
+    if (!server) return finish(tried.size > 0 ? 'no other server' : 'no server')
+    if (tried.size > 0 && !budget.takeRepeat(request.serviceName, context.routerCount())) return finish('no repeats left')
+    const { serverId } = server.entry
+    if (tried.size > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: request.caller.requestId, peer: serverId, count: tried.size })
+    tried.add(serverId)
+    lastPeer = serverId
+    directory.noteSent(serverId, 0)
+    const end = await tryOnce(context, request, server, request.left)
+    directory.noteEnded(serverId)
+    if (request.left.aborted) return noteLeft(context, request)
+    directory.noteOutcome(serverId, end.type === 'unknown' || end.type === 'notSent' || end.type === 'failed')
+    if (end.type === 'answered') return
+    if (end.type === 'notRun' || end.type === 'notSent') {
+      turnedAway += 1
+      if (turnedAway >= MAX_TURNED_AWAY) return finish(end.reason)
+      continue
+    }
+    runs += 1
+    pending = end.type === 'failed' ? end.deliver : undefined
+    const reason = end.type === 'failed' ? `status ${end.status}` : end.reason
+    if (!mayRunAgain || runs >= request.route.maxAttempts) return finish(reason)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/streamToCaller.ts
@@ -0,0 +1,75 @@
+import { noteAnswered } from './endRequest.js'
+
+import type { RawHeaders } from '@figmount/fleet'
+import type { StreamEvent } from '../streams/splitEvents.js'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+/** What a caller has of its stream, over all runs. */
+export interface CallerStream {
+  /** Keeps the head of the first run; the caller gets it with the first event. */
+  readonly open: (status: number, headers: RawHeaders) => void
+  /** Passes an event on unless the caller has it; true while the caller keeps up. */
+  readonly take: (event: StreamEvent) => boolean
+  readonly onceDrained: (resume: () => void) => void
+  readonly finish: (peer: string) => void
+  readonly hasBegun: () => boolean
+  /** Event after which another run goes on; empty before the first one. */
+  readonly lastEventId: () => string
+  /** An event was left out by the server: the stream can't be made whole. */
+  readonly hasGap: () => boolean
+}
+
+const isSuccessor = (last: string, next: string): boolean => {
+  const [lastNumber, nextNumber] = [Number(last), Number(next)]
+  if (!Number.isInteger(lastNumber) || !Number.isInteger(nextNumber)) return true
+  return nextNumber > lastNumber
+}
+
+/** Makes the caller's side of one stream. */
+export const createCallerStream = (context: GatewayContext, request: RoutedRequest): CallerStream => {
+  const { response } = request
+  let head: { readonly status: number, readonly headers: RawHeaders } | undefined
+  let lastEventId = request.caller.lastEventId
+  let lastNumber: number | undefined
+  let gap = false
+
+  const begin = (): void => {
+    if (!head || response.headersSent || response.destroyed) return
+    response.writeHead(head.status, [...head.headers])
+    response.flushHeaders()
+    context.metrics.observeMs('first_event_ms', context.timers.nowMs() - request.arrivedMs)
+  }
+
+  // Guards against a piece that comes twice or is missing where two runs are joined: ids grow by one, so the caller
+  // gets each once and a jump shows.
+  const follows = (event: StreamEvent): boolean => {
+    if (event.eventId === '') return true
+    if (lastEventId !== '' && !isSuccessor(lastEventId, event.eventId)) return false
+    const number = Number(event.eventId)
+    if (Number.isInteger(number)) {
+      if (lastNumber !== undefined && number !== lastNumber + 1) gap = true
+      lastNumber = number
+    }
+    lastEventId = event.eventId
+    return true
+  }
+
+  return {
+    open: (status, headers) => { head ??= { status, headers } },
+    take: event => {
+      if (!follows(event)) return true
+      if (gap || response.destroyed) return true
+      begin()
+      return response.write(event.bytes)
+    },
+    onceDrained: resume => { response.once('drain', resume) },
+    finish: peer => {
+      begin()
+      noteAnswered(context, request, peer, head?.status ?? 0)
+      response.end()
+    },
+    hasBegun: () => response.headersSent,
+    lastEventId: () => lastEventId,
+    hasGap: () => gap
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/types.ts
@@ -0,0 +1,50 @@
+import type { ServerResponse } from 'node:http'
+import type { EventLog, Metrics, TimerService } from '@figmount/base'
+import type { CallerRequest, Deployment, HeaderCodec, RawHeaders, Route } from '@figmount/fleet'
+import type { AgentLinks } from '../agents/createAgentLinks.js'
+import type { DemandMeter } from '../demand/createDemandMeter.js'
+import type { Directory } from '../directory/createDirectory.js'
+import type { ConnectionPool } from '../forwarding/createConnectionPool.js'
+import type { RepeatBudget } from '../retries/createRepeatBudget.js'
+import type { CrashBook } from '../retries/createCrashBook.js'
+
+/** What serving a request needs of its router. */
+export interface GatewayContext {
+  readonly timers: TimerService
+  readonly events: EventLog
+  readonly metrics: Metrics
+  readonly codec: HeaderCodec
+  readonly directory: Directory
+  readonly agents: AgentLinks
+  readonly demand: DemandMeter
+  readonly pool: ConnectionPool
+  readonly budget: RepeatBudget
+  readonly crashes: CrashBook
+  readonly dataCentre: string
+  readonly deployment: () => Deployment | undefined
+  /** The most routers seen so far. */
+  readonly routerCount: () => number
+  readonly isStopping: () => boolean
+  readonly random: () => number
+}
+
+/** A request that was read whole and whose route is known. */
+export interface RoutedRequest {
+  readonly caller: CallerRequest
+  readonly route: Route
+  readonly serviceName: string
+  readonly method: string
+  readonly url: string
+  readonly headers: RawHeaders
+  readonly body: Buffer
+  readonly arrivedMs: number
+  /** The caller waits no longer. */
+  readonly callerUntilMs: number
+  /** Time by which the caller has its final answer. */
+  readonly untilMs: number
+  readonly response: ServerResponse
+  /** Aborts when the caller leaves. */
+  readonly left: AbortSignal
+  /** Hash of what a caller sends again after a crash. */
+  readonly requestHash: string
+}
--- /dev/null
+++ b/packages/gateway/src/retries/createCrashBook.ts
@@ -0,0 +1,42 @@
+import type { TimerService } from '@figmount/base'
+
+/** How long a request that crashed servers is remembered: its caller sends it again within seconds, or minutes. */
+const KEEP_MS = 120_000
+
+/** Requests remembered at a time. */
+const MAX_REQUESTS = 500
+
+interface Crashes {
+  readonly serverIds: ReadonlySet<string>
+  readonly lastMs: number
+}
+
+/** Requests that were running when their backend server died. */
+export interface CrashBook {
+  readonly note: (requestHash: string, serverId: string) => void
+  /** Servers that died under the request. */
+  readonly crashCount: (requestHash: string) => number
+}
+
+/** Makes the crash book of one router. */
+export const createCrashBook = (timers: TimerService): CrashBook => {
+  const book = new Map<string, Crashes>()
+
+  const trim = (): void => {
+    const nowMs = timers.nowMs()
+    for (const [hash, crashes] of book) {
+      if (book.size <= MAX_REQUESTS && nowMs - crashes.lastMs < KEEP_MS) continue
+      book.delete(hash)
+    }
+  }
+
+  return {
+    note: (requestHash, serverId) => {
+      trim()
+      const known = book.get(requestHash)?.serverIds ?? []
+      book.delete(requestHash)
+      book.set(requestHash, { serverIds: new Set([...known, serverId]), lastMs: timers.nowMs() })
+    },
+    crashCount: requestHash => book.get(requestHash)?.serverIds.size ?? 0
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/retries/createRepeatBudget.ts
@@ -0,0 +1,51 @@
+import { mayRepeat } from '@figmount/decisions'
+
+import type { TimerService } from '@figmount/base'
+import type { RetryLimits } from '@figmount/decisions'
+
+interface ServiceHistory {
+  readonly requestTimesMs: number[]
+  readonly repeatTimesMs: number[]
+}
+
+/** Repeats that this router may still send, by service. */
+export interface RepeatBudget {
+  readonly noteRequest: (serviceName: string) => void
+  /** Takes one repeat out, or says that none is left. */
+  readonly takeRepeat: (serviceName: string, routerCount: number) => boolean
+}
+
+/** Makes the budget of one router. */
+export const createRepeatBudget = (limits: RetryLimits, timers: TimerService): RepeatBudget => {
+  const histories = new Map<string, ServiceHistory>()
+
+  const historyOf = (serviceName: string): ServiceHistory => {
+    const known = histories.get(serviceName)
+    if (known) return known
+    const made = { requestTimesMs: [], repeatTimesMs: [] }
+    histories.set(serviceName, made)
+    return made
+  }
+
+  const trim = (timesMs: number[], sinceMs: number): void => {
+    while (timesMs.length > 0 && (timesMs[0] ?? 0) <= sinceMs) timesMs.shift()
+  }
+
+  const trimmed = (serviceName: string): ServiceHistory => {
+    const history = historyOf(serviceName)
+    const sinceMs = timers.nowMs() - limits.windowMs
+    trim(history.requestTimesMs, sinceMs)
+    trim(history.repeatTimesMs, sinceMs)
+    return history
+  }
+
+  return {
+    noteRequest: serviceName => { trimmed(serviceName).requestTimesMs.push(timers.nowMs()) },
+    takeRepeat: (serviceName, routerCount) => {
+      const history = trimmed(serviceName)
+      if (!mayRepeat(limits, history, routerCount, timers.nowMs())) return false
+      history.repeatTimesMs.push(timers.nowMs())
+      return true
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/router/startGateway.ts
@@ -0,0 +1,149 @@
+import { BaseEvent, sleep } from '@figmount/base'
+import { NO_OFFSET } from '@figmount/peers'
+
+import { createAgentLinks } from '../agents/createAgentLinks.js'
+import { createDemandMeter } from '../demand/createDemandMeter.js'
+import { createDirectory } from '../directory/createDirectory.js'
+import { createConnectionPool } from '../forwarding/createConnectionPool.js'
+import { serveReady } from '../ingress/serveReady.js'
+import { startIngress } from '../ingress/startIngress.js'
+import { takeRequest } from '../ingress/takeRequest.js'
+import { REPLICA_PERIOD_MS, watchReplicas } from '../placing/watchReplicas.js'
+import { heldModel } from '../placing/viewServers.js'
+import { createCrashBook } from '../retries/createCrashBook.js'
+import { createRepeatBudget } from '../retries/createRepeatBudget.js'
+import { DEMAND_PERIOD_MS, DRAIN_LOOK_MS, DRAIN_MARGIN_MS, FOLLOW_PERIOD_MS, LAME_DUCK_MS, LEAST_ROUTER_COUNT } from './constants.js'
+import { takeFeeds } from './takeFeeds.js'
+
+import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
+import type { RetryLimits } from '@figmount/decisions'
+import type { HeaderCodec, ServerEntry, StorePort } from '@figmount/fleet'
+import type { Ingress } from '../ingress/startIngress.js'
+import type { GatewayContext } from '../requests/types.js'
+
+/** What a router on the HTTP path is started with. */
+export interface GatewayOptions {
+  readonly context: ProcessContext<unknown>
+  readonly instance: InstanceName
+  readonly dataCentre: string
+  /** host:port for callers. */
+  readonly callerAddress: string
+  /** host:port for the balancer's questions. */
+  readonly readyAddress: string
+  readonly agentPort: number
+  readonly sharedKey: string
+  readonly retryLimits: RetryLimits
+  /** Time that a stop may take. */
+  readonly stopMs: number
+  readonly codec: HeaderCodec
+  readonly store: StorePort
+  readonly random: () => number
+}
+
+/** Starts a router that takes callers' HTTP requests. */
+export const startGateway = async (options: GatewayOptions): Promise<RunningProcess> => {
+  const { timers, events, metrics } = options.context
+  let isStopping = false
+  let limitCallers: Ingress['limit'] = () => {}
+  let routerCount = LEAST_ROUTER_COUNT
+
+  const hasAgent = (entry: ServerEntry): boolean =>
+    feeds.deployment()?.services.some(service => service.name === entry.serviceName && service.engine) ?? false
+
+  const directory = createDirectory({ timers, events, decodeServer: options.store.decodeServer, entryTaken: () => {} })
+  const crashes = createCrashBook(timers)
+  const agents = createAgentLinks({
+    agentPort: options.agentPort,
+    context: { instance: options.instance, sharedKey: options.sharedKey, timers, events, offset: () => NO_OFFSET, onPeerOffset: () => {} },
+    handlers: {
+      takeState: (address, state) => {
+        routerCount = Math.max(routerCount, state.routerCount)
+        directory.takeState(address, state)
+      },
+      takeLoad: directory.takeLoad,
+      takeRelay: relay => { feeds.takeRelay(relay.feedName, relay.records) },
+      takeCrash: crashes.note,
+      lost: directory.loseAgent
+    }
+  })
+  const feeds = takeFeeds({
+    store: options.store,
+    timers,
+    events,
+    directory,
+    deploymentTaken: deployment => { limitCallers(deployment.limits) },
+    relay: (feedName, records) => { agents.relay({ type: 'relay', feedName, records }) }
+  })
+  const context: GatewayContext = {
+    timers,
+    events,
+    metrics,
+    codec: options.codec,
+    directory,
+    agents,
+    demand: createDemandMeter(timers),
+    pool: createConnectionPool(),
+    budget: createRepeatBudget(options.retryLimits, timers),
+    crashes,
+    dataCentre: options.dataCentre,
+    deployment: feeds.deployment,
+    routerCount: () => routerCount,
+    isStopping: () => isStopping,
+    random: options.random
+  }
+
+  const ingress = await startIngress(
+    options.callerAddress,
+    async (message, response) => await takeRequest(context, message, response),
+    error => { events.emit(BaseEvent.unexpectedFault, { step: 'ingress.take', reason: error.message }) }
+  )
+  limitCallers = ingress.limit
+  const known = feeds.deployment()
+  if (known) ingress.limit(known.limits)
+  const closeReady = await serveReady(options.readyAddress, () => !isStopping && feeds.deployment() !== undefined && directory.isKnown())
+
+  const replicaCount = (modelName: string): number => {
+    let count = 0
+    for (const entry of directory.entries()) {
+      const server = directory.find(entry.serverId)
+      if (server && heldModel(server, modelName)) count += 1
+    }
+    return count
+  }
+  let lastDemand = ''
+  const tellDemand = (): void => {
+    const models = context.demand.read(replicaCount)
+    if (models.length === 0 && lastDemand === '') return
+    lastDemand = models.length === 0 ? '' : 'told'
+    agents.sendToAll({ type: 'demand', models })
+  }
+  const follow = (): void => {
+    agents.follow(directory.entries(), hasAgent)
+    context.pool.keepOnly(new Set(directory.entries().map(entry => entry.serverId)))
+  }
+  const stops = [
+    timers.every(DEMAND_PERIOD_MS, tellDemand),
+    timers.every(FOLLOW_PERIOD_MS, follow),
+    timers.every(REPLICA_PERIOD_MS, () => watchReplicas(context))
+  ]
+  metrics.gauge('requests_open', ingress.openCount)
+  metrics.gauge('servers_known', () => directory.entries().length)
+
+  const stop = async (): Promise<void> => {
+    isStopping = true
+    const endMs = timers.nowMs() + options.stopMs - DRAIN_MARGIN_MS
+    await sleep(timers, Math.min(LAME_DUCK_MS, options.stopMs / 2))
+    ingress.closeIdle()
+    while (ingress.openCount() > 0 && timers.nowMs() < endMs) {
+      await sleep(timers, DRAIN_LOOK_MS)
+      ingress.closeIdle()
+    }
+    for (const end of stops) end()
+    feeds.stop()
+    agents.close()
+    ingress.close()
+    closeReady()
+    context.pool.close()
+  }
+  return { address: options.callerAddress, stop }
+}
--- /dev/null
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -0,0 +1,107 @@
+import { createFeedFollower, LONG_POLL_MS, POLL_PERIOD_MS } from '@figmount/fleet'
+
+import { GatewayEvent } from '../events.js'
+
+import type { EventLog, Fault, TimerService } from '@figmount/base'
+import type { Deployment, FeedRecord, StorePort } from '@figmount/fleet'
+import type { Directory } from '../directory/createDirectory.js'
+
+interface Options {
+  readonly store: StorePort
+  readonly timers: TimerService
+  readonly events: EventLog
+  readonly directory: Directory
+  readonly deploymentTaken: (deployment: Deployment) => void
+  /** Passes on what other routers may have missed. */
+  readonly relay: (feedName: string, records: readonly FeedRecord[]) => void
+}
+
+/** The feeds of one router. */
+export interface Feeds {
+  readonly deployment: () => Deployment | undefined
+  readonly takeRelay: (feedName: string, records: readonly FeedRecord[]) => void
+  readonly stop: () => void
+}
+
+/** Follows the configuration and the list of servers. */
+export const takeFeeds = (options: Options): Feeds => {
+  const { store, timers, events, directory } = options
+  let deployment: Deployment | undefined
+
+  const takeDeployment = (record: FeedRecord): void => {
+    if (!record.value || !store.isDeploymentKey(record.key)) return
+    store.decodeDeployment(record.key, record.value).caseOf({
+      Left: fault => { events.emit(GatewayEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset: record.offset }) },
+      Right: next => {
+        if (deployment && next.version <= deployment.version) return
+        deployment = next
+        events.emit(GatewayEvent.deploymentTaken, { version: String(next.version), offset: record.offset, count: next.routes.length })
+        options.deploymentTaken(next)
+      }
+    })
+  }
+
+  const lost = (fault: Fault): void => {
+    events.emit(GatewayEvent.feedLost, { step: fault.step, peer: fault.peer, reason: fault.message })
+  }
+
+  const regained = (feedName: string, outageMs: number): void => {
+    events.emit(GatewayEvent.feedRegained, { peer: feedName, durationMs: Math.round(outageMs) })
+  }
+
+  const deployments = createFeedFollower({
+    feed: store.deploymentFeed,
+    timers,
+    events,
+    waitMs: LONG_POLL_MS,
+    periodMs: 0,
+    take: records => {
+      for (const record of records) takeDeployment(record)
+      options.relay(store.deploymentFeed.name, records)
+    },
+    takeKeys: () => {},
+    lost,
+    regained: outageMs => regained(store.deploymentFeed.name, outageMs)
+  })
+
+  const isNews = (record: FeedRecord): boolean => {
+    const known = directory.find(record.key)
+    if (!record.value) return known !== undefined
+    const entry = store.decodeServer(record.key, record.value).toMaybe().extractNullable()
+    return entry !== null && (!known || known.entry.isDraining !== entry.isDraining)
+  }
+
+  const servers = createFeedFollower({
+    feed: store.serverFeed,
+    timers,
+    events,
+    waitMs: 0,
+    periodMs: POLL_PERIOD_MS,
+    take: records => {
+      const news = records.filter(isNews)
+      directory.takeRecords(records)
+      if (news.length > 0) options.relay(store.serverFeed.name, news)
+    },
+    takeKeys: directory.takeKeys,
+    lost: fault => {
+      directory.noteOutage()
+      lost(fault)
+    },
+    regained: outageMs => {
+      directory.noteRegained()
+      regained(store.serverFeed.name, outageMs)
+    }
+  })
+
+  return {
+    deployment: () => deployment,
+    takeRelay: (feedName, records) => {
+      if (feedName === store.deploymentFeed.name) deployments.offer(records)
+      if (feedName === store.serverFeed.name) servers.offer(records)
+    },
+    stop: () => {
+      deployments.stop()
+      servers.stop()
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/streams/relayEvents.ts
@@ -0,0 +1,58 @@
+import { createEventSplitter } from './splitEvents.js'
+
+import type { TimerService } from '@figmount/base'
+import type { OpenAnswer } from '../forwarding/types.js'
+import type { StreamEvent } from './splitEvents.js'
+
+/** How a stream from one server ended. */
+export interface RelayEnd {
+  readonly isWhole: boolean
+  readonly reason: string
+}
+
+interface Options {
+  readonly answer: OpenAnswer
+  readonly timers: TimerService
+  /** Takes an event; returns true while the reader keeps up. */
+  readonly take: (event: StreamEvent) => boolean
+  /** Calls back when the reader takes more. */
+  readonly onceDrained: (resume: () => void) => void
+  /** Longest time without an event after which the stream counts as broken. */
+  readonly silenceMs: number
+}
+
+/** Passes on a server's events one by one until the stream ends or breaks off. */
+export const relayEvents = async ({ answer, timers, take, onceDrained, silenceMs }: Options): Promise<RelayEnd> =>
+  await new Promise(resolve => {
+    const { message, abort } = answer
+    const splitter = createEventSplitter()
+    let lastHeardMs = timers.nowMs()
+
+    const finish = (isWhole: boolean, reason: string): void => {
+      stopWatching()
+      resolve({ isWhole, reason })
+    }
+
+    // Guards against a server that falls silent in the middle of a stream with its connection open: the caller would
+    // wait until it gives up. Ending the exchange lets a resumable stream go on elsewhere.
+    const stopWatching = timers.every(silenceMs / 4, () => {
+      if (timers.nowMs() - lastHeardMs < silenceMs) return
+      finish(false, `no event for ${silenceMs} ms`)
+      abort()
+    })
+
+    message.on('data', (chunk: Buffer) => {
+      lastHeardMs = timers.nowMs()
+      let keepsUp = true
+      for (const event of splitter.push(chunk)) keepsUp = take(event) && keepsUp
+      if (keepsUp) return
+      message.pause()
+      onceDrained(() => message.resume())
+    })
+    message.on('end', () => {
+      const isWhole = message.complete && splitter.rest().length === 0
+      finish(isWhole, isWhole ? 'ended' : 'broke off')
+    })
+    message.on('error', error => finish(false, error.message))
+    message.on('close', () => finish(false, 'connection closed'))
+  })
--- a/packages/router/src/links/createAgentLink.ts
+++ b/packages/router/src/links/createAgentLink.ts
@@ -1,11 +1,10 @@
 import { EitherAsync, Left, Right } from 'purify-ts'
 import { match } from 'ts-pattern'
-import { FaultKind, makeFault, sleep } from '@figmount/base'
+import { FaultKind, makeFault, runInBackground, sleep } from '@figmount/base'
 import { HEARTBEAT_MS, mergeReport, NO_OFFSET } from '@figmount/peers'
 
 import { createMailbox } from '../answers/createMailbox.js'
 import { RouterEvent } from '../events.js'
-import { runInBackground } from '../router/runInBackground.js'
 import { FIRST_BACKOFF_MS, IDLE_LINK_MS, LEAVING_MEMORY_MS, MAILBOX_FRAME_COUNT, MAX_BACKOFF_MS } from './constants.js'
 import { takeSafely } from './takeSafely.js'
 
--- a/packages/router/src/peers/createRouterPeers.ts
+++ b/packages/router/src/peers/createRouterPeers.ts
@@ -1,10 +1,9 @@
 import { match } from 'ts-pattern'
-import { sleep } from '@figmount/base'
+import { runInBackground, sleep } from '@figmount/base'
 import { HEARTBEAT_MS } from '@figmount/peers'
 
 import { RouterEvent } from '../events.js'
 import { takeSafely } from '../links/takeSafely.js'
-import { runInBackground } from '../router/runInBackground.js'
 import { ANNOUNCE_GATHER_MS, REDIAL_MS } from './constants.js'
 
 import type { EitherAsync } from 'purify-ts'
--- a/packages/router/src/router/startTasks.ts
+++ b/packages/router/src/router/startTasks.ts
@@ -1,3 +1,4 @@
+import { runInBackground } from '@figmount/base'
 import { createSnapshotWriter, shouldPropose } from '@figmount/records'
 
 import { pollInstances } from '../membership/pollInstances.js'
@@ -6,7 +7,6 @@
 import { runProposer } from '../proposals/runProposer.js'
 import { isLoadedIn } from '../routing/isLoadedIn.js'
 import { watchAbsentEngines } from '../voids/watchAbsentEngines.js'
-import { runInBackground } from './runInBackground.js'
 
 import type { InstanceName, Unsubscribe } from '@figmount/base'
 import type { Membership } from '../membership/createMembership.js'
--- /dev/null
+++ b/packages/sidecar/src/engine/constants.ts
@@ -0,0 +1,20 @@
+/** Time between reports while nothing is expected: a crash is noticed in a tenth of a second, at about 1% of a core. */
+export const POLL_MS = 100
+
+/** Time between reports while an order is carried out; an adapter takes 5 ms. */
+export const FAST_POLL_MS = 8
+
+/** A report comes from the same machine within a few ms; a busy one takes longer. */
+export const REPORT_TIMEOUT_MS = 300
+
+/** Reports in a row without an answer after which the engine counts as down. */
+export const SILENT_REPORTS = 2
+
+/** An order is answered within a few ms by the same machine. */
+export const ORDER_TIMEOUT_MS = 300
+
+/** Routers stop sending requests for a model this long before it is unloaded: a message's way and a request's. */
+export const LEAVE_NOTICE_MS = 25
+
+/** Pause after an order that was refused or lost, before the next try. */
+export const ORDER_RETRY_MS = 100
--- /dev/null
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -0,0 +1,166 @@
+import { runInBackground, sleep } from '@figmount/base'
+import { OrderAnswer } from '@figmount/fleet'
+
+import { SidecarEvent } from '../events.js'
+import { LEAVE_NOTICE_MS, ORDER_RETRY_MS, ORDER_TIMEOUT_MS } from './constants.js'
+import { nextOrder } from './viewEngine.js'
+
+import type { EventLog, Fault, TimerService } from '@figmount/base'
+import type { PlannedOrder } from '@figmount/decisions'
+import type { EnginePort, EngineSpec, ServerReport } from '@figmount/fleet'
+import type { DemandBook } from '../demand/createDemandBook.js'
+import type { WantBook } from '../wants/createWantBook.js'
+
+/** The load that is under way. */
+export interface CurrentLoad {
+  readonly modelName: string
+  readonly endsAtMs: number
+}
+
+interface Options {
+  readonly engine: EnginePort
+  readonly timers: TimerService
+  readonly events: EventLog
+  readonly demand: DemandBook
+  readonly wants: WantBook
+  readonly spec: () => EngineSpec | undefined
+  readonly serverId: () => string
+  /** Time between two loads from the weight store that one agent begins. */
+  readonly coldSpacingMs: number
+  /** False after a restart: a load that the process before it began may be recent. */
+  readonly isFirstStart: boolean
+  /** Something changed that routers must know. */
+  readonly changed: () => void
+  /** Reads the report at once. */
+  readonly hurry: () => void
+}
+
+/** Gives the engine its orders, one after the other. */
+export interface Orderer {
+  readonly take: (report: ServerReport) => void
+  /** Looks for the next order. */
+  readonly review: () => void
+  /** The newest report, undefined while the engine does not answer. */
+  readonly report: () => ServerReport | undefined
+  readonly forget: () => void
+  readonly leavingModels: () => readonly string[]
+  readonly currentLoad: () => CurrentLoad | undefined
+  readonly heldSinceMs: () => ReadonlyMap<string, number>
+  readonly isPressing: () => boolean
+}
+
+/** Makes the orderer of one agent, the only process that orders its engine. */
+export const createOrderer = (options: Options): Orderer => {
+  const { timers, events } = options
+  const heldSinceMs = new Map<string, number>()
+  let report: ServerReport | undefined
+  let leaving: string | undefined
+  let load: CurrentLoad | undefined
+  let lastColdMs = options.isFirstStart ? -Infinity : timers.nowMs()
+  let isOrdering = false
+  let ordersWithoutReport = false
+
+  const noteHeld = (next: ServerReport): void => {
+    const names = new Set(next.models.map(model => model.name))
+    for (const name of [...heldSinceMs.keys()]) {
+      if (!names.has(name)) heldSinceMs.delete(name)
+    }
+    for (const name of names) {
+      if (!heldSinceMs.has(name)) heldSinceMs.set(name, report ? timers.nowMs() : -Infinity)
+    }
+    if (load && names.has(load.modelName)) load = undefined
+    if (load && !next.isBusy && !ordersWithoutReport) load = undefined
+    if (leaving !== undefined && !names.has(leaving)) leaving = undefined
+  }
+
+  const loadMsOf = (planned: PlannedOrder, spec: EngineSpec): number => {
+    const model = spec.models.find(candidate => candidate.name === planned.modelName)
+    if (!model) return 0
+    if (planned.isCold) return model.coldLoadMs
+    return report?.inMemory.includes(planned.modelName) ? model.memoryLoadMs : model.diskLoadMs
+  }
+
+  const noteAnswer = (planned: PlannedOrder, answer: OrderAnswer): void => {
+    events.emit(SidecarEvent.orderAnswered, { model: planned.modelName, adapter: planned.adapterName, step: planned.operation, reason: answer })
+    if (answer === OrderAnswer.Accepted || answer === OrderAnswer.AlreadyDone) return
+    load = undefined
+    leaving = undefined
+  }
+
+  const noteSilence = (planned: PlannedOrder, fault: Fault): void => {
+    events.emit(SidecarEvent.orderUnanswered, { model: planned.modelName, adapter: planned.adapterName, step: planned.operation, reason: fault.message })
+  }
+
+  const send = async (planned: PlannedOrder, current: ServerReport, spec: EngineSpec): Promise<void> => {
+    const { modelName, adapterName, operation } = planned
+    const isWholeModel = adapterName === ''
+    if (operation === 'load' && isWholeModel) load = { modelName, endsAtMs: timers.nowMs() + loadMsOf(planned, spec) }
+    // Begins before the order leaves: its answer may be lost though the load has begun.
+    if (planned.isCold) lastColdMs = timers.nowMs()
+    events.emit(SidecarEvent.orderSent, { model: modelName, adapter: adapterName, step: operation, count: current.orderCount })
+    // The count that the engine must have accepted guards against an order that was given up and is carried out
+    // seconds later, after newer ones: it would load what no longer fits, and the engine would crash.
+    const order = { operation, modelName, adapterName, expectedOrderCount: current.orderCount }
+    const result = await options.engine.sendOrder(options.serverId(), order, ORDER_TIMEOUT_MS).run()
+    result.caseOf({ Left: fault => noteSilence(planned, fault), Right: answer => noteAnswer(planned, answer) })
+    ordersWithoutReport = true
+    options.hurry()
+    const isDone = result.map(answer => answer === OrderAnswer.Accepted || answer === OrderAnswer.AlreadyDone).orDefault(false)
+    if (!isDone) await sleep(timers, ORDER_RETRY_MS)
+  }
+
+  // Guards against requests that reach the engine just as their model goes: they would be turned away there. Routers
+  // are told first and the order follows when their newest requests have arrived.
+  const giveNotice = async (modelName: string): Promise<void> => {
+    leaving = modelName
+    options.changed()
+    await sleep(timers, LEAVE_NOTICE_MS)
+  }
+
+  const orderOnce = async (): Promise<void> => {
+    const spec = options.spec()
+    if (!report || !spec || options.serverId() === '' || report.isDraining || ordersWithoutReport) return
+    const nowMs = timers.nowMs()
+    const planned = nextOrder({
+      spec,
+      report,
+      demand: options.demand,
+      wants: options.wants.open(),
+      mayLoadCold: nowMs - lastColdMs >= options.coldSpacingMs,
+      nowMs,
+      heldSinceMs
+    })
+    if (!planned) return
+    const seen = report.orderCount
+    if (planned.operation === 'unload' && planned.adapterName === '') await giveNotice(planned.modelName)
+    if (!report || report.orderCount !== seen) return
+    await send(planned, report, spec)
+    options.changed()
+  }
+
+  const review = (): void => {
+    if (isOrdering) return
+    isOrdering = true
+    runInBackground(events, 'engine.order', orderOnce().finally(() => { isOrdering = false }))
+  }
+
+  return {
+    take: next => {
+      ordersWithoutReport = false
+      noteHeld(next)
+      report = next
+    },
+    review,
+    report: () => report,
+    forget: () => {
+      report = undefined
+      load = undefined
+      leaving = undefined
+      heldSinceMs.clear()
+    },
+    leavingModels: () => leaving === undefined ? [] : [leaving],
+    currentLoad: () => load,
+    heldSinceMs: () => heldSinceMs,
+    isPressing: () => ordersWithoutReport || options.wants.open().length > 0
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -0,0 +1,99 @@
+import { planOrder } from '@figmount/decisions'
+
+import type { EngineView, PlannedOrder, ResidentAdapter, PlacedModel, WantView } from '@figmount/decisions'
+import type { EngineSpec, ModelSpec, ServerReport } from '@figmount/fleet'
+import type { DemandBook } from '../demand/createDemandBook.js'
+import type { OpenWant } from '../wants/createWantBook.js'
+
+/** All that an order is decided by. */
+export interface EngineInputs {
+  readonly spec: EngineSpec
+  readonly report: ServerReport
+  readonly demand: DemandBook
+  readonly wants: readonly OpenWant[]
+  readonly mayLoadCold: boolean
+  readonly nowMs: number
+  /** When each model held was loaded or first seen. */
+  readonly heldSinceMs: ReadonlyMap<string, number>
+}
+
+const specsOf = (spec: EngineSpec): ReadonlyMap<string, ModelSpec> => new Map(spec.models.map(model => [model.name, model]))
+
+const isAtHand = (report: ServerReport, modelName: string): boolean =>
+  report.inMemory.includes(modelName) || report.onDisk.includes(modelName)
+
+const returnsMsOf = (report: ServerReport, model: ModelSpec | undefined, modelName: string): number => {
+  if (!model) return 0
+  return isAtHand(report, modelName) ? model.diskLoadMs : model.coldLoadMs
+}
+
+/** The models held, as candidates to make way. */
+export const viewResidents = (inputs: EngineInputs): readonly PlacedModel[] => {
+  const specs = specsOf(inputs.spec)
+  return inputs.report.models.map(held => {
+    const model = specs.get(held.name)
+    const total = inputs.demand.totalFor(held.name)
+    return {
+      modelName: held.name,
+      weightsMb: model?.weightsMb ?? 0,
+      requestsPerS: total.requestsPerS,
+      promptTokensPerS: total.promptTokensPerS,
+      replicaCount: total.replicaCount,
+      returnsMs: returnsMsOf(inputs.report, model, held.name),
+      heldMs: inputs.nowMs - (inputs.heldSinceMs.get(held.name) ?? -Infinity),
+      idleMs: total.idleMs
+    }
+  })
+}
+
+/** Memory for weights and adapters that is not taken. Adapters on their way count. */
+export const freeMbOf = (spec: EngineSpec, report: ServerReport): number => {
+  const specs = specsOf(spec)
+  let takenMb = 0
+  for (const held of report.models) {
+    const model = specs.get(held.name)
+    takenMb += (model?.weightsMb ?? spec.weightsCapacityMb) + held.adapters.length * (model?.adapterMb ?? 0)
+  }
+  for (const key of report.arrivingAdapters) takenMb += specs.get(key.split('/')[0] ?? '')?.adapterMb ?? 0
+  return spec.weightsCapacityMb - takenMb
+}
+
+const viewAdapters = ({ report, demand }: EngineInputs): readonly ResidentAdapter[] =>
+  report.models.flatMap(held => held.adapters.map(adapterName => ({
+    modelName: held.name, adapterName, idleMs: demand.adapterIdleMs(held.name, adapterName)
+  })))
+
+const viewWant = (inputs: EngineInputs, want: OpenWant): WantView => {
+  const model = specsOf(inputs.spec).get(want.modelName)
+  return {
+    modelName: want.modelName,
+    adapterName: want.adapterName,
+    waitingCount: want.waitingCount,
+    ageMs: inputs.nowMs - want.sinceMs,
+    weightsMb: model?.weightsMb ?? Infinity,
+    adapterMb: model?.adapterMb ?? 0,
+    isAtHand: isAtHand(inputs.report, want.modelName)
+  }
+}
+
+/** The engine as the decision on the next order sees it. */
+export const viewEngine = (inputs: EngineInputs): EngineView => {
+  const adapters = viewAdapters(inputs)
+  const adapterKeys = new Set([
+    ...adapters.map(adapter => `${adapter.modelName}/${adapter.adapterName}`),
+    ...inputs.report.arrivingAdapters
+  ])
+  return {
+    residents: viewResidents(inputs),
+    adapters,
+    adapterKeys,
+    freeMb: freeMbOf(inputs.spec, inputs.report),
+    freeAdapterSlots: inputs.spec.adapterSlots - adapterKeys.size,
+    isBusy: inputs.report.isBusy,
+    mayLoadCold: inputs.mayLoadCold,
+    wants: inputs.wants.map(want => viewWant(inputs, want))
+  }
+}
+
+/** The next order for the engine, if any. */
+export const nextOrder = (inputs: EngineInputs): PlannedOrder | undefined => planOrder(viewEngine(inputs))
--- /dev/null
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -0,0 +1,121 @@
+import { createServer } from 'node:http'
+import { acceptLinks, HEARTBEAT_MS, NO_OFFSET } from '@figmount/peers'
+
+import { LOAD_PERIOD_MS } from './constants.js'
+
+import type { EventLog, InstanceName, TimerService } from '@figmount/base'
+import type { AgentLoad, AgentMessage, AgentState, RouterMessage, Want } from '@figmount/fleet'
+import type { Link } from '@figmount/peers'
+import type { Settle } from '../wants/createWantBook.js'
+import type { ModelDemand } from '@figmount/fleet'
+
+type RouterLink = Link<AgentMessage, RouterMessage>
+
+interface Options {
+  readonly instance: InstanceName
+  readonly host: string
+  readonly port: number
+  readonly sharedKey: string
+  readonly timers: TimerService
+  readonly events: EventLog
+  readonly describe: (routerCount: number) => AgentState
+  readonly describeLoad: () => AgentLoad | undefined
+  readonly takeWant: (router: string, want: Want, settle: Settle) => void
+  readonly takeDemand: (router: string, models: readonly ModelDemand[]) => void
+}
+
+/** The agent's links from routers. */
+export interface RouterLinks {
+  /** Tells every router the state if it has changed. */
+  readonly tell: () => void
+  readonly close: () => void
+}
+
+/** Listens for routers. */
+export const serveRouters = (options: Options): RouterLinks => {
+  const { timers, events } = options
+  const links = new Set<RouterLink>()
+  const lastSentMs = new Map<RouterLink, number>()
+  let lastState = ''
+  let lastLoad = ''
+
+  const sendTo = (link: RouterLink, message: AgentMessage): void => {
+    lastSentMs.set(link, timers.nowMs())
+    link.send(message)
+  }
+
+  const sendToAll = (message: AgentMessage, except?: RouterLink): void => {
+    for (const link of links) {
+      if (link !== except) sendTo(link, message)
+    }
+  }
+
+  const tell = (): void => {
+    const state = options.describe(links.size)
+    // The time that a load still takes changes all the while; routers count it down by themselves.
+    const text = JSON.stringify({ ...state, loadingLeftMs: 0, demandTokensPerS: [] })
+    if (text === lastState) return
+    lastState = text
+    sendToAll(state)
+  }
+
+  const tellLoad = (): void => {
+    const load = options.describeLoad()
+    if (!load) return
+    const text = JSON.stringify(load)
+    if (text === lastLoad) return
+    lastLoad = text
+    sendToAll(load)
+  }
+
+  const keepAlive = (): void => {
+    const nowMs = timers.nowMs()
+    for (const link of links) {
+      if (nowMs - (lastSentMs.get(link) ?? 0) >= HEARTBEAT_MS) sendTo(link, options.describe(links.size))
+    }
+  }
+
+  const take = (link: RouterLink, message: RouterMessage): void => {
+    if (message.type === 'want') {
+      return options.takeWant(link.peer, message, (wantId, isReady, reason) => {
+        sendTo(link, { type: 'wantSettled', wantId, isReady, reason })
+      })
+    }
+    if (message.type === 'demand') return options.takeDemand(link.peer, message.models)
+    if (message.type === 'relay' || message.type === 'crash') sendToAll(message, link)
+  }
+
+  const runLink = async (link: RouterLink): Promise<void> => {
+    links.add(link)
+    sendTo(link, options.describe(links.size))
+    try {
+      for await (const message of link.received) take(link, message)
+    } finally {
+      links.delete(link)
+      lastSentMs.delete(link)
+    }
+  }
+
+  const server = createServer((_request, response) => { response.writeHead(404).end() })
+  acceptLinks<AgentMessage, RouterMessage>(server, {
+    instance: options.instance,
+    sharedKey: options.sharedKey,
+    timers,
+    events,
+    offset: () => NO_OFFSET,
+    onPeerOffset: () => {}
+  }, runLink)
+  server.listen(options.port, options.host)
+  const stopLoad = timers.every(LOAD_PERIOD_MS, tellLoad)
+  const stopKeepAlive = timers.every(HEARTBEAT_MS / 2, keepAlive)
+
+  return {
+    tell,
+    close: () => {
+      stopLoad()
+      stopKeepAlive()
+      for (const link of links) link.close('the agent stops')
+      server.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -0,0 +1,189 @@
+import { createFeedFollower, LONG_POLL_MS } from '@figmount/fleet'
+import { evictionLossOf } from '@figmount/decisions'
+
+import { createDemandBook } from '../demand/createDemandBook.js'
+import { createOrderer } from '../engine/createOrderer.js'
+import { viewResidents } from '../engine/viewEngine.js'
+import { watchEngine } from '../engine/watchEngine.js'
+import { SidecarEvent } from '../events.js'
+import { TELL_PERIOD_MS } from '../links/constants.js'
+import { serveRouters } from '../links/serveRouters.js'
+import { createWantBook } from '../wants/createWantBook.js'
+import { COLD_SPACING_MS } from './constants.js'
+
+import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
+import type { AgentLoad, AgentState, Deployment, EnginePort, EngineSpec, FeedRecord, ServerReport, StorePort } from '@figmount/fleet'
+
+/** What an agent on the HTTP path is started with. */
+export interface SidecarOptions {
+  readonly context: ProcessContext<unknown>
+  readonly instance: InstanceName
+  readonly host: string
+  /** Where routers reach the agent. */
+  readonly port: number
+  readonly sharedKey: string
+  /** Service of the engine beside the agent. */
+  readonly serviceName: string
+  readonly isFirstStart: boolean
+  readonly engine: EnginePort
+  readonly store: StorePort
+}
+
+/** Starts an agent: it watches one engine, orders its models, and tells routers what it holds. */
+export const startSidecar = async (options: SidecarOptions): Promise<RunningProcess> => {
+  const { timers, events, metrics } = options.context
+  const demand = createDemandBook(timers)
+  const wants = createWantBook(timers)
+  let deployment: Deployment | undefined
+  let serverId = ''
+  let isUp = false
+
+  const spec = (): EngineSpec | undefined =>
+    deployment?.services.find(service => service.name === options.serviceName)?.engine
+
+  const orderer = createOrderer({
+    engine: options.engine,
+    timers,
+    events,
+    demand,
+    wants,
+    spec,
+    serverId: () => serverId,
+    coldSpacingMs: COLD_SPACING_MS,
+    isFirstStart: options.isFirstStart,
+    changed: () => { links.tell() },
+    hurry: () => { watch.hurry() }
+  })
+
+  const evictionLoss = (report: ServerReport): number => {
+    const engineSpec = spec()
+    if (!engineSpec) return 0
+    const residents = viewResidents({
+      spec: engineSpec, report, demand, wants: [], mayLoadCold: true, nowMs: timers.nowMs(), heldSinceMs: orderer.heldSinceMs()
+    })
+    const losses = residents.map(evictionLossOf)
+    return losses.length === 0 ? 0 : Math.min(...losses)
+  }
+
+  const describe = (routerCount: number): AgentState => {
+    const report = orderer.report()
+    const load = orderer.currentLoad()
+    const models = report?.models ?? []
+    return {
+      type: 'state',
+      serverId,
+      isUp,
+      isDraining: report?.isDraining ?? false,
+      models,
+      leavingModels: orderer.leavingModels(),
+      loadingModel: load?.modelName ?? '',
+      loadingLeftMs: load ? Math.max(0, load.endsAtMs - timers.nowMs()) : 0,
+      queuedModels: wants.open().filter(want => want.adapterName === '').map(want => want.modelName),
+      inMemory: report?.inMemory ?? [],
+      onDisk: report?.onDisk ?? [],
+      evictionLoss: report ? Math.round(evictionLoss(report) * 100) / 100 : 0,
+      demandTokensPerS: models.map(model => Math.round(demand.totalFor(model.name).promptTokensPerS)),
+      routerCount
+    }
+  }
+
+  const describeLoad = (): AgentLoad | undefined => {
+    const report = orderer.report()
+    if (!report) return undefined
+    return { type: 'load', runningCount: report.runningCount, waitingCount: report.waitingCount, kvUsedTokens: report.kvUsedTokens }
+  }
+
+  const isHeld = (modelName: string, adapterName: string): boolean => {
+    const model = orderer.report()?.models.find(held => held.name === modelName)
+    if (!model || orderer.leavingModels().includes(modelName)) return false
+    return adapterName === '' || model.adapters.includes(adapterName)
+  }
+
+  const advance = (): void => {
+    wants.review(isHeld)
+    orderer.review()
+    links.tell()
+  }
+
+  const takeReport = (report: ServerReport): void => {
+    if (!isUp) events.emit(SidecarEvent.engineUp, { peer: serverId })
+    if (report.isDraining && !orderer.report()?.isDraining) events.emit(SidecarEvent.engineDraining, { peer: serverId })
+    isUp = true
+    orderer.take(report)
+    advance()
+  }
+
+  const noteDown = (reason: string): void => {
+    if (isUp) events.emit(SidecarEvent.engineDown, { peer: serverId, reason })
+    isUp = false
+    serverId = ''
+    orderer.forget()
+    wants.giveUpAll('engine is down')
+    links.tell()
+  }
+
+  const takeDeployment = (record: FeedRecord): void => {
+    if (!record.value || !options.store.isDeploymentKey(record.key)) return
+    options.store.decodeDeployment(record.key, record.value).caseOf({
+      Left: fault => { events.emit(SidecarEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset: record.offset }) },
+      Right: next => {
+        if (deployment && next.version <= deployment.version) return
+        deployment = next
+        events.emit(SidecarEvent.deploymentTaken, { version: String(next.version), offset: record.offset })
+      }
+    })
+  }
+
+  const links = serveRouters({
+    instance: options.instance,
+    host: options.host,
+    port: options.port,
+    sharedKey: options.sharedKey,
+    timers,
+    events,
+    describe,
+    describeLoad,
+    takeWant: (router, want, settle) => {
+      events.emit(SidecarEvent.wantTaken, { peer: router, model: want.modelName, adapter: want.adapterName ?? '', count: want.waitingCount })
+      metrics.count('wants_total')
+      if (serverId === '') serverId = want.serverId
+      if (!isUp) return settle(want.wantId, false, 'engine is down')
+      wants.add(want, settle)
+      advance()
+    },
+    takeDemand: (router, models) => { demand.take(router, models) }
+  })
+
+  const watch = watchEngine({
+    engine: options.engine,
+    timers,
+    events,
+    isPressing: orderer.isPressing,
+    take: takeReport,
+    down: fault => { noteDown(fault.message) }
+  })
+  const stopTelling = timers.every(TELL_PERIOD_MS, advance)
+
+  const deployments = createFeedFollower({
+    feed: options.store.deploymentFeed,
+    timers,
+    events,
+    waitMs: LONG_POLL_MS,
+    periodMs: 0,
+    take: records => { for (const record of records) takeDeployment(record) },
+    takeKeys: () => {},
+    lost: fault => { events.emit(SidecarEvent.feedLost, { step: fault.step, peer: fault.peer, reason: fault.message }) },
+    regained: outageMs => { events.emit(SidecarEvent.feedRegained, { peer: options.store.deploymentFeed.name, durationMs: Math.round(outageMs) }) }
+  })
+
+  return {
+    address: `${options.host}:${options.port}`,
+    stop: async () => {
+      stopTelling()
+      watch.stop()
+      deployments.stop()
+      wants.giveUpAll('the agent stops')
+      links.close()
+    }
+  }
+}
