Test the whole path with real processes and stand-ins of the platform

Two faults showed: a router that had just started refused requests for models that must be loaded, as it had no agent yet (it is ready now once half of the agents answer), and the estimate of a load left out that an agent may not use the weight store again for 5 s.

--- /dev/null
+++ b/packages/decisions/src/forwarding/forwarding.test.ts
@@ -0,0 +1,49 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+
+import { failureShareAt, noFailures, noteOutcome } from './failureShare.js'
+import { mayRepeat } from './retryAllowance.js'
+
+const LIMITS = { ratio: 0.2, windowMs: 10_000, slackCount: 54 }
+
+describe('failure shares', () => {
+  it('grow with failures and fade without use', () => {
+    let failures = noFailures(0)
+    for (let count = 0; count < 8; count++) failures = noteOutcome(failures, true, 0)
+    expect(failureShareAt(failures, 0)).to.be.greaterThan(0.85)
+    expect(failureShareAt(failures, 20_000)).to.be.lessThan(0.01)
+  })
+
+  it('see two failures in five', () => {
+    let failures = noFailures(0)
+    for (let count = 0; count < 50; count++) failures = noteOutcome(failures, count % 5 < 2, 0)
+    expect(failureShareAt(failures, 0)).to.be.within(0.2, 0.7)
+  })
+})
+
+describe('repeats', () => {
+  it('stay within the bound for all routers together', () => {
+    // Servers die and every router repeats what it can. No router hears another; each knows how many there are.
+    // The bound is on the sum over all of them in any window.
+    const step = fc.record({ router: fc.integer({ min: 0, max: 3 }), isRepeat: fc.boolean(), pauseMs: fc.integer({ min: 0, max: 300 }) })
+    fc.assert(fc.property(fc.array(step, { maxLength: 400 }), steps => {
+      const routers = [0, 1, 2, 3].map(() => ({ requestTimesMs: [] as number[], repeatTimesMs: [] as number[] }))
+      let nowMs = 0
+      for (const { router, isRepeat, pauseMs } of steps) {
+        nowMs += pauseMs
+        const history = routers[router]
+        if (!history) continue
+        if (!isRepeat) history.requestTimesMs.push(nowMs)
+        else if (mayRepeat(LIMITS, history, routers.length, nowMs)) history.repeatTimesMs.push(nowMs)
+      }
+      const since = (times: readonly number[]): number => times.filter(timeMs => timeMs > nowMs - LIMITS.windowMs).length
+      const requests = routers.reduce((sum, history) => sum + since(history.requestTimesMs), 0)
+      const repeats = routers.reduce((sum, history) => sum + since(history.repeatTimesMs), 0)
+      expect(repeats).to.be.at.most(requests * LIMITS.ratio + LIMITS.slackCount)
+    }), { seed: 7, numRuns: 200 })
+  })
+
+  it('are there for a router that has served little', () => {
+    expect(mayRepeat(LIMITS, { requestTimesMs: [], repeatTimesMs: [] }, 4, 0)).to.equal(true)
+  })
+})
--- a/packages/decisions/src/placing/chooseLoader.ts
+++ b/packages/decisions/src/placing/chooseLoader.ts
@@ -17,7 +17,7 @@
 const loadMs = (times: LoadTimes, server: LoaderView): number => {
   if (server.isInMemory) return times.memoryLoadMs
   if (server.isOnDisk) return times.diskLoadMs
-  return times.coldLoadMs
+  return Math.max(0, server.coldWaitMs - server.busyMs) + times.coldLoadMs
 }
 
 /**
--- /dev/null
+++ b/packages/decisions/src/placing/placing.test.ts
@@ -0,0 +1,161 @@
+import { expect } from 'chai'
+
+import { chooseLoader } from './chooseLoader.js'
+import { chooseVictims, evictionLossOf } from './chooseVictims.js'
+import { planOrder } from './planOrder.js'
+import { neededReplicas, planReplicas } from './planReplicas.js'
+import { rankServers } from './rankServers.js'
+
+import type { EngineView, WantView } from './planOrder.js'
+import type { LoaderView, PlacedModel, ServerView } from './types.js'
+
+const server = (serverId: string, given: Partial<ServerView> = {}): ServerView => ({
+  serverId, dataCentre: 'east', hasAdapter: true, pendingTokens: 0, runningCount: 0, waitingCount: 0, cachedTokens: 0, failureShare: 0, ...given
+})
+
+const loader = (serverId: string, given: Partial<LoaderView> = {}): LoaderView => ({
+  serverId, isInMemory: false, isOnDisk: false, isLoading: false, busyMs: 0, coldWaitMs: 0, evictionLoss: 0, heldCount: 1, failureShare: 0, ...given
+})
+
+const placed = (modelName: string, given: Partial<PlacedModel> = {}): PlacedModel => ({
+  modelName, weightsMb: 70_000, requestsPerS: 1, promptTokensPerS: 1_000, replicaCount: 1, returnsMs: 400, heldMs: 60_000, idleMs: 10_000, ...given
+})
+
+const want = (modelName: string, given: Partial<WantView> = {}): WantView => ({
+  modelName, adapterName: '', waitingCount: 1, ageMs: 10, weightsMb: 70_000, adapterMb: 66, isAtHand: true, ...given
+})
+
+const engine = (given: Partial<EngineView> = {}): EngineView => ({
+  residents: [], adapters: [], adapterKeys: new Set(), freeMb: 140_000, freeAdapterSlots: 8, isBusy: false, mayLoadCold: true, wants: [], ...given
+})
+
+const TIMES = { coldLoadMs: 6_000, diskLoadMs: 440, memoryLoadMs: 320 }
+
+const firstOf = (promptTokens: number, servers: readonly ServerView[]): string | undefined =>
+  rankServers({ promptTokens, dataCentre: 'east' }, servers)[0]?.serverId
+
+describe('ranking of servers', () => {
+  it('keeps two long prompts apart', () => {
+    expect(firstOf(9_000, [server('a', { pendingTokens: 9_000 }), server('b')])).to.equal('b')
+  })
+
+  it('goes where the prompt begins in cache', () => {
+    expect(firstOf(9_000, [server('a'), server('b', { cachedTokens: 6_300 })])).to.equal('b')
+  })
+
+  it('leaves a full cache for an idle server when the queue costs more than it saves', () => {
+    expect(firstOf(9_000, [server('a'), server('b', { cachedTokens: 6_300, pendingTokens: 20_000 })])).to.equal('a')
+  })
+
+  it('avoids a server that fails fast', () => {
+    expect(firstOf(100, [server('a', { failureShare: 0.5 }), server('b', { runningCount: 20 })])).to.equal('b')
+  })
+})
+
+describe('choice of a loader', () => {
+  it('takes a copy on disk before the weight store', () => {
+    const choice = chooseLoader(TIMES, [loader('a'), loader('b', { isOnDisk: true, busyMs: 500 })])
+    expect(choice).to.deep.equal({ serverId: 'b', readyInMs: 940 })
+  })
+
+  it('joins a load that is under way', () => {
+    // A burst for one model reaches many routers; each must lead to the same load.
+    const choice = chooseLoader(TIMES, [loader('a', { isOnDisk: true }), loader('b', { isLoading: true, busyMs: 300 })])
+    expect(choice?.serverId).to.equal('b')
+  })
+
+  it('goes where the weight store may be used now', () => {
+    const choice = chooseLoader(TIMES, [loader('a', { coldWaitMs: 3_000 }), loader('b', { busyMs: 500 })])
+    expect(choice).to.deep.equal({ serverId: 'b', readyInMs: 6_500 })
+  })
+
+  it('weighs what other callers lose', () => {
+    const choice = chooseLoader(TIMES, [loader('a', { isOnDisk: true, evictionLoss: 4 }), loader('b', { isOnDisk: true })])
+    expect(choice?.serverId).to.equal('b')
+  })
+
+  it('has none without an agent', () => {
+    expect(chooseLoader(TIMES, [])).to.equal(undefined)
+  })
+})
+
+describe('choice of victims', () => {
+  it('takes a spare replica before a sole one', () => {
+    const eviction = chooseVictims([placed('sole', { requestsPerS: 0.1 }), placed('spare', { replicaCount: 4, requestsPerS: 5 })], 70_000)
+    expect(eviction?.modelNames).to.deep.equal(['spare'])
+  })
+
+  it('spares a replica without which the others are too busy', () => {
+    const busy = placed('busy', { replicaCount: 2, requestsPerS: 5, promptTokensPerS: 30_000 })
+    expect(evictionLossOf(busy)).to.be.greaterThan(1)
+    expect(chooseVictims([busy, placed('rare', { requestsPerS: 0.1 })], 70_000)?.modelNames).to.deep.equal(['rare'])
+  })
+
+  it('takes several when one is too small', () => {
+    const eviction = chooseVictims([placed('a', { weightsMb: 35_000 }), placed('b', { weightsMb: 35_000 })], 70_000)
+    expect(eviction?.modelNames).to.have.members(['a', 'b'])
+  })
+
+  it('spares what has just come', () => {
+    // Two models that swap places with each request would serve nobody in time.
+    expect(chooseVictims([placed('new', { heldMs: 100 })], 70_000)).to.equal(undefined)
+  })
+})
+
+describe('plan of replicas', () => {
+  it('asks for one more where demand outgrows them', () => {
+    const models = [
+      { modelName: 'calm', promptTokensPerS: 1_000, replicaCount: 1, comingCount: 0 },
+      { modelName: 'risen', promptTokensPerS: 40_000, replicaCount: 1, comingCount: 0 }
+    ]
+    expect(planReplicas(models)).to.deep.equal(['risen'])
+  })
+
+  it('counts what is coming', () => {
+    const needed = neededReplicas(40_000)
+    const model = { modelName: 'risen', promptTokensPerS: 40_000, replicaCount: 1, comingCount: needed - 1 }
+    expect(planReplicas([model])).to.deep.equal([])
+  })
+})
+
+describe('plan of orders', () => {
+  it('fetches an adapter beside its model', () => {
+    const order = planOrder(engine({ residents: [placed('m')], wants: [want('m', { adapterName: 'a1' })] }))
+    expect(order).to.deep.include({ operation: 'load', modelName: 'm', adapterName: 'a1' })
+  })
+
+  it('frees a place of the adapter that was idle longest', () => {
+    const adapters = [{ modelName: 'm', adapterName: 'a1', idleMs: 500 }, { modelName: 'm', adapterName: 'a2', idleMs: 9_000 }]
+    const order = planOrder(engine({ residents: [placed('m')], adapters, freeAdapterSlots: 0, wants: [want('m', { adapterName: 'a3' })] }))
+    expect(order).to.deep.include({ operation: 'unload', adapterName: 'a2' })
+  })
+
+  it('waits for an adapter that is on its way', () => {
+    const order = planOrder(engine({ residents: [placed('m')], adapterKeys: new Set(['m/a1']), wants: [want('m', { adapterName: 'a1' })] }))
+    expect(order).to.equal(undefined)
+  })
+
+  it('makes room before it loads', () => {
+    // An engine that is ordered to load more than fits crashes with all that it runs.
+    const order = planOrder(engine({ residents: [placed('old')], freeMb: 10, wants: [want('new')] }))
+    expect(order).to.deep.include({ operation: 'unload', modelName: 'old' })
+  })
+
+  it('gives no second order on models while one is under way', () => {
+    expect(planOrder(engine({ isBusy: true, wants: [want('new')] }))).to.equal(undefined)
+  })
+
+  it('serves who waits before what is wanted ahead', () => {
+    const wants = [want('ahead', { waitingCount: 0, ageMs: 9_000 }), want('awaited', { isAtHand: false })]
+    expect(planOrder(engine({ wants }))?.modelName).to.equal('awaited')
+  })
+
+  it('holds back from the weight store until it may', () => {
+    expect(planOrder(engine({ mayLoadCold: false, wants: [want('new', { isAtHand: false })] }))).to.equal(undefined)
+  })
+
+  it('evicts nothing busy for what nobody waits for', () => {
+    const order = planOrder(engine({ residents: [placed('busy', { requestsPerS: 3 })], freeMb: 0, wants: [want('new', { waitingCount: 0 })] }))
+    expect(order).to.equal(undefined)
+  })
+})
--- a/packages/decisions/src/placing/types.ts
+++ b/packages/decisions/src/placing/types.ts
@@ -22,6 +22,8 @@
   readonly isLoading: boolean
   /** Time until the server can begin: its running load and what waits before. */
   readonly busyMs: number
+  /** Time until the server may begin a load from the weight store. */
+  readonly coldWaitMs: number
   /** Requests a second that lose their replica there. */
   readonly evictionLoss: number
   readonly heldCount: number
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -70,6 +70,8 @@
   readonly loadingModel: string
   /** Time until that load ends, as far as is known. */
   readonly loadingLeftMs: number
+  /** Time until the agent may begin another load from the weight store. */
+  readonly coldWaitMs: number
   /** Models that are wanted and not begun, in order. */
   readonly queuedModels: readonly string[]
   readonly inMemory: readonly string[]
--- a/packages/gateway/src/agents/createAgentLinks.ts
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -20,6 +20,8 @@
   readonly sendToAll: (message: RouterMessage) => void
   /** Sends through a few agents, which pass it on to all other routers. */
   readonly relay: (message: RouterMessage) => void
+  /** At least half of the agents answer. */
+  readonly isReached: () => boolean
   readonly close: () => void
 }
 
@@ -63,6 +65,11 @@
         if (link.send(message)) sent += 1
       }
     },
+    isReached: () => {
+      let openCount = 0
+      for (const link of links.values()) openCount += Number(link.isOpen())
+      return openCount * 2 >= links.size
+    },
     close: () => {
       for (const link of links.values()) link.close()
     }
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -69,6 +69,7 @@
       isOnDisk: state.onDisk.includes(model.name),
       isLoading: state.loadingModel === model.name || state.queuedModels.includes(model.name),
       busyMs: busyMsOf(spec, server, model.name, nowMs - server.stateAsOfMs),
+      coldWaitMs: Math.max(0, state.coldWaitMs - (nowMs - server.stateAsOfMs)),
       evictionLoss: state.evictionLoss,
       heldCount: state.models.length,
       failureShare: directory.failureShareOf(server)
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -12,7 +12,7 @@
 import { heldModel } from '../placing/viewServers.js'
 import { createCrashBook } from '../retries/createCrashBook.js'
 import { createRepeatBudget } from '../retries/createRepeatBudget.js'
-import { DEMAND_PERIOD_MS, DRAIN_LOOK_MS, DRAIN_MARGIN_MS, FOLLOW_PERIOD_MS, LAME_DUCK_MS, LEAST_ROUTER_COUNT } from './constants.js'
+import { AGENT_PATIENCE_MS, DEMAND_PERIOD_MS, DRAIN_LOOK_MS, DRAIN_MARGIN_MS, FOLLOW_PERIOD_MS, LAME_DUCK_MS, LEAST_ROUTER_COUNT } from './constants.js'
 import { takeFeeds } from './takeFeeds.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
@@ -43,6 +43,7 @@
 /** Starts a router that takes callers' HTTP requests. */
 export const startGateway = async (options: GatewayOptions): Promise<RunningProcess> => {
   const { timers, events, metrics } = options.context
+  const startedMs = timers.nowMs()
   let isStopping = false
   let limitCallers: Ingress['limit'] = () => {}
   let routerCount = LEAST_ROUTER_COUNT
@@ -50,7 +51,7 @@
   const hasAgent = (entry: ServerEntry): boolean =>
     feeds.deployment()?.services.some(service => service.name === entry.serviceName && service.engine) ?? false
 
-  const directory = createDirectory({ timers, events, decodeServer: options.store.decodeServer, entryTaken: () => {} })
+  const directory = createDirectory({ timers, events, decodeServer: options.store.decodeServer, entryTaken: () => { followSoon() } })
   const crashes = createCrashBook(timers)
   const agents = createAgentLinks({
     agentPort: options.agentPort,
@@ -100,7 +101,12 @@
   limitCallers = ingress.limit
   const known = feeds.deployment()
   if (known) ingress.limit(known.limits)
-  const closeReady = await serveReady(options.readyAddress, () => !isStopping && feeds.deployment() !== undefined && directory.isKnown())
+  // A router that cannot reach the agents yet would refuse each request for a model that must be loaded first.
+  const isReady = (): boolean => {
+    if (isStopping || !feeds.deployment() || !directory.isKnown()) return false
+    return agents.isReached() || timers.nowMs() - startedMs > AGENT_PATIENCE_MS
+  }
+  const closeReady = await serveReady(options.readyAddress, isReady)
 
   const replicaCount = (modelName: string): number => {
     let count = 0
@@ -117,7 +123,14 @@
     lastDemand = models.length === 0 ? '' : 'told'
     agents.sendToAll({ type: 'demand', models })
   }
+  let isFollowDue = false
+  const followSoon = (): void => {
+    if (isFollowDue) return
+    isFollowDue = true
+    timers.after(0, follow)
+  }
   const follow = (): void => {
+    isFollowDue = false
     agents.follow(directory.entries(), hasAgent)
     context.pool.keepOnly(new Set(directory.entries().map(entry => entry.serverId)))
   }
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -2,7 +2,7 @@
 import { OrderAnswer } from '@figmount/fleet'
 
 import { SidecarEvent } from '../events.js'
-import { LEAVE_NOTICE_MS, ORDER_RETRY_MS, ORDER_TIMEOUT_MS } from './constants.js'
+import { FAST_POLL_MS, LEAVE_NOTICE_MS, ORDER_RETRY_MS, ORDER_TIMEOUT_MS, POLL_MS } from './constants.js'
 import { nextOrder } from './viewEngine.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
@@ -45,8 +45,11 @@
   readonly forget: () => void
   readonly leavingModels: () => readonly string[]
   readonly currentLoad: () => CurrentLoad | undefined
+  /** Time until a load from the weight store may begin. */
+  readonly coldWaitMs: () => number
   readonly heldSinceMs: () => ReadonlyMap<string, number>
-  readonly isPressing: () => boolean
+  /** Time until the next report is worth reading. */
+  readonly nextPollMs: () => number
 }
 
 /** Makes the orderer of one agent, the only process that orders its engine. */
@@ -126,7 +129,7 @@
       report,
       demand: options.demand,
       wants: options.wants.open(),
-      mayLoadCold: nowMs - lastColdMs >= options.coldSpacingMs,
+      mayLoadCold: coldWaitMs() === 0,
       nowMs,
       heldSinceMs
     })
@@ -138,12 +141,24 @@
     options.changed()
   }
 
+  const coldWaitMs = (): number => Math.max(0, lastColdMs + options.coldSpacingMs - timers.nowMs())
+
   const review = (): void => {
     if (isOrdering) return
     isOrdering = true
     runInBackground(events, 'engine.order', orderOnce().finally(() => { isOrdering = false }))
   }
 
+  const nextPollMs = (): number => {
+    if (ordersWithoutReport) return FAST_POLL_MS
+    const wants = options.wants.open()
+    if (wants.length === 0) return POLL_MS
+    if (wants.some(want => want.adapterName !== '')) return FAST_POLL_MS
+    // A load from the weight store takes seconds: it is looked at often only towards its end.
+    const leftMs = load ? load.endsAtMs - timers.nowMs() : 0
+    return Math.max(FAST_POLL_MS, Math.min(POLL_MS, leftMs / 4))
+  }
+
   return {
     take: next => {
       ordersWithoutReport = false
@@ -160,7 +175,8 @@
     },
     leavingModels: () => leaving === undefined ? [] : [leaving],
     currentLoad: () => load,
+    coldWaitMs,
     heldSinceMs: () => heldSinceMs,
-    isPressing: () => ordersWithoutReport || options.wants.open().length > 0
+    nextPollMs
   }
 }
--- a/packages/sidecar/src/engine/watchEngine.ts
+++ b/packages/sidecar/src/engine/watchEngine.ts
@@ -1,6 +1,6 @@
 import { runInBackground, sleep } from '@figmount/base'
 
-import { FAST_POLL_MS, POLL_MS, REPORT_TIMEOUT_MS, SILENT_REPORTS } from './constants.js'
+import { REPORT_TIMEOUT_MS, SILENT_REPORTS } from './constants.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { EnginePort, ServerReport } from '@figmount/fleet'
@@ -9,8 +9,8 @@
   readonly engine: EnginePort
   readonly timers: TimerService
   readonly events: EventLog
-  /** True while something is expected to change soon. */
-  readonly isPressing: () => boolean
+  /** Time until the next report, by what is expected to change. */
+  readonly nextPollMs: () => number
   readonly take: (report: ServerReport) => void
   readonly down: (fault: Fault) => void
 }
@@ -23,7 +23,7 @@
 }
 
 /** Watches the engine beside the agent. */
-export const watchEngine = ({ engine, timers, events, isPressing, take, down }: Options): EngineWatch => {
+export const watchEngine = ({ engine, timers, events, nextPollMs, take, down }: Options): EngineWatch => {
   const stopping = new AbortController()
   let nap = new AbortController()
   let silentCount = 0
@@ -46,7 +46,7 @@
         }
       })
       nap = new AbortController()
-      await sleep(timers, isPressing() ? FAST_POLL_MS : POLL_MS, nap.signal)
+      await sleep(timers, nextPollMs(), nap.signal)
     }
   }
 
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -53,7 +53,7 @@
   const tell = (): void => {
     const state = options.describe(links.size)
     // The time that a load still takes changes all the while; routers count it down by themselves.
-    const text = JSON.stringify({ ...state, loadingLeftMs: 0, demandTokensPerS: [] })
+    const text = JSON.stringify({ ...state, loadingLeftMs: 0, coldWaitMs: 0, demandTokensPerS: [] })
     if (text === lastState) return
     lastState = text
     sendToAll(state)
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -78,6 +78,7 @@
       leavingModels: orderer.leavingModels(),
       loadingModel: load?.modelName ?? '',
       loadingLeftMs: load ? Math.max(0, load.endsAtMs - timers.nowMs()) : 0,
+      coldWaitMs: Math.round(orderer.coldWaitMs()),
       queuedModels: wants.open().filter(want => want.adapterName === '').map(want => want.modelName),
       inMemory: report?.inMemory ?? [],
       onDisk: report?.onDisk ?? [],
@@ -158,7 +159,7 @@
     engine: options.engine,
     timers,
     events,
-    isPressing: orderer.isPressing,
+    nextPollMs: orderer.nextPollMs,
     take: takeReport,
     down: fault => { noteDown(fault.message) }
   })
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -10,7 +10,9 @@
   figmountctl: 'packages/ctl/src/bin.ts',
   'figmount-timeline': 'packages/timeline/src/bin.ts',
   'figmount-load': 'packages/load/src/bin.ts',
-  'figmount-standin': 'packages/standin/src/bin.ts'
+  'figmount-standin': 'packages/standin/src/bin.ts',
+  'platform/figmount-router': 'platform/src/routerBin.ts',
+  'platform/figmount-agent': 'platform/src/agentBin.ts'
 } as const
 
 for (const [name, entry] of Object.entries(BINARIES)) {
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -7,12 +7,13 @@
 
 /** Take-overs come first in the proofs: each waits out the time of a void. */
 const SUITES: Readonly<Record<string, readonly string[]>> = {
-  unit: ['packages/!(proof)/src/**/*.test.ts'],
+  unit: ['packages/!(proof)/src/**/*.test.ts', 'platform/src/*.test.ts'],
   proof: [
     '--timeout', '120000', '--parallel', '--jobs', '3',
     'packages/proof/src/promises/{takeOver,once}*.test.ts',
     'packages/proof/src/promises/!(takeOver*|once*).test.ts',
-    'packages/proof/src/!(promises)/**/*.test.ts'
+    'packages/proof/src/!(promises)/**/*.test.ts',
+    'platform/src/proof/*.test.ts'
   ]
 }
 
