--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -77,10 +77,17 @@
 
 export type OrderAnswer = typeof OrderAnswer[keyof typeof OrderAnswer]
 
+/** An answer and the start of the server that gave it. */
+export interface OrderReply {
+  readonly answer: OrderAnswer
+  /** Empty when the answer does not tell. */
+  readonly serverId: string
+}
+
 /** The engine beside an agent. */
 export interface EnginePort {
   readonly readReport: (timeoutMs: number) => EitherAsync<Fault, ServerReport>
-  readonly sendOrder: (serverId: string, order: Order, timeoutMs: number) => EitherAsync<Fault, OrderAnswer>
+  readonly sendOrder: (serverId: string, order: Order, timeoutMs: number) => EitherAsync<Fault, OrderReply>
 }
 
 /** The platform's store. */
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -112,12 +112,14 @@
 
   const view = (entry: ServerEntry): KnownServer => {
     const word = words.get(entry.address) ?? NO_WORD
-    const speaksForIt = word.state?.serverId === entry.serverId || word.state?.serverId === ''
+    const namedId = word.state?.serverId ?? ''
+    const speaksForIt = namedId === entry.serverId || namedId === ''
     const load = own.get(entry.serverId) ?? NO_LOAD
     return {
       entry,
       state: speaksForIt ? word.state : undefined,
       load: speaksForIt ? word.load : undefined,
+      isReplaced: !speaksForIt || replaced.has(entry.serverId),
       stateAsOfMs: word.asOfMs,
       failures: failures.get(entry.serverId) ?? noFailures(timers.nowMs()),
       ownCount: load.count,
@@ -126,7 +128,7 @@
   }
 
   const mayServe = (server: KnownServer): boolean => {
-    if (server.entry.isDraining || replaced.has(server.entry.serverId)) return false
+    if (server.entry.isDraining || server.isReplaced) return false
     return !server.state || (server.state.isUp && !server.state.isDraining)
   }
 
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -7,6 +7,8 @@
   /** The agent's newest word; undefined while no agent answers for this start of the server. */
   readonly state: AgentState | undefined
   readonly load: AgentLoad | undefined
+  /** The agent speaks for a later start of the server: this one is gone, though it is still listed. */
+  readonly isReplaced: boolean
   readonly stateAsOfMs: number
   readonly failures: FailureShare
   /** Own requests there that have no final answer. */
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -7,7 +7,7 @@
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { PlannedOrder } from '@figmount/decisions'
-import type { EnginePort, EngineSpec, ServerReport } from '@figmount/fleet'
+import type { EnginePort, EngineSpec, OrderReply, ServerReport } from '@figmount/fleet'
 import type { DemandBook } from '../demand/createDemandBook.js'
 import type { WantBook } from '../wants/createWantBook.js'
 
@@ -25,6 +25,8 @@
   readonly wants: WantBook
   readonly spec: () => EngineSpec | undefined
   readonly serverId: () => string
+  /** Another start of the server has answered; empty when it did not tell its id. */
+  readonly correctServerId: (serverId: string) => void
   /** Time between two loads from the weight store that one agent begins. */
   readonly coldSpacingMs: number
   /** False after a restart: a load that the process before it began may be recent. */
@@ -83,8 +85,11 @@
     return report?.inMemory.includes(planned.modelName) ? model.memoryLoadMs : model.diskLoadMs
   }
 
-  const noteAnswer = (planned: PlannedOrder, answer: OrderAnswer): void => {
-    events.emit(SidecarEvent.orderAnswered, { model: planned.modelName, adapter: planned.adapterName, step: planned.operation, reason: answer })
+  const noteReply = (planned: PlannedOrder, { answer, serverId }: OrderReply): void => {
+    events.emit(SidecarEvent.orderAnswered, { model: planned.modelName, adapter: planned.adapterName, step: planned.operation, reason: answer, peer: serverId })
+    // Guards against an id that a router remembered from before the server's restart: every order under it is turned
+    // away, and the engine would never load anything again. The server that answers tells its own id.
+    if (answer === OrderAnswer.OtherServer) options.correctServerId(serverId)
     if (answer === OrderAnswer.Accepted || answer === OrderAnswer.AlreadyDone) return
     load = undefined
     leaving = undefined
@@ -105,10 +110,10 @@
     // seconds later, after newer ones: it would load what no longer fits, and the engine would crash.
     const order = { operation, modelName, adapterName, expectedOrderCount: current.orderCount }
     const result = await options.engine.sendOrder(options.serverId(), order, ORDER_TIMEOUT_MS).run()
-    result.caseOf({ Left: fault => noteSilence(planned, fault), Right: answer => noteAnswer(planned, answer) })
+    result.caseOf({ Left: fault => noteSilence(planned, fault), Right: reply => noteReply(planned, reply) })
     ordersWithoutReport = true
     options.hurry()
-    const isDone = result.map(answer => answer === OrderAnswer.Accepted || answer === OrderAnswer.AlreadyDone).orDefault(false)
+    const isDone = result.map(({ answer }) => answer !== OrderAnswer.Conflict && answer !== OrderAnswer.Rejected).orDefault(false)
     if (!isDone) await sleep(timers, ORDER_RETRY_MS)
   }
 
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -49,6 +49,7 @@
     wants,
     spec,
     serverId: () => serverId,
+    correctServerId: actual => { adoptServerId(actual) },
     coldSpacingMs: COLD_SPACING_MS,
     isFirstStart: options.isFirstStart,
     changed: () => { links.tell() },
@@ -109,11 +110,19 @@
   const takeReport = (report: ServerReport): void => {
     if (!isUp) events.emit(SidecarEvent.engineUp, { peer: serverId })
     if (report.isDraining && !orderer.report()?.isDraining) events.emit(SidecarEvent.engineDraining, { peer: serverId })
+    if (report.serverId !== '') adoptServerId(report.serverId)
     isUp = true
     orderer.take(report)
     advance()
   }
 
+  const adoptServerId = (actual: string): void => {
+    if (actual === serverId) return
+    serverId = actual
+    events.emit(SidecarEvent.engineNamed, { peer: actual })
+    links.tell()
+  }
+
   const noteDown = (reason: string): void => {
     if (isUp) events.emit(SidecarEvent.engineDown, { peer: serverId, reason })
     isUp = false
@@ -147,7 +156,7 @@
     takeWant: (router, want, settle) => {
       events.emit(SidecarEvent.wantTaken, { peer: router, model: want.modelName, adapter: want.adapterName ?? '', count: want.waitingCount })
       metrics.count('wants_total')
-      if (serverId === '') serverId = want.serverId
+      if (serverId === '') adoptServerId(want.serverId)
       if (!isUp) return settle(want.wantId, false, 'engine is down')
       wants.add(want, settle)
       advance()
