Choose replicas by queues and by what was placed

Loads of agents tell requests without a first event; replicas are asked for when they queue; what stands on several engines is spared until demand is known.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -40,7 +40,7 @@
 export type { GroupDigest } from './routing/summarizeGroups.js'
 export type * from './routing/types.js'
 export type * from './placing/types.js'
-export { rankServers } from './placing/rankServers.js'
+export { estimateFirstEventMs, rankServers } from './placing/rankServers.js'
 export { chooseLoader } from './placing/chooseLoader.js'
 export type { LoaderChoice } from './placing/chooseLoader.js'
 export { chooseVictims, evictionLossOf } from './placing/chooseVictims.js'
--- a/packages/decisions/src/placing/chooseVictims.ts
+++ b/packages/decisions/src/placing/chooseVictims.ts
@@ -4,8 +4,15 @@
 
 const MS_PER_S = 1_000
 
+/**
+ * Loss by replica of a model of unknown demand. The platform places busy models on many engines, so each replica speaks
+ * for demand; the figure is above what may go for a model that nobody waits for.
+ */
+const UNKNOWN_LOSS_PER_REPLICA = 0.1
+
 /** Requests a second that wait longer once the replica has gone, weighed by how much longer. */
 export const evictionLossOf = (resident: PlacedModel): number => {
+  if (!resident.isDemandKnown && resident.replicaCount > 1) return resident.replicaCount * UNKNOWN_LOSS_PER_REPLICA
   if (resident.replicaCount <= 1) return resident.requestsPerS * resident.returnsMs / RETURN_SCALE_MS
   const useAfter = resident.promptTokensPerS / (PROMPT_TOKENS_PER_MS * MS_PER_S) / (resident.replicaCount - 1)
   return useAfter < REPLICA_USE_LIMIT ? 0 : resident.requestsPerS * useAfter
--- a/packages/decisions/src/placing/constants.ts
+++ b/packages/decisions/src/placing/constants.ts
@@ -6,8 +6,8 @@
 /** Delay that one running request adds to a new one: a batch step of 4 to 6 ms is shared, so each adds little. */
 export const RUNNING_COST_MS = 2
 
-/** Delay that one waiting request adds: a prompt of a thousand tokens or so is computed before. */
-export const WAITING_COST_MS = 40
+/** Delay that one request without a first event adds: a prompt of some thousand tokens is computed before. */
+export const STARTING_COST_MS = 80
 
 /** Asking an agent for an adapter and fetching it: 5 to 10 ms and two messages. */
 export const ADAPTER_COST_MS = 20
--- a/packages/decisions/src/placing/placing.test.ts
+++ b/packages/decisions/src/placing/placing.test.ts
@@ -10,7 +10,7 @@
 import type { LoaderView, PlacedModel, ServerView } from './types.js'
 
 const server = (serverId: string, given: Partial<ServerView> = {}): ServerView => ({
-  serverId, dataCentre: 'east', hasAdapter: true, pendingTokens: 0, runningCount: 0, waitingCount: 0, cachedTokens: 0, failureShare: 0, ...given
+  serverId, dataCentre: 'east', hasAdapter: true, pendingTokens: 0, runningCount: 0, startingCount: 0, cachedTokens: 0, failureShare: 0, ...given
 })
 
 const loader = (serverId: string, given: Partial<LoaderView> = {}): LoaderView => ({
@@ -18,11 +18,11 @@
 })
 
 const placed = (modelName: string, given: Partial<PlacedModel> = {}): PlacedModel => ({
-  modelName, weightsMb: 70_000, requestsPerS: 1, promptTokensPerS: 1_000, replicaCount: 1, returnsMs: 400, heldMs: 60_000, idleMs: 10_000, ...given
+  modelName, weightsMb: 70_000, requestsPerS: 1, promptTokensPerS: 1_000, replicaCount: 1, isDemandKnown: true, returnsMs: 400, heldMs: 60_000, idleMs: 10_000, ...given
 })
 
 const want = (modelName: string, given: Partial<WantView> = {}): WantView => ({
-  modelName, adapterName: '', waitingCount: 1, ageMs: 10, weightsMb: 70_000, adapterMb: 66, isAtHand: true, ...given
+  modelName, adapterName: '', waitingCount: 1, gainPerS: 0, ageMs: 10, weightsMb: 70_000, adapterMb: 66, isAtHand: true, ...given
 })
 
 const engine = (given: Partial<EngineView> = {}): EngineView => ({
@@ -91,6 +91,13 @@
     expect(chooseVictims([busy, placed('rare', { requestsPerS: 0.1 })], 70_000)?.modelNames).to.deep.equal(['rare'])
   })
 
+  it('spares what has several replicas before demand is known', () => {
+    // After a start nobody has asked for anything. What was placed on many engines is what will be asked for most.
+    const unknown = { isDemandKnown: false, requestsPerS: 0, promptTokensPerS: 0 }
+    const eviction = chooseVictims([placed('popular', { ...unknown, replicaCount: 5 }), placed('rare', unknown)], 70_000)
+    expect(eviction?.modelNames).to.deep.equal(['rare'])
+  })
+
   it('takes several when one is too small', () => {
     const eviction = chooseVictims([placed('a', { weightsMb: 35_000 }), placed('b', { weightsMb: 35_000 })], 70_000)
     expect(eviction?.modelNames).to.have.members(['a', 'b'])
@@ -154,6 +161,12 @@
     expect(planOrder(engine({ mayLoadCold: false, wants: [want('new', { isAtHand: false })] }))).to.equal(undefined)
   })
 
+  it('evicts for a replica that relieves more than it costs', () => {
+    const residents = [placed('rare', { requestsPerS: 0.5 })]
+    const order = planOrder(engine({ residents, freeMb: 0, wants: [want('hot', { waitingCount: 0, gainPerS: 4 })] }))
+    expect(order).to.deep.include({ operation: 'unload', modelName: 'rare' })
+  })
+
   it('evicts nothing busy for what nobody waits for', () => {
     const order = planOrder(engine({ residents: [placed('busy', { requestsPerS: 3 })], freeMb: 0, wants: [want('new', { waitingCount: 0 })] }))
     expect(order).to.equal(undefined)
--- a/packages/decisions/src/placing/planOrder.ts
+++ b/packages/decisions/src/placing/planOrder.ts
@@ -16,6 +16,8 @@
   readonly adapterName: string
   /** Requests that wait; 0 when it is wanted ahead of any. */
   readonly waitingCount: number
+  /** Requests a second that one more replica relieves, when nobody waits for it. */
+  readonly gainPerS: number
   readonly ageMs: number
   readonly weightsMb: number
   readonly adapterMb: number
@@ -50,6 +52,9 @@
 /** Requests a second that may lose a replica for a model that nobody waits for yet. */
 const PRELOAD_LOSS_LIMIT = 0.05
 
+/** Part of a replica's gain that its room may cost others: demand moves, and both loads take the engine's time. */
+const GAIN_SHARE = 0.5
+
 const adapterKey = (modelName: string, adapterName: string): string => `${modelName}/${adapterName}`
 
 const planAdapter = (engine: EngineView, want: WantView): PlannedOrder | undefined => {
@@ -76,7 +81,8 @@
   const movable = engine.residents.filter(resident => !wantedModels.has(resident.modelName))
   const eviction = chooseVictims(movable, want.weightsMb - engine.freeMb)
   if (!eviction) return undefined
-  if (want.waitingCount === 0 && eviction.loss > PRELOAD_LOSS_LIMIT) return undefined
+  const lossLimit = Math.max(PRELOAD_LOSS_LIMIT, want.gainPerS * GAIN_SHARE)
+  if (want.waitingCount === 0 && eviction.loss > lossLimit) return undefined
   const [modelName = ''] = eviction.modelNames
   return { operation: 'unload', modelName, adapterName: '', isCold: false }
 }
--- a/packages/decisions/src/placing/types.ts
+++ b/packages/decisions/src/placing/types.ts
@@ -6,7 +6,8 @@
   /** Prompt tokens sent there that have not led to a first event. */
   readonly pendingTokens: number
   readonly runningCount: number
-  readonly waitingCount: number
+  /** Requests there without a first event, beside the router's own. */
+  readonly startingCount: number
   /** Leading prompt tokens of this request that the server has computed before. */
   readonly cachedTokens: number
   /** 0 for a server without failures, towards 1 for one that fails always. */
@@ -45,6 +46,8 @@
   readonly requestsPerS: number
   readonly promptTokensPerS: number
   readonly replicaCount: number
+  /** False after a start, before routers have told what is asked for. */
+  readonly isDemandKnown: boolean
   /** A copy stays on the server after the model is unloaded. */
   readonly returnsMs: number
   /** Time since its load ended. */
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -16,6 +16,8 @@
   readonly adapterName?: string
   /** Requests that wait for it. 0: asked ahead of any request. */
   readonly waitingCount: number
+  /** Requests a second that one more replica would relieve, for a want ahead of requests. */
+  readonly gainPerS: number
   /** The agent gives the want up after this time. */
   readonly timeLeftMs: number
 }
@@ -34,10 +36,18 @@
   readonly adapterNames: readonly string[]
 }
 
+/** How many engines hold a model. */
+export interface ModelReplicas {
+  readonly modelName: string
+  readonly replicaCount: number
+}
+
 /** A router's demand, several times a second while it changes. */
 export interface Demand {
   readonly type: 'demand'
   readonly models: readonly ModelDemand[]
+  /** Models of which several engines hold a replica, with or without demand. */
+  readonly replicas: readonly ModelReplicas[]
 }
 
 /** Records of the store that a router has read, for those that the store does not answer. */
@@ -88,7 +98,8 @@
 export interface AgentLoad {
   readonly type: 'load'
   readonly runningCount: number
-  readonly waitingCount: number
+  /** Requests without a first event, those that wait among them. */
+  readonly startingCount: number
   readonly kvUsedTokens: number
 }
 
--- a/packages/fleet/src/servers/types.ts
+++ b/packages/fleet/src/servers/types.ts
@@ -30,6 +30,8 @@
   readonly orderCount: number
   readonly waitingCount: number
   readonly runningCount: number
+  /** Requests taken whose first event has not been made: they wait or their prompts are being computed. */
+  readonly startingCount: number
   readonly kvUsedTokens: number
   readonly kvCapacityTokens: number
   readonly isDraining: boolean
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -12,6 +12,8 @@
   readonly modelName: string
   readonly adapterName: string
   readonly waitingCount: number
+  /** Requests a second that a replica ahead of requests relieves. */
+  readonly gainPerS: number
   readonly timeLeftMs: number
 }
 
--- a/packages/gateway/src/demand/createDemandMeter.ts
+++ b/packages/gateway/src/demand/createDemandMeter.ts
@@ -20,6 +20,8 @@
 /** Demand by model as one router sees it. */
 export interface DemandMeter {
   readonly note: (modelName: string, adapterName: string, promptTokens: number) => void
+  /** Requests a second for a model. */
+  readonly requestsPerS: (modelName: string) => number
   /** Demand now, and the adapters asked for since the last call. */
   readonly read: (replicaCount: (modelName: string) => number) => readonly ModelDemand[]
 }
@@ -48,6 +50,10 @@
         adapterNames: adapterName === '' ? meter.adapterNames : new Set([...meter.adapterNames, adapterName])
       })
     },
+    requestsPerS: modelName => {
+      const meter = meters.get(modelName)
+      return meter ? decayed(meter, timers.nowMs()).requests / TIME_CONSTANT_MS * MS_PER_S : 0
+    },
     read: replicaCount => {
       const nowMs = timers.nowMs()
       const demands: ModelDemand[] = []
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -13,6 +13,7 @@
 /** Own requests at a server. */
 interface OwnLoad {
   readonly count: number
+  readonly startingCount: number
   readonly pendingTokens: number
 }
 
@@ -55,7 +56,7 @@
 }
 
 const NO_WORD: AgentWord = { state: undefined, load: undefined, asOfMs: -Infinity }
-const NO_LOAD: OwnLoad = { count: 0, pendingTokens: 0 }
+const NO_LOAD: OwnLoad = { count: 0, startingCount: 0, pendingTokens: 0 }
 
 /** Makes the directory of one router. */
 export const createDirectory = ({ timers, events, decodeServer, entryTaken }: Options): Directory => {
@@ -123,6 +124,7 @@
       stateAsOfMs: word.asOfMs,
       failures: failures.get(entry.serverId) ?? noFailures(timers.nowMs()),
       ownCount: load.count,
+      ownStartingCount: load.startingCount,
       pendingTokens: load.pendingTokens
     }
   }
@@ -183,10 +185,10 @@
     entries: () => [...entries.values()],
     failureShareOf: server => failureShareAt(server.failures, timers.nowMs()),
     noteSent: (serverId, tokens) => {
-      updateOwn(serverId, load => ({ count: load.count + 1, pendingTokens: load.pendingTokens + tokens }))
+      updateOwn(serverId, load => ({ count: load.count + 1, startingCount: load.startingCount + 1, pendingTokens: load.pendingTokens + tokens }))
     },
     noteFirstEvent: (serverId, tokens) => {
-      updateOwn(serverId, load => ({ ...load, pendingTokens: Math.max(0, load.pendingTokens - tokens) }))
+      updateOwn(serverId, load => ({ ...load, startingCount: load.startingCount - 1, pendingTokens: Math.max(0, load.pendingTokens - tokens) }))
     },
     noteEnded: serverId => { updateOwn(serverId, load => ({ ...load, count: load.count - 1 })) },
     noteOutcome: (serverId, hasFailed) => {
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -13,6 +13,8 @@
   readonly failures: FailureShare
   /** Own requests there that have no final answer. */
   readonly ownCount: number
+  /** Own requests there without a first event. */
+  readonly ownStartingCount: number
   /** Prompt tokens of own requests there that have no first event. */
   readonly pendingTokens: number
 }
--- /dev/null
+++ b/packages/gateway/src/placing/createQueueRelief.ts
@@ -0,0 +1,39 @@
+import { askFor } from './watchReplicas.js'
+
+import type { TimerService } from '@figmount/base'
+import type { KnownServer } from '../directory/types.js'
+import type { GatewayContext, RoutedRequest } from '../requests/types.js'
+
+/** Part of a route's objective that requests may queue before another replica is asked for. */
+const QUEUE_SHARE = 0.3
+
+/** Time between two replicas of one model that a router asks for: a copy on disk is loaded in less. */
+const ASK_PERIOD_MS = 400
+
+/** Asks for replicas of models whose requests queue. */
+export interface QueueRelief {
+  /** Notes how long a request is expected to queue at the best server that holds its model. */
+  readonly note: (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[], queueMs: number) => void
+}
+
+/**
+ * Watches the queues that requests meet.
+ *
+ * Load pattern: demand that jumps to a model within a second. The rate of requests shows it only seconds later; the
+ * queue in front of its few replicas shows it with the third request.
+ */
+export const createQueueRelief = (timers: TimerService): QueueRelief => {
+  const askedMs = new Map<string, number>()
+  return {
+    note: (context, request, servers, queueMs) => {
+      const { modelName } = request.caller
+      if (queueMs < request.route.objectiveMs * QUEUE_SHARE) return
+      if (timers.nowMs() - (askedMs.get(modelName) ?? -Infinity) < ASK_PERIOD_MS) return
+      const engine = context.deployment()?.services.find(service => service.name === request.serviceName)?.engine
+      const model = engine?.models.find(candidate => candidate.name === modelName)
+      if (!engine || !model) return
+      askedMs.set(modelName, timers.nowMs())
+      askFor(context, engine, model, servers, context.demand.requestsPerS(modelName), 'queue')
+    }
+  }
+}
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -1,5 +1,5 @@
 import type { LoaderView, ServerView } from '@figmount/decisions'
-import type { EngineSpec, HeldModel, ModelSpec } from '@figmount/fleet'
+import type { EngineSpec, HeldModel, ModelReplicas, ModelSpec } from '@figmount/fleet'
 import type { Directory } from '../directory/createDirectory.js'
 import type { KnownServer } from '../directory/types.js'
 import type { RoutedRequest } from '../requests/types.js'
@@ -11,6 +11,21 @@
   return models.find(model => model.name === modelName)
 }
 
+/** Models that several engines hold. */
+export const viewReplicas = (directory: Directory): readonly ModelReplicas[] => {
+  const counts = new Map<string, number>()
+  for (const { serverId } of directory.entries()) {
+    const server = directory.find(serverId)
+    if (!server || server.isReplaced || server.entry.isDraining) continue
+    for (const model of server.state?.models ?? server.entry.models) counts.set(model.name, (counts.get(model.name) ?? 0) + 1)
+  }
+  const several: ModelReplicas[] = []
+  for (const [modelName, replicaCount] of counts) {
+    if (replicaCount > 1) several.push({ modelName, replicaCount })
+  }
+  return several
+}
+
 /** The engines that hold the request's model. */
 export const viewHolders = (directory: Directory, request: RoutedRequest, servers: readonly KnownServer[]): readonly ServerView[] => {
   const { modelName, adapterName, promptParts } = request.caller
@@ -26,7 +41,7 @@
       hasAdapter: adapterName === '' || held.adapters.includes(adapterName),
       pendingTokens: server.pendingTokens,
       runningCount: Math.max(server.load?.runningCount ?? 0, server.ownCount),
-      waitingCount: server.load?.waitingCount ?? 0,
+      startingCount: Math.max(0, (server.load?.startingCount ?? 0) - server.ownStartingCount),
       cachedTokens: directory.prefixes.cachedTokens(serverId, owner, promptParts),
       failureShare: directory.failureShareOf(server)
     })
--- a/packages/gateway/src/placing/watchReplicas.ts
+++ b/packages/gateway/src/placing/watchReplicas.ts
@@ -42,7 +42,10 @@
   return { model, replicaCount, comingCount, isAtHand, promptTokensPerS }
 }
 
-const askFor = (context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], reason: string): void => {
+/** Asks an agent for one more replica, for nobody in particular. */
+export const askFor = (
+  context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], gainPerS: number, reason: string
+): void => {
   const loaders = viewLoaders(context.directory, spec, model, servers, context.timers.nowMs())
   const choice = chooseLoader(model, loaders)
   const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
@@ -51,7 +54,7 @@
   const agent = context.agents.find(server.entry.address)
   if (!agent) return
   runInBackground(context.events, 'placing.want', agent.want({
-    serverId: choice.serverId, modelName: model.name, adapterName: '', waitingCount: 0, timeLeftMs: AHEAD_WANT_MS
+    serverId: choice.serverId, modelName: model.name, adapterName: '', waitingCount: 0, gainPerS, timeLeftMs: AHEAD_WANT_MS
   }))
 }
 
@@ -60,7 +63,7 @@
   const standings = spec.models.map(model => standingOf(model, servers))
   const [short] = planReplicas(standings.map(standing => ({ ...standing, modelName: standing.model.name })))
   const busiest = standings.find(standing => standing.model.name === short)
-  if (busiest) askFor(context, spec, busiest.model, servers, 'demand')
+  if (busiest) askFor(context, spec, busiest.model, servers, context.demand.requestsPerS(busiest.model.name), 'demand')
   // A model that no engine holds and none has a copy of costs its next caller a load from the weight store. Bringing
   // it while nobody waits leaves a copy on the engine's disk, from which it is back in half a second.
   let coming = 0
@@ -68,7 +71,7 @@
     if (!standing.isAtHand && standing.replicaCount === 0) coming += standing.comingCount
   }
   const absent = standings.find(standing => !standing.isAtHand && standing.replicaCount === 0 && standing.comingCount === 0)
-  if (absent && coming < MAX_PRELOADS) askFor(context, spec, absent.model, servers, 'no copy')
+  if (absent && coming < MAX_PRELOADS) askFor(context, spec, absent.model, servers, 0, 'no copy')
 }
 
 /**
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -34,7 +34,7 @@
     requestKey: requestId, model: modelName, peer: choice.serverId, waitMs: Math.round(choice.readyInMs), reason: isHopeless ? 'too late for this request' : 'waits'
   })
   const timeLeftMs = isHopeless ? choice.readyInMs * 2 : leftMs
-  const wanted = agent.want({ serverId: choice.serverId, modelName, adapterName: '', waitingCount: 1, timeLeftMs })
+  const wanted = agent.want({ serverId: choice.serverId, modelName, adapterName: '', waitingCount: 1, gainPerS: 0, timeLeftMs })
   if (isHopeless) return { isReady: false, reason: 'the model comes too late', retryAfterMs: choice.readyInMs }
   const outcome = await wanted
   return { isReady: outcome.isReady, reason: outcome.reason, retryAfterMs: NO_SERVER_RETRY_MS }
@@ -47,6 +47,6 @@
   if (!agent) return false
   const timeLeftMs = Math.min(ADAPTER_WAIT_MS, request.untilMs - context.timers.nowMs())
   context.events.emit(GatewayEvent.modelAwaited, { requestKey: requestId, model: modelName, adapter: adapterName, peer: server.entry.serverId })
-  const outcome = await agent.want({ serverId: server.entry.serverId, modelName, adapterName, waitingCount: 1, timeLeftMs })
+  const outcome = await agent.want({ serverId: server.entry.serverId, modelName, adapterName, waitingCount: 1, gainPerS: 0, timeLeftMs })
   return outcome.isReady
 }
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -1,4 +1,4 @@
-import { rankServers } from '@figmount/decisions'
+import { estimateFirstEventMs, rankServers } from '@figmount/decisions'
 
 import { GatewayEvent } from '../events.js'
 import { viewHolders } from '../placing/viewServers.js'
@@ -23,9 +23,12 @@
 const choose = (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[]): Choice | undefined => {
   const views = viewHolders(context.directory, request, servers)
   const { promptTokens } = request.caller
-  const [best] = rankServers({ promptTokens, dataCentre: context.dataCentre }, views)
+  const ranked = { promptTokens, dataCentre: context.dataCentre }
+  const [best] = rankServers(ranked, views)
   const server = servers.find(candidate => candidate.entry.serverId === best?.serverId)
   if (!best || !server) return undefined
+  const alone = { ...best, pendingTokens: 0, startingCount: 0, runningCount: 0 }
+  context.relief.note(context, request, servers, estimateFirstEventMs(ranked, best) - estimateFirstEventMs(ranked, alone))
   return { server, hasAdapter: best.hasAdapter, newTokens: Math.max(0, promptTokens - best.cachedTokens) }
 }
 
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -34,7 +34,7 @@
     hasAdapter: true,
     pendingTokens: 0,
     runningCount: 0,
-    waitingCount: server.ownCount,
+    startingCount: server.ownCount,
     cachedTokens: 0,
     failureShare: directory.failureShareOf(server)
   }))
@@ -101,6 +101,7 @@
     lastPeer = serverId
     directory.noteSent(serverId, 0)
     const end = await tryOnce(context, request, server, request.left)
+    directory.noteFirstEvent(serverId, 0)
     directory.noteEnded(serverId)
     if (request.left.aborted) return noteLeft(context, request)
     directory.noteOutcome(serverId, end.type === 'unknown' || end.type === 'notSent' || end.type === 'failed')
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -5,6 +5,7 @@
 import type { DemandMeter } from '../demand/createDemandMeter.js'
 import type { Directory } from '../directory/createDirectory.js'
 import type { ConnectionPool } from '../forwarding/createConnectionPool.js'
+import type { QueueRelief } from '../placing/createQueueRelief.js'
 import type { RepeatBudget } from '../retries/createRepeatBudget.js'
 import type { CrashBook } from '../retries/createCrashBook.js'
 
@@ -20,6 +21,7 @@
   readonly pool: ConnectionPool
   readonly budget: RepeatBudget
   readonly crashes: CrashBook
+  readonly relief: QueueRelief
   readonly dataCentre: string
   readonly deployment: () => Deployment | undefined
   /** The most routers seen so far. */
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -8,8 +8,9 @@
 import { serveReady } from '../ingress/serveReady.js'
 import { startIngress } from '../ingress/startIngress.js'
 import { takeRequest } from '../ingress/takeRequest.js'
+import { createQueueRelief } from '../placing/createQueueRelief.js'
 import { REPLICA_PERIOD_MS, watchReplicas } from '../placing/watchReplicas.js'
-import { heldModel } from '../placing/viewServers.js'
+import { viewReplicas } from '../placing/viewServers.js'
 import { createCrashBook } from '../retries/createCrashBook.js'
 import { createRepeatBudget } from '../retries/createRepeatBudget.js'
 import { AGENT_PATIENCE_MS, DEMAND_PERIOD_MS, DRAIN_LOOK_MS, DRAIN_MARGIN_MS, FOLLOW_PERIOD_MS, LAME_DUCK_MS, LEAST_ROUTER_COUNT } from './constants.js'
@@ -86,6 +87,7 @@
     pool: createConnectionPool(),
     budget: createRepeatBudget(options.retryLimits, timers),
     crashes,
+    relief: createQueueRelief(timers),
     dataCentre: options.dataCentre,
     deployment: feeds.deployment,
     routerCount: () => routerCount,
@@ -108,20 +110,16 @@
   }
   const closeReady = await serveReady(options.readyAddress, isReady)
 
-  const replicaCount = (modelName: string): number => {
-    let count = 0
-    for (const entry of directory.entries()) {
-      const server = directory.find(entry.serverId)
-      if (server && heldModel(server, modelName)) count += 1
-    }
-    return count
-  }
+  const replicaCount = (modelName: string): number =>
+    viewReplicas(directory).find(replicas => replicas.modelName === modelName)?.replicaCount ?? 1
   let lastDemand = ''
   const tellDemand = (): void => {
     const models = context.demand.read(replicaCount)
-    if (models.length === 0 && lastDemand === '') return
-    lastDemand = models.length === 0 ? '' : 'told'
-    agents.sendToAll({ type: 'demand', models })
+    const replicas = viewReplicas(directory)
+    const text = models.length === 0 ? JSON.stringify(replicas) : ''
+    if (models.length === 0 && text === lastDemand) return
+    lastDemand = text
+    agents.sendToAll({ type: 'demand', models, replicas })
   }
   let isFollowDue = false
   const followSoon = (): void => {
--- a/packages/sidecar/src/demand/createDemandBook.ts
+++ b/packages/sidecar/src/demand/createDemandBook.ts
@@ -1,9 +1,12 @@
-import type { ModelDemand } from '@figmount/fleet'
+import type { Demand, ModelDemand } from '@figmount/fleet'
 import type { TimerService } from '@figmount/base'
 
 /** A router that says nothing for this long has gone: it sends its demand twice a second while there is any. */
 const STALE_MS = 3_000
 
+/** Demand heard of for this long tells busy models from idle ones: a busy one is asked for several times a second. */
+const SETTLE_MS = 4_000
+
 /** Demand for one model over all routers. */
 export interface TotalDemand {
   readonly requestsPerS: number
@@ -19,19 +22,25 @@
 
 /** Demand as the routers tell it, added up. */
 export interface DemandBook {
-  readonly take: (router: string, models: readonly ModelDemand[]) => void
+  readonly take: (router: string, demand: Demand) => void
   readonly totalFor: (modelName: string) => TotalDemand
+  /** Demand has been heard of for long enough to know what is idle. */
+  readonly isSettled: () => boolean
   readonly adapterIdleMs: (modelName: string, adapterName: string) => number
 }
 
 /** Makes the demand book of one agent. */
 export const createDemandBook = (timers: TimerService): DemandBook => {
   const routers = new Map<string, RouterDemand>()
+  let replicaCounts: ReadonlyMap<string, number> = new Map()
+  let firstDemandMs: number | undefined
   const adapterUsedMs = new Map<string, number>()
 
   return {
-    take: (router, models) => {
+    take: (router, { models, replicas }) => {
       const asOfMs = timers.nowMs()
+      if (models.length > 0) firstDemandMs ??= asOfMs
+      replicaCounts = new Map(replicas.map(({ modelName, replicaCount }) => [modelName, replicaCount]))
       routers.set(router, { models: new Map(models.map(model => [model.modelName, model])), asOfMs })
       for (const model of models) {
         for (const adapterName of model.adapterNames) adapterUsedMs.set(`${model.modelName}/${adapterName}`, asOfMs)
@@ -39,7 +48,7 @@
     },
     totalFor: modelName => {
       const nowMs = timers.nowMs()
-      let total: TotalDemand = { requestsPerS: 0, promptTokensPerS: 0, replicaCount: 0, idleMs: Infinity }
+      let total: TotalDemand = { requestsPerS: 0, promptTokensPerS: 0, replicaCount: replicaCounts.get(modelName) ?? 1, idleMs: Infinity }
       for (const { models, asOfMs } of routers.values()) {
         const demand = models.get(modelName)
         if (!demand || nowMs - asOfMs > STALE_MS) continue
@@ -52,6 +61,7 @@
       }
       return total
     },
+    isSettled: () => firstDemandMs !== undefined && timers.nowMs() - firstDemandMs > SETTLE_MS,
     adapterIdleMs: (modelName, adapterName) => timers.nowMs() - (adapterUsedMs.get(`${modelName}/${adapterName}`) ?? -Infinity)
   }
 }
--- a/packages/sidecar/src/engine/viewEngine.ts
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -39,6 +39,7 @@
       requestsPerS: total.requestsPerS,
       promptTokensPerS: total.promptTokensPerS,
       replicaCount: total.replicaCount,
+      isDemandKnown: inputs.demand.isSettled(),
       returnsMs: returnsMsOf(inputs.report, model, held.name),
       heldMs: inputs.nowMs - (inputs.heldSinceMs.get(held.name) ?? -Infinity),
       idleMs: total.idleMs
@@ -69,6 +70,7 @@
     modelName: want.modelName,
     adapterName: want.adapterName,
     waitingCount: want.waitingCount,
+    gainPerS: want.gainPerS,
     ageMs: inputs.nowMs - want.sinceMs,
     weightsMb: model?.weightsMb ?? Infinity,
     adapterMb: model?.adapterMb ?? 0,
--- a/packages/sidecar/src/links/constants.ts
+++ b/packages/sidecar/src/links/constants.ts
@@ -2,4 +2,4 @@
 export const TELL_PERIOD_MS = 100
 
 /** Time between load messages while the load changes. */
-export const LOAD_PERIOD_MS = 250
+export const LOAD_PERIOD_MS = 100
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -4,10 +4,9 @@
 import { LOAD_PERIOD_MS } from './constants.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
-import type { AgentLoad, AgentMessage, AgentState, RouterMessage, Want } from '@figmount/fleet'
+import type { AgentLoad, AgentMessage, AgentState, Demand, RouterMessage, Want } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
 import type { Settle } from '../wants/createWantBook.js'
-import type { ModelDemand } from '@figmount/fleet'
 
 type RouterLink = Link<AgentMessage, RouterMessage>
 
@@ -21,7 +20,7 @@
   readonly describe: (routerCount: number) => AgentState
   readonly describeLoad: () => AgentLoad | undefined
   readonly takeWant: (router: string, want: Want, settle: Settle) => void
-  readonly takeDemand: (router: string, models: readonly ModelDemand[]) => void
+  readonly takeDemand: (router: string, demand: Demand) => void
 }
 
 /** The agent's links from routers. */
@@ -81,7 +80,7 @@
         sendTo(link, { type: 'wantSettled', wantId, isReady, reason })
       })
     }
-    if (message.type === 'demand') return options.takeDemand(link.peer, message.models)
+    if (message.type === 'demand') return options.takeDemand(link.peer, message)
     if (message.type === 'relay' || message.type === 'crash') sendToAll(message, link)
   }
 
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -92,7 +92,7 @@
   const describeLoad = (): AgentLoad | undefined => {
     const report = orderer.report()
     if (!report) return undefined
-    return { type: 'load', runningCount: report.runningCount, waitingCount: report.waitingCount, kvUsedTokens: report.kvUsedTokens }
+    return { type: 'load', runningCount: report.runningCount, startingCount: report.startingCount, kvUsedTokens: report.kvUsedTokens }
   }
 
   const isHeld = (modelName: string, adapterName: string): boolean => {
@@ -161,7 +161,7 @@
       wants.add(want, settle)
       advance()
     },
-    takeDemand: (router, models) => { demand.take(router, models) }
+    takeDemand: demand.take
   })
 
   const watch = watchEngine({
--- a/packages/sidecar/src/wants/createWantBook.ts
+++ b/packages/sidecar/src/wants/createWantBook.ts
@@ -7,6 +7,7 @@
 interface Waiter {
   readonly wantId: number
   readonly waitingCount: number
+  readonly gainPerS: number
   readonly untilMs: number
   readonly settle: Settle
 }
@@ -17,6 +18,7 @@
   readonly adapterName: string
   readonly sinceMs: number
   readonly waitingCount: number
+  readonly gainPerS: number
 }
 
 /** What routers want of one engine and has not come. */
@@ -61,13 +63,17 @@
       const adapterName = want.adapterName ?? ''
       const key = `${want.modelName}/${adapterName}`
       const entry = entries.get(key) ?? { modelName: want.modelName, adapterName, sinceMs: timers.nowMs(), waiters: [] }
-      const waiter = { wantId: want.wantId, waitingCount: want.waitingCount, untilMs: timers.nowMs() + want.timeLeftMs, settle }
+      const waiter = { wantId: want.wantId, waitingCount: want.waitingCount, gainPerS: want.gainPerS, untilMs: timers.nowMs() + want.timeLeftMs, settle }
       entries.set(key, { ...entry, waiters: [...entry.waiters, waiter] })
     },
     open: () => [...entries.values()].map(entry => {
       let waitingCount = 0
-      for (const waiter of entry.waiters) waitingCount += waiter.waitingCount
-      return { modelName: entry.modelName, adapterName: entry.adapterName, sinceMs: entry.sinceMs, waitingCount }
+      let gainPerS = 0
+      for (const waiter of entry.waiters) {
+        waitingCount += waiter.waitingCount
+        gainPerS = Math.max(gainPerS, waiter.gainPerS)
+      }
+      return { modelName: entry.modelName, adapterName: entry.adapterName, sinceMs: entry.sinceMs, waitingCount, gainPerS }
     }),
     review: isHeld => {
       for (const [key, entry] of [...entries]) {
