Take an answer without a length for whole only after an orderly end; repeat lost loads at once

A load from the weight store whose order got no answer waited 5 s for its next turn; it bears the same count of orders and is repeated at once.

--- a/packages/decisions/src/placing/chooseLoader.ts
+++ b/packages/decisions/src/placing/chooseLoader.ts
@@ -8,6 +8,14 @@
 /** Time that each model held weighs: of two servers the emptier one keeps more choices open. */
 const HELD_COST_MS = 10
 
+/**
+ * Time that a load's length weighs on a server that is busy, at one engine's full prompt rate: adapters of its models
+ * wait for the load's end.
+ */
+const BUSY_SHARE = 0.5
+
+const FULL_RATE_TOKENS_PER_S = 40_000
+
 /** A server and the time until it has the model. */
 export interface LoaderChoice {
   readonly serverId: string
@@ -32,7 +40,8 @@
   let bestCost = Infinity
   for (const server of servers) {
     const readyInMs = server.busyMs + (server.isLoading ? 0 : loadMs(times, server))
-    const loss = server.isLoading ? 0 : server.evictionLoss * LOSS_COST_MS + server.heldCount * HELD_COST_MS
+    const blockedMs = loadMs(times, server) * BUSY_SHARE * Math.min(1, server.heldTokensPerS / FULL_RATE_TOKENS_PER_S)
+    const loss = server.isLoading ? 0 : server.evictionLoss * LOSS_COST_MS + server.heldCount * HELD_COST_MS + blockedMs
     const cost = readyInMs + loss + server.failureShare * FAILURE_COST_MS
     if (cost >= bestCost) continue
     bestCost = cost
--- a/packages/decisions/src/placing/constants.ts
+++ b/packages/decisions/src/placing/constants.ts
@@ -9,9 +9,6 @@
 /** Delay that one request without a first event adds: a prompt of some thousand tokens is computed before. */
 export const STARTING_COST_MS = 80
 
-/** Asking an agent for an adapter and fetching it: 5 to 10 ms and two messages. */
-export const ADAPTER_COST_MS = 20
-
 /** A failed request costs its caller a retry, about a second; weighed by the share that fails. */
 export const FAILURE_COST_MS = 1_000
 
--- a/packages/decisions/src/placing/placing.test.ts
+++ b/packages/decisions/src/placing/placing.test.ts
@@ -10,11 +10,11 @@
 import type { LoaderView, PlacedModel, ServerView } from './types.js'
 
 const server = (serverId: string, given: Partial<ServerView> = {}): ServerView => ({
-  serverId, dataCentre: 'east', hasAdapter: true, pendingTokens: 0, runningCount: 0, startingCount: 0, cachedTokens: 0, failureShare: 0, ...given
+  serverId, dataCentre: 'east', adapterWaitMs: 0, pendingTokens: 0, runningCount: 0, startingCount: 0, cachedTokens: 0, failureShare: 0, ...given
 })
 
 const loader = (serverId: string, given: Partial<LoaderView> = {}): LoaderView => ({
-  serverId, isInMemory: false, isOnDisk: false, isLoading: false, busyMs: 0, coldWaitMs: 0, evictionLoss: 0, heldCount: 1, failureShare: 0, ...given
+  serverId, isInMemory: false, isOnDisk: false, isLoading: false, busyMs: 0, coldWaitMs: 0, heldTokensPerS: 0, evictionLoss: 0, heldCount: 1, failureShare: 0, ...given
 })
 
 const placed = (modelName: string, given: Partial<PlacedModel> = {}): PlacedModel => ({
@@ -26,7 +26,7 @@
 })
 
 const engine = (given: Partial<EngineView> = {}): EngineView => ({
-  residents: [], adapters: [], adapterKeys: new Set(), freeMb: 140_000, freeAdapterSlots: 8, isBusy: false, mayLoadCold: true, wants: [], ...given
+  residents: [], adapters: [], adapterKeys: new Set(), freeMb: 140_000, freeAdapterSlots: 8, isBusy: false, mayLoadCold: true, unansweredLoad: '', wants: [], ...given
 })
 
 const TIMES = { coldLoadMs: 6_000, diskLoadMs: 440, memoryLoadMs: 320 }
@@ -69,6 +69,11 @@
     expect(choice).to.deep.equal({ serverId: 'b', readyInMs: 6_500 })
   })
 
+  it('keeps long loads from busy servers', () => {
+    const choice = chooseLoader(TIMES, [loader('a', { heldTokensPerS: 30_000 }), loader('b', { busyMs: 1_000 })])
+    expect(choice?.serverId).to.equal('b')
+  })
+
   it('weighs what other callers lose', () => {
     const choice = chooseLoader(TIMES, [loader('a', { isOnDisk: true, evictionLoss: 4 }), loader('b', { isOnDisk: true })])
     expect(choice?.serverId).to.equal('b')
@@ -148,8 +153,9 @@
     expect(order).to.deep.include({ operation: 'unload', modelName: 'old' })
   })
 
-  it('gives no second order on models while one is under way', () => {
-    expect(planOrder(engine({ isBusy: true, wants: [want('new')] }))).to.equal(undefined)
+  it('gives no second order while one is under way', () => {
+    const wants = [want('new'), want('m', { adapterName: 'a1' })]
+    expect(planOrder(engine({ residents: [placed('m')], isBusy: true, wants }))).to.equal(undefined)
   })
 
   it('serves who waits before what is wanted ahead', () => {
@@ -161,6 +167,13 @@
     expect(planOrder(engine({ mayLoadCold: false, wants: [want('new', { isAtHand: false })] }))).to.equal(undefined)
   })
 
+  it('repeats a load whose order got no answer', () => {
+    // The answer to a load from the weight store is lost. The order bears the engine's count of orders, so only one of
+    // the two is carried out: waiting for the weight store's turn again would cost those who wait five seconds.
+    const view = engine({ mayLoadCold: false, unansweredLoad: 'new', wants: [want('new', { isAtHand: false })] })
+    expect(planOrder(view)?.modelName).to.equal('new')
+  })
+
   it('evicts for a replica that relieves more than it costs', () => {
     const residents = [placed('rare', { requestsPerS: 0.5 })]
     const order = planOrder(engine({ residents, freeMb: 0, wants: [want('hot', { waitingCount: 0, gainPerS: 4 })] }))
--- a/packages/decisions/src/placing/planOrder.ts
+++ b/packages/decisions/src/placing/planOrder.ts
@@ -32,9 +32,12 @@
   readonly adapterKeys: ReadonlySet<string>
   readonly freeMb: number
   readonly freeAdapterSlots: number
+  /** An order is being carried out: the engine turns every other one away. */
   readonly isBusy: boolean
   /** A load from the weight store may begin now. */
   readonly mayLoadCold: boolean
+  /** Model whose load was ordered without an answer; asked for again it counts as the same load. Empty when none. */
+  readonly unansweredLoad: string
   readonly wants: readonly WantView[]
 }
 
@@ -73,7 +76,8 @@
 }
 
 const planModel = (engine: EngineView, want: WantView): PlannedOrder | undefined => {
-  if (!want.isAtHand && !engine.mayLoadCold) return undefined
+  const mayLoad = want.isAtHand || engine.mayLoadCold || engine.unansweredLoad === want.modelName
+  if (!mayLoad) return undefined
   if (engine.freeMb >= want.weightsMb) {
     return { operation: 'load', modelName: want.modelName, adapterName: '', isCold: !want.isAtHand }
   }
@@ -97,10 +101,11 @@
  * The next order for an engine, or undefined when nothing is wanted or possible now.
  *
  * Load pattern: a burst for a model that is not there, beside adapters for those that are. Adapters go first: they take
- * 5 ms and hold up no other order. Room is made before a load is ordered, by the engine's own figures, so that weights
+ * 5 ms, and behind a load they would wait for seconds. Room is made before a load is ordered, by the engine's own figures, so that weights
  * and adapters never exceed what it holds.
  */
 export const planOrder = (engine: EngineView): PlannedOrder | undefined => {
+  if (engine.isBusy) return undefined
   const held = new Set(engine.residents.map(resident => resident.modelName))
   const wants = [...engine.wants].sort(byUrgency)
   for (const want of wants) {
@@ -108,7 +113,6 @@
     const order = planAdapter(engine, want)
     if (order) return order
   }
-  if (engine.isBusy) return undefined
   for (const want of wants) {
     if (held.has(want.modelName)) continue
     const order = planModel(engine, want)
--- a/packages/decisions/src/placing/rankServers.ts
+++ b/packages/decisions/src/placing/rankServers.ts
@@ -1,5 +1,5 @@
 import {
-  ADAPTER_COST_MS, FAILURE_COST_MS, OTHER_DATA_CENTRE_COST_MS, PROMPT_TOKENS_PER_MS, RUNNING_COST_MS, STARTING_COST_MS
+  FAILURE_COST_MS, OTHER_DATA_CENTRE_COST_MS, PROMPT_TOKENS_PER_MS, RUNNING_COST_MS, STARTING_COST_MS
 } from './constants.js'
 
 import type { ServerView } from './types.js'
@@ -15,9 +15,8 @@
   const ownTokens = Math.max(0, request.promptTokens - server.cachedTokens)
   const promptMs = (server.pendingTokens + ownTokens) / PROMPT_TOKENS_PER_MS
   const batchMs = server.runningCount * RUNNING_COST_MS + server.startingCount * STARTING_COST_MS
-  const adapterMs = server.hasAdapter ? 0 : ADAPTER_COST_MS
   const distanceMs = server.dataCentre === request.dataCentre ? 0 : OTHER_DATA_CENTRE_COST_MS
-  return promptMs + batchMs + adapterMs + distanceMs + server.failureShare * FAILURE_COST_MS
+  return promptMs + batchMs + server.adapterWaitMs + distanceMs + server.failureShare * FAILURE_COST_MS
 }
 
 /**
--- a/packages/decisions/src/placing/types.ts
+++ b/packages/decisions/src/placing/types.ts
@@ -2,7 +2,8 @@
 export interface ServerView {
   readonly serverId: string
   readonly dataCentre: string
-  readonly hasAdapter: boolean
+  /** Time until the request's adapter is in place; 0 when it is. */
+  readonly adapterWaitMs: number
   /** Prompt tokens sent there that have not led to a first event. */
   readonly pendingTokens: number
   readonly runningCount: number
@@ -25,6 +26,8 @@
   readonly busyMs: number
   /** Time until the server may begin a load from the weight store. */
   readonly coldWaitMs: number
+  /** Prompt tokens a second for the models that the server holds: their adapters cannot be fetched during a load. */
+  readonly heldTokensPerS: number
   /** Requests a second that lose their replica there. */
   readonly evictionLoss: number
   readonly heldCount: number
--- a/packages/gateway/src/forwarding/readWhole.ts
+++ b/packages/gateway/src/forwarding/readWhole.ts
@@ -2,6 +2,7 @@
 import { makeFault } from '@figmount/base'
 
 import { MAX_ANSWER_BYTES } from './constants.js'
+import { isWhole } from './isWhole.js'
 
 import type { Either } from 'purify-ts'
 import type { Fault } from '@figmount/base'
@@ -24,8 +25,7 @@
       }
       chunks.push(chunk)
     })
-    // A connection that breaks off ends the message too: only `complete` tells a whole answer from a cut one.
-    message.on('end', () => message.complete ? resolve(Right(Buffer.concat(chunks))) : fail('answer broke off'))
+    message.on('end', () => isWhole(message) ? resolve(Right(Buffer.concat(chunks))) : fail('answer broke off'))
     message.on('error', error => fail(error.message))
     message.on('close', () => fail('connection closed'))
   })
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -4,6 +4,12 @@
 import type { KnownServer } from '../directory/types.js'
 import type { RoutedRequest } from '../requests/types.js'
 
+/** Asking an agent for an adapter and fetching it: 5 to 10 ms and two messages. */
+const ADAPTER_FETCH_MS = 20
+
+const loadingLeftMs = ({ state, stateAsOfMs }: KnownServer, nowMs: number): number =>
+  state ? Math.max(0, state.loadingLeftMs - (nowMs - stateAsOfMs)) : 0
+
 /** The server's copy of a model, when it takes requests for it. */
 export const heldModel = (server: KnownServer, modelName: string): HeldModel | undefined => {
   if (server.state?.leavingModels.includes(modelName)) return undefined
@@ -27,7 +33,9 @@
 }
 
 /** The engines that hold the request's model. */
-export const viewHolders = (directory: Directory, request: RoutedRequest, servers: readonly KnownServer[]): readonly ServerView[] => {
+export const viewHolders = (
+  directory: Directory, request: RoutedRequest, servers: readonly KnownServer[], nowMs: number
+): readonly ServerView[] => {
   const { modelName, adapterName, promptParts } = request.caller
   const owner = `${modelName}/${adapterName}`
   const views: ServerView[] = []
@@ -38,7 +46,7 @@
     views.push({
       serverId,
       dataCentre,
-      hasAdapter: adapterName === '' || held.adapters.includes(adapterName),
+      adapterWaitMs: adapterName === '' || held.adapters.includes(adapterName) ? 0 : ADAPTER_FETCH_MS + loadingLeftMs(server, nowMs),
       pendingTokens: server.pendingTokens,
       runningCount: Math.max(server.load?.runningCount ?? 0, server.ownCount),
       startingCount: Math.max(0, (server.load?.startingCount ?? 0) - server.ownStartingCount),
@@ -57,10 +65,10 @@
 }
 
 /** Time until an agent can begin with something new. */
-const busyMsOf = (spec: EngineSpec, server: KnownServer, modelName: string, ageMs: number): number => {
+const busyMsOf = (spec: EngineSpec, server: KnownServer, modelName: string, nowMs: number): number => {
   const { state } = server
   if (!state) return 0
-  let busyMs = Math.max(0, state.loadingLeftMs - ageMs)
+  let busyMs = loadingLeftMs(server, nowMs)
   if (state.loadingModel === modelName) return busyMs
   for (const queued of state.queuedModels) {
     if (queued === modelName) return busyMs + loadMs(spec, server, modelName)
@@ -74,6 +82,8 @@
   directory: Directory, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], nowMs: number
 ): readonly LoaderView[] => {
   const views: LoaderView[] = []
+  const replicas = new Map(viewReplicas(directory).map(({ modelName, replicaCount }) => [modelName, replicaCount]))
+  const replicasOf = (modelName = ''): number => replicas.get(modelName) ?? 1
   for (const server of servers) {
     const { state } = server
     if (!state || model.weightsMb > spec.weightsCapacityMb) continue
@@ -83,8 +93,9 @@
       isInMemory: state.inMemory.includes(model.name),
       isOnDisk: state.onDisk.includes(model.name),
       isLoading: state.loadingModel === model.name || state.queuedModels.includes(model.name),
-      busyMs: busyMsOf(spec, server, model.name, nowMs - server.stateAsOfMs),
+      busyMs: busyMsOf(spec, server, model.name, nowMs),
       coldWaitMs: Math.max(0, state.coldWaitMs - (nowMs - server.stateAsOfMs)),
+      heldTokensPerS: state.demandTokensPerS.reduce((sum, tokens, index) => sum + tokens / replicasOf(state.models[index]?.name), 0),
       evictionLoss: state.evictionLoss,
       heldCount: state.models.length,
       failureShare: directory.failureShareOf(server)
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -21,7 +21,7 @@
 }
 
 const choose = (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[]): Choice | undefined => {
-  const views = viewHolders(context.directory, request, servers)
+  const views = viewHolders(context.directory, request, servers, context.timers.nowMs())
   const { promptTokens } = request.caller
   const ranked = { promptTokens, dataCentre: context.dataCentre }
   const [best] = rankServers(ranked, views)
@@ -29,7 +29,7 @@
   if (!best || !server) return undefined
   const alone = { ...best, pendingTokens: 0, startingCount: 0, runningCount: 0 }
   context.relief.note(context, request, servers, estimateFirstEventMs(ranked, best) - estimateFirstEventMs(ranked, alone))
-  return { server, hasAdapter: best.hasAdapter, newTokens: Math.max(0, promptTokens - best.cachedTokens) }
+  return { server, hasAdapter: best.adapterWaitMs === 0, newTokens: Math.max(0, promptTokens - best.cachedTokens) }
 }
 
 /** Runs the request at the chosen server and keeps the router's books on it. */
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -31,7 +31,7 @@
   const views = shuffled.map(server => ({
     serverId: server.entry.serverId,
     dataCentre: server.entry.dataCentre,
-    hasAdapter: true,
+    adapterWaitMs: 0,
     pendingTokens: 0,
     runningCount: 0,
     startingCount: server.ownCount,
--- a/packages/gateway/src/streams/relayEvents.ts
+++ b/packages/gateway/src/streams/relayEvents.ts
@@ -1,3 +1,4 @@
+import { isWhole } from '../forwarding/isWhole.js'
 import { createEventSplitter } from './splitEvents.js'
 
 import type { TimerService } from '@figmount/base'
@@ -50,8 +51,8 @@
       onceDrained(() => message.resume())
     })
     message.on('end', () => {
-      const isWhole = message.complete && splitter.rest().length === 0
-      finish(isWhole, isWhole ? 'ended' : 'broke off')
+      const hasEnded = isWhole(message) && splitter.rest().length === 0
+      finish(hasEnded, hasEnded ? 'ended' : 'broke off')
     })
     message.on('error', error => finish(false, error.message))
     message.on('close', () => finish(false, 'connection closed'))
--- a/packages/sidecar/src/engine/constants.ts
+++ b/packages/sidecar/src/engine/constants.ts
@@ -10,11 +10,11 @@
 /** Reports in a row without an answer after which the engine counts as down. */
 export const SILENT_REPORTS = 2
 
-/** An order is answered within a few ms by the same machine. */
-export const ORDER_TIMEOUT_MS = 300
+/** An order is answered within a few ms by the same machine. One that is sent again in vain does no harm. */
+export const ORDER_TIMEOUT_MS = 200
 
 /** Routers stop sending requests for a model this long before it is unloaded: a message's way and a request's. */
 export const LEAVE_NOTICE_MS = 25
 
 /** Pause after an order that was refused or lost, before the next try. */
-export const ORDER_RETRY_MS = 100
+export const ORDER_RETRY_MS = 30
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -17,6 +17,12 @@
   readonly endsAtMs: number
 }
 
+/** A load from the weight store whose order got no answer: it has begun, or may begin within seconds. */
+interface UnansweredLoad {
+  readonly modelName: string
+  readonly orderCount: number
+}
+
 interface Options {
   readonly engine: EnginePort
   readonly timers: TimerService
@@ -62,9 +68,12 @@
   let leaving: string | undefined
   let load: CurrentLoad | undefined
   let lastColdMs = options.isFirstStart ? -Infinity : timers.nowMs()
+  let unanswered: UnansweredLoad | undefined
   let isOrdering = false
   let ordersWithoutReport = false
 
+  const coldWaitMs = (): number => Math.max(0, lastColdMs + options.coldSpacingMs - timers.nowMs())
+
   const noteHeld = (next: ServerReport): void => {
     const names = new Set(next.models.map(model => model.name))
     for (const name of [...heldSinceMs.keys()]) {
@@ -95,7 +104,8 @@
     leaving = undefined
   }
 
-  const noteSilence = (planned: PlannedOrder, fault: Fault): void => {
+  const noteSilence = (planned: PlannedOrder, orderCount: number, fault: Fault): void => {
+    if (planned.isCold) unanswered = { modelName: planned.modelName, orderCount }
     events.emit(SidecarEvent.orderUnanswered, { model: planned.modelName, adapter: planned.adapterName, step: planned.operation, reason: fault.message })
   }
 
@@ -104,13 +114,13 @@
     const isWholeModel = adapterName === ''
     if (operation === 'load' && isWholeModel) load = { modelName, endsAtMs: timers.nowMs() + loadMsOf(planned, spec) }
     // Begins before the order leaves: its answer may be lost though the load has begun.
-    if (planned.isCold) lastColdMs = timers.nowMs()
+    if (planned.isCold && coldWaitMs() === 0) lastColdMs = timers.nowMs()
     events.emit(SidecarEvent.orderSent, { model: modelName, adapter: adapterName, step: operation, count: current.orderCount })
     // The count that the engine must have accepted guards against an order that was given up and is carried out
     // seconds later, after newer ones: it would load what no longer fits, and the engine would crash.
     const order = { operation, modelName, adapterName, expectedOrderCount: current.orderCount }
     const result = await options.engine.sendOrder(options.serverId(), order, ORDER_TIMEOUT_MS).run()
-    result.caseOf({ Left: fault => noteSilence(planned, fault), Right: reply => noteReply(planned, reply) })
+    result.caseOf({ Left: fault => noteSilence(planned, current.orderCount, fault), Right: reply => noteReply(planned, reply) })
     ordersWithoutReport = true
     options.hurry()
     const isDone = result.map(({ answer }) => answer !== OrderAnswer.Conflict && answer !== OrderAnswer.Rejected).orDefault(false)
@@ -135,6 +145,7 @@
       demand: options.demand,
       wants: options.wants.open(),
       mayLoadCold: coldWaitMs() === 0,
+      unansweredLoad: unanswered && unanswered.orderCount === report.orderCount ? unanswered.modelName : '',
       nowMs,
       heldSinceMs
     })
@@ -146,8 +157,6 @@
     options.changed()
   }
 
-  const coldWaitMs = (): number => Math.max(0, lastColdMs + options.coldSpacingMs - timers.nowMs())
-
   const review = (): void => {
     if (isOrdering) return
     isOrdering = true
--- a/packages/sidecar/src/engine/viewEngine.ts
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -12,6 +12,7 @@
   readonly demand: DemandBook
   readonly wants: readonly OpenWant[]
   readonly mayLoadCold: boolean
+  readonly unansweredLoad: string
   readonly nowMs: number
   /** When each model held was loaded or first seen. */
   readonly heldSinceMs: ReadonlyMap<string, number>
@@ -93,6 +94,7 @@
     freeAdapterSlots: inputs.spec.adapterSlots - adapterKeys.size,
     isBusy: inputs.report.isBusy,
     mayLoadCold: inputs.mayLoadCold,
+    unansweredLoad: inputs.unansweredLoad,
     wants: inputs.wants.map(want => viewWant(inputs, want))
   }
 }
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -60,7 +60,7 @@
     const engineSpec = spec()
     if (!engineSpec) return 0
     const residents = viewResidents({
-      spec: engineSpec, report, demand, wants: [], mayLoadCold: true, nowMs: timers.nowMs(), heldSinceMs: orderer.heldSinceMs()
+      spec: engineSpec, report, demand, wants: [], mayLoadCold: true, unansweredLoad: '', nowMs: timers.nowMs(), heldSinceMs: orderer.heldSinceMs()
     })
     const losses = residents.map(evictionLossOf)
     return losses.length === 0 ? 0 : Math.min(...losses)
