--- a/packages/fleet/src/deployment/types.ts
+++ b/packages/fleet/src/deployment/types.ts
@@ -28,6 +28,8 @@
   readonly timeoutMs: number
   /** Time to the answer, or to a stream's first event, that callers are content with. */
   readonly objectiveMs: number
+  /** Callers leave a stream that shows no event for this long; the time-out for what is no stream. */
+  readonly patienceMs: number
   /** Rank among routes, 0 the most urgent. */
   readonly priority: number
   readonly shares: readonly ServiceShare[]
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -15,8 +15,8 @@
 }
 
 /**
- * Has a model loaded that no engine holds, and waits for it. A request that the load would leave no time is not kept
- * waiting: it hears at once when the model will be there, and the load is begun for its return.
+ * Has a model loaded that no engine holds, and waits for it. A request that the load would leave no time, or whose
+ * caller would leave before its first event, is not kept waiting: it hears at once when the model will be there, and the load is begun for its return.
  */
 export const awaitModel = async (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[]): Promise<ModelWait> => {
   const { modelName, requestId } = request.caller
@@ -28,7 +28,7 @@
   const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
   const agent = server && context.agents.find(server.entry.address)
   if (!choice || !agent) return { isReady: false, reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
-  const leftMs = request.untilMs - nowMs
+  const leftMs = Math.min(request.untilMs, request.arrivedMs + request.route.patienceMs) - nowMs
   const isHopeless = choice.readyInMs > leftMs * LOAD_SHARE
   context.events.emit(GatewayEvent.modelAwaited, {
     requestKey: requestId, model: modelName, peer: choice.serverId, waitMs: Math.round(choice.readyInMs), reason: isHopeless ? 'too late for this request' : 'waits'
