Make room by unloading what does not run, and say how long room takes

Routers tell each agent which models they run there, agents unload idle ones first and tell how long room takes; a wait that its caller would not sit out is refused at once with the time, and ends before the caller leaves.

--- a/packages/decisions/src/placing/chooseLoader.ts
+++ b/packages/decisions/src/placing/chooseLoader.ts
@@ -39,7 +39,7 @@
   let best: LoaderChoice | undefined
   let bestCost = Infinity
   for (const server of servers) {
-    const readyInMs = server.busyMs + (server.isLoading ? 0 : loadMs(times, server))
+    const readyInMs = server.busyMs + (server.isLoading ? 0 : server.roomMs + loadMs(times, server))
     const blockedMs = loadMs(times, server) * BUSY_SHARE * Math.min(1, server.heldTokensPerS / FULL_RATE_TOKENS_PER_S)
     const loss = server.isLoading ? 0 : server.evictionLoss * LOSS_COST_MS + server.heldCount * HELD_COST_MS + blockedMs
     const cost = readyInMs + loss + server.failureShare * FAILURE_COST_MS
--- a/packages/decisions/src/placing/chooseVictims.ts
+++ b/packages/decisions/src/placing/chooseVictims.ts
@@ -32,12 +32,13 @@
  *
  * Load pattern: more models than fit, with demand that moves. Without it the model that was loaded first goes, be it
  * the busiest; with least-recent use alone a model with ten replicas stays where the only replica of another one goes.
- * Of equal losses the one that was idle longest goes.
+ * One without running requests goes before any that has some: the engine lets these end before it unloads, which took
+ * up to four seconds while others waited for the room. Of equal losses the one that was idle longest goes.
  */
 export const chooseVictims = (residents: readonly PlacedModel[], neededMb: number): Eviction | undefined => {
   const movable = residents
     .filter(mayGo)
-    .sort((a, b) => evictionLossOf(a) - evictionLossOf(b) || b.idleMs - a.idleMs)
+    .sort((a, b) => Number(a.isRunning) - Number(b.isRunning) || evictionLossOf(a) - evictionLossOf(b) || b.idleMs - a.idleMs)
   const modelNames: string[] = []
   let freedMb = 0
   let loss = 0
@@ -49,3 +50,21 @@
   }
   return freedMb >= neededMb ? { modelNames, loss } : undefined
 }
+
+/** An idle model is unloaded in this time, the notice to routers included. */
+const IDLE_UNLOAD_MS = 80
+
+/** A model with running requests is unloaded when they have ended; streams last one to two seconds. */
+const RUNNING_UNLOAD_MS = 1_500
+
+/** Expected time until an engine has room for a model of `neededMb` beyond what is free. */
+export const estimateRoomMs = (residents: readonly PlacedModel[], neededMb: number): number => {
+  if (neededMb <= 0) return 0
+  let soonestMs = RUNNING_UNLOAD_MS
+  for (const resident of residents) {
+    if (resident.isRunning) continue
+    const heldMs = Math.max(0, LEAST_HELD_MS - resident.heldMs)
+    soonestMs = Math.min(soonestMs, IDLE_UNLOAD_MS + heldMs)
+  }
+  return soonestMs
+}
--- a/packages/decisions/src/placing/placing.test.ts
+++ b/packages/decisions/src/placing/placing.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 
 import { chooseLoader } from './chooseLoader.js'
-import { chooseVictims, evictionLossOf } from './chooseVictims.js'
+import { chooseVictims, estimateRoomMs, evictionLossOf } from './chooseVictims.js'
 import { planOrder } from './planOrder.js'
 import { neededReplicas, planReplicas } from './planReplicas.js'
 import { rankServers } from './rankServers.js'
@@ -14,11 +14,11 @@
 })
 
 const loader = (serverId: string, given: Partial<LoaderView> = {}): LoaderView => ({
-  serverId, isInMemory: false, isOnDisk: false, isLoading: false, busyMs: 0, coldWaitMs: 0, heldTokensPerS: 0, evictionLoss: 0, heldCount: 1, failureShare: 0, ...given
+  serverId, isInMemory: false, isOnDisk: false, isLoading: false, busyMs: 0, coldWaitMs: 0, roomMs: 0, heldTokensPerS: 0, evictionLoss: 0, heldCount: 1, failureShare: 0, ...given
 })
 
 const placed = (modelName: string, given: Partial<PlacedModel> = {}): PlacedModel => ({
-  modelName, weightsMb: 70_000, requestsPerS: 1, promptTokensPerS: 1_000, replicaCount: 1, isDemandKnown: true, returnsMs: 400, heldMs: 60_000, idleMs: 10_000, ...given
+  modelName, weightsMb: 70_000, requestsPerS: 1, promptTokensPerS: 1_000, replicaCount: 1, isDemandKnown: true, returnsMs: 400, isRunning: false, heldMs: 60_000, idleMs: 10_000, ...given
 })
 
 const want = (modelName: string, given: Partial<WantView> = {}): WantView => ({
@@ -103,6 +103,19 @@
     expect(eviction?.modelNames).to.deep.equal(['rare'])
   })
 
+  it('spares what runs while something idle is there', () => {
+    // A model with long streams is told to make way. The engine waits for their end, and nothing else can be ordered
+    // meanwhile: who waits for the room leaves.
+    const eviction = chooseVictims([placed('streaming', { isRunning: true, requestsPerS: 0 }), placed('idle')], 70_000)
+    expect(eviction?.modelNames).to.deep.equal(['idle'])
+  })
+
+  it('expects room soon only where something idle may go', () => {
+    expect(estimateRoomMs([placed('a', { isRunning: true }), placed('b')], 1)).to.be.below(200)
+    expect(estimateRoomMs([placed('a', { isRunning: true })], 1)).to.be.above(1_000)
+    expect(estimateRoomMs([placed('a')], 0)).to.equal(0)
+  })
+
   it('takes several when one is too small', () => {
     const eviction = chooseVictims([placed('a', { weightsMb: 35_000 }), placed('b', { weightsMb: 35_000 })], 70_000)
     expect(eviction?.modelNames).to.have.members(['a', 'b'])
--- a/packages/decisions/src/placing/types.ts
+++ b/packages/decisions/src/placing/types.ts
@@ -26,6 +26,8 @@
   readonly busyMs: number
   /** Time until the server may begin a load from the weight store. */
   readonly coldWaitMs: number
+  /** Expected time to make room there. */
+  readonly roomMs: number
   /** Prompt tokens a second for the models that the server holds: their adapters cannot be fetched during a load. */
   readonly heldTokensPerS: number
   /** Requests a second that lose their replica there. */
@@ -53,6 +55,8 @@
   readonly isDemandKnown: boolean
   /** A copy stays on the server after the model is unloaded. */
   readonly returnsMs: number
+  /** Requests run on it here: it can be unloaded only after their end. */
+  readonly isRunning: boolean
   /** Time since its load ended. */
   readonly heldMs: number
   /** Time since a router last sent a request for it here or asked for it. */
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -48,6 +48,8 @@
   readonly models: readonly ModelDemand[]
   /** Models of which several engines hold a replica, with or without demand. */
   readonly replicas: readonly ModelReplicas[]
+  /** Models for which the router has requests running at the agent's engine. */
+  readonly runningModels: readonly string[]
 }
 
 /** Records of the store that a router has read, for those that the store does not answer. */
@@ -82,6 +84,8 @@
   readonly loadingLeftMs: number
   /** Time until the agent may begin another load from the weight store. */
   readonly coldWaitMs: number
+  /** Expected time to make room for another model. */
+  readonly roomMs: number
   /** Models that are wanted and not begun, in order. */
   readonly queuedModels: readonly string[]
   readonly inMemory: readonly string[]
--- a/packages/gateway/src/agents/createAgentLinks.ts
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -17,7 +17,8 @@
   /** Opens links to new servers' agents and gives up those of servers that were not listed for long. */
   readonly follow: (entries: readonly ServerEntry[], hasAgent: (entry: ServerEntry) => boolean) => void
   readonly find: (serverAddress: string) => AgentLink | undefined
-  readonly sendToAll: (message: RouterMessage) => void
+  /** Sends each agent a message of its own, by the address of its engine. */
+  readonly sendToEach: (messageFor: (serverAddress: string) => RouterMessage) => void
   /** Sends through a few agents, which pass it on to all other routers. */
   readonly relay: (message: RouterMessage) => void
   /** At least half of the agents answer. */
@@ -55,8 +56,8 @@
       }
     },
     find: serverAddress => links.get(serverAddress),
-    sendToAll: message => {
-      for (const link of links.values()) link.send(message)
+    sendToEach: messageFor => {
+      for (const [serverAddress, link] of links) link.send(messageFor(serverAddress))
     },
     relay: message => {
       let sent = 0
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -38,6 +38,10 @@
   readonly find: (serverId: string) => KnownServer | undefined
   readonly entries: () => readonly ServerEntry[]
   readonly failureShareOf: (server: KnownServer) => number
+  /** Models of own requests that run at an address. */
+  readonly runningModels: (address: string) => readonly string[]
+  readonly noteRun: (serverId: string, modelName: string) => void
+  readonly noteRunEnd: (serverId: string, modelName: string) => void
   readonly noteSent: (serverId: string, tokens: number) => void
   readonly noteFirstEvent: (serverId: string, tokens: number) => void
   readonly noteEnded: (serverId: string) => void
@@ -64,6 +68,7 @@
   const words = new Map<string, AgentWord>()
   const failures = new Map<string, FailureShare>()
   const own = new Map<string, OwnLoad>()
+  const runs = new Map<string, Map<string, number>>()
   const replaced = new Set<string>()
   const prefixes = createPrefixMemory()
   const missingSinceOutage = new Set<string>()
@@ -134,6 +139,15 @@
     return !server.state || (server.state.isUp && !server.state.isDraining)
   }
 
+  const changeRuns = (serverId: string, modelName: string, by: number): void => {
+    const models = runs.get(serverId) ?? new Map<string, number>()
+    const count = (models.get(modelName) ?? 0) + by
+    if (count > 0) models.set(modelName, count)
+    else models.delete(modelName)
+    if (models.size > 0) runs.set(serverId, models)
+    else runs.delete(serverId)
+  }
+
   const updateOwn = (serverId: string, change: (load: OwnLoad) => OwnLoad): void => {
     const load = change(own.get(serverId) ?? NO_LOAD)
     if (load.count <= 0) own.delete(serverId)
@@ -184,6 +198,15 @@
     },
     entries: () => [...entries.values()],
     failureShareOf: server => failureShareAt(server.failures, timers.nowMs()),
+    runningModels: address => {
+      const names: string[] = []
+      for (const [serverId, models] of runs) {
+        if (entries.get(serverId)?.address === address) names.push(...models.keys())
+      }
+      return names
+    },
+    noteRun: (serverId, modelName) => { changeRuns(serverId, modelName, 1) },
+    noteRunEnd: (serverId, modelName) => { changeRuns(serverId, modelName, -1) },
     noteSent: (serverId, tokens) => {
       updateOwn(serverId, load => ({ count: load.count + 1, startingCount: load.startingCount + 1, pendingTokens: load.pendingTokens + tokens }))
     },
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -95,6 +95,7 @@
       isLoading: state.loadingModel === model.name || state.queuedModels.includes(model.name),
       busyMs: busyMsOf(spec, server, model.name, nowMs),
       coldWaitMs: Math.max(0, state.coldWaitMs - (nowMs - server.stateAsOfMs)),
+      roomMs: state.roomMs,
       heldTokensPerS: state.demandTokensPerS.reduce((sum, tokens, index) => sum + tokens / replicasOf(state.models[index]?.name), 0),
       evictionLoss: state.evictionLoss,
       heldCount: state.models.length,
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -2,7 +2,7 @@
 
 import { GatewayEvent } from '../events.js'
 import { viewLoaders } from '../placing/viewServers.js'
-import { ADAPTER_WAIT_MS, LOAD_SHARE, NO_SERVER_RETRY_MS } from './constants.js'
+import { ADAPTER_WAIT_MS, LOAD_SHARE, NO_SERVER_RETRY_MS, WAIT_SHARE } from './constants.js'
 
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
@@ -33,7 +33,7 @@
   context.events.emit(GatewayEvent.modelAwaited, {
     requestKey: requestId, model: modelName, peer: choice.serverId, waitMs: Math.round(choice.readyInMs), reason: isHopeless ? 'too late for this request' : 'waits'
   })
-  const timeLeftMs = isHopeless ? choice.readyInMs * 2 : leftMs
+  const timeLeftMs = isHopeless ? choice.readyInMs * 2 : leftMs * WAIT_SHARE
   const wanted = agent.want({ serverId: choice.serverId, modelName, adapterName: '', waitingCount: 1, gainPerS: 0, timeLeftMs })
   if (isHopeless) return { isReady: false, reason: 'the model comes too late', retryAfterMs: choice.readyInMs }
   const outcome = await wanted
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -22,8 +22,11 @@
 /** Share of a request's time that a load may take; the rest is for queueing and computing. */
 export const LOAD_SHARE = 0.85
 
-/** A stream without an event for this long is broken: twice the longest pause that callers accept, 1 s at least. */
-export const LEAST_SILENCE_MS = 1_000
+/**
+ * Share of a caller's patience after which it is refused when a load takes longer than was expected: it can come back,
+ * where one that is kept until it leaves hears nothing.
+ */
+export const WAIT_SHARE = 0.8
 
 /** The first event may take a long prompt's time and a queue's. */
 export const FIRST_EVENT_SILENCE_MS = 2_500
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -47,10 +47,12 @@
     directory.noteFirstEvent(serverId, choice.newTokens)
   }
   directory.noteSent(serverId, choice.newTokens)
+  directory.noteRun(serverId, modelName)
   directory.prefixes.remember(serverId, `${modelName}/${adapterName}`, promptParts)
   const end = await runStream(context, request, choice.server, stream, signal, settlePending)
   settlePending()
   directory.noteEnded(serverId)
+  directory.noteRunEnd(serverId, modelName)
   stopTimer()
   if (!request.left.aborted) directory.noteOutcome(serverId, end.type === 'broken' || (end.type === 'notRun' && !end.isMisplaced))
   return end
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -119,7 +119,7 @@
     const text = models.length === 0 ? JSON.stringify(replicas) : ''
     if (models.length === 0 && text === lastDemand) return
     lastDemand = text
-    agents.sendToAll({ type: 'demand', models, replicas })
+    agents.sendToEach(serverAddress => ({ type: 'demand', models, replicas, runningModels: directory.runningModels(serverAddress) }))
   }
   let isFollowDue = false
   const followSoon = (): void => {
--- a/packages/sidecar/src/demand/createDemandBook.ts
+++ b/packages/sidecar/src/demand/createDemandBook.ts
@@ -13,10 +13,13 @@
   readonly promptTokensPerS: number
   readonly replicaCount: number
   readonly idleMs: number
+  /** Some router has requests for it running at this engine. */
+  readonly isRunning: boolean
 }
 
 interface RouterDemand {
   readonly models: ReadonlyMap<string, ModelDemand>
+  readonly runningModels: ReadonlySet<string>
   readonly asOfMs: number
 }
 
@@ -37,22 +40,25 @@
   const adapterUsedMs = new Map<string, number>()
 
   return {
-    take: (router, { models, replicas }) => {
+    take: (router, { models, replicas, runningModels }) => {
       const asOfMs = timers.nowMs()
       if (models.length > 0) firstDemandMs ??= asOfMs
       replicaCounts = new Map(replicas.map(({ modelName, replicaCount }) => [modelName, replicaCount]))
-      routers.set(router, { models: new Map(models.map(model => [model.modelName, model])), asOfMs })
+      routers.set(router, { models: new Map(models.map(model => [model.modelName, model])), runningModels: new Set(runningModels), asOfMs })
       for (const model of models) {
         for (const adapterName of model.adapterNames) adapterUsedMs.set(`${model.modelName}/${adapterName}`, asOfMs)
       }
     },
     totalFor: modelName => {
       const nowMs = timers.nowMs()
-      let total: TotalDemand = { requestsPerS: 0, promptTokensPerS: 0, replicaCount: replicaCounts.get(modelName) ?? 1, idleMs: Infinity }
-      for (const { models, asOfMs } of routers.values()) {
+      let total: TotalDemand = { requestsPerS: 0, promptTokensPerS: 0, replicaCount: replicaCounts.get(modelName) ?? 1, idleMs: Infinity, isRunning: false }
+      for (const { models, runningModels, asOfMs } of routers.values()) {
+        if (nowMs - asOfMs > STALE_MS) continue
+        if (runningModels.has(modelName)) total = { ...total, isRunning: true }
         const demand = models.get(modelName)
-        if (!demand || nowMs - asOfMs > STALE_MS) continue
+        if (!demand) continue
         total = {
+          ...total,
           requestsPerS: total.requestsPerS + demand.requestsPerS,
           promptTokensPerS: total.promptTokensPerS + demand.promptTokensPerS,
           replicaCount: Math.max(total.replicaCount, demand.replicaCount),
--- a/packages/sidecar/src/engine/viewEngine.ts
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -42,6 +42,7 @@
       replicaCount: total.replicaCount,
       isDemandKnown: inputs.demand.isSettled(),
       returnsMs: returnsMsOf(inputs.report, model, held.name),
+      isRunning: total.isRunning,
       heldMs: inputs.nowMs - (inputs.heldSinceMs.get(held.name) ?? -Infinity),
       idleMs: total.idleMs
     }
--- a/packages/sidecar/src/links/constants.ts
+++ b/packages/sidecar/src/links/constants.ts
@@ -3,3 +3,6 @@
 
 /** Time between load messages while the load changes. */
 export const LOAD_PERIOD_MS = 100
+
+/** Changes of the time to make room below this are not worth a message. */
+export const ROOM_STEP_MS = 500
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http'
 import { acceptLinks, HEARTBEAT_MS, NO_OFFSET } from '@figmount/peers'
 
-import { LOAD_PERIOD_MS } from './constants.js'
+import { LOAD_PERIOD_MS, ROOM_STEP_MS } from './constants.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
 import type { AgentLoad, AgentMessage, AgentState, Demand, RouterMessage, Want } from '@figmount/fleet'
@@ -52,7 +52,7 @@
   const tell = (): void => {
     const state = options.describe(links.size)
     // The time that a load still takes changes all the while; routers count it down by themselves.
-    const text = JSON.stringify({ ...state, loadingLeftMs: 0, coldWaitMs: 0, demandTokensPerS: [] })
+    const text = JSON.stringify({ ...state, loadingLeftMs: 0, coldWaitMs: 0, roomMs: Math.round(state.roomMs / ROOM_STEP_MS), demandTokensPerS: [] })
     if (text === lastState) return
     lastState = text
     sendToAll(state)
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -1,9 +1,9 @@
 import { createFeedFollower, LONG_POLL_MS } from '@figmount/fleet'
-import { evictionLossOf } from '@figmount/decisions'
+import { estimateRoomMs, evictionLossOf } from '@figmount/decisions'
 
 import { createDemandBook } from '../demand/createDemandBook.js'
 import { createOrderer } from '../engine/createOrderer.js'
-import { viewResidents } from '../engine/viewEngine.js'
+import { freeMbOf, viewResidents } from '../engine/viewEngine.js'
 import { watchEngine } from '../engine/watchEngine.js'
 import { SidecarEvent } from '../events.js'
 import { TELL_PERIOD_MS } from '../links/constants.js'
@@ -56,14 +56,17 @@
     hurry: () => { watch.hurry() }
   })
 
-  const evictionLoss = (report: ServerReport): number => {
+  /** What another model's load would cost here. */
+  const priceRoom = (report: ServerReport | undefined): Pick<AgentState, 'roomMs' | 'evictionLoss'> => {
     const engineSpec = spec()
-    if (!engineSpec) return 0
+    if (!engineSpec || !report) return { roomMs: 0, evictionLoss: 0 }
     const residents = viewResidents({
       spec: engineSpec, report, demand, wants: [], mayLoadCold: true, unansweredLoad: '', nowMs: timers.nowMs(), heldSinceMs: orderer.heldSinceMs()
     })
-    const losses = residents.map(evictionLossOf)
-    return losses.length === 0 ? 0 : Math.min(...losses)
+    const largestMb = Math.max(0, ...engineSpec.models.map(model => model.weightsMb))
+    const roomMs = estimateRoomMs(residents, largestMb - freeMbOf(engineSpec, report))
+    if (roomMs === 0 || residents.length === 0) return { roomMs, evictionLoss: 0 }
+    return { roomMs: Math.round(roomMs), evictionLoss: Math.round(Math.min(...residents.map(evictionLossOf)) * 100) / 100 }
   }
 
   const describe = (routerCount: number): AgentState => {
@@ -83,7 +86,7 @@
       queuedModels: wants.open().filter(want => want.adapterName === '').map(want => want.modelName),
       inMemory: report?.inMemory ?? [],
       onDisk: report?.onDisk ?? [],
-      evictionLoss: report ? Math.round(evictionLoss(report) * 100) / 100 : 0,
+      ...priceRoom(report),
       demandTokensPerS: models.map(model => Math.round(demand.totalFor(model.name).promptTokensPerS)),
       routerCount
     }
