Ask the engine for its id after each start, and weigh what an eviction costs

The agent asks the engine itself now and tells routers which ids are gone. Both of a hot model's two replicas were unloaded at the same moment, as each counted on the other: the loss of a spare replica is the queue at those left, a sole one with running requests stays, and one waiting caller does not displace what ten a second ask for.

--- a/packages/decisions/src/placing/chooseVictims.ts
+++ b/packages/decisions/src/placing/chooseVictims.ts
@@ -1,4 +1,4 @@
-import { LEAST_HELD_MS, LEAST_IDLE_MS, PROMPT_TOKENS_PER_MS, REPLICA_USE_LIMIT, RETURN_SCALE_MS } from './constants.js'
+import { LEAST_HELD_MS, LEAST_IDLE_MS, PROMPT_TOKENS_PER_MS, RETURN_SCALE_MS } from './constants.js'
 
 import type { PlacedModel } from './types.js'
 
@@ -10,16 +10,22 @@
  */
 const UNKNOWN_LOSS_PER_REPLICA = 0.1
 
-/** Requests a second that wait longer once the replica has gone, weighed by how much longer. */
+/** Time that a long prompt takes an engine; a queue of such prompts is what the replicas that are left get. */
+const PROMPT_S = 0.25
+
+/** Requests a second that wait longer once the replica has gone, weighed by how many seconds longer. */
 export const evictionLossOf = (resident: PlacedModel): number => {
   if (!resident.isDemandKnown && resident.replicaCount > 1) return resident.replicaCount * UNKNOWN_LOSS_PER_REPLICA
   if (resident.replicaCount <= 1) return resident.requestsPerS * resident.returnsMs / RETURN_SCALE_MS
   const useAfter = resident.promptTokensPerS / (PROMPT_TOKENS_PER_MS * MS_PER_S) / (resident.replicaCount - 1)
-  return useAfter < REPLICA_USE_LIMIT ? 0 : resident.requestsPerS * useAfter
+  const waitS = useAfter >= 1 ? Infinity : useAfter / (1 - useAfter) * PROMPT_S
+  return resident.requestsPerS * Math.min(waitS, resident.returnsMs / RETURN_SCALE_MS)
 }
 
-const mayGo = (resident: PlacedModel): boolean =>
-  resident.heldMs >= LEAST_HELD_MS && resident.idleMs >= LEAST_IDLE_MS
+const mayGo = (resident: PlacedModel): boolean => {
+  if (resident.heldMs < LEAST_HELD_MS || resident.idleMs < LEAST_IDLE_MS) return false
+  return !resident.isRunning || resident.replicaCount > 1
+}
 
 /** Models to unload, and what their callers lose. */
 export interface Eviction {
@@ -55,7 +61,7 @@
 const IDLE_UNLOAD_MS = 80
 
 /** A model with running requests is unloaded when they have ended; streams last one to two seconds. */
-const RUNNING_UNLOAD_MS = 1_500
+export const RUNNING_UNLOAD_MS = 1_500
 
 /** Expected time until an engine has room for a model of `neededMb` beyond what is free. */
 export const estimateRoomMs = (residents: readonly PlacedModel[], neededMb: number): number => {
--- a/packages/decisions/src/placing/planOrder.ts
+++ b/packages/decisions/src/placing/planOrder.ts
@@ -58,6 +58,15 @@
 /** Part of a replica's gain that its room may cost others: demand moves, and both loads take the engine's time. */
 const GAIN_SHARE = 0.5
 
+/** A request that waits is worth a loss of one, and of as much again for each time of this length that it has waited. */
+const WAIT_DOUBLING_MS = 500
+
+/** Requests a second that may lose a replica for a want. */
+const lossLimitOf = (want: WantView): number => {
+  if (want.waitingCount === 0) return Math.max(PRELOAD_LOSS_LIMIT, want.gainPerS * GAIN_SHARE)
+  return want.waitingCount * (1 + want.ageMs / WAIT_DOUBLING_MS)
+}
+
 const adapterKey = (modelName: string, adapterName: string): string => `${modelName}/${adapterName}`
 
 const planAdapter = (engine: EngineView, want: WantView): PlannedOrder | undefined => {
@@ -85,8 +94,7 @@
   const movable = engine.residents.filter(resident => !wantedModels.has(resident.modelName))
   const eviction = chooseVictims(movable, want.weightsMb - engine.freeMb)
   if (!eviction) return undefined
-  const lossLimit = Math.max(PRELOAD_LOSS_LIMIT, want.gainPerS * GAIN_SHARE)
-  if (want.waitingCount === 0 && eviction.loss > lossLimit) return undefined
+  if (eviction.loss > lossLimitOf(want)) return undefined
   const [modelName = ''] = eviction.modelNames
   return { operation: 'unload', modelName, adapterName: '', isCold: false }
 }
--- a/packages/fleet/src/deployment/types.ts
+++ b/packages/fleet/src/deployment/types.ts
@@ -66,6 +66,8 @@
 export interface Service {
   readonly name: string
   readonly maxConnections: number
+  /** Path of the servers' health check. */
+  readonly healthPath: string
   readonly engine?: EngineSpec
 }
 
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -73,6 +73,8 @@
   readonly type: 'state'
   /** Empty while the agent does not know which start of the server it speaks for. */
   readonly serverId: string
+  /** Earlier starts of the server, which are gone though they may still be listed. */
+  readonly goneServerIds: readonly string[]
   readonly isUp: boolean
   readonly isDraining: boolean
   readonly models: readonly HeldModel[]
--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -77,17 +77,12 @@
 
 export type OrderAnswer = typeof OrderAnswer[keyof typeof OrderAnswer]
 
-/** An answer and the start of the server that gave it. */
-export interface OrderReply {
-  readonly answer: OrderAnswer
-  /** Empty when the answer does not tell. */
-  readonly serverId: string
-}
-
 /** The engine beside an agent. */
 export interface EnginePort {
+  /** Asks the server for its id, by the health check of its service. */
+  readonly readServerId: (healthPath: string, timeoutMs: number) => EitherAsync<Fault, string>
   readonly readReport: (timeoutMs: number) => EitherAsync<Fault, ServerReport>
-  readonly sendOrder: (serverId: string, order: Order, timeoutMs: number) => EitherAsync<Fault, OrderReply>
+  readonly sendOrder: (serverId: string, order: Order, timeoutMs: number) => EitherAsync<Fault, OrderAnswer>
 }
 
 /** The platform's store. */
--- a/packages/fleet/src/servers/types.ts
+++ b/packages/fleet/src/servers/types.ts
@@ -19,8 +19,6 @@
 
 /** An engine's state as its agent reads it, tens of ms old. */
 export interface ServerReport {
-  /** The start of the server that reports; empty when the report does not tell. */
-  readonly serverId: string
   readonly models: readonly HeldModel[]
   /** Adapters that are being fetched, as `model/adapter`. They take a place already. */
   readonly arrivingAdapters: readonly string[]
--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -21,6 +21,7 @@
 const stateOf = (serverId: string, given: Partial<AgentState> = {}): AgentState => ({
   type: 'state',
   serverId,
+  goneServerIds: [],
   isUp: true,
   isDraining: false,
   models: [],
@@ -82,6 +83,13 @@
     expect(ids()).to.deep.equal([])
   })
 
+  it('drops a server that its agent knows to be gone', () => {
+    const { directory, ids } = setUp()
+    directory.takeRecords([listed('old')])
+    directory.takeState(ADDRESS, stateOf('', { goneServerIds: ['old'] }))
+    expect(ids()).to.deep.equal([])
+  })
+
   it('drops a server whose agent cannot reach it', () => {
     const { directory, ids } = setUp()
     directory.takeRecords([listed('a')])
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -125,7 +125,7 @@
       entry,
       state: speaksForIt ? word.state : undefined,
       load: speaksForIt ? word.load : undefined,
-      isReplaced: !speaksForIt || replaced.has(entry.serverId),
+      isReplaced: !speaksForIt || replaced.has(entry.serverId) || (word.state?.goneServerIds.includes(entry.serverId) ?? false),
       stateAsOfMs: word.asOfMs,
       failures: failures.get(entry.serverId) ?? noFailures(timers.nowMs()),
       ownCount: load.count,
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -10,6 +10,9 @@
 const loadingLeftMs = ({ state, stateAsOfMs }: KnownServer, nowMs: number): number =>
   state ? Math.max(0, state.loadingLeftMs - (nowMs - stateAsOfMs)) : 0
 
+const coldWaitLeftMs = ({ state, stateAsOfMs }: KnownServer, nowMs: number): number =>
+  state ? Math.max(0, state.coldWaitMs - (nowMs - stateAsOfMs)) : 0
+
 /** The server's copy of a model, when it takes requests for it. */
 export const heldModel = (server: KnownServer, modelName: string): HeldModel | undefined => {
   if (server.state?.leavingModels.includes(modelName)) return undefined
@@ -57,11 +60,12 @@
   return views
 }
 
-const loadMs = (spec: EngineSpec, server: KnownServer, modelName: string): number => {
+const loadMs = (spec: EngineSpec, server: KnownServer, modelName: string, nowMs: number): number => {
   const model = spec.models.find(candidate => candidate.name === modelName)
   if (!model) return 0
   if (server.state?.inMemory.includes(modelName)) return model.memoryLoadMs
-  return server.state?.onDisk.includes(modelName) ? model.diskLoadMs : model.coldLoadMs
+  if (server.state?.onDisk.includes(modelName)) return model.diskLoadMs
+  return coldWaitLeftMs(server, nowMs) + model.coldLoadMs
 }
 
 /** Time until an agent can begin with something new. */
@@ -71,8 +75,8 @@
   let busyMs = loadingLeftMs(server, nowMs)
   if (state.loadingModel === modelName) return busyMs
   for (const queued of state.queuedModels) {
-    if (queued === modelName) return busyMs + loadMs(spec, server, modelName)
-    busyMs += loadMs(spec, server, queued)
+    if (queued === modelName) return busyMs + loadMs(spec, server, modelName, nowMs)
+    busyMs += loadMs(spec, server, queued, nowMs)
   }
   return busyMs
 }
@@ -87,14 +91,14 @@
   for (const server of servers) {
     const { state } = server
     if (!state || model.weightsMb > spec.weightsCapacityMb) continue
-    if (heldModel(server, model.name)) continue
+    if (heldModel(server, model.name) || state.leavingModels.includes(model.name)) continue
     views.push({
       serverId: server.entry.serverId,
       isInMemory: state.inMemory.includes(model.name),
       isOnDisk: state.onDisk.includes(model.name),
       isLoading: state.loadingModel === model.name || state.queuedModels.includes(model.name),
       busyMs: busyMsOf(spec, server, model.name, nowMs),
-      coldWaitMs: Math.max(0, state.coldWaitMs - (nowMs - server.stateAsOfMs)),
+      coldWaitMs: coldWaitLeftMs(server, nowMs),
       roomMs: state.roomMs,
       heldTokensPerS: state.demandTokensPerS.reduce((sum, tokens, index) => sum + tokens / replicasOf(state.models[index]?.name), 0),
       evictionLoss: state.evictionLoss,
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -7,7 +7,7 @@
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { PlannedOrder } from '@figmount/decisions'
-import type { EnginePort, EngineSpec, OrderReply, ServerReport } from '@figmount/fleet'
+import type { EnginePort, EngineSpec, ServerReport } from '@figmount/fleet'
 import type { DemandBook } from '../demand/createDemandBook.js'
 import type { WantBook } from '../wants/createWantBook.js'
 
@@ -31,8 +31,8 @@
   readonly wants: WantBook
   readonly spec: () => EngineSpec | undefined
   readonly serverId: () => string
-  /** Another start of the server has answered; empty when it did not tell its id. */
-  readonly correctServerId: (serverId: string) => void
+  /** Another start of the server has answered: the id in use is of one that is gone. */
+  readonly noteOtherServer: () => void
   /** Time between two loads from the weight store that one agent begins. */
   readonly coldSpacingMs: number
   /** False after a restart: a load that the process before it began may be recent. */
@@ -68,6 +68,8 @@
   let leaving: string | undefined
   let load: CurrentLoad | undefined
   let lastColdMs = options.isFirstStart ? -Infinity : timers.nowMs()
+  // An order that is turned away has begun no load: the time of the one before it counts again.
+  let coldBeforeMs = lastColdMs
   let unanswered: UnansweredLoad | undefined
   let isOrdering = false
   let ordersWithoutReport = false
@@ -94,14 +96,13 @@
     return report?.inMemory.includes(planned.modelName) ? model.memoryLoadMs : model.diskLoadMs
   }
 
-  const noteReply = (planned: PlannedOrder, { answer, serverId }: OrderReply): void => {
-    events.emit(SidecarEvent.orderAnswered, { model: planned.modelName, adapter: planned.adapterName, step: planned.operation, reason: answer, peer: serverId })
-    // Guards against an id that a router remembered from before the server's restart: every order under it is turned
-    // away, and the engine would never load anything again. The server that answers tells its own id.
-    if (answer === OrderAnswer.OtherServer) options.correctServerId(serverId)
+  const noteAnswer = (planned: PlannedOrder, answer: OrderAnswer): void => {
+    events.emit(SidecarEvent.orderAnswered, { model: planned.modelName, adapter: planned.adapterName, step: planned.operation, reason: answer })
+    if (answer === OrderAnswer.OtherServer) options.noteOtherServer()
     if (answer === OrderAnswer.Accepted || answer === OrderAnswer.AlreadyDone) return
     load = undefined
     leaving = undefined
+    lastColdMs = coldBeforeMs
   }
 
   const noteSilence = (planned: PlannedOrder, orderCount: number, fault: Fault): void => {
@@ -114,16 +115,17 @@
     const isWholeModel = adapterName === ''
     if (operation === 'load' && isWholeModel) load = { modelName, endsAtMs: timers.nowMs() + loadMsOf(planned, spec) }
     // Begins before the order leaves: its answer may be lost though the load has begun.
+    coldBeforeMs = lastColdMs
     if (planned.isCold && coldWaitMs() === 0) lastColdMs = timers.nowMs()
     events.emit(SidecarEvent.orderSent, { model: modelName, adapter: adapterName, step: operation, count: current.orderCount })
     // The count that the engine must have accepted guards against an order that was given up and is carried out
     // seconds later, after newer ones: it would load what no longer fits, and the engine would crash.
     const order = { operation, modelName, adapterName, expectedOrderCount: current.orderCount }
     const result = await options.engine.sendOrder(options.serverId(), order, ORDER_TIMEOUT_MS).run()
-    result.caseOf({ Left: fault => noteSilence(planned, current.orderCount, fault), Right: reply => noteReply(planned, reply) })
+    result.caseOf({ Left: fault => noteSilence(planned, current.orderCount, fault), Right: answer => noteAnswer(planned, answer) })
     ordersWithoutReport = true
     options.hurry()
-    const isDone = result.map(({ answer }) => answer !== OrderAnswer.Conflict && answer !== OrderAnswer.Rejected).orDefault(false)
+    const isDone = result.map(answer => answer !== OrderAnswer.Conflict && answer !== OrderAnswer.Rejected).orDefault(false)
     if (!isDone) await sleep(timers, ORDER_RETRY_MS)
   }
 
--- a/packages/sidecar/src/events.ts
+++ b/packages/sidecar/src/events.ts
@@ -5,6 +5,8 @@
   engineUp: [3501, 'the engine beside the agent answers'],
   engineDown: [3502, 'the engine beside the agent does not answer'],
   engineNamed: [3514, 'the agent learned which start of the engine it acts on'],
+  engineUnnamed: [3515, 'the engine did not tell its id'],
+  engineForgotten: [3516, 'the start of the engine that the agent acted on has gone'],
   engineDraining: [3503, 'the engine beside the agent is leaving'],
   orderSent: [3504, 'an order was given to the engine'],
   orderAnswered: [3505, 'the engine answered an order'],
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -1,5 +1,5 @@
 import { createFeedFollower, LONG_POLL_MS } from '@figmount/fleet'
-import { estimateRoomMs, evictionLossOf } from '@figmount/decisions'
+import { estimateRoomMs, evictionLossOf, RUNNING_UNLOAD_MS } from '@figmount/decisions'
 
 import { createDemandBook } from '../demand/createDemandBook.js'
 import { createOrderer } from '../engine/createOrderer.js'
@@ -9,6 +9,7 @@
 import { TELL_PERIOD_MS } from '../links/constants.js'
 import { serveRouters } from '../links/serveRouters.js'
 import { createWantBook } from '../wants/createWantBook.js'
+import { createIdentity } from './createIdentity.js'
 import { COLD_SPACING_MS } from './constants.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
@@ -35,12 +36,19 @@
   const demand = createDemandBook(timers)
   const wants = createWantBook(timers)
   let deployment: Deployment | undefined
-  let serverId = ''
   let isUp = false
 
   const spec = (): EngineSpec | undefined =>
     deployment?.services.find(service => service.name === options.serviceName)?.engine
 
+  const identity = createIdentity({
+    engine: options.engine,
+    timers,
+    events,
+    healthPath: () => deployment?.services.find(service => service.name === options.serviceName)?.healthPath,
+    changed: () => { links.tell() }
+  })
+
   const orderer = createOrderer({
     engine: options.engine,
     timers,
@@ -48,8 +56,8 @@
     demand,
     wants,
     spec,
-    serverId: () => serverId,
-    correctServerId: actual => { adoptServerId(actual) },
+    serverId: identity.current,
+    noteOtherServer: () => { identity.drop('an order was turned away') },
     coldSpacingMs: COLD_SPACING_MS,
     isFirstStart: options.isFirstStart,
     changed: () => { links.tell() },
@@ -64,7 +72,8 @@
       spec: engineSpec, report, demand, wants: [], mayLoadCold: true, unansweredLoad: '', nowMs: timers.nowMs(), heldSinceMs: orderer.heldSinceMs()
     })
     const largestMb = Math.max(0, ...engineSpec.models.map(model => model.weightsMb))
-    const roomMs = estimateRoomMs(residents, largestMb - freeMbOf(engineSpec, report))
+    const isLeaving = orderer.leavingModels().length > 0
+    const roomMs = isLeaving ? RUNNING_UNLOAD_MS : estimateRoomMs(residents, largestMb - freeMbOf(engineSpec, report))
     if (roomMs === 0 || residents.length === 0) return { roomMs, evictionLoss: 0 }
     return { roomMs: Math.round(roomMs), evictionLoss: Math.round(Math.min(...residents.map(evictionLossOf)) * 100) / 100 }
   }
@@ -75,7 +84,8 @@
     const models = report?.models ?? []
     return {
       type: 'state',
-      serverId,
+      serverId: identity.current(),
+      goneServerIds: identity.gone(),
       isUp,
       isDraining: report?.isDraining ?? false,
       models,
@@ -111,25 +121,18 @@
   }
 
   const takeReport = (report: ServerReport): void => {
-    if (!isUp) events.emit(SidecarEvent.engineUp, { peer: serverId })
-    if (report.isDraining && !orderer.report()?.isDraining) events.emit(SidecarEvent.engineDraining, { peer: serverId })
-    if (report.serverId !== '') adoptServerId(report.serverId)
+    if (!isUp) events.emit(SidecarEvent.engineUp, { peer: identity.current() })
+    if (report.isDraining && !orderer.report()?.isDraining) events.emit(SidecarEvent.engineDraining, { peer: identity.current() })
     isUp = true
+    identity.learn()
     orderer.take(report)
     advance()
   }
 
-  const adoptServerId = (actual: string): void => {
-    if (actual === serverId) return
-    serverId = actual
-    events.emit(SidecarEvent.engineNamed, { peer: actual })
-    links.tell()
-  }
-
   const noteDown = (reason: string): void => {
-    if (isUp) events.emit(SidecarEvent.engineDown, { peer: serverId, reason })
+    if (isUp) events.emit(SidecarEvent.engineDown, { peer: identity.current(), reason })
     isUp = false
-    serverId = ''
+    identity.drop(reason)
     orderer.forget()
     wants.giveUpAll('engine is down')
     links.tell()
@@ -159,7 +162,7 @@
     takeWant: (router, want, settle) => {
       events.emit(SidecarEvent.wantTaken, { peer: router, model: want.modelName, adapter: want.adapterName ?? '', count: want.waitingCount })
       metrics.count('wants_total')
-      if (serverId === '') adoptServerId(want.serverId)
+      if (identity.gone().includes(want.serverId)) return settle(want.wantId, false, 'the engine has restarted')
       if (!isUp) return settle(want.wantId, false, 'engine is down')
       wants.add(want, settle)
       advance()
