--- a/packages/decisions/src/placing/chooseVictims.ts
+++ b/packages/decisions/src/placing/chooseVictims.ts
@@ -63,14 +63,21 @@
 /** A model with running requests is unloaded when they have ended; streams last one to two seconds. */
 export const RUNNING_UNLOAD_MS = 1_500
 
+/** A sole replica that is asked for this often hardly ever has no running request, and stays. */
+const BUSY_REQUESTS_PER_S = 0.5
+
+/** Expected time for room on an engine whose models all stay. */
+const HELD_FAST_MS = 5_000
+
 /** Expected time until an engine has room for a model of `neededMb` beyond what is free. */
 export const estimateRoomMs = (residents: readonly PlacedModel[], neededMb: number): number => {
   if (neededMb <= 0) return 0
-  let soonestMs = RUNNING_UNLOAD_MS
+  let soonestMs = HELD_FAST_MS
   for (const resident of residents) {
-    if (resident.isRunning) continue
+    const isBusySole = resident.isRunning && resident.replicaCount <= 1 && resident.requestsPerS > BUSY_REQUESTS_PER_S
+    if (isBusySole) continue
     const heldMs = Math.max(0, LEAST_HELD_MS - resident.heldMs)
-    soonestMs = Math.min(soonestMs, IDLE_UNLOAD_MS + heldMs)
+    soonestMs = Math.min(soonestMs, heldMs + (resident.isRunning ? RUNNING_UNLOAD_MS : IDLE_UNLOAD_MS))
   }
   return soonestMs
 }
--- a/packages/decisions/src/placing/planOrder.ts
+++ b/packages/decisions/src/placing/planOrder.ts
@@ -58,13 +58,16 @@
 /** Part of a replica's gain that its room may cost others: demand moves, and both loads take the engine's time. */
 const GAIN_SHARE = 0.5
 
-/** A request that waits is worth a loss of one, and of as much again for each time of this length that it has waited. */
-const WAIT_DOUBLING_MS = 500
+/** Requests a second that may lose a replica for one that waits, at once. */
+const WAITING_LOSS = 2
+
+/** A wait of this length lets one more go. Callers of rare models wait up to some seconds. */
+const WAIT_STEP_MS = 200
 
 /** Requests a second that may lose a replica for a want. */
 const lossLimitOf = (want: WantView): number => {
   if (want.waitingCount === 0) return Math.max(PRELOAD_LOSS_LIMIT, want.gainPerS * GAIN_SHARE)
-  return want.waitingCount * (1 + want.ageMs / WAIT_DOUBLING_MS)
+  return want.waitingCount * (WAITING_LOSS + want.ageMs / WAIT_STEP_MS)
 }
 
 const adapterKey = (modelName: string, adapterName: string): string => `${modelName}/${adapterName}`
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -82,6 +82,8 @@
   readonly leavingModels: readonly string[]
   /** Model that is being loaded. */
   readonly loadingModel: string
+  /** That load comes from the weight store: the engine takes no other order for seconds. */
+  readonly isLoadingCold: boolean
   /** Time until that load ends, as far as is known. */
   readonly loadingLeftMs: number
   /** Time until the agent may begin another load from the weight store. */
--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -27,6 +27,7 @@
   models: [],
   leavingModels: [],
   loadingModel: '',
+  isLoadingCold: false,
   loadingLeftMs: 0,
   coldWaitMs: 0,
   roomMs: 0,
--- a/packages/gateway/src/placing/watchReplicas.ts
+++ b/packages/gateway/src/placing/watchReplicas.ts
@@ -14,8 +14,20 @@
 /** A replica that was asked for ahead of requests is given up after this time: a slow load takes 13 s and its queue. */
 const AHEAD_WANT_MS = 30_000
 
-/** Loads from the weight store ahead of requests at a time: few run at full speed, and callers' own go first. */
-const MAX_PRELOADS = 3
+/**
+ * Loads from the weight store at a time beyond which none is begun ahead of requests. An engine that loads takes no other
+ * order for six seconds or more: with half of the engines loading, callers of rare models waited out their time behind them.
+ */
+const MAX_COLD_LOADS = 1
+
+/** The same before anybody has asked for anything: as many as run at full speed. */
+const MAX_FIRST_LOADS = 4
+
+const countColdLoads = (servers: readonly KnownServer[]): number => {
+  let count = 0
+  for (const { state } of servers) count += Number(state?.isLoadingCold ?? false)
+  return count
+}
 
 /** A model is busy with this many prompt tokens a second, a twentieth of an engine's rate: a few requests in ten seconds. */
 const BUSY_TOKENS_PER_S = 2_000
@@ -52,10 +64,12 @@
 
 /** Asks an agent for one more replica, for nobody in particular. */
 export const askFor = (
-  context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], gainPerS: number, reason: string
+  context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], gainPerS: number, reason: string, maxColdLoads = MAX_COLD_LOADS
 ): void => {
   const loaders = viewLoaders(context.directory, spec, model, servers, context.timers.nowMs())
   const choice = chooseLoader(model, loaders)
+  const loader = loaders.find(candidate => candidate.serverId === choice?.serverId)
+  if (loader && !loader.isInMemory && !loader.isOnDisk && countColdLoads(servers) >= maxColdLoads) return
   const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
   if (!choice || !server) return
   context.events.emit(GatewayEvent.replicaAsked, { model: model.name, peer: choice.serverId, reason, waitMs: Math.round(choice.readyInMs) })
@@ -79,12 +93,9 @@
   if (scarce) askFor(context, spec, scarce.model, servers, context.demand.requestsPerS(scarce.model.name), 'few copies')
   // A model that no engine holds and none has a copy of costs its next caller a load from the weight store. Bringing
   // it while nobody waits leaves a copy on the engine's disk, from which it is back in half a second.
-  let coming = 0
-  for (const standing of standings) {
-    if (standing.copyCount === 0) coming += standing.comingCount
-  }
   const absent = standings.find(standing => standing.copyCount === 0 && standing.comingCount === 0)
-  if (absent && coming < MAX_PRELOADS) askFor(context, spec, absent.model, servers, 0, 'no copy')
+  const isAtRest = standings.every(standing => standing.promptTokensPerS === 0)
+  if (absent) askFor(context, spec, absent.model, servers, 0, 'no copy', isAtRest ? MAX_FIRST_LOADS : MAX_COLD_LOADS)
 }
 
 /**
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -14,6 +14,7 @@
 /** The load that is under way. */
 export interface CurrentLoad {
   readonly modelName: string
+  readonly isCold: boolean
   readonly endsAtMs: number
 }
 
@@ -113,7 +114,7 @@
   const send = async (planned: PlannedOrder, current: ServerReport, spec: EngineSpec): Promise<void> => {
     const { modelName, adapterName, operation } = planned
     const isWholeModel = adapterName === ''
-    if (operation === 'load' && isWholeModel) load = { modelName, endsAtMs: timers.nowMs() + loadMsOf(planned, spec) }
+    if (operation === 'load' && isWholeModel) load = { modelName, isCold: planned.isCold, endsAtMs: timers.nowMs() + loadMsOf(planned, spec) }
     // Begins before the order leaves: its answer may be lost though the load has begun.
     coldBeforeMs = lastColdMs
     if (planned.isCold && coldWaitMs() === 0) lastColdMs = timers.nowMs()
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -91,6 +91,7 @@
       models,
       leavingModels: orderer.leavingModels(),
       loadingModel: load?.modelName ?? '',
+      isLoadingCold: load?.isCold ?? false,
       loadingLeftMs: load ? Math.max(0, load.endsAtMs - timers.nowMs()) : 0,
       coldWaitMs: Math.round(orderer.coldWaitMs()),
       queuedModels: wants.open().filter(want => want.adapterName === '').map(want => want.modelName),
