--- a/packages/capacity/src/page/texts.ts
+++ b/packages/capacity/src/page/texts.ts
@@ -33,4 +33,7 @@
   own sends and what answers show. Whether that holds the first token within 0.7 s for 95 in 100 is not measured; a report
   with each answer would cost about 4 KB a second and is the first thing to try.
 - **Weight store**: it is given as a few loads a second, four at full speed. 11% of 30,200 models and adapters an hour are
-  0.9 wakes a second, half of them falling idle; this fits only while checkpoints lie on the runners' disks.`
+  0.9 wakes a second, half of them falling idle; this fits only while checkpoints lie on the runners' disks.
+- **The HTTP path** (\`packages/gateway\`, \`packages/sidecar\`): the tables are of the routers and agents with figmount's own
+  interface. On the HTTP path each router is linked to each agent: 70 instances make some 1,200 links, and the target's 2.5
+  million do not fit. Links on demand and digests, as the tables assume, are not built there, and its slopes are not measured.`
