Resume a stream when the agent tells of its engine's death, and leave silence to the caller's patience

A stream silent for 2.5 s was broken off, though prompts may queue longer and callers of the slow route wait 8 s and more.

--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -36,6 +36,8 @@
   /** Servers of a service that may get new requests. */
   readonly serving: (serviceName: string) => readonly KnownServer[]
   readonly find: (serverId: string) => KnownServer | undefined
+  /** The server has ended or was replaced, by its agent's word; one that is only unlisted may still finish what it runs. */
+  readonly isDead: (serverId: string) => boolean
   readonly entries: () => readonly ServerEntry[]
   readonly failureShareOf: (server: KnownServer) => number
   /** Models of own requests that run at an address. */
@@ -196,6 +198,12 @@
       const entry = entries.get(serverId)
       return entry && view(entry)
     },
+    isDead: serverId => {
+      const entry = entries.get(serverId)
+      if (!entry) return false
+      const server = view(entry)
+      return server.isReplaced || server.state?.isUp === false
+    },
     entries: () => [...entries.values()],
     failureShareOf: server => failureShareAt(server.failures, timers.nowMs()),
     runningModels: address => {
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -28,8 +28,8 @@
  */
 export const WAIT_SHARE = 0.8
 
-/** The first event may take a long prompt's time and a queue's. */
-export const FIRST_EVENT_SILENCE_MS = 2_500
+/** Time between two looks whether the server of a resumable stream is still alive, by its agent's word. */
+export const DEATH_LOOK_MS = 100
 
 /** Crashes of servers by one request after which it is not run again. */
 export const MAX_CRASHES = 2
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -1,6 +1,5 @@
 import { readWhole } from '../forwarding/readWhole.js'
 import { relayEvents } from '../streams/relayEvents.js'
-import { FIRST_EVENT_SILENCE_MS } from './constants.js'
 import { answerWhole } from './endRequest.js'
 import { isForeign, openExchange } from './exchange.js'
 
@@ -19,7 +18,7 @@
 const OK = 200
 const MISDIRECTED = 421
 
-const relay = async (context: GatewayContext, stream: CallerStream, open: OpenAnswer, firstEvent: () => void): Promise<RunEnd> => {
+const relay = async (context: GatewayContext, request: RoutedRequest, stream: CallerStream, open: OpenAnswer, firstEvent: () => void): Promise<RunEnd> => {
   stream.open(open.message.statusCode ?? OK, context.codec.encodeAnswer(open.message.rawHeaders))
   const end = await relayEvents({
     answer: open,
@@ -29,7 +28,7 @@
       return stream.take(event)
     },
     onceDrained: stream.onceDrained,
-    silenceMs: FIRST_EVENT_SILENCE_MS
+    silenceMs: request.route.patienceMs
   })
   if (stream.hasGap()) return { type: 'broken', reason: 'an event is missing' }
   return end.isWhole ? { type: 'finished' } : { type: 'broken', reason: end.reason }
@@ -52,7 +51,7 @@
     open.abort()
     return { type: 'broken', reason: 'answer to another request' }
   }
-  if (status === OK && !open.answer.isNotRun) return await relay(context, stream, open, firstEvent)
+  if (status === OK && !open.answer.isNotRun) return await relay(context, request, stream, open, firstEvent)
   const read = await readWhole(open, serverId)
   if (status === MISDIRECTED || open.answer.isNotRun) {
     return { type: 'notRun', reason: `turned away with ${status}`, isMisplaced: status === MISDIRECTED }
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -3,7 +3,7 @@
 import { GatewayEvent } from '../events.js'
 import { viewHolders } from '../placing/viewServers.js'
 import { awaitAdapter, awaitModel } from './awaitModel.js'
-import { FULL_RETRY_MS, LEAST_SERVE_MS, MAX_CRASHES, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS } from './constants.js'
+import { DEATH_LOOK_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_CRASHES, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS } from './constants.js'
 import { fail, noteLeft, refuse } from './endRequest.js'
 import { runStream } from './runStream.js'
 import { createCallerStream } from './streamToCaller.js'
@@ -40,6 +40,11 @@
   const ending = new AbortController()
   const stopTimer = context.timers.after(Math.max(0, request.untilMs - context.timers.nowMs()), () => ending.abort())
   const signal = AbortSignal.any([request.left, ending.signal])
+  // Guards against an engine that dies without closing its connections: a stream that may go on elsewhere would be silent
+  // until its caller leaves, though the agent beside the engine has told of its death.
+  const stopLooking = request.route.isResumable
+    ? context.timers.every(DEATH_LOOK_MS, () => { if (directory.isDead(serverId)) ending.abort() })
+    : () => {}
   let isPending = true
   const settlePending = (): void => {
     if (!isPending) return
@@ -54,6 +59,7 @@
   directory.noteEnded(serverId)
   directory.noteRunEnd(serverId, modelName)
   stopTimer()
+  stopLooking()
   if (!request.left.aborted) directory.noteOutcome(serverId, end.type === 'broken' || (end.type === 'notRun' && !end.isMisplaced))
   return end
 }
