Order loads by the requests that they serve for the time that they take

Queued loads count with the time for their room now, and the weight store with what it costs the engine's other callers.

--- a/packages/decisions/src/placing/chooseLoader.ts
+++ b/packages/decisions/src/placing/chooseLoader.ts
@@ -16,6 +16,12 @@
 
 const FULL_RATE_TOKENS_PER_S = 40_000
 
+/**
+ * Time that a load from the weight store weighs besides its own: the engine takes no other order meanwhile, and beyond a
+ * few at once each of them slows the others.
+ */
+const COLD_COST_MS = 3_000
+
 /** A server and the time until it has the model. */
 export interface LoaderChoice {
   readonly serverId: string
@@ -41,8 +47,9 @@
   for (const server of servers) {
     const readyInMs = server.busyMs + (server.isLoading ? 0 : server.roomMs + loadMs(times, server))
     const blockedMs = loadMs(times, server) * BUSY_SHARE * Math.min(1, server.heldTokensPerS / FULL_RATE_TOKENS_PER_S)
+    const coldMs = server.isLoading || server.isInMemory || server.isOnDisk ? 0 : COLD_COST_MS
     const loss = server.isLoading ? 0 : server.evictionLoss * LOSS_COST_MS + server.heldCount * HELD_COST_MS + blockedMs
-    const cost = readyInMs + loss + server.failureShare * FAILURE_COST_MS
+    const cost = readyInMs + coldMs + loss + server.failureShare * FAILURE_COST_MS
     if (cost >= bestCost) continue
     bestCost = cost
     best = { serverId: server.serverId, readyInMs }
--- a/packages/decisions/src/placing/placing.test.ts
+++ b/packages/decisions/src/placing/placing.test.ts
@@ -22,7 +22,7 @@
 })
 
 const want = (modelName: string, given: Partial<WantView> = {}): WantView => ({
-  modelName, adapterName: '', waitingCount: 1, gainPerS: 0, ageMs: 10, weightsMb: 70_000, adapterMb: 66, isAtHand: true, ...given
+  modelName, adapterName: '', waitingCount: 1, gainPerS: 0, ageMs: 10, weightsMb: 70_000, adapterMb: 66, isAtHand: true, loadMs: 440, ...given
 })
 
 const engine = (given: Partial<EngineView> = {}): EngineView => ({
@@ -177,6 +177,20 @@
     expect(planOrder(engine({ wants }))?.modelName).to.equal('awaited')
   })
 
+  it('serves the many before the one, by the time that it takes', () => {
+    // A busy model has lost its engines; 32 callers wait for its load of six seconds while single callers of rare
+    // models keep coming, each with a load of half a second.
+    const wants = [want('rare', { ageMs: 2_000 }), want('busy', { waitingCount: 32, isAtHand: false, loadMs: 6_000 })]
+    expect(planOrder(engine({ wants }))?.modelName).to.equal('busy')
+    const few = [want('rare'), want('busy', { waitingCount: 3, isAtHand: false, loadMs: 6_000, ageMs: 2_000 })]
+    expect(planOrder(engine({ wants: few }))?.modelName).to.equal('rare')
+  })
+
+  it('takes a copy at hand on another engine before the weight store, though it takes longer', () => {
+    const choice = chooseLoader(TIMES, [loader('a'), loader('b', { isOnDisk: true, busyMs: 7_000 })])
+    expect(choice?.serverId).to.equal('b')
+  })
+
   it('holds back from the weight store until it may', () => {
     expect(planOrder(engine({ mayLoadCold: false, wants: [want('new', { isAtHand: false })] }))).to.equal(undefined)
   })
--- a/packages/decisions/src/placing/planOrder.ts
+++ b/packages/decisions/src/placing/planOrder.ts
@@ -22,6 +22,8 @@
   readonly weightsMb: number
   readonly adapterMb: number
   readonly isAtHand: boolean
+  /** Time that its load takes the engine. */
+  readonly loadMs: number
 }
 
 /** One engine and what is wanted of it. */
@@ -102,10 +104,17 @@
   return { operation: 'unload', modelName, adapterName: '', isCold: false }
 }
 
-/** Those that wait go before preloads, what is at hand before the weight store, then the longest wait. */
+/** Requests served for each ms that the engine takes no other order. */
+const densityOf = (want: WantView): number => want.waitingCount / Math.max(1, want.loadMs)
+
+/**
+ * Those that wait go before preloads, then what serves most requests for the time that it takes, then the longest wait.
+ * By age alone, or with copies at hand always first, 32 callers of a busy model waited 13 s behind one after the other
+ * for rare ones.
+ */
 const byUrgency = (a: WantView, b: WantView): number =>
   Number(b.waitingCount > 0) - Number(a.waitingCount > 0) ||
-  Number(b.isAtHand) - Number(a.isAtHand) ||
+  densityOf(b) - densityOf(a) ||
   b.ageMs - a.ageMs
 
 /**
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -75,8 +75,8 @@
   let busyMs = loadingLeftMs(server, nowMs)
   if (state.loadingModel === modelName) return busyMs
   for (const queued of state.queuedModels) {
-    if (queued === modelName) return busyMs + loadMs(spec, server, modelName, nowMs)
-    busyMs += loadMs(spec, server, queued, nowMs)
+    busyMs += state.roomMs + loadMs(spec, server, queued, nowMs)
+    if (queued === modelName) return busyMs
   }
   return busyMs
 }
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -3,7 +3,7 @@
 
 import { SidecarEvent } from '../events.js'
 import { FAST_POLL_MS, LEAVE_NOTICE_MS, ORDER_RETRY_MS, ORDER_TIMEOUT_MS, POLL_MS } from './constants.js'
-import { nextOrder } from './viewEngine.js'
+import { loadMsOf, nextOrder } from './viewEngine.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { PlannedOrder } from '@figmount/decisions'
@@ -90,13 +90,6 @@
     if (leaving !== undefined && !names.has(leaving)) leaving = undefined
   }
 
-  const loadMsOf = (planned: PlannedOrder, spec: EngineSpec): number => {
-    const model = spec.models.find(candidate => candidate.name === planned.modelName)
-    if (!model) return 0
-    if (planned.isCold) return model.coldLoadMs
-    return report?.inMemory.includes(planned.modelName) ? model.memoryLoadMs : model.diskLoadMs
-  }
-
   const noteAnswer = (planned: PlannedOrder, answer: OrderAnswer): void => {
     events.emit(SidecarEvent.orderAnswered, { model: planned.modelName, adapter: planned.adapterName, step: planned.operation, reason: answer })
     if (answer === OrderAnswer.OtherServer) options.noteOtherServer()
@@ -114,7 +107,7 @@
   const send = async (planned: PlannedOrder, current: ServerReport, spec: EngineSpec): Promise<void> => {
     const { modelName, adapterName, operation } = planned
     const isWholeModel = adapterName === ''
-    if (operation === 'load' && isWholeModel) load = { modelName, isCold: planned.isCold, endsAtMs: timers.nowMs() + loadMsOf(planned, spec) }
+    if (operation === 'load' && isWholeModel) load = { modelName, isCold: planned.isCold, endsAtMs: timers.nowMs() + loadMsOf(current, spec.models.find(model => model.name === modelName), modelName) }
     // Begins before the order leaves: its answer may be lost though the load has begun.
     coldBeforeMs = lastColdMs
     if (planned.isCold && coldWaitMs() === 0) lastColdMs = timers.nowMs()
--- a/packages/sidecar/src/engine/viewEngine.ts
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -23,9 +23,11 @@
 const isAtHand = (report: ServerReport, modelName: string): boolean =>
   report.inMemory.includes(modelName) || report.onDisk.includes(modelName)
 
-const returnsMsOf = (report: ServerReport, model: ModelSpec | undefined, modelName: string): number => {
+/** Time that a load of the model takes the engine. */
+export const loadMsOf = (report: ServerReport, model: ModelSpec | undefined, modelName: string): number => {
   if (!model) return 0
-  return isAtHand(report, modelName) ? model.diskLoadMs : model.coldLoadMs
+  if (report.inMemory.includes(modelName)) return model.memoryLoadMs
+  return report.onDisk.includes(modelName) ? model.diskLoadMs : model.coldLoadMs
 }
 
 /** The models held, as candidates to make way. */
@@ -41,7 +43,7 @@
       promptTokensPerS: total.promptTokensPerS,
       replicaCount: total.replicaCount,
       isDemandKnown: inputs.demand.isSettled(),
-      returnsMs: returnsMsOf(inputs.report, model, held.name),
+      returnsMs: loadMsOf(inputs.report, model, held.name),
       isRunning: total.isRunning,
       heldMs: inputs.nowMs - (inputs.heldSinceMs.get(held.name) ?? -Infinity),
       idleMs: total.idleMs
@@ -76,7 +78,8 @@
     ageMs: inputs.nowMs - want.sinceMs,
     weightsMb: model?.weightsMb ?? Infinity,
     adapterMb: model?.adapterMb ?? 0,
-    isAtHand: isAtHand(inputs.report, want.modelName)
+    isAtHand: isAtHand(inputs.report, want.modelName),
+    loadMs: loadMsOf(inputs.report, model, want.modelName)
   }
 }
 
