--- a/packages/decisions/src/placing/constants.ts
+++ b/packages/decisions/src/placing/constants.ts
@@ -21,11 +21,11 @@
  */
 export const REPLICA_USE_LIMIT = 0.3
 
-/** Part of an engine's prompt rate below which the last but one replica may go: half of the limit, so that none comes and goes. */
-export const REPLICA_USE_FLOOR = 0.15
-
-/** A model that has just been loaded stays this long, so that those who waited for it reach it. */
-export const LEAST_HELD_MS = 1_500
+/**
+ * A model that has just been loaded stays this long, so that those who waited for it reach it: a message's way to the
+ * router and a request's to the engine. An engine that holds one model at a time loses this time with each rare request.
+ */
+export const LEAST_HELD_MS = 300
 
 /** A model that was used this lately may have requests on their way. */
 export const LEAST_IDLE_MS = 150
--- a/packages/fleet/src/deployment/types.ts
+++ b/packages/fleet/src/deployment/types.ts
@@ -48,7 +48,6 @@
   readonly diskLoadMs: number
   /** Load from the backend server's own memory. */
   readonly memoryLoadMs: number
-  readonly adapterCount: number
   readonly adapterMb: number
 }
 
@@ -58,14 +57,11 @@
   /** Room for weights and adapters together. */
   readonly weightsCapacityMb: number
   readonly adapterSlots: number
-  readonly coldLoadsPerS: number
-  readonly kvCapacityTokens: number
 }
 
 /** A group of backend servers. Without an engine it is a plain service. */
 export interface Service {
   readonly name: string
-  readonly maxConnections: number
   /** Path of the servers' health check. */
   readonly healthPath: string
   readonly engine?: EngineSpec
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -108,7 +108,6 @@
   readonly runningCount: number
   /** Requests without a first event, those that wait among them. */
   readonly startingCount: number
-  readonly kvUsedTokens: number
 }
 
 /** A want is met, or given up. */
--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -19,7 +19,6 @@
   readonly modelName: string
   readonly adapterName: string
   readonly promptTokens: number
-  readonly maxOutputTokens: number
   readonly promptParts: readonly PromptPart[]
   /** Last event that the caller has, empty for a new stream. */
   readonly lastEventId: string
@@ -40,8 +39,6 @@
   readonly serverId: string
   /** The server states that it has not run the request and never will. */
   readonly isNotRun: boolean
-  /** The answer bears the server's signature. */
-  readonly isSigned: boolean
 }
 
 /** Names and values as they came, one after the other. */
--- a/packages/fleet/src/servers/types.ts
+++ b/packages/fleet/src/servers/types.ts
@@ -26,12 +26,9 @@
   readonly isBusy: boolean
   /** Orders that this start of the server has accepted. */
   readonly orderCount: number
-  readonly waitingCount: number
   readonly runningCount: number
   /** Requests taken whose first event has not been made: they wait or their prompts are being computed. */
   readonly startingCount: number
-  readonly kvUsedTokens: number
-  readonly kvCapacityTokens: number
   readonly isDraining: boolean
   /** Models whose weights lie in the server's memory or on its disk. */
   readonly inMemory: readonly string[]
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -59,7 +59,6 @@
     headers: message.rawHeaders,
     body,
     arrivedMs,
-    callerUntilMs: arrivedMs + deadlineMs,
     untilMs: arrivedMs + Math.min(deadlineMs, route.timeoutMs),
     response,
     left,
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -40,8 +40,6 @@
   readonly headers: RawHeaders
   readonly body: Buffer
   readonly arrivedMs: number
-  /** The caller waits no longer. */
-  readonly callerUntilMs: number
   /** Time by which the caller has its final answer. */
   readonly untilMs: number
   readonly response: ServerResponse
--- a/packages/sidecar/src/engine/createOrderer.test.ts
+++ b/packages/sidecar/src/engine/createOrderer.test.ts
@@ -14,12 +14,10 @@
 
 const SPEC: EngineSpec = {
   models: ['a', 'b', 'c'].map(name => ({
-    name, weightsMb: 100, coldLoadMs: 6_000, diskLoadMs: 400, memoryLoadMs: 300, adapterCount: 0, adapterMb: 0
+    name, weightsMb: 100, coldLoadMs: 6_000, diskLoadMs: 400, memoryLoadMs: 300, adapterMb: 0
   })),
   weightsCapacityMb: 100,
-  adapterSlots: 2,
-  coldLoadsPerS: 2,
-  kvCapacityTokens: 1_000
+  adapterSlots: 2
 }
 
 const reportOf = (given: Partial<ServerReport> = {}): ServerReport => ({
@@ -27,11 +25,8 @@
   arrivingAdapters: [],
   isBusy: false,
   orderCount: 0,
-  waitingCount: 0,
   runningCount: 0,
   startingCount: 0,
-  kvUsedTokens: 0,
-  kvCapacityTokens: 1_000,
   isDraining: false,
   inMemory: [],
   onDisk: ['a'],
--- a/packages/sidecar/src/engine/viewEngine.ts
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -30,6 +30,15 @@
   return report.onDisk.includes(modelName) ? model.diskLoadMs : model.coldLoadMs
 }
 
+/**
+ * Whether a model has running requests. Routers tell twice a second for which they have some; the engine's own report is
+ * newer but counts over all models, so it decides where it is certain.
+ */
+const isRunning = (report: ServerReport, isTold: boolean): boolean => {
+  if (report.runningCount === 0 && report.startingCount === 0) return false
+  return isTold || report.models.length === 1
+}
+
 /** The models held, as candidates to make way. */
 export const viewResidents = (inputs: EngineInputs): readonly PlacedModel[] => {
   const specs = specsOf(inputs.spec)
@@ -44,7 +53,7 @@
       replicaCount: total.replicaCount,
       isDemandKnown: inputs.demand.isSettled(),
       returnsMs: loadMsOf(inputs.report, model, held.name),
-      isRunning: total.isRunning,
+      isRunning: isRunning(inputs.report, total.isRunning),
       heldMs: inputs.nowMs - (inputs.heldSinceMs.get(held.name) ?? -Infinity),
       idleMs: total.idleMs
     }
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -106,7 +106,7 @@
   const describeLoad = (): AgentLoad | undefined => {
     const report = orderer.report()
     if (!report) return undefined
-    return { type: 'load', runningCount: report.runningCount, startingCount: report.startingCount, kvUsedTokens: report.kvUsedTokens }
+    return { type: 'load', runningCount: report.runningCount, startingCount: report.startingCount }
   }
 
   const isHeld = (modelName: string, adapterName: string): boolean => {
