--- a/packages/base/src/binary/runBinary.ts
+++ b/packages/base/src/binary/runBinary.ts
@@ -106,9 +106,12 @@
   const writeLine = args.eventLines ? lineWriterFor(args.eventLinesPerS, timers, metrics) : undefined
   const events = createEventLog({ instance, role: options.role, timers, ...(writeLine ? { writeLine } : {}) })
   try {
+    // Before the start: a hang-up signal that comes early would end the process.
+    let reloadSettings = (): void => {}
+    process.on('SIGHUP', () => reloadSettings())
     const running = await options.start({ settings, events, timers, metrics })
+    reloadSettings = () => reload(options, args.settings, events, running)
     events.emit(BaseEvent.processStarted, { detail: running.address })
-    process.on('SIGHUP', () => reload(options, args.settings, events, running))
     await waitForStop()
     events.emit(BaseEvent.processStopping)
     await running.stop()
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -20,13 +20,13 @@
 export const MAX_TURNED_AWAY = 4
 
 /** Share of a request's time that a load may take; the rest is for queueing and computing. */
-export const LOAD_SHARE = 0.6
+export const LOAD_SHARE = 0.85
 
 /**
  * Share of a caller's patience after which it is refused when a load takes longer than was expected: it can come back,
  * where one that is kept until it leaves hears nothing.
  */
-export const WAIT_SHARE = 0.6
+export const WAIT_SHARE = 0.8
 
 /** Time between two looks whether the server of a resumable stream is still alive, by its agent's word. */
 export const DEATH_LOOK_MS = 100
