Pass on an answer without a length as it came

Read to its end and given a length, the half looked complete. Such an answer now ends with its connection at the caller too. Test with real processes: 'adds no length to an answer that has none'.

--- a/packages/gateway/src/forwarding/isWhole.ts
+++ b/packages/gateway/src/forwarding/isWhole.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 
-const hasFraming = (message: IncomingMessage): boolean =>
+/** The message tells its own end, by a length or in chunks; any other ends with its connection. */
+export const hasFraming = (message: IncomingMessage): boolean =>
   message.headers['content-length'] !== undefined || message.headers['transfer-encoding'] !== undefined
 
 /**
--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -43,11 +43,26 @@
   request.response.end()
 }
 
+/**
+ * Has the answer end with its connection, as the server's did.
+ *
+ * Guards against an answer without a length that broke off: a connection that is closed after half of it looks like one
+ * that was closed after the whole. With a length of figmount's own the half would look complete for certain; passed on as
+ * it came, the caller knows as much as figmount does.
+ */
+export const endWithConnection = ({ response }: RoutedRequest): void => {
+  response.shouldKeepAlive = false
+  response.useChunkedEncodingByDefault = false
+}
+
 /** Gives the caller a server's answer that was read whole. */
-export const answerWhole = (context: GatewayContext, request: RoutedRequest, status: number, headers: RawHeaders, body: Buffer, peer: string): void => {
+export const answerWhole = (
+  context: GatewayContext, request: RoutedRequest, status: number, headers: RawHeaders, body: Buffer, peer: string, isFramed: boolean
+): void => {
   noteAnswered(context, request, peer, status)
   if (!isOpen(request)) return
-  request.response.writeHead(status, [...headers, 'content-length', String(body.length)])
+  if (!isFramed) endWithConnection(request)
+  request.response.writeHead(status, [...headers, ...(isFramed ? ['content-length', String(body.length)] : [])])
   request.response.end(body)
 }
 
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -1,3 +1,4 @@
+import { hasFraming } from '../forwarding/isWhole.js'
 import { readWhole } from '../forwarding/readWhole.js'
 import { relayEvents } from '../streams/relayEvents.js'
 import { answerWhole } from './endRequest.js'
@@ -19,7 +20,7 @@
 const MISDIRECTED = 421
 
 const relay = async (context: GatewayContext, request: RoutedRequest, stream: CallerStream, open: OpenAnswer, firstEvent: () => void): Promise<RunEnd> => {
-  stream.open(open.message.statusCode ?? OK, context.codec.encodeAnswer(open.message.rawHeaders))
+  stream.open(open.message.statusCode ?? OK, context.codec.encodeAnswer(open.message.rawHeaders), hasFraming(open.message))
   const end = await relayEvents({
     answer: open,
     timers: context.timers,
@@ -58,6 +59,6 @@
   }
   if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
   if (stream.hasBegun()) return { type: 'broken', reason: `status ${status}` }
-  answerWhole(context, request, status, context.codec.encodeAnswer(open.message.rawHeaders), read.unsafeCoerce(), serverId)
+  answerWhole(context, request, status, context.codec.encodeAnswer(open.message.rawHeaders), read.unsafeCoerce(), serverId, hasFraming(open.message))
   return { type: 'finished' }
 }
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -2,6 +2,7 @@
 import { rankServers } from '@figmount/decisions'
 
 import { GatewayEvent } from '../events.js'
+import { hasFraming } from '../forwarding/isWhole.js'
 import { readWhole } from '../forwarding/readWhole.js'
 import { FULL_RETRY_MS, LEAST_SERVE_MS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS } from './constants.js'
 import { answerWhole, fail, noteLeft, refuse } from './endRequest.js'
@@ -62,7 +63,7 @@
   }
   if (read.isLeft()) return { type: 'unknown', reason: read.swap().unsafeCoerce().message }
   const deliver = (): void => {
-    answerWhole(context, request, status, context.codec.encodeAnswer(open.message.rawHeaders), read.unsafeCoerce(), serverId)
+    answerWhole(context, request, status, context.codec.encodeAnswer(open.message.rawHeaders), read.unsafeCoerce(), serverId, hasFraming(open.message))
   }
   if (status >= FIRST_SERVER_ERROR) return { type: 'failed', status, deliver }
   deliver()
--- a/packages/gateway/src/requests/streamToCaller.ts
+++ b/packages/gateway/src/requests/streamToCaller.ts
@@ -1,4 +1,4 @@
-import { noteAnswered } from './endRequest.js'
+import { endWithConnection, noteAnswered } from './endRequest.js'
 
 import type { RawHeaders } from '@figmount/fleet'
 import type { StreamEvent } from '../streams/splitEvents.js'
@@ -7,7 +7,7 @@
 /** What a caller has of its stream, over all runs. */
 export interface CallerStream {
   /** Keeps the head of the first run; the caller gets it with the first event. */
-  readonly open: (status: number, headers: RawHeaders) => void
+  readonly open: (status: number, headers: RawHeaders, isFramed: boolean) => void
   /** Passes an event on unless the caller has it; true while the caller keeps up. */
   readonly take: (event: StreamEvent) => boolean
   readonly onceDrained: (resume: () => void) => void
@@ -28,7 +28,7 @@
 /** Makes the caller's side of one stream. */
 export const createCallerStream = (context: GatewayContext, request: RoutedRequest): CallerStream => {
   const { response } = request
-  let head: { readonly status: number, readonly headers: RawHeaders } | undefined
+  let head: { readonly status: number, readonly headers: RawHeaders, readonly isFramed: boolean } | undefined
   let lastEventId = request.caller.lastEventId
   let lastNumber: number | undefined
   let gap = false
@@ -36,6 +36,7 @@
 
   const begin = (): void => {
     if (!head || response.headersSent || response.destroyed) return
+    if (!head.isFramed) endWithConnection(request)
     response.writeHead(head.status, [...head.headers])
     response.flushHeaders()
     firstEventMs = context.timers.nowMs() - request.arrivedMs
@@ -57,7 +58,7 @@
   }
 
   return {
-    open: (status, headers) => { head ??= { status, headers } },
+    open: (status, headers, isFramed) => { head ??= { status, headers, isFramed } },
     take: event => {
       if (!follows(event)) return true
       if (gap || response.destroyed) return true
