--- /dev/null
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -0,0 +1,91 @@
+import { expect } from 'chai'
+import { EitherAsync, Left, Right } from 'purify-ts'
+import { createEventLog, createVirtualTimers, makeFault } from '@figmount/base'
+
+import { createFeedFollower } from './createFeedFollower.js'
+
+import type { Fault, InstanceName } from '@figmount/base'
+import type { Either } from 'purify-ts'
+import type { FeedFollower } from './createFeedFollower.js'
+import type { FeedPage, FeedRecord } from './types.js'
+
+type Answer = Either<Fault, FeedPage>
+
+const record = (key: string, offset: number): FeedRecord => ({ key, value: Buffer.from(`${key}@${offset}`), offset })
+
+const page = (nextOffset: number, ...records: readonly FeedRecord[]): Answer => Right({ records, nextOffset, isExpired: false })
+
+const away: Answer = Left(makeFault('timeout', 'read', 'store', 'no answer'))
+
+const setUp = (answers: Answer[]) => {
+  const timers = createVirtualTimers()
+  const taken: string[] = []
+  const keys: string[][] = []
+  const outages: string[] = []
+  const reads: string[] = []
+  const next = (): Answer => answers.shift() ?? page(99)
+  const follower: FeedFollower = createFeedFollower({
+    feed: {
+      name: 'f',
+      readNewest: () => {
+        reads.push('newest')
+        return EitherAsync.liftEither(next())
+      },
+      readSince: offset => {
+        reads.push(`since ${offset}`)
+        return EitherAsync.liftEither(next())
+      }
+    },
+    timers,
+    events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers }),
+    waitMs: 0,
+    periodMs: 100,
+    take: records => { for (const { key, offset } of records) taken.push(`${key}@${offset}`) },
+    takeKeys: known => { keys.push([...known]) },
+    lost: () => { outages.push('lost') },
+    regained: () => { outages.push('regained') }
+  })
+  const pass = async (durationMs: number): Promise<void> => {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += 50) {
+      timers.advance(50)
+      await new Promise(resolve => { setImmediate(resolve) })
+    }
+  }
+  return { follower, taken, keys, outages, reads, pass }
+}
+
+describe('feed follower', () => {
+  it('reads the newest records first and what follows after them', async () => {
+    const { taken, keys, reads, pass } = setUp([page(5, record('a', 3)), page(6, record('a', 5))])
+    await pass(150)
+    expect(taken).to.deep.equal(['a@3', 'a@5'])
+    expect(keys).to.deep.equal([['a']])
+    expect(reads.slice(0, 2)).to.deep.equal(['newest', 'since 5'])
+  })
+
+  it('never takes an older record after a newer one of its key', async () => {
+    // A router that the store turns away hears of a new configuration from a neighbour. The store's own answer, made
+    // before, arrives later: taken in, it would bring the old configuration back.
+    const { follower, taken, pass } = setUp([page(4, record('config', 3)), page(5)])
+    await pass(100)
+    follower.offer([record('config', 9)])
+    follower.offer([record('config', 7)])
+    await pass(200)
+    expect(taken).to.deep.equal(['config@3', 'config@9'])
+  })
+
+  it('starts anew when the history was dropped', async () => {
+    const expired: Answer = Right({ records: [], nextOffset: 0, isExpired: true })
+    const { taken, keys, reads, pass } = setUp([page(5, record('a', 3)), expired, page(40, record('a', 39))])
+    await pass(300)
+    expect(reads.slice(0, 3)).to.deep.equal(['newest', 'since 5', 'newest'])
+    expect(taken).to.deep.equal(['a@3', 'a@39'])
+    expect(keys).to.have.length(2)
+  })
+
+  it('tells of an outage once and of its end', async () => {
+    const { outages, pass } = setUp([page(5), away, away, away, page(6)])
+    await pass(4_000)
+    expect(outages).to.deep.equal(['lost', 'regained'])
+  })
+})
--- /dev/null
+++ b/packages/gateway/src/requests/streamToCaller.test.ts
@@ -0,0 +1,78 @@
+import { EventEmitter } from 'node:events'
+import { expect } from 'chai'
+import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
+
+import { createCallerStream } from './streamToCaller.js'
+
+import type { InstanceName } from '@figmount/base'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+const setUp = (lastEventId = '') => {
+  const timers = createVirtualTimers()
+  const written: string[] = []
+  const response = Object.assign(new EventEmitter(), {
+    headersSent: false,
+    destroyed: false,
+    shouldKeepAlive: true,
+    writeHead: (status: number) => {
+      response.headersSent = true
+      written.push(`head ${status}`)
+    },
+    flushHeaders: () => {},
+    write: (bytes: Buffer) => {
+      written.push(bytes.toString())
+      return true
+    },
+    end: () => { written.push('end') }
+  })
+  const events = createEventLog({ instance: 'r' as InstanceName, role: 'router', timers })
+  const context = { timers, events, metrics: createMetrics() } as unknown as GatewayContext
+  const request = { response, arrivedMs: 0, caller: { requestId: 'r1', lastEventId } } as unknown as RoutedRequest
+  const stream = createCallerStream(context, request)
+  const take = (eventId: number): boolean => stream.take({ bytes: Buffer.from(`e${eventId}`), eventId: String(eventId) })
+  return { stream, written, take, response }
+}
+
+describe('a caller\'s stream', () => {
+  it('sends no head before the first event, so that a failure can still be told', () => {
+    const { stream, written, take } = setUp()
+    stream.open(200, [], true)
+    expect(written).to.deep.equal([])
+    take(1)
+    expect(written).to.deep.equal(['head 200', 'e1'])
+  })
+
+  it('gives each event once where two runs are joined', () => {
+    // The first engine dies after event 2. The second one begins a little before: the caller must not see 2 twice.
+    const { stream, written, take } = setUp()
+    stream.open(200, [], true)
+    take(1)
+    take(2)
+    stream.open(200, [], true)
+    for (const id of [2, 3, 4]) take(id)
+    expect(written).to.deep.equal(['head 200', 'e1', 'e2', 'e3', 'e4'])
+  })
+
+  it('passes nothing on behind a missing event', () => {
+    const { stream, written, take } = setUp()
+    stream.open(200, [], true)
+    take(1)
+    take(3)
+    expect(stream.hasGap()).to.equal(true)
+    expect(written).to.deep.equal(['head 200', 'e1'])
+  })
+
+  it('goes on where a caller left off', () => {
+    const { stream, written, take } = setUp('7')
+    stream.open(200, [], true)
+    for (const id of [7, 8]) take(id)
+    expect(written).to.deep.equal(['head 200', 'e8'])
+  })
+
+  it('ends with its connection where the server\'s answer does', () => {
+    const { stream, response, take } = setUp()
+    stream.open(200, [], false)
+    take(1)
+    expect(response.shouldKeepAlive).to.equal(false)
+  })
+})
