--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -115,6 +115,8 @@
   readonly type: 'wantSettled'
   readonly wantId: number
   readonly isReady: boolean
+  /** The engine or its agent went away: another one may still load the model in time. */
+  readonly isLost: boolean
   readonly reason: string
 }
 
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -32,13 +32,13 @@
   }
 
   const settleAll = (reason: string): void => {
-    for (const wantId of [...wants.keys()]) settle(wantId, { isReady: false, reason })
+    for (const wantId of [...wants.keys()]) settle(wantId, { isReady: false, isLost: true, reason })
   }
 
   const take = (message: AgentMessage): void => {
     if (message.type === 'state') return handlers.takeState(serverAddress, message)
     if (message.type === 'load') return handlers.takeLoad(serverAddress, message)
-    if (message.type === 'wantSettled') return settle(message.wantId, { isReady: message.isReady, reason: message.reason })
+    if (message.type === 'wantSettled') return settle(message.wantId, message)
     if (message.type === 'relay') return handlers.takeRelay(message)
     if (message.type === 'crash') handlers.takeCrash(message.requestHash, message.serverId)
   }
@@ -73,13 +73,13 @@
 
   return {
     want: async request => await new Promise(resolve => {
-      if (!link) return resolve({ isReady: false, reason: 'the agent does not answer' })
+      if (!link) return resolve({ isReady: false, isLost: true, reason: 'the agent does not answer' })
       const wantId = nextWantId++
       wants.set(wantId, resolve)
       const { adapterName, ...rest } = request
       link.send({ type: 'want', wantId, ...rest, ...(adapterName === '' ? {} : { adapterName }) })
       // The agent settles each want within its time. This covers an answer that is lost with the link's other end.
-      timers.after(request.timeLeftMs + HEARTBEAT_MS, () => settle(wantId, { isReady: false, reason: 'the agent did not answer in time' }))
+      timers.after(request.timeLeftMs + HEARTBEAT_MS, () => settle(wantId, { isReady: false, isLost: false, reason: 'the agent did not answer in time' }))
     }),
     send: message => {
       link?.send(message)
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -3,6 +3,8 @@
 /** What became of a want. */
 export interface WantOutcome {
   readonly isReady: boolean
+  /** The engine or its agent went away. */
+  readonly isLost: boolean
   readonly reason: string
 }
 
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -10,6 +10,8 @@
 /** Whether a model came in time; if not, when it may be there. */
 export interface ModelWait {
   readonly isReady: boolean
+  /** The engine that was asked went away: another one may be asked. */
+  readonly isLost: boolean
   readonly reason: string
   readonly retryAfterMs: number
 }
@@ -23,11 +25,11 @@
   const nowMs = context.timers.nowMs()
   const engine = context.deployment()?.services.find(service => service.name === request.serviceName)?.engine
   const model = engine?.models.find(candidate => candidate.name === modelName)
-  if (!engine || !model) return { isReady: false, reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
+  if (!engine || !model) return { isReady: false, isLost: false, reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
   const choice = chooseLoader(model, viewLoaders(context.directory, engine, model, servers, nowMs))
   const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
   const agent = server && context.agents.find(server.entry.address)
-  if (!choice || !agent) return { isReady: false, reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
+  if (!choice || !agent) return { isReady: false, isLost: false, reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
   const leftMs = Math.min(request.untilMs, request.arrivedMs + request.route.patienceMs) - nowMs
   const isHopeless = choice.readyInMs > leftMs * LOAD_SHARE
   context.events.emit(GatewayEvent.modelAwaited, {
@@ -35,9 +37,9 @@
   })
   const timeLeftMs = isHopeless ? choice.readyInMs * 2 : leftMs * WAIT_SHARE
   const wanted = agent.want({ serverId: choice.serverId, modelName, adapterName: '', waitingCount: 1, gainPerS: 0, timeLeftMs })
-  if (isHopeless) return { isReady: false, reason: 'the model comes too late', retryAfterMs: choice.readyInMs }
+  if (isHopeless) return { isReady: false, isLost: false, reason: 'the model comes too late', retryAfterMs: choice.readyInMs }
   const outcome = await wanted
-  return { isReady: outcome.isReady, reason: outcome.reason, retryAfterMs: NO_SERVER_RETRY_MS }
+  return { ...outcome, retryAfterMs: NO_SERVER_RETRY_MS }
 }
 
 /** Has an adapter put in place beside its model. */
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -19,6 +19,9 @@
 /** Sends of one request that servers turned away, after which it is refused: each costs time and a repeat. */
 export const MAX_TURNED_AWAY = 4
 
+/** Engines that may go away while they load one request's model before it is refused. */
+export const MAX_LOST_LOADS = 2
+
 /** Share of a request's time that a load may take; the rest is for queueing and computing. */
 export const LOAD_SHARE = 0.85
 
--- /dev/null
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -0,0 +1,109 @@
+import { expect } from 'chai'
+import { Right } from 'purify-ts'
+import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
+
+import { createDirectory } from '../directory/createDirectory.js'
+import { createDemandMeter } from '../demand/createDemandMeter.js'
+import { createCrashBook } from '../retries/createCrashBook.js'
+import { MAX_LOST_LOADS } from './constants.js'
+import { serveModel } from './serveModel.js'
+
+import type { InstanceName } from '@figmount/base'
+import type { AgentState, ServerEntry } from '@figmount/fleet'
+import type { WantOutcome } from '../agents/types.js'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+const MODEL = { name: 'm', weightsMb: 10, coldLoadMs: 6_000, diskLoadMs: 400, memoryLoadMs: 300, adapterMb: 0 }
+
+const entryOf = (serverId: string): ServerEntry =>
+  ({ serverId, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', slots: 1, isDraining: false, models: [] })
+
+const stateOf = (serverId: string): AgentState => ({
+  type: 'state',
+  serverId,
+  goneServerIds: [],
+  isUp: true,
+  isDraining: false,
+  models: [],
+  leavingModels: [],
+  loadingModel: '',
+  isLoadingCold: false,
+  loadingLeftMs: 0,
+  coldWaitMs: 0,
+  roomMs: 0,
+  queuedModels: [],
+  inMemory: [],
+  onDisk: ['m'],
+  evictionLoss: 0,
+  demandTokensPerS: [],
+  routerCount: 1
+})
+
+/** A router with two engines that have the model on disk; `answer` says what becomes of each want. */
+const setUp = (answer: (address: string) => WantOutcome) => {
+  const timers = createVirtualTimers()
+  const events = createEventLog({ instance: 'r' as InstanceName, role: 'router', timers })
+  const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), entryTaken: () => {} })
+  for (const serverId of ['a', 'b']) {
+    directory.takeRecords([{ key: serverId, value: Buffer.from('x'), offset: 1 }])
+    directory.takeState(`${serverId}:1`, stateOf(serverId))
+  }
+  const asked: string[] = []
+  const statuses: number[] = []
+  const context = {
+    timers,
+    events,
+    metrics: createMetrics(),
+    directory,
+    codec: { encodeRefusal: () => [] },
+    demand: createDemandMeter(timers),
+    crashes: createCrashBook(timers),
+    agents: {
+      find: (address: string) => ({
+        want: async () => {
+          asked.push(address)
+          return answer(address)
+        }
+      })
+    },
+    deployment: () => ({ services: [{ name: 's', engine: { models: [MODEL], weightsCapacityMb: 100, adapterSlots: 1 } }] })
+  } as unknown as GatewayContext
+  const request = {
+    caller: { requestId: 'r1', modelName: 'm', adapterName: '', promptTokens: 10, promptParts: [], lastEventId: '' },
+    route: { patienceMs: 5_000, objectiveMs: 500, isResumable: false, maxAttempts: 1 },
+    serviceName: 's',
+    arrivedMs: 0,
+    untilMs: 5_000,
+    left: new AbortController().signal,
+    requestHash: 'h',
+    response: { headersSent: false, destroyed: false, writeHead: (status: number) => { statuses.push(status) }, end: () => {} }
+  } as unknown as RoutedRequest
+  return { directory, context, request, asked, statuses }
+}
+
+describe('serving a model that no engine holds', () => {
+  it('asks another engine when the first one dies in the load', async () => {
+    // A caller waits for a load; the engine dies, and its agent says so. Another engine has a copy on its disk and time
+    // enough: the caller need not be refused.
+    const { directory, context, request, asked } = setUp(address => {
+      directory.takeState(address, { ...stateOf(address.charAt(0)), isUp: false })
+      return { isReady: false, isLost: true, reason: 'engine is down' }
+    })
+    await serveModel(context, request)
+    expect(asked).to.have.members(['a:1', 'b:1'])
+  })
+
+  it('refuses after a few engines that went away', async () => {
+    const { context, request, asked, statuses } = setUp(() => ({ isReady: false, isLost: true, reason: 'the agent does not answer' }))
+    await serveModel(context, request)
+    expect(asked).to.have.length(MAX_LOST_LOADS + 1)
+    expect(statuses).to.deep.equal([503])
+  })
+
+  it('refuses at once what did not come in time', async () => {
+    const { context, request, asked, statuses } = setUp(() => ({ isReady: false, isLost: false, reason: 'not in time' }))
+    await serveModel(context, request)
+    expect(asked).to.have.length(1)
+    expect(statuses).to.deep.equal([503])
+  })
+})
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -3,7 +3,7 @@
 import { GatewayEvent } from '../events.js'
 import { viewHolders } from '../placing/viewServers.js'
 import { awaitAdapter, awaitModel } from './awaitModel.js'
-import { DEATH_LOOK_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_CRASHES, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS } from './constants.js'
+import { DEATH_LOOK_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_CRASHES, MAX_LOST_LOADS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS } from './constants.js'
 import { fail, noteLeft, refuse } from './endRequest.js'
 import { runStream } from './runStream.js'
 import { createCallerStream } from './streamToCaller.js'
@@ -81,6 +81,7 @@
   let runs = 0
   let sends = 0
   let turnedAway = 0
+  let lostLoads = 0
   let lastPeer = ''
 
   const giveUp = (reason: string, retryAfterMs: number): void => {
@@ -101,7 +102,9 @@
     const choice = choose(context, request, servers)
     if (!choice) {
       const wait = await awaitModel(context, request, servers)
-      if (wait.isReady) continue
+      // An engine that dies in the middle of a load has lost its waiting callers nothing but time: another one is asked.
+      lostLoads += Number(wait.isLost)
+      if (wait.isReady || (wait.isLost && lostLoads <= MAX_LOST_LOADS)) continue
       return giveUp(wait.reason, wait.retryAfterMs)
     }
     const { serverId } = choice.server.entry
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -76,8 +76,8 @@
 
   const take = (link: RouterLink, message: RouterMessage): void => {
     if (message.type === 'want') {
-      return options.takeWant(link.peer, message, (wantId, isReady, reason) => {
-        sendTo(link, { type: 'wantSettled', wantId, isReady, reason })
+      return options.takeWant(link.peer, message, (wantId, end) => {
+        sendTo(link, { type: 'wantSettled', wantId, ...end })
       })
     }
     if (message.type === 'demand') return options.takeDemand(link.peer, message)
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -163,8 +163,8 @@
     takeWant: (router, want, settle) => {
       events.emit(SidecarEvent.wantTaken, { peer: router, model: want.modelName, adapter: want.adapterName ?? '', count: want.waitingCount })
       metrics.count('wants_total')
-      if (identity.gone().includes(want.serverId)) return settle(want.wantId, false, 'the engine has restarted')
-      if (!isUp) return settle(want.wantId, false, 'engine is down')
+      if (identity.gone().includes(want.serverId)) return settle(want.wantId, { isReady: false, isLost: true, reason: 'the engine has restarted' })
+      if (!isUp) return settle(want.wantId, { isReady: false, isLost: true, reason: 'engine is down' })
       wants.add(want, settle)
       advance()
     },
--- a/packages/sidecar/src/wants/createWantBook.test.ts
+++ b/packages/sidecar/src/wants/createWantBook.test.ts
@@ -12,7 +12,7 @@
   const timers = createVirtualTimers()
   const book = createWantBook(timers)
   const settled: string[] = []
-  const add = (asked: Want): void => book.add(asked, (wantId, isReady, reason) => { settled.push(`${wantId} ${isReady} ${reason}`) })
+  const add = (asked: Want): void => book.add(asked, (wantId, { isReady, reason }) => { settled.push(`${wantId} ${isReady} ${reason}`) })
   return { timers, book, settled, add }
 }
 
--- a/packages/sidecar/src/wants/createWantBook.ts
+++ b/packages/sidecar/src/wants/createWantBook.ts
@@ -1,8 +1,11 @@
 import type { TimerService } from '@figmount/base'
-import type { Want } from '@figmount/fleet'
+import type { Want, WantSettled } from '@figmount/fleet'
+
+/** How a want ended. */
+export type WantEnd = Pick<WantSettled, 'isReady' | 'isLost' | 'reason'>
 
 /** Tells a router what became of its want. */
-export type Settle = (wantId: number, isReady: boolean, reason: string) => void
+export type Settle = (wantId: number, outcome: WantEnd) => void
 
 interface Waiter {
   readonly wantId: number
@@ -42,9 +45,9 @@
 export const createWantBook = (timers: TimerService): WantBook => {
   const entries = new Map<string, Entry>()
 
-  const settleAll = (key: string, entry: Entry, isReady: boolean, reason: string): void => {
+  const settleAll = (key: string, entry: Entry, end: WantEnd): void => {
     entries.delete(key)
-    for (const waiter of entry.waiters) waiter.settle(waiter.wantId, isReady, reason)
+    for (const waiter of entry.waiters) waiter.settle(waiter.wantId, end)
   }
 
   const expire = (key: string, entry: Entry): void => {
@@ -52,7 +55,7 @@
     const waiters: Waiter[] = []
     for (const waiter of entry.waiters) {
       if (waiter.untilMs > nowMs) waiters.push(waiter)
-      else waiter.settle(waiter.wantId, false, 'not in time')
+      else waiter.settle(waiter.wantId, { isReady: false, isLost: false, reason: 'not in time' })
     }
     if (waiters.length === 0) entries.delete(key)
     else entries.set(key, { ...entry, waiters })
@@ -77,12 +80,12 @@
     }),
     review: isHeld => {
       for (const [key, entry] of [...entries]) {
-        if (isHeld(entry.modelName, entry.adapterName)) settleAll(key, entry, true, 'in place')
+        if (isHeld(entry.modelName, entry.adapterName)) settleAll(key, entry, { isReady: true, isLost: false, reason: 'in place' })
         else expire(key, entry)
       }
     },
     giveUpAll: reason => {
-      for (const [key, entry] of [...entries]) settleAll(key, entry, false, reason)
+      for (const [key, entry] of [...entries]) settleAll(key, entry, { isReady: false, isLost: true, reason })
     }
   }
 }
