--- a/packages/decisions/src/forwarding/failureShare.ts
+++ b/packages/decisions/src/forwarding/failureShare.ts
@@ -27,3 +27,25 @@
   const share = failureShareAt(failures, nowMs)
   return { share: share + NEWEST_WEIGHT * ((hasFailed ? 1 : 0) - share), asOfMs: nowMs }
 }
+
+/** What a router saw of one request at one server. */
+export interface SeenOutcome {
+  readonly hasFailed: boolean
+  /** The caller left before the end. */
+  readonly hasLeft: boolean
+  /** Nothing of an answer had come. */
+  readonly isSilent: boolean
+  readonly waitedMs: number
+}
+
+/** A caller that leaves a silent server after this long left because of it; one that leaves sooner had its own reasons. */
+const SILENT_LEAVE_MS = 1_000
+
+/**
+ * Whether an outcome counts against the server.
+ *
+ * Load pattern: a server that is cut off with its connections open. Its requests end with callers that leave, not with
+ * failures; without counting these it keeps its share of the requests until its entry lapses, six seconds in a played day.
+ */
+export const countsAsFailure = ({ hasFailed, hasLeft, isSilent, waitedMs }: SeenOutcome): boolean =>
+  hasLeft ? isSilent && waitedMs >= SILENT_LEAVE_MS : hasFailed
--- a/packages/decisions/src/forwarding/forwarding.test.ts
+++ b/packages/decisions/src/forwarding/forwarding.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 
-import { failureShareAt, noFailures, noteOutcome } from './failureShare.js'
+import { countsAsFailure, failureShareAt, noFailures, noteOutcome } from './failureShare.js'
 import { mayRepeat } from './retryAllowance.js'
 
 const LIMITS = { ratio: 0.2, windowMs: 10_000, slackCount: 54 }
@@ -21,6 +21,25 @@
   })
 })
 
+describe('outcomes', () => {
+  const seen = { hasFailed: false, hasLeft: false, isSilent: true, waitedMs: 2_400 }
+
+  it('count a caller that gave a silent server up', () => {
+    // A link to a server goes silent; nothing fails, and callers leave after 2.4 s each. The server must not look sound.
+    expect(countsAsFailure({ ...seen, hasLeft: true })).to.equal(true)
+  })
+
+  it('don\'t count a caller that left early, or in the middle of an answer', () => {
+    expect(countsAsFailure({ ...seen, hasLeft: true, waitedMs: 300 })).to.equal(false)
+    expect(countsAsFailure({ ...seen, hasLeft: true, isSilent: false })).to.equal(false)
+  })
+
+  it('count failures', () => {
+    expect(countsAsFailure({ ...seen, hasFailed: true })).to.equal(true)
+    expect(countsAsFailure(seen)).to.equal(false)
+  })
+})
+
 describe('repeats', () => {
   it('stay within the bound for all routers together', () => {
     // Servers die and every router repeats what it can. No router hears another; each knows how many there are.
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -1,4 +1,4 @@
-import { estimateFirstEventMs, rankServers } from '@figmount/decisions'
+import { countsAsFailure, estimateFirstEventMs, rankServers } from '@figmount/decisions'
 
 import { GatewayEvent } from '../events.js'
 import { viewHolders } from '../placing/viewServers.js'
@@ -54,13 +54,20 @@
   directory.noteSent(serverId, choice.newTokens)
   directory.noteRun(serverId, modelName)
   directory.prefixes.remember(serverId, `${modelName}/${adapterName}`, promptParts)
+  const sentMs = context.timers.nowMs()
   const end = await runStream(context, request, choice.server, stream, signal, settlePending)
+  const isSilent = isPending
   settlePending()
   directory.noteEnded(serverId)
   directory.noteRunEnd(serverId, modelName)
   stopTimer()
   stopLooking()
-  if (!request.left.aborted) directory.noteOutcome(serverId, end.type === 'broken' || (end.type === 'notRun' && !end.isMisplaced))
+  directory.noteOutcome(serverId, countsAsFailure({
+    hasFailed: end.type === 'broken' || (end.type === 'notRun' && !end.isMisplaced),
+    hasLeft: request.left.aborted,
+    isSilent,
+    waitedMs: context.timers.nowMs() - sentMs
+  }))
   return end
 }
 
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -1,5 +1,5 @@
 import { RequestKind } from '@figmount/fleet'
-import { rankServers } from '@figmount/decisions'
+import { countsAsFailure, rankServers } from '@figmount/decisions'
 
 import { GatewayEvent } from '../events.js'
 import { hasFraming } from '../forwarding/isWhole.js'
@@ -101,11 +101,17 @@
     tried.add(serverId)
     lastPeer = serverId
     directory.noteSent(serverId, 0)
+    const sentMs = timers.nowMs()
     const end = await tryOnce(context, request, server, request.left)
     directory.noteFirstEvent(serverId, 0)
     directory.noteEnded(serverId)
+    directory.noteOutcome(serverId, countsAsFailure({
+      hasFailed: end.type === 'unknown' || end.type === 'notSent' || end.type === 'failed',
+      hasLeft: request.left.aborted,
+      isSilent: end.type !== 'answered',
+      waitedMs: timers.nowMs() - sentMs
+    }))
     if (request.left.aborted) return noteLeft(context, request)
-    directory.noteOutcome(serverId, end.type === 'unknown' || end.type === 'notSent' || end.type === 'failed')
     if (end.type === 'answered') return
     if (end.type === 'notRun' || end.type === 'notSent') {
       turnedAway += 1
