--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -2,10 +2,11 @@
 import { Right } from 'purify-ts'
 import { createEventLog, createVirtualTimers } from '@figmount/base'
 
+import { makeAgentState } from '../testing/makeAgentState.js'
 import { createDirectory } from './createDirectory.js'
 
 import type { InstanceName, VirtualTimers } from '@figmount/base'
-import type { AgentState, FeedRecord, ServerEntry } from '@figmount/fleet'
+import type { FeedRecord, ServerEntry } from '@figmount/fleet'
 import type { Directory } from './createDirectory.js'
 
 const ADDRESS = 'host:1'
@@ -18,28 +19,6 @@
 
 const gone = (serverId: string): FeedRecord => ({ key: serverId, value: undefined, offset: 2 })
 
-const stateOf = (serverId: string, given: Partial<AgentState> = {}): AgentState => ({
-  type: 'state',
-  serverId,
-  goneServerIds: [],
-  isUp: true,
-  isDraining: false,
-  models: [],
-  leavingModels: [],
-  loadingModel: '',
-  isLoadingCold: false,
-  loadingLeftMs: 0,
-  coldWaitMs: 0,
-  roomMs: 0,
-  queuedModels: [],
-  inMemory: [],
-  onDisk: [],
-  evictionLoss: 0,
-  demandTokensPerS: [],
-  routerCount: 1,
-  ...given
-})
-
 const setUp = (): { readonly timers: VirtualTimers, readonly directory: Directory, readonly ids: () => readonly string[] } => {
   const timers = createVirtualTimers()
   const directory = createDirectory({
@@ -80,21 +59,21 @@
     // would all be turned away.
     const { directory, ids } = setUp()
     directory.takeRecords([listed('old')])
-    directory.takeState(ADDRESS, stateOf('new'))
+    directory.takeState(ADDRESS, makeAgentState('new'))
     expect(ids()).to.deep.equal([])
   })
 
   it('drops a server that its agent knows to be gone', () => {
     const { directory, ids } = setUp()
     directory.takeRecords([listed('old')])
-    directory.takeState(ADDRESS, stateOf('', { goneServerIds: ['old'] }))
+    directory.takeState(ADDRESS, makeAgentState('', { goneServerIds: ['old'] }))
     expect(ids()).to.deep.equal([])
   })
 
   it('drops a server whose agent cannot reach it', () => {
     const { directory, ids } = setUp()
     directory.takeRecords([listed('a')])
-    directory.takeState(ADDRESS, stateOf('a', { isUp: false }))
+    directory.takeState(ADDRESS, makeAgentState('a', { isUp: false }))
     expect(ids()).to.deep.equal([])
     directory.loseAgent(ADDRESS)
     expect(ids()).to.deep.equal(['a'])
@@ -106,7 +85,7 @@
     directory.takeRecords([listed('a')])
     directory.prefixes.remember('a', 'm/', parts)
     expect(directory.prefixes.cachedTokens('a', 'm/', parts)).to.equal(100)
-    directory.takeState(ADDRESS, stateOf('a', { models: [] }))
+    directory.takeState(ADDRESS, makeAgentState('a', { models: [] }))
     expect(directory.prefixes.cachedTokens('a', 'm/', parts)).to.equal(0)
   })
 })
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -5,11 +5,12 @@
 import { createDirectory } from '../directory/createDirectory.js'
 import { createDemandMeter } from '../demand/createDemandMeter.js'
 import { createCrashBook } from '../retries/createCrashBook.js'
+import { makeAgentState } from '../testing/makeAgentState.js'
 import { MAX_LOST_LOADS } from './constants.js'
 import { serveModel } from './serveModel.js'
 
 import type { InstanceName } from '@figmount/base'
-import type { AgentState, ServerEntry } from '@figmount/fleet'
+import type { ServerEntry } from '@figmount/fleet'
 import type { WantOutcome } from '../agents/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
@@ -18,27 +19,6 @@
 const entryOf = (serverId: string): ServerEntry =>
   ({ serverId, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', slots: 1, isDraining: false, models: [] })
 
-const stateOf = (serverId: string): AgentState => ({
-  type: 'state',
-  serverId,
-  goneServerIds: [],
-  isUp: true,
-  isDraining: false,
-  models: [],
-  leavingModels: [],
-  loadingModel: '',
-  isLoadingCold: false,
-  loadingLeftMs: 0,
-  coldWaitMs: 0,
-  roomMs: 0,
-  queuedModels: [],
-  inMemory: [],
-  onDisk: ['m'],
-  evictionLoss: 0,
-  demandTokensPerS: [],
-  routerCount: 1
-})
-
 /** A router with two engines that have the model on disk; `answer` says what becomes of each want. */
 const setUp = (answer: (address: string) => WantOutcome) => {
   const timers = createVirtualTimers()
@@ -46,7 +26,7 @@
   const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), entryTaken: () => {} })
   for (const serverId of ['a', 'b']) {
     directory.takeRecords([{ key: serverId, value: Buffer.from('x'), offset: 1 }])
-    directory.takeState(`${serverId}:1`, stateOf(serverId))
+    directory.takeState(`${serverId}:1`, makeAgentState(serverId, { onDisk: ['m'] }))
   }
   const asked: string[] = []
   const statuses: number[] = []
@@ -86,7 +66,7 @@
     // A caller waits for a load; the engine dies, and its agent says so. Another engine has a copy on its disk and time
     // enough: the caller need not be refused.
     const { directory, context, request, asked } = setUp(address => {
-      directory.takeState(address, { ...stateOf(address.charAt(0)), isUp: false })
+      directory.takeState(address, makeAgentState(address.charAt(0), { isUp: false }))
       return { isReady: false, isLost: true, reason: 'engine is down' }
     })
     await serveModel(context, request)
--- /dev/null
+++ b/packages/gateway/src/testing/makeAgentState.ts
@@ -0,0 +1,24 @@
+import type { AgentState } from '@figmount/fleet'
+
+/** An agent's word on an engine that holds and does nothing, for tests. */
+export const makeAgentState = (serverId: string, given: Partial<AgentState> = {}): AgentState => ({
+  type: 'state',
+  serverId,
+  goneServerIds: [],
+  isUp: true,
+  isDraining: false,
+  models: [],
+  leavingModels: [],
+  loadingModel: '',
+  isLoadingCold: false,
+  loadingLeftMs: 0,
+  coldWaitMs: 0,
+  roomMs: 0,
+  queuedModels: [],
+  inMemory: [],
+  onDisk: [],
+  evictionLoss: 0,
+  demandTokensPerS: [],
+  routerCount: 1,
+  ...given
+})
