--- a/packages/gateway/src/agents/constants.ts
+++ b/packages/gateway/src/agents/constants.ts
@@ -7,5 +7,11 @@
 /** An agent whose server is no longer listed is given up after this time: lists lapse for seconds at times. */
 export const UNLISTED_MS = 10_000
 
+/**
+ * Share of the agents that a starting router reaches before it calls itself ready. With half of them, two routers chose two
+ * engines for one burst and loaded a model twice.
+ */
+export const REACHED_SHARE = 0.9
+
 /** Agents through which a router passes on what it has read: two, in case one is down. */
 export const RELAY_COUNT = 2
--- a/packages/gateway/src/agents/createAgentLinks.ts
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -1,4 +1,4 @@
-import { RELAY_COUNT, UNLISTED_MS } from './constants.js'
+import { REACHED_SHARE, RELAY_COUNT, UNLISTED_MS } from './constants.js'
 import { createAgentLink } from './createAgentLink.js'
 
 import type { RouterMessage, ServerEntry } from '@figmount/fleet'
@@ -21,7 +21,7 @@
   readonly sendToEach: (messageFor: (serverAddress: string) => RouterMessage) => void
   /** Sends through a few agents, which pass it on to all other routers. */
   readonly relay: (message: RouterMessage) => void
-  /** At least half of the agents answer. */
+  /** Nearly all agents answer; false before the first one is known. */
   readonly isReached: () => boolean
   readonly close: () => void
 }
@@ -69,7 +69,7 @@
     isReached: () => {
       let openCount = 0
       for (const link of links.values()) openCount += Number(link.isOpen())
-      return openCount * 2 >= links.size
+      return openCount > 0 && openCount >= links.size * REACHED_SHARE
     },
     close: () => {
       for (const link of links.values()) link.close()
--- a/packages/gateway/src/router/constants.ts
+++ b/packages/gateway/src/router/constants.ts
@@ -1,7 +1,7 @@
 /** Time between two messages on demand: half the time that an idle model stays at least. */
 export const DEMAND_PERIOD_MS = 500
 
-/** A starting router waits this long for half of the agents before it calls itself ready without them. */
+/** A starting router waits this long for nearly all agents before it calls itself ready without them. */
 export const AGENT_PATIENCE_MS = 1_500
 
 /** Time between two looks at which agents to be linked to. */
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -106,7 +106,8 @@
   // A router that cannot reach the agents yet would refuse each request for a model that must be loaded first.
   const isReady = (): boolean => {
     if (isStopping || !feeds.deployment() || !directory.isKnown()) return false
-    return agents.isReached() || timers.nowMs() - startedMs > AGENT_PATIENCE_MS
+    const hasAgents = directory.entries().some(hasAgent)
+    return !hasAgents || agents.isReached() || timers.nowMs() - startedMs > AGENT_PATIENCE_MS
   }
   const closeReady = await serveReady(options.readyAddress, isReady)
 
