--- a/packages/gateway/src/ingress/startIngress.ts
+++ b/packages/gateway/src/ingress/startIngress.ts
@@ -10,6 +10,8 @@
 export interface Ingress {
   /** Takes over the limits of a newer deployment. */
   readonly limit: (limits: CallerLimits) => void
+  /** Takes no new connection from now on. */
+  readonly stopListening: () => void
   /** Closes connections on which no request is under way. */
   readonly closeIdle: () => void
   readonly openCount: () => number
@@ -51,10 +53,10 @@
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs
     },
+    stopListening: () => { server.close() },
     closeIdle: () => { server.closeIdleConnections() },
     openCount: () => openCount,
     close: () => {
-      server.close()
       for (const socket of sockets) socket.destroy()
     }
   }
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -2,7 +2,7 @@
 import { matchRoute, pickService, RequestKind } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
-import { UNKNOWN_RETRY_MS } from '../requests/constants.js'
+import { STOPPING_RETRY_MS, UNKNOWN_RETRY_MS } from '../requests/constants.js'
 import { Status } from '../requests/endRequest.js'
 import { serveModel } from '../requests/serveModel.js'
 import { servePlain } from '../requests/servePlain.js'
@@ -29,10 +29,12 @@
   response.end()
 }
 
-const endUnknown = (context: GatewayContext, response: ServerResponse, requestId: string): void => {
-  context.events.emit(GatewayEvent.requestRefused, { requestKey: requestId, reason: 'no deployment known yet', retryAfterMs: UNKNOWN_RETRY_MS })
+/** Refuses a request before its route is looked for. */
+const refuseEarly = (context: GatewayContext, response: ServerResponse, requestId: string, reason: string, retryAfterMs: number): void => {
+  context.metrics.count('requests_refused_total')
+  context.events.emit(GatewayEvent.requestRefused, { requestKey: requestId, reason, retryAfterMs })
   if (response.destroyed) return
-  response.writeHead(Status.Unavailable, [...context.codec.encodeRefusal(requestId, UNKNOWN_RETRY_MS)])
+  response.writeHead(Status.Unavailable, [...context.codec.encodeRefusal(requestId, retryAfterMs)])
   response.end()
 }
 
@@ -94,8 +96,9 @@
   const decoded = context.codec.decodeRequest(message.rawHeaders)
   if (decoded.isLeft()) return endEarly(context, response, Status.BadRequest, decoded.swap().unsafeCoerce().message)
   const caller = decoded.unsafeCoerce()
+  if (context.isClosing()) return refuseEarly(context, response, caller.requestId, 'the router stops', STOPPING_RETRY_MS)
   const deployment = context.deployment()
-  if (!deployment || !context.directory.isKnown()) return endUnknown(context, response, caller.requestId)
+  if (!deployment || !context.directory.isKnown()) return refuseEarly(context, response, caller.requestId, 'no deployment known yet', UNKNOWN_RETRY_MS)
   const route = matchRoute(deployment.routes, message.headers.host ?? '', message.url ?? '/')
   if (!route) return endEarly(context, response, Status.NotFound, `no route for ${message.headers.host ?? ''}${message.url ?? ''}`)
   await serve(context, deployment, caller, route, message, response, read.body, arrivedMs, left)
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -27,6 +27,8 @@
   /** The most routers seen so far. */
   readonly routerCount: () => number
   readonly isStopping: () => boolean
+  /** The stop is past the time in which new requests are served. */
+  readonly isClosing: () => boolean
   readonly random: () => number
 }
 
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -46,6 +46,7 @@
   const { timers, events, metrics } = options.context
   const startedMs = timers.nowMs()
   let isStopping = false
+  let isClosing = false
   let limitCallers: Ingress['limit'] = () => {}
   let routerCount = LEAST_ROUTER_COUNT
 
@@ -92,6 +93,7 @@
     deployment: feeds.deployment,
     routerCount: () => routerCount,
     isStopping: () => isStopping,
+    isClosing: () => isClosing,
     random: options.random
   }
 
@@ -145,6 +147,11 @@
     isStopping = true
     const endMs = timers.nowMs() + options.stopMs - DRAIN_MARGIN_MS
     await sleep(timers, Math.min(LAME_DUCK_MS, options.stopMs / 2))
+    // Guards against requests that come in the last seconds, as callers of a data centre with one router have nowhere else to
+    // go: a stream taken then is cut when the process must end. New connections are turned away by the system and requests
+    // on open ones by a refusal; both are free to go elsewhere.
+    isClosing = true
+    ingress.stopListening()
     ingress.closeIdle()
     while (ingress.openCount() > 0 && timers.nowMs() < endMs) {
       await sleep(timers, DRAIN_LOOK_MS)
