Read the configuration anew when the store is reached again

The list of servers is read every 1.2 s; when that succeeds again the wait is given up. Unit test first red: nothing was read in 5 s.

--- a/packages/fleet/src/feeds/createFeedFollower.test.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -17,23 +17,29 @@
 
 const away: Answer = Left(makeFault('timeout', 'read', 'store', 'no answer'))
 
-const setUp = (answers: Answer[]) => {
+/** A read that waits for ever, as on a connection that something between the two ends has forgotten. */
+const SILENT = 'silent'
+
+const setUp = (answers: Array<Answer | typeof SILENT>) => {
   const timers = createVirtualTimers()
   const taken: string[] = []
   const keys: string[][] = []
   const outages: string[] = []
   const reads: string[] = []
-  const next = (): Answer => answers.shift() ?? page(99)
+  const next = (): EitherAsync<Fault, FeedPage> => {
+    const answer = answers.shift() ?? page(99)
+    return answer === SILENT ? EitherAsync(async () => await new Promise<FeedPage>(() => {})) : EitherAsync.liftEither(answer)
+  }
   const follower: FeedFollower = createFeedFollower({
     feed: {
       name: 'f',
       readNewest: () => {
         reads.push('newest')
-        return EitherAsync.liftEither(next())
+        return next()
       },
       readSince: offset => {
         reads.push(`since ${offset}`)
-        return EitherAsync.liftEither(next())
+        return next()
       }
     },
     timers,
@@ -83,6 +89,17 @@
     expect(keys).to.have.length(2)
   })
 
+  it('reads again at once when it is told that a wait is in vain', async () => {
+    // A router is cut off while its read of the configuration waits at the store. After the cut that connection stays
+    // silent; the operator changes the configuration, and the router must not serve by the old one for 25 s.
+    const { follower, taken, pass } = setUp([page(5), SILENT, page(6, record('config', 5))])
+    await pass(5_000)
+    expect(taken).to.deep.equal([])
+    follower.hurry()
+    await pass(500)
+    expect(taken).to.deep.equal(['config@5'])
+  })
+
   it('tells of an outage once and of its end', async () => {
     const { outages, pass } = setUp([page(5), away, away, away, page(6)])
     await pass(4_000)
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -1,4 +1,5 @@
-import { runInBackground, sleep } from '@figmount/base'
+import { Left } from 'purify-ts'
+import { makeFault, runInBackground, sleep } from '@figmount/base'
 
 import { FIRST_RETRY_MS, LAST_RETRY_MS, READ_GRACE_MS } from './constants.js'
 
@@ -29,6 +30,8 @@
   /** Age of the newest answer from the store. */
   readonly ageMs: () => number
   readonly isCurrent: () => boolean
+  /** Gives the read that waits up and reads again at once. */
+  readonly hurry: () => void
   readonly stop: () => void
 }
 
@@ -41,6 +44,7 @@
   let outageSinceMs: number | undefined
   let nextOffset: number | undefined
   let isCurrent = false
+  let giveUpWaiting: (given: Either<Fault, FeedPage>) => void = () => {}
 
   const accept = (records: readonly FeedRecord[]): void => {
     const fresh: FeedRecord[] = []
@@ -61,11 +65,17 @@
 
   // Guards against a connection that went silent: no answer and no error ever comes. The read is given up in time and
   // made again on another connection.
-  const readOnce = async (): Promise<Either<Fault, FeedPage>> => {
+  const readStore = async (): Promise<Either<Fault, FeedPage>> => {
     if (nextOffset === undefined) return await feed.readNewest(READ_GRACE_MS).run()
     return await feed.readSince(nextOffset, options.waitMs, options.waitMs + READ_GRACE_MS).run()
   }
 
+  // What a read that was given up returns later is not taken in: the one after it reads the same records.
+  const readOnce = async (): Promise<Either<Fault, FeedPage>> => {
+    const givenUp = new Promise<Either<Fault, FeedPage>>(resolve => { giveUpWaiting = resolve })
+    return await Promise.race([readStore(), givenUp])
+  }
+
   const noteAnswer = (page: FeedPage): void => {
     const isWhole = nextOffset === undefined
     lastAnswerMs = timers.nowMs()
@@ -105,6 +115,7 @@
     offer: accept,
     ageMs: () => timers.nowMs() - lastAnswerMs,
     isCurrent: () => isCurrent,
+    hurry: () => { giveUpWaiting(Left(makeFault('timeout', 'feeds.read', feed.name, 'read again at once'))) },
     stop: () => { stopping.abort() }
   }
 }
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -89,6 +89,10 @@
     },
     regained: outageMs => {
       directory.noteRegained()
+      // Guards against a cut that leaves the read of the configuration waiting on a connection that is dead: it would wait
+      // on for 25 s, and requests would be handled by an older configuration. The list is read every 1.2 s and shows the
+      // end of the cut.
+      deployments.hurry()
       regained(store.serverFeed.name, outageMs)
     }
   })
