Let a router's read of the configuration wait 2 s at the store, not 25

Why the waiting read was not answered is not traced; a read that returns after 2 s ends whatever keeps it.

--- a/packages/gateway/src/router/constants.ts
+++ b/packages/gateway/src/router/constants.ts
@@ -1,3 +1,10 @@
+/**
+ * How long a router's read of the configuration waits at the store. A change ends the wait at once; where its answer does
+ * not come, after an outage or on a dead connection, the router is behind for this long. With 25 s a router that had started
+ * in an outage of the store still served by the old configuration 9 s after the change.
+ */
+export const CONFIG_WAIT_MS = 2_000
+
 /** Time between two messages on demand: half the time that an idle model stays at least. */
 export const DEMAND_PERIOD_MS = 500
 
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -1,6 +1,7 @@
-import { createFeedFollower, LONG_POLL_MS, POLL_PERIOD_MS } from '@figmount/fleet'
+import { createFeedFollower, POLL_PERIOD_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
+import { CONFIG_WAIT_MS } from './constants.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { Deployment, FeedRecord, StorePort } from '@figmount/fleet'
@@ -53,7 +54,7 @@
     feed: store.deploymentFeed,
     timers,
     events,
-    waitMs: LONG_POLL_MS,
+    waitMs: CONFIG_WAIT_MS,
     periodMs: 0,
     take: records => {
       for (const record of records) takeDeployment(record)
