--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -27,9 +27,6 @@
 export interface FeedFollower {
   /** Takes in records that a peer has read. */
   readonly offer: (records: readonly FeedRecord[]) => void
-  /** Age of the newest answer from the store. */
-  readonly ageMs: () => number
-  readonly isCurrent: () => boolean
   /** Gives the read that waits up and reads again at once. */
   readonly hurry: () => void
   readonly stop: () => void
@@ -40,10 +37,8 @@
   const { feed, timers } = options
   const stopping = new AbortController()
   const newestOffset = new Map<string, number>()
-  let lastAnswerMs = timers.nowMs()
   let outageSinceMs: number | undefined
   let nextOffset: number | undefined
-  let isCurrent = false
   let giveUpWaiting: (given: Either<Fault, FeedPage>) => void = () => {}
 
   const accept = (records: readonly FeedRecord[]): void => {
@@ -78,12 +73,10 @@
 
   const noteAnswer = (page: FeedPage): void => {
     const isWhole = nextOffset === undefined
-    lastAnswerMs = timers.nowMs()
-    if (outageSinceMs !== undefined) options.regained(lastAnswerMs - outageSinceMs)
+    if (outageSinceMs !== undefined) options.regained(timers.nowMs() - outageSinceMs)
     outageSinceMs = undefined
     nextOffset = page.isExpired ? undefined : page.nextOffset
     if (page.isExpired) return
-    isCurrent = true
     if (isWhole) return acceptAll(page)
     accept(page.records)
   }
@@ -113,8 +106,6 @@
   runInBackground(options.events, `feeds.follow ${feed.name}`, follow())
   return {
     offer: accept,
-    ageMs: () => timers.nowMs() - lastAnswerMs,
-    isCurrent: () => isCurrent,
     hurry: () => { giveUpWaiting(Left(makeFault('timeout', 'feeds.read', feed.name, 'read again at once'))) },
     stop: () => { stopping.abort() }
   }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -113,12 +113,11 @@
   }
   const closeReady = await serveReady(options.readyAddress, isReady)
 
-  const replicaCount = (modelName: string): number =>
-    viewReplicas(directory).find(replicas => replicas.modelName === modelName)?.replicaCount ?? 1
   let lastDemand = ''
   const tellDemand = (): void => {
-    const models = context.demand.read(replicaCount)
     const replicas = viewReplicas(directory)
+    const replicaCounts = new Map(replicas.map(({ modelName, replicaCount }) => [modelName, replicaCount]))
+    const models = context.demand.read(modelName => replicaCounts.get(modelName) ?? 1)
     const text = models.length === 0 ? JSON.stringify(replicas) : ''
     if (models.length === 0 && text === lastDemand) return
     lastDemand = text
