--- a/packages/decisions/src/placing/chooseVictims.ts
+++ b/packages/decisions/src/placing/chooseVictims.ts
@@ -1,4 +1,5 @@
-import { LEAST_HELD_MS, LEAST_IDLE_MS, PROMPT_TOKENS_PER_MS, RETURN_SCALE_MS } from './constants.js'
+import { LEAST_HELD_MS, LEAST_IDLE_MS, WAITING_LOSS, WAIT_STEP_MS } from './constants.js'
+import { lateByFewer, lateShare, requestsAhead } from './lateRequests.js'
 
 import type { PlacedModel } from './types.js'
 
@@ -6,45 +7,61 @@
 
 /**
  * Loss by replica of a model of unknown demand. The platform places busy models on many engines, so each replica speaks
- * for demand; the figure is above what may go for a model that nobody waits for.
+ * for demand; with three replicas it is above what one waiting request may take.
  */
-const UNKNOWN_LOSS_PER_REPLICA = 0.1
+const UNKNOWN_LOSS_PER_REPLICA = 0.7
 
-/** Time that a long prompt takes an engine; a queue of such prompts is what the replicas that are left get. */
-const PROMPT_S = 0.25
+/** An idle model is unloaded in this time, the notice to routers included. */
+const IDLE_UNLOAD_MS = 80
 
-/** Requests a second that wait longer once the replica has gone, weighed by how many seconds longer. */
-export const evictionLossOf = (resident: PlacedModel): number => {
-  if (!resident.isDemandKnown && resident.replicaCount > 1) return resident.replicaCount * UNKNOWN_LOSS_PER_REPLICA
-  if (resident.replicaCount <= 1) return resident.requestsPerS * resident.returnsMs / RETURN_SCALE_MS
-  const useAfter = resident.promptTokensPerS / (PROMPT_TOKENS_PER_MS * MS_PER_S) / (resident.replicaCount - 1)
-  const waitS = useAfter >= 1 ? Infinity : useAfter / (1 - useAfter) * PROMPT_S
-  return resident.requestsPerS * Math.min(waitS, resident.returnsMs / RETURN_SCALE_MS)
+/** A model with running requests is unloaded when they have ended; streams last one to two seconds. */
+const RUNNING_UNLOAD_MS = 1_500
+
+/** Requests made late by an unload that waits for streams to end: the engine takes no other order meanwhile. */
+const RUNNING_LOSS = 2
+
+const isInUse = (resident: PlacedModel): boolean => resident.isRunning || resident.idleMs < LEAST_IDLE_MS
+
+/** Requests within the horizon that are late because the model's only replica has gone: those until it is back. */
+const lateWithoutSole = (resident: PlacedModel): number => {
+  const returnsS = resident.returnsMs / MS_PER_S
+  return Math.min(requestsAhead(resident), 1 + resident.requestsPerS * returnsS) * lateShare(returnsS)
 }
 
-const mayGo = (resident: PlacedModel): boolean => {
-  if (resident.heldMs < LEAST_HELD_MS || resident.idleMs < LEAST_IDLE_MS) return false
-  return !resident.isRunning || resident.replicaCount > 1
+const lossOfUse = (resident: PlacedModel): number => {
+  if (!isInUse(resident)) return 0
+  const blockedCount = resident.replicaCount > 1 ? 0 : resident.requestsPerS * RUNNING_UNLOAD_MS / MS_PER_S
+  return resident.isRunning ? RUNNING_LOSS + blockedCount : blockedCount
+}
+
+/** Requests of the next seconds that are late once the replica has gone. */
+export const evictionLossOf = (resident: PlacedModel): number => {
+  if (!resident.isDemandKnown && resident.replicaCount > 1) return resident.replicaCount * UNKNOWN_LOSS_PER_REPLICA + lossOfUse(resident)
+  const lost = resident.replicaCount > 1
+    ? lateByFewer(resident, resident.replicaCount, resident.replicaCount - 1)
+    : lateWithoutSole(resident)
+  return lost + lossOfUse(resident)
 }
 
 /** Models to unload, and what their callers lose. */
 export interface Eviction {
   readonly modelNames: readonly string[]
+  /** Requests that are late because of it. */
   readonly loss: number
 }
 
 /**
- * The models that make room for `neededMb` at the least loss; undefined while none may go yet.
+ * The models that make room for `neededMb` at the least loss; undefined while all have just been loaded.
  *
  * Load pattern: more models than fit, with demand that moves. Without it the model that was loaded first goes, be it
  * the busiest; with least-recent use alone a model with ten replicas stays where the only replica of another one goes.
- * One without running requests goes before any that has some: the engine lets these end before it unloads, which took
- * up to four seconds while others waited for the room. Of equal losses the one that was idle longest goes.
+ * A model in use may go as well, at a price: when it might not, two steady models on one engine kept out a third one
+ * whose 60 callers were refused over nine seconds. Of equal losses the one that was idle longest goes.
  */
 export const chooseVictims = (residents: readonly PlacedModel[], neededMb: number): Eviction | undefined => {
   const movable = residents
-    .filter(mayGo)
-    .sort((a, b) => Number(a.isRunning) - Number(b.isRunning) || evictionLossOf(a) - evictionLossOf(b) || b.idleMs - a.idleMs)
+    .filter(resident => resident.heldMs >= LEAST_HELD_MS)
+    .sort((a, b) => evictionLossOf(a) - evictionLossOf(b) || b.idleMs - a.idleMs)
   const modelNames: string[] = []
   let freedMb = 0
   let loss = 0
@@ -57,27 +74,19 @@
   return freedMb >= neededMb ? { modelNames, loss } : undefined
 }
 
-/** An idle model is unloaded in this time, the notice to routers included. */
-const IDLE_UNLOAD_MS = 80
-
-/** A model with running requests is unloaded when they have ended; streams last one to two seconds. */
-export const RUNNING_UNLOAD_MS = 1_500
-
-/** A sole replica that is asked for this often hardly ever has no running request, and stays. */
-const BUSY_REQUESTS_PER_S = 0.5
+/** Time that an unload takes. */
+export const unloadMsOf = (resident: PlacedModel): number => resident.isRunning ? RUNNING_UNLOAD_MS : IDLE_UNLOAD_MS
 
-/** Expected time for room on an engine whose models all stay. */
-const HELD_FAST_MS = 5_000
+/** Time after which one waiting request may cost this loss. */
+const allowedAfterMs = (loss: number): number => Math.max(0, loss - WAITING_LOSS) * WAIT_STEP_MS
 
-/** Expected time until an engine has room for a model of `neededMb` beyond what is free. */
+/** Expected time until an engine has room for a model of `neededMb` beyond what is free, for one request that waits. */
 export const estimateRoomMs = (residents: readonly PlacedModel[], neededMb: number): number => {
-  if (neededMb <= 0) return 0
-  let soonestMs = HELD_FAST_MS
+  if (neededMb <= 0 || residents.length === 0) return 0
+  let soonestMs = Infinity
   for (const resident of residents) {
-    const isBusySole = resident.isRunning && resident.replicaCount <= 1 && resident.requestsPerS > BUSY_REQUESTS_PER_S
-    if (isBusySole) continue
     const heldMs = Math.max(0, LEAST_HELD_MS - resident.heldMs)
-    soonestMs = Math.min(soonestMs, heldMs + (resident.isRunning ? RUNNING_UNLOAD_MS : IDLE_UNLOAD_MS))
+    soonestMs = Math.min(soonestMs, Math.max(heldMs, allowedAfterMs(evictionLossOf(resident))) + unloadMsOf(resident))
   }
   return soonestMs
 }
--- a/packages/decisions/src/placing/constants.ts
+++ b/packages/decisions/src/placing/constants.ts
@@ -28,8 +28,17 @@
  */
 export const LEAST_HELD_MS = 1_500
 
-/** A model that was used this lately may have requests on their way. */
+/** A model that was used this lately may have requests on their way and counts as running. */
 export const LEAST_IDLE_MS = 150
 
-/** Loss by the eviction of a sole replica that comes back at once, relative to one that takes a second. */
-export const RETURN_SCALE_MS = 1_000
+/** Time over which late requests are counted against each other: demand moves to other models within ten seconds. */
+export const LATE_HORIZON_S = 5
+
+/** A request that waits this much longer is late: callers are content with a first event in 0.4 to 2.5 s. */
+export const LATE_WAIT_S = 0.5
+
+/** Requests that a waiting request's model may make late at once: it is late itself, and a second one soon follows it. */
+export const WAITING_LOSS = 2
+
+/** A wait of this length lets one more request be late. Callers of rare models wait up to some seconds. */
+export const WAIT_STEP_MS = 200
--- a/packages/decisions/src/placing/planOrder.ts
+++ b/packages/decisions/src/placing/planOrder.ts
@@ -1,4 +1,5 @@
 import { chooseVictims } from './chooseVictims.js'
+import { WAITING_LOSS, WAIT_STEP_MS } from './constants.js'
 
 import type { PlacedModel } from './types.js'
 
@@ -16,8 +17,8 @@
   readonly adapterName: string
   /** Requests that wait; 0 when it is wanted ahead of any. */
   readonly waitingCount: number
-  /** Requests a second that one more replica relieves, when nobody waits for it. */
-  readonly gainPerS: number
+  /** Requests of the next seconds that are late without it, beside those that wait. */
+  readonly lateCount: number
   readonly ageMs: number
   readonly weightsMb: number
   readonly adapterMb: number
@@ -54,22 +55,16 @@
 /** An adapter in use is not unloaded by the engine; one that was used this lately is likely to be. */
 const ADAPTER_IDLE_MS = 200
 
-/** Requests a second that may lose a replica for a model that nobody waits for yet. */
-const PRELOAD_LOSS_LIMIT = 0.05
+/** Requests that may be late for a model that nobody waits for yet. */
+const PRELOAD_LOSS_LIMIT = 0.2
 
 /** Part of a replica's gain that its room may cost others: demand moves, and both loads take the engine's time. */
 const GAIN_SHARE = 0.5
 
-/** Requests a second that may lose a replica for one that waits, at once. */
-const WAITING_LOSS = 2
-
-/** A wait of this length lets one more go. Callers of rare models wait up to some seconds. */
-const WAIT_STEP_MS = 200
-
-/** Requests a second that may lose a replica for a want. */
+/** Requests that may be late for a want. */
 const lossLimitOf = (want: WantView): number => {
-  if (want.waitingCount === 0) return Math.max(PRELOAD_LOSS_LIMIT, want.gainPerS * GAIN_SHARE)
-  return want.waitingCount * (WAITING_LOSS + want.ageMs / WAIT_STEP_MS)
+  const ahead = Math.max(PRELOAD_LOSS_LIMIT, want.lateCount * GAIN_SHARE)
+  return want.waitingCount === 0 ? ahead : want.waitingCount * (WAITING_LOSS + want.ageMs / WAIT_STEP_MS) + want.lateCount * GAIN_SHARE
 }
 
 const adapterKey = (modelName: string, adapterName: string): string => `${modelName}/${adapterName}`
@@ -104,8 +99,8 @@
   return { operation: 'unload', modelName, adapterName: '', isCold: false }
 }
 
-/** Requests served for each ms that the engine takes no other order. */
-const densityOf = (want: WantView): number => want.waitingCount / Math.max(1, want.loadMs)
+/** Requests served in time for each ms that the engine takes no other order. */
+const densityOf = (want: WantView): number => (want.waitingCount + want.lateCount * GAIN_SHARE) / Math.max(1, want.loadMs)
 
 /**
  * Those that wait go before preloads, then what serves most requests for the time that it takes, then the longest wait.
--- a/packages/decisions/src/placing/types.ts
+++ b/packages/decisions/src/placing/types.ts
@@ -22,6 +22,8 @@
   readonly isOnDisk: boolean
   /** The model is being loaded or is waiting to be. */
   readonly isLoading: boolean
+  /** Its load has begun. */
+  readonly hasBegun: boolean
   /** Time until the server can begin: its running load and what waits before. */
   readonly busyMs: number
   /** Time until the server may begin a load from the weight store. */
@@ -30,7 +32,7 @@
   readonly roomMs: number
   /** Prompt tokens a second for the models that the server holds: their adapters cannot be fetched during a load. */
   readonly heldTokensPerS: number
-  /** Requests a second that lose their replica there. */
+  /** Requests that are late because of the room that is made there. */
   readonly evictionLoss: number
   readonly heldCount: number
   readonly failureShare: number
@@ -38,6 +40,7 @@
 
 /** How long the ways to load a model take. */
 export interface LoadTimes {
+  readonly name: string
   readonly coldLoadMs: number
   readonly diskLoadMs: number
   readonly memoryLoadMs: number
@@ -53,7 +56,7 @@
   readonly replicaCount: number
   /** False after a start, before routers have told what is asked for. */
   readonly isDemandKnown: boolean
-  /** A copy stays on the server after the model is unloaded. */
+  /** Time in which the model is loaded again: a copy stays on the server. */
   readonly returnsMs: number
   /** Requests run on it here: it can be unloaded only after their end. */
   readonly isRunning: boolean
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,6 +1,7 @@
 /** What routers and agents on the HTTP path share: deployment, servers, feeds of the store, messages, ports to a platform. */
 export { RequestKind } from './deployment/types.js'
 export type * from './deployment/types.js'
+export { findEngine, findModel } from './deployment/findEngine.js'
 export { hostNameOf, matchRoute } from './deployment/matchRoute.js'
 export { pickService } from './deployment/pickService.js'
 export type * from './servers/types.js'
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -16,12 +16,23 @@
   readonly adapterName?: string
   /** Requests that wait for it. 0: asked ahead of any request. */
   readonly waitingCount: number
-  /** Requests a second that one more replica would relieve, for a want ahead of requests. */
-  readonly gainPerS: number
+  /** Requests of the next seconds that are late without it as the router sees it, beside those that wait. */
+  readonly lateCount: number
   /** The agent gives the want up after this time. */
   readonly timeLeftMs: number
 }
 
+/** A router takes a want back: its caller has left, or the model is to be had elsewhere. */
+export interface WantDropped {
+  readonly type: 'wantDropped'
+  readonly wantId: number
+}
+
+/** A router is behind: it asks for the newest configuration that the agent knows. */
+export interface DeploymentAsked {
+  readonly type: 'deploymentAsked'
+}
+
 /** Demand for one model as one router sees it. */
 export interface ModelDemand {
   readonly modelName: string
@@ -66,7 +77,7 @@
   readonly serverId: string
 }
 
-export type RouterMessage = Heartbeat | Want | Demand | Relay | CrashNotice
+export type RouterMessage = Heartbeat | Want | WantDropped | DeploymentAsked | Demand | Relay | CrashNotice
 
 /** What an agent's server holds and does. Sent whenever it changes. */
 export interface AgentState {
@@ -86,6 +97,8 @@
   readonly isLoadingCold: boolean
   /** Time until that load ends, as far as is known. */
   readonly loadingLeftMs: number
+  /** Time since the engine began that load; 0 while it has not. */
+  readonly loadingForMs: number
   /** Time until the agent may begin another load from the weight store. */
   readonly coldWaitMs: number
   /** Expected time to make room for another model. */
@@ -94,12 +107,14 @@
   readonly queuedModels: readonly string[]
   readonly inMemory: readonly string[]
   readonly onDisk: readonly string[]
-  /** Requests a second that would lose their replica by the cheapest eviction. */
+  /** Requests that would be late because of the cheapest eviction. */
   readonly evictionLoss: number
   /** Demand of all routers for the models held, prompt tokens a second. */
   readonly demandTokensPerS: readonly number[]
   /** Routers that are linked to the agent. */
   readonly routerCount: number
+  /** Offset of the newest configuration that the agent has seen; -1 for none. */
+  readonly deploymentOffset: number
 }
 
 /** A server's load, a few times a second while it changes. */
--- a/packages/gateway/src/agents/constants.ts
+++ b/packages/gateway/src/agents/constants.ts
@@ -8,8 +8,8 @@
 export const UNLISTED_MS = 10_000
 
 /**
- * Share of the agents that a starting router reaches before it calls itself ready. With half of them, two routers chose two
- * engines for one burst and loaded a model twice.
+ * Share of the agents that have told a starting router their engines' state before it calls itself ready. With half of them,
+ * or with links that are open and have told nothing yet, two routers chose two engines for one burst and loaded a model twice.
  */
 export const REACHED_SHARE = 0.9
 
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -6,7 +6,7 @@
 
 import type { AgentMessage, RouterMessage } from '@figmount/fleet'
 import type { Link, LinkContext } from '@figmount/peers'
-import type { AgentHandlers, AgentLink, WantOutcome } from './types.js'
+import type { AgentHandlers, AgentLink, OpenWant, WantOutcome, WantRequest } from './types.js'
 
 type OpenLink = Link<RouterMessage, AgentMessage>
 
@@ -24,6 +24,7 @@
   const closing = new AbortController()
   const wants = new Map<number, (outcome: WantOutcome) => void>()
   let link: OpenLink | undefined
+  let hasSpoken = false
   let nextWantId = 1
 
   const settle = (wantId: number, outcome: WantOutcome): void => {
@@ -35,8 +36,25 @@
     for (const wantId of [...wants.keys()]) settle(wantId, { isReady: false, isLost: true, reason })
   }
 
+  const openWant = (open: OpenLink, { adapterName, ...rest }: WantRequest): OpenWant => {
+    const wantId = nextWantId++
+    const outcome = new Promise<WantOutcome>(resolve => { wants.set(wantId, resolve) })
+    open.send({ type: 'want', wantId, ...rest, ...(adapterName === '' ? {} : { adapterName }) })
+    // The agent settles each want within its time. This covers an answer that is lost with the link's other end.
+    timers.after(rest.timeLeftMs + HEARTBEAT_MS, () => settle(wantId, { isReady: false, isLost: false, reason: 'the agent did not answer in time' }))
+    const drop = (reason: string): void => {
+      if (!wants.has(wantId)) return
+      settle(wantId, { isReady: false, isLost: false, reason })
+      link?.send({ type: 'wantDropped', wantId })
+    }
+    return { outcome, drop }
+  }
+
   const take = (message: AgentMessage): void => {
-    if (message.type === 'state') return handlers.takeState(serverAddress, message)
+    if (message.type === 'state') {
+      hasSpoken = true
+      return handlers.takeState(serverAddress, message)
+    }
     if (message.type === 'load') return handlers.takeLoad(serverAddress, message)
     if (message.type === 'wantSettled') return settle(message.wantId, message)
     if (message.type === 'relay') return handlers.takeRelay(message)
@@ -48,6 +66,7 @@
     events.emit(GatewayEvent.agentFound, { peer: agentAddress })
     for await (const message of open.received) take(message)
     link = undefined
+    hasSpoken = false
     settleAll('the agent does not answer')
     handlers.lost(serverAddress)
     events.emit(GatewayEvent.agentLost, { peer: agentAddress })
@@ -72,20 +91,14 @@
   runInBackground(events, 'agents.keepOpen', keepOpen())
 
   return {
-    want: async request => await new Promise(resolve => {
-      if (!link) return resolve({ isReady: false, isLost: true, reason: 'the agent does not answer' })
-      const wantId = nextWantId++
-      wants.set(wantId, resolve)
-      const { adapterName, ...rest } = request
-      link.send({ type: 'want', wantId, ...rest, ...(adapterName === '' ? {} : { adapterName }) })
-      // The agent settles each want within its time. This covers an answer that is lost with the link's other end.
-      timers.after(request.timeLeftMs + HEARTBEAT_MS, () => settle(wantId, { isReady: false, isLost: false, reason: 'the agent did not answer in time' }))
-    }),
+    want: request => link
+      ? openWant(link, request)
+      : { outcome: Promise.resolve({ isReady: false, isLost: true, reason: 'the agent does not answer' }), drop: () => {} },
     send: message => {
       link?.send(message)
       return link !== undefined
     },
-    isOpen: () => link !== undefined,
+    hasSpoken: () => hasSpoken,
     close: () => {
       closing.abort()
       stopHeartbeat()
--- a/packages/gateway/src/agents/createAgentLinks.ts
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -21,7 +21,7 @@
   readonly sendToEach: (messageFor: (serverAddress: string) => RouterMessage) => void
   /** Sends through a few agents, which pass it on to all other routers. */
   readonly relay: (message: RouterMessage) => void
-  /** Nearly all agents answer; false before the first one is known. */
+  /** Nearly all agents have told their engines' state; false before the first one is known. */
   readonly isReached: () => boolean
   readonly close: () => void
 }
@@ -67,9 +67,9 @@
       }
     },
     isReached: () => {
-      let openCount = 0
-      for (const link of links.values()) openCount += Number(link.isOpen())
-      return openCount > 0 && openCount >= links.size * REACHED_SHARE
+      let spokenCount = 0
+      for (const link of links.values()) spokenCount += Number(link.hasSpoken())
+      return spokenCount > 0 && spokenCount >= links.size * REACHED_SHARE
     },
     close: () => {
       for (const link of links.values()) link.close()
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -14,11 +14,18 @@
   readonly modelName: string
   readonly adapterName: string
   readonly waitingCount: number
-  /** Requests a second that a replica ahead of requests relieves. */
-  readonly gainPerS: number
+  /** Requests of the next seconds that are late without it, beside those that wait. */
+  readonly lateCount: number
   readonly timeLeftMs: number
 }
 
+/** A want that an agent was told of. */
+export interface OpenWant {
+  readonly outcome: Promise<WantOutcome>
+  /** Takes it back: nobody waits for it any more. */
+  readonly drop: (reason: string) => void
+}
+
 /** Where an agent's messages go. */
 export interface AgentHandlers {
   readonly takeState: (address: string, state: AgentState) => void
@@ -30,8 +37,9 @@
 
 /** A link to one agent that is opened again whenever it breaks. */
 export interface AgentLink {
-  readonly want: (request: WantRequest) => Promise<WantOutcome>
+  readonly want: (request: WantRequest) => OpenWant
   readonly send: (message: RouterMessage) => boolean
-  readonly isOpen: () => boolean
+  /** The agent has told its engine's state since the link was opened. */
+  readonly hasSpoken: () => boolean
   readonly close: () => void
 }
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -2,27 +2,25 @@
 import { REAPPEAR_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
+import { createOwnRequests } from './createOwnRequests.js'
 import { createPrefixMemory } from './createPrefixMemory.js'
 
-import type { EventLog, TimerService } from '@figmount/base'
+import type { EventLog, TimerService, Unsubscribe } from '@figmount/base'
 import type { FailureShare } from '@figmount/decisions'
 import type { AgentLoad, AgentState, FeedRecord, ServerEntry, StorePort } from '@figmount/fleet'
 import type { KnownServer } from './types.js'
+import type { OwnRequests } from './createOwnRequests.js'
 import type { PrefixMemory } from './createPrefixMemory.js'
 
-/** Own requests at a server. */
-interface OwnLoad {
-  readonly count: number
-  readonly startingCount: number
-  readonly pendingTokens: number
-}
-
 interface AgentWord {
   readonly state: AgentState | undefined
   readonly load: AgentLoad | undefined
   readonly asOfMs: number
 }
 
+/** Hears of what an agent tells of the engine at an address. */
+export type StateListener = (address: string, state: AgentState) => void
+
 /** All backend servers that a router knows, by the platform's list, the agents' word and its own requests. */
 export interface Directory {
   readonly takeRecords: (records: readonly FeedRecord[]) => void
@@ -33,6 +31,8 @@
   readonly takeState: (address: string, state: AgentState) => void
   readonly takeLoad: (address: string, load: AgentLoad) => void
   readonly loseAgent: (address: string) => void
+  /** Calls a listener with each state that an agent tells, after it was taken in. */
+  readonly onState: (listener: StateListener) => Unsubscribe
   /** Servers of a service that may get new requests. */
   readonly serving: (serviceName: string) => readonly KnownServer[]
   readonly find: (serverId: string) => KnownServer | undefined
@@ -42,11 +42,7 @@
   readonly failureShareOf: (server: KnownServer) => number
   /** Models of own requests that run at an address. */
   readonly runningModels: (address: string) => readonly string[]
-  readonly noteRun: (serverId: string, modelName: string) => void
-  readonly noteRunEnd: (serverId: string, modelName: string) => void
-  readonly noteSent: (serverId: string, tokens: number) => void
-  readonly noteFirstEvent: (serverId: string, tokens: number) => void
-  readonly noteEnded: (serverId: string) => void
+  readonly own: OwnRequests
   readonly noteOutcome: (serverId: string, hasFailed: boolean) => void
   /** The address belongs to another server now. */
   readonly noteReplaced: (serverId: string) => void
@@ -62,15 +58,14 @@
 }
 
 const NO_WORD: AgentWord = { state: undefined, load: undefined, asOfMs: -Infinity }
-const NO_LOAD: OwnLoad = { count: 0, startingCount: 0, pendingTokens: 0 }
 
 /** Makes the directory of one router. */
 export const createDirectory = ({ timers, events, decodeServer, entryTaken }: Options): Directory => {
   const entries = new Map<string, ServerEntry>()
   const words = new Map<string, AgentWord>()
   const failures = new Map<string, FailureShare>()
-  const own = new Map<string, OwnLoad>()
-  const runs = new Map<string, Map<string, number>>()
+  const own = createOwnRequests()
+  const stateListeners = new Set<StateListener>()
   const replaced = new Set<string>()
   const prefixes = createPrefixMemory()
   const missingSinceOutage = new Set<string>()
@@ -122,7 +117,7 @@
     const word = words.get(entry.address) ?? NO_WORD
     const namedId = word.state?.serverId ?? ''
     const speaksForIt = namedId === entry.serverId || namedId === ''
-    const load = own.get(entry.serverId) ?? NO_LOAD
+    const load = own.loadAt(entry.serverId)
     return {
       entry,
       state: speaksForIt ? word.state : undefined,
@@ -141,21 +136,6 @@
     return !server.state || (server.state.isUp && !server.state.isDraining)
   }
 
-  const changeRuns = (serverId: string, modelName: string, by: number): void => {
-    const models = runs.get(serverId) ?? new Map<string, number>()
-    const count = (models.get(modelName) ?? 0) + by
-    if (count > 0) models.set(modelName, count)
-    else models.delete(modelName)
-    if (models.size > 0) runs.set(serverId, models)
-    else runs.delete(serverId)
-  }
-
-  const updateOwn = (serverId: string, change: (load: OwnLoad) => OwnLoad): void => {
-    const load = change(own.get(serverId) ?? NO_LOAD)
-    if (load.count <= 0) own.delete(serverId)
-    else own.set(serverId, load)
-  }
-
   return {
     takeRecords: records => {
       settle()
@@ -178,12 +158,17 @@
       const word = words.get(address) ?? NO_WORD
       words.set(address, { ...word, state, asOfMs: timers.nowMs() })
       prefixes.keepOnly(state.serverId, new Set(state.models.map(model => model.name)))
+      for (const listener of [...stateListeners]) listener(address, state)
     },
     takeLoad: (address, load) => {
       const word = words.get(address) ?? NO_WORD
       words.set(address, { ...word, load, asOfMs: timers.nowMs() })
     },
     loseAgent: address => { words.delete(address) },
+    onState: listener => {
+      stateListeners.add(listener)
+      return () => { stateListeners.delete(listener) }
+    },
     serving: serviceName => {
       settle()
       const servers: KnownServer[] = []
@@ -208,20 +193,12 @@
     failureShareOf: server => failureShareAt(server.failures, timers.nowMs()),
     runningModels: address => {
       const names: string[] = []
-      for (const [serverId, models] of runs) {
+      for (const [serverId, models] of own.runs()) {
         if (entries.get(serverId)?.address === address) names.push(...models.keys())
       }
       return names
     },
-    noteRun: (serverId, modelName) => { changeRuns(serverId, modelName, 1) },
-    noteRunEnd: (serverId, modelName) => { changeRuns(serverId, modelName, -1) },
-    noteSent: (serverId, tokens) => {
-      updateOwn(serverId, load => ({ count: load.count + 1, startingCount: load.startingCount + 1, pendingTokens: load.pendingTokens + tokens }))
-    },
-    noteFirstEvent: (serverId, tokens) => {
-      updateOwn(serverId, load => ({ ...load, startingCount: load.startingCount - 1, pendingTokens: Math.max(0, load.pendingTokens - tokens) }))
-    },
-    noteEnded: serverId => { updateOwn(serverId, load => ({ ...load, count: load.count - 1 })) },
+    own,
     noteOutcome: (serverId, hasFailed) => {
       const nowMs = timers.nowMs()
       failures.set(serverId, noteOutcome(failures.get(serverId) ?? noFailures(nowMs), hasFailed, nowMs))
--- /dev/null
+++ b/packages/gateway/src/placing/createColdLoads.test.ts
@@ -0,0 +1,68 @@
+import { expect } from 'chai'
+import { createVirtualTimers } from '@figmount/base'
+
+import { makeAgentState } from '../testing/makeAgentState.js'
+import { createColdLoads } from './createColdLoads.js'
+
+const ALONE_MS = 6_000
+
+const setUp = () => {
+  const timers = createVirtualTimers()
+  return { timers, loads: createColdLoads(timers, () => ALONE_MS) }
+}
+
+const loading = (address: string, loadingForMs = 1) =>
+  makeAgentState(address, { loadingModel: 'm', isLoadingCold: true, loadingForMs })
+
+const holding = (address: string) => makeAgentState(address, { models: [{ name: 'm', adapters: [] }] })
+
+describe('loads from the weight store', () => {
+  it('count from the moment in which they are asked for', () => {
+    // A router asks an agent and the agent's word takes a tenth of a second. A second request meanwhile must not begin one
+    // more load than the store carries.
+    const { timers, loads } = setUp()
+    loads.noteAsked('a')
+    expect(loads.count()).to.equal(1)
+    loads.takeState('a', loading('a'))
+    expect(loads.count()).to.equal(1)
+    loads.takeState('a', holding('a'))
+    expect(loads.count()).to.equal(0)
+    loads.noteAsked('b')
+    timers.advance(1_000)
+    expect(loads.count()).to.equal(0)
+  })
+
+  it('count while they wait behind another order', () => {
+    const { loads } = setUp()
+    loads.takeState('a', makeAgentState('a', { queuedModels: ['m'] }))
+    expect(loads.count()).to.equal(1)
+    loads.takeState('a', makeAgentState('a', { queuedModels: ['m'], onDisk: ['m'] }))
+    expect(loads.count()).to.equal(0)
+  })
+
+  it('do not count where the agent went away', () => {
+    const { loads } = setUp()
+    loads.takeState('a', loading('a'))
+    loads.lose('a')
+    expect(loads.count()).to.equal(0)
+  })
+
+  it('are fewer at a time once two of them took twice as long', () => {
+    const { timers, loads } = setUp()
+    const first = loads.limit()
+    loads.takeState('a', loading('a'))
+    loads.takeState('b', loading('b'))
+    timers.advance(2 * ALONE_MS)
+    expect(loads.limit()).to.be.below(first)
+  })
+
+  it('are more at a time once two of them took no longer than one', () => {
+    const { timers, loads } = setUp()
+    const first = loads.limit()
+    loads.takeState('a', loading('a'))
+    loads.takeState('b', loading('b'))
+    timers.advance(ALONE_MS)
+    loads.takeState('a', holding('a'))
+    expect(loads.limit()).to.be.above(first)
+  })
+})
--- /dev/null
+++ b/packages/gateway/src/placing/createColdLoads.ts
@@ -0,0 +1,91 @@
+import { firstPace, notePace } from '@figmount/decisions'
+
+import type { TimerService } from '@figmount/base'
+import type { StorePace } from '@figmount/decisions'
+import type { AgentState } from '@figmount/fleet'
+
+/** An agent's word on a load that it was asked for comes within this time. */
+const UNSEEN_MS = 600
+
+interface RunningLoad {
+  readonly modelName: string
+  readonly beganMs: number
+  readonly atOnceCount: number
+}
+
+/** Loads from the weight store over all engines, as one router sees them. */
+export interface ColdLoads {
+  readonly takeState: (address: string, state: AgentState) => void
+  readonly lose: (address: string) => void
+  /** An agent was asked for a load whose begin is not seen yet. */
+  readonly noteAsked: (address: string) => void
+  /** Loads that are under way or about to be. */
+  readonly count: () => number
+  /** Loads that may be under way at a time. */
+  readonly limit: () => number
+}
+
+/** The engine loads from the weight store, or waits to. */
+const isPending = (state: AgentState): boolean => {
+  if (state.isLoadingCold) return true
+  for (const modelName of state.queuedModels) {
+    if (!state.inMemory.includes(modelName) && !state.onDisk.includes(modelName)) return true
+  }
+  return false
+}
+
+/** Watches the loads from the weight store; `aloneMsOf` is the time that a model's load takes alone. */
+export const createColdLoads = (timers: TimerService, aloneMsOf: (modelName: string) => number | undefined): ColdLoads => {
+  const pending = new Set<string>()
+  const askedMs = new Map<string, number>()
+  const running = new Map<string, RunningLoad>()
+  let pace: StorePace = firstPace
+
+  const learn = (load: RunningLoad, hasEnded: boolean): void => {
+    const nowMs = timers.nowMs()
+    const aloneMs = aloneMsOf(load.modelName)
+    if (aloneMs === undefined) return
+    pace = notePace(pace, { aloneMs, tookMs: nowMs - load.beganMs, atOnceCount: load.atOnceCount, hasEnded }, nowMs)
+  }
+
+  const noteCrowd = (): void => {
+    for (const [address, load] of running) {
+      if (running.size > load.atOnceCount) running.set(address, { ...load, atOnceCount: running.size })
+    }
+  }
+
+  const count = (): number => {
+    const nowMs = timers.nowMs()
+    let total = pending.size
+    for (const [address, atMs] of [...askedMs]) {
+      if (pending.has(address) || nowMs - atMs > UNSEEN_MS) askedMs.delete(address)
+      else total += 1
+    }
+    return total
+  }
+
+  return {
+    takeState: (address, state) => {
+      if (isPending(state)) pending.add(address)
+      else pending.delete(address)
+      const known = running.get(address)
+      if (known && known.modelName !== state.loadingModel) {
+        running.delete(address)
+        if (state.models.some(model => model.name === known.modelName)) learn(known, true)
+      }
+      if (!state.isLoadingCold || state.loadingForMs === 0 || running.has(address)) return
+      running.set(address, { modelName: state.loadingModel, beganMs: timers.nowMs() - state.loadingForMs, atOnceCount: 1 })
+      noteCrowd()
+    },
+    lose: address => {
+      pending.delete(address)
+      running.delete(address)
+    },
+    noteAsked: address => { askedMs.set(address, timers.nowMs()) },
+    count,
+    limit: () => {
+      for (const load of running.values()) learn(load, false)
+      return pace.fullSpeedCount
+    }
+  }
+}
--- a/packages/gateway/src/placing/createQueueRelief.ts
+++ b/packages/gateway/src/placing/createQueueRelief.ts
@@ -1,4 +1,7 @@
-import { askFor } from './watchReplicas.js'
+import { LATE_HORIZON_S, lateShare } from '@figmount/decisions'
+import { findEngine } from '@figmount/fleet'
+
+import { askFor } from './askFor.js'
 
 import type { TimerService } from '@figmount/base'
 import type { KnownServer } from '../directory/types.js'
@@ -7,6 +10,8 @@
 /** Part of a route's objective that requests may queue before another replica is asked for. */
 const QUEUE_SHARE = 0.3
 
+const MS_PER_S = 1_000
+
 /** Time between two replicas of one model that a router asks for: a copy on disk is loaded in less. */
 const ASK_PERIOD_MS = 400
 
@@ -29,11 +34,12 @@
       const { modelName } = request.caller
       if (queueMs < request.route.objectiveMs * QUEUE_SHARE) return
       if (timers.nowMs() - (askedMs.get(modelName) ?? -Infinity) < ASK_PERIOD_MS) return
-      const engine = context.deployment()?.services.find(service => service.name === request.serviceName)?.engine
+      const engine = findEngine(context.deployment(), request.serviceName)
       const model = engine?.models.find(candidate => candidate.name === modelName)
       if (!engine || !model) return
       askedMs.set(modelName, timers.nowMs())
-      askFor(context, engine, model, servers, context.demand.requestsPerS(modelName), 'queue')
+      const requestsAheadCount = context.demand.requestsPerS(modelName) * context.routerCount() * LATE_HORIZON_S
+      askFor(context, { spec: engine, model, servers, lateCount: requestsAheadCount * lateShare(queueMs / MS_PER_S), reason: 'queue' })
     }
   }
 }
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -97,6 +97,7 @@
       isInMemory: state.inMemory.includes(model.name),
       isOnDisk: state.onDisk.includes(model.name),
       isLoading: state.loadingModel === model.name || state.queuedModels.includes(model.name),
+      hasBegun: state.loadingModel === model.name && state.loadingForMs > 0,
       busyMs: busyMsOf(spec, server, model.name, nowMs),
       coldWaitMs: coldWaitLeftMs(server, nowMs),
       roomMs: state.roomMs,
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -1,19 +1,80 @@
 import { chooseLoader } from '@figmount/decisions'
+import { findEngine } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
-import { viewLoaders } from '../placing/viewServers.js'
+import { heldModel, viewLoaders } from '../placing/viewServers.js'
 import { ADAPTER_WAIT_MS, LOAD_SHARE, NO_SERVER_RETRY_MS, WAIT_SHARE } from './constants.js'
 
+import type { Unsubscribe } from '@figmount/base'
+import type { AgentState, ModelSpec } from '@figmount/fleet'
+import type { AgentLink, OpenWant } from '../agents/types.js'
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
-/** Whether a model came in time; if not, when it may be there. */
-export interface ModelWait {
-  readonly isReady: boolean
+/** How the wait for a model ended. */
+export type ModelWait =
+  /** An engine holds it, or another one will sooner: the request chooses anew. */
+  | { readonly type: 'changed' }
   /** The engine that was asked went away: another one may be asked. */
-  readonly isLost: boolean
-  readonly reason: string
-  readonly retryAfterMs: number
+  | { readonly type: 'lost', readonly reason: string, readonly retryAfterMs: number }
+  /** It does not come in time; it may be there after `retryAfterMs`. */
+  | { readonly type: 'late', readonly reason: string, readonly retryAfterMs: number }
+
+/** An engine that is to load a model, by its agent. */
+interface Loader {
+  readonly server: KnownServer
+  readonly agent: AgentLink
+  readonly readyInMs: number
+  /** The model comes from the weight store and its load is not asked for yet. */
+  readonly isNewColdLoad: boolean
+}
+
+const MOVED = 'another engine has the model sooner'
+
+const findLoader = (context: GatewayContext, request: RoutedRequest, model: ModelSpec, servers: readonly KnownServer[]): Loader | undefined => {
+  const spec = findEngine(context.deployment(), request.serviceName)
+  if (!spec) return undefined
+  const views = viewLoaders(context.directory, spec, model, servers, context.timers.nowMs())
+  const choice = chooseLoader(model, views)
+  const view = views.find(candidate => candidate.serverId === choice?.serverId)
+  const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
+  const agent = server && context.agents.find(server.entry.address)
+  if (!choice || !view || !agent) return undefined
+  const isNewColdLoad = !view.isLoading && !view.isInMemory && !view.isOnDisk
+  return { server, agent, readyInMs: choice.readyInMs, isNewColdLoad }
+}
+
+/** The engine's agent says that it holds the model or has begun to load it. */
+const hasOrLoads = (state: AgentState, modelName: string, hasOwnBegun: boolean): boolean => {
+  if (!state.isUp || state.isDraining) return false
+  if (state.models.some(model => model.name === modelName) && !state.leavingModels.includes(modelName)) return true
+  return !hasOwnBegun && state.loadingModel === modelName && state.loadingForMs > 0
+}
+
+/**
+ * Guards against a model that is loaded twice for one burst: routers that know different states choose different engines.
+ * A router that hears of a load that has begun elsewhere takes its own want back, which the slower agent then forgets.
+ */
+const watchElsewhere = (context: GatewayContext, request: RoutedRequest, loader: Loader, want: OpenWant): Unsubscribe => {
+  const { modelName } = request.caller
+  const { serverId, address } = loader.server.entry
+  return context.directory.onState((otherAddress, state) => {
+    if (otherAddress === address) return
+    const own = context.directory.find(serverId)
+    const hasOwnBegun = own?.state?.loadingModel === modelName || (own !== undefined && heldModel(own, modelName) !== undefined)
+    if (!hasOrLoads(state, modelName, hasOwnBegun)) return
+    const isServing = context.directory.serving(request.serviceName).some(server => server.entry.address === otherAddress)
+    if (isServing) want.drop(MOVED)
+  })
+}
+
+/** Waits for a want's end, and takes it back when the caller leaves. */
+const awaitWant = async (request: RoutedRequest, want: OpenWant): ReturnType<AgentLink['want']>['outcome'] => {
+  const leave = (): void => want.drop('the caller left')
+  request.left.addEventListener('abort', leave, { once: true })
+  const outcome = await want.outcome
+  request.left.removeEventListener('abort', leave)
+  return outcome
 }
 
 /**
@@ -22,24 +83,30 @@
  */
 export const awaitModel = async (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[]): Promise<ModelWait> => {
   const { modelName, requestId } = request.caller
-  const nowMs = context.timers.nowMs()
-  const engine = context.deployment()?.services.find(service => service.name === request.serviceName)?.engine
-  const model = engine?.models.find(candidate => candidate.name === modelName)
-  if (!engine || !model) return { isReady: false, isLost: false, reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
-  const choice = chooseLoader(model, viewLoaders(context.directory, engine, model, servers, nowMs))
-  const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
-  const agent = server && context.agents.find(server.entry.address)
-  if (!choice || !agent) return { isReady: false, isLost: false, reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
-  const leftMs = Math.min(request.untilMs, request.arrivedMs + request.route.patienceMs) - nowMs
-  const isHopeless = choice.readyInMs > leftMs * LOAD_SHARE
+  const spec = findEngine(context.deployment(), request.serviceName)
+  const model = spec?.models.find(candidate => candidate.name === modelName)
+  if (!model) return { type: 'late', reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
+  const loader = findLoader(context, request, model, servers)
+  if (!loader) return { type: 'late', reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
+  const { readyInMs, agent } = loader
+  const { serverId, address } = loader.server.entry
+  if (loader.isNewColdLoad && context.coldLoads.count() >= context.coldLoads.limit()) {
+    return { type: 'late', reason: 'the weight store is busy', retryAfterMs: readyInMs + model.coldLoadMs }
+  }
+  if (loader.isNewColdLoad) context.coldLoads.noteAsked(address)
+  const leftMs = Math.min(request.untilMs, request.arrivedMs + request.route.patienceMs) - context.timers.nowMs()
+  const isHopeless = readyInMs > leftMs * LOAD_SHARE
   context.events.emit(GatewayEvent.modelAwaited, {
-    requestKey: requestId, model: modelName, peer: choice.serverId, waitMs: Math.round(choice.readyInMs), reason: isHopeless ? 'too late for this request' : 'waits'
+    requestKey: requestId, model: modelName, peer: serverId, waitMs: Math.round(readyInMs), reason: isHopeless ? 'too late for this request' : 'waits'
   })
-  const timeLeftMs = isHopeless ? choice.readyInMs * 2 : leftMs * WAIT_SHARE
-  const wanted = agent.want({ serverId: choice.serverId, modelName, adapterName: '', waitingCount: 1, gainPerS: 0, timeLeftMs })
-  if (isHopeless) return { isReady: false, isLost: false, reason: 'the model comes too late', retryAfterMs: choice.readyInMs }
-  const outcome = await wanted
-  return { ...outcome, retryAfterMs: NO_SERVER_RETRY_MS }
+  const timeLeftMs = isHopeless ? readyInMs * 2 : leftMs * WAIT_SHARE
+  const want = agent.want({ serverId, modelName, adapterName: '', waitingCount: 1, lateCount: 0, timeLeftMs })
+  if (isHopeless) return { type: 'late', reason: 'the model comes too late', retryAfterMs: readyInMs }
+  const stopWatching = watchElsewhere(context, request, loader, want)
+  const outcome = await awaitWant(request, want)
+  stopWatching()
+  if (outcome.isReady || outcome.reason === MOVED) return { type: 'changed' }
+  return { type: outcome.isLost ? 'lost' : 'late', reason: outcome.reason, retryAfterMs: NO_SERVER_RETRY_MS }
 }
 
 /** Has an adapter put in place beside its model. */
@@ -49,6 +116,7 @@
   if (!agent) return false
   const timeLeftMs = Math.min(ADAPTER_WAIT_MS, request.untilMs - context.timers.nowMs())
   context.events.emit(GatewayEvent.modelAwaited, { requestKey: requestId, model: modelName, adapter: adapterName, peer: server.entry.serverId })
-  const outcome = await agent.want({ serverId: server.entry.serverId, modelName, adapterName, waitingCount: 1, gainPerS: 0, timeLeftMs })
+  const want = agent.want({ serverId: server.entry.serverId, modelName, adapterName, waitingCount: 1, lateCount: 0, timeLeftMs })
+  const outcome = await awaitWant(request, want)
   return outcome.isReady
 }
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -49,17 +49,17 @@
   const settlePending = (): void => {
     if (!isPending) return
     isPending = false
-    directory.noteFirstEvent(serverId, choice.newTokens)
+    directory.own.noteFirstEvent(serverId, choice.newTokens)
   }
-  directory.noteSent(serverId, choice.newTokens)
-  directory.noteRun(serverId, modelName)
+  directory.own.noteSent(serverId, choice.newTokens)
+  directory.own.noteRun(serverId, modelName)
   directory.prefixes.remember(serverId, `${modelName}/${adapterName}`, promptParts)
   const sentMs = context.timers.nowMs()
   const end = await runStream(context, request, choice.server, stream, signal, settlePending)
   const isSilent = isPending
   settlePending()
-  directory.noteEnded(serverId)
-  directory.noteRunEnd(serverId, modelName)
+  directory.own.noteEnded(serverId)
+  directory.own.noteRunEnd(serverId, modelName)
   stopTimer()
   stopLooking()
   directory.noteOutcome(serverId, countsAsFailure({
@@ -110,8 +110,9 @@
     if (!choice) {
       const wait = await awaitModel(context, request, servers)
       // An engine that dies in the middle of a load has lost its waiting callers nothing but time: another one is asked.
-      lostLoads += Number(wait.isLost)
-      if (wait.isReady || (wait.isLost && lostLoads <= MAX_LOST_LOADS)) continue
+      if (wait.type === 'changed') continue
+      lostLoads += Number(wait.type === 'lost')
+      if (wait.type === 'lost' && lostLoads <= MAX_LOST_LOADS) continue
       return giveUp(wait.reason, wait.retryAfterMs)
     }
     const { serverId } = choice.server.entry
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -100,11 +100,11 @@
     if (tried.size > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: request.caller.requestId, peer: serverId, count: tried.size })
     tried.add(serverId)
     lastPeer = serverId
-    directory.noteSent(serverId, 0)
+    directory.own.noteSent(serverId, 0)
     const sentMs = timers.nowMs()
     const end = await tryOnce(context, request, server, request.left)
-    directory.noteFirstEvent(serverId, 0)
-    directory.noteEnded(serverId)
+    directory.own.noteFirstEvent(serverId, 0)
+    directory.own.noteEnded(serverId)
     directory.noteOutcome(serverId, countsAsFailure({
       hasFailed: end.type === 'unknown' || end.type === 'notSent' || end.type === 'failed',
       hasLeft: request.left.aborted,
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -5,6 +5,7 @@
 import type { DemandMeter } from '../demand/createDemandMeter.js'
 import type { Directory } from '../directory/createDirectory.js'
 import type { ConnectionPool } from '../forwarding/createConnectionPool.js'
+import type { ColdLoads } from '../placing/createColdLoads.js'
 import type { QueueRelief } from '../placing/createQueueRelief.js'
 import type { RepeatBudget } from '../retries/createRepeatBudget.js'
 import type { CrashBook } from '../retries/createCrashBook.js'
@@ -22,6 +23,7 @@
   readonly budget: RepeatBudget
   readonly crashes: CrashBook
   readonly relief: QueueRelief
+  readonly coldLoads: ColdLoads
   readonly dataCentre: string
   readonly deployment: () => Deployment | undefined
   /** The most routers seen so far. */
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -1,4 +1,5 @@
 import { BaseEvent, sleep } from '@figmount/base'
+import { findModel, findEngine } from '@figmount/fleet'
 import { NO_OFFSET } from '@figmount/peers'
 
 import { createAgentLinks } from '../agents/createAgentLinks.js'
@@ -8,12 +9,14 @@
 import { serveReady } from '../ingress/serveReady.js'
 import { startIngress } from '../ingress/startIngress.js'
 import { takeRequest } from '../ingress/takeRequest.js'
+import { createColdLoads } from '../placing/createColdLoads.js'
 import { createQueueRelief } from '../placing/createQueueRelief.js'
 import { REPLICA_PERIOD_MS, watchReplicas } from '../placing/watchReplicas.js'
-import { viewReplicas } from '../placing/viewServers.js'
 import { createCrashBook } from '../retries/createCrashBook.js'
 import { createRepeatBudget } from '../retries/createRepeatBudget.js'
 import { AGENT_PATIENCE_MS, DEMAND_PERIOD_MS, DRAIN_LOOK_MS, DRAIN_MARGIN_MS, FOLLOW_PERIOD_MS, LAME_DUCK_MS, LEAST_ROUTER_COUNT } from './constants.js'
+import { createCatchUp } from './createCatchUp.js'
+import { createDemandTeller } from './createDemandTeller.js'
 import { takeFeeds } from './takeFeeds.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
@@ -51,22 +54,28 @@
   let routerCount = LEAST_ROUTER_COUNT
 
   const hasAgent = (entry: ServerEntry): boolean =>
-    feeds.deployment()?.services.some(service => service.name === entry.serviceName && service.engine) ?? false
+    findEngine(feeds.deployment(), entry.serviceName) !== undefined
 
   const directory = createDirectory({ timers, events, decodeServer: options.store.decodeServer, entryTaken: () => { followSoon() } })
   const crashes = createCrashBook(timers)
+  const coldLoads = createColdLoads(timers, modelName => findModel(feeds.deployment(), modelName)?.coldLoadMs)
   const agents = createAgentLinks({
     agentPort: options.agentPort,
     context: { instance: options.instance, sharedKey: options.sharedKey, timers, events, offset: () => NO_OFFSET, onPeerOffset: () => {} },
     handlers: {
       takeState: (address, state) => {
         routerCount = Math.max(routerCount, state.routerCount)
+        coldLoads.takeState(address, state)
         directory.takeState(address, state)
+        catchUp.note(address, state.deploymentOffset)
       },
       takeLoad: directory.takeLoad,
       takeRelay: relay => { feeds.takeRelay(relay.feedName, relay.records) },
       takeCrash: crashes.note,
-      lost: directory.loseAgent
+      lost: address => {
+        coldLoads.lose(address)
+        directory.loseAgent(address)
+      }
     }
   })
   const feeds = takeFeeds({
@@ -77,6 +86,11 @@
     deploymentTaken: deployment => { limitCallers(deployment.limits) },
     relay: (feedName, records) => { agents.relay({ type: 'relay', feedName, records }) }
   })
+  const catchUp = createCatchUp({
+    timers,
+    ownOffset: feeds.deploymentOffset,
+    ask: address => { agents.find(address)?.send({ type: 'deploymentAsked' }) }
+  })
   const context: GatewayContext = {
     timers,
     events,
@@ -89,6 +103,7 @@
     budget: createRepeatBudget(options.retryLimits, timers),
     crashes,
     relief: createQueueRelief(timers),
+    coldLoads,
     dataCentre: options.dataCentre,
     deployment: feeds.deployment,
     routerCount: () => routerCount,
@@ -113,16 +128,6 @@
   }
   const closeReady = await serveReady(options.readyAddress, isReady)
 
-  let lastDemand = ''
-  const tellDemand = (): void => {
-    const replicas = viewReplicas(directory)
-    const replicaCounts = new Map(replicas.map(({ modelName, replicaCount }) => [modelName, replicaCount]))
-    const models = context.demand.read(modelName => replicaCounts.get(modelName) ?? 1)
-    const text = models.length === 0 ? JSON.stringify(replicas) : ''
-    if (models.length === 0 && text === lastDemand) return
-    lastDemand = text
-    agents.sendToEach(serverAddress => ({ type: 'demand', models, replicas, runningModels: directory.runningModels(serverAddress) }))
-  }
   let isFollowDue = false
   const followSoon = (): void => {
     if (isFollowDue) return
@@ -135,7 +140,7 @@
     context.pool.keepOnly(new Set(directory.entries().map(entry => entry.serverId)))
   }
   const stops = [
-    timers.every(DEMAND_PERIOD_MS, tellDemand),
+    timers.every(DEMAND_PERIOD_MS, createDemandTeller(context.demand, directory, agents)),
     timers.every(FOLLOW_PERIOD_MS, follow),
     timers.every(REPLICA_PERIOD_MS, () => watchReplicas(context))
   ]
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -20,6 +20,8 @@
 /** The feeds of one router. */
 export interface Feeds {
   readonly deployment: () => Deployment | undefined
+  /** Offset of the configuration in force; -1 for none. */
+  readonly deploymentOffset: () => number
   readonly takeRelay: (feedName: string, records: readonly FeedRecord[]) => void
   readonly stop: () => void
 }
@@ -28,6 +30,7 @@
 export const takeFeeds = (options: Options): Feeds => {
   const { store, timers, events, directory } = options
   let deployment: Deployment | undefined
+  let deploymentOffset = -1
 
   const takeDeployment = (record: FeedRecord): void => {
     if (!record.value || !store.isDeploymentKey(record.key)) return
@@ -36,6 +39,7 @@
       Right: next => {
         if (deployment && next.version <= deployment.version) return
         deployment = next
+        deploymentOffset = record.offset
         events.emit(GatewayEvent.deploymentTaken, { version: String(next.version), offset: record.offset, count: next.routes.length })
         options.deploymentTaken(next)
       }
@@ -100,6 +104,7 @@
 
   return {
     deployment: () => deployment,
+    deploymentOffset: () => deploymentOffset,
     takeRelay: (feedName, records) => {
       if (feedName === store.deploymentFeed.name) deployments.offer(records)
       if (feedName === store.serverFeed.name) servers.offer(records)
--- a/packages/gateway/src/testing/makeAgentState.ts
+++ b/packages/gateway/src/testing/makeAgentState.ts
@@ -12,6 +12,7 @@
   loadingModel: '',
   isLoadingCold: false,
   loadingLeftMs: 0,
+  loadingForMs: 0,
   coldWaitMs: 0,
   roomMs: 0,
   queuedModels: [],
@@ -20,5 +21,6 @@
   evictionLoss: 0,
   demandTokensPerS: [],
   routerCount: 1,
+  deploymentOffset: -1,
   ...given
 })
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -16,6 +16,8 @@
   readonly modelName: string
   readonly isCold: boolean
   readonly endsAtMs: number
+  /** When the engine was first seen busy with it; undefined until then. */
+  readonly beganMs: number | undefined
 }
 
 /** A load from the weight store whose order got no answer: it has begun, or may begin within seconds. */
@@ -87,6 +89,7 @@
     }
     if (load && names.has(load.modelName)) load = undefined
     if (load && !next.isBusy && !ordersWithoutReport) load = undefined
+    if (load && next.isBusy) load = { ...load, beganMs: load.beganMs ?? timers.nowMs() }
     if (leaving !== undefined && !names.has(leaving)) leaving = undefined
   }
 
@@ -107,7 +110,10 @@
   const send = async (planned: PlannedOrder, current: ServerReport, spec: EngineSpec): Promise<void> => {
     const { modelName, adapterName, operation } = planned
     const isWholeModel = adapterName === ''
-    if (operation === 'load' && isWholeModel) load = { modelName, isCold: planned.isCold, endsAtMs: timers.nowMs() + loadMsOf(current, spec.models.find(model => model.name === modelName), modelName) }
+    if (operation === 'load' && isWholeModel) {
+      const loadMs = loadMsOf(current, spec.models.find(model => model.name === modelName), modelName)
+      load = { modelName, isCold: planned.isCold, endsAtMs: timers.nowMs() + loadMs, beganMs: undefined }
+    }
     // Begins before the order leaves: its answer may be lost though the load has begun.
     coldBeforeMs = lastColdMs
     if (planned.isCold && coldWaitMs() === 0) lastColdMs = timers.nowMs()
--- a/packages/sidecar/src/engine/viewEngine.ts
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -1,4 +1,4 @@
-import { planOrder } from '@figmount/decisions'
+import { lateByFewer, planOrder } from '@figmount/decisions'
 
 import type { EngineView, PlannedOrder, ResidentAdapter, PlacedModel, WantView } from '@figmount/decisions'
 import type { EngineSpec, ModelSpec, ServerReport } from '@figmount/fleet'
@@ -79,11 +79,14 @@
 
 const viewWant = (inputs: EngineInputs, want: OpenWant): WantView => {
   const model = specsOf(inputs.spec).get(want.modelName)
+  const total = inputs.demand.totalFor(want.modelName)
+  // A router sees the queue that its own requests meet at once, and the agent the demand of all routers, a few seconds late.
+  const lateCount = Math.max(want.lateCount, lateByFewer(total, total.replicaCount + 1, total.replicaCount))
   return {
     modelName: want.modelName,
     adapterName: want.adapterName,
     waitingCount: want.waitingCount,
-    gainPerS: want.gainPerS,
+    lateCount,
     ageMs: inputs.nowMs - want.sinceMs,
     weightsMb: model?.weightsMb ?? Infinity,
     adapterMb: model?.adapterMb ?? 0,
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -1,10 +1,11 @@
 import { createServer } from 'node:http'
+import { match } from 'ts-pattern'
 import { acceptLinks, HEARTBEAT_MS, NO_OFFSET } from '@figmount/peers'
 
 import { LOAD_PERIOD_MS, ROOM_STEP_MS } from './constants.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
-import type { AgentLoad, AgentMessage, AgentState, Demand, RouterMessage, Want } from '@figmount/fleet'
+import type { AgentLoad, AgentMessage, AgentState, Demand, Relay, RouterMessage, Want } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
 import type { Settle } from '../wants/createWantBook.js'
 
@@ -20,7 +21,12 @@
   readonly describe: (routerCount: number) => AgentState
   readonly describeLoad: () => AgentLoad | undefined
   readonly takeWant: (router: string, want: Want, settle: Settle) => void
+  readonly dropWant: (router: string, wantId: number) => void
+  readonly dropRouter: (router: string) => void
   readonly takeDemand: (router: string, demand: Demand) => void
+  readonly takeRelay: (relay: Relay) => void
+  /** The newest configuration, for a router that is behind. */
+  readonly deploymentRelay: () => Relay | undefined
 }
 
 /** The agent's links from routers. */
@@ -52,7 +58,7 @@
   const tell = (): void => {
     const state = options.describe(links.size)
     // The time that a load still takes changes all the while; routers count it down by themselves.
-    const text = JSON.stringify({ ...state, loadingLeftMs: 0, coldWaitMs: 0, roomMs: Math.round(state.roomMs / ROOM_STEP_MS), demandTokensPerS: [] })
+    const text = JSON.stringify({ ...state, loadingLeftMs: 0, loadingForMs: Math.sign(state.loadingForMs), coldWaitMs: 0, roomMs: Math.round(state.roomMs / ROOM_STEP_MS), demandTokensPerS: [] })
     if (text === lastState) return
     lastState = text
     sendToAll(state)
@@ -74,14 +80,39 @@
     }
   }
 
+  const settleFor = (link: RouterLink): Settle => (wantId, end) => {
+    // The state goes first: a router that hears that its model is there must know where.
+    tell()
+    sendTo(link, { type: 'wantSettled', wantId, ...end })
+  }
+
+  const passOn = (link: RouterLink, relay: Relay): void => {
+    options.takeRelay(relay)
+    sendToAll(relay, link)
+  }
+
+  const sendDeployment = (link: RouterLink): void => {
+    const relay = options.deploymentRelay()
+    if (relay) sendTo(link, relay)
+  }
+
   const take = (link: RouterLink, message: RouterMessage): void => {
-    if (message.type === 'want') {
-      return options.takeWant(link.peer, message, (wantId, end) => {
-        sendTo(link, { type: 'wantSettled', wantId, ...end })
-      })
+    match(message)
+      .with({ type: 'want' }, want => { options.takeWant(link.peer, want, settleFor(link)) })
+      .with({ type: 'wantDropped' }, ({ wantId }) => { options.dropWant(link.peer, wantId) })
+      .with({ type: 'demand' }, demand => { options.takeDemand(link.peer, demand) })
+      .with({ type: 'relay' }, relay => { passOn(link, relay) })
+      .with({ type: 'deploymentAsked' }, () => { sendDeployment(link) })
+      .with({ type: 'crash' }, notice => { sendToAll(notice, link) })
+      .with({ type: 'heartbeat' }, () => {})
+      .exhaustive()
+  }
+
+  const isLinked = (router: string): boolean => {
+    for (const link of links) {
+      if (link.peer === router) return true
     }
-    if (message.type === 'demand') return options.takeDemand(link.peer, message)
-    if (message.type === 'relay' || message.type === 'crash') sendToAll(message, link)
+    return false
   }
 
   const runLink = async (link: RouterLink): Promise<void> => {
@@ -92,6 +123,7 @@
     } finally {
       links.delete(link)
       lastSentMs.delete(link)
+      if (!isLinked(link.peer)) options.dropRouter(link.peer)
     }
   }
 
--- /dev/null
+++ b/packages/sidecar/src/sidecar/followDeployment.ts
@@ -0,0 +1,64 @@
+import { createFeedFollower, LONG_POLL_MS } from '@figmount/fleet'
+
+import { SidecarEvent } from '../events.js'
+
+import type { EventLog, TimerService } from '@figmount/base'
+import type { Deployment, FeedRecord, Relay, StorePort } from '@figmount/fleet'
+
+interface Options {
+  readonly store: StorePort
+  readonly timers: TimerService
+  readonly events: EventLog
+}
+
+/** The configuration as one agent knows it. */
+export interface FollowedDeployment {
+  readonly current: () => Deployment | undefined
+  /** Offset of the newest configuration; -1 for none. */
+  readonly offset: () => number
+  /** Takes in what a router has read. */
+  readonly takeRelay: (relay: Relay) => void
+  /** The newest configuration as a router would pass it on. */
+  readonly relay: () => Relay | undefined
+  readonly stop: () => void
+}
+
+/** Follows the configuration, by the store and by what routers pass on. */
+export const followDeployment = ({ store, timers, events }: Options): FollowedDeployment => {
+  const feed = store.deploymentFeed
+  let deployment: Deployment | undefined
+  let newest: FeedRecord | undefined
+
+  const take = (record: FeedRecord): void => {
+    if (!record.value || !store.isDeploymentKey(record.key)) return
+    store.decodeDeployment(record.key, record.value).caseOf({
+      Left: fault => { events.emit(SidecarEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset: record.offset }) },
+      Right: next => {
+        if (deployment && next.version <= deployment.version) return
+        deployment = next
+        newest = record
+        events.emit(SidecarEvent.deploymentTaken, { version: String(next.version), offset: record.offset })
+      }
+    })
+  }
+
+  const follower = createFeedFollower({
+    feed,
+    timers,
+    events,
+    waitMs: LONG_POLL_MS,
+    periodMs: 0,
+    take: records => { for (const record of records) take(record) },
+    takeKeys: () => {},
+    lost: fault => { events.emit(SidecarEvent.feedLost, { step: fault.step, peer: fault.peer, reason: fault.message }) },
+    regained: outageMs => { events.emit(SidecarEvent.feedRegained, { peer: feed.name, durationMs: Math.round(outageMs) }) }
+  })
+
+  return {
+    current: () => deployment,
+    offset: () => newest?.offset ?? -1,
+    takeRelay: relay => { if (relay.feedName === feed.name) follower.offer(relay.records) },
+    relay: () => newest && { type: 'relay', feedName: feed.name, records: [newest] },
+    stop: follower.stop
+  }
+}
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -1,19 +1,18 @@
-import { createFeedFollower, LONG_POLL_MS } from '@figmount/fleet'
-import { estimateRoomMs, evictionLossOf, RUNNING_UNLOAD_MS } from '@figmount/decisions'
-
 import { createDemandBook } from '../demand/createDemandBook.js'
 import { createOrderer } from '../engine/createOrderer.js'
-import { freeMbOf, viewResidents } from '../engine/viewEngine.js'
 import { watchEngine } from '../engine/watchEngine.js'
 import { SidecarEvent } from '../events.js'
 import { TELL_PERIOD_MS } from '../links/constants.js'
 import { serveRouters } from '../links/serveRouters.js'
 import { createWantBook } from '../wants/createWantBook.js'
-import { createIdentity } from './createIdentity.js'
 import { COLD_SPACING_MS } from './constants.js'
+import { createIdentity } from './createIdentity.js'
+import { describeEngine, describeEngineLoad } from './describeEngine.js'
+import { followDeployment } from './followDeployment.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
-import type { AgentLoad, AgentState, Deployment, EnginePort, EngineSpec, FeedRecord, ServerReport, StorePort } from '@figmount/fleet'
+import type { EnginePort, Service, ServerReport, StorePort, Want } from '@figmount/fleet'
+import type { Settle } from '../wants/createWantBook.js'
 
 /** What an agent on the HTTP path is started with. */
 export interface SidecarOptions {
@@ -35,17 +34,16 @@
   const { timers, events, metrics } = options.context
   const demand = createDemandBook(timers)
   const wants = createWantBook(timers)
-  let deployment: Deployment | undefined
+  const deployments = followDeployment({ store: options.store, timers, events })
   let isUp = false
 
-  const spec = (): EngineSpec | undefined =>
-    deployment?.services.find(service => service.name === options.serviceName)?.engine
+  const service = (): Service | undefined => deployments.current()?.services.find(({ name }) => name === options.serviceName)
 
   const identity = createIdentity({
     engine: options.engine,
     timers,
     events,
-    healthPath: () => deployment?.services.find(service => service.name === options.serviceName)?.healthPath,
+    healthPath: () => service()?.healthPath,
     changed: () => { links.tell() }
   })
 
@@ -55,7 +53,7 @@
     events,
     demand,
     wants,
-    spec,
+    spec: () => service()?.engine,
     serverId: identity.current,
     noteOtherServer: () => { identity.drop('an order was turned away') },
     coldSpacingMs: COLD_SPACING_MS,
@@ -64,51 +62,6 @@
     hurry: () => { watch.hurry() }
   })
 
-  /** What another model's load would cost here. */
-  const priceRoom = (report: ServerReport | undefined): Pick<AgentState, 'roomMs' | 'evictionLoss'> => {
-    const engineSpec = spec()
-    if (!engineSpec || !report) return { roomMs: 0, evictionLoss: 0 }
-    const residents = viewResidents({
-      spec: engineSpec, report, demand, wants: [], mayLoadCold: true, unansweredLoad: '', nowMs: timers.nowMs(), heldSinceMs: orderer.heldSinceMs()
-    })
-    const largestMb = Math.max(0, ...engineSpec.models.map(model => model.weightsMb))
-    const isLeaving = orderer.leavingModels().length > 0
-    const roomMs = isLeaving ? RUNNING_UNLOAD_MS : estimateRoomMs(residents, largestMb - freeMbOf(engineSpec, report))
-    if (roomMs === 0 || residents.length === 0) return { roomMs, evictionLoss: 0 }
-    return { roomMs: Math.round(roomMs), evictionLoss: Math.round(Math.min(...residents.map(evictionLossOf)) * 100) / 100 }
-  }
-
-  const describe = (routerCount: number): AgentState => {
-    const report = orderer.report()
-    const load = orderer.currentLoad()
-    const models = report?.models ?? []
-    return {
-      type: 'state',
-      serverId: identity.current(),
-      goneServerIds: identity.gone(),
-      isUp,
-      isDraining: report?.isDraining ?? false,
-      models,
-      leavingModels: orderer.leavingModels(),
-      loadingModel: load?.modelName ?? '',
-      isLoadingCold: load?.isCold ?? false,
-      loadingLeftMs: load ? Math.max(0, load.endsAtMs - timers.nowMs()) : 0,
-      coldWaitMs: Math.round(orderer.coldWaitMs()),
-      queuedModels: wants.open().filter(want => want.adapterName === '').map(want => want.modelName),
-      inMemory: report?.inMemory ?? [],
-      onDisk: report?.onDisk ?? [],
-      ...priceRoom(report),
-      demandTokensPerS: models.map(model => Math.round(demand.totalFor(model.name).promptTokensPerS)),
-      routerCount
-    }
-  }
-
-  const describeLoad = (): AgentLoad | undefined => {
-    const report = orderer.report()
-    if (!report) return undefined
-    return { type: 'load', runningCount: report.runningCount, startingCount: report.startingCount }
-  }
-
   const isHeld = (modelName: string, adapterName: string): boolean => {
     const model = orderer.report()?.models.find(held => held.name === modelName)
     if (!model || orderer.leavingModels().includes(modelName)) return false
@@ -139,16 +92,13 @@
     links.tell()
   }
 
-  const takeDeployment = (record: FeedRecord): void => {
-    if (!record.value || !options.store.isDeploymentKey(record.key)) return
-    options.store.decodeDeployment(record.key, record.value).caseOf({
-      Left: fault => { events.emit(SidecarEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset: record.offset }) },
-      Right: next => {
-        if (deployment && next.version <= deployment.version) return
-        deployment = next
-        events.emit(SidecarEvent.deploymentTaken, { version: String(next.version), offset: record.offset })
-      }
-    })
+  const takeWant = (router: string, want: Want, settle: Settle): void => {
+    events.emit(SidecarEvent.wantTaken, { peer: router, model: want.modelName, adapter: want.adapterName ?? '', count: want.waitingCount })
+    metrics.count('wants_total')
+    if (identity.gone().includes(want.serverId)) return settle(want.wantId, { isReady: false, isLost: true, reason: 'the engine has restarted' })
+    if (!isUp) return settle(want.wantId, { isReady: false, isLost: true, reason: 'engine is down' })
+    wants.add(router, want, settle)
+    advance()
   }
 
   const links = serveRouters({
@@ -158,17 +108,16 @@
     sharedKey: options.sharedKey,
     timers,
     events,
-    describe,
-    describeLoad,
-    takeWant: (router, want, settle) => {
-      events.emit(SidecarEvent.wantTaken, { peer: router, model: want.modelName, adapter: want.adapterName ?? '', count: want.waitingCount })
-      metrics.count('wants_total')
-      if (identity.gone().includes(want.serverId)) return settle(want.wantId, { isReady: false, isLost: true, reason: 'the engine has restarted' })
-      if (!isUp) return settle(want.wantId, { isReady: false, isLost: true, reason: 'engine is down' })
-      wants.add(want, settle)
-      advance()
-    },
-    takeDemand: demand.take
+    describe: routerCount => describeEngine({
+      timers, spec: service()?.engine, isUp, identity, orderer, demand, wants, deploymentOffset: deployments.offset(), routerCount
+    }),
+    describeLoad: () => describeEngineLoad(orderer),
+    takeWant,
+    dropWant: wants.drop,
+    dropRouter: wants.dropRouter,
+    takeDemand: demand.take,
+    takeRelay: deployments.takeRelay,
+    deploymentRelay: deployments.relay
   })
 
   const watch = watchEngine({
@@ -181,18 +130,6 @@
   })
   const stopTelling = timers.every(TELL_PERIOD_MS, advance)
 
-  const deployments = createFeedFollower({
-    feed: options.store.deploymentFeed,
-    timers,
-    events,
-    waitMs: LONG_POLL_MS,
-    periodMs: 0,
-    take: records => { for (const record of records) takeDeployment(record) },
-    takeKeys: () => {},
-    lost: fault => { events.emit(SidecarEvent.feedLost, { step: fault.step, peer: fault.peer, reason: fault.message }) },
-    regained: outageMs => { events.emit(SidecarEvent.feedRegained, { peer: options.store.deploymentFeed.name, durationMs: Math.round(outageMs) }) }
-  })
-
   return {
     address: `${options.host}:${options.port}`,
     stop: async () => {
--- a/packages/sidecar/src/wants/createWantBook.ts
+++ b/packages/sidecar/src/wants/createWantBook.ts
@@ -8,9 +8,10 @@
 export type Settle = (wantId: number, outcome: WantEnd) => void
 
 interface Waiter {
+  readonly router: string
   readonly wantId: number
   readonly waitingCount: number
-  readonly gainPerS: number
+  readonly lateCount: number
   readonly untilMs: number
   readonly settle: Settle
 }
@@ -21,12 +22,16 @@
   readonly adapterName: string
   readonly sinceMs: number
   readonly waitingCount: number
-  readonly gainPerS: number
+  readonly lateCount: number
 }
 
 /** What routers want of one engine and has not come. */
 export interface WantBook {
-  readonly add: (want: Want, settle: Settle) => void
+  readonly add: (router: string, want: Want, settle: Settle) => void
+  /** Takes a want back. */
+  readonly drop: (router: string, wantId: number) => void
+  /** Takes back all wants of a router that has gone: its callers have lost their connections. */
+  readonly dropRouter: (router: string) => void
   readonly open: () => readonly OpenWant[]
   /** Settles what is in place by `isHeld`, and gives up what has run out of time. */
   readonly review: (isHeld: (modelName: string, adapterName: string) => boolean) => void
@@ -61,22 +66,35 @@
     else entries.set(key, { ...entry, waiters })
   }
 
+  const keep = (isKept: (waiter: Waiter) => boolean): void => {
+    for (const [key, entry] of [...entries]) {
+      const waiters = entry.waiters.filter(isKept)
+      if (waiters.length === 0) entries.delete(key)
+      else if (waiters.length < entry.waiters.length) entries.set(key, { ...entry, waiters })
+    }
+  }
+
   return {
-    add: (want, settle) => {
+    add: (router, want, settle) => {
       const adapterName = want.adapterName ?? ''
       const key = `${want.modelName}/${adapterName}`
       const entry = entries.get(key) ?? { modelName: want.modelName, adapterName, sinceMs: timers.nowMs(), waiters: [] }
-      const waiter = { wantId: want.wantId, waitingCount: want.waitingCount, gainPerS: want.gainPerS, untilMs: timers.nowMs() + want.timeLeftMs, settle }
+      const { wantId, waitingCount, lateCount } = want
+      const waiter = { router, wantId, waitingCount, lateCount, untilMs: timers.nowMs() + want.timeLeftMs, settle }
       entries.set(key, { ...entry, waiters: [...entry.waiters, waiter] })
     },
+    // Guards against a model that is loaded for nobody: a caller has left, or was served by another engine. The load would
+    // take the engine's time, and the room of a model that is asked for.
+    drop: (router, wantId) => { keep(waiter => waiter.router !== router || waiter.wantId !== wantId) },
+    dropRouter: router => { keep(waiter => waiter.router !== router) },
     open: () => [...entries.values()].map(entry => {
       let waitingCount = 0
-      let gainPerS = 0
+      let lateCount = 0
       for (const waiter of entry.waiters) {
         waitingCount += waiter.waitingCount
-        gainPerS = Math.max(gainPerS, waiter.gainPerS)
+        lateCount = Math.max(lateCount, waiter.lateCount)
       }
-      return { modelName: entry.modelName, adapterName: entry.adapterName, sinceMs: entry.sinceMs, waitingCount, gainPerS }
+      return { modelName: entry.modelName, adapterName: entry.adapterName, sinceMs: entry.sinceMs, waitingCount, lateCount }
     }),
     review: isHeld => {
       for (const [key, entry] of [...entries]) {
