Tell agents what has changed in demand, and poll the store less

By messages packed both ways the demand of 26 models took 3.7 KB, twice a second from each of 24 routers to each of 30 agents; each agent also told its state ten times a second, as what an eviction costs changed in its last digit. Change: a router tells of models with new requests only, and of replicas and runs when they change; both ends let the rest decay alike; links that are new hear everything, and a router that has gone is forgotten by its link's end instead of after 3 s. The list of servers is read by the deployment's own time for leaving servers, and reads of the configuration wait 8 s, as agents that are ahead bring a change to a router whose read is not answered.

--- a/packages/fleet/src/feeds/constants.ts
+++ b/packages/fleet/src/feeds/constants.ts
@@ -1,6 +1,3 @@
-/** Time between reads of a feed that is polled: three fifths of the 2 s within which a leaving server must be left alone. */
-export const POLL_PERIOD_MS = 1_200
-
 /** How long a read may wait at the store for something new; the store allows 30 s. */
 export const LONG_POLL_MS = 25_000
 
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -39,8 +39,6 @@
   readonly requestsPerS: number
   /** Prompt tokens to be computed, a second. */
   readonly promptTokensPerS: number
-  /** Backend servers that hold the model, as the router knows. */
-  readonly replicaCount: number
   /** Time since the router's newest request for it. */
   readonly idleMs: number
   /** Adapters of it that were asked for since the last message. */
@@ -53,14 +51,18 @@
   readonly replicaCount: number
 }
 
-/** A router's demand, several times a second while it changes. */
+/**
+ * What has changed in a router's demand, several times a second. The whole of it went to every agent before: at 24 routers
+ * and 30 agents most of the bytes between data centres.
+ */
 export interface Demand {
   readonly type: 'demand'
+  /** Models with requests since the last message; what is said of the others decays. */
   readonly models: readonly ModelDemand[]
-  /** Models of which several engines hold a replica, with or without demand. */
-  readonly replicas: readonly ModelReplicas[]
-  /** Models for which the router has requests running at the agent's engine. */
-  readonly runningModels: readonly string[]
+  /** Models of which several engines hold a replica, with or without demand. Left out while they are the same. */
+  readonly replicas?: readonly ModelReplicas[]
+  /** Models for which the router has requests running at the agent's engine. Left out while they are the same. */
+  readonly runningModels?: readonly string[]
 }
 
 /** Records of the store that a router has read, for those that the store does not answer. */
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -25,6 +25,7 @@
   const wants = new Map<number, (outcome: WantOutcome) => void>()
   let link: OpenLink | undefined
   let hasSpoken = false
+  let isNew = false
   let nextWantId = 1
 
   const settle = (wantId: number, outcome: WantOutcome): void => {
@@ -63,6 +64,7 @@
 
   const serve = async (open: OpenLink): Promise<void> => {
     link = open
+    isNew = true
     events.emit(GatewayEvent.agentFound, { peer: agentAddress })
     for await (const message of open.received) take(message)
     link = undefined
@@ -98,6 +100,12 @@
       link?.send(message)
       return link !== undefined
     },
+    isOpen: () => link !== undefined,
+    isNew: () => {
+      const wasNew = isNew
+      isNew = false
+      return wasNew
+    },
     hasSpoken: () => hasSpoken,
     close: () => {
       closing.abort()
--- a/packages/gateway/src/agents/createAgentLinks.ts
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -17,8 +17,8 @@
   /** Opens links to new servers' agents and gives up those of servers that were not listed for long. */
   readonly follow: (entries: readonly ServerEntry[], hasAgent: (entry: ServerEntry) => boolean) => void
   readonly find: (serverAddress: string) => AgentLink | undefined
-  /** Sends each agent a message of its own, by the address of its engine. */
-  readonly sendToEach: (messageFor: (serverAddress: string) => RouterMessage) => void
+  /** Sends each agent that answers a message of its own, if there is one; a link is new until the first of them. */
+  readonly sendToEach: (messageFor: (serverAddress: string, isNewLink: boolean) => RouterMessage | undefined) => void
   /** Sends through a few agents, which pass it on to all other routers. */
   readonly relay: (message: RouterMessage) => void
   /** Nearly all agents have told their engines' state; false before the first one is known. */
@@ -57,7 +57,11 @@
     },
     find: serverAddress => links.get(serverAddress),
     sendToEach: messageFor => {
-      for (const [serverAddress, link] of links) link.send(messageFor(serverAddress))
+      for (const [serverAddress, link] of links) {
+        if (!link.isOpen()) continue
+        const message = messageFor(serverAddress, link.isNew())
+        if (message) link.send(message)
+      }
     },
     relay: message => {
       let sent = 0
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -39,6 +39,9 @@
 export interface AgentLink {
   readonly want: (request: WantRequest) => OpenWant
   readonly send: (message: RouterMessage) => boolean
+  readonly isOpen: () => boolean
+  /** True once for each time that the link was opened. */
+  readonly isNew: () => boolean
   /** The agent has told its engine's state since the link was opened. */
   readonly hasSpoken: () => boolean
   readonly close: () => void
--- a/packages/gateway/src/demand/createDemandMeter.ts
+++ b/packages/gateway/src/demand/createDemandMeter.ts
@@ -1,9 +1,8 @@
+import { DEMAND_MEMORY_MS, decayDemand } from '@figmount/fleet'
+
 import type { TimerService } from '@figmount/base'
 import type { ModelDemand } from '@figmount/fleet'
 
-/** Memory of the meter: demand that moves within 5 s is followed, and a pause of a second is not taken for its end. */
-const TIME_CONSTANT_MS = 4_000
-
 /** Models with less than this many requests a second have no demand to tell of. */
 const LEAST_REQUESTS_PER_S = 0.01
 
@@ -15,6 +14,13 @@
   readonly asOfMs: number
   readonly lastMs: number
   readonly adapterNames: ReadonlySet<string>
+  readonly isNew: boolean
+}
+
+/** A model's demand and whether it was asked for since the last reset. */
+export interface MeteredModel {
+  readonly demand: ModelDemand
+  readonly isNew: boolean
 }
 
 /** Demand by model as one router sees it. */
@@ -22,12 +28,14 @@
   readonly note: (modelName: string, adapterName: string, promptTokens: number) => void
   /** Requests a second for a model. */
   readonly requestsPerS: (modelName: string) => number
-  /** Demand now, and the adapters asked for since the last call. */
-  readonly read: (replicaCount: (modelName: string) => number) => readonly ModelDemand[]
+  /** Demand now, and the adapters asked for since the last reset. */
+  readonly read: () => readonly MeteredModel[]
+  /** Begins anew to note which models and adapters are asked for. */
+  readonly reset: () => void
 }
 
 const decayed = (meter: ModelMeter, nowMs: number): ModelMeter => {
-  const factor = Math.exp(-(nowMs - meter.asOfMs) / TIME_CONSTANT_MS)
+  const factor = decayDemand(nowMs - meter.asOfMs)
   return { ...meter, requests: meter.requests * factor, promptTokens: meter.promptTokens * factor, asOfMs: nowMs }
 }
 
@@ -36,7 +44,7 @@
   const meters = new Map<string, ModelMeter>()
 
   const fresh = (nowMs: number): ModelMeter =>
-    ({ requests: 0, promptTokens: 0, asOfMs: nowMs, lastMs: nowMs, adapterNames: new Set() })
+    ({ requests: 0, promptTokens: 0, asOfMs: nowMs, lastMs: nowMs, adapterNames: new Set(), isNew: true })
 
   return {
     note: (modelName, adapterName, promptTokens) => {
@@ -47,34 +55,32 @@
         requests: meter.requests + 1,
         promptTokens: meter.promptTokens + promptTokens,
         lastMs: nowMs,
+        isNew: true,
         adapterNames: adapterName === '' ? meter.adapterNames : new Set([...meter.adapterNames, adapterName])
       })
     },
     requestsPerS: modelName => {
       const meter = meters.get(modelName)
-      return meter ? decayed(meter, timers.nowMs()).requests / TIME_CONSTANT_MS * MS_PER_S : 0
+      return meter ? decayed(meter, timers.nowMs()).requests / DEMAND_MEMORY_MS * MS_PER_S : 0
     },
-    read: replicaCount => {
+    read: () => {
       const nowMs = timers.nowMs()
-      const demands: ModelDemand[] = []
+      const metered: MeteredModel[] = []
       for (const [modelName, stored] of [...meters]) {
         const meter = decayed(stored, nowMs)
-        const requestsPerS = meter.requests / TIME_CONSTANT_MS * MS_PER_S
+        const requestsPerS = meter.requests / DEMAND_MEMORY_MS * MS_PER_S
         if (requestsPerS < LEAST_REQUESTS_PER_S) {
           meters.delete(modelName)
           continue
         }
-        meters.set(modelName, { ...meter, adapterNames: new Set() })
-        demands.push({
-          modelName,
-          requestsPerS,
-          promptTokensPerS: meter.promptTokens / TIME_CONSTANT_MS * MS_PER_S,
-          replicaCount: replicaCount(modelName),
-          idleMs: nowMs - meter.lastMs,
-          adapterNames: [...meter.adapterNames]
-        })
+        const promptTokensPerS = meter.promptTokens / DEMAND_MEMORY_MS * MS_PER_S
+        const demand = { modelName, requestsPerS, promptTokensPerS, idleMs: nowMs - meter.lastMs, adapterNames: [...meter.adapterNames] }
+        metered.push({ demand, isNew: meter.isNew })
       }
-      return demands
+      return metered
+    },
+    reset: () => {
+      for (const [modelName, meter] of meters) meters.set(modelName, { ...meter, adapterNames: new Set(), isNew: false })
     }
   }
 }
--- a/packages/gateway/src/router/constants.ts
+++ b/packages/gateway/src/router/constants.ts
@@ -1,9 +1,15 @@
 /**
  * How long a router's read of the configuration waits at the store. A change ends the wait at once; where its answer does
- * not come, after an outage or on a dead connection, the router is behind for this long. With 25 s a router that had started
- * in an outage of the store still served by the old configuration 9 s after the change.
+ * not come, after an outage or on a dead connection, the router learns of the change from an agent that is ahead. Waits of
+ * 2 s were a third of the calls to the store; longer ones than this save little more.
  */
-export const CONFIG_WAIT_MS = 2_000
+export const CONFIG_WAIT_MS = 8_000
+
+/**
+ * Part of the time within which a leaving server must be left alone that passes between two reads of the list. The rest is
+ * for a slow read and for requests on their way.
+ */
+export const POLL_SHARE = 0.6
 
 /** Time between two messages on demand: half the time that an idle model stays at least. */
 export const DEMAND_PERIOD_MS = 500
--- /dev/null
+++ b/packages/gateway/src/router/createDemandTeller.test.ts
@@ -0,0 +1,72 @@
+import { expect } from 'chai'
+import { Right } from 'purify-ts'
+import { createEventLog, createVirtualTimers } from '@figmount/base'
+
+import { createDemandMeter } from '../demand/createDemandMeter.js'
+import { createDirectory } from '../directory/createDirectory.js'
+import { createDemandTeller } from './createDemandTeller.js'
+
+import type { InstanceName } from '@figmount/base'
+import type { RouterMessage, ServerEntry } from '@figmount/fleet'
+import type { AgentLinks } from '../agents/createAgentLinks.js'
+
+const ENTRY: ServerEntry = { serverId: 'a', serviceName: 's', address: 'a:1', dataCentre: 'east', slots: 1, isDraining: false, models: [{ name: 'm', adapters: [] }] }
+
+const setUp = () => {
+  const timers = createVirtualTimers()
+  const events = createEventLog({ instance: 'r' as InstanceName, role: 'router', timers })
+  const directory = createDirectory({ timers, events, decodeServer: () => Right(ENTRY), entryTaken: () => {} })
+  directory.takeRecords([{ key: 'a', value: Buffer.from('x'), offset: 1 }])
+  const meter = createDemandMeter(timers)
+  const sent: RouterMessage[] = []
+  let isNewLink = true
+  const links = {
+    sendToEach: (messageFor: (address: string, isNew: boolean) => RouterMessage | undefined) => {
+      const message = messageFor('a:1', isNewLink)
+      if (message) sent.push(message)
+      isNewLink = false
+    }
+  } as unknown as AgentLinks
+  const tell = createDemandTeller(meter, directory, links)
+  return { timers, meter, directory, sent, tell, relink: () => { isNewLink = true } }
+}
+
+const modelsOf = (message: RouterMessage | undefined): readonly string[] =>
+  message?.type === 'demand' ? message.models.map(model => model.modelName) : []
+
+describe('telling agents of demand', () => {
+  it('tells of a model only when it was asked for again', () => {
+    const { meter, sent, tell } = setUp()
+    meter.note('m', '', 10)
+    meter.note('n', 'a1', 10)
+    tell()
+    expect(modelsOf(sent[0])).to.have.members(['m', 'n'])
+    meter.note('n', '', 10)
+    tell()
+    expect(modelsOf(sent[1])).to.deep.equal(['n'])
+    tell()
+    expect(sent).to.have.length(2)
+  })
+
+  it('tells an agent whose link is new of everything', () => {
+    // An agent restarts and knows no demand. What is running at its engine and what is asked for must reach it, or it
+    // unloads the busiest model first.
+    const { meter, directory, sent, tell, relink } = setUp()
+    meter.note('m', '', 10)
+    directory.own.noteRun('a', 'm')
+    tell()
+    relink()
+    tell()
+    expect(modelsOf(sent[1])).to.deep.equal(['m'])
+    expect(sent[1]).to.deep.include({ runningModels: ['m'] })
+  })
+
+  it('tells when the last run of a model has ended', () => {
+    const { directory, sent, tell } = setUp()
+    directory.own.noteRun('a', 'm')
+    tell()
+    directory.own.noteRunEnd('a', 'm')
+    tell()
+    expect(sent[1]).to.deep.include({ runningModels: [] })
+  })
+})
--- a/packages/gateway/src/router/createDemandTeller.ts
+++ b/packages/gateway/src/router/createDemandTeller.ts
@@ -1,19 +1,34 @@
 import { viewReplicas } from '../placing/viewServers.js'
 
+import type { Demand } from '@figmount/fleet'
 import type { AgentLinks } from '../agents/createAgentLinks.js'
 import type { DemandMeter } from '../demand/createDemandMeter.js'
 import type { Directory } from '../directory/createDirectory.js'
 
-/** Makes what tells all agents a router's demand; while there is none it speaks only when the replicas have changed. */
-export const createDemandTeller = (demand: DemandMeter, directory: Directory, agents: AgentLinks): () => void => {
-  let lastIdleText = ''
+/** Makes what tells each agent what has changed in a router's demand; one whose link is new hears all of it. */
+export const createDemandTeller = (meter: DemandMeter, directory: Directory, agents: AgentLinks): () => void => {
+  const runningTexts = new Map<string, string>()
+  let replicasText = ''
+
   return () => {
+    const metered = meter.read()
+    const all = metered.map(({ demand }) => demand)
+    const fresh = metered.filter(({ isNew }) => isNew).map(({ demand }) => demand)
     const replicas = viewReplicas(directory)
-    const replicaCounts = new Map(replicas.map(({ modelName, replicaCount }) => [modelName, replicaCount]))
-    const models = demand.read(modelName => replicaCounts.get(modelName) ?? 1)
-    const idleText = models.length === 0 ? JSON.stringify(replicas) : ''
-    if (models.length === 0 && idleText === lastIdleText) return
-    lastIdleText = idleText
-    agents.sendToEach(serverAddress => ({ type: 'demand', models, replicas, runningModels: directory.runningModels(serverAddress) }))
+    const nextReplicasText = JSON.stringify(replicas)
+    const hasNewReplicas = nextReplicasText !== replicasText
+    replicasText = nextReplicasText
+    meter.reset()
+
+    agents.sendToEach((serverAddress, isNewLink) => {
+      const runningModels = directory.runningModels(serverAddress)
+      const runningText = runningModels.join()
+      const hasNewRuns = isNewLink || runningText !== (runningTexts.get(serverAddress) ?? '')
+      runningTexts.set(serverAddress, runningText)
+      const models = isNewLink ? all : fresh
+      if (models.length === 0 && !hasNewRuns && !hasNewReplicas) return undefined
+      const message: Demand = { type: 'demand', models, ...(isNewLink || hasNewReplicas ? { replicas } : {}), ...(hasNewRuns ? { runningModels } : {}) }
+      return message
+    })
   }
 }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -39,6 +39,8 @@
   readonly retryLimits: RetryLimits
   /** Time that a stop may take. */
   readonly stopMs: number
+  /** Time within which a leaving server must be left alone. */
+  readonly leaveMs: number
   readonly codec: HeaderCodec
   readonly store: StorePort
   readonly random: () => number
@@ -83,6 +85,7 @@
     timers,
     events,
     directory,
+    leaveMs: options.leaveMs,
     deploymentTaken: deployment => { limitCallers(deployment.limits) },
     relay: (feedName, records) => { agents.relay({ type: 'relay', feedName, records }) }
   })
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -1,7 +1,7 @@
-import { createFeedFollower, POLL_PERIOD_MS } from '@figmount/fleet'
+import { createFeedFollower } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
-import { CONFIG_WAIT_MS } from './constants.js'
+import { CONFIG_WAIT_MS, POLL_SHARE } from './constants.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { Deployment, FeedRecord, StorePort } from '@figmount/fleet'
@@ -12,6 +12,8 @@
   readonly timers: TimerService
   readonly events: EventLog
   readonly directory: Directory
+  /** Time within which a leaving server must be left alone. */
+  readonly leaveMs: number
   readonly deploymentTaken: (deployment: Deployment) => void
   /** Passes on what other routers may have missed. */
   readonly relay: (feedName: string, records: readonly FeedRecord[]) => void
@@ -81,7 +83,7 @@
     timers,
     events,
     waitMs: 0,
-    periodMs: POLL_PERIOD_MS,
+    periodMs: options.leaveMs * POLL_SHARE,
     take: records => {
       const news = records.filter(isNews)
       directory.takeRecords(records)
@@ -95,7 +97,7 @@
     regained: outageMs => {
       directory.noteRegained()
       // Guards against a cut that leaves the read of the configuration waiting on a connection that is dead: it would wait
-      // on for 25 s, and requests would be handled by an older configuration. The list is read every 1.2 s and shows the
+      // on for seconds, and requests would be handled by an older configuration. The list is read more often and shows the
       // end of the cut.
       deployments.hurry()
       regained(store.serverFeed.name, outageMs)
--- a/packages/sidecar/src/demand/createDemandBook.ts
+++ b/packages/sidecar/src/demand/createDemandBook.ts
@@ -1,8 +1,10 @@
+import { decayDemand } from '@figmount/fleet'
+
 import type { Demand, ModelDemand } from '@figmount/fleet'
 import type { TimerService } from '@figmount/base'
 
-/** A router that says nothing for this long has gone: it sends its demand twice a second while there is any. */
-const STALE_MS = 3_000
+/** Demand below this many requests a second is forgotten. */
+const LEAST_REQUESTS_PER_S = 0.01
 
 /** Demand heard of for this long tells busy models from idle ones: a busy one is asked for several times a second. */
 const SETTLE_MS = 4_000
@@ -17,21 +19,30 @@
   readonly isRunning: boolean
 }
 
+/** What a router said of a model, and when. */
+interface SaidDemand {
+  readonly demand: ModelDemand
+  readonly asOfMs: number
+}
+
 interface RouterDemand {
-  readonly models: ReadonlyMap<string, ModelDemand>
+  readonly models: ReadonlyMap<string, SaidDemand>
   readonly runningModels: ReadonlySet<string>
-  readonly asOfMs: number
 }
 
 /** Demand as the routers tell it, added up. */
 export interface DemandBook {
   readonly take: (router: string, demand: Demand) => void
+  /** The link to a router was lost. */
+  readonly dropRouter: (router: string) => void
   readonly totalFor: (modelName: string) => TotalDemand
   /** Demand has been heard of for long enough to know what is idle. */
   readonly isSettled: () => boolean
   readonly adapterIdleMs: (modelName: string, adapterName: string) => number
 }
 
+const NO_DEMAND: RouterDemand = { models: new Map(), runningModels: new Set() }
+
 /** Makes the demand book of one agent. */
 export const createDemandBook = (timers: TimerService): DemandBook => {
   const routers = new Map<string, RouterDemand>()
@@ -43,26 +54,33 @@
     take: (router, { models, replicas, runningModels }) => {
       const asOfMs = timers.nowMs()
       if (models.length > 0) firstDemandMs ??= asOfMs
-      replicaCounts = new Map(replicas.map(({ modelName, replicaCount }) => [modelName, replicaCount]))
-      routers.set(router, { models: new Map(models.map(model => [model.modelName, model])), runningModels: new Set(runningModels), asOfMs })
+      if (replicas) replicaCounts = new Map(replicas.map(({ modelName, replicaCount }) => [modelName, replicaCount]))
+      const known = routers.get(router) ?? NO_DEMAND
+      const said = new Map(known.models)
+      for (const [modelName, { demand, asOfMs: saidMs }] of said) {
+        if (demand.requestsPerS * decayDemand(asOfMs - saidMs) < LEAST_REQUESTS_PER_S) said.delete(modelName)
+      }
+      for (const demand of models) said.set(demand.modelName, { demand, asOfMs })
+      routers.set(router, { models: said, runningModels: runningModels ? new Set(runningModels) : known.runningModels })
       for (const model of models) {
         for (const adapterName of model.adapterNames) adapterUsedMs.set(`${model.modelName}/${adapterName}`, asOfMs)
       }
     },
+    dropRouter: router => { routers.delete(router) },
     totalFor: modelName => {
       const nowMs = timers.nowMs()
       let total: TotalDemand = { requestsPerS: 0, promptTokensPerS: 0, replicaCount: replicaCounts.get(modelName) ?? 1, idleMs: Infinity, isRunning: false }
-      for (const { models, runningModels, asOfMs } of routers.values()) {
-        if (nowMs - asOfMs > STALE_MS) continue
+      for (const { models, runningModels } of routers.values()) {
         if (runningModels.has(modelName)) total = { ...total, isRunning: true }
-        const demand = models.get(modelName)
-        if (!demand) continue
+        const said = models.get(modelName)
+        if (!said) continue
+        const elapsedMs = nowMs - said.asOfMs
+        const left = decayDemand(elapsedMs)
         total = {
           ...total,
-          requestsPerS: total.requestsPerS + demand.requestsPerS,
-          promptTokensPerS: total.promptTokensPerS + demand.promptTokensPerS,
-          replicaCount: Math.max(total.replicaCount, demand.replicaCount),
-          idleMs: Math.min(total.idleMs, demand.idleMs + nowMs - asOfMs)
+          requestsPerS: total.requestsPerS + said.demand.requestsPerS * left,
+          promptTokensPerS: total.promptTokensPerS + said.demand.promptTokensPerS * left,
+          idleMs: Math.min(total.idleMs, said.demand.idleMs + elapsedMs)
         }
       }
       return total
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -2,7 +2,7 @@
 import { match } from 'ts-pattern'
 import { acceptLinks, HEARTBEAT_MS, NO_OFFSET } from '@figmount/peers'
 
-import { LOAD_PERIOD_MS, ROOM_STEP_MS } from './constants.js'
+import { LOAD_PERIOD_MS, LOSS_STEP, ROOM_STEP_MS } from './constants.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
 import type { AgentLoad, AgentMessage, AgentState, Demand, Relay, RouterMessage, Want } from '@figmount/fleet'
@@ -36,6 +36,17 @@
   readonly close: () => void
 }
 
+/** A state without what changes all the while: routers count times down by themselves, and small steps decide nothing. */
+const roundState = (state: AgentState): AgentState => ({
+  ...state,
+  loadingLeftMs: 0,
+  loadingForMs: Math.sign(state.loadingForMs),
+  coldWaitMs: 0,
+  roomMs: Math.round(state.roomMs / ROOM_STEP_MS),
+  evictionLoss: Math.round(state.evictionLoss / LOSS_STEP),
+  demandTokensPerS: []
+})
+
 /** Listens for routers. */
 export const serveRouters = (options: Options): RouterLinks => {
   const { timers, events } = options
@@ -57,8 +68,7 @@
 
   const tell = (): void => {
     const state = options.describe(links.size)
-    // The time that a load still takes changes all the while; routers count it down by themselves.
-    const text = JSON.stringify({ ...state, loadingLeftMs: 0, loadingForMs: Math.sign(state.loadingForMs), coldWaitMs: 0, roomMs: Math.round(state.roomMs / ROOM_STEP_MS), demandTokensPerS: [] })
+    const text = JSON.stringify(roundState(state))
     if (text === lastState) return
     lastState = text
     sendToAll(state)
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -114,7 +114,10 @@
     describeLoad: () => describeEngineLoad(orderer),
     takeWant,
     dropWant: wants.drop,
-    dropRouter: wants.dropRouter,
+    dropRouter: router => {
+      wants.dropRouter(router)
+      demand.dropRouter(router)
+    },
     takeDemand: demand.take,
     takeRelay: deployments.takeRelay,
     deploymentRelay: deployments.relay
