Keep the message that comes with a link's handshake

Cause: the link's listener was attached after the promise of the open socket was settled; a message that came in one piece with the handshake's answer was handed out before.

--- /dev/null
+++ b/packages/peers/src/links/openLink.test.ts
@@ -0,0 +1,62 @@
+import { createHash } from 'node:crypto'
+import { createServer } from 'node:net'
+import { expect } from 'chai'
+import { pack } from 'msgpackr'
+import { createEventLog, createTimerService } from '@figmount/base'
+
+import { NO_OFFSET } from './wrapSocket.js'
+import { openLink } from './openLink.js'
+
+import type { AddressInfo, Server } from 'node:net'
+import type { InstanceName } from '@figmount/base'
+
+/** The constant that RFC 6455 has a server hash with the client's key. */
+const HANDSHAKE_GUID = '258EAFA5-E914-47DA-95CA-C5AB0DC85B11'
+const FINAL_BINARY_FRAME = 0x82
+
+interface Message {
+  readonly type: string
+}
+
+/** A peer that sends its first message in one piece with the answer to the handshake. */
+const listenHasty = async (message: Message): Promise<Server> => {
+  const payload = pack({ offset: 0, clock: 1, body: message })
+  const server = createServer(socket => {
+    socket.once('data', data => {
+      const [, key = ''] = /sec-websocket-key: (.*)\r\n/i.exec(String(data)) ?? []
+      const accept = createHash('sha1').update(key + HANDSHAKE_GUID).digest('base64')
+      const head = `HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Accept: ${accept}\r\n\r\n`
+      socket.write(Buffer.concat([Buffer.from(head), Buffer.from([FINAL_BINARY_FRAME, payload.length]), payload]))
+    })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return server
+}
+
+describe('an opened link', () => {
+  it('has the message that came with the handshake', async () => {
+    // An agent tells its engine's state as soon as a router is linked. On a busy machine that message arrives in one piece
+    // with the handshake's answer. It was lost, and the router refused every request for a model that had to be loaded.
+    const server = await listenHasty({ type: 'first' })
+    const { port } = server.address() as AddressInfo
+    const timers = createTimerService()
+    const context = {
+      instance: 'r' as InstanceName,
+      sharedKey: 'key',
+      timers,
+      events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers }),
+      offset: () => NO_OFFSET,
+      onPeerOffset: () => {}
+    }
+    const opened = await openLink<Message, Message>(`127.0.0.1:${port}`, context).run()
+    const link = opened.unsafeCoerce()
+    const received: string[] = []
+    timers.after(200, () => link.close('the test ends'))
+    for await (const message of link.received) {
+      received.push(message.type)
+      link.close('the test ends')
+    }
+    expect(received).to.deep.equal(['first'])
+    server.close()
+  })
+})
--- a/packages/peers/src/links/openLink.ts
+++ b/packages/peers/src/links/openLink.ts
@@ -8,7 +8,7 @@
 
 import type { Link, LinkContext, LinkFault } from './types.js'
 
-const connect = async (address: string, context: LinkContext): Promise<WebSocket> =>
+const connect = async <Send, Receive>(address: string, context: LinkContext): Promise<Link<Send, Receive>> =>
   await new Promise((resolve, reject) => {
     const proof = makeProof(context.sharedKey, context.instance, context.timers.unixMs())
     const socket = new WebSocket(`ws://${address}/peer`, {
@@ -17,15 +17,14 @@
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false
     })
-    socket.once('open', () => resolve(socket))
+    // Guards against a peer whose first message comes with its answer to the handshake: it is handed out before a promise
+    // is settled, and a link that listens only then loses it. The loss shows as a peer that never tells its state.
+    socket.once('open', () => resolve(wrapSocket<Send, Receive>(socket, address, context)))
     socket.once('error', reject)
   })
 
 /** Dials a peer. The fault names the address. */
 export const openLink = <Send, Receive>(address: string, context: LinkContext): EitherAsync<LinkFault, Link<Send, Receive>> =>
-  EitherAsync(async () => await connect(address, context))
+  EitherAsync(async () => await connect<Send, Receive>(address, context))
     .mapLeft(faultFrom('links.open', address))
-    .map(socket => {
-      context.events.emit(PeerEvent.linkOpened, { peer: address })
-      return wrapSocket<Send, Receive>(socket, address, context)
-    })
+    .ifRight(() => { context.events.emit(PeerEvent.linkOpened, { peer: address }) })
