--- a/packages/peers/src/links/wrapSocket.ts
+++ b/packages/peers/src/links/wrapSocket.ts
@@ -14,7 +14,7 @@
  * Records name the fields of like objects once in a message: the demand for 26 models takes 1.5 KB instead of 3.7, by
  * messages packed both ways.
  */
-const codec = new Packr({ useRecords: true, moreTypes: false })
+const codec = new Packr({ useRecords: true, mapsAsObjects: true, moreTypes: false })
 
 const decode = <Body>(data: RawData): Envelope<Body> | undefined => {
   try {
