Count loads down from when their state came, and expect late ones to take longer

Change: times in a state count from the state; a load past its time is expected to take on for half of its time so far.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -49,6 +49,7 @@
 export type { ModelLoad } from './placing/lateRequests.js'
 export { firstPace, notePace } from './placing/storePace.js'
 export type { SeenLoad, StorePace } from './placing/storePace.js'
+export { estimateLoadLeftMs } from './placing/estimateLoadLeft.js'
 export { planReplicas } from './placing/planReplicas.js'
 export { countsAsFailure, failureShareAt, noFailures, noteOutcome } from './forwarding/failureShare.js'
 export type { FailureShare } from './forwarding/failureShare.js'
--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -79,6 +79,18 @@
     expect(ids()).to.deep.equal(['a'])
   })
 
+  it('counts times in a state from when the state came', () => {
+    // A busy engine's load is told ten times a second and its state only when it changes. Counted from the newest message
+    // of either kind, a load that ends in 0.3 s would stay 0.3 s away until its end.
+    const { timers, directory } = setUp()
+    directory.takeRecords([listed('a')])
+    directory.takeState(ADDRESS, makeAgentState('a'))
+    timers.advance(500)
+    directory.takeLoad(ADDRESS, { type: 'load', runningCount: 1, startingCount: 0 })
+    expect(directory.find('a')?.stateAsOfMs).to.equal(0)
+    expect(directory.find('a')?.load?.runningCount).to.equal(1)
+  })
+
   it('forgets what a server kept for a model that it holds no longer', () => {
     const { directory } = setUp()
     const parts = [{ partId: 'p', tokenCount: 100 }]
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -15,7 +15,7 @@
 interface AgentWord {
   readonly state: AgentState | undefined
   readonly load: AgentLoad | undefined
-  readonly asOfMs: number
+  readonly stateAsOfMs: number
 }
 
 /** Hears of what an agent tells of the engine at an address. */
@@ -57,7 +57,7 @@
   readonly entryTaken: (entry: ServerEntry) => void
 }
 
-const NO_WORD: AgentWord = { state: undefined, load: undefined, asOfMs: -Infinity }
+const NO_WORD: AgentWord = { state: undefined, load: undefined, stateAsOfMs: -Infinity }
 
 /** Makes the directory of one router. */
 export const createDirectory = ({ timers, events, decodeServer, entryTaken }: Options): Directory => {
@@ -123,7 +123,7 @@
       state: speaksForIt ? word.state : undefined,
       load: speaksForIt ? word.load : undefined,
       isReplaced: !speaksForIt || replaced.has(entry.serverId) || (word.state?.goneServerIds.includes(entry.serverId) ?? false),
-      stateAsOfMs: word.asOfMs,
+      stateAsOfMs: word.stateAsOfMs,
       failures: failures.get(entry.serverId) ?? noFailures(timers.nowMs()),
       ownCount: load.count,
       ownStartingCount: load.startingCount,
@@ -156,13 +156,13 @@
     },
     takeState: (address, state) => {
       const word = words.get(address) ?? NO_WORD
-      words.set(address, { ...word, state, asOfMs: timers.nowMs() })
+      words.set(address, { ...word, state, stateAsOfMs: timers.nowMs() })
       prefixes.keepOnly(state.serverId, new Set(state.models.map(model => model.name)))
       for (const listener of [...stateListeners]) listener(address, state)
     },
     takeLoad: (address, load) => {
       const word = words.get(address) ?? NO_WORD
-      words.set(address, { ...word, load, asOfMs: timers.nowMs() })
+      words.set(address, { ...word, load })
     },
     loseAgent: address => { words.delete(address) },
     onState: listener => {
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -9,6 +9,7 @@
   readonly load: AgentLoad | undefined
   /** The agent speaks for a later start of the server: this one is gone, though it is still listed. */
   readonly isReplaced: boolean
+  /** When `state` came: the times in it count from then. */
   readonly stateAsOfMs: number
   readonly failures: FailureShare
   /** Own requests there that have no final answer. */
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -1,3 +1,5 @@
+import { estimateLoadLeftMs } from '@figmount/decisions'
+
 import type { LoaderView, ServerView } from '@figmount/decisions'
 import type { EngineSpec, HeldModel, ModelReplicas, ModelSpec } from '@figmount/fleet'
 import type { Directory } from '../directory/createDirectory.js'
@@ -7,8 +9,10 @@
 /** Asking an agent for an adapter and fetching it: 5 to 10 ms and two messages. */
 const ADAPTER_FETCH_MS = 20
 
-const loadingLeftMs = ({ state, stateAsOfMs }: KnownServer, nowMs: number): number =>
-  state ? Math.max(0, state.loadingLeftMs - (nowMs - stateAsOfMs)) : 0
+const loadingLeftMs = ({ state, stateAsOfMs }: KnownServer, nowMs: number): number => {
+  if (!state || state.loadingModel === '') return 0
+  return estimateLoadLeftMs({ leftMs: state.loadingLeftMs, runningMs: state.loadingForMs, ageMs: nowMs - stateAsOfMs })
+}
 
 const coldWaitLeftMs = ({ state, stateAsOfMs }: KnownServer, nowMs: number): number =>
   state ? Math.max(0, state.coldWaitMs - (nowMs - stateAsOfMs)) : 0
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -97,7 +97,13 @@
   const leftMs = Math.min(request.untilMs, request.arrivedMs + request.route.patienceMs) - context.timers.nowMs()
   const isHopeless = readyInMs > leftMs * LOAD_SHARE
   context.events.emit(GatewayEvent.modelAwaited, {
-    requestKey: requestId, model: modelName, peer: serverId, waitMs: Math.round(readyInMs), reason: isHopeless ? 'too late for this request' : 'waits'
+    requestKey: requestId,
+    model: modelName,
+    peer: serverId,
+    waitMs: Math.round(readyInMs),
+    ageMs: Math.round(context.timers.nowMs() - loader.server.stateAsOfMs),
+    count: context.coldLoads.count(),
+    reason: isHopeless ? 'too late for this request' : 'waits'
   })
   const timeLeftMs = isHopeless ? readyInMs * 2 : leftMs * WAIT_SHARE
   const want = agent.want({ serverId, modelName, adapterName: '', waitingCount: 1, lateCount: 0, timeLeftMs })
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -97,7 +97,12 @@
     metrics.count('wants_total')
     if (identity.gone().includes(want.serverId)) return settle(want.wantId, { isReady: false, isLost: true, reason: 'the engine has restarted' })
     if (!isUp) return settle(want.wantId, { isReady: false, isLost: true, reason: 'engine is down' })
-    wants.add(router, want, settle)
+    const takenMs = timers.nowMs()
+    wants.add(router, want, (wantId, end) => {
+      const kind = end.isReady ? SidecarEvent.wantMet : SidecarEvent.wantGivenUp
+      events.emit(kind, { peer: router, model: want.modelName, adapter: want.adapterName ?? '', reason: end.reason, waitMs: Math.round(timers.nowMs() - takenMs) })
+      settle(wantId, end)
+    })
     advance()
   }
 
