Make one piece of what the change wrote twice

Found in the read of the whole change; behaviour stays as it is: - the choice of an engine to load a model stood in askFor and awaitModel: findLoader serves both; - 'the newest configuration wins' stood in the router's and the agent's feeds: createNewestDeployment serves both; - 'has a copy at hand' stood three times: hasCopy; the engines of a service in takeRequest: findEngine; - requests within the horizon were worked out again in createQueueRelief: requestsAhead; - the demand meter's read and reset were always called together: read does both; the link's isNew, which changed what it told, is takeNewness; a comment told history. 37 lines fewer.

--- a/packages/decisions/src/placing/lateRequests.ts
+++ b/packages/decisions/src/placing/lateRequests.ts
@@ -18,7 +18,7 @@
 export const lateShare = (waitS: number): number => Math.min(1, waitS / LATE_WAIT_S)
 
 /** Requests within the horizon. */
-export const requestsAhead = ({ requestsPerS }: ModelLoad): number => requestsPerS * LATE_HORIZON_S
+export const requestsAhead = ({ requestsPerS }: Pick<ModelLoad, 'requestsPerS'>): number => requestsPerS * LATE_HORIZON_S
 
 /** Mean wait in front of a model's replicas: it grows with use / (1 - use), as in any queue. */
 const queueS = (load: ModelLoad, replicaCount: number): number => {
--- a/packages/decisions/src/placing/types.ts
+++ b/packages/decisions/src/placing/types.ts
@@ -40,6 +40,7 @@
 
 /** How long the ways to load a model take. */
 export interface LoadTimes {
+  /** The model's name, by which routers choose alike. */
   readonly name: string
   readonly coldLoadMs: number
   readonly diskLoadMs: number
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -52,8 +52,8 @@
 }
 
 /**
- * What has changed in a router's demand, several times a second. The whole of it went to every agent before: at 24 routers
- * and 30 agents most of the bytes between data centres.
+ * What has changed in a router's demand, several times a second. Told whole to every agent it would be most of the bytes
+ * between data centres at 24 routers and 30 agents.
  */
 export interface Demand {
   readonly type: 'demand'
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -107,7 +107,7 @@
       return link !== undefined
     },
     isOpen: () => link !== undefined,
-    isNew: () => {
+    takeNewness: () => {
       const wasNew = isNew
       isNew = false
       return wasNew
--- a/packages/gateway/src/agents/createAgentLinks.ts
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -59,7 +59,7 @@
     sendToEach: messageFor => {
       for (const [serverAddress, link] of links) {
         if (!link.isOpen()) continue
-        const message = messageFor(serverAddress, link.isNew())
+        const message = messageFor(serverAddress, link.takeNewness())
         if (message) link.send(message)
       }
     },
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -40,8 +40,8 @@
   readonly want: (request: WantRequest) => OpenWant
   readonly send: (message: RouterMessage) => boolean
   readonly isOpen: () => boolean
-  /** True once for each time that the link was opened. */
-  readonly isNew: () => boolean
+  /** True at the first call after each opening of the link. */
+  readonly takeNewness: () => boolean
   /** The agent has told its engine's state since the link was opened. */
   readonly hasSpoken: () => boolean
   readonly close: () => void
--- a/packages/gateway/src/demand/createDemandMeter.ts
+++ b/packages/gateway/src/demand/createDemandMeter.ts
@@ -17,7 +17,7 @@
   readonly isNew: boolean
 }
 
-/** A model's demand and whether it was asked for since the last reset. */
+/** A model's demand and whether it was asked for since the last read. */
 export interface MeteredModel {
   readonly demand: ModelDemand
   readonly isNew: boolean
@@ -28,10 +28,8 @@
   readonly note: (modelName: string, adapterName: string, promptTokens: number) => void
   /** Requests a second for a model. */
   readonly requestsPerS: (modelName: string) => number
-  /** Demand now, and the adapters asked for since the last reset. */
+  /** Demand now, and the adapters asked for since the last read. */
   readonly read: () => readonly MeteredModel[]
-  /** Begins anew to note which models and adapters are asked for. */
-  readonly reset: () => void
 }
 
 const decayed = (meter: ModelMeter, nowMs: number): ModelMeter => {
@@ -76,11 +74,9 @@
         const promptTokensPerS = meter.promptTokens / DEMAND_MEMORY_MS * MS_PER_S
         const demand = { modelName, requestsPerS, promptTokensPerS, idleMs: nowMs - meter.lastMs, adapterNames: [...meter.adapterNames] }
         metered.push({ demand, isNew: meter.isNew })
+        meters.set(modelName, { ...meter, adapterNames: new Set(), isNew: false })
       }
       return metered
-    },
-    reset: () => {
-      for (const [modelName, meter] of meters) meters.set(modelName, { ...meter, adapterNames: new Set(), isNew: false })
     }
   }
 }
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { matchRoute, pickService, RequestKind } from '@figmount/fleet'
+import { findEngine, matchRoute, pickService, RequestKind } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
 import { STOPPING_RETRY_MS, UNKNOWN_RETRY_MS } from '../requests/constants.js'
@@ -78,7 +78,7 @@
     waitMs: Math.round(request.untilMs - arrivedMs)
   })
   context.budget.noteRequest(serviceName)
-  const isModel = deployment.services.some(service => service.name === serviceName && service.engine)
+  const isModel = findEngine(deployment, serviceName) !== undefined
   if (isModel && route.kind === RequestKind.Stream) return await serveModel(context, request)
   await servePlain(context, request)
 }
--- a/packages/gateway/src/placing/askFor.ts
+++ b/packages/gateway/src/placing/askFor.ts
@@ -1,8 +1,7 @@
 import { runInBackground } from '@figmount/base'
-import { chooseLoader } from '@figmount/decisions'
 
 import { GatewayEvent } from '../events.js'
-import { viewLoaders } from './viewServers.js'
+import { findLoader } from './findLoader.js'
 
 import type { EngineSpec, ModelSpec } from '@figmount/fleet'
 import type { KnownServer } from '../directory/types.js'
@@ -31,18 +30,14 @@
 
 /** Asks an agent for one more replica, for nobody in particular. */
 export const askFor = (context: GatewayContext, { spec, model, servers, lateCount, reason, maxColdLoads = MAX_COLD_LOADS }: ReplicaAsk): void => {
-  const loaders = viewLoaders(context.directory, spec, model, servers, context.timers.nowMs())
-  const choice = chooseLoader(model, loaders)
-  const loader = loaders.find(candidate => candidate.serverId === choice?.serverId)
-  const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
-  const agent = server && context.agents.find(server.entry.address)
-  if (!choice || !loader || !agent) return
-  const isCold = !loader.isInMemory && !loader.isOnDisk
+  const loader = findLoader(context, spec, model, servers)
+  if (!loader) return
+  const { serverId, address } = loader.server.entry
   const mayLoadCold = context.coldLoads.count() < Math.min(maxColdLoads, context.coldLoads.limit())
-  if (isCold && !loader.isLoading && !mayLoadCold) return
-  if (isCold) context.coldLoads.noteAsked(server.entry.address)
-  context.events.emit(GatewayEvent.replicaAsked, { model: model.name, peer: choice.serverId, reason, waitMs: Math.round(choice.readyInMs) })
-  runInBackground(context.events, 'placing.want', agent.want({
-    serverId: choice.serverId, modelName: model.name, adapterName: '', waitingCount: 0, lateCount, timeLeftMs: AHEAD_WANT_MS
+  if (loader.isCold && !loader.isLoading && !mayLoadCold) return
+  if (loader.isCold) context.coldLoads.noteAsked(address)
+  context.events.emit(GatewayEvent.replicaAsked, { model: model.name, peer: serverId, reason, waitMs: Math.round(loader.readyInMs) })
+  runInBackground(context.events, 'placing.want', loader.agent.want({
+    serverId, modelName: model.name, adapterName: '', waitingCount: 0, lateCount, timeLeftMs: AHEAD_WANT_MS
   }).outcome)
 }
--- a/packages/gateway/src/placing/createColdLoads.ts
+++ b/packages/gateway/src/placing/createColdLoads.ts
@@ -1,4 +1,5 @@
 import { firstPace, notePace } from '@figmount/decisions'
+import { hasCopy } from '@figmount/fleet'
 
 import type { TimerService } from '@figmount/base'
 import type { StorePace } from '@figmount/decisions'
@@ -29,7 +30,7 @@
 const isPending = (state: AgentState): boolean => {
   if (state.isLoadingCold) return true
   for (const modelName of state.queuedModels) {
-    if (!state.inMemory.includes(modelName) && !state.onDisk.includes(modelName)) return true
+    if (!hasCopy(state, modelName)) return true
   }
   return false
 }
--- a/packages/gateway/src/placing/createQueueRelief.ts
+++ b/packages/gateway/src/placing/createQueueRelief.ts
@@ -1,4 +1,4 @@
-import { LATE_HORIZON_S, lateShare } from '@figmount/decisions'
+import { lateShare, requestsAhead } from '@figmount/decisions'
 import { findEngine } from '@figmount/fleet'
 
 import { askFor } from './askFor.js'
@@ -38,8 +38,8 @@
       const model = engine?.models.find(candidate => candidate.name === modelName)
       if (!engine || !model) return
       askedMs.set(modelName, timers.nowMs())
-      const requestsAheadCount = context.demand.requestsPerS(modelName) * context.routerCount() * LATE_HORIZON_S
-      askFor(context, { spec: engine, model, servers, lateCount: requestsAheadCount * lateShare(queueMs / MS_PER_S), reason: 'queue' })
+      const aheadCount = requestsAhead({ requestsPerS: context.demand.requestsPerS(modelName) * context.routerCount() })
+      askFor(context, { spec: engine, model, servers, lateCount: aheadCount * lateShare(queueMs / MS_PER_S), reason: 'queue' })
     }
   }
 }
--- /dev/null
+++ b/packages/gateway/src/placing/findLoader.ts
@@ -0,0 +1,32 @@
+import { chooseLoader } from '@figmount/decisions'
+
+import { viewLoaders } from './viewServers.js'
+
+import type { EngineSpec, ModelSpec } from '@figmount/fleet'
+import type { AgentLink } from '../agents/types.js'
+import type { KnownServer } from '../directory/types.js'
+import type { GatewayContext } from '../requests/types.js'
+
+/** An engine that is to load a model, by its agent. */
+export interface Loader {
+  readonly server: KnownServer
+  readonly agent: AgentLink
+  readonly readyInMs: number
+  /** The engine has no copy of the weights: they come from the weight store. */
+  readonly isCold: boolean
+  /** The load is under way or asked for already. */
+  readonly isLoading: boolean
+}
+
+/** The engine that is to load a model; undefined while no agent can. */
+export const findLoader = (
+  context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[]
+): Loader | undefined => {
+  const views = viewLoaders(context.directory, spec, model, servers, context.timers.nowMs())
+  const choice = chooseLoader(model, views)
+  const view = views.find(candidate => candidate.serverId === choice?.serverId)
+  const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
+  const agent = server && context.agents.find(server.entry.address)
+  if (!choice || !view || !agent) return undefined
+  return { server, agent, readyInMs: choice.readyInMs, isCold: !view.isInMemory && !view.isOnDisk, isLoading: view.isLoading }
+}
--- a/packages/gateway/src/placing/watchReplicas.ts
+++ b/packages/gateway/src/placing/watchReplicas.ts
@@ -1,4 +1,5 @@
 import { planReplicas } from '@figmount/decisions'
+import { hasCopy } from '@figmount/fleet'
 
 import { askFor } from './askFor.js'
 import { heldModel } from './viewServers.js'
@@ -34,7 +35,7 @@
     const { state } = server
     const isHeld = heldModel(server, model.name) !== undefined
     if (isHeld) replicaCount += 1
-    if (isHeld || state?.inMemory.includes(model.name) || state?.onDisk.includes(model.name)) copyCount += 1
+    if (isHeld || (state && hasCopy(state, model.name))) copyCount += 1
     if (!state) continue
     const index = state.models.findIndex(held => held.name === model.name)
     promptTokensPerS = Math.max(promptTokensPerS, state.demandTokensPerS[index] ?? 0)
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -1,14 +1,15 @@
-import { chooseLoader } from '@figmount/decisions'
 import { findEngine } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
-import { heldModel, viewLoaders } from '../placing/viewServers.js'
+import { findLoader } from '../placing/findLoader.js'
+import { heldModel } from '../placing/viewServers.js'
 import { ADAPTER_WAIT_MS, LOAD_SHARE, NO_SERVER_RETRY_MS, WAIT_SHARE } from './constants.js'
 
 import type { Unsubscribe } from '@figmount/base'
-import type { AgentState, ModelSpec } from '@figmount/fleet'
+import type { AgentState } from '@figmount/fleet'
 import type { AgentLink, OpenWant } from '../agents/types.js'
 import type { KnownServer } from '../directory/types.js'
+import type { Loader } from '../placing/findLoader.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** How the wait for a model ended. */
@@ -20,30 +21,8 @@
   /** It does not come in time; it may be there after `retryAfterMs`. */
   | { readonly type: 'late', readonly reason: string, readonly retryAfterMs: number }
 
-/** An engine that is to load a model, by its agent. */
-interface Loader {
-  readonly server: KnownServer
-  readonly agent: AgentLink
-  readonly readyInMs: number
-  /** The model comes from the weight store and its load is not asked for yet. */
-  readonly isNewColdLoad: boolean
-}
-
 const MOVED = 'another engine has the model sooner'
 
-const findLoader = (context: GatewayContext, request: RoutedRequest, model: ModelSpec, servers: readonly KnownServer[]): Loader | undefined => {
-  const spec = findEngine(context.deployment(), request.serviceName)
-  if (!spec) return undefined
-  const views = viewLoaders(context.directory, spec, model, servers, context.timers.nowMs())
-  const choice = chooseLoader(model, views)
-  const view = views.find(candidate => candidate.serverId === choice?.serverId)
-  const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
-  const agent = server && context.agents.find(server.entry.address)
-  if (!choice || !view || !agent) return undefined
-  const isNewColdLoad = !view.isLoading && !view.isInMemory && !view.isOnDisk
-  return { server, agent, readyInMs: choice.readyInMs, isNewColdLoad }
-}
-
 /** The engine's agent says that it holds the model or has begun to load it. */
 const hasOrLoads = (state: AgentState, modelName: string, hasOwnBegun: boolean): boolean => {
   if (!state.isUp || state.isDraining) return false
@@ -85,15 +64,16 @@
   const { modelName, requestId } = request.caller
   const spec = findEngine(context.deployment(), request.serviceName)
   const model = spec?.models.find(candidate => candidate.name === modelName)
-  if (!model) return { type: 'late', reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
-  const loader = findLoader(context, request, model, servers)
+  if (!spec || !model) return { type: 'late', reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
+  const loader = findLoader(context, spec, model, servers)
   if (!loader) return { type: 'late', reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
   const { readyInMs, agent } = loader
   const { serverId, address } = loader.server.entry
-  if (loader.isNewColdLoad && context.coldLoads.count() >= context.coldLoads.limit()) {
+  const isNewColdLoad = loader.isCold && !loader.isLoading
+  if (isNewColdLoad && context.coldLoads.count() >= context.coldLoads.limit()) {
     return { type: 'late', reason: 'the weight store is busy', retryAfterMs: readyInMs + model.coldLoadMs }
   }
-  if (loader.isNewColdLoad) context.coldLoads.noteAsked(address)
+  if (isNewColdLoad) context.coldLoads.noteAsked(address)
   const leftMs = Math.min(request.untilMs, request.arrivedMs + request.route.patienceMs) - context.timers.nowMs()
   const isHopeless = readyInMs > leftMs * LOAD_SHARE
   context.events.emit(GatewayEvent.modelAwaited, {
--- a/packages/gateway/src/router/createDemandTeller.ts
+++ b/packages/gateway/src/router/createDemandTeller.ts
@@ -38,7 +38,6 @@
     const nextCounts = countsOf(replicas)
     const changed = changedReplicas(counts, nextCounts)
     counts = nextCounts
-    meter.reset()
 
     agents.sendToEach((serverAddress, isNewLink) => {
       const runningModels = directory.runningModels(serverAddress)
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -1,4 +1,4 @@
-import { createFeedFollower } from '@figmount/fleet'
+import { createFeedFollower, createNewestDeployment } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
 import { CONFIG_WAIT_MS, POLL_SHARE } from './constants.js'
@@ -31,22 +31,16 @@
 /** Follows the configuration and the list of servers. */
 export const takeFeeds = (options: Options): Feeds => {
   const { store, timers, events, directory } = options
-  let deployment: Deployment | undefined
-  let deploymentOffset = -1
-
-  const takeDeployment = (record: FeedRecord): void => {
-    if (!record.value || !store.isDeploymentKey(record.key)) return
-    store.decodeDeployment(record.key, record.value).caseOf({
-      Left: fault => { events.emit(GatewayEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset: record.offset }) },
-      Right: next => {
-        if (deployment && next.version <= deployment.version) return
-        deployment = next
-        deploymentOffset = record.offset
-        events.emit(GatewayEvent.deploymentTaken, { version: String(next.version), offset: record.offset, count: next.routes.length })
-        options.deploymentTaken(next)
-      }
-    })
-  }
+  const newest = createNewestDeployment({
+    store,
+    taken: (deployment, { offset }) => {
+      events.emit(GatewayEvent.deploymentTaken, { version: String(deployment.version), offset, count: deployment.routes.length })
+      options.deploymentTaken(deployment)
+    },
+    refused: (fault, { offset }) => {
+      events.emit(GatewayEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset })
+    }
+  })
 
   const lost = (fault: Fault): void => {
     events.emit(GatewayEvent.feedLost, { step: fault.step, peer: fault.peer, reason: fault.message })
@@ -63,7 +57,7 @@
     waitMs: CONFIG_WAIT_MS,
     periodMs: 0,
     take: records => {
-      for (const record of records) takeDeployment(record)
+      newest.take(records)
       options.relay(store.deploymentFeed.name, records)
     },
     takeKeys: () => {},
@@ -105,8 +99,8 @@
   })
 
   return {
-    deployment: () => deployment,
-    deploymentOffset: () => deploymentOffset,
+    deployment: newest.current,
+    deploymentOffset: newest.offset,
     takeRelay: (feedName, records) => {
       if (feedName === store.deploymentFeed.name) deployments.offer(records)
       if (feedName === store.serverFeed.name) servers.offer(records)
--- a/packages/sidecar/src/engine/viewEngine.ts
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -1,4 +1,5 @@
 import { lateByFewer, planOrder } from '@figmount/decisions'
+import { hasCopy } from '@figmount/fleet'
 
 import type { EngineView, PlannedOrder, ResidentAdapter, PlacedModel, WantView } from '@figmount/decisions'
 import type { EngineSpec, ModelSpec, ServerReport } from '@figmount/fleet'
@@ -20,9 +21,6 @@
 
 const specsOf = (spec: EngineSpec): ReadonlyMap<string, ModelSpec> => new Map(spec.models.map(model => [model.name, model]))
 
-const isAtHand = (report: ServerReport, modelName: string): boolean =>
-  report.inMemory.includes(modelName) || report.onDisk.includes(modelName)
-
 /** Time that a load of the model takes the engine. */
 export const loadMsOf = (report: ServerReport, model: ModelSpec | undefined, modelName: string): number => {
   if (!model) return 0
@@ -90,7 +88,7 @@
     ageMs: inputs.nowMs - want.sinceMs,
     weightsMb: model?.weightsMb ?? Infinity,
     adapterMb: model?.adapterMb ?? 0,
-    isAtHand: isAtHand(inputs.report, want.modelName),
+    isAtHand: hasCopy(inputs.report, want.modelName),
     loadMs: loadMsOf(inputs.report, model, want.modelName)
   }
 }
--- a/packages/sidecar/src/sidecar/followDeployment.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.ts
@@ -1,9 +1,9 @@
-import { createFeedFollower, LONG_POLL_MS } from '@figmount/fleet'
+import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
 
 import { SidecarEvent } from '../events.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
-import type { Deployment, FeedRecord, Relay, StorePort } from '@figmount/fleet'
+import type { Deployment, Relay, StorePort } from '@figmount/fleet'
 
 interface Options {
   readonly store: StorePort
@@ -26,21 +26,15 @@
 /** Follows the configuration, by the store and by what routers pass on. */
 export const followDeployment = ({ store, timers, events }: Options): FollowedDeployment => {
   const feed = store.deploymentFeed
-  let deployment: Deployment | undefined
-  let newest: FeedRecord | undefined
-
-  const take = (record: FeedRecord): void => {
-    if (!record.value || !store.isDeploymentKey(record.key)) return
-    store.decodeDeployment(record.key, record.value).caseOf({
-      Left: fault => { events.emit(SidecarEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset: record.offset }) },
-      Right: next => {
-        if (deployment && next.version <= deployment.version) return
-        deployment = next
-        newest = record
-        events.emit(SidecarEvent.deploymentTaken, { version: String(next.version), offset: record.offset })
-      }
-    })
-  }
+  const newest = createNewestDeployment({
+    store,
+    taken: (deployment, { offset }) => {
+      events.emit(SidecarEvent.deploymentTaken, { version: String(deployment.version), offset })
+    },
+    refused: (fault, { offset }) => {
+      events.emit(SidecarEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset })
+    }
+  })
 
   const follower = createFeedFollower({
     feed,
@@ -48,17 +42,20 @@
     events,
     waitMs: LONG_POLL_MS,
     periodMs: 0,
-    take: records => { for (const record of records) take(record) },
+    take: newest.take,
     takeKeys: () => {},
     lost: fault => { events.emit(SidecarEvent.feedLost, { step: fault.step, peer: fault.peer, reason: fault.message }) },
     regained: outageMs => { events.emit(SidecarEvent.feedRegained, { peer: feed.name, durationMs: Math.round(outageMs) }) }
   })
 
   return {
-    current: () => deployment,
-    offset: () => newest?.offset ?? -1,
+    current: newest.current,
+    offset: newest.offset,
     takeRelay: relay => { if (relay.feedName === feed.name) follower.offer(relay.records) },
-    relay: () => newest && { type: 'relay', feedName: feed.name, records: [newest] },
+    relay: () => {
+      const record = newest.record()
+      return record && { type: 'relay', feedName: feed.name, records: [record] }
+    },
     stop: follower.stop
   }
 }
