Begin a new router's link from the state that the others were told

Found in the read of the change: states go as changes against what was last told, but a new link began from the state of the moment. What changed and was taken back within a tenth of a second was no change to compare with, and the new router kept it (an engine that it left alone for good). The agent tells what is new before it describes itself to the newcomer. Test with a real link: red without the change, green with it; the whole path's 26 tests pass.

--- a/packages/sidecar/src/links/compareStates.test.ts
+++ b/packages/sidecar/src/links/compareStates.test.ts
@@ -1,31 +1,11 @@
 import { expect } from 'chai'
 
+import { makeStateForTest } from '../testing/makeStateForTest.js'
 import { changedFields, figuresOf, pickFields, textsOf } from './compareStates.js'
 
 import type { AgentState } from '@figmount/fleet'
 
-const STATE: AgentState = {
-  type: 'state',
-  serverId: 'a',
-  goneServerIds: [],
-  isUp: true,
-  isDraining: false,
-  models: [{ name: 'm', adapters: [] }],
-  leavingModels: [],
-  loadingModel: '',
-  isLoadingCold: false,
-  loadingLeftMs: 0,
-  loadingForMs: 0,
-  coldWaitMs: 0,
-  roomMs: 80,
-  queuedModels: [],
-  inMemory: ['m'],
-  onDisk: ['m'],
-  evictionLoss: 1,
-  demandTokensPerS: [5],
-  routerCount: 2,
-  deploymentOffset: 1
-}
+const STATE = makeStateForTest()
 
 const changesTo = (given: Partial<AgentState>): readonly string[] => changedFields(textsOf(STATE), textsOf({ ...STATE, ...given }))
 
--- /dev/null
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -0,0 +1,62 @@
+import { expect } from 'chai'
+import { createServer } from 'node:net'
+import { createEventLog, createTimerService } from '@figmount/base'
+import { NO_OFFSET, openLink } from '@figmount/peers'
+
+import { makeStateForTest } from '../testing/makeStateForTest.js'
+import { serveRouters } from './serveRouters.js'
+
+import type { AddressInfo } from 'node:net'
+import type { InstanceName } from '@figmount/base'
+import type { AgentMessage, AgentState, RouterMessage } from '@figmount/fleet'
+
+const freePort = async (): Promise<number> => {
+  const server = createServer()
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return port
+}
+
+describe('an agent\'s links', () => {
+  it('tell a new router what is taken back before the next look', async () => {
+    // An engine begins to leave just as a router is linked, and the next look finds it staying: compared with what the
+    // routers before were told nothing has changed. The new router would leave the engine alone from then on.
+    const timers = createTimerService()
+    const instance = 'a' as InstanceName
+    const context = { instance, sharedKey: 'key', timers, events: createEventLog({ instance, role: 'agent', timers }), offset: () => NO_OFFSET, onPeerOffset: () => {} }
+    let state: AgentState = makeStateForTest()
+    const port = await freePort()
+    const nothing = (): void => {}
+    const links = serveRouters({
+      ...context,
+      host: '127.0.0.1',
+      port,
+      describe: routerCount => ({ ...state, routerCount }),
+      describeLoad: () => undefined,
+      takeWant: nothing,
+      dropWant: nothing,
+      dropRouter: nothing,
+      takeDemand: nothing,
+      takeRelay: nothing,
+      deploymentRelay: () => undefined
+    })
+    // What is told before anybody listens is compared with later.
+    links.tell()
+    state = { ...state, isDraining: true }
+    const opened = await openLink<RouterMessage, AgentMessage>(`127.0.0.1:${port}`, context).run()
+    const link = opened.unsafeCoerce()
+    let seen: AgentState | undefined
+    timers.after(100, () => {
+      state = { ...state, isDraining: false }
+      links.tell()
+    })
+    timers.after(300, () => link.close('the test ends'))
+    for await (const message of link.received) {
+      if (message.type === 'state') seen = message
+      if (message.type === 'stateChange' && seen) seen = { ...seen, ...message.changes }
+    }
+    links.close()
+    expect(seen?.isDraining).to.equal(false)
+  })
+})
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -118,6 +118,9 @@
 
   const runLink = async (link: RouterLink): Promise<void> => {
     links.add(link)
+    // Guards against a router that starts from a state which the others were never told: what is taken back before the next
+    // look would be no change to them, and this one would keep it. All begin from the same state.
+    tell()
     sendTo(link, options.describe(links.size))
     try {
       for await (const message of link.received) take(link, message)
--- /dev/null
+++ b/packages/sidecar/src/testing/makeStateForTest.ts
@@ -0,0 +1,25 @@
+import type { AgentState } from '@figmount/fleet'
+
+/** The state of an agent whose engine holds one model and does nothing, for tests. */
+export const makeStateForTest = (): AgentState => ({
+  type: 'state',
+  serverId: 'a',
+  goneServerIds: [],
+  isUp: true,
+  isDraining: false,
+  models: [{ name: 'm', adapters: [] }],
+  leavingModels: [],
+  loadingModel: '',
+  isLoadingCold: false,
+  loadingLeftMs: 0,
+  loadingForMs: 0,
+  coldWaitMs: 0,
+  roomMs: 80,
+  queuedModels: [],
+  inMemory: ['m'],
+  onDisk: ['m'],
+  evictionLoss: 1,
+  demandTokensPerS: [5],
+  routerCount: 2,
+  deploymentOffset: 1
+})
