Give every open request a final answer before a router's stop ends

Cause: a wait for a model ended by its caller's patience only, up to 8 s, and a stop after 7.6 s by destroying all connections; a request taken in the first three seconds of a stop could wait past its end. The same end met requests that ran at a server. A plain exchange had no bound on the body of its answer at all. Change: the stop is a module of its own (stopping/). A wait that is expected to outlast it ends in a refusal when the stop is asked for, one that turns out to does so at the last time to send; nothing is sent later than 2 s before the end; exchanges still open at the end are cut and answered 502, and only then are connections closed. A run cut by the stop counts as no crash of its server. Two new lines (2520, 2521) tell of requests open at a stop's end. Ruled out: a longer stop (its length is the platform's), refusing all that waits when the stop is asked for (models at hand come in half a second).

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -20,5 +20,7 @@
   agentLost: [2516, 'an agent does not answer'],
   agentFound: [2517, 'an agent answers'],
   replicaAsked: [2518, 'one more replica of a model was asked for ahead of requests'],
-  requestMalformed: [2519, 'a request could not be read and was refused']
+  requestMalformed: [2519, 'a request could not be read and was refused'],
+  requestsCutShort: [2520, 'a stop has come to its end while requests are open: they get their final answer now'],
+  requestsUnanswered: [2521, 'a stop closes connections on requests that have no final answer']
 })
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -2,7 +2,7 @@
 import { findEngine, matchRoute, pickService, RequestKind } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
-import { STOPPING_RETRY_MS, UNKNOWN_RETRY_MS } from '../requests/constants.js'
+import { STOPPING, STOPPING_RETRY_MS, UNKNOWN_RETRY_MS } from '../requests/constants.js'
 import { Status } from '../requests/endRequest.js'
 import { serveModel } from '../requests/serveModel.js'
 import { servePlain } from '../requests/servePlain.js'
@@ -87,7 +87,7 @@
 export const takeRequest = async (context: GatewayContext, message: IncomingMessage, response: ServerResponse): Promise<void> => {
   const arrivedMs = context.timers.nowMs()
   const left = watchLeaving(response)
-  if (context.isStopping()) response.shouldKeepAlive = false
+  if (context.stop.isAsked()) response.shouldKeepAlive = false
   const limits = context.deployment()?.limits
   if (limits && headerBytesOf(message) > limits.headerBytes) return endEarly(context, response, Status.HeadersTooLarge, 'headers too large')
   const read = await readBody(message, limits?.bodyBytes ?? Infinity)
@@ -96,7 +96,7 @@
   const decoded = context.codec.decodeRequest(message.rawHeaders)
   if (decoded.isLeft()) return endEarly(context, response, Status.BadRequest, decoded.swap().unsafeCoerce().message)
   const caller = decoded.unsafeCoerce()
-  if (context.isClosing()) return refuseEarly(context, response, caller.requestId, 'the router stops', STOPPING_RETRY_MS)
+  if (context.stop.isClosing()) return refuseEarly(context, response, caller.requestId, STOPPING, STOPPING_RETRY_MS)
   const deployment = context.deployment()
   if (!deployment || !context.directory.isKnown()) return refuseEarly(context, response, caller.requestId, 'no deployment known yet', UNKNOWN_RETRY_MS)
   const route = matchRoute(deployment.routes, message.headers.host ?? '', message.url ?? '/')
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -3,7 +3,8 @@
 import { GatewayEvent } from '../events.js'
 import { findLoader } from '../placing/findLoader.js'
 import { heldModel } from '../placing/viewServers.js'
-import { ADAPTER_WAIT_MS, LOAD_SHARE, NO_SERVER_RETRY_MS, WAIT_SHARE } from './constants.js'
+import { limitWait } from '../stopping/limitWait.js'
+import { ADAPTER_WAIT_MS, LOAD_SHARE, NO_SERVER_RETRY_MS, STOPPING, STOPPING_RETRY_MS, WAIT_SHARE } from './constants.js'
 
 import type { Unsubscribe } from '@figmount/base'
 import type { AgentState } from '@figmount/fleet'
@@ -47,6 +48,14 @@
   })
 }
 
+/** The router stops: the caller comes back when a load that has begun ends, and at once to have any other one begun by another router. */
+const endByStop = (context: GatewayContext, { server }: Loader, modelName: string, readyAtMs: number): ModelWait => {
+  const state = context.directory.find(server.entry.serverId)?.state
+  const hasBegun = state?.loadingModel === modelName && state.loadingForMs > 0
+  const leftMs = Math.max(STOPPING_RETRY_MS, readyAtMs - context.timers.nowMs())
+  return { type: 'late', reason: STOPPING, retryAfterMs: hasBegun ? leftMs : STOPPING_RETRY_MS }
+}
+
 /** Waits for a want's end, and takes it back when the caller leaves. */
 const awaitWant = async (request: RoutedRequest, want: OpenWant): ReturnType<AgentLink['want']>['outcome'] => {
   const leave = (): void => want.drop('the caller left')
@@ -62,6 +71,7 @@
  */
 export const awaitModel = async (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[]): Promise<ModelWait> => {
   const { modelName, requestId } = request.caller
+  const { objectiveMs, patienceMs } = request.route
   const spec = findEngine(context.deployment(), request.serviceName)
   const model = spec?.models.find(candidate => candidate.name === modelName)
   if (!spec || !model) return { type: 'late', reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
@@ -69,12 +79,14 @@
   if (!loader) return { type: 'late', reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
   const { readyInMs, agent } = loader
   const { serverId, address } = loader.server.entry
+  const readyAtMs = context.timers.nowMs() + readyInMs
+  if (readyAtMs > context.stop.lastSendMs(objectiveMs)) return endByStop(context, loader, modelName, readyAtMs)
   const isNewColdLoad = loader.isCold && !loader.isLoading
   if (isNewColdLoad && context.coldLoads.count() >= context.coldLoads.limit()) {
     return { type: 'late', reason: 'the weight store is busy', retryAfterMs: readyInMs + model.coldLoadMs }
   }
   if (isNewColdLoad) context.coldLoads.noteAsked(address)
-  const leftMs = Math.min(request.untilMs, request.arrivedMs + request.route.patienceMs) - context.timers.nowMs()
+  const leftMs = Math.min(request.untilMs, request.arrivedMs + patienceMs) - context.timers.nowMs()
   const isHopeless = readyInMs > leftMs * LOAD_SHARE
   context.events.emit(GatewayEvent.modelAwaited, {
     requestKey: requestId,
@@ -89,8 +101,13 @@
   const want = agent.want({ serverId, modelName, adapterName: '', waitingCount: 1, lateCount: 0, timeLeftMs })
   if (isHopeless) return { type: 'late', reason: 'the model comes too late', retryAfterMs: readyInMs }
   const stopWatching = watchElsewhere(context, request, loader, want)
+  const stopLimiting = limitWait({
+    stop: context.stop, timers: context.timers, objectiveMs, readyAtMs, giveUp: () => want.drop(STOPPING)
+  })
   const outcome = await awaitWant(request, want)
   stopWatching()
+  stopLimiting()
+  if (outcome.reason === STOPPING) return endByStop(context, loader, modelName, readyAtMs)
   if (outcome.isReady || outcome.reason === MOVED) return { type: 'changed' }
   return { type: outcome.isLost ? 'lost' : 'late', reason: outcome.reason, retryAfterMs: NO_SERVER_RETRY_MS }
 }
@@ -100,7 +117,8 @@
   const { modelName, adapterName, requestId } = request.caller
   const agent = context.agents.find(server.entry.address)
   if (!agent) return false
-  const timeLeftMs = Math.min(ADAPTER_WAIT_MS, request.untilMs - context.timers.nowMs())
+  const untilMs = Math.min(request.untilMs, context.stop.lastSendMs(request.route.objectiveMs))
+  const timeLeftMs = Math.min(ADAPTER_WAIT_MS, untilMs - context.timers.nowMs())
   context.events.emit(GatewayEvent.modelAwaited, { requestKey: requestId, model: modelName, adapter: adapterName, peer: server.entry.serverId })
   const want = agent.want({ serverId: server.entry.serverId, modelName, adapterName, waitingCount: 1, lateCount: 0, timeLeftMs })
   const outcome = await awaitWant(request, want)
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -7,6 +7,9 @@
 /** Come-back time while a router knows no deployment yet: it starts within a second. */
 export const UNKNOWN_RETRY_MS = 500
 
+/** Why a router that stops refuses or ends a request. */
+export const STOPPING = 'the router stops'
+
 /** Come-back time at a router that stops: the caller's next connection reaches another one. */
 export const STOPPING_RETRY_MS = 50
 
--- /dev/null
+++ b/packages/gateway/src/requests/limitExchange.ts
@@ -0,0 +1,31 @@
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+/** The bounds of one exchange with a server. */
+export interface ExchangeLimit {
+  /** Aborts when the exchange must end. */
+  readonly signal: AbortSignal
+  /** Ends the exchange at once. */
+  readonly cut: () => void
+  readonly release: () => void
+}
+
+/**
+ * Bounds an exchange: it ends when the caller leaves, `graceMs` after the request's time, and at the end of the router's stop.
+ *
+ * Guards against a server that falls silent, before its answer or in the middle of it: its caller would wait until it
+ * leaves, or lose its connection without an answer when the router stops.
+ */
+export const limitExchange = (context: GatewayContext, request: RoutedRequest, graceMs: number): ExchangeLimit => {
+  const cutting = new AbortController()
+  const cut = (): void => cutting.abort()
+  const stopTimer = context.timers.after(Math.max(0, request.untilMs + graceMs - context.timers.nowMs()), cut)
+  const unsubscribe = context.stop.onEnded(cut)
+  return {
+    signal: AbortSignal.any([request.left, cutting.signal]),
+    cut,
+    release: () => {
+      stopTimer()
+      unsubscribe()
+    }
+  }
+}
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -6,6 +6,7 @@
 import { createDemandMeter } from '../demand/createDemandMeter.js'
 import { createColdLoads } from '../placing/createColdLoads.js'
 import { createCrashBook } from '../retries/createCrashBook.js'
+import { createStop } from '../stopping/createStop.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
 import { MAX_LOST_LOADS } from './constants.js'
 import { serveModel } from './serveModel.js'
@@ -17,6 +18,8 @@
 
 const MODEL = { name: 'm', weightsMb: 10, coldLoadMs: 6_000, diskLoadMs: 400, memoryLoadMs: 300, adapterMb: 0 }
 
+const STOP_MS = 8_000
+
 const entryOf = (serverId: string): ServerEntry =>
   ({ serverId, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', slots: 1, isDraining: false, models: [] })
 
@@ -32,14 +35,22 @@
   const asked: string[] = []
   const dropped: string[] = []
   const statuses: number[] = []
+  const retriesMs: number[] = []
+  const stop = createStop(timers, STOP_MS)
   const context = {
     timers,
     events,
     metrics: createMetrics(),
     directory,
-    codec: { encodeRefusal: () => [] },
+    codec: {
+      encodeRefusal: (_requestId: string, retryAfterMs: number) => {
+        retriesMs.push(retryAfterMs)
+        return []
+      }
+    },
     demand: createDemandMeter(timers),
     crashes: createCrashBook(timers),
+    stop,
     coldLoads: createColdLoads(timers, () => MODEL.coldLoadMs),
     agents: {
       find: (address: string) => ({
@@ -69,7 +80,7 @@
     requestHash: 'h',
     response: { headersSent: false, destroyed: false, writeHead: (status: number) => { statuses.push(status) }, end: () => {} }
   } as unknown as RoutedRequest
-  return { directory, context, request, asked, dropped, statuses }
+  return { timers, stop, directory, context, request, asked, dropped, statuses, retriesMs }
 }
 
 describe('serving a model that no engine holds', () => {
@@ -113,4 +124,28 @@
     expect(asked).to.have.length(1)
     expect(statuses).to.deep.equal([503])
   })
+
+  it('refuses a waiting request as soon as a stop leaves it no time', async () => {
+    // A caller waits for a load that ends after the router must have stopped. The stop's end would close its connection
+    // without an answer; refused when the stop is asked for, it has the most time left elsewhere.
+    const { stop, directory, context, request, statuses, retriesMs, dropped } = setUp(() => {
+      setImmediate(() => { stop.ask() })
+      return undefined
+    })
+    const patient = { ...request, route: { ...request.route, patienceMs: 99_000 }, untilMs: 99_000 }
+    directory.takeState('a:1', makeAgentState('a', { loadingModel: 'm', loadingForMs: 5, loadingLeftMs: 60_000 }))
+    directory.takeState('b:1', makeAgentState('b', { isUp: false }))
+    await serveModel(context, patient)
+    expect(statuses).to.deep.equal([503])
+    expect(retriesMs).to.deep.equal([60_000])
+    expect(dropped).to.deep.equal(['a:1'])
+  })
+
+  it('asks for nothing that comes after a stop', async () => {
+    const { stop, context, request, asked, statuses } = setUp(() => undefined)
+    stop.ask()
+    await serveModel(context, { ...request, route: { ...request.route, objectiveMs: STOP_MS } })
+    expect(statuses).to.deep.equal([503])
+    expect(asked).to.deep.equal([])
+  })
 })
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -3,8 +3,9 @@
 import { GatewayEvent } from '../events.js'
 import { viewHolders } from '../placing/viewServers.js'
 import { awaitAdapter, awaitModel } from './awaitModel.js'
-import { DEATH_LOOK_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_CRASHES, MAX_LOST_LOADS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS } from './constants.js'
+import { DEATH_LOOK_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_CRASHES, MAX_LOST_LOADS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS, STOPPING, STOPPING_RETRY_MS } from './constants.js'
 import { fail, noteLeft, refuse } from './endRequest.js'
+import { limitExchange } from './limitExchange.js'
 import { runStream } from './runStream.js'
 import { createCallerStream } from './streamToCaller.js'
 
@@ -37,13 +38,11 @@
   const { directory } = context
   const { serverId } = choice.server.entry
   const { modelName, adapterName, promptParts } = request.caller
-  const ending = new AbortController()
-  const stopTimer = context.timers.after(Math.max(0, request.untilMs - context.timers.nowMs()), () => ending.abort())
-  const signal = AbortSignal.any([request.left, ending.signal])
+  const limit = limitExchange(context, request, 0)
   // Guards against an engine that dies without closing its connections: a stream that may go on elsewhere would be silent
   // until its caller leaves, though the agent beside the engine has told of its death.
   const stopLooking = request.route.isResumable
-    ? context.timers.every(DEATH_LOOK_MS, () => { if (directory.isDead(serverId)) ending.abort() })
+    ? context.timers.every(DEATH_LOOK_MS, () => { if (directory.isDead(serverId)) limit.cut() })
     : () => {}
   let isPending = true
   const settlePending = (): void => {
@@ -55,12 +54,12 @@
   directory.own.noteRun(serverId, modelName)
   directory.prefixes.remember(serverId, `${modelName}/${adapterName}`, promptParts)
   const sentMs = context.timers.nowMs()
-  const end = await runStream(context, request, choice.server, stream, signal, settlePending)
+  const end = await runStream(context, request, choice.server, stream, limit.signal, settlePending)
   const isSilent = isPending
   settlePending()
   directory.own.noteEnded(serverId)
   directory.own.noteRunEnd(serverId, modelName)
-  stopTimer()
+  limit.release()
   stopLooking()
   directory.noteOutcome(serverId, countsAsFailure({
     hasFailed: end.type === 'broken' || (end.type === 'notRun' && !end.isMisplaced),
@@ -81,7 +80,7 @@
  * at another engine where its route allows that; otherwise it is run once.
  */
 export const serveModel = async (context: GatewayContext, request: RoutedRequest): Promise<void> => {
-  const { directory, timers, budget } = context
+  const { directory, timers, budget, stop } = context
   const { caller, route, serviceName } = request
   const stream = createCallerStream(context, request)
   const avoided = new Set<string>()
@@ -104,6 +103,7 @@
 
   for (;;) {
     if (request.left.aborted || request.untilMs - timers.nowMs() < LEAST_SERVE_MS) return giveUp('no time left', FULL_RETRY_MS)
+    if (timers.nowMs() >= stop.lastSendMs(route.objectiveMs)) return giveUp(STOPPING, STOPPING_RETRY_MS)
     const servers = directory.serving(serviceName).filter(server => !avoided.has(server.entry.serverId))
     if (servers.length === 0) return giveUp('no server', NO_SERVER_RETRY_MS)
     const choice = choose(context, request, servers)
@@ -140,7 +140,8 @@
       continue
     }
     runs += 1
-    if (timers.nowMs() < request.untilMs) noteCrash(context, request, serverId)
+    // A run that was cut by the request's time-out or by the router's stop says nothing about the server.
+    if (timers.nowMs() < request.untilMs && !stop.isEnded()) noteCrash(context, request, serverId)
     const mayGoOn = route.isResumable && runs < route.maxAttempts && !stream.hasGap()
     if (!mayGoOn) return fail(context, request, end.reason, serverId)
     context.events.emit(GatewayEvent.streamResumed, { requestKey: caller.requestId, reason: end.reason, peer: serverId, detail: stream.lastEventId() })
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -4,9 +4,10 @@
 import { GatewayEvent } from '../events.js'
 import { hasFraming } from '../forwarding/isWhole.js'
 import { readWhole } from '../forwarding/readWhole.js'
-import { FULL_RETRY_MS, LEAST_SERVE_MS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS } from './constants.js'
+import { ANSWER_GRACE_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS, STOPPING } from './constants.js'
 import { answerWhole, fail, noteLeft, refuse } from './endRequest.js'
 import { isForeign, openExchange } from './exchange.js'
+import { limitExchange } from './limitExchange.js'
 
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
@@ -76,7 +77,7 @@
  * all routers share.
  */
 export const servePlain = async (context: GatewayContext, request: RoutedRequest): Promise<void> => {
-  const { directory, budget, timers } = context
+  const { directory, budget, timers, stop } = context
   const mayRunAgain = request.route.kind === RequestKind.Idempotent
   const tried = new Set<string>()
   let runs = 0
@@ -93,6 +94,7 @@
 
   for (;;) {
     if (request.left.aborted || request.untilMs - timers.nowMs() < LEAST_SERVE_MS) return finish('no time left')
+    if (timers.nowMs() >= stop.lastSendMs(request.route.objectiveMs)) return finish(STOPPING)
     const server = choose(context, request, tried)
     if (!server) return finish(tried.size > 0 ? 'no other server' : 'no server')
     if (tried.size > 0 && !budget.takeRepeat(request.serviceName, context.routerCount())) return finish('no repeats left')
@@ -102,7 +104,9 @@
     lastPeer = serverId
     directory.own.noteSent(serverId, 0)
     const sentMs = timers.nowMs()
-    const end = await tryOnce(context, request, server, request.left)
+    const limit = limitExchange(context, request, ANSWER_GRACE_MS)
+    const end = await tryOnce(context, request, server, limit.signal)
+    limit.release()
     directory.own.noteFirstEvent(serverId, 0)
     directory.own.noteEnded(serverId)
     directory.noteOutcome(serverId, countsAsFailure({
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -9,6 +9,7 @@
 import type { QueueRelief } from '../placing/createQueueRelief.js'
 import type { RepeatBudget } from '../retries/createRepeatBudget.js'
 import type { CrashBook } from '../retries/createCrashBook.js'
+import type { Stop } from '../stopping/types.js'
 
 /** What serving a request needs of its router. */
 export interface GatewayContext {
@@ -28,9 +29,7 @@
   readonly deployment: () => Deployment | undefined
   /** The most routers seen so far. */
   readonly routerCount: () => number
-  readonly isStopping: () => boolean
-  /** The stop is past the time in which new requests are served. */
-  readonly isClosing: () => boolean
+  readonly stop: Stop
   readonly random: () => number
 }
 
--- a/packages/gateway/src/router/constants.ts
+++ b/packages/gateway/src/router/constants.ts
@@ -22,12 +22,3 @@
 
 /** Routers that are assumed until agents tell of more: the repeats that all may send are split by it. */
 export const LEAST_ROUTER_COUNT = 4
-
-/** After a stop was asked for, connections stay open this long: the balancer notices within two of its questions, a second apart. */
-export const LAME_DUCK_MS = 3_000
-
-/** Time between two looks whether a stopping router is empty. */
-export const DRAIN_LOOK_MS = 50
-
-/** The last part of the time that a stop may take is kept for its end. */
-export const DRAIN_MARGIN_MS = 400
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -1,4 +1,4 @@
-import { BaseEvent, sleep } from '@figmount/base'
+import { BaseEvent } from '@figmount/base'
 import { findModel, findEngine } from '@figmount/fleet'
 import { NO_OFFSET } from '@figmount/peers'
 
@@ -14,7 +14,9 @@
 import { REPLICA_PERIOD_MS, watchReplicas } from '../placing/watchReplicas.js'
 import { createCrashBook } from '../retries/createCrashBook.js'
 import { createRepeatBudget } from '../retries/createRepeatBudget.js'
-import { AGENT_PATIENCE_MS, DEMAND_PERIOD_MS, DRAIN_LOOK_MS, DRAIN_MARGIN_MS, FOLLOW_PERIOD_MS, LAME_DUCK_MS, LEAST_ROUTER_COUNT } from './constants.js'
+import { createStop } from '../stopping/createStop.js'
+import { drain } from '../stopping/drain.js'
+import { AGENT_PATIENCE_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS, LEAST_ROUTER_COUNT } from './constants.js'
 import { createCatchUp } from './createCatchUp.js'
 import { createDemandTeller } from './createDemandTeller.js'
 import { takeFeeds } from './takeFeeds.js'
@@ -50,8 +52,7 @@
 export const startGateway = async (options: GatewayOptions): Promise<RunningProcess> => {
   const { timers, events, metrics } = options.context
   const startedMs = timers.nowMs()
-  let isStopping = false
-  let isClosing = false
+  const routerStop = createStop(timers, options.stopMs)
   let limitCallers: Ingress['limit'] = () => {}
   let routerCount = LEAST_ROUTER_COUNT
 
@@ -110,8 +111,7 @@
     dataCentre: options.dataCentre,
     deployment: feeds.deployment,
     routerCount: () => routerCount,
-    isStopping: () => isStopping,
-    isClosing: () => isClosing,
+    stop: routerStop,
     random: options.random
   }
 
@@ -125,7 +125,7 @@
   if (known) ingress.limit(known.limits)
   // A router that cannot reach the agents yet would refuse each request for a model that must be loaded first.
   const isReady = (): boolean => {
-    if (isStopping || !feeds.deployment() || !directory.isKnown()) return false
+    if (routerStop.isAsked() || !feeds.deployment() || !directory.isKnown()) return false
     const hasAgents = directory.entries().some(hasAgent)
     return !hasAgents || agents.isReached() || timers.nowMs() - startedMs > AGENT_PATIENCE_MS
   }
@@ -151,23 +151,10 @@
   metrics.gauge('servers_known', () => directory.entries().length)
 
   const stop = async (): Promise<void> => {
-    isStopping = true
-    const endMs = timers.nowMs() + options.stopMs - DRAIN_MARGIN_MS
-    await sleep(timers, Math.min(LAME_DUCK_MS, options.stopMs / 2))
-    // Guards against requests that come in the last seconds, as callers of a data centre with one router have nowhere else to
-    // go: a stream taken then is cut when the process must end. New connections are turned away by the system and requests
-    // on open ones by a refusal; both are free to go elsewhere.
-    isClosing = true
-    ingress.stopListening()
-    ingress.closeIdle()
-    while (ingress.openCount() > 0 && timers.nowMs() < endMs) {
-      await sleep(timers, DRAIN_LOOK_MS)
-      ingress.closeIdle()
-    }
+    await drain({ stop: routerStop, ingress, timers, events })
     for (const end of stops) end()
     feeds.stop()
     agents.close()
-    ingress.close()
     closeReady()
     context.pool.close()
   }
--- /dev/null
+++ b/packages/gateway/src/stopping/constants.ts
@@ -0,0 +1,17 @@
+/** After a stop was asked for, connections stay open this long: the balancer notices within two of its questions, a second apart. */
+export const LAME_DUCK_MS = 3_000
+
+/** Time between two looks whether a stopping router is empty. */
+export const DRAIN_LOOK_MS = 50
+
+/** The last part of the time that a stop may take is kept for its end. */
+export const DRAIN_MARGIN_MS = 400
+
+/** Part of that margin in which the final answers of open requests go out; a link carries one in a few ms. */
+export const LAST_ANSWERS_MS = 200
+
+/**
+ * Least time that a request needs from its send to the end of its answer. Of 325 streams of the tyre deployment's kinds half
+ * took 0.6 to 2.1 s in all, so with less than this left most would be broken off midway, where a refusal can go elsewhere.
+ */
+export const LEAST_ANSWER_MS = 2_000
--- /dev/null
+++ b/packages/gateway/src/stopping/createStop.ts
@@ -0,0 +1,47 @@
+import { DRAIN_MARGIN_MS, LAME_DUCK_MS, LEAST_ANSWER_MS } from './constants.js'
+
+import type { TimerService, Unsubscribe } from '@figmount/base'
+import type { RouterStop } from './types.js'
+
+type Listeners = Set<() => void>
+
+const listen = (listeners: Listeners, listener: () => void): Unsubscribe => {
+  listeners.add(listener)
+  return () => { listeners.delete(listener) }
+}
+
+const callAll = (listeners: Listeners): void => {
+  for (const listener of [...listeners]) listener()
+}
+
+/** Makes the stop of one router, which may take `stopMs` once it is asked for. */
+export const createStop = (timers: TimerService, stopMs: number): RouterStop => {
+  const askedListeners: Listeners = new Set()
+  const endListeners: Listeners = new Set()
+  let askedMs = Infinity
+  let isEnded = false
+
+  const closingMs = (): number => askedMs + Math.min(LAME_DUCK_MS, stopMs / 2)
+  const endMs = (): number => askedMs + stopMs - DRAIN_MARGIN_MS
+  const isAsked = (): boolean => askedMs < Infinity
+
+  return {
+    isAsked,
+    isClosing: () => timers.nowMs() >= closingMs(),
+    isEnded: () => isEnded,
+    lastSendMs: objectiveMs => endMs() - Math.max(LEAST_ANSWER_MS, objectiveMs),
+    onAsked: listener => listen(askedListeners, listener),
+    onEnded: listener => listen(endListeners, listener),
+    ask: () => {
+      if (isAsked()) return
+      askedMs = timers.nowMs()
+      callAll(askedListeners)
+    },
+    closingInMs: () => Math.max(0, closingMs() - timers.nowMs()),
+    endsInMs: () => Math.max(0, endMs() - timers.nowMs()),
+    end: () => {
+      isEnded = true
+      callAll(endListeners)
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/stopping/stopping.test.ts
@@ -0,0 +1,94 @@
+import { expect } from 'chai'
+import { createVirtualTimers } from '@figmount/base'
+
+import { DRAIN_MARGIN_MS, LAME_DUCK_MS, LEAST_ANSWER_MS } from './constants.js'
+import { createStop } from './createStop.js'
+import { limitWait } from './limitWait.js'
+
+const STOP_MS = 8_000
+const OBJECTIVE_MS = 500
+const LAST_SEND_MS = STOP_MS - DRAIN_MARGIN_MS - LEAST_ANSWER_MS
+
+/** A wait for something that is expected after `readyAtMs`; `gaveUpMs` tells when it was given up. */
+const setUp = (readyAtMs: number) => {
+  const timers = createVirtualTimers()
+  const stop = createStop(timers, STOP_MS)
+  let gaveUpMs: number | undefined
+  const release = limitWait({ stop, timers, objectiveMs: OBJECTIVE_MS, readyAtMs, giveUp: () => { gaveUpMs = timers.nowMs() } })
+  return { timers, stop, release, gaveUpMs: () => gaveUpMs }
+}
+
+describe('a stop', () => {
+  it('limits nothing before it is asked for', () => {
+    const stop = createStop(createVirtualTimers(), STOP_MS)
+    expect(stop.lastSendMs(OBJECTIVE_MS)).to.equal(Infinity)
+    expect(stop.isClosing()).to.equal(false)
+  })
+
+  it('takes requests until the balancer has noticed', () => {
+    const timers = createVirtualTimers()
+    const stop = createStop(timers, STOP_MS)
+    stop.ask()
+    timers.advance(LAME_DUCK_MS - 1)
+    expect(stop.isClosing()).to.equal(false)
+    timers.advance(1)
+    expect(stop.isClosing()).to.equal(true)
+  })
+
+  it('keeps its end when it is asked for twice', () => {
+    const timers = createVirtualTimers()
+    const stop = createStop(timers, STOP_MS)
+    stop.ask()
+    timers.advance(1_000)
+    stop.ask()
+    expect(stop.endsInMs()).to.equal(STOP_MS - DRAIN_MARGIN_MS - 1_000)
+  })
+
+  it('leaves a slow kind of request more time for its answer', () => {
+    const stop = createStop(createVirtualTimers(), STOP_MS)
+    stop.ask()
+    expect(stop.lastSendMs(OBJECTIVE_MS)).to.equal(LAST_SEND_MS)
+    expect(stop.lastSendMs(LEAST_ANSWER_MS + 500)).to.equal(LAST_SEND_MS - 500)
+  })
+})
+
+describe('a wait at a router that stops', () => {
+  it('goes on while nobody asks for a stop', () => {
+    const { timers, gaveUpMs } = setUp(60_000)
+    timers.advance(60_000)
+    expect(gaveUpMs()).to.equal(undefined)
+  })
+
+  it('ends at once when what it waits for comes too late', () => {
+    const { timers, stop, gaveUpMs } = setUp(9_000)
+    timers.advance(1_000)
+    stop.ask()
+    expect(gaveUpMs()).to.equal(1_000)
+  })
+
+  it('ends with the last time to send when what it waits for is late', () => {
+    const { timers, stop, gaveUpMs } = setUp(2_000)
+    stop.ask()
+    timers.advance(LAST_SEND_MS - 1)
+    expect(gaveUpMs()).to.equal(undefined)
+    timers.advance(1)
+    expect(gaveUpMs()).to.equal(LAST_SEND_MS)
+  })
+
+  it('is limited also when it begins in a stop', () => {
+    const timers = createVirtualTimers()
+    const stop = createStop(timers, STOP_MS)
+    stop.ask()
+    let gaveUpCount = 0
+    limitWait({ stop, timers, objectiveMs: OBJECTIVE_MS, readyAtMs: LAST_SEND_MS + 1, giveUp: () => { gaveUpCount += 1 } })
+    expect(gaveUpCount).to.equal(1)
+  })
+
+  it('is not given up after it has ended', () => {
+    const { timers, stop, release, gaveUpMs } = setUp(2_000)
+    stop.ask()
+    release()
+    timers.advance(STOP_MS)
+    expect(gaveUpMs()).to.equal(undefined)
+  })
+})
