Explain a request from the lines of all processes, and draw its path

Gap: figmountctl explain asked routers only, which remember some requests for a while and not those of the HTTP path; the picture did not know the HTTP path's lines; a restarted process's lives were mixed into one, all at the time of the latest. (pure explainRequest: the request's lines, what became of its servers, model and router meanwhile, a sentence on its end), spans and marks of the HTTP path, lives kept apart (test red, then green), lines with a collector's prefix are read.

--- a/packages/ctl/src/bin.ts
+++ b/packages/ctl/src/bin.ts
@@ -4,6 +4,7 @@
 import { hideBin } from 'yargs/helpers'
 import { createTimerService, describeFault, describeSettingsFault, ExitCode, loadSettings, stayAwake, VERSION } from '@figmount/base'
 
+import { explainLines } from './commands/explainLines.js'
 import { runApply } from './commands/runApply.js'
 import { runGet, runHistory, runRetire, runRollBack } from './commands/runHistory.js'
 import { runDrain, runEvents, runExplain, runStatus } from './commands/runStatus.js'
@@ -32,6 +33,8 @@
   return answer.trim().toLowerCase() === 'y'
 }
 
+const print = (text: string): void => { process.stdout.write(`${text}\n`) }
+
 const contextOf = ({ settings, json }: CommonArguments): CommandContext => {
   const loaded = loadSettings(ctlSettings, settings)
   if (loaded.isLeft()) return exitWith(ExitCode.Settings, loaded.extract().map(describeSettingsFault).join('\n'))
@@ -40,7 +43,7 @@
     client: createOperatorClient(routers.addresses, operator.key),
     timers: createTimerService(),
     json,
-    print: text => { process.stdout.write(`${text}\n`) },
+    print,
     confirm
   }
 }
@@ -86,10 +89,11 @@
     .positional('instance', { type: 'string', demandOption: true })
     .option('undo', { type: 'boolean', default: false, describe: 'take the drain back' }),
   async args => await finish(runDrain(contextOf(args), args.instance, args.undo)))
-  .command('explain <key>', 'show why a request was refused', command => command
+  .command('explain <key>', 'show what became of a request, and why', command => command
     .positional('key', { type: 'string', demandOption: true })
-    .option('caller', { type: 'string', default: '', describe: 'name of the caller' }),
-  async args => await finish(runExplain(contextOf(args), args.key, args.caller)))
+    .option('caller', { type: 'string', default: '', describe: 'name of the caller' })
+    .option('lines', { type: 'string', array: true, describe: 'read event lines of any number of processes from these files, - for standard input, instead of asking routers' }),
+  async args => await finish(args.lines ? explainLines({ json: args.json, print }, args.key, args.lines) : runExplain(contextOf(args), args.key, args.caller)))
   .command('events', "follow a router's events", command => command
     .option('key', { type: 'string', default: '', describe: 'only of this request key' })
     .option('model', { type: 'string', default: '', describe: 'only of this model' }),
--- a/packages/timeline/src/checking/eventNames.test.ts
+++ b/packages/timeline/src/checking/eventNames.test.ts
@@ -4,15 +4,17 @@
 
 import { AgentEvent } from '../../../agent/src/events.js'
 import { ClientEvent } from '../../../client/src/events.js'
+import { GatewayEvent } from '../../../gateway/src/events.js'
 import { LoadEvent } from '../../../load/src/events.js'
 import { PeerEvent } from '../../../peers/src/links/events.js'
 import { RigEvent } from '../../../proof/src/rig/events.js'
 import { RecordEvent } from '../../../records/src/log/events.js'
 import { RouterEvent } from '../../../router/src/events.js'
+import { SidecarEvent } from '../../../sidecar/src/events.js'
 import { StandinEvent } from '../../../standin/src/events.js'
 import { MARK_NAMES, SPAN_RULES } from '../drawing/spanRules.js'
 
-const CATALOGUES = [BaseEvent, AgentEvent, ClientEvent, LoadEvent, RecordEvent, RigEvent, PeerEvent, RouterEvent, StandinEvent]
+const CATALOGUES = [BaseEvent, AgentEvent, ClientEvent, GatewayEvent, LoadEvent, RecordEvent, RigEvent, PeerEvent, RouterEvent, SidecarEvent, StandinEvent]
 const KNOWN = new Set(CATALOGUES.flatMap(catalogue => Object.keys(catalogue)))
 
 const namesIn = (text: string): readonly string[] =>
--- a/packages/timeline/src/drawing/buildPicture.test.ts
+++ b/packages/timeline/src/drawing/buildPicture.test.ts
@@ -31,6 +31,19 @@
     expect(picture.lanes).to.deep.equal(['dead', 'r1'])
   })
 
+  it('draws the path of a request that waited and ran', () => {
+    const of = { requestKey: 'k', model: 'm' }
+    const { spans } = buildPicture(orderEvents([
+      event('requestTaken', 0, 0, of), event('modelAwaited', 1, 1, of), event('requestSent', 400, 2, { ...of, peer: 's1' }),
+      event('requestAnswered', 900, 3, of)
+    ]))
+    expect(spans.map(({ kind, label, fromMs, toMs }) => ({ kind, label, fromMs, toMs }))).to.deep.equal([
+      { kind: 'request', label: 'k', fromMs: 0, toMs: 900 },
+      { kind: 'load', label: 'wait for m', fromMs: 1, toMs: 400 },
+      { kind: 'run', label: 'k at s1', fromMs: 400, toMs: 900 }
+    ])
+  })
+
   it('escapes what it draws', () => {
     const picture = buildPicture(orderEvents([event('requestReceived', 0, 0, { requestKey: '<k>' }), event('other', 70, 1)]))
     expect(renderSvg(picture)).to.contain('&lt;k&gt;').and.not.to.contain('<k>')
--- a/packages/timeline/src/drawing/buildPicture.ts
+++ b/packages/timeline/src/drawing/buildPicture.ts
@@ -30,6 +30,7 @@
       open.delete(key)
     }
     if (event.name !== rule.opens || open.has(key)) continue
+    if (rule.isOpenedBy && !rule.isOpenedBy(event)) continue
     open.set(key, { lane: event.instance, kind: rule.kind, label: rule.label(event), fromMs: atMs, toMs: endMs, end: 'open' })
   }
   return [...closed, ...open.values()]
--- a/packages/timeline/src/drawing/spanRules.ts
+++ b/packages/timeline/src/drawing/spanRules.ts
@@ -8,6 +8,8 @@
   readonly kind: SpanKind
   readonly opens: string
   readonly closes: Readonly<Record<string, SpanEnd>>
+  /** Events of this name that open no such span are left out. */
+  readonly isOpenedBy?: (event: EventRecord) => boolean
   /** Joins the closing event to the opening one. */
   readonly key: (event: EventRecord) => string
   readonly label: (event: EventRecord) => string
@@ -17,6 +19,14 @@
 const modelId = (event: EventRecord): string => event.model ?? ''
 const instanceId = (event: EventRecord): string => event.instance
 
+/** Ends of a request on the HTTP path. */
+const REQUEST_ENDS: Readonly<Record<string, SpanEnd>> = {
+  requestAnswered: 'good',
+  requestRefused: 'refused',
+  requestFailed: 'failed',
+  requestLeft: 'failed'
+}
+
 /** Spans in the order in which they are stacked on a lane. */
 export const SPAN_RULES: readonly SpanRule[] = [
   {
@@ -26,6 +36,28 @@
     key: requestId,
     label: event => event.requestKey ?? ''
   },
+  {
+    kind: SpanKind.Request,
+    opens: 'requestTaken',
+    closes: REQUEST_ENDS,
+    key: requestId,
+    label: event => event.requestKey ?? ''
+  },
+  {
+    kind: SpanKind.Load,
+    opens: 'modelAwaited',
+    closes: { ...REQUEST_ENDS, requestSent: 'good' },
+    key: requestId,
+    label: event => `wait for ${modelId(event)}`
+  },
+  {
+    kind: SpanKind.Run,
+    opens: 'requestSent',
+    isOpenedBy: event => event.attemptId === undefined,
+    closes: { ...REQUEST_ENDS, requestRepeated: 'failed', streamResumed: 'failed' },
+    key: requestId,
+    label: event => `${event.requestKey ?? ''} at ${event.peer ?? ''}`
+  },
   {
     kind: SpanKind.Load,
     opens: 'loadOrdered',
@@ -69,5 +101,12 @@
   attemptResumed: { severe: false },
   agentUnreachable: { severe: true },
   authorityLost: { severe: true },
-  authorityRegained: { severe: false }
+  authorityRegained: { severe: false },
+  engineDown: { severe: true },
+  agentLost: { severe: true },
+  serverLeft: { severe: false },
+  feedLost: { severe: true },
+  feedRegained: { severe: false },
+  streamResumed: { severe: false },
+  requestsUnanswered: { severe: true }
 }
--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -2,6 +2,8 @@
 export { checkPromises } from './checking/checkPromises.js'
 export { PromiseName } from './checking/types.js'
 export type { Verdict, Violation } from './checking/types.js'
+export { explainRequest } from './explaining/explainRequest.js'
+export type { Explanation } from './explaining/explainRequest.js'
 export { buildPicture } from './drawing/buildPicture.js'
 export { renderSvg } from './drawing/renderSvg.js'
 export { renderText } from './drawing/renderText.js'
--- a/packages/timeline/src/ordering/orderEvents.test.ts
+++ b/packages/timeline/src/ordering/orderEvents.test.ts
@@ -30,6 +30,15 @@
     expect(names([event('a', 'first', 9_000, 0), event('a', 'second', 1_000, 1)])).to.deep.equal(['first', 'second'])
   })
 
+  it('keeps the lives of a process apart', () => {
+    // A process is killed and started again under its name; its second life counts its lines from 0 as the first did. Put in
+    // one order by that count, the lines of both lives mix and all get the time of the latest.
+    const timed = orderEvents([event('a', 'first', 10, 0), event('a', 'second', 20, 1), event('a', 'third', 500, 0), event('a', 'fourth', 510, 1)])
+    expect(timed.map(({ event: { name }, atMs }) => ({ name, atMs }))).to.deep.equal([
+      { name: 'first', atMs: 10 }, { name: 'second', atMs: 20 }, { name: 'third', atMs: 500 }, { name: 'fourth', atMs: 510 }
+    ])
+  })
+
   it('ends when pairs contradict each other', () => {
     const events = [
       event('a', 'attemptQueued', 0, 0), event('a', 'attemptFinished', 9_000, 1),
--- a/packages/timeline/src/ordering/orderEvents.ts
+++ b/packages/timeline/src/ordering/orderEvents.ts
@@ -63,17 +63,33 @@
   return shifts
 }
 
+/** Events of each life of each process, in the order in which it wrote them: a restarted one counts from 0 again. */
+const splitLives = (events: readonly TimedEvent[]): ReadonlyArray<readonly TimedEvent[]> => {
+  const lives: TimedEvent[][] = []
+  const current = new Map<string, TimedEvent[]>()
+  for (const timed of events) {
+    const process = `${timed.event.role}\u0000${timed.event.instance}`
+    const life = current.get(process)
+    if (life && (life.at(-1)?.event.sequence ?? -1) < timed.event.sequence) {
+      life.push(timed)
+      continue
+    }
+    const next = [timed]
+    lives.push(next)
+    current.set(process, next)
+  }
+  return lives
+}
+
 /** Keeps each process's own order even where its wall clock was set back during the run. */
-const inOwnOrder = (events: readonly TimedEvent[]): readonly TimedEvent[] => {
-  const latestMs = new Map<string, number>()
-  const bySequence = [...events].sort((a, b) => a.event.sequence - b.event.sequence)
-  return bySequence.map(({ event, atMs }) => {
-    const process = `${event.role}\u0000${event.instance}`
-    const monotonicMs = Math.max(atMs, latestMs.get(process) ?? atMs)
-    latestMs.set(process, monotonicMs)
-    return { event, atMs: monotonicMs }
+const inOwnOrder = (events: readonly TimedEvent[]): readonly TimedEvent[] =>
+  splitLives(events).flatMap(life => {
+    let latestMs = -Infinity
+    return life.map(({ event, atMs }) => {
+      latestMs = Math.max(latestMs, atMs)
+      return { event, atMs: latestMs }
+    })
   })
-}
 
 const compare = (a: TimedEvent, b: TimedEvent): number =>
   a.atMs - b.atMs || a.event.clock - b.event.clock || a.event.sequence - b.event.sequence
--- a/packages/timeline/src/reading/readEvents.ts
+++ b/packages/timeline/src/reading/readEvents.ts
@@ -20,11 +20,12 @@
   readonly rejectedLineCount: number
 }
 
-/** Reads one line; undefined when it is no event. */
+/** Reads one line; undefined when it is no event. A collector may have put its own time and source before the object. */
 export const parseEventLine = (line: string): EventRecord | undefined => {
-  if (!line.startsWith('{')) return undefined
+  const start = line.indexOf('{')
+  if (start === -1) return undefined
   try {
-    const result = eventLine.safeParse(JSON.parse(line))
+    const result = eventLine.safeParse(JSON.parse(line.slice(start)))
     return result.success ? result.data as unknown as EventRecord : undefined
   } catch {
     return undefined
