Refuse at once what waits for an adapter behind a long load, and fetch it when the load ends

Cause: an engine takes no order while it loads a model, six seconds from the weight store. Ruled out: adapters ordered during the load (trial: each turned away with a conflict, 22 of 22 seen). Change: planWait decides for adapters as it did for models; the want stays with the agent, which fetches adapters before the next load.

--- /dev/null
+++ b/packages/gateway/src/requests/awaitAdapter.ts
@@ -0,0 +1,49 @@
+import { planWait } from '@figmount/decisions'
+
+import { GatewayEvent } from '../events.js'
+import { limitWait } from '../stopping/limitWait.js'
+import { awaitWant, patienceLeftMs } from './awaitWant.js'
+import { ADAPTER_WAIT_MS, STOPPING, STOPPING_RETRY_MS } from './constants.js'
+
+import type { KnownServer } from '../directory/types.js'
+import type { LateWait } from './awaitWant.js'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+/** How the wait for an adapter ended. */
+export type AdapterWait =
+  | { readonly type: 'there' }
+  /** It did not come: another engine may have it sooner. */
+  | { readonly type: 'missed' }
+  | LateWait
+
+/**
+ * Has an adapter put in place beside its model. An engine fetches one in milliseconds, but takes no order while it loads
+ * a model: a request that this leaves no time hears at once when the load ends, and its adapter is fetched first then.
+ */
+export const awaitAdapter = async (
+  context: GatewayContext, request: RoutedRequest, server: KnownServer, expectedMs: number
+): Promise<AdapterWait> => {
+  const { modelName, adapterName, requestId } = request.caller
+  const { stop, timers } = context
+  const { objectiveMs } = request.route
+  const agent = context.agents.find(server.entry.address)
+  if (!agent) return { type: 'missed' }
+  const readyAtMs = timers.nowMs() + expectedMs
+  const { isHopeless, keptMs } = planWait({ readyInMs: expectedMs, leftMs: patienceLeftMs(context, request) })
+  context.events.emit(GatewayEvent.modelAwaited, {
+    requestKey: requestId,
+    model: modelName,
+    adapter: adapterName,
+    peer: server.entry.serverId,
+    waitMs: Math.round(expectedMs),
+    reason: isHopeless ? 'too late for this request' : 'waits'
+  })
+  const timeLeftMs = isHopeless ? keptMs : Math.min(keptMs, expectedMs + ADAPTER_WAIT_MS)
+  const want = agent.want({ serverId: server.entry.serverId, modelName, adapterName, waitingCount: 1, lateCount: 0, timeLeftMs })
+  if (isHopeless) return { type: 'late', reason: 'the adapter comes too late', retryAfterMs: expectedMs }
+  const stopLimiting = limitWait({ stop, timers, objectiveMs, readyAtMs, giveUp: () => want.drop(STOPPING) })
+  const outcome = await awaitWant(request, want)
+  stopLimiting()
+  if (outcome.reason === STOPPING) return { type: 'late', reason: STOPPING, retryAfterMs: Math.max(STOPPING_RETRY_MS, readyAtMs - timers.nowMs()) }
+  return { type: outcome.isReady ? 'there' : 'missed' }
+}
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -1,16 +1,19 @@
+import { planWait } from '@figmount/decisions'
 import { findEngine } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
 import { findLoader } from '../placing/findLoader.js'
 import { heldModel } from '../placing/viewServers.js'
 import { limitWait } from '../stopping/limitWait.js'
-import { ADAPTER_WAIT_MS, LOAD_SHARE, NO_SERVER_RETRY_MS, STOPPING, STOPPING_RETRY_MS, WAIT_SHARE } from './constants.js'
+import { awaitWant, patienceLeftMs } from './awaitWant.js'
+import { NO_SERVER_RETRY_MS, STOPPING, STOPPING_RETRY_MS } from './constants.js'
 
 import type { Unsubscribe } from '@figmount/base'
 import type { AgentState } from '@figmount/fleet'
-import type { AgentLink, OpenWant } from '../agents/types.js'
+import type { OpenWant } from '../agents/types.js'
 import type { KnownServer } from '../directory/types.js'
 import type { Loader } from '../placing/findLoader.js'
+import type { LateWait } from './awaitWant.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** How the wait for a model ended. */
@@ -19,8 +22,7 @@
   | { readonly type: 'changed' }
   /** The engine that was asked went away: another one may be asked. */
   | { readonly type: 'lost', readonly reason: string, readonly retryAfterMs: number }
-  /** It does not come in time; it may be there after `retryAfterMs`. */
-  | { readonly type: 'late', readonly reason: string, readonly retryAfterMs: number }
+  | LateWait
 
 const MOVED = 'another engine has the model sooner'
 
@@ -56,22 +58,13 @@
   return { type: 'late', reason: STOPPING, retryAfterMs: hasBegun ? leftMs : STOPPING_RETRY_MS }
 }
 
-/** Waits for a want's end, and takes it back when the caller leaves. */
-const awaitWant = async (request: RoutedRequest, want: OpenWant): ReturnType<AgentLink['want']>['outcome'] => {
-  const leave = (): void => want.drop('the caller left')
-  request.left.addEventListener('abort', leave, { once: true })
-  const outcome = await want.outcome
-  request.left.removeEventListener('abort', leave)
-  return outcome
-}
-
 /**
  * Has a model loaded that no engine holds, and waits for it. A request that the load would leave no time, or whose
  * caller would leave before its first event, is not kept waiting: it hears at once when the model will be there, and the load is begun for its return.
  */
 export const awaitModel = async (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[]): Promise<ModelWait> => {
   const { modelName, requestId } = request.caller
-  const { objectiveMs, patienceMs } = request.route
+  const { objectiveMs } = request.route
   const spec = findEngine(context.deployment(), request.serviceName)
   const model = spec?.models.find(candidate => candidate.name === modelName)
   if (!spec || !model) return { type: 'late', reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
@@ -86,8 +79,7 @@
     return { type: 'late', reason: 'the weight store is busy', retryAfterMs: readyInMs + model.coldLoadMs }
   }
   if (isNewColdLoad) context.coldLoads.noteAsked(address)
-  const leftMs = Math.min(request.untilMs, request.arrivedMs + patienceMs) - context.timers.nowMs()
-  const isHopeless = readyInMs > leftMs * LOAD_SHARE
+  const { isHopeless, keptMs } = planWait({ readyInMs, leftMs: patienceLeftMs(context, request) })
   context.events.emit(GatewayEvent.modelAwaited, {
     requestKey: requestId,
     model: modelName,
@@ -97,8 +89,7 @@
     count: context.coldLoads.count(),
     reason: isHopeless ? 'too late for this request' : 'waits'
   })
-  const timeLeftMs = isHopeless ? readyInMs * 2 : leftMs * WAIT_SHARE
-  const want = agent.want({ serverId, modelName, adapterName: '', waitingCount: 1, lateCount: 0, timeLeftMs })
+  const want = agent.want({ serverId, modelName, adapterName: '', waitingCount: 1, lateCount: 0, timeLeftMs: keptMs })
   if (isHopeless) return { type: 'late', reason: 'the model comes too late', retryAfterMs: readyInMs }
   const stopWatching = watchElsewhere(context, request, loader, want)
   const stopLimiting = limitWait({
@@ -111,16 +102,3 @@
   if (outcome.isReady || outcome.reason === MOVED) return { type: 'changed' }
   return { type: outcome.isLost ? 'lost' : 'late', reason: outcome.reason, retryAfterMs: NO_SERVER_RETRY_MS }
 }
-
-/** Has an adapter put in place beside its model. */
-export const awaitAdapter = async (context: GatewayContext, request: RoutedRequest, server: KnownServer): Promise<boolean> => {
-  const { modelName, adapterName, requestId } = request.caller
-  const agent = context.agents.find(server.entry.address)
-  if (!agent) return false
-  const untilMs = Math.min(request.untilMs, context.stop.lastSendMs(request.route.objectiveMs))
-  const timeLeftMs = Math.min(ADAPTER_WAIT_MS, untilMs - context.timers.nowMs())
-  context.events.emit(GatewayEvent.modelAwaited, { requestKey: requestId, model: modelName, adapter: adapterName, peer: server.entry.serverId })
-  const want = agent.want({ serverId: server.entry.serverId, modelName, adapterName, waitingCount: 1, lateCount: 0, timeLeftMs })
-  const outcome = await awaitWant(request, want)
-  return outcome.isReady
-}
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -19,7 +19,7 @@
 /** Come-back time while no server of a service is known: a crashed one is back after seconds. */
 export const NO_SERVER_RETRY_MS = 1_000
 
-/** Time for an agent to put an adapter in place: it is fetched in 5 to 10 ms, under a rush in ten times that. */
+/** Time for an agent to put an adapter in place once its engine takes orders: it is fetched in 5 to 10 ms, under a rush in ten times that. */
 export const ADAPTER_WAIT_MS = 1_500
 
 /** Sends of one request that servers turned away, after which it is refused: each costs time and a repeat. */
@@ -28,15 +28,6 @@
 /** Engines that may go away while they load one request's model before it is refused. */
 export const MAX_LOST_LOADS = 2
 
-/** Share of a request's time that a load may take; the rest is for queueing and computing. */
-export const LOAD_SHARE = 0.85
-
-/**
- * Share of a caller's patience after which it is refused when a load takes longer than was expected: it can come back,
- * where one that is kept until it leaves hears nothing.
- */
-export const WAIT_SHARE = 0.8
-
 /** Time between two looks whether the server of a resumable stream is still alive, by its agent's word. */
 export const DEATH_LOOK_MS = 100
 
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -5,6 +5,7 @@
 import { createDirectory } from '../directory/createDirectory.js'
 import { createDemandMeter } from '../demand/createDemandMeter.js'
 import { createColdLoads } from '../placing/createColdLoads.js'
+import { createQueueRelief } from '../placing/createQueueRelief.js'
 import { createCrashBook } from '../retries/createCrashBook.js'
 import { createStop } from '../stopping/createStop.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
@@ -51,6 +52,7 @@
     demand: createDemandMeter(timers),
     crashes: createCrashBook(timers),
     stop,
+    relief: createQueueRelief(timers),
     coldLoads: createColdLoads(timers, () => MODEL.coldLoadMs),
     agents: {
       find: (address: string) => ({
@@ -68,6 +70,7 @@
         }
       })
     },
+    routerCount: () => 1,
     deployment: () => ({ services: [{ name: 's', engine: { models: [MODEL], weightsCapacityMb: 100, adapterSlots: 1 } }] })
   } as unknown as GatewayContext
   const request = {
@@ -125,6 +128,20 @@
     expect(statuses).to.deep.equal([503])
   })
 
+  it('refuses at once what waits for an adapter behind a long load', async () => {
+    // The only engine that holds the model loads another one for six seconds and takes no other order meanwhile. Callers were
+    // kept for a second and a half, then sent to load the model elsewhere, and refused. They hear at once when the load ends,
+    // and the agent knows their adapter by then.
+    const { directory, context, request, asked, statuses, retriesMs } = setUp(() => undefined)
+    const held = { models: [{ name: 'm', adapters: [] }], loadingModel: 'other', loadingForMs: 5, loadingLeftMs: 6_000 }
+    directory.takeState('a:1', makeAgentState('a', held))
+    directory.takeState('b:1', makeAgentState('b', { isUp: false }))
+    await serveModel(context, { ...request, caller: { ...request.caller, adapterName: 'x' } })
+    expect(statuses).to.deep.equal([503])
+    expect(asked).to.deep.equal(['a:1'])
+    expect(retriesMs[0]).to.be.within(6_000, 6_100)
+  })
+
   it('refuses a waiting request as soon as a stop leaves it no time', async () => {
     // A caller waits for a load that ends after the router must have stopped. The stop's end would close its connection
     // without an answer; refused when the stop is asked for, it has the most time left elsewhere.
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -2,7 +2,8 @@
 
 import { GatewayEvent } from '../events.js'
 import { viewHolders } from '../placing/viewServers.js'
-import { awaitAdapter, awaitModel } from './awaitModel.js'
+import { awaitAdapter } from './awaitAdapter.js'
+import { awaitModel } from './awaitModel.js'
 import { DEATH_LOOK_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_CRASHES, MAX_LOST_LOADS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS, STOPPING, STOPPING_RETRY_MS } from './constants.js'
 import { fail, noteLeft, refuse } from './endRequest.js'
 import { limitExchange } from './limitExchange.js'
@@ -16,7 +17,8 @@
 
 interface Choice {
   readonly server: KnownServer
-  readonly hasAdapter: boolean
+  /** Time until the request's adapter is in place; 0 when it is. */
+  readonly adapterWaitMs: number
   /** Prompt tokens that the server has to compute. */
   readonly newTokens: number
 }
@@ -30,7 +32,7 @@
   if (!best || !server) return undefined
   const alone = { ...best, pendingTokens: 0, startingCount: 0, runningCount: 0 }
   context.relief.note(context, request, servers, estimateFirstEventMs(ranked, best) - estimateFirstEventMs(ranked, alone))
-  return { server, hasAdapter: best.adapterWaitMs === 0, newTokens: Math.max(0, promptTokens - best.cachedTokens) }
+  return { server, adapterWaitMs: best.adapterWaitMs, newTokens: Math.max(0, promptTokens - best.cachedTokens) }
 }
 
 /** Runs the request at the chosen server and keeps the router's books on it. */
@@ -116,7 +118,9 @@
       return giveUp(wait.reason, wait.retryAfterMs)
     }
     const { serverId } = choice.server.entry
-    if (!choice.hasAdapter && !await awaitAdapter(context, request, choice.server)) {
+    const wait = choice.adapterWaitMs === 0 ? undefined : await awaitAdapter(context, request, choice.server, choice.adapterWaitMs)
+    if (wait?.type === 'late') return giveUp(wait.reason, wait.retryAfterMs)
+    if (wait?.type === 'missed') {
       turnedAway += 1
       avoided.add(serverId)
       if (turnedAway >= MAX_TURNED_AWAY) return giveUp('the adapter did not come', FULL_RETRY_MS)
