Count the time for which a model is asked for in vain over one caller after the other

A steady caller each few seconds would never have it loaded. Change: routers remember for how long a model was asked for in vain and say so with each want; the room that they expect is the sooner by it. Tests red (no such field), then green.

--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -18,6 +18,8 @@
   readonly waitingCount: number
   /** Requests of the next seconds that are late without it as the router sees it, beside those that wait. */
   readonly lateCount: number
+  /** Time for which the router's callers have asked for it in vain, one after the other. Left out: it is asked for the first time. */
+  readonly unmetForMs?: number
   /** The agent gives the want up after this time. */
   readonly timeLeftMs: number
 }
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -16,6 +16,8 @@
   readonly waitingCount: number
   /** Requests of the next seconds that are late without it, beside those that wait. */
   readonly lateCount: number
+  /** Time for which callers have asked for it in vain. */
+  readonly unmetForMs?: number
   readonly timeLeftMs: number
 }
 
--- /dev/null
+++ b/packages/gateway/src/demand/createUnmetBook.test.ts
@@ -0,0 +1,34 @@
+import { expect } from 'chai'
+import { createVirtualTimers } from '@figmount/base'
+
+import { createUnmetBook } from './createUnmetBook.js'
+
+describe('a model that is asked for in vain', () => {
+  it('is remembered over one caller after another', () => {
+    const timers = createVirtualTimers()
+    const unmet = createUnmetBook(timers)
+    expect(unmet.note('m')).to.equal(0)
+    timers.advance(4_000)
+    expect(unmet.note('m')).to.equal(4_000)
+    timers.advance(4_000)
+    expect(unmet.note('m')).to.equal(8_000)
+    expect(unmet.note('other')).to.equal(0)
+  })
+
+  it('counts anew once it was served', () => {
+    const timers = createVirtualTimers()
+    const unmet = createUnmetBook(timers)
+    unmet.note('m')
+    timers.advance(3_000)
+    unmet.settle('m')
+    expect(unmet.note('m')).to.equal(0)
+  })
+
+  it('counts anew when nobody came back', () => {
+    const timers = createVirtualTimers()
+    const unmet = createUnmetBook(timers)
+    unmet.note('m')
+    timers.advance(10_000)
+    expect(unmet.note('m')).to.equal(0)
+  })
+})
--- a/packages/gateway/src/placing/findLoader.ts
+++ b/packages/gateway/src/placing/findLoader.ts
@@ -18,11 +18,11 @@
   readonly isLoading: boolean
 }
 
-/** The engine that is to load a model; undefined while no agent can. */
+/** The engine that is to load a model, which was asked for in vain for `unmetForMs`; undefined while no agent can. */
 export const findLoader = (
-  context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[]
+  context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], unmetForMs = 0
 ): Loader | undefined => {
-  const views = viewLoaders(context.directory, spec, model, servers, context.timers.nowMs())
+  const views = viewLoaders({ directory: context.directory, spec, model, servers, unmetForMs, nowMs: context.timers.nowMs() })
   const choice = chooseLoader(model, views)
   const view = views.find(candidate => candidate.serverId === choice?.serverId)
   const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -85,10 +85,18 @@
   return busyMs
 }
 
+interface LoaderInputs {
+  readonly directory: Directory
+  readonly spec: EngineSpec
+  readonly model: ModelSpec
+  readonly servers: readonly KnownServer[]
+  /** Time for which the model has been asked for in vain: what makes room for it may cost the more. */
+  readonly unmetForMs: number
+  readonly nowMs: number
+}
+
 /** The engines whose agents could load the model. */
-export const viewLoaders = (
-  directory: Directory, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], nowMs: number
-): readonly LoaderView[] => {
+export const viewLoaders = ({ directory, spec, model, servers, unmetForMs, nowMs }: LoaderInputs): readonly LoaderView[] => {
   const views: LoaderView[] = []
   const replicas = new Map(viewReplicas(directory).map(({ modelName, replicaCount }) => [modelName, replicaCount]))
   const replicasOf = (modelName = ''): number => replicas.get(modelName) ?? 1
@@ -104,7 +112,7 @@
       hasBegun: state.loadingModel === model.name && state.loadingForMs > 0,
       busyMs: busyMsOf(spec, server, model.name, nowMs),
       coldWaitMs: coldWaitLeftMs(server, nowMs),
-      roomMs: state.roomMs,
+      roomMs: Math.max(0, state.roomMs - unmetForMs),
       heldTokensPerS: state.demandTokensPerS.reduce((sum, tokens, index) => sum + tokens / replicasOf(state.models[index]?.name), 0),
       evictionLoss: state.evictionLoss,
       heldCount: state.models.length,
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -68,7 +68,8 @@
   const spec = findEngine(context.deployment(), request.serviceName)
   const model = spec?.models.find(candidate => candidate.name === modelName)
   if (!spec || !model) return { type: 'late', reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
-  const loader = findLoader(context, spec, model, servers)
+  const unmetForMs = context.unmet.note(modelName)
+  const loader = findLoader(context, spec, model, servers, unmetForMs)
   if (!loader) return { type: 'late', reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
   const { readyInMs, agent } = loader
   const { serverId, address } = loader.server.entry
@@ -89,7 +90,7 @@
     count: context.coldLoads.count(),
     reason: isHopeless ? 'too late for this request' : 'waits'
   })
-  const want = agent.want({ serverId, modelName, adapterName: '', waitingCount: 1, lateCount: 0, timeLeftMs: keptMs })
+  const want = agent.want({ serverId, modelName, adapterName: '', waitingCount: 1, lateCount: 0, unmetForMs: Math.round(unmetForMs), timeLeftMs: keptMs })
   if (isHopeless) return { type: 'late', reason: 'the model comes too late', retryAfterMs: readyInMs }
   const stopWatching = watchElsewhere(context, request, loader, want)
   const stopLimiting = limitWait({
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -4,6 +4,7 @@
 
 import { createDirectory } from '../directory/createDirectory.js'
 import { createDemandMeter } from '../demand/createDemandMeter.js'
+import { createUnmetBook } from '../demand/createUnmetBook.js'
 import { createColdLoads } from '../placing/createColdLoads.js'
 import { createQueueRelief } from '../placing/createQueueRelief.js'
 import { createCrashBook } from '../retries/createCrashBook.js'
@@ -50,6 +51,7 @@
       }
     },
     demand: createDemandMeter(timers),
+    unmet: createUnmetBook(timers),
     crashes: createCrashBook(timers),
     stop,
     relief: createQueueRelief(timers),
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -117,6 +117,7 @@
       if (wait.type === 'lost' && lostLoads <= MAX_LOST_LOADS) continue
       return giveUp(wait.reason, wait.retryAfterMs)
     }
+    context.unmet.settle(caller.modelName)
     const { serverId } = choice.server.entry
     const wait = choice.adapterWaitMs === 0 ? undefined : await awaitAdapter(context, request, choice.server, choice.adapterWaitMs)
     if (wait?.type === 'late') return giveUp(wait.reason, wait.retryAfterMs)
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -3,6 +3,7 @@
 import type { CallerRequest, Deployment, HeaderCodec, RawHeaders, Route } from '@figmount/fleet'
 import type { AgentLinks } from '../agents/createAgentLinks.js'
 import type { DemandMeter } from '../demand/createDemandMeter.js'
+import type { UnmetBook } from '../demand/createUnmetBook.js'
 import type { Directory } from '../directory/createDirectory.js'
 import type { ConnectionPool } from '../forwarding/createConnectionPool.js'
 import type { ColdLoads } from '../placing/createColdLoads.js'
@@ -20,6 +21,7 @@
   readonly directory: Directory
   readonly agents: AgentLinks
   readonly demand: DemandMeter
+  readonly unmet: UnmetBook
   readonly pool: ConnectionPool
   readonly budget: RepeatBudget
   readonly crashes: CrashBook
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -4,6 +4,7 @@
 
 import { createAgentLinks } from '../agents/createAgentLinks.js'
 import { createDemandMeter } from '../demand/createDemandMeter.js'
+import { createUnmetBook } from '../demand/createUnmetBook.js'
 import { createDirectory } from '../directory/createDirectory.js'
 import { createConnectionPool } from '../forwarding/createConnectionPool.js'
 import { serveReady } from '../ingress/serveReady.js'
@@ -103,6 +104,7 @@
     directory,
     agents,
     demand: createDemandMeter(timers),
+    unmet: createUnmetBook(timers),
     pool: createConnectionPool(),
     budget: createRepeatBudget(options.retryLimits, timers),
     crashes,
--- a/packages/sidecar/src/wants/createWantBook.test.ts
+++ b/packages/sidecar/src/wants/createWantBook.test.ts
@@ -24,6 +24,16 @@
     expect(book.open()).to.deep.equal([{ modelName: 'm', adapterName: '', sinceMs: 0, waitingCount: 3, lateCount: 2 }])
   })
 
+  it('goes on from the time for which it was asked for in vain', () => {
+    // Callers of a rare model wait 1.5 s each and are refused. What their wait may cost others grows with its age; counted
+    // anew for each of them the model is never loaded, however often it is asked for.
+    const { timers, book, add } = setUp()
+    timers.advance(20_000)
+    add(want(1, { unmetForMs: 6_000 }))
+    add(want(2))
+    expect(book.open()[0]?.sinceMs).to.equal(14_000)
+  })
+
   it('settles all of them when it is in place', () => {
     const { book, settled, add } = setUp()
     add(want(1))
--- a/packages/sidecar/src/wants/createWantBook.ts
+++ b/packages/sidecar/src/wants/createWantBook.ts
@@ -20,6 +20,7 @@
 export interface OpenWant {
   readonly modelName: string
   readonly adapterName: string
+  /** Since when it has been asked for in vain. */
   readonly sinceMs: number
   readonly waitingCount: number
   readonly lateCount: number
@@ -78,10 +79,11 @@
     add: (router, want, settle) => {
       const adapterName = want.adapterName ?? ''
       const key = `${want.modelName}/${adapterName}`
-      const entry = entries.get(key) ?? { modelName: want.modelName, adapterName, sinceMs: timers.nowMs(), waiters: [] }
+      const sinceMs = timers.nowMs() - (want.unmetForMs ?? 0)
+      const entry = entries.get(key) ?? { modelName: want.modelName, adapterName, sinceMs, waiters: [] }
       const { wantId, waitingCount, lateCount } = want
       const waiter = { router, wantId, waitingCount, lateCount, untilMs: timers.nowMs() + want.timeLeftMs, settle }
-      entries.set(key, { ...entry, waiters: [...entry.waiters, waiter] })
+      entries.set(key, { ...entry, sinceMs: Math.min(entry.sinceMs, sinceMs), waiters: [...entry.waiters, waiter] })
     },
     // Guards against a model that is loaded for nobody: a caller has left, or was served by another engine. The load would
     // take the engine's time, and the room of a model that is asked for.
