Go on with a stop that is asked for twice

Cause: the listeners for SIGTERM and SIGINT were taken off by the first signal, so a second one met the system's default and ended the process at once, with all open requests. Ruled out: a shorter stop at the second signal; its length is bounded already, and SIGKILL remains.

--- a/packages/base/src/binary/runBinary.ts
+++ b/packages/base/src/binary/runBinary.ts
@@ -54,9 +54,13 @@
   return { settings: parsed.settings, check: parsed.check, eventLines: parsed.eventLines, eventLinesPerS: parsed.eventLinesPerS }
 }
 
+/**
+ * Guards against a second signal during a stop, as tools send that signal a process and its group: with no listener left
+ * it would end the process at once, and open requests would lose their connections. The listeners stay.
+ */
 const waitForStop = async (): Promise<void> => await new Promise(resolve => {
-  process.once('SIGTERM', resolve)
-  process.once('SIGINT', resolve)
+  process.on('SIGTERM', () => resolve())
+  process.on('SIGINT', () => resolve())
 })
 
 const exitWith = (code: number, ...messages: readonly string[]): never => {
