Keep the connection of a caller that still reads its answer when a router stops

Cause: Node takes a connection for idle as soon as end() was called on its answer, whether or not the bytes have gone. Three seconds into a stop idle connections are closed; an answer that its caller read slowly lost its rest. Change: an answer is ended once the system takes its bytes. A stream's run that ends with a whole answer of another kind has an end of its own, so that nobody ends that answer a second time. Open: up to 16 KB that a caller does not take are still not waited for.

--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -1,5 +1,6 @@
 import { GatewayEvent } from '../events.js'
 
+import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
@@ -55,6 +56,17 @@
   response.useChunkedEncodingByDefault = false
 }
 
+/**
+ * Ends an answer once the system has taken its bytes.
+ *
+ * Guards against a caller that reads slowly: Node takes a connection for idle as soon as its answer is ended, and a
+ * router that stops would close it with the rest unsent.
+ */
+export const endWhenTaken = (response: ServerResponse): void => {
+  if (response.writableNeedDrain) response.once('drain', () => response.end())
+  else response.end()
+}
+
 /** Gives the caller a server's answer that was read whole. */
 export const answerWhole = (
   context: GatewayContext, request: RoutedRequest, status: number, headers: RawHeaders, body: Buffer, peer: string, isFramed: boolean
@@ -63,7 +75,8 @@
   if (!isOpen(request)) return
   if (!isFramed) endWithConnection(request)
   request.response.writeHead(status, [...headers, ...(isFramed ? ['content-length', String(body.length)] : [])])
-  request.response.end(body)
+  request.response.write(body)
+  endWhenTaken(request.response)
 }
 
 /** Logs and counts an answer that was given whole; `firstEventMs` is the time from arrival to a stream's first event. */
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -11,7 +11,10 @@
 
 /** How one run of a stream ended. */
 export type RunEnd =
+  /** The stream has come to its end; the caller's is still open. */
   | { readonly type: 'finished' }
+  /** The caller has another answer of the server's, which was read whole. */
+  | { readonly type: 'answered' }
   /** The server states that it has not run the request, or nothing was sent. */
   | { readonly type: 'notRun', readonly reason: string, readonly isMisplaced: boolean }
   | { readonly type: 'broken', readonly reason: string }
@@ -60,5 +63,5 @@
   if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
   if (stream.hasBegun()) return { type: 'broken', reason: `status ${status}` }
   answerWhole(context, request, status, context.codec.encodeAnswer(open.message.rawHeaders), read.unsafeCoerce(), serverId, hasFraming(open.message))
-  return { type: 'finished' }
+  return { type: 'answered' }
 }
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -128,10 +128,8 @@
     sends += 1
     lastPeer = serverId
     const end = await runAt(context, request, choice, stream)
-    if (end.type === 'finished') {
-      if (!request.response.writableEnded) stream.finish(serverId)
-      return
-    }
+    if (end.type === 'answered') return
+    if (end.type === 'finished') return stream.finish(serverId)
     if (request.left.aborted) return noteLeft(context, request)
     avoided.add(serverId)
     if (end.type === 'notRun') {
--- a/packages/gateway/src/requests/streamToCaller.ts
+++ b/packages/gateway/src/requests/streamToCaller.ts
@@ -1,4 +1,4 @@
-import { endWithConnection, noteAnswered } from './endRequest.js'
+import { endWhenTaken, endWithConnection, noteAnswered } from './endRequest.js'
 
 import type { RawHeaders } from '@figmount/fleet'
 import type { StreamEvent } from '../streams/splitEvents.js'
@@ -69,7 +69,7 @@
     finish: peer => {
       begin()
       noteAnswered(context, request, peer, head?.status ?? 0, firstEventMs)
-      response.end()
+      endWhenTaken(response)
     },
     hasBegun: () => response.headersSent,
     lastEventId: () => lastEventId,
