Refuse a request whose body has not come by a stop's end

Cause: the read of a body knew nothing of the stop, whose end closed the connection, though "not run" is certain. Ruled out: a refusal as soon as no new requests are taken: bytes of the body that are on their way reset the connection, and the answer may be lost; most bodies come whole and are refused then. Before: the test failed (no answer).

--- a/packages/gateway/src/ingress/readBody.ts
+++ b/packages/gateway/src/ingress/readBody.ts
@@ -1,16 +1,20 @@
 import type { IncomingMessage } from 'node:http'
+import type { Stop } from '../stopping/types.js'
 
 /** A request's body, or why there is none. */
 export type BodyRead =
   | { readonly type: 'whole', readonly body: Buffer }
   | { readonly type: 'tooLarge' }
   | { readonly type: 'brokenOff' }
+  /** The router's stop came to its end before the body did. */
+  | { readonly type: 'stopped' }
 
-/** Reads a request's body up to a bound. */
-export const readBody = async (message: IncomingMessage, maxBytes: number): Promise<BodyRead> =>
+/** Reads a request's body up to a bound, until the stop's end: an answer that is sent sooner meets bytes on their way, and may be lost. */
+export const readBody = async (message: IncomingMessage, maxBytes: number, stop: Stop): Promise<BodyRead> =>
   await new Promise(resolve => {
     const chunks: Buffer[] = []
     let byteCount = 0
+    const unsubscribe = stop.onEnded(() => resolve({ type: 'stopped' }))
     message.on('data', (chunk: Buffer) => {
       byteCount += chunk.length
       if (byteCount <= maxBytes) {
@@ -22,5 +26,8 @@
     })
     message.on('end', () => resolve({ type: 'whole', body: Buffer.concat(chunks) }))
     message.on('error', () => resolve({ type: 'brokenOff' }))
-    message.on('close', () => resolve({ type: 'brokenOff' }))
+    message.on('close', () => {
+      unsubscribe()
+      resolve({ type: 'brokenOff' })
+    })
   })
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -90,13 +90,13 @@
   if (context.stop.isAsked()) response.shouldKeepAlive = false
   const limits = context.deployment()?.limits
   if (limits && headerBytesOf(message) > limits.headerBytes) return endEarly(context, response, Status.HeadersTooLarge, 'headers too large')
-  const read = await readBody(message, limits?.bodyBytes ?? Infinity)
+  const read = await readBody(message, limits?.bodyBytes ?? Infinity, context.stop)
   if (read.type === 'brokenOff') return
   if (read.type === 'tooLarge') return endEarly(context, response, Status.TooLarge, 'body too large')
   const decoded = context.codec.decodeRequest(message.rawHeaders)
   if (decoded.isLeft()) return endEarly(context, response, Status.BadRequest, decoded.swap().unsafeCoerce().message)
   const caller = decoded.unsafeCoerce()
-  if (context.stop.isClosing()) return refuseEarly(context, response, caller.requestId, STOPPING, STOPPING_RETRY_MS)
+  if (read.type === 'stopped' || context.stop.isClosing()) return refuseEarly(context, response, caller.requestId, STOPPING, STOPPING_RETRY_MS)
   const deployment = context.deployment()
   if (!deployment || !context.directory.isKnown()) return refuseEarly(context, response, caller.requestId, 'no deployment known yet', UNKNOWN_RETRY_MS)
   const route = matchRoute(deployment.routes, message.headers.host ?? '', message.url ?? '/')
