Close connections behind their last answers in a stop, and tell callers of it

Cause: whether an answer closes its connection was decided when its request came. One that came before the stop kept the connection, and its caller's next request could meet the close; one that came in the stop closed it also with a later request on the connection, which had been read and sent to a server, and whose answer was lost. Change: the server that callers reach decides both, for the newest request of each connection. Before: both tests failed (keep-alive for close; one answer for two requests). After: both pass.

--- a/packages/gateway/src/ingress/startIngress.ts
+++ b/packages/gateway/src/ingress/startIngress.ts
@@ -10,6 +10,8 @@
 export interface Ingress {
   /** Takes over the limits of a newer deployment. */
   readonly limit: (limits: CallerLimits) => void
+  /** Has each connection closed behind its last answer from now on, and callers told of it. */
+  readonly endConnections: () => void
   /** Takes no new connection from now on. */
   readonly stopListening: () => void
   /** Closes connections on which no request is under way. */
@@ -27,12 +29,35 @@
   })
 }
 
+/** The newest request of a connection. */
+interface LatestRequest {
+  readonly response: ServerResponse
+  /** The caller keeps the connection. */
+  readonly isKept: boolean
+}
+
 /** Starts to take requests. */
 export const startIngress = async (
   address: string, take: (message: IncomingMessage, response: ServerResponse) => Promise<void>, failed: (error: Error) => void
 ): Promise<Ingress> => {
   let openCount = 0
+  let isEnding = false
+  const sockets = new Map<Socket, LatestRequest | undefined>()
+
+  /**
+   * Guards against a caller that sends a request before it has the answer to the one before: an answer that closes the
+   * connection takes the later request with it, though that may run. Only the last answer closes it.
+   */
+  const endBehindLatest = (socket: Socket, latest: LatestRequest): void => {
+    const before = sockets.get(socket)
+    if (before) before.response.shouldKeepAlive = before.isKept
+    latest.response.shouldKeepAlive = false
+  }
+
   const handle: RequestListener = (message, response) => {
+    const latest = { response, isKept: response.shouldKeepAlive }
+    if (isEnding) endBehindLatest(message.socket, latest)
+    sockets.set(message.socket, latest)
     openCount += 1
     response.once('close', () => { openCount -= 1 })
     take(message, response).catch((error: Error) => {
@@ -41,9 +66,8 @@
     })
   }
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requireHostHeader: false, noDelay: true }, handle)
-  const sockets = new Set<Socket>()
   server.on('connection', socket => {
-    sockets.add(socket)
+    sockets.set(socket, undefined)
     socket.once('close', () => sockets.delete(socket))
   })
   server.requestTimeout = 0
@@ -53,11 +77,17 @@
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs
     },
+    endConnections: () => {
+      isEnding = true
+      for (const latest of sockets.values()) {
+        if (latest) latest.response.shouldKeepAlive = false
+      }
+    },
     stopListening: () => { server.close() },
     closeIdle: () => { server.closeIdleConnections() },
     openCount: () => openCount,
     close: () => {
-      for (const socket of sockets) socket.destroy()
+      for (const socket of sockets.keys()) socket.destroy()
     }
   }
 }
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -87,7 +87,6 @@
 export const takeRequest = async (context: GatewayContext, message: IncomingMessage, response: ServerResponse): Promise<void> => {
   const arrivedMs = context.timers.nowMs()
   const left = watchLeaving(response)
-  if (context.stop.isAsked()) response.shouldKeepAlive = false
   const limits = context.deployment()?.limits
   if (limits && headerBytesOf(message) > limits.headerBytes) return endEarly(context, response, Status.HeadersTooLarge, 'headers too large')
   const read = await readBody(message, limits?.bodyBytes ?? Infinity, context.stop)
--- a/packages/gateway/src/stopping/drain.ts
+++ b/packages/gateway/src/stopping/drain.ts
@@ -25,6 +25,7 @@
   }
 
   stop.ask()
+  ingress.endConnections()
   await sleep(timers, stop.closingInMs())
   // Guards against requests that come in the last seconds, as callers of a data centre with one router have nowhere else to
   // go: a stream taken then is cut when the process must end. New connections are turned away by the system and requests
