Answer a request whose handling fails, and let go of one whose connection is gone

Cause: a fault that nobody foresaw closed the caller's connection without an answer. And Node tells no response that has not had its connection yet of the connection's end: a second request on it counted as open for ever (each later stop took all of its time), and was served on for a caller that had left.

--- /dev/null
+++ b/packages/gateway/src/ingress/startIngress.test.ts
@@ -0,0 +1,61 @@
+import { once } from 'node:events'
+import { connect, createServer } from 'node:net'
+import { expect } from 'chai'
+
+import { startIngress } from './startIngress.js'
+
+import type { AddressInfo, Socket } from 'node:net'
+import type { RequestListener } from 'node:http'
+
+const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+
+const freePort = async (): Promise<number> => {
+  const server = createServer().listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  server.close()
+  await once(server, 'close')
+  return port
+}
+
+const until = async (holds: () => boolean): Promise<void> => {
+  while (!holds()) await new Promise(resolve => { setTimeout(resolve, 5) })
+}
+
+const setUp = async (take: (...parameters: Parameters<RequestListener>) => Promise<void>) => {
+  const address = `127.0.0.1:${await freePort()}`
+  const failures: string[] = []
+  const ingress = await startIngress(address, take, error => { failures.push(error.message) })
+  const socket: Socket = connect(Number(address.split(':')[1]), '127.0.0.1')
+  await once(socket, 'connect')
+  return { ingress, socket, failures }
+}
+
+describe('the server that callers reach', () => {
+  it('answers a request whose handling fails', async () => {
+    // A fault that nobody foresaw ends the handling of a request. Its caller's connection was closed without an answer,
+    // which tells it nothing.
+    const { ingress, socket, failures } = await setUp(async () => { throw new Error('unforeseen') })
+    socket.write(REQUEST)
+    const [bytes] = await once(socket, 'data')
+    expect(String(bytes)).to.match(/^HTTP\/1.1 502 /)
+    expect(failures).to.deep.equal(['unforeseen'])
+    ingress.stopListening()
+    ingress.close()
+  })
+
+  it('counts no request whose connection is gone', async () => {
+    // A caller sends two requests at once and leaves. The second one's answer never had the connection, so its end was never
+    // heard of: it counted as open for ever, and each later stop took all of its time.
+    let takenCount = 0
+    const { ingress, socket } = await setUp(async () => { takenCount += 1 })
+    socket.write(`${REQUEST}${REQUEST}`)
+    await until(() => takenCount === 2)
+    expect(ingress.openCount()).to.equal(2)
+    socket.destroy()
+    await new Promise(resolve => { setTimeout(resolve, 200) })
+    expect(ingress.openCount()).to.equal(0)
+    ingress.stopListening()
+    ingress.close()
+  })
+})
--- a/packages/gateway/src/ingress/startIngress.ts
+++ b/packages/gateway/src/ingress/startIngress.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 
 import { MAX_HEADER_BYTES } from './constants.js'
+import { onceClosed } from './onceClosed.js'
 
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -29,6 +30,9 @@
   })
 }
 
+/** Promises nothing: a request whose handling failed may have run. */
+const BAD_GATEWAY = 502
+
 /** The newest request of a connection. */
 interface LatestRequest {
   readonly response: ServerResponse
@@ -59,10 +63,11 @@
     if (isEnding) endBehindLatest(message.socket, latest)
     sockets.set(message.socket, latest)
     openCount += 1
-    response.once('close', () => { openCount -= 1 })
+    onceClosed(message, response, () => { openCount -= 1 })
     take(message, response).catch((error: Error) => {
       failed(error)
-      response.destroy()
+      if (response.headersSent) response.destroy()
+      else response.writeHead(BAD_GATEWAY, { 'content-length': 0 }).end()
     })
   }
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requireHostHeader: false, noDelay: true }, handle)
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -6,6 +6,7 @@
 import { Status } from '../requests/endRequest.js'
 import { serveModel } from '../requests/serveModel.js'
 import { servePlain } from '../requests/servePlain.js'
+import { onceClosed } from './onceClosed.js'
 import { readBody } from './readBody.js'
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -38,9 +39,9 @@
   response.end()
 }
 
-const watchLeaving = (response: ServerResponse): AbortSignal => {
+const watchLeaving = (message: IncomingMessage, response: ServerResponse): AbortSignal => {
   const leaving = new AbortController()
-  response.once('close', () => {
+  onceClosed(message, response, () => {
     if (!response.writableFinished) leaving.abort()
   })
   return leaving.signal
@@ -86,7 +87,7 @@
 /** Takes one request from a caller and answers it. */
 export const takeRequest = async (context: GatewayContext, message: IncomingMessage, response: ServerResponse): Promise<void> => {
   const arrivedMs = context.timers.nowMs()
-  const left = watchLeaving(response)
+  const left = watchLeaving(message, response)
   const limits = context.deployment()?.limits
   if (limits && headerBytesOf(message) > limits.headerBytes) return endEarly(context, response, Status.HeadersTooLarge, 'headers too large')
   const read = await readBody(message, limits?.bodyBytes ?? Infinity, context.stop)
