End a wait in its own time when the agent has fallen silent

Cause: a router gave an agent a second more than the time that it had set for a want. With two seconds of patience, the least that callers have, a want gets 1.6 s: its caller left at 2 s and was refused at 2.6 s. It is the same near the route's time-out. A link that is silent is found after three seconds only. Ruled out: a margin for the agent's own "not in time": it says the same, and the agent forgets the want by itself. After: within 90 to 600 ms.

--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -39,10 +39,16 @@
 
   const openWant = (open: OpenLink, { adapterName, ...rest }: WantRequest): OpenWant => {
     const wantId = nextWantId++
-    const outcome = new Promise<WantOutcome>(resolve => { wants.set(wantId, resolve) })
+    // The agent settles each want within its time. This covers one that falls silent: the want's time is the caller's
+    // patience less what it needs to hear of the end, so nothing may be added to it.
+    const stopTimer = timers.after(rest.timeLeftMs, () => settle(wantId, { isReady: false, isLost: false, reason: 'not in time' }))
+    const outcome = new Promise<WantOutcome>(resolve => {
+      wants.set(wantId, end => {
+        stopTimer()
+        resolve(end)
+      })
+    })
     open.send({ type: 'want', wantId, ...rest, ...(adapterName === '' ? {} : { adapterName }) })
-    // The agent settles each want within its time. This covers an answer that is lost with the link's other end.
-    timers.after(rest.timeLeftMs + HEARTBEAT_MS, () => settle(wantId, { isReady: false, isLost: false, reason: 'the agent did not answer in time' }))
     const drop = (reason: string): void => {
       if (!wants.has(wantId)) return
       settle(wantId, { isReady: false, isLost: false, reason })
--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -78,6 +78,30 @@
     server.closeAllConnections()
   })
 
+  it('end a want in its time when the agent falls silent', async () => {
+    // An agent's instance stands still while a request waits for a model there. The router went on waiting for a second beyond
+    // the want's time: a caller with two seconds of patience had left by then and heard nothing.
+    const server = createServer()
+    const timers = createTimerService()
+    const context = { instance: 'a' as InstanceName, sharedKey: 'key', timers, offset: () => NO_OFFSET, onPeerOffset: () => {} }
+    const events = createEventLog({ instance: context.instance, role: 'agent', timers })
+    acceptLinks<AgentMessage, RouterMessage>(server, { ...context, events }, async link => {
+      for await (const message of link.received) expect(message.type).to.be.oneOf(['heartbeat', 'want'])
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const { port } = server.address() as AddressInfo
+    const links = createAgentLinks({ agentPort: port, context: { ...context, events }, handlers: NO_HANDLERS })
+    links.follow([ENTRY], () => true)
+    await until(() => links.find(ADDRESS)?.isOpen() ?? false)
+    const askedMs = timers.nowMs()
+    const want = links.find(ADDRESS)?.want({ serverId: 'a', modelName: 'm', adapterName: '', waitingCount: 1, lateCount: 0, timeLeftMs: 100 })
+    expect(await want?.outcome).to.deep.include({ isReady: false, isLost: false })
+    expect(timers.nowMs() - askedMs).to.be.within(90, 600)
+    links.close()
+    server.close()
+    server.closeAllConnections()
+  })
+
   it('are given up when their server was not listed for long', () => {
     const { timers, links, lost } = setUp()
     links.follow([ENTRY], () => true)
