Send plain requests that a stop leaves no time for elsewhere at once

Cause: a refusal by a router that stops bore the come-back time of a service without servers, a second, where another router serves at once. It met kinds of requests whose objective is longer than what is left of the stop.

--- /dev/null
+++ b/packages/gateway/src/requests/servePlain.test.ts
@@ -0,0 +1,46 @@
+import { expect } from 'chai'
+import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
+
+import { createStop } from '../stopping/createStop.js'
+import { STOPPING_RETRY_MS } from './constants.js'
+import { servePlain } from './servePlain.js'
+
+import type { InstanceName } from '@figmount/base'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+const STOP_MS = 8_000
+
+describe('serving a plain request', () => {
+  it('sends callers of a router that stops elsewhere at once', async () => {
+    // A kind of request that takes long comes while the router stops, which has no time left for it. Other routers have, but
+    // its caller was told to come back in a second, as if the service had no server.
+    const timers = createVirtualTimers()
+    const retriesMs: number[] = []
+    const stop = createStop(timers, STOP_MS)
+    const context = {
+      timers,
+      events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers }),
+      metrics: createMetrics(),
+      stop,
+      directory: {},
+      codec: {
+        encodeRefusal: (_requestId: string, retryAfterMs: number) => {
+          retriesMs.push(retryAfterMs)
+          return []
+        }
+      }
+    } as unknown as GatewayContext
+    const request = {
+      caller: { requestId: 'r1' },
+      route: { kind: 'atMostOnce', objectiveMs: STOP_MS },
+      serviceName: 's',
+      arrivedMs: 0,
+      untilMs: STOP_MS,
+      left: new AbortController().signal,
+      response: { headersSent: false, destroyed: false, writeHead: () => {}, end: () => {} }
+    } as unknown as RoutedRequest
+    stop.ask()
+    await servePlain(context, request)
+    expect(retriesMs).to.deep.equal([STOPPING_RETRY_MS])
+  })
+})
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -4,7 +4,7 @@
 import { GatewayEvent } from '../events.js'
 import { hasFraming } from '../forwarding/isWhole.js'
 import { readWhole } from '../forwarding/readWhole.js'
-import { ANSWER_GRACE_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS, STOPPING } from './constants.js'
+import { ANSWER_GRACE_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS, STOPPING, STOPPING_RETRY_MS } from './constants.js'
 import { answerWhole, fail, noteLeft, refuse } from './endRequest.js'
 import { isForeign, openExchange } from './exchange.js'
 import { limitExchange } from './limitExchange.js'
@@ -85,16 +85,16 @@
   let pending: (() => void) | undefined
   let lastPeer = ''
 
-  const finish = (reason: string): void => {
+  const finish = (reason: string, retryAfterMs = tried.size > 0 ? FULL_RETRY_MS : NO_SERVER_RETRY_MS): void => {
     if (request.left.aborted) return noteLeft(context, request)
     if (pending) return pending()
     if (runs > 0) return fail(context, request, reason, lastPeer)
-    refuse(context, request, reason, tried.size > 0 ? FULL_RETRY_MS : NO_SERVER_RETRY_MS)
+    refuse(context, request, reason, retryAfterMs)
   }
 
   for (;;) {
     if (request.left.aborted || request.untilMs - timers.nowMs() < LEAST_SERVE_MS) return finish('no time left')
-    if (timers.nowMs() >= stop.lastSendMs(request.route.objectiveMs)) return finish(STOPPING)
+    if (timers.nowMs() >= stop.lastSendMs(request.route.objectiveMs)) return finish(STOPPING, STOPPING_RETRY_MS)
     const server = choose(context, request, tried)
     if (!server) return finish(tried.size > 0 ? 'no other server' : 'no server')
     if (tried.size > 0 && !budget.takeRepeat(request.serviceName, context.routerCount())) return finish('no repeats left')
