Stop routers in the soak, and hold each call that one has read to a final answer

Cause: the soak killed routers and never told them to stop; its callers left after 2.5 s, its loads took 0.06 s, each call had a connection of its own, and a connection that closed without an answer broke no promise. So it could not see what users saw.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,12 +1,13 @@
-/** Plays fault soaks by hand: `npm run soak -- FIRST_SEED COUNT [FAULTS]`. Prints a line for each and ends with 1 if a promise broke. */
+/** Plays fault soaks by hand: `npm run soak -- FIRST_SEED COUNT [FAULTS [STOPS]]`. Prints a line for each and ends with 1 if a promise broke. */
 import { runSoak } from '../platform/src/soak/runSoak.js'
 
 const DEFAULT_FAULTS = 20
+const DEFAULT_STOPS = 4
 
-const [firstSeed = 1, count = 1, faultCount = DEFAULT_FAULTS] = process.argv.slice(2).map(Number)
+const [firstSeed = 1, count = 1, faultCount = DEFAULT_FAULTS, stopCount = DEFAULT_STOPS] = process.argv.slice(2).map(Number)
 let brokenCount = 0
 for (let seed = firstSeed; seed < firstSeed + count; seed++) {
-  const report = await runSoak(seed, faultCount)
+  const report = await runSoak(seed, faultCount, stopCount)
   process.stdout.write(`seed ${seed}: ${report.servedCount} of ${report.callCount} served, ${report.violations.length} promises broken\n`)
   if (report.violations.length === 0) continue
   brokenCount += 1
