Go on without a log when its reader has gone

Cause: a line written to a closed pipe is an error event that nobody listened for; it ended the process at once, with all open requests. A service manager that stops a router and its log's reader together does this in each stop. Ruled out: to swallow it unseen: event_lines_lost_total counts such lines.

--- a/packages/base/src/binary/runBinary.ts
+++ b/packages/base/src/binary/runBinary.ts
@@ -63,6 +63,14 @@
   process.on('SIGINT', () => resolve())
 })
 
+/**
+ * Guards against a log whose reader has gone, as when a service manager stops both: a line that meets a closed pipe is an
+ * error that ends the process at once, and open requests would lose their connections. The process goes on without a log.
+ */
+const outliveLogReader = (metrics: Metrics): void => {
+  for (const output of [process.stdout, process.stderr]) output.on('error', () => metrics.count('event_lines_lost_total'))
+}
+
 const exitWith = (code: number, ...messages: readonly string[]): never => {
   for (const message of messages) process.stderr.write(`${message}\n`)
   process.exit(code)
@@ -106,6 +114,7 @@
   }
   const timers = createTimerService()
   const metrics = createMetrics()
+  outliveLogReader(metrics)
   const instance = options.instanceOf(settings) as InstanceName
   const writeLine = args.eventLines ? lineWriterFor(args.eventLinesPerS, timers, metrics) : undefined
   const events = createEventLog({ instance, role: options.role, timers, ...(writeLine ? { writeLine } : {}) })
