--- a/packages/base/src/binary/runBinary.ts
+++ b/packages/base/src/binary/runBinary.ts
@@ -54,11 +54,23 @@
   return { settings: parsed.settings, check: parsed.check, eventLines: parsed.eventLines, eventLinesPerS: parsed.eventLinesPerS }
 }
 
+/**
+ * Guards against a second signal during a stop, as tools send that signal a process and its group: with no listener left
+ * it would end the process at once, and open requests would lose their connections. The listeners stay.
+ */
 const waitForStop = async (): Promise<void> => await new Promise(resolve => {
-  process.once('SIGTERM', resolve)
-  process.once('SIGINT', resolve)
+  process.on('SIGTERM', () => resolve())
+  process.on('SIGINT', () => resolve())
 })
 
+/**
+ * Guards against a log whose reader has gone, as when a service manager stops both: a line that meets a closed pipe is an
+ * error that ends the process at once, and open requests would lose their connections. The process goes on without a log.
+ */
+const outliveLogReader = (metrics: Metrics): void => {
+  for (const output of [process.stdout, process.stderr]) output.on('error', () => metrics.count('event_lines_lost_total'))
+}
+
 const exitWith = (code: number, ...messages: readonly string[]): never => {
   for (const message of messages) process.stderr.write(`${message}\n`)
   process.exit(code)
@@ -102,6 +114,7 @@
   }
   const timers = createTimerService()
   const metrics = createMetrics()
+  outliveLogReader(metrics)
   const instance = options.instanceOf(settings) as InstanceName
   const writeLine = args.eventLines ? lineWriterFor(args.eventLinesPerS, timers, metrics) : undefined
   const events = createEventLog({ instance, role: options.role, timers, ...(writeLine ? { writeLine } : {}) })
