Take no reader that stands still for a silent server

Cause: a stream was cut when no event had come for the caller's patience, also while the router had stopped reading because the caller took nothing. The run counted as a crash of its server, and after two such runs the request was refused everywhere. Ruled out: to hold such a stream for ever; it ends with the request's time and with a stop. Before: both tests failed (cut after 2 s).

--- /dev/null
+++ b/packages/gateway/src/streams/relayEvents.test.ts
@@ -0,0 +1,48 @@
+import { EventEmitter } from 'node:events'
+import { expect } from 'chai'
+import { createVirtualTimers } from '@figmount/base'
+
+import { relayEvents } from './relayEvents.js'
+
+import type { OpenAnswer } from '../forwarding/types.js'
+
+const SILENCE_MS = 2_000
+
+/** A stream to a reader that takes one event and then no more until it is drained. */
+const setUp = () => {
+  const timers = createVirtualTimers()
+  const message = Object.assign(new EventEmitter(), { pause: () => {}, resume: () => {} })
+  let abortCount = 0
+  let drain = (): void => {}
+  const end = relayEvents({
+    answer: { message, abort: () => { abortCount += 1 } } as unknown as OpenAnswer,
+    timers,
+    take: () => false,
+    onceDrained: resume => { drain = resume },
+    silenceMs: SILENCE_MS
+  })
+  return { timers, message, end, abortCount: () => abortCount, drain: () => drain() }
+}
+
+describe('passing on a stream', () => {
+  it('does not take a reader that stands still for a silent server', async () => {
+    // A caller stops reading for three seconds. Its server can't send meanwhile, but was taken for silent: the stream was cut,
+    // and the server counted as crashed by the request, which was refused everywhere after the second time.
+    const { timers, message, abortCount } = setUp()
+    message.emit('data', Buffer.from('id: 1\ndata: x\n\n'))
+    timers.advance(SILENCE_MS * 2)
+    expect(abortCount()).to.equal(0)
+  })
+
+  it('ends one whose server falls silent once the reader goes on', async () => {
+    const { timers, message, end, abortCount, drain } = setUp()
+    message.emit('data', Buffer.from('id: 1\ndata: x\n\n'))
+    timers.advance(SILENCE_MS * 2)
+    drain()
+    timers.advance(SILENCE_MS - 1)
+    expect(abortCount()).to.equal(0)
+    timers.advance(SILENCE_MS / 2)
+    expect(abortCount()).to.equal(1)
+    expect(await end).to.deep.include({ isWhole: false })
+  })
+})
--- a/packages/gateway/src/streams/relayEvents.ts
+++ b/packages/gateway/src/streams/relayEvents.ts
@@ -28,6 +28,7 @@
     const { message, abort } = answer
     const splitter = createEventSplitter()
     let lastHeardMs = timers.nowMs()
+    let isPaused = false
 
     const finish = (isWhole: boolean, reason: string): void => {
       stopWatching()
@@ -35,9 +36,10 @@
     }
 
     // Guards against a server that falls silent in the middle of a stream with its connection open: the caller would
-    // wait until it gives up. Ending the exchange lets a resumable stream go on elsewhere.
+    // wait until it gives up. Ending the exchange lets a resumable stream go on elsewhere. While the reader takes nothing
+    // the server cannot be heard, so this is no silence of its own.
     const stopWatching = timers.every(silenceMs / 4, () => {
-      if (timers.nowMs() - lastHeardMs < silenceMs) return
+      if (isPaused || timers.nowMs() - lastHeardMs < silenceMs) return
       finish(false, `no event for ${silenceMs} ms`)
       abort()
     })
@@ -47,8 +49,13 @@
       let keepsUp = true
       for (const event of splitter.push(chunk)) keepsUp = take(event) && keepsUp
       if (keepsUp) return
+      isPaused = true
       message.pause()
-      onceDrained(() => message.resume())
+      onceDrained(() => {
+        isPaused = false
+        lastHeardMs = timers.nowMs()
+        message.resume()
+      })
     })
     message.on('end', () => {
       const hasEnded = isWhole(message) && splitter.rest().length === 0
