Leave requests alone that come behind an announced close

Cause: a request that a caller sent behind an answer which closes the connection was sent to a server, though its answer could never be given. It is dropped; the connection ends with the answer that says so. An answer that had begun before connections are to end has told its caller that it keeps the connection, and later requests on it are taken. Before: the first new test failed (two requests taken for one). The second one holds the limit: it fails (no answer in 10 s) when answers that have begun are marked too.

--- a/packages/gateway/src/ingress/startIngress.test.ts
+++ b/packages/gateway/src/ingress/startIngress.test.ts
@@ -58,4 +58,42 @@
     ingress.stopListening()
     ingress.close()
   })
+
+  it('takes no request behind an answer that says it closes the connection', async () => {
+    // A stream's head tells its caller that the connection ends with it. The caller sends another request all the same: it was
+    // sent to a server, and its answer could never be given.
+    let takenCount = 0
+    const { ingress, socket } = await setUp(async (_message, response) => {
+      takenCount += 1
+      response.writeHead(200)
+      response.write('the first event')
+    })
+    ingress.endConnections()
+    socket.write(REQUEST)
+    await once(socket, 'data')
+    socket.write(REQUEST)
+    await new Promise(resolve => { setTimeout(resolve, 100) })
+    expect(takenCount).to.equal(1)
+    ingress.stopListening()
+    ingress.close()
+  })
+
+  it('takes a request behind an answer that had begun before connections are to end', async () => {
+    // The caller of a stream was told that it keeps its connection, and sends the next request on it in the middle of a stop.
+    let takenCount = 0
+    const { ingress, socket } = await setUp(async (_message, response) => {
+      takenCount += 1
+      if (takenCount === 1) response.write('the first event')
+      setTimeout(() => response.end(), 20)
+    })
+    socket.write(REQUEST)
+    await once(socket, 'data')
+    ingress.endConnections()
+    await once(socket, 'data')
+    socket.write(REQUEST)
+    const [bytes] = await once(socket, 'data')
+    expect(String(bytes)).to.match(/^HTTP\/1.1 200 OK[^]*Connection: close/)
+    ingress.stopListening()
+    ingress.close()
+  })
 })
--- a/packages/gateway/src/ingress/startIngress.ts
+++ b/packages/gateway/src/ingress/startIngress.ts
@@ -58,7 +58,17 @@
     latest.response.shouldKeepAlive = false
   }
 
+  /**
+   * The caller was told that the connection ends with the answer before. HTTP has later requests on it left alone: they would
+   * run for an answer that cannot be given.
+   */
+  const isBehindClose = (socket: Socket): boolean => {
+    const before = sockets.get(socket)?.response
+    return before !== undefined && before.headersSent && !before.shouldKeepAlive
+  }
+
   const handle: RequestListener = (message, response) => {
+    if (isBehindClose(message.socket)) return
     const latest = { response, isKept: response.shouldKeepAlive }
     if (isEnding) endBehindLatest(message.socket, latest)
     sockets.set(message.socket, latest)
@@ -85,7 +95,7 @@
     endConnections: () => {
       isEnding = true
       for (const latest of sockets.values()) {
-        if (latest) latest.response.shouldKeepAlive = false
+        if (latest && !latest.response.headersSent) latest.response.shouldKeepAlive = false
       }
     },
     stopListening: () => { server.close() },
