Let a request wait until its agent has read what the router knew of it

A router sends a request as soon as it has read the grant of a right. The agent reads the log by itself, up to some tens of ms later on a busy machine. It refused at once 'no right to hold readers/cracks' (loading.right, come back in 1 s), all ten callers came back, and only then the load began that the test waits for. Worse: an agent that has not read the configuration either refused 'no model readers/cracks' (loading.find) with no time to come back, so a caller was told for good that a configured model is unknown.

Mended: a start that the agreed state as read so far would refuse is held for a second at most if a router has told an offset beyond the agent's own; the agent asks that router for the records at once and looks at the start again with each change. A held start does not run any more once its link has ended, its router has cancelled it or was told 'unknown'.

Ruled out by reading only: the fault set before a start had left, the redial, attempts unknown after it (each costs no second send of the caller). Not mended: a permit that a router asks of a keys holder that is behind is refused as before.

--- a/packages/agent/src/agent/createAdmission.ts
+++ b/packages/agent/src/agent/createAdmission.ts
@@ -35,7 +35,7 @@
   readonly isAnnounced: () => boolean
 }
 
-interface Start {
+export interface Start {
   readonly attemptId: AttemptId
   readonly request: RunRequest
   readonly permit?: Permit
@@ -50,22 +50,39 @@
 export const targetOf = (request: Pick<RunRequest, 'model' | 'service'>): RunRequest['model'] =>
   request.model as string === '' ? request.service as string as RunRequest['model'] : request.model
 
+/** The admission of one agent. */
+export interface Admission {
+  readonly start: HandleStart
+  /** Why the agreed state as read so far lets a request not start here; undefined where it does or the agent leaves. */
+  readonly refusalByState: (attempt: Pick<Attempt, 'request'>) => RefusalNote | undefined
+}
+
 /** Makes the admission of one agent. */
-export const createAdmission = (options: Options): HandleStart => {
+export const createAdmission = (options: Options): Admission => {
   const { context: { timers, events, instance, incarnation, settings, decisions }, attempts, queue, permits, backend, dispatcher, estimates } = options
 
   const unlessResent = (request: RunRequest): (details: Parameters<typeof notRun>[0]) => RefusalNote =>
     request.resendCount === 0 ? notRun : mayHaveRun
 
-  /** Why the request cannot be taken here now; nothing of it has run through this agent. */
-  const findRefusal = (attempt: Pick<Attempt, 'request'>): RefusalNote | undefined => {
-    const { request } = attempt
+  /** Why the agent as such may not start it: it does not know yet what it may do. */
+  const refusalByStanding = (attempt: Pick<Attempt, 'request'>): RefusalNote | undefined => {
     if (!options.isReady()) return notRun({ reason: RefusalReason.UNAVAILABLE, detail: 'the agent has just started', step: 'agent.start', peer: instance })
     // Guards against an outage of the log in which every restarted agent serves nothing: what its engine
     // holds it held before, so serving it adds no replica.
     if (!options.isAnnounced() && !backend.canStart(attempt)) {
       return notRun({ reason: RefusalReason.UNAVAILABLE, detail: 'the agent may not load before the log has named it', step: 'agent.start', peer: instance })
     }
+    return undefined
+  }
+
+  const refusalByState: Admission['refusalByState'] = attempt =>
+    options.isDraining() ? undefined : refusalByStanding(attempt) ?? backend.refusalFor(attempt)
+
+  /** Why the request cannot be taken here now; nothing of it has run through this agent. */
+  const findRefusal = (attempt: Pick<Attempt, 'request'>): RefusalNote | undefined => {
+    const { request } = attempt
+    const unready = refusalByStanding(attempt)
+    if (unready) return unready
     if (options.isDraining()) return notRun({ reason: RefusalReason.STOPPING, detail: 'the agent is leaving', step: 'leaving.refuse', peer: instance })
     const refusal = backend.refusalFor(attempt)
     if (refusal) return refusal
@@ -151,7 +168,7 @@
     else attempts.refuse(attempt.id, word)
   }
 
-  return (start, subscriber) => {
+  const handleStart: HandleStart = (start, subscriber) => {
     const known = attempts.resolve(start.attemptId) ?? (start.request.repeatable ? undefined : attempts.findByKey(start.request))
     if (known) {
       const attempt = attempts.get(known)
@@ -165,4 +182,5 @@
     if (refusal) attempts.refuse(attempt.id, refusal)
     else enqueue(attempt)
   }
+  return { start: handleStart, refusalByState }
 }
--- a/packages/agent/src/agent/createAgent.ts
+++ b/packages/agent/src/agent/createAgent.ts
@@ -2,6 +2,7 @@
 import { createAttemptStore } from '../attempts/createAttemptStore.js'
 import { createAuthority } from '../authority/createAuthority.js'
 import { createLinkBook } from '../links/createLinkBook.js'
+import { createStartHold } from '../links/createStartHold.js'
 import { runRouterLink } from '../links/runRouterLink.js'
 import { createDrain } from '../leaving/createDrain.js'
 import { watchInstances } from '../membership/watchInstances.js'
@@ -182,6 +183,7 @@
 
   const onNews = (): void => {
     drain.update()
+    hold.review()
     dispatcher.poke()
   }
 
@@ -198,7 +200,7 @@
       : {})
   })
 
-  const start = createAdmission({
+  const admission = createAdmission({
     context,
     wakes,
     attempts,
@@ -213,6 +215,7 @@
     isReady: records.isReady,
     isAnnounced: () => isAnnounced(context)
   })
+  const hold = createStartHold({ context, refusalByState: admission.refusalByState, highestOffset: links.highestOffset, start: admission.start })
 
   metrics.gauge('agent_running_count', dispatcher.runningCount)
   metrics.gauge('agent_queued_count', queue.count)
@@ -246,8 +249,9 @@
     runLink: runRouterLink({
       context,
       attempts,
-      start,
+      start: hold.take,
       cancel: dispatcher.cancel,
+      dropHeld: hold.drop,
       askPermit: ({ attemptId, executor, executorIncarnation, request }) =>
         permits.ask({ target: targetOf(request), request, attemptId, executor, executorIncarnation }),
       withdrawPermit: permits.withdraw,
--- a/packages/agent/src/events.ts
+++ b/packages/agent/src/events.ts
@@ -25,6 +25,7 @@
   adapterUnloadFailed: [3021, 'the unload of an adapter did not take effect'],
   orderDoubtful: [3022, 'the answer to an order is missing; the inventory decides'],
   storeBackedOff: [3023, 'the weight store is at its limit; loads from it wait'],
+  startHeld: [3024, 'a request waits until the agent has read what its router knew'],
   inventoryTaken: [3030, 'the engine was asked what it holds, at start or after a change of its incarnation'],
   inventoryDiffers: [3031, 'the engine holds something that the ledger did not know'],
   engineDied: [3032, 'the engine ended while requests were in flight or models loaded'],
--- a/packages/agent/src/links/createLinkBook.ts
+++ b/packages/agent/src/links/createLinkBook.ts
@@ -20,6 +20,8 @@
   readonly bufferedBytes: () => number
   /** Notes how far a peer has read, and asks it for records when it stays ahead. */
   readonly notePeerOffset: (peer: string, offset: LogOffset) => void
+  /** The highest offset that a peer has told. */
+  readonly highestOffset: () => LogOffset
 }
 
 /** Makes the book of open links. */
@@ -43,6 +45,7 @@
     closeAll: reason => { for (const link of [...links]) link.close(reason) },
     count: () => links.size,
     bufferedBytes: () => [...links].reduce((sum, link) => sum + link.bufferedBytes(), 0),
+    highestOffset: () => highest,
     notePeerOffset: (peer, offset) => {
       const own = ownOffset()
       if (offset > highest) highest = offset
--- a/packages/agent/src/links/runRouterLink.ts
+++ b/packages/agent/src/links/runRouterLink.ts
@@ -23,6 +23,8 @@
   readonly attempts: AttemptStore
   readonly start: HandleStart
   readonly cancel: (id: AttemptId) => void
+  /** Takes back a start that is held; its router is told that the attempt is unknown, or has cancelled it. */
+  readonly dropHeld: (id: AttemptId) => void
   readonly askPermit: (ask: PermitAsk) => PermitReply
   readonly withdrawPermit: (key: KeyName, attemptId: AttemptId) => void
   readonly takeSuspicion: (suspicion: FastSuspicion) => void
@@ -48,10 +50,12 @@
     .with({ type: 'resume' }, ({ attemptId, fromFrame }) => {
       const known = attempts.resolve(attemptId)
       if (known && attempts.subscribe(known, attemptId, link, fromFrame)) return
+      handlers.dropHeld(attemptId)
       link.send({ type: 'unknown', attemptId, incarnation })
     })
     .with({ type: 'ack' }, ({ attemptId, belowFrame }) => attempts.acknowledge(attemptId, belowFrame, link))
     .with({ type: 'cancel' }, ({ attemptId }) => {
+      handlers.dropHeld(attemptId)
       const known = attempts.resolve(attemptId)
       if (known && attempts.unsubscribe(attemptId, link)) handlers.cancel(known)
     })
--- a/packages/agent/src/testing/createFakeLog.ts
+++ b/packages/agent/src/testing/createFakeLog.ts
@@ -13,6 +13,10 @@
   readonly records: readonly LogRecord[]
   /** Whether the log can be reached. */
   isUp: boolean
+  /** Lets clients read no further for now; what is written is folded all the same. */
+  readonly holdBack: () => void
+  /** Lets clients read on. */
+  readonly readOn: () => void
   readonly clientOf: (instance: InstanceName, incarnation: Incarnation) => RecordsClient
 }
 
@@ -23,13 +27,18 @@
   const records: LogRecord[] = []
   const listeners = new Set<(records: readonly PlacedRecord[], state: AgreedState) => void>()
 
+  let late: { readonly seen: AgreedState, readonly missed: PlacedRecord[] } | undefined
+
+  const tell = (placed: readonly PlacedRecord[]): void => { for (const listen of listeners) listen(placed, state) }
+
   const place = (record: LogRecord): { readonly outcome: FoldOutcome, readonly offset: LogOffset } => {
     const offset = state.nextOffset
     const placed: PlacedRecord = { offset, appendedAtMs: timers.unixMs(), record }
     const folded = applyRecord(state, placed)
     state = folded.state
     records.push(record)
-    for (const listen of listeners) listen([placed], state)
+    if (late) late.missed.push(placed)
+    else tell([placed])
     return { outcome: folded.outcome, offset }
   }
 
@@ -38,6 +47,12 @@
 
   const log: FakeLog = {
     isUp: true,
+    holdBack: () => { late ??= { seen: state, missed: [] } },
+    readOn: () => {
+      const missed = late?.missed ?? []
+      late = undefined
+      if (missed.length > 0) tell(missed)
+    },
     records,
     state: () => state,
     write: record => place(complete(record, 'router-1' as InstanceName, 'r1' as Incarnation)).outcome,
@@ -47,7 +62,7 @@
       confirm()
       const stop = timers.every(100, confirm)
       return {
-        state: () => state,
+        state: () => late?.seen ?? state,
         confirmedAtMs: () => confirmedAtMs,
         isReady: () => true,
         onChange: listen => {
--- a/packages/proof/src/promises/waiting.test.ts
+++ b/packages/proof/src/promises/waiting.test.ts
@@ -3,7 +3,7 @@
 import { StandinEvent } from '@figmount/standin'
 
 import { callOnce } from '../rig/callOnce.js'
-import { askMany, expectWhole, MODEL, SERVICE, SLOW_STORE, startSmallSite, waitForLoad, warmUp } from '../rig/smallSite.js'
+import { askMany, expectWhole, MODEL, SERVICE, SLOW_STORE, startSmallSite, waitForInstances, waitForLoad, warmUp } from '../rig/smallSite.js'
 
 import type { Site } from '../rig/createSite.js'
 
@@ -36,6 +36,25 @@
     expect(outcomes.filter(outcome => outcome.sends.length > 1)).to.deep.equal([])
   })
 
+  // A new model is asked for the moment that its right is granted. The routers have read the grant, the agent reads the log
+  // a little later: it would refuse what it has no right for yet, or for good what it does not know yet. Every caller
+  // would come back a second later, or never.
+  for (const lateMs of [80, 150]) {
+    it(`when its agent reads the log ${lateMs} ms later`, async () => {
+      const delayLog = async (started: Site): Promise<void> => {
+        await waitForInstances(started, 4)
+        for (const name of ['a1', 'a2']) {
+          await started.rig.events.waitFor(event => event.instance === name && event.name === 'announced', `${name} to announce itself`)
+          await started.proxy(`${name}-log`).command({ action: 'fault', fault: { kind: 'delay', delayMs: lateMs }, direction: 'down' })
+        }
+      }
+      site = await startSmallSite(`waiting-late-${lateMs}`, { agents: proxiedAgents('log'), prepare: delayLog })
+      const outcomes = await askMany(site, 10, 'late')
+      expectWhole(outcomes)
+      expect(outcomes.filter(outcome => outcome.sends.length > 1)).to.deep.equal([])
+    })
+  }
+
   // The agent is paused for some seconds while requests wait in its queue.
   it('when its agent is paused for a while', async () => {
     site = await startSmallSite('waiting-pause', { weights: SLOW_STORE })
--- a/packages/proof/src/rig/smallSite.ts
+++ b/packages/proof/src/rig/smallSite.ts
@@ -32,6 +32,8 @@
 
 interface SmallSitePlan extends Partial<SitePlan> {
   readonly items?: readonly ConfigChange[]
+  /** Done before the configuration is applied. */
+  readonly prepare?: (site: Site) => Promise<void>
 }
 
 const DEFAULT_AGENTS: readonly AgentPlan[] = [
@@ -47,6 +49,9 @@
   status !== undefined && status.instances.length >= instanceCount &&
   status.replicas.filter(replica => replica.slotState === 'granted').length >= slotCount
 
+/** Waits until every router knows that many instances. */
+export const waitForInstances = async (site: Site, instanceCount: number): Promise<void> => await waitForRest(site, instanceCount, 0)
+
 /** Waits until every router knows all instances and has read that all rights to hold a replica are granted. */
 const waitForRest = async (site: Site, instanceCount: number, slotCount: number): Promise<void> =>
   await site.rig.until(`${slotCount} rights at all routers`, async () => {
@@ -55,10 +60,11 @@
   })
 
 /** Two routers and two agents with engines, one service with one model that may have one replica; rights are granted. */
-export const startSmallSite = async (name: string, { items, ...plan }: SmallSitePlan = {}): Promise<Site> => {
+export const startSmallSite = async (name: string, { items, prepare, ...plan }: SmallSitePlan = {}): Promise<Site> => {
   const whole: SitePlan = { name, routers: [{ name: 'r1' }, { name: 'r2' }], agents: DEFAULT_AGENTS, ...plan }
   const site = await createSite(whole)
   try {
+    await prepare?.(site)
     const services = items ?? [modelService(SERVICE, [{ name: MODEL }])]
     await site.apply([callerItem(DEFAULT_CALLER), ...services])
     await waitForRest(site, whole.routers.length + whole.agents.length, slotCountOf(services))
