Count loads from the weight store by those under way when each began

Cause of models and adapters that are asked for in vain: the store slows a load by how many are under way when it begins, and the first of two takes its time alone. It was counted with the one that began after it, so its end in time raised what routers believe the store carries from two to three, and on. Now a load counts those that began before it, in whatever order agents' words come.

--- a/packages/decisions/src/placing/storePace.ts
+++ b/packages/decisions/src/placing/storePace.ts
@@ -11,7 +11,7 @@
   /** Time that it takes alone. */
   readonly aloneMs: number
   readonly tookMs: number
-  /** The most loads that were under way beside it, itself counted. */
+  /** Loads that were under way when it began, itself counted. */
   readonly atOnceCount: number
   readonly hasEnded: boolean
 }
--- a/packages/gateway/src/placing/createColdLoads.test.ts
+++ b/packages/gateway/src/placing/createColdLoads.test.ts
@@ -56,6 +56,34 @@
     expect(loads.limit()).to.be.below(first)
   })
 
+  it('are not more at a time by one that began alone', () => {
+    // Callers of a model that has lost its engines are refused for half a minute and more, and those of all its adapters with
+    // them. The store slows a load by how many were under way when it began: the first of two took its time alone, routers took
+    // that for room and began a third and a fourth, each of which took three and four times as long.
+    const { timers, loads } = setUp()
+    const first = loads.limit()
+    loads.takeState('a', loading('a'))
+    timers.advance(1_000)
+    loads.takeState('b', loading('b'))
+    timers.advance(ALONE_MS - 1_000)
+    loads.takeState('a', holding('a'))
+    expect(loads.limit()).to.equal(first)
+  })
+
+  it('tell by the order in which they began, not in which they were heard of', () => {
+    const { timers, loads } = setUp()
+    const first = loads.limit()
+    timers.advance(2_000)
+    loads.takeState('b', loading('b', 1))
+    loads.takeState('a', loading('a', 1_000))
+    timers.advance(ALONE_MS - 1_000)
+    loads.takeState('a', holding('a'))
+    expect(loads.limit()).to.equal(first)
+    timers.advance(1_000)
+    loads.takeState('b', holding('b'))
+    expect(loads.limit()).to.be.above(first)
+  })
+
   it('are more at a time once two of them took no longer than one', () => {
     const { timers, loads } = setUp()
     const first = loads.limit()
--- a/packages/gateway/src/placing/createColdLoads.ts
+++ b/packages/gateway/src/placing/createColdLoads.ts
@@ -11,6 +11,7 @@
 interface RunningLoad {
   readonly modelName: string
   readonly beganMs: number
+  /** Loads that were under way when it began, itself counted. */
   readonly atOnceCount: number
 }
 
@@ -49,10 +50,17 @@
     pace = notePace(pace, { aloneMs, tookMs: nowMs - load.beganMs, atOnceCount: load.atOnceCount, hasEnded }, nowMs)
   }
 
-  const noteCrowd = (): void => {
-    for (const [address, load] of running) {
-      if (running.size > load.atOnceCount) running.set(address, { ...load, atOnceCount: running.size })
+  // Guards against a load that is taken for proof of room: the store slows a load by those that were under way when it began,
+  // and the first of two takes its time alone. Counted with the second, it had routers begin four at a time at a store that
+  // carries one: the fourth took half a minute longer than the day's callers had. Agents' words cross, so an older
+  // load may be heard of after a newer one.
+  const noteBegun = (address: string, modelName: string, beganMs: number): void => {
+    let atOnceCount = 1
+    for (const [other, load] of running) {
+      if (load.beganMs <= beganMs) atOnceCount += 1
+      if (load.beganMs >= beganMs) running.set(other, { ...load, atOnceCount: load.atOnceCount + 1 })
     }
+    running.set(address, { modelName, beganMs, atOnceCount })
   }
 
   const count = (): number => {
@@ -75,8 +83,7 @@
         if (state.models.some(model => model.name === known.modelName)) learn(known, true)
       }
       if (!state.isLoadingCold || state.loadingForMs === 0 || running.has(address)) return
-      running.set(address, { modelName: state.loadingModel, beganMs: timers.nowMs() - state.loadingForMs, atOnceCount: 1 })
-      noteCrowd()
+      noteBegun(address, state.loadingModel, timers.nowMs() - state.loadingForMs)
     },
     lose: address => {
       pending.delete(address)
