Pass each record of the store on to routers once

Cause: each router passes what it has read on through the same two agents, and each agent sent every copy to all other routers. With 31 routers each took in some sixty copies of a configuration of 176 models over a link of 7 Mbit/s. An agent remembers the newest record of each key that it has passed on, 2,000 keys at most. A router that is behind still asks an agent that is ahead.

--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -9,6 +9,7 @@
 import type { AddressInfo } from 'node:net'
 import type { InstanceName } from '@figmount/base'
 import type { AgentMessage, AgentState, RouterMessage } from '@figmount/fleet'
+import type { Link } from '@figmount/peers'
 
 const freePort = async (): Promise<number> => {
   const server = createServer()
@@ -19,6 +20,40 @@
 }
 
 describe('an agent\'s links', () => {
+  it('bring a router one copy of what several routers pass on', async () => {
+    // The configuration changes, and every router that has read it passes it on. A router on a narrow link took in a copy from
+    // each of the others, and its callers' requests waited behind them.
+    const timers = createTimerService()
+    const instance = 'a' as InstanceName
+    const context = { instance, sharedKey: 'key', timers, events: createEventLog({ instance, role: 'agent', timers }), offset: () => NO_OFFSET, onPeerOffset: () => {} }
+    const port = await freePort()
+    const nothing = (): void => {}
+    const links = serveRouters({
+      ...context,
+      host: '127.0.0.1',
+      port,
+      describe: () => makeStateForTest(),
+      describeLoad: () => undefined,
+      takeWant: nothing,
+      dropWant: nothing,
+      dropRouter: nothing,
+      takeDemand: nothing,
+      takeRelay: nothing,
+      deploymentRelay: () => undefined
+    })
+    const open = async (router: string): Promise<Link<RouterMessage, AgentMessage>> =>
+      (await openLink<RouterMessage, AgentMessage>(`127.0.0.1:${port}`, { ...context, instance: router as InstanceName }).run()).unsafeCoerce()
+    const listener = await open('r0')
+    const others = [await open('r1'), await open('r2'), await open('r3')]
+    const relay: RouterMessage = { type: 'relay', feedName: 'op', records: [{ key: 'config', value: Buffer.from('x'), offset: 3 }] }
+    timers.after(100, () => { for (const link of others) link.send(relay) })
+    timers.after(400, () => listener.close('the test ends'))
+    let copyCount = 0
+    for await (const message of listener.received) copyCount += Number(message.type === 'relay')
+    links.close()
+    expect(copyCount).to.equal(1)
+  })
+
   it('tell a new router what is taken back before the next look', async () => {
     // An engine begins to leave just as a router is linked, and the next look finds it staying: compared with what the
     // routers before were told nothing has changed. The new router would leave the engine alone from then on.
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -4,6 +4,7 @@
 
 import { changedFields, figuresOf, pickFields, textsOf } from './compareStates.js'
 import { LOAD_PERIOD_MS } from './constants.js'
+import { createPassedRecords } from './createPassedRecords.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
 import type { AgentLoad, AgentMessage, AgentState, Demand, Relay, RouterMessage, Want } from '@figmount/fleet'
@@ -42,6 +43,7 @@
   const { timers, events } = options
   const links = new Set<RouterLink>()
   const lastSentMs = new Map<RouterLink, number>()
+  const passed = createPassedRecords()
   let told: ReadonlyMap<string, string> = new Map()
   let lastLoad = ''
 
@@ -89,7 +91,8 @@
 
   const passOn = (link: RouterLink, relay: Relay): void => {
     options.takeRelay(relay)
-    sendToAll(relay, link)
+    const fresh = passed.takeNew(relay)
+    if (fresh) sendToAll(fresh, link)
   }
 
   const sendDeployment = (link: RouterLink): void => {
