Use no server by an entry of the list that cannot be read whole

Cause: another program may write to the list. A foreign service's models counted as replicas.

An entry of a service that the configuration does not name is kept, as a later configuration may name it, and counts for nothing until then. Each unreadable key is logged once until it is readable again.

--- a/packages/fleet/src/feeds/types.ts
+++ b/packages/fleet/src/feeds/types.ts
@@ -3,6 +3,7 @@
 
 /** The newest value of one key. */
 export interface FeedRecord {
+  /** Empty when it could not be read: such a record names nothing. */
   readonly key: string
   /** Undefined when the key was dropped. */
   readonly value: Uint8Array | undefined
--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
-import { Right } from 'purify-ts'
-import { createEventLog, createVirtualTimers } from '@figmount/base'
+import { Either } from 'purify-ts'
+import { createEventLog, createVirtualTimers, makeFault } from '@figmount/base'
 
+import { viewReplicas } from '../placing/viewServers.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
 import { createDirectory } from './createDirectory.js'
 
@@ -19,15 +20,31 @@
 
 const gone = (serverId: string): FeedRecord => ({ key: serverId, value: undefined, offset: 2 })
 
-const setUp = (): { readonly timers: VirtualTimers, readonly directory: Directory, readonly ids: () => readonly string[] } => {
+interface Bench {
+  readonly timers: VirtualTimers
+  readonly directory: Directory
+  readonly ids: () => readonly string[]
+  /** Records that were logged as unreadable. */
+  readonly refusedCount: () => number
+}
+
+const setUp = (): Bench => {
   const timers = createVirtualTimers()
+  const lines: string[] = []
   const directory = createDirectory({
     timers,
-    events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers }),
-    decodeServer: (_key, bytes) => Right(JSON.parse(Buffer.from(bytes).toString()) as ServerEntry),
+    events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers, writeLine: line => { lines.push(line) } }),
+    decodeServer: (key, bytes) => Either.encase(() => JSON.parse(Buffer.from(bytes).toString()) as ServerEntry)
+      .mapLeft(error => makeFault('invalid', 'decode', key, error.message)),
+    isServiceNamed: name => name === 's',
     entryTaken: () => {}
   })
-  return { timers, directory, ids: () => directory.serving('s').map(server => server.entry.serverId) }
+  return {
+    timers,
+    directory,
+    ids: () => directory.serving('s').map(server => server.entry.serverId),
+    refusedCount: () => lines.filter(line => line.includes('recordRefused')).length
+  }
 }
 
 describe('directory', () => {
@@ -54,6 +71,36 @@
     expect(ids()).to.deep.equal(['a'])
   })
 
+  it('uses no server whose entry cannot be read, until it can', () => {
+    // Another program writes over an entry of the list. What it names is not known, so the server that was listed there gets
+    // no more requests; the others do, and the next good entry brings it back.
+    const { directory, ids } = setUp()
+    directory.takeRecords([listed('a'), listed('b')])
+    directory.takeRecords([{ key: 'a', value: Buffer.from('{'), offset: 2 }, { key: 'c', value: Buffer.from('\xff'), offset: 3 }, listed('d')])
+    expect(ids()).to.deep.equal(['b', 'd'])
+    directory.takeRecords([listed('a')])
+    expect(ids()).to.deep.equal(['b', 'd', 'a'])
+  })
+
+  it('logs an entry that cannot be read once, however often it is written', () => {
+    const { directory, refusedCount } = setUp()
+    const unreadable = (key: string, offset: number): FeedRecord => ({ key, value: Buffer.from('{'), offset })
+    for (let offset = 1; offset <= 20; offset++) directory.takeRecords([unreadable('a', offset), unreadable('b', offset)])
+    expect(refusedCount()).to.equal(2)
+    directory.takeRecords([listed('a'), unreadable('a', 30)])
+    expect(refusedCount()).to.equal(3)
+  })
+
+  it('names no server of a service that the configuration does not name', () => {
+    // Another program lists a server of a service of its own that holds a model. It counted as a replica, so a model with one
+    // replica was evicted for a load elsewhere.
+    const { directory } = setUp()
+    const foreign: ServerEntry = { ...entryOf('x'), serviceName: 'theirs' }
+    directory.takeRecords([listed('a'), { key: 'x', value: Buffer.from(JSON.stringify(foreign)), offset: 1 }])
+    expect(directory.entries().map(({ serverId }) => serverId)).to.deep.equal(['a'])
+    expect(viewReplicas(directory)).to.deep.equal([])
+  })
+
   it('drops a server whose address has a later start', () => {
     // An engine crashes and is back under another id seconds before its old entry lapses. Requests for the old id
     // would all be turned away.
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -2,10 +2,11 @@
 import { REAPPEAR_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
+import { MAX_REFUSED_KEYS } from './constants.js'
 import { createOwnRequests } from './createOwnRequests.js'
 import { createPrefixMemory } from './createPrefixMemory.js'
 
-import type { EventLog, TimerService, Unsubscribe } from '@figmount/base'
+import type { EventLog, Fault, TimerService, Unsubscribe } from '@figmount/base'
 import type { FailureShare } from '@figmount/decisions'
 import type { AgentLoad, AgentState, FeedRecord, ServerEntry, StorePort } from '@figmount/fleet'
 import type { KnownServer } from './types.js'
@@ -38,6 +39,7 @@
   readonly find: (serverId: string) => KnownServer | undefined
   /** The server has ended or was replaced, by its agent's word; one that is only unlisted may still finish what it runs. */
   readonly isDead: (serverId: string) => boolean
+  /** Servers that are listed for a service of the configuration in force. */
   readonly entries: () => readonly ServerEntry[]
   readonly failureShareOf: (server: KnownServer) => number
   /** Models of own requests that run at an address. */
@@ -54,13 +56,15 @@
   readonly timers: TimerService
   readonly events: EventLog
   readonly decodeServer: StorePort['decodeServer']
+  /** The configuration in force names the service. */
+  readonly isServiceNamed: (serviceName: string) => boolean
   readonly entryTaken: (entry: ServerEntry) => void
 }
 
 const NO_WORD: AgentWord = { state: undefined, load: undefined, stateAsOfMs: -Infinity }
 
 /** Makes the directory of one router. */
-export const createDirectory = ({ timers, events, decodeServer, entryTaken }: Options): Directory => {
+export const createDirectory = ({ timers, events, decodeServer, isServiceNamed, entryTaken }: Options): Directory => {
   const entries = new Map<string, ServerEntry>()
   const words = new Map<string, AgentWord>()
   const failures = new Map<string, FailureShare>()
@@ -69,6 +73,7 @@
   const replaced = new Set<string>()
   const prefixes = createPrefixMemory()
   const missingSinceOutage = new Set<string>()
+  const refusedKeys = new Set<string>()
   let isAway = false
   let regainedMs = -Infinity
   let isKnown = false
@@ -105,11 +110,27 @@
     entryTaken(entry)
   }
 
+  // Guards against an entry that another program wrote, or that was written over: what it names is not known, so requests
+  // must not go there, also not by what the key named before. A server's next own entry brings it back.
+  const refuseEntry = (fault: Fault, { key, offset }: FeedRecord): void => {
+    missingSinceOutage.delete(key)
+    remove(key, 'its entry cannot be read')
+    if (refusedKeys.has(key) || refusedKeys.size >= MAX_REFUSED_KEYS) return
+    refusedKeys.add(key)
+    events.emit(GatewayEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset })
+  }
+
   const takeRecord = (record: FeedRecord): void => {
-    if (!record.value) return noteMissing(record.key)
+    if (!record.value) {
+      refusedKeys.delete(record.key)
+      return noteMissing(record.key)
+    }
     decodeServer(record.key, record.value).caseOf({
-      Left: fault => { events.emit(GatewayEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset: record.offset }) },
-      Right: takeEntry
+      Left: fault => { refuseEntry(fault, record) },
+      Right: entry => {
+        refusedKeys.delete(record.key)
+        takeEntry(entry)
+      }
     })
   }
 
@@ -189,7 +210,8 @@
       const server = view(entry)
       return server.isReplaced || server.state?.isUp === false
     },
-    entries: () => [...entries.values()],
+    // An entry of a service that is not named yet is kept: a later configuration may name it.
+    entries: () => [...entries.values()].filter(entry => isServiceNamed(entry.serviceName)),
     failureShareOf: server => failureShareAt(server.failures, timers.nowMs()),
     runningModels: address => {
       const names: string[] = []
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -14,7 +14,7 @@
   serverTaken: [2510, 'a backend server may get requests'],
   serverLeft: [2511, 'a backend server gets no more requests'],
   deploymentTaken: [2512, 'a newer configuration is in force'],
-  recordRefused: [2513, 'a record of the store could not be read; what was known stays in force'],
+  recordRefused: [2513, 'a record of the store could not be read: the configuration stays in force, a server under that key is not used'],
   feedLost: [2514, 'the store does not answer; what is known stays in force'],
   feedRegained: [2515, 'the store answers again'],
   agentLost: [2516, 'an agent does not answer'],
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -27,7 +27,7 @@
 const setUp = (answer: (address: string) => WantOutcome | undefined) => {
   const timers = createVirtualTimers()
   const events = createEventLog({ instance: 'r' as InstanceName, role: 'router', timers })
-  const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), entryTaken: () => {} })
+  const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), isServiceNamed: () => true, entryTaken: () => {} })
   for (const serverId of ['a', 'b']) {
     directory.takeRecords([{ key: serverId, value: Buffer.from('x'), offset: 1 }])
     directory.takeState(`${serverId}:1`, makeAgentState(serverId, { onDisk: ['m'] }))
--- a/packages/gateway/src/router/createDemandTeller.test.ts
+++ b/packages/gateway/src/router/createDemandTeller.test.ts
@@ -17,7 +17,7 @@
 const setUp = () => {
   const timers = createVirtualTimers()
   const events = createEventLog({ instance: 'r' as InstanceName, role: 'router', timers })
-  const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), entryTaken: () => {} })
+  const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), isServiceNamed: () => true, entryTaken: () => {} })
   directory.takeRecords(['a', 'b'].map(key => ({ key, value: Buffer.from('x'), offset: 1 })))
   const meter = createDemandMeter(timers)
   const sent: RouterMessage[] = []
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -59,7 +59,13 @@
   const hasAgent = (entry: ServerEntry): boolean =>
     findEngine(feeds.deployment(), entry.serviceName) !== undefined
 
-  const directory = createDirectory({ timers, events, decodeServer: options.store.decodeServer, entryTaken: () => { followSoon() } })
+  const directory = createDirectory({
+    timers,
+    events,
+    decodeServer: options.store.decodeServer,
+    isServiceNamed: name => feeds.deployment()?.services.some(service => service.name === name) ?? false,
+    entryTaken: () => { followSoon() }
+  })
   const crashes = createCrashBook(timers)
   const coldLoads = createColdLoads(timers, modelName => findModel(feeds.deployment(), modelName)?.coldLoadMs)
   const agents = createAgentLinks({
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -69,7 +69,8 @@
     const known = directory.find(record.key)
     if (!record.value) return known !== undefined
     const entry = store.decodeServer(record.key, record.value).toMaybe().extractNullable()
-    return entry !== null && (!known || known.entry.isDraining !== entry.isDraining)
+    if (!entry) return known !== undefined
+    return !known || known.entry.isDraining !== entry.isDraining
   }
 
   const servers = createFeedFollower({
