--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -1,6 +1,6 @@
 /** Messages between routers and agents. */
 import type { FeedRecord } from '../feeds/types.js'
-import type { HeldModel } from '../servers/types.js'
+import type { HeldModel, ServerStart } from '../servers/types.js'
 
 /** Keeps a silent link open. */
 export interface Heartbeat {
@@ -76,18 +76,18 @@
 export interface CrashNotice {
   readonly type: 'crash'
   readonly requestHash: string
-  readonly serverId: string
+  readonly start: ServerStart
 }
 
 export type RouterMessage = Heartbeat | Want | WantDropped | DeploymentAsked | Demand | Relay | CrashNotice
 
 /** What an agent's server holds and does. Sent when a link is opened. */
-export interface AgentState {
+export interface AgentState extends ServerStart {
   readonly type: 'state'
   /** Empty while the agent does not know which start of the server it speaks for. */
   readonly serverId: string
   /** Earlier starts of the server, which are gone though they may still be listed. */
-  readonly goneServerIds: readonly string[]
+  readonly goneStarts: readonly ServerStart[]
   readonly isUp: boolean
   readonly isDraining: boolean
   readonly models: readonly HeldModel[]
--- a/packages/fleet/src/servers/types.ts
+++ b/packages/fleet/src/servers/types.ts
@@ -4,10 +4,18 @@
   readonly adapters: readonly string[]
 }
 
-/** A backend server as the platform lists it. Seconds old at times. */
-export interface ServerEntry {
-  /** Names one start of the server; a restart has another id. */
+/** One start of a backend server. It holds and knows nothing of the one before, also when it has the same id. */
+export interface ServerStart {
   readonly serverId: string
+  /**
+   * By the server's own clock, which may be wrong: compared only between starts of one id. Undefined for a server that does
+   * not tell it; such a server has another id after each start.
+   */
+  readonly startedAtUnixMs: number | undefined
+}
+
+/** A backend server as the platform lists it. Seconds old at times. */
+export interface ServerEntry extends ServerStart {
   readonly serviceName: string
   /** host:port; may belong to another server later. */
   readonly address: string
@@ -19,6 +27,8 @@
 
 /** An engine's state as its agent reads it, tens of ms old. */
 export interface ServerReport {
+  /** As in `ServerStart`. */
+  readonly startedAtUnixMs: number | undefined
   readonly models: readonly HeldModel[]
   /** Adapters that are being fetched, as `model/adapter`. They take a place already. */
   readonly arrivingAdapters: readonly string[]
--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -15,7 +15,7 @@
 const ADDRESS = '127.0.0.1:1'
 
 const ENTRY: ServerEntry =
-  { serverId: 'a', serviceName: 's', address: ADDRESS, dataCentre: 'east', slots: 1, isDraining: false, models: [] }
+  { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', slots: 1, isDraining: false, models: [] }
 
 const NO_HANDLERS = { takeState: () => {}, takeLoad: () => {}, takeRelay: () => {}, takeCrash: () => {}, lost: () => {} }
 
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -1,4 +1,4 @@
-import type { AgentLoad, AgentState, Relay, RouterMessage } from '@figmount/fleet'
+import type { AgentLoad, AgentState, Relay, RouterMessage, ServerStart } from '@figmount/fleet'
 
 /** What became of a want. */
 export interface WantOutcome {
@@ -31,7 +31,7 @@
   readonly takeState: (address: string, state: AgentState) => void
   readonly takeLoad: (address: string, load: AgentLoad) => void
   readonly takeRelay: (relay: Relay) => void
-  readonly takeCrash: (requestHash: string, serverId: string) => void
+  readonly takeCrash: (requestHash: string, start: ServerStart) => void
   readonly lost: (address: string) => void
 }
 
--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -13,7 +13,7 @@
 const ADDRESS = 'host:1'
 
 const entryOf = (serverId: string, isDraining = false): ServerEntry =>
-  ({ serverId, serviceName: 's', address: ADDRESS, dataCentre: 'east', slots: 1, isDraining, models: [{ name: 'm', adapters: [] }] })
+  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', slots: 1, isDraining, models: [{ name: 'm', adapters: [] }] })
 
 const listed = (serverId: string, isDraining = false): FeedRecord =>
   ({ key: serverId, value: Buffer.from(JSON.stringify(entryOf(serverId, isDraining))), offset: 1 })
@@ -113,7 +113,7 @@
   it('drops a server that its agent knows to be gone', () => {
     const { directory, ids } = setUp()
     directory.takeRecords([listed('old')])
-    directory.takeState(ADDRESS, makeAgentState('', { goneServerIds: ['old'] }))
+    directory.takeState(ADDRESS, makeAgentState('', { goneStarts: [{ serverId: 'old', startedAtUnixMs: undefined }] }))
     expect(ids()).to.deep.equal([])
   })
 
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -1,5 +1,5 @@
 import { failureShareAt, noFailures, noteOutcome } from '@figmount/decisions'
-import { REAPPEAR_MS } from '@figmount/fleet'
+import { isEarlierStart, isSameStart, REAPPEAR_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
 import { MAX_REFUSED_KEYS } from './constants.js'
@@ -8,7 +8,7 @@
 
 import type { EventLog, Fault, TimerService, Unsubscribe } from '@figmount/base'
 import type { FailureShare } from '@figmount/decisions'
-import type { AgentLoad, AgentState, FeedRecord, ServerEntry, StorePort } from '@figmount/fleet'
+import type { AgentLoad, AgentState, FeedRecord, ServerEntry, ServerStart, StorePort } from '@figmount/fleet'
 import type { KnownServer } from './types.js'
 import type { OwnRequests } from './createOwnRequests.js'
 import type { PrefixMemory } from './createPrefixMemory.js'
@@ -37,17 +37,22 @@
   /** Servers of a service that may get new requests. */
   readonly serving: (serviceName: string) => readonly KnownServer[]
   readonly find: (serverId: string) => KnownServer | undefined
-  /** The server has ended or was replaced, by its agent's word; one that is only unlisted may still finish what it runs. */
-  readonly isDead: (serverId: string) => boolean
+  /**
+   * This start of the server has ended or was replaced, by its agent's word or a later start; one that is only unlisted may
+   * still finish what it runs.
+   */
+  readonly isDead: (start: ServerStart) => boolean
   /** Servers that are listed for a service of the configuration in force. */
   readonly entries: () => readonly ServerEntry[]
+  /** The newest starts of these. */
+  readonly starts: () => readonly ServerStart[]
   readonly failureShareOf: (server: KnownServer) => number
   /** Models of own requests that run at an address. */
   readonly runningModels: (address: string) => readonly string[]
   readonly own: OwnRequests
-  readonly noteOutcome: (serverId: string, hasFailed: boolean) => void
+  readonly noteOutcome: (start: ServerStart, hasFailed: boolean) => void
   /** The address belongs to another server now. */
-  readonly noteReplaced: (serverId: string) => void
+  readonly noteReplaced: (start: ServerStart) => void
   readonly prefixes: PrefixMemory
   readonly isKnown: () => boolean
 }
@@ -66,6 +71,7 @@
 /** Makes the directory of one router. */
 export const createDirectory = ({ timers, events, decodeServer, isServiceNamed, entryTaken }: Options): Directory => {
   const entries = new Map<string, ServerEntry>()
+  const newestStarts = new Map<string, ServerStart>()
   const words = new Map<string, AgentWord>()
   const failures = new Map<string, FailureShare>()
   const own = createOwnRequests()
@@ -78,11 +84,18 @@
   let regainedMs = -Infinity
   let isKnown = false
 
-  const remove = (serverId: string, reason: string): void => {
-    if (!entries.delete(serverId)) return
+  const startOf = (serverId: string): ServerStart => newestStarts.get(serverId) ?? { serverId, startedAtUnixMs: undefined }
+
+  const forget = (serverId: string): void => {
     prefixes.forget(serverId)
     failures.delete(serverId)
     replaced.delete(serverId)
+  }
+
+  const remove = (serverId: string, reason: string): void => {
+    if (!entries.delete(serverId)) return
+    forget(serverId)
+    newestStarts.delete(serverId)
     events.emit(GatewayEvent.serverLeft, { peer: serverId, reason })
   }
 
@@ -101,8 +114,32 @@
     missingSinceOutage.clear()
   }
 
+  // Guards against a server that starts again under its id: it holds nothing of before, and what failed, ran or was kept
+  // there is no longer so. Seen by the id alone it would get requests for what it held, and streams that ran at the start
+  // before would stay silent.
+  const noteStart = ({ serverId, startedAtUnixMs }: ServerStart): void => {
+    const start = { serverId, startedAtUnixMs }
+    if (startedAtUnixMs === undefined || newestStarts.get(serverId)?.startedAtUnixMs === startedAtUnixMs) return
+    const isRestart = !isSameStart(start, startOf(serverId))
+    newestStarts.set(serverId, start)
+    if (!isRestart) return
+    forget(serverId)
+    events.emit(GatewayEvent.serverRestarted, { peer: serverId })
+  }
+
+  // The agent sees its engine's starts in their order, whatever the engine's clock says: one that it tells to be gone is no
+  // later than the one that it names. Its word may also be older than the list, and then tells of no restart.
+  const noteWord = (state: AgentState): void => {
+    if (!entries.has(state.serverId)) return
+    const known = startOf(state.serverId)
+    if (isEarlierStart(state, known) && !state.goneStarts.some(gone => isSameStart(gone, known))) return
+    noteStart(state)
+  }
+
   const takeEntry = (entry: ServerEntry): void => {
     const known = entries.get(entry.serverId)
+    // An entry is seconds old at times and may be of the start before the one that the agent has told of.
+    if (!isEarlierStart(entry, startOf(entry.serverId))) noteStart(entry)
     missingSinceOutage.delete(entry.serverId)
     entries.set(entry.serverId, entry)
     if (!known) events.emit(GatewayEvent.serverTaken, { peer: entry.serverId, service: entry.serviceName, detail: entry.address })
@@ -134,16 +171,29 @@
     })
   }
 
+  // A start that its agent names again is not gone, though one before it under the same id is.
+  const isGone = ({ state }: AgentWord, entry: ServerEntry): boolean => {
+    if (!state || state.serverId === entry.serverId) return false
+    if (state.serverId !== '') return true
+    for (const gone of state.goneStarts) {
+      if (isSameStart(gone, entry) || isEarlierStart(entry, gone)) return true
+    }
+    return false
+  }
+
   const view = (entry: ServerEntry): KnownServer => {
     const word = words.get(entry.address) ?? NO_WORD
-    const namedId = word.state?.serverId ?? ''
-    const speaksForIt = namedId === entry.serverId || namedId === ''
-    const load = own.loadAt(entry.serverId)
+    const start = startOf(entry.serverId)
+    const isReplaced = isGone(word, entry)
+    // The list may tell of a restart before the agent does: what the agent said until then is of the start before.
+    const speaksForIt = !isReplaced && word.state !== undefined && (word.state.serverId === '' || isSameStart(word.state, start))
+    const load = own.loadAt(start)
     return {
-      entry,
+      entry: isSameStart(entry, start) ? entry : { ...entry, models: [] },
+      start,
       state: speaksForIt ? word.state : undefined,
       load: speaksForIt ? word.load : undefined,
-      isReplaced: !speaksForIt || replaced.has(entry.serverId) || (word.state?.goneServerIds.includes(entry.serverId) ?? false),
+      isReplaced: isReplaced || replaced.has(entry.serverId),
       stateAsOfMs: word.stateAsOfMs,
       failures: failures.get(entry.serverId) ?? noFailures(timers.nowMs()),
       ownCount: load.count,
@@ -157,6 +207,9 @@
     return !server.state || (server.state.isUp && !server.state.isDraining)
   }
 
+  // An entry of a service that is not named yet is kept: a later configuration may name it.
+  const namedEntries = (): readonly ServerEntry[] => [...entries.values()].filter(entry => isServiceNamed(entry.serviceName))
+
   return {
     takeRecords: records => {
       settle()
@@ -178,6 +231,7 @@
     takeState: (address, state) => {
       const word = words.get(address) ?? NO_WORD
       words.set(address, { ...word, state, stateAsOfMs: timers.nowMs() })
+      noteWord(state)
       prefixes.keepOnly(state.serverId, new Set(state.models.map(model => model.name)))
       for (const listener of [...stateListeners]) listener(address, state)
     },
@@ -204,28 +258,34 @@
       const entry = entries.get(serverId)
       return entry && view(entry)
     },
-    isDead: serverId => {
-      const entry = entries.get(serverId)
+    isDead: start => {
+      const entry = entries.get(start.serverId)
       if (!entry) return false
+      if (!isSameStart(start, startOf(start.serverId))) return true
       const server = view(entry)
       return server.isReplaced || server.state?.isUp === false
     },
-    // An entry of a service that is not named yet is kept: a later configuration may name it.
-    entries: () => [...entries.values()].filter(entry => isServiceNamed(entry.serviceName)),
+    entries: namedEntries,
+    starts: () => namedEntries().map(entry => startOf(entry.serverId)),
     failureShareOf: server => failureShareAt(server.failures, timers.nowMs()),
     runningModels: address => {
       const names: string[] = []
-      for (const [serverId, models] of own.runs()) {
-        if (entries.get(serverId)?.address === address) names.push(...models.keys())
+      for (const { start, models } of own.runs()) {
+        if (entries.get(start.serverId)?.address !== address || !isSameStart(start, startOf(start.serverId))) continue
+        names.push(...models.keys())
       }
       return names
     },
     own,
-    noteOutcome: (serverId, hasFailed) => {
+    noteOutcome: (start, hasFailed) => {
+      const { serverId } = start
+      if (!isSameStart(start, startOf(serverId))) return
       const nowMs = timers.nowMs()
       failures.set(serverId, noteOutcome(failures.get(serverId) ?? noFailures(nowMs), hasFailed, nowMs))
     },
-    noteReplaced: serverId => { replaced.add(serverId) },
+    noteReplaced: start => {
+      if (isSameStart(start, startOf(start.serverId))) replaced.add(start.serverId)
+    },
     prefixes,
     isKnown: () => isKnown
   }
--- a/packages/gateway/src/directory/createOwnRequests.ts
+++ b/packages/gateway/src/directory/createOwnRequests.ts
@@ -1,3 +1,7 @@
+import { startKeyOf } from '@figmount/fleet'
+
+import type { ServerStart } from '@figmount/fleet'
+
 /** Own requests at a server. */
 export interface OwnLoad {
   readonly count: number
@@ -5,16 +9,21 @@
   readonly pendingTokens: number
 }
 
-/** What one router has under way at each server. */
+/** Requests for models that run at one start of a server. */
+export interface OwnRuns {
+  readonly start: ServerStart
+  readonly models: ReadonlyMap<string, number>
+}
+
+/** What one router has under way at each start of a server: what ran at the one before is no load of the next. */
 export interface OwnRequests {
-  readonly loadAt: (serverId: string) => OwnLoad
-  /** Servers with requests for models, and the models. */
-  readonly runs: () => ReadonlyMap<string, ReadonlyMap<string, number>>
-  readonly noteRun: (serverId: string, modelName: string) => void
-  readonly noteRunEnd: (serverId: string, modelName: string) => void
-  readonly noteSent: (serverId: string, tokens: number) => void
-  readonly noteFirstEvent: (serverId: string, tokens: number) => void
-  readonly noteEnded: (serverId: string) => void
+  readonly loadAt: (start: ServerStart) => OwnLoad
+  readonly runs: () => readonly OwnRuns[]
+  readonly noteRun: (start: ServerStart, modelName: string) => void
+  readonly noteRunEnd: (start: ServerStart, modelName: string) => void
+  readonly noteSent: (start: ServerStart, tokens: number) => void
+  readonly noteFirstEvent: (start: ServerStart, tokens: number) => void
+  readonly noteEnded: (start: ServerStart) => void
 }
 
 const NO_LOAD: OwnLoad = { count: 0, startingCount: 0, pendingTokens: 0 }
@@ -22,34 +31,36 @@
 /** Makes the books of one router on its own requests. */
 export const createOwnRequests = (): OwnRequests => {
   const loads = new Map<string, OwnLoad>()
-  const runs = new Map<string, Map<string, number>>()
+  const runs = new Map<string, OwnRuns>()
 
-  const changeRuns = (serverId: string, modelName: string, by: number): void => {
-    const models = runs.get(serverId) ?? new Map<string, number>()
+  const changeRuns = (start: ServerStart, modelName: string, by: number): void => {
+    const startKey = startKeyOf(start)
+    const models = new Map(runs.get(startKey)?.models)
     const count = (models.get(modelName) ?? 0) + by
     if (count > 0) models.set(modelName, count)
     else models.delete(modelName)
-    if (models.size > 0) runs.set(serverId, models)
-    else runs.delete(serverId)
+    if (models.size > 0) runs.set(startKey, { start, models })
+    else runs.delete(startKey)
   }
 
-  const update = (serverId: string, change: (load: OwnLoad) => OwnLoad): void => {
-    const load = change(loads.get(serverId) ?? NO_LOAD)
-    if (load.count <= 0) loads.delete(serverId)
-    else loads.set(serverId, load)
+  const update = (start: ServerStart, change: (load: OwnLoad) => OwnLoad): void => {
+    const startKey = startKeyOf(start)
+    const load = change(loads.get(startKey) ?? NO_LOAD)
+    if (load.count <= 0) loads.delete(startKey)
+    else loads.set(startKey, load)
   }
 
   return {
-    loadAt: serverId => loads.get(serverId) ?? NO_LOAD,
-    runs: () => runs,
-    noteRun: (serverId, modelName) => { changeRuns(serverId, modelName, 1) },
-    noteRunEnd: (serverId, modelName) => { changeRuns(serverId, modelName, -1) },
-    noteSent: (serverId, tokens) => {
-      update(serverId, load => ({ count: load.count + 1, startingCount: load.startingCount + 1, pendingTokens: load.pendingTokens + tokens }))
+    loadAt: start => loads.get(startKeyOf(start)) ?? NO_LOAD,
+    runs: () => [...runs.values()],
+    noteRun: (start, modelName) => { changeRuns(start, modelName, 1) },
+    noteRunEnd: (start, modelName) => { changeRuns(start, modelName, -1) },
+    noteSent: (start, tokens) => {
+      update(start, load => ({ count: load.count + 1, startingCount: load.startingCount + 1, pendingTokens: load.pendingTokens + tokens }))
     },
-    noteFirstEvent: (serverId, tokens) => {
-      update(serverId, load => ({ ...load, startingCount: load.startingCount - 1, pendingTokens: Math.max(0, load.pendingTokens - tokens) }))
+    noteFirstEvent: (start, tokens) => {
+      update(start, load => ({ ...load, startingCount: load.startingCount - 1, pendingTokens: Math.max(0, load.pendingTokens - tokens) }))
     },
-    noteEnded: serverId => { update(serverId, load => ({ ...load, count: load.count - 1 })) }
+    noteEnded: start => { update(start, load => ({ ...load, count: load.count - 1 })) }
   }
 }
--- /dev/null
+++ b/packages/gateway/src/directory/restarts.test.ts
@@ -0,0 +1,182 @@
+import { expect } from 'chai'
+import { Right } from 'purify-ts'
+import { createEventLog, createVirtualTimers } from '@figmount/base'
+
+import { heldModel } from '../placing/viewServers.js'
+import { makeAgentState } from '../testing/makeAgentState.js'
+import { createDirectory } from './createDirectory.js'
+
+import type { InstanceName } from '@figmount/base'
+import type { AgentState, ServerEntry, ServerStart } from '@figmount/fleet'
+import type { Directory } from './createDirectory.js'
+
+const ADDRESS = 'host:1'
+const PARTS = [{ partId: 'p', tokenCount: 100 }]
+
+const first: ServerStart = { serverId: 'a', startedAtUnixMs: 1_000 }
+const second: ServerStart = { serverId: 'a', startedAtUnixMs: 2_000 }
+
+const setUp = () => {
+  const timers = createVirtualTimers()
+  const directory = createDirectory({
+    timers,
+    events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers }),
+    decodeServer: (_key, bytes) => Right(JSON.parse(Buffer.from(bytes).toString()) as ServerEntry),
+    isServiceNamed: () => true,
+    entryTaken: () => {}
+  })
+  let offset = 0
+  /** The list has an entry of this start. */
+  const list = (start: ServerStart, models: readonly string[] = [], more: Partial<ServerEntry> = {}): void => {
+    const entry: ServerEntry = {
+      ...start, serviceName: 's', address: ADDRESS, dataCentre: 'east', slots: 1, isDraining: false, models: models.map(name => ({ name, adapters: [] })), ...more
+    }
+    directory.takeRecords([{ key: entry.serverId, value: Buffer.from(JSON.stringify(entry)), offset: offset++ }])
+  }
+  const tell = (start: ServerStart, given: Partial<AgentState> = {}): void => {
+    directory.takeState(ADDRESS, makeAgentState(start.serverId, { startedAtUnixMs: start.startedAtUnixMs, ...given }))
+  }
+  return { timers, directory, list, tell }
+}
+
+const holds = (directory: Directory, modelName: string): boolean => {
+  const server = directory.serving('s')[0]
+  return server !== undefined && heldModel(server, modelName) !== undefined
+}
+
+const cachedTokens = (directory: Directory): number => directory.prefixes.cachedTokens('a', 'm/', PARTS)
+
+describe('directory, when a server starts again under its id', () => {
+  it('forgets what the start before held, knew and failed', () => {
+    // An engine crashes and is back within 100 ms under its id, with nothing in its memory. A router that took it for the
+    // one before expected its prompts to be kept there, and sent them to the slower engine of two.
+    const { directory, list } = setUp()
+    list(first, ['m'])
+    directory.prefixes.remember('a', 'm/', PARTS)
+    for (let count = 0; count < 20; count++) directory.noteOutcome(first, true)
+    const before = directory.find('a')
+    expect(before && directory.failureShareOf(before)).to.be.greaterThan(0)
+    list(second, ['m'])
+    const after = directory.find('a')
+    expect(after && directory.failureShareOf(after)).to.equal(0)
+    expect(cachedTokens(directory)).to.equal(0)
+  })
+
+  it('takes the word of its agent before the list tells of it', () => {
+    const { directory, list, tell } = setUp()
+    list(first, ['m'])
+    tell(first, { models: [{ name: 'm', adapters: [] }] })
+    directory.prefixes.remember('a', 'm/', PARTS)
+    tell(second)
+    expect(holds(directory, 'm')).to.equal(false)
+    expect(cachedTokens(directory)).to.equal(0)
+    directory.loseAgent(ADDRESS)
+    expect(holds(directory, 'm'), 'the list still names the models of before').to.equal(false)
+    expect(directory.serving('s')).to.have.length(1)
+  })
+
+  it('takes the list before its agent tells of it', () => {
+    const { directory, list, tell } = setUp()
+    list(first, ['m'])
+    tell(first, { models: [{ name: 'm', adapters: [] }] })
+    list(second)
+    expect(holds(directory, 'm')).to.equal(false)
+    tell(second, { models: [{ name: 'm', adapters: [] }] })
+    expect(holds(directory, 'm')).to.equal(true)
+  })
+
+  it('counts what ran at the start before as dead, and no more as its load', () => {
+    // A stream runs at an engine that loses power; no connection is closed. The engine is back under its id: looked up by id
+    // alone it was alive, and the stream stayed silent until its caller left.
+    const { directory, list, tell } = setUp()
+    list(first)
+    tell(first)
+    directory.own.noteSent(first, 50)
+    directory.own.noteRun(first, 'm')
+    expect(directory.isDead(first)).to.equal(false)
+    expect(directory.runningModels(ADDRESS)).to.deep.equal(['m'])
+    tell(second)
+    expect(directory.isDead(first)).to.equal(true)
+    expect(directory.isDead(second)).to.equal(false)
+    expect(directory.find('a')).to.deep.include({ ownCount: 0, pendingTokens: 0 })
+    expect(directory.runningModels(ADDRESS)).to.deep.equal([])
+    directory.noteOutcome(first, true)
+    const server = directory.find('a')
+    expect(server && directory.failureShareOf(server)).to.equal(0)
+  })
+
+  it('is not misled by an entry of the start before that comes late', () => {
+    const { directory, list, tell } = setUp()
+    list(first)
+    tell(second)
+    directory.prefixes.remember('a', 'm/', PARTS)
+    list(first, ['m'])
+    directory.loseAgent(ADDRESS)
+    list(first, ['m'])
+    expect(directory.isDead(second)).to.equal(false)
+    expect(holds(directory, 'm')).to.equal(false)
+    expect(cachedTokens(directory)).to.equal(100)
+  })
+
+  it('serves it though its agent had told that this id is gone', () => {
+    // The agent names the starts that are gone for a while. One of them had the id that the engine has again.
+    const { directory, list, tell } = setUp()
+    list(first)
+    tell({ serverId: '', startedAtUnixMs: undefined }, { goneStarts: [first] })
+    expect(directory.serving('s')).to.have.length(0)
+    expect(directory.isDead(first)).to.equal(true)
+    list(second)
+    expect(directory.serving('s')).to.have.length(1)
+    tell(second, { goneStarts: [first] })
+    expect(directory.serving('s')).to.have.length(1)
+  })
+
+  it('serves it again after its address had belonged to another server', () => {
+    const { directory, list } = setUp()
+    list(first)
+    directory.noteReplaced(first)
+    expect(directory.serving('s')).to.have.length(0)
+    list(second)
+    expect(directory.serving('s')).to.have.length(1)
+  })
+
+  it('takes no entry without a time for a restart', () => {
+    // Servers of an older version don't tell when they started. They have another id after each start.
+    const { directory, list, tell } = setUp()
+    const unknown: ServerStart = { serverId: 'a', startedAtUnixMs: undefined }
+    list(first, ['m'])
+    directory.prefixes.remember('a', 'm/', PARTS)
+    list(unknown, ['m'])
+    tell(unknown, { models: [{ name: 'm', adapters: [] }] })
+    expect(cachedTokens(directory)).to.equal(100)
+    expect(directory.isDead(first)).to.equal(false)
+    expect(directory.isDead(unknown)).to.equal(false)
+  })
+
+  it('follows its agent also when the clock of the server went back', () => {
+    // The server's clock is set back before its restart, so the later start has the earlier time. Its agent sees the change.
+    const { directory, list, tell } = setUp()
+    list(second, ['m'])
+    tell(second, { models: [{ name: 'm', adapters: [] }] })
+    directory.prefixes.remember('a', 'm/', PARTS)
+    tell(first, { goneStarts: [second] })
+    expect(directory.isDead(second)).to.equal(true)
+    expect(cachedTokens(directory)).to.equal(0)
+    expect(holds(directory, 'm')).to.equal(false)
+    list(first)
+    expect(directory.serving('s')).to.have.length(1)
+    expect(directory.isDead(first)).to.equal(false)
+  })
+
+  it('takes no word of its agent that is older than the list for a restart', () => {
+    // An agent stands still while its engine restarts under its id and the list tells of it. Its next word is of before.
+    const { directory, list, tell } = setUp()
+    list(first)
+    tell(first)
+    list(second, ['m'])
+    tell(first, { models: [{ name: 'n', adapters: [] }] })
+    expect(directory.isDead(second)).to.equal(false)
+    expect(holds(directory, 'm')).to.equal(true)
+    expect(holds(directory, 'n')).to.equal(false)
+  })
+})
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -1,9 +1,12 @@
 import type { FailureShare } from '@figmount/decisions'
-import type { AgentState, AgentLoad, ServerEntry } from '@figmount/fleet'
+import type { AgentState, AgentLoad, ServerEntry, ServerStart } from '@figmount/fleet'
 
 /** What a router knows of one backend server. */
 export interface KnownServer {
+  /** As listed; without models when the list names those of an earlier start. */
   readonly entry: ServerEntry
+  /** Its newest start that was heard of. */
+  readonly start: ServerStart
   /** The agent's newest word; undefined while no agent answers for this start of the server. */
   readonly state: AgentState | undefined
   readonly load: AgentLoad | undefined
--- a/packages/gateway/src/forwarding/createConnectionPool.ts
+++ b/packages/gateway/src/forwarding/createConnectionPool.ts
@@ -1,22 +1,25 @@
 import { Agent } from 'node:http'
 
+import { startKeyOf } from '@figmount/fleet'
+
 import { IDLE_MARGIN_MS, IDLE_TIMEOUT_MS, LEAST_IDLE_MS } from './constants.js'
 
 import type { Socket } from 'node:net'
 import type { IncomingMessage } from 'node:http'
+import type { ServerStart } from '@figmount/fleet'
 
 const MS_PER_S = 1_000
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/
 
 /** Kept connections, one set for each start of a server. */
 export interface ConnectionPool {
-  readonly agentFor: (serverId: string) => Agent
+  readonly agentFor: (start: ServerStart) => Agent
   /** Notes how long the server keeps the connection of this answer open. */
   readonly noteAnswer: (message: IncomingMessage) => void
   /** Called when a connection is taken into use. */
   readonly noteUse: (socket: Socket) => void
-  /** Closes the idle connections of servers that are not in use any more. */
-  readonly keepOnly: (serverIds: ReadonlySet<string>) => void
+  /** Closes the idle connections of starts that are not in use any more. */
+  readonly keepOnly: (starts: readonly ServerStart[]) => void
   readonly close: () => void
 }
 
@@ -43,19 +46,22 @@
     return agent
   }
 
-  const destroy = (serverId: string): void => {
-    const agent = agents.get(serverId)
+  const destroy = (startKey: string): void => {
+    const agent = agents.get(startKey)
     if (!agent) return
-    agents.delete(serverId)
+    agents.delete(startKey)
     for (const sockets of Object.values(agent.freeSockets)) {
       for (const socket of sockets ?? []) socket.destroy()
     }
   }
 
   return {
-    agentFor: serverId => {
-      const agent = agents.get(serverId) ?? make()
-      agents.set(serverId, agent)
+    // Guards against a connection that was kept to the start before: after a loss of power it is silent for ever, and a
+    // request on it may count as run. A start's connections are its own.
+    agentFor: start => {
+      const startKey = startKeyOf(start)
+      const agent = agents.get(startKey) ?? make()
+      agents.set(startKey, agent)
       return agent
     },
     noteAnswer: message => {
@@ -68,9 +74,10 @@
       socket.off('data', rejectSurplus)
       socket.setTimeout(0)
     },
-    keepOnly: serverIds => {
-      for (const serverId of [...agents.keys()]) {
-        if (!serverIds.has(serverId)) destroy(serverId)
+    keepOnly: starts => {
+      const kept = new Set(starts.map(startKeyOf))
+      for (const startKey of [...agents.keys()]) {
+        if (!kept.has(startKey)) destroy(startKey)
       }
     },
     close: () => {
--- a/packages/gateway/src/forwarding/sendToServer.ts
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -39,7 +39,7 @@
     method: outbound.method,
     path: outbound.url,
     headers: outbound.headers,
-    agent: pool.agentFor(outbound.serverId),
+    agent: pool.agentFor(outbound.start),
     setHost: false
   })
 
@@ -54,7 +54,7 @@
   }
 
   const fail = (kind: FaultKind, message: string): void => {
-    settle(Left({ fault: makeFault(kind, STEP, outbound.serverId, message), mayHaveRun: isConnected }))
+    settle(Left({ fault: makeFault(kind, STEP, outbound.start.serverId, message), mayHaveRun: isConnected }))
     abort()
   }
 
--- a/packages/gateway/src/forwarding/types.ts
+++ b/packages/gateway/src/forwarding/types.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage } from 'node:http'
 import type { Fault } from '@figmount/base'
-import type { ServerAnswer } from '@figmount/fleet'
+import type { ServerAnswer, ServerStart } from '@figmount/fleet'
 
 /** A request as it goes to a server. */
 export interface OutboundRequest {
-  readonly serverId: string
+  readonly start: ServerStart
   /** host:port */
   readonly address: string
   readonly method: string
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -24,7 +24,7 @@
   const forwarded = codec.encodeForward(request.headers, { serverId, deadlineMs: leftMs, priority: request.route.priority, lastEventId })
   const framing = request.body.length > 0 || request.method !== 'GET' ? ['Content-Length', String(request.body.length)] : []
   return await sendToServer(context, {
-    serverId,
+    start: server.start,
     address,
     method: request.method,
     url: request.url,
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -21,7 +21,7 @@
 const STOP_MS = 8_000
 
 const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', slots: 1, isDraining: false, models: [] })
+  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', slots: 1, isDraining: false, models: [] })
 
 /** A router with two engines that have the model on disk; `answer` says what becomes of each want, undefined for nothing yet. */
 const setUp = (answer: (address: string) => WantOutcome | undefined) => {
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -1,4 +1,5 @@
 import { countsAsFailure, estimateFirstEventMs, rankServers } from '@figmount/decisions'
+import { startKeyOf } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
 import { viewHolders } from '../placing/viewServers.js'
@@ -9,6 +10,7 @@
 import { runStream } from './runStream.js'
 import { createCallerStream } from './streamToCaller.js'
 
+import type { ServerStart } from '@figmount/fleet'
 import type { KnownServer } from '../directory/types.js'
 import type { RunEnd } from './runStream.js'
 import type { CallerStream } from './streamToCaller.js'
@@ -36,32 +38,32 @@
 /** Runs the request at the chosen server and keeps the router's books on it. */
 const runAt = async (context: GatewayContext, request: RoutedRequest, choice: Choice, stream: CallerStream): Promise<RunEnd> => {
   const { directory } = context
-  const { serverId } = choice.server.entry
+  const { start } = choice.server
   const { modelName, adapterName, promptParts } = request.caller
   const limit = limitExchange(context, request, 0)
   // Guards against an engine that dies without closing its connections: a stream that may go on elsewhere would be silent
   // until its caller leaves, though the agent beside the engine has told of its death.
   const stopLooking = request.route.isResumable
-    ? context.timers.every(DEATH_LOOK_MS, () => { if (directory.isDead(serverId)) limit.cut() })
+    ? context.timers.every(DEATH_LOOK_MS, () => { if (directory.isDead(start)) limit.cut() })
     : () => {}
   let isPending = true
   const settlePending = (): void => {
     if (!isPending) return
     isPending = false
-    directory.own.noteFirstEvent(serverId, choice.newTokens)
+    directory.own.noteFirstEvent(start, choice.newTokens)
   }
-  directory.own.noteSent(serverId, choice.newTokens)
-  directory.own.noteRun(serverId, modelName)
-  directory.prefixes.remember(serverId, `${modelName}/${adapterName}`, promptParts)
+  directory.own.noteSent(start, choice.newTokens)
+  directory.own.noteRun(start, modelName)
+  directory.prefixes.remember(start.serverId, `${modelName}/${adapterName}`, promptParts)
   const sentMs = context.timers.nowMs()
   const end = await runStream(context, request, choice.server, stream, limit.signal, settlePending)
   const isSilent = isPending
   settlePending()
-  directory.own.noteEnded(serverId)
-  directory.own.noteRunEnd(serverId, modelName)
+  directory.own.noteEnded(start)
+  directory.own.noteRunEnd(start, modelName)
   limit.release()
   stopLooking()
-  directory.noteOutcome(serverId, countsAsFailure({
+  directory.noteOutcome(start, countsAsFailure({
     hasFailed: end.type === 'broken' || (end.type === 'notRun' && !end.isMisplaced),
     hasLeft: request.left.aborted,
     isSilent,
@@ -70,9 +72,9 @@
   return end
 }
 
-const noteCrash = (context: GatewayContext, request: RoutedRequest, serverId: string): void => {
-  context.crashes.note(request.requestHash, serverId)
-  context.agents.relay({ type: 'crash', requestHash: request.requestHash, serverId })
+const noteCrash = (context: GatewayContext, request: RoutedRequest, start: ServerStart): void => {
+  context.crashes.note(request.requestHash, start)
+  context.agents.relay({ type: 'crash', requestHash: request.requestHash, start })
 }
 
 /**
@@ -83,6 +85,7 @@
   const { directory, timers, budget, stop } = context
   const { caller, route, serviceName } = request
   const stream = createCallerStream(context, request)
+  // By start: a server that has restarted under its id is as good as another one.
   const avoided = new Set<string>()
   let runs = 0
   let sends = 0
@@ -104,7 +107,7 @@
   for (;;) {
     if (request.left.aborted || request.untilMs - timers.nowMs() < LEAST_SERVE_MS) return giveUp('no time left', FULL_RETRY_MS)
     if (timers.nowMs() >= stop.lastSendMs(route.objectiveMs)) return giveUp(STOPPING, STOPPING_RETRY_MS)
-    const servers = directory.serving(serviceName).filter(server => !avoided.has(server.entry.serverId))
+    const servers = directory.serving(serviceName).filter(server => !avoided.has(startKeyOf(server.start)))
     if (servers.length === 0) return giveUp('no server', NO_SERVER_RETRY_MS)
     const choice = choose(context, request, servers)
     if (!choice) {
@@ -115,10 +118,10 @@
       if (wait.type === 'lost' && lostLoads <= MAX_LOST_LOADS) continue
       return giveUp(wait.reason, wait.retryAfterMs)
     }
-    const { serverId } = choice.server.entry
+    const { start, entry: { serverId } } = choice.server
     if (!choice.hasAdapter && !await awaitAdapter(context, request, choice.server)) {
       turnedAway += 1
-      avoided.add(serverId)
+      avoided.add(startKeyOf(start))
       if (turnedAway >= MAX_TURNED_AWAY) return giveUp('the adapter did not come', FULL_RETRY_MS)
       continue
     }
@@ -133,7 +136,7 @@
       return
     }
     if (request.left.aborted) return noteLeft(context, request)
-    avoided.add(serverId)
+    avoided.add(startKeyOf(start))
     if (end.type === 'notRun') {
       turnedAway += 1
       if (turnedAway >= MAX_TURNED_AWAY) return giveUp(end.reason, FULL_RETRY_MS)
@@ -141,7 +144,7 @@
     }
     runs += 1
     // A run that was cut by the request's time-out or by the router's stop says nothing about the server.
-    if (timers.nowMs() < request.untilMs && !stop.isEnded()) noteCrash(context, request, serverId)
+    if (timers.nowMs() < request.untilMs && !stop.isEnded()) noteCrash(context, request, start)
     const mayGoOn = route.isResumable && runs < route.maxAttempts && !stream.hasGap()
     if (!mayGoOn) return fail(context, request, end.reason, serverId)
     context.events.emit(GatewayEvent.streamResumed, { requestKey: caller.requestId, reason: end.reason, peer: serverId, detail: stream.lastEventId() })
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -1,4 +1,4 @@
-import { RequestKind } from '@figmount/fleet'
+import { RequestKind, startKeyOf } from '@figmount/fleet'
 import { countsAsFailure, rankServers } from '@figmount/decisions'
 
 import { GatewayEvent } from '../events.js'
@@ -26,7 +26,7 @@
 
 const choose = (context: GatewayContext, request: RoutedRequest, tried: ReadonlySet<string>): KnownServer | undefined => {
   const { directory } = context
-  const servers = directory.serving(request.serviceName).filter(server => !tried.has(server.entry.serverId))
+  const servers = directory.serving(request.serviceName).filter(server => !tried.has(startKeyOf(server.start)))
   const offset = Math.floor(context.random() * servers.length)
   // Equal servers are taken in a random order, so that routers don't all begin with the same one.
   const shuffled = [...servers.slice(offset), ...servers.slice(0, offset)]
@@ -59,7 +59,7 @@
   const status = open.message.statusCode ?? 0
   const read = await readWhole(open, serverId)
   if (open.answer.isNotRun || status === MISDIRECTED) {
-    if (status === MISDIRECTED) context.directory.noteReplaced(serverId)
+    if (status === MISDIRECTED) context.directory.noteReplaced(server.start)
     return { type: 'notRun', reason: `turned away with ${status}` }
   }
   if (read.isLeft()) return { type: 'unknown', reason: read.swap().unsafeCoerce().message }
@@ -98,18 +98,18 @@
     const server = choose(context, request, tried)
     if (!server) return finish(tried.size > 0 ? 'no other server' : 'no server')
     if (tried.size > 0 && !budget.takeRepeat(request.serviceName, context.routerCount())) return finish('no repeats left')
-    const { serverId } = server.entry
+    const { start, entry: { serverId } } = server
     if (tried.size > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: request.caller.requestId, peer: serverId, count: tried.size })
-    tried.add(serverId)
+    tried.add(startKeyOf(start))
     lastPeer = serverId
-    directory.own.noteSent(serverId, 0)
+    directory.own.noteSent(start, 0)
     const sentMs = timers.nowMs()
     const limit = limitExchange(context, request, ANSWER_GRACE_MS)
     const end = await tryOnce(context, request, server, limit.signal)
     limit.release()
-    directory.own.noteFirstEvent(serverId, 0)
-    directory.own.noteEnded(serverId)
-    directory.noteOutcome(serverId, countsAsFailure({
+    directory.own.noteFirstEvent(start, 0)
+    directory.own.noteEnded(start)
+    directory.noteOutcome(start, countsAsFailure({
       hasFailed: end.type === 'unknown' || end.type === 'notSent' || end.type === 'failed',
       hasLeft: request.left.aborted,
       isSilent: end.type !== 'answered',
--- /dev/null
+++ b/packages/gateway/src/retries/createCrashBook.test.ts
@@ -0,0 +1,15 @@
+import { expect } from 'chai'
+import { createVirtualTimers } from '@figmount/base'
+
+import { createCrashBook } from './createCrashBook.js'
+
+describe('crash book', () => {
+  it('counts each start of a server that dies once', () => {
+    // A request crashes an engine that starts again under its id. The same id crashed three times, by the same request: two
+    // routers tell of one of them.
+    const book = createCrashBook(createVirtualTimers())
+    for (const startedAtUnixMs of [1_000, 2_000, 2_000, 3_000]) book.note('h', { serverId: 'a', startedAtUnixMs })
+    expect(book.crashCount('h')).to.equal(3)
+    expect(book.crashCount('other')).to.equal(0)
+  })
+})
--- a/packages/gateway/src/retries/createCrashBook.ts
+++ b/packages/gateway/src/retries/createCrashBook.ts
@@ -1,4 +1,7 @@
+import { startKeyOf } from '@figmount/fleet'
+
 import type { TimerService } from '@figmount/base'
+import type { ServerStart } from '@figmount/fleet'
 
 /** How long a request that crashed servers is remembered: its caller sends it again within seconds, or minutes. */
 const KEEP_MS = 120_000
@@ -7,14 +10,15 @@
 const MAX_REQUESTS = 500
 
 interface Crashes {
-  readonly serverIds: ReadonlySet<string>
+  /** Each start of a server counts: one may die of the request again and again under one id. */
+  readonly startKeys: ReadonlySet<string>
   readonly lastMs: number
 }
 
 /** Requests that were running when their backend server died. */
 export interface CrashBook {
-  readonly note: (requestHash: string, serverId: string) => void
-  /** Servers that died under the request. */
+  readonly note: (requestHash: string, start: ServerStart) => void
+  /** Starts of servers that died under the request. */
   readonly crashCount: (requestHash: string) => number
 }
 
@@ -31,12 +35,12 @@
   }
 
   return {
-    note: (requestHash, serverId) => {
+    note: (requestHash, start) => {
       trim()
-      const known = book.get(requestHash)?.serverIds ?? []
+      const known = book.get(requestHash)?.startKeys ?? []
       book.delete(requestHash)
-      book.set(requestHash, { serverIds: new Set([...known, serverId]), lastMs: timers.nowMs() })
+      book.set(requestHash, { startKeys: new Set([...known, startKeyOf(start)]), lastMs: timers.nowMs() })
     },
-    crashCount: requestHash => book.get(requestHash)?.serverIds.size ?? 0
+    crashCount: requestHash => book.get(requestHash)?.startKeys.size ?? 0
   }
 }
--- a/packages/gateway/src/router/createDemandTeller.test.ts
+++ b/packages/gateway/src/router/createDemandTeller.test.ts
@@ -8,11 +8,13 @@
 import { createDemandTeller } from './createDemandTeller.js'
 
 import type { InstanceName } from '@figmount/base'
-import type { RouterMessage, ServerEntry } from '@figmount/fleet'
+import type { RouterMessage, ServerEntry, ServerStart } from '@figmount/fleet'
 import type { AgentLinks } from '../agents/createAgentLinks.js'
 
+const START: ServerStart = { serverId: 'a', startedAtUnixMs: undefined }
+
 const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', slots: 1, isDraining: false, models: [] })
+  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', slots: 1, isDraining: false, models: [] })
 
 const setUp = () => {
   const timers = createVirtualTimers()
@@ -55,7 +57,7 @@
     // unloads the busiest model first.
     const { meter, directory, sent, tell, relink } = setUp()
     meter.note('m', '', 10)
-    directory.own.noteRun('a', 'm')
+    directory.own.noteRun(START, 'm')
     tell()
     relink()
     tell()
@@ -81,9 +83,9 @@
 
   it('tells when the last run of a model has ended', () => {
     const { directory, sent, tell } = setUp()
-    directory.own.noteRun('a', 'm')
+    directory.own.noteRun(START, 'm')
     tell()
-    directory.own.noteRunEnd('a', 'm')
+    directory.own.noteRunEnd(START, 'm')
     tell()
     expect(sent[1]).to.deep.include({ runningModels: [] })
   })
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -146,7 +146,7 @@
   const follow = (): void => {
     isFollowDue = false
     agents.follow(directory.entries(), hasAgent)
-    context.pool.keepOnly(new Set(directory.entries().map(entry => entry.serverId)))
+    context.pool.keepOnly(directory.starts())
   }
   const stops = [
     timers.every(DEMAND_PERIOD_MS, createDemandTeller(context.demand, directory, agents)),
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -1,4 +1,4 @@
-import { createFeedFollower, createNewestDeployment } from '@figmount/fleet'
+import { createFeedFollower, createNewestDeployment, isSameStart } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
 import { CONFIG_WAIT_MS, POLL_SHARE } from './constants.js'
@@ -70,7 +70,7 @@
     if (!record.value) return known !== undefined
     const entry = store.decodeServer(record.key, record.value).toMaybe().extractNullable()
     if (!entry) return known !== undefined
-    return !known || known.entry.isDraining !== entry.isDraining
+    return !known || known.entry.isDraining !== entry.isDraining || !isSameStart(known.start, entry)
   }
 
   const servers = createFeedFollower({
--- a/packages/gateway/src/testing/makeAgentState.ts
+++ b/packages/gateway/src/testing/makeAgentState.ts
@@ -4,7 +4,8 @@
 export const makeAgentState = (serverId: string, given: Partial<AgentState> = {}): AgentState => ({
   type: 'state',
   serverId,
-  goneServerIds: [],
+  startedAtUnixMs: undefined,
+  goneStarts: [],
   isUp: true,
   isDraining: false,
   models: [],
--- a/packages/sidecar/src/engine/constants.ts
+++ b/packages/sidecar/src/engine/constants.ts
@@ -18,3 +18,6 @@
 
 /** Pause after an order that was refused or lost, before the next try. */
 export const ORDER_RETRY_MS = 30
+
+/** An order without an answer is carried out this late at most: the platform says "seconds", and 12 s were seen. */
+export const STRAY_MS = 15_000
--- a/packages/sidecar/src/engine/createOrderer.test.ts
+++ b/packages/sidecar/src/engine/createOrderer.test.ts
@@ -30,6 +30,7 @@
   isDraining: false,
   inMemory: [],
   onDisk: ['a'],
+  startedAtUnixMs: 1_000,
   ...given
 })
 
@@ -38,9 +39,13 @@
   readonly orderer: Orderer
   readonly sent: Array<Order & { readonly serverId: string }>
   readonly want: (modelName: string) => void
+  /** All wants are taken back. */
+  readonly drop: () => void
   /** Lets promises settle while virtual time goes on. */
   readonly pass: (durationMs: number) => Promise<void>
   readonly otherServerCount: () => number
+  /** The engine has restarted under its id; this is its first report. */
+  readonly restart: (given?: Partial<ServerReport>) => void
 }
 
 const accepted: Either<Fault, OrderAnswer> = Right(OrderAnswer.Accepted)
@@ -78,9 +83,14 @@
     orderer,
     sent,
     otherServerCount: () => otherServerCount,
+    restart: (given = {}) => {
+      orderer.noteRestart()
+      orderer.take(reportOf({ startedAtUnixMs: 2_000, ...given }))
+    },
     want: modelName => {
       wants.add('r', { type: 'want', wantId: 1, serverId: 'i-1', modelName, waitingCount: 1, lateCount: 0, timeLeftMs: 60_000 }, () => {})
     },
+    drop: () => { wants.giveUpAll('nobody waits') },
     pass: async durationMs => {
       for (let passedMs = 0; passedMs < durationMs; passedMs += 10) {
         timers.advance(10)
@@ -171,4 +181,89 @@
     await pass(50)
     expect(sent.map(order => order.operation)).to.deep.equal(['unload'])
   })
+
+  it('does not take a load of before for one that is under way after a restart under the same id', async () => {
+    // The answer to a load from the weight store is lost, and the engine restarts under its id with its counts at 0. The
+    // count is the same again, but nothing was begun: the load waits for its turn like any other.
+    const { orderer, sent, want, pass, restart } = setUp([lost])
+    orderer.take(reportOf())
+    want('b')
+    orderer.review()
+    await pass(100)
+    restart()
+    orderer.review()
+    await pass(100)
+    expect(sent).to.have.length(1)
+    await pass(5_100)
+    orderer.review()
+    await pass(50)
+    expect(sent).to.have.length(2)
+  })
+
+  it('leaves room for a lost order of before when the counts come to it again', async () => {
+    // An order to load is lost at an engine that has taken one order, and the engine restarts under its id. The lost order may
+    // still be carried out, once the engine has taken one order again. Had that order filled the room, both models together
+    // would be more than the engine holds, and it would crash.
+    const { orderer, sent, want, drop, pass, restart } = setUp([lost])
+    orderer.take(reportOf({ orderCount: 1, onDisk: ['a', 'b', 'c'] }))
+    want('a')
+    orderer.review()
+    await pass(100)
+    drop()
+    restart({ onDisk: ['a', 'b', 'c'] })
+    want('b')
+    orderer.review()
+    await pass(50)
+    expect(sent.map(order => order.modelName)).to.deep.equal(['a'])
+    want('a')
+    orderer.review()
+    await pass(50)
+    expect(sent.map(order => order.modelName)).to.deep.equal(['a', 'a'])
+  })
+
+  it('fills the room when no lost order of before can come any more', async () => {
+    const { orderer, sent, want, drop, pass, restart } = setUp([lost])
+    orderer.take(reportOf({ orderCount: 1, onDisk: ['a', 'b'] }))
+    want('a')
+    orderer.review()
+    await pass(100)
+    drop()
+    restart({ onDisk: ['a', 'b'] })
+    want('b')
+    orderer.review()
+    await pass(50)
+    expect(sent.map(order => order.modelName)).to.deep.equal(['a'])
+    await pass(15_000)
+    orderer.review()
+    await pass(50)
+    expect(sent.map(order => order.modelName)).to.deep.equal(['a', 'b'])
+  })
+
+  it('leaves no room where the counts have passed a lost order', async () => {
+    const { orderer, sent, want, drop, pass, restart } = setUp([lost])
+    orderer.take(reportOf({ orderCount: 1, onDisk: ['a', 'b'] }))
+    want('a')
+    orderer.review()
+    await pass(100)
+    drop()
+    restart({ onDisk: ['a', 'b'], orderCount: 1 })
+    want('b')
+    orderer.review()
+    await pass(50)
+    expect(sent.map(order => order.modelName)).to.deep.equal(['a', 'b'])
+  })
+
+  it('gives no order that was planned for the start before', async () => {
+    // Routers are told that a model goes, and the order to unload it follows. Meanwhile the engine restarts, with as many
+    // orders taken as then: none.
+    const { orderer, sent, want, pass, restart } = setUp([])
+    orderer.take(reportOf({ models: [{ name: 'b', adapters: [] }] }))
+    want('a')
+    orderer.review()
+    await pass(10)
+    restart()
+    await pass(50)
+    expect(sent).to.deep.equal([])
+    expect(orderer.leavingModels()).to.deep.equal([])
+  })
 })
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -3,6 +3,7 @@
 
 import { SidecarEvent } from '../events.js'
 import { FAST_POLL_MS, LEAVE_NOTICE_MS, ORDER_RETRY_MS, ORDER_TIMEOUT_MS, POLL_MS } from './constants.js'
+import { createLostOrders } from './createLostOrders.js'
 import { loadMsOf, nextOrder } from './viewEngine.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
@@ -54,6 +55,8 @@
   /** The newest report, undefined while the engine does not answer. */
   readonly report: () => ServerReport | undefined
   readonly forget: () => void
+  /** The engine has started again: it holds nothing, and its counts start anew. */
+  readonly noteRestart: () => void
   readonly leavingModels: () => readonly string[]
   readonly currentLoad: () => CurrentLoad | undefined
   /** Time until a load from the weight store may begin. */
@@ -76,6 +79,8 @@
   let unanswered: UnansweredLoad | undefined
   let isOrdering = false
   let ordersWithoutReport = false
+  let startNumber = 0
+  const lostOrders = createLostOrders(timers)
 
   const coldWaitMs = (): number => Math.max(0, lastColdMs + options.coldSpacingMs - timers.nowMs())
 
@@ -93,17 +98,18 @@
     if (leaving !== undefined && !names.has(leaving)) leaving = undefined
   }
 
-  const noteAnswer = (planned: PlannedOrder, answer: OrderAnswer): void => {
+  const noteAnswer = (planned: PlannedOrder, answer: OrderAnswer, isOfThisStart: boolean): void => {
     events.emit(SidecarEvent.orderAnswered, { model: planned.modelName, adapter: planned.adapterName, step: planned.operation, reason: answer })
     if (answer === OrderAnswer.OtherServer) options.noteOtherServer()
+    if (!isOfThisStart) return
     if (answer === OrderAnswer.Accepted || answer === OrderAnswer.AlreadyDone) return
     load = undefined
     leaving = undefined
     lastColdMs = coldBeforeMs
   }
 
-  const noteSilence = (planned: PlannedOrder, orderCount: number, fault: Fault): void => {
-    if (planned.isCold) unanswered = { modelName: planned.modelName, orderCount }
+  const noteSilence = (planned: PlannedOrder, orderCount: number, fault: Fault, isOfThisStart: boolean): void => {
+    if (planned.isCold && isOfThisStart) unanswered = { modelName: planned.modelName, orderCount }
     events.emit(SidecarEvent.orderUnanswered, { model: planned.modelName, adapter: planned.adapterName, step: planned.operation, reason: fault.message })
   }
 
@@ -121,8 +127,15 @@
     // The count that the engine must have accepted guards against an order that was given up and is carried out
     // seconds later, after newer ones: it would load what no longer fits, and the engine would crash.
     const order = { operation, modelName, adapterName, expectedOrderCount: current.orderCount }
-    const result = await options.engine.sendOrder(options.serverId(), order, ORDER_TIMEOUT_MS).run()
-    result.caseOf({ Left: fault => noteSilence(planned, current.orderCount, fault), Right: answer => noteAnswer(planned, answer) })
+    const serverId = options.serverId()
+    const sentTo = startNumber
+    const result = await options.engine.sendOrder(serverId, order, ORDER_TIMEOUT_MS).run()
+    const isOfThisStart = sentTo === startNumber
+    if (result.isLeft()) lostOrders.note(serverId, order, !isOfThisStart)
+    result.caseOf({
+      Left: fault => noteSilence(planned, current.orderCount, fault, isOfThisStart),
+      Right: answer => noteAnswer(planned, answer, isOfThisStart)
+    })
     ordersWithoutReport = true
     options.hurry()
     const isDone = result.map(answer => answer !== OrderAnswer.Conflict && answer !== OrderAnswer.Rejected).orDefault(false)
@@ -141,6 +154,7 @@
     const spec = options.spec()
     if (!report || !spec || options.serverId() === '' || report.isDraining || ordersWithoutReport) return
     const nowMs = timers.nowMs()
+    const plannedFor = startNumber
     const planned = nextOrder({
       spec,
       report,
@@ -148,13 +162,15 @@
       wants: options.wants.open(),
       mayLoadCold: coldWaitMs() === 0,
       unansweredLoad: unanswered && unanswered.orderCount === report.orderCount ? unanswered.modelName : '',
+      reserve: lostOrders.reserve(options.serverId(), report, spec),
       nowMs,
       heldSinceMs
     })
     if (!planned) return
     const seen = report.orderCount
     if (planned.operation === 'unload' && planned.adapterName === '') await giveNotice(planned.modelName)
-    if (!report || report.orderCount !== seen) return
+    // A restart under the same id may bring the same count: the plan was made for what the start before held.
+    if (!report || report.orderCount !== seen || startNumber !== plannedFor || options.serverId() === '') return
     await send(planned, report, spec)
     options.changed()
   }
@@ -173,6 +189,13 @@
     return isAdapterComing || leaving !== undefined ? FAST_POLL_MS : POLL_MS
   }
 
+  const forget = (): void => {
+    report = undefined
+    load = undefined
+    leaving = undefined
+    heldSinceMs.clear()
+  }
+
   return {
     take: next => {
       ordersWithoutReport = false
@@ -181,11 +204,12 @@
     },
     review,
     report: () => report,
-    forget: () => {
-      report = undefined
-      load = undefined
-      leaving = undefined
-      heldSinceMs.clear()
+    forget,
+    noteRestart: () => {
+      startNumber += 1
+      unanswered = undefined
+      lostOrders.noteRestart()
+      forget()
     },
     leavingModels: () => leaving === undefined ? [] : [leaving],
     currentLoad: () => load,
--- a/packages/sidecar/src/engine/viewEngine.ts
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -5,6 +5,7 @@
 import type { EngineSpec, ModelSpec, ServerReport } from '@figmount/fleet'
 import type { DemandBook } from '../demand/createDemandBook.js'
 import type { OpenWant } from '../wants/createWantBook.js'
+import type { Reserve } from './createLostOrders.js'
 
 /** All that an order is decided by. */
 export interface EngineInputs {
@@ -14,6 +15,8 @@
   readonly wants: readonly OpenWant[]
   readonly mayLoadCold: boolean
   readonly unansweredLoad: string
+  /** Room that lost orders may still take. */
+  readonly reserve: Reserve
   readonly nowMs: number
   /** When each model held was loaded or first seen. */
   readonly heldSinceMs: ReadonlyMap<string, number>
@@ -70,6 +73,14 @@
   return spec.weightsCapacityMb - takenMb
 }
 
+const reservedMb = (spec: EngineSpec, { modelsMb, adapterKeys }: Reserve): number => {
+  const specs = specsOf(spec)
+  let totalMb = 0
+  for (const weightsMb of modelsMb.values()) totalMb += weightsMb
+  for (const key of adapterKeys) totalMb += specs.get(key.split('/')[0] ?? '')?.adapterMb ?? 0
+  return totalMb
+}
+
 const viewAdapters = ({ report, demand }: EngineInputs): readonly ResidentAdapter[] =>
   report.models.flatMap(held => held.adapters.map(adapterName => ({
     modelName: held.name, adapterName, idleMs: demand.adapterIdleMs(held.name, adapterName)
@@ -86,7 +97,8 @@
     waitingCount: want.waitingCount,
     lateCount,
     ageMs: inputs.nowMs - want.sinceMs,
-    weightsMb: model?.weightsMb ?? Infinity,
+    // A model that a lost order may bring finds its room reserved.
+    weightsMb: (model?.weightsMb ?? Infinity) - (inputs.reserve.modelsMb.get(want.modelName) ?? 0),
     adapterMb: model?.adapterMb ?? 0,
     isAtHand: hasCopy(inputs.report, want.modelName),
     loadMs: loadMsOf(inputs.report, model, want.modelName)
@@ -104,8 +116,8 @@
     residents: viewResidents(inputs),
     adapters,
     adapterKeys,
-    freeMb: freeMbOf(inputs.spec, inputs.report),
-    freeAdapterSlots: inputs.spec.adapterSlots - adapterKeys.size,
+    freeMb: freeMbOf(inputs.spec, inputs.report) - reservedMb(inputs.spec, inputs.reserve),
+    freeAdapterSlots: inputs.spec.adapterSlots - adapterKeys.size - inputs.reserve.adapterKeys.size,
     isBusy: inputs.report.isBusy,
     mayLoadCold: inputs.mayLoadCold,
     unansweredLoad: inputs.unansweredLoad,
--- a/packages/sidecar/src/events.ts
+++ b/packages/sidecar/src/events.ts
@@ -17,5 +17,6 @@
   deploymentTaken: [3510, 'a newer configuration is in force'],
   feedLost: [3511, 'the store does not answer'],
   feedRegained: [3512, 'the store answers again'],
-  recordRefused: [3513, 'a record of the store could not be read']
+  recordRefused: [3513, 'a record of the store could not be read'],
+  engineRestarted: [3517, 'the engine beside the agent has started again: it holds nothing and counts anew']
 })
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -1,5 +1,6 @@
 import { createDemandBook } from '../demand/createDemandBook.js'
 import { createOrderer } from '../engine/createOrderer.js'
+import { hasRestarted } from '../engine/hasRestarted.js'
 import { watchEngine } from '../engine/watchEngine.js'
 import { SidecarEvent } from '../events.js'
 import { TELL_PERIOD_MS } from '../links/constants.js'
@@ -29,6 +30,8 @@
   readonly store: StorePort
 }
 
+const RESTARTED = 'the engine has restarted'
+
 /** Starts an agent: it watches one engine, orders its models, and tells routers what it holds. */
 export const startSidecar = async (options: SidecarOptions): Promise<RunningProcess> => {
   const { timers, events, metrics } = options.context
@@ -36,6 +39,7 @@
   const wants = createWantBook(timers)
   const deployments = followDeployment({ store: options.store, timers, events })
   let isUp = false
+  let lastReport: ServerReport | undefined
 
   const service = (): Service | undefined => deployments.current()?.services.find(({ name }) => name === options.serviceName)
 
@@ -54,7 +58,7 @@
     demand,
     wants,
     spec: () => service()?.engine,
-    serverId: identity.current,
+    serverId: () => identity.current().serverId,
     noteOtherServer: () => { identity.drop('an order was turned away') },
     coldSpacingMs: COLD_SPACING_MS,
     isFirstStart: options.isFirstStart,
@@ -74,17 +78,29 @@
     links.tell()
   }
 
+  // Guards against a restart between two reports: under the same id, and with as many orders taken, the engine looks as before,
+  // and what it held and was doing would count on.
+  const noteRestart = (): void => {
+    events.emit(SidecarEvent.engineRestarted, { peer: identity.current().serverId })
+    orderer.noteRestart()
+    identity.drop(RESTARTED)
+    wants.giveUpAll(RESTARTED)
+    links.tell()
+  }
+
   const takeReport = (report: ServerReport): void => {
-    if (!isUp) events.emit(SidecarEvent.engineUp, { peer: identity.current() })
-    if (report.isDraining && !orderer.report()?.isDraining) events.emit(SidecarEvent.engineDraining, { peer: identity.current() })
+    if (lastReport && hasRestarted(lastReport, report)) noteRestart()
+    lastReport = report
+    if (!isUp) events.emit(SidecarEvent.engineUp, { peer: identity.current().serverId })
+    if (report.isDraining && !orderer.report()?.isDraining) events.emit(SidecarEvent.engineDraining, { peer: identity.current().serverId })
     isUp = true
-    identity.learn()
+    identity.learn(report.startedAtUnixMs)
     orderer.take(report)
     advance()
   }
 
   const noteDown = (reason: string): void => {
-    if (isUp) events.emit(SidecarEvent.engineDown, { peer: identity.current(), reason })
+    if (isUp) events.emit(SidecarEvent.engineDown, { peer: identity.current().serverId, reason })
     isUp = false
     identity.drop(reason)
     orderer.forget()
@@ -92,10 +108,13 @@
     links.tell()
   }
 
+  const isGone = (serverId: string): boolean =>
+    serverId !== identity.current().serverId && identity.gone().some(start => start.serverId === serverId)
+
   const takeWant = (router: string, want: Want, settle: Settle): void => {
     events.emit(SidecarEvent.wantTaken, { peer: router, model: want.modelName, adapter: want.adapterName ?? '', count: want.waitingCount })
     metrics.count('wants_total')
-    if (identity.gone().includes(want.serverId)) return settle(want.wantId, { isReady: false, isLost: true, reason: 'the engine has restarted' })
+    if (isGone(want.serverId)) return settle(want.wantId, { isReady: false, isLost: true, reason: RESTARTED })
     if (!isUp) return settle(want.wantId, { isReady: false, isLost: true, reason: 'engine is down' })
     const takenMs = timers.nowMs()
     wants.add(router, want, (wantId, end) => {
--- a/packages/sidecar/src/testing/makeStateForTest.ts
+++ b/packages/sidecar/src/testing/makeStateForTest.ts
@@ -4,7 +4,8 @@
 export const makeStateForTest = (): AgentState => ({
   type: 'state',
   serverId: 'a',
-  goneServerIds: [],
+  startedAtUnixMs: undefined,
+  goneStarts: [],
   isUp: true,
   isDraining: false,
   models: [{ name: 'm', adapters: [] }],
