--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -14,7 +14,7 @@
   serverTaken: [2510, 'a backend server may get requests'],
   serverLeft: [2511, 'a backend server gets no more requests'],
   deploymentTaken: [2512, 'a newer configuration is in force'],
-  recordRefused: [2513, 'a record of the store could not be read; what was known stays in force'],
+  recordRefused: [2513, 'a record of the store could not be read: the configuration stays in force, a server under that key is not used'],
   feedLost: [2514, 'the store does not answer; what is known stays in force'],
   feedRegained: [2515, 'the store answers again'],
   agentLost: [2516, 'an agent does not answer'],
@@ -22,5 +22,6 @@
   replicaAsked: [2518, 'one more replica of a model was asked for ahead of requests'],
   requestMalformed: [2519, 'a request could not be read and was refused'],
   requestsCutShort: [2520, 'a stop has come to its end while requests are open: they get their final answer now'],
-  requestsUnanswered: [2521, 'a stop closes connections on requests that have no final answer']
+  requestsUnanswered: [2521, 'a stop closes connections on requests that have no final answer'],
+  serverRestarted: [2522, 'a backend server has started again under its id: what was known of it counts no more']
 })
--- a/packages/gateway/src/forwarding/sendToServer.test.ts
+++ b/packages/gateway/src/forwarding/sendToServer.test.ts
@@ -52,7 +52,7 @@
     const codec = { decodeAnswer: () => ({ requestId: '', serverId: SERVER_ID, isNotRun: false }) } as unknown as HeaderCodec
     const context: SendContext = { pool, codec, timers }
     const outbound: OutboundRequest = {
-      serverId: SERVER_ID,
+      start: { serverId: SERVER_ID, startedAtUnixMs: undefined },
       address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
       method: 'POST',
       url: '/',
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -23,13 +23,13 @@
 const STOP_MS = 8_000
 
 const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', slots: 1, isDraining: false, models: [] })
+  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', slots: 1, isDraining: false, models: [] })
 
 /** A router with two engines that have the model on disk; `answer` says what becomes of each want, undefined for nothing yet. */
 const setUp = (answer: (address: string) => WantOutcome | undefined) => {
   const timers = createVirtualTimers()
   const events = createEventLog({ instance: 'r' as InstanceName, role: 'router', timers })
-  const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), entryTaken: () => {} })
+  const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), isServiceNamed: () => true, entryTaken: () => {} })
   for (const serverId of ['a', 'b']) {
     directory.takeRecords([{ key: serverId, value: Buffer.from('x'), offset: 1 }])
     directory.takeState(`${serverId}:1`, makeAgentState(serverId, { onDisk: ['m'] }))
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -60,7 +60,13 @@
   const hasAgent = (entry: ServerEntry): boolean =>
     findEngine(feeds.deployment(), entry.serviceName) !== undefined
 
-  const directory = createDirectory({ timers, events, decodeServer: options.store.decodeServer, entryTaken: () => { followSoon() } })
+  const directory = createDirectory({
+    timers,
+    events,
+    decodeServer: options.store.decodeServer,
+    isServiceNamed: name => feeds.deployment()?.services.some(service => service.name === name) ?? false,
+    entryTaken: () => { followSoon() }
+  })
   const crashes = createCrashBook(timers)
   const coldLoads = createColdLoads(timers, modelName => findModel(feeds.deployment(), modelName)?.coldLoadMs)
   const agents = createAgentLinks({
@@ -142,7 +148,7 @@
   const follow = (): void => {
     isFollowDue = false
     agents.follow(directory.entries(), hasAgent)
-    context.pool.keepOnly(new Set(directory.entries().map(entry => entry.serverId)))
+    context.pool.keepOnly(directory.starts())
   }
   const stops = [
     timers.every(DEMAND_PERIOD_MS, createDemandTeller(context.demand, directory, agents)),
