Let what has run go on elsewhere until the end of a router's stop

Cause: a router that stops sends nothing in its last two seconds, as a stream begun then is cut. The same rule held for a stream that its server broke off: it was given up 1.7 s before the router's end although another server had the model and the route lets it go on, and an idempotent call whose server failed ended as a 502. Ruled out: moving a stream while its server drains (most end by themselves in the time that a leaving server has, and each move costs a repeat and its prompt again).

Change: what has run may be sent until the stop's end; waits for models and adapters know the same bound, and the patience of a stream's caller counts from its newest event, not from its arrival.

--- a/packages/gateway/src/requests/awaitAdapter.ts
+++ b/packages/gateway/src/requests/awaitAdapter.ts
@@ -2,11 +2,11 @@
 
 import { GatewayEvent } from '../events.js'
 import { limitWait } from '../stopping/limitWait.js'
-import { awaitWant, patienceLeftMs } from './awaitWant.js'
+import { awaitWant } from './awaitWant.js'
 import { ADAPTER_WAIT_MS, STOPPING, STOPPING_RETRY_MS } from './constants.js'
 
 import type { KnownServer } from '../directory/types.js'
-import type { LateWait } from './awaitWant.js'
+import type { LateWait, WaitBounds } from './awaitWant.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** How the wait for an adapter ended. */
@@ -21,15 +21,14 @@
  * a model: a request that this leaves no time hears at once when the load ends, and its adapter is fetched first then.
  */
 export const awaitAdapter = async (
-  context: GatewayContext, request: RoutedRequest, server: KnownServer, expectedMs: number
+  context: GatewayContext, request: RoutedRequest, server: KnownServer, expectedMs: number, bounds: WaitBounds
 ): Promise<AdapterWait> => {
   const { modelName, adapterName, requestId } = request.caller
   const { stop, timers } = context
-  const { objectiveMs } = request.route
   const agent = context.agents.find(server.entry.address)
   if (!agent) return { type: 'missed' }
   const readyAtMs = timers.nowMs() + expectedMs
-  const { isHopeless, keptMs } = planWait({ readyInMs: expectedMs, leftMs: patienceLeftMs(context, request) })
+  const { isHopeless, keptMs } = planWait({ readyInMs: expectedMs, leftMs: bounds.callerLeavesMs() - timers.nowMs() })
   context.events.emit(GatewayEvent.modelAwaited, {
     requestKey: requestId,
     model: modelName,
@@ -41,7 +40,7 @@
   const timeLeftMs = isHopeless ? keptMs : Math.min(keptMs, expectedMs + ADAPTER_WAIT_MS)
   const want = agent.want({ serverId: server.entry.serverId, modelName, adapterName, waitingCount: 1, lateCount: 0, timeLeftMs })
   if (isHopeless) return { type: 'late', reason: 'the adapter comes too late', retryAfterMs: expectedMs }
-  const stopLimiting = limitWait({ stop, timers, objectiveMs, readyAtMs, giveUp: () => want.drop(STOPPING) })
+  const stopLimiting = limitWait({ stop, timers, lastSendMs: bounds.lastSendMs, readyAtMs, giveUp: () => want.drop(STOPPING) })
   const outcome = await awaitWant(request, want)
   stopLimiting()
   if (outcome.reason === STOPPING) return { type: 'late', reason: STOPPING, retryAfterMs: Math.max(STOPPING_RETRY_MS, readyAtMs - timers.nowMs()) }
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -5,7 +5,7 @@
 import { findLoader } from '../placing/findLoader.js'
 import { heldModel } from '../placing/viewServers.js'
 import { limitWait } from '../stopping/limitWait.js'
-import { awaitWant, patienceLeftMs } from './awaitWant.js'
+import { awaitWant } from './awaitWant.js'
 import { NO_SERVER_RETRY_MS, STOPPING, STOPPING_RETRY_MS } from './constants.js'
 
 import type { Unsubscribe } from '@figmount/base'
@@ -13,7 +13,7 @@
 import type { OpenWant } from '../agents/types.js'
 import type { KnownServer } from '../directory/types.js'
 import type { Loader } from '../placing/findLoader.js'
-import type { LateWait } from './awaitWant.js'
+import type { LateWait, WaitBounds } from './awaitWant.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** How the wait for a model ended. */
@@ -62,9 +62,10 @@
  * Has a model loaded that no engine holds, and waits for it. A request that the load would leave no time, or whose
  * caller would leave before its first event, is not kept waiting: it hears at once when the model will be there, and the load is begun for its return.
  */
-export const awaitModel = async (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[]): Promise<ModelWait> => {
+export const awaitModel = async (
+  context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[], bounds: WaitBounds
+): Promise<ModelWait> => {
   const { modelName, requestId } = request.caller
-  const { objectiveMs } = request.route
   const spec = findEngine(context.deployment(), request.serviceName)
   const model = spec?.models.find(candidate => candidate.name === modelName)
   if (!spec || !model) return { type: 'late', reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
@@ -74,13 +75,13 @@
   const { readyInMs, agent } = loader
   const { serverId, address } = loader.server.entry
   const readyAtMs = context.timers.nowMs() + readyInMs
-  if (readyAtMs > context.stop.lastSendMs(objectiveMs)) return endByStop(context, loader, modelName, readyAtMs)
+  if (readyAtMs > bounds.lastSendMs()) return endByStop(context, loader, modelName, readyAtMs)
   const isNewColdLoad = loader.isCold && !loader.isLoading
   if (isNewColdLoad && context.coldLoads.count() >= context.coldLoads.limit()) {
     return { type: 'late', reason: 'the weight store is busy', retryAfterMs: readyInMs + model.coldLoadMs }
   }
   if (isNewColdLoad) context.coldLoads.noteAsked(address)
-  const { isHopeless, keptMs } = planWait({ readyInMs, leftMs: patienceLeftMs(context, request) })
+  const { isHopeless, keptMs } = planWait({ readyInMs, leftMs: bounds.callerLeavesMs() - context.timers.nowMs() })
   context.events.emit(GatewayEvent.modelAwaited, {
     requestKey: requestId,
     model: modelName,
@@ -94,7 +95,7 @@
   if (isHopeless) return { type: 'late', reason: 'the model comes too late', retryAfterMs: readyInMs }
   const stopWatching = watchElsewhere(context, request, loader, want)
   const stopLimiting = limitWait({
-    stop: context.stop, timers: context.timers, objectiveMs, readyAtMs, giveUp: () => want.drop(STOPPING)
+    stop: context.stop, timers: context.timers, lastSendMs: bounds.lastSendMs, readyAtMs, giveUp: () => want.drop(STOPPING)
   })
   const outcome = await awaitWant(request, want)
   stopWatching()
--- a/packages/gateway/src/requests/awaitWant.ts
+++ b/packages/gateway/src/requests/awaitWant.ts
@@ -1,5 +1,5 @@
 import type { OpenWant, WantOutcome } from '../agents/types.js'
-import type { GatewayContext, RoutedRequest } from './types.js'
+import type { RoutedRequest } from './types.js'
 
 /** How a wait ended without what was waited for; it may be there after `retryAfterMs`. */
 export interface LateWait {
@@ -8,9 +8,13 @@
   readonly retryAfterMs: number
 }
 
-/** Time that a request's caller still waits for its first event. */
-export const patienceLeftMs = (context: GatewayContext, { untilMs, arrivedMs, route }: RoutedRequest): number =>
-  Math.min(untilMs, arrivedMs + route.patienceMs) - context.timers.nowMs()
+/** What bounds a request's waits. */
+export interface WaitBounds {
+  /** Time after which a stopping router does not send it any more; Infinity while no stop was asked for. */
+  readonly lastSendMs: () => number
+  /** Time at which its caller gives up unless an event comes. */
+  readonly callerLeavesMs: () => number
+}
 
 /** Waits for a want's end, and takes it back when the caller leaves. */
 export const awaitWant = async (request: RoutedRequest, want: OpenWant): Promise<WantOutcome> => {
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -13,6 +13,7 @@
 
 import type { ServerStart } from '@figmount/fleet'
 import type { KnownServer } from '../directory/types.js'
+import type { WaitBounds } from './awaitWant.js'
 import type { RunEnd } from './runStream.js'
 import type { CallerStream } from './streamToCaller.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
@@ -95,6 +96,11 @@
   let lostLoads = 0
   let lastPeer = ''
 
+  const bounds: WaitBounds = {
+    lastSendMs: () => runs > 0 ? stop.lastRepeatMs() : stop.lastSendMs(route.objectiveMs),
+    callerLeavesMs: () => Math.min(request.untilMs, stream.lastEventMs() + route.patienceMs)
+  }
+
   const giveUp = (reason: string, retryAfterMs: number): void => {
     if (request.left.aborted) return noteLeft(context, request)
     if (runs > 0) return fail(context, request, reason, lastPeer)
@@ -108,12 +114,12 @@
 
   for (;;) {
     if (request.left.aborted || request.untilMs - timers.nowMs() < LEAST_SERVE_MS) return giveUp('no time left', FULL_RETRY_MS)
-    if (timers.nowMs() >= stop.lastSendMs(route.objectiveMs)) return giveUp(STOPPING, STOPPING_RETRY_MS)
+    if (timers.nowMs() >= bounds.lastSendMs()) return giveUp(STOPPING, STOPPING_RETRY_MS)
     const servers = directory.serving(serviceName).filter(server => !avoided.has(startKeyOf(server.start)))
     if (servers.length === 0) return giveUp('no server', NO_SERVER_RETRY_MS)
     const choice = choose(context, request, servers)
     if (!choice) {
-      const wait = await awaitModel(context, request, servers)
+      const wait = await awaitModel(context, request, servers, bounds)
       // An engine that dies in the middle of a load has lost its waiting callers nothing but time: another one is asked.
       if (wait.type === 'changed') continue
       lostLoads += Number(wait.type === 'lost')
@@ -122,7 +128,7 @@
     }
     context.unmet.settle(caller.modelName)
     const { start, entry: { serverId } } = choice.server
-    const wait = choice.adapterWaitMs === 0 ? undefined : await awaitAdapter(context, request, choice.server, choice.adapterWaitMs)
+    const wait = choice.adapterWaitMs === 0 ? undefined : await awaitAdapter(context, request, choice.server, choice.adapterWaitMs, bounds)
     if (wait?.type === 'late') return giveUp(wait.reason, wait.retryAfterMs)
     if (wait?.type === 'missed') {
       turnedAway += 1
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -94,7 +94,8 @@
 
   for (;;) {
     if (request.left.aborted || request.untilMs - timers.nowMs() < LEAST_SERVE_MS) return finish('no time left')
-    if (timers.nowMs() >= stop.lastSendMs(request.route.objectiveMs)) return finish(STOPPING, STOPPING_RETRY_MS)
+    const lastSendMs = runs > 0 ? stop.lastRepeatMs() : stop.lastSendMs(request.route.objectiveMs)
+    if (timers.nowMs() >= lastSendMs) return finish(STOPPING, STOPPING_RETRY_MS)
     const server = choose(context, request, tried)
     if (!server) return finish(tried.size > 0 ? 'no other server' : 'no server')
     if (tried.size > 0 && !budget.takeRepeat(request.serviceName, context.routerCount())) return finish('no repeats left')
--- a/packages/gateway/src/requests/streamToCaller.ts
+++ b/packages/gateway/src/requests/streamToCaller.ts
@@ -15,6 +15,8 @@
   readonly hasBegun: () => boolean
   /** Event after which another run goes on; empty before the first one. */
   readonly lastEventId: () => string
+  /** When the newest event came; the request's arrival before the first one. */
+  readonly lastEventMs: () => number
   /** An event was left out by the server: the stream can't be made whole. */
   readonly hasGap: () => boolean
 }
@@ -33,6 +35,7 @@
   let lastNumber: number | undefined
   let gap = false
   let firstEventMs: number | undefined
+  let lastEventMs = request.arrivedMs
 
   const begin = (): void => {
     if (!head || response.headersSent || response.destroyed) return
@@ -62,6 +65,7 @@
     take: event => {
       if (!follows(event)) return true
       if (gap || response.destroyed) return true
+      lastEventMs = context.timers.nowMs()
       begin()
       return response.write(event.bytes)
     },
@@ -73,6 +77,7 @@
     },
     hasBegun: () => response.headersSent,
     lastEventId: () => lastEventId,
+    lastEventMs: () => lastEventMs,
     hasGap: () => gap
   }
 }
--- a/packages/gateway/src/stopping/createStop.ts
+++ b/packages/gateway/src/stopping/createStop.ts
@@ -30,6 +30,9 @@
     isClosing: () => timers.nowMs() >= closingMs(),
     isEnded: () => isEnded,
     lastSendMs: objectiveMs => endMs() - Math.max(LEAST_ANSWER_MS, objectiveMs),
+    // Guards against a stream that is left half sent because its server went late in the stop: a request that has run
+    // cannot be refused any more, so it is tried elsewhere until the end, which would break it off no worse.
+    lastRepeatMs: endMs,
     onAsked: listener => listen(askedListeners, listener),
     onEnded: listener => listen(endListeners, listener),
     ask: () => {
--- a/packages/gateway/src/stopping/limitWait.ts
+++ b/packages/gateway/src/stopping/limitWait.ts
@@ -4,7 +4,8 @@
 interface Options {
   readonly stop: Stop
   readonly timers: TimerService
-  readonly objectiveMs: number
+  /** Time after which what waits is not sent any more. */
+  readonly lastSendMs: () => number
   /** When what is waited for is expected. */
   readonly readyAtMs: number
   readonly giveUp: () => void
@@ -17,12 +18,12 @@
  * though "not run" was true. A wait that is expected to outlast the stop ends as soon as the stop is asked for, so that
  * its caller has the most time left elsewhere; one that turns out to do so ends with the last time to send.
  */
-export const limitWait = ({ stop, timers, objectiveMs, readyAtMs, giveUp }: Options): Unsubscribe => {
+export const limitWait = ({ stop, timers, lastSendMs, readyAtMs, giveUp }: Options): Unsubscribe => {
   let cancelTimer: Unsubscribe = () => {}
   const limit = (): void => {
-    const lastSendMs = stop.lastSendMs(objectiveMs)
-    if (readyAtMs > lastSendMs) return giveUp()
-    cancelTimer = timers.after(Math.max(0, lastSendMs - timers.nowMs()), giveUp)
+    const lastMs = lastSendMs()
+    if (readyAtMs > lastMs) return giveUp()
+    cancelTimer = timers.after(Math.max(0, lastMs - timers.nowMs()), giveUp)
   }
   const unsubscribe = stop.onAsked(limit)
   if (stop.isAsked()) limit()
--- a/packages/gateway/src/stopping/stopping.test.ts
+++ b/packages/gateway/src/stopping/stopping.test.ts
@@ -14,7 +14,7 @@
   const timers = createVirtualTimers()
   const stop = createStop(timers, STOP_MS)
   let gaveUpMs: number | undefined
-  const release = limitWait({ stop, timers, objectiveMs: OBJECTIVE_MS, readyAtMs, giveUp: () => { gaveUpMs = timers.nowMs() } })
+  const release = limitWait({ stop, timers, lastSendMs: () => stop.lastSendMs(OBJECTIVE_MS), readyAtMs, giveUp: () => { gaveUpMs = timers.nowMs() } })
   return { timers, stop, release, gaveUpMs: () => gaveUpMs }
 }
 
@@ -50,6 +50,13 @@
     expect(stop.lastSendMs(OBJECTIVE_MS)).to.equal(LAST_SEND_MS)
     expect(stop.lastSendMs(LEAST_ANSWER_MS + 500)).to.equal(LAST_SEND_MS - 500)
   })
+
+  it('lets what has run go on elsewhere until the end', () => {
+    const stop = createStop(createVirtualTimers(), STOP_MS)
+    expect(stop.lastRepeatMs()).to.equal(Infinity)
+    stop.ask()
+    expect(stop.lastRepeatMs()).to.equal(STOP_MS - DRAIN_MARGIN_MS)
+  })
 })
 
 describe('a wait at a router that stops', () => {
@@ -80,7 +87,7 @@
     const stop = createStop(timers, STOP_MS)
     stop.ask()
     let gaveUpCount = 0
-    limitWait({ stop, timers, objectiveMs: OBJECTIVE_MS, readyAtMs: LAST_SEND_MS + 1, giveUp: () => { gaveUpCount += 1 } })
+    limitWait({ stop, timers, lastSendMs: () => stop.lastSendMs(OBJECTIVE_MS), readyAtMs: LAST_SEND_MS + 1, giveUp: () => { gaveUpCount += 1 } })
     expect(gaveUpCount).to.equal(1)
   })
 
--- a/packages/gateway/src/stopping/types.ts
+++ b/packages/gateway/src/stopping/types.ts
@@ -7,6 +7,8 @@
   readonly isClosing: () => boolean
   /** Time after which a request with this objective is not sent to a server any more; Infinity while no stop was asked for. */
   readonly lastSendMs: (objectiveMs: number) => number
+  /** The same for one that has run already: to give it up early saves its caller nothing. */
+  readonly lastRepeatMs: () => number
   /** The end has come: requests that are still open get their final answer. */
   readonly isEnded: () => boolean
   /** Calls back when a stop is asked for. */
