--- a/packages/decisions/src/placing/chooseLoader.ts
+++ b/packages/decisions/src/placing/chooseLoader.ts
@@ -1,6 +1,7 @@
 import { rankByRendezvous } from '@figmount/base'
 
 import { FAILURE_COST_MS } from './constants.js'
+import { lateWhileAbsent } from './lateRequests.js'
 
 import type { LoaderView, LoadTimes } from './types.js'
 
@@ -54,7 +55,9 @@
 }
 
 const costOf = (times: LoadTimes, server: LoaderView, secondMs: number): number => {
-  const waitMs = readyInMs(times, server) + server.failureShare * FAILURE_COST_MS
+  const readyMs = readyInMs(times, server)
+  const lateMs = lateWhileAbsent(times.requestsPerS, readyMs) * LOSS_COST_MS
+  const waitMs = readyMs + lateMs + server.failureShare * FAILURE_COST_MS
   if (server.isLoading) return waitMs
   const blockedMs = loadMs(times, server) * BUSY_SHARE * Math.min(1, server.heldTokensPerS / FULL_RATE_TOKENS_PER_S)
   const coldMs = server.isInMemory || server.isOnDisk ? 0 : COLD_COST_MS
@@ -67,6 +70,9 @@
  * Load pattern: many models of which each is asked for now and then, more than the engines hold. Without it a model
  * is loaded from the weight store in 6 to 13 s although another engine has a copy on its disk and needs 0.4 s.
  *
+ * All requests that come until the model is there are late, not only the one that asks: worth of ten days of a deployment whose
+ * demand moves every six seconds 0.016 more, 0.008 its standard error, in pairs without processor time.
+ *
  * A burst at many routers leads to one load: one that has begun is joined, and of servers that are about equal all
  * routers take the same. By the lowest cost alone two routers loaded a model twice in two of six bursts on a busy machine.
  */
--- a/packages/decisions/src/placing/chooseVictims.ts
+++ b/packages/decisions/src/placing/chooseVictims.ts
@@ -1,5 +1,5 @@
 import { LEAST_HELD_MS, LEAST_IDLE_MS, WAITING_LOSS, WAIT_STEP_MS } from './constants.js'
-import { lateByFewer, lateShare, requestsAhead } from './lateRequests.js'
+import { lateByFewer, lateWhileAbsent } from './lateRequests.js'
 
 import type { PlacedModel } from './types.js'
 
@@ -22,12 +22,6 @@
 
 const isInUse = (resident: PlacedModel): boolean => resident.isRunning || resident.idleMs < LEAST_IDLE_MS
 
-/** Requests within the horizon that are late because the model's only replica has gone: those until it is back. */
-const lateWithoutSole = (resident: PlacedModel): number => {
-  const returnsS = resident.returnsMs / MS_PER_S
-  return Math.min(requestsAhead(resident), 1 + resident.requestsPerS * returnsS) * lateShare(returnsS)
-}
-
 const lossOfUse = (resident: PlacedModel): number => {
   if (!isInUse(resident)) return 0
   const blockedCount = resident.replicaCount > 1 ? 0 : resident.requestsPerS * RUNNING_UNLOAD_MS / MS_PER_S
@@ -39,7 +33,7 @@
   if (!resident.isDemandKnown && resident.replicaCount > 1) return resident.replicaCount * UNKNOWN_LOSS_PER_REPLICA + lossOfUse(resident)
   const lost = resident.replicaCount > 1
     ? lateByFewer(resident, resident.replicaCount, resident.replicaCount - 1)
-    : lateWithoutSole(resident)
+    : lateWhileAbsent(resident.requestsPerS, resident.returnsMs)
   return lost + lossOfUse(resident)
 }
 
--- a/packages/decisions/src/placing/lateRequests.ts
+++ b/packages/decisions/src/placing/lateRequests.ts
@@ -20,6 +20,12 @@
 /** Requests within the horizon. */
 export const requestsAhead = ({ requestsPerS }: Pick<ModelLoad, 'requestsPerS'>): number => requestsPerS * LATE_HORIZON_S
 
+/** Requests within the horizon that are late because the model is nowhere for `absentMs`: those that come until it is back. */
+export const lateWhileAbsent = (requestsPerS: number, absentMs: number): number => {
+  const absentS = absentMs / MS_PER_S
+  return Math.min(requestsAhead({ requestsPerS }), 1 + requestsPerS * absentS) * lateShare(absentS)
+}
+
 /** Mean wait in front of a model's replicas: it grows with use / (1 - use), as in any queue. */
 const queueS = (load: ModelLoad, replicaCount: number): number => {
   const use = Math.min(FULL_USE, load.promptTokensPerS / (PROMPT_TOKENS_PER_MS * MS_PER_S) / replicaCount)
--- a/packages/decisions/src/placing/placing.test.ts
+++ b/packages/decisions/src/placing/placing.test.ts
@@ -29,7 +29,7 @@
   residents: [], adapters: [], adapterKeys: new Set(), freeMb: 140_000, freeAdapterSlots: 8, isBusy: false, mayLoadCold: true, unansweredLoad: '', wants: [], ...given
 })
 
-const TIMES = { name: 'm', coldLoadMs: 6_000, diskLoadMs: 440, memoryLoadMs: 320 }
+const TIMES = { name: 'm', coldLoadMs: 6_000, diskLoadMs: 440, memoryLoadMs: 320, requestsPerS: 0.1 }
 
 const firstOf = (promptTokens: number, servers: readonly ServerView[]): string | undefined =>
   rankServers({ promptTokens, dataCentre: 'east' }, servers)[0]?.serverId
@@ -79,6 +79,14 @@
     expect(choice?.serverId).to.equal('b')
   })
 
+  it('counts all that wait until a model that many ask for is there', () => {
+    // Demand moves to a model that is being loaded from the weight store for six seconds. Another engine has a copy on its disk, and
+    // to make room there costs a few callers. Weighed for one caller alone the long load is joined, and 110 are refused in two seconds.
+    const servers = [loader('loading', { isLoading: true, hasBegun: true, busyMs: 5_500 }), loader('copy', { isOnDisk: true, evictionLoss: 25 })]
+    expect(chooseLoader(TIMES, servers)?.serverId).to.equal('loading')
+    expect(chooseLoader({ ...TIMES, requestsPerS: 20 }, servers)?.serverId).to.equal('copy')
+  })
+
   it('is the same at all routers where servers are about equal', () => {
     // A burst for one model reaches two routers. Each knows the engines in another order and one's load a tenth of a second
     // late: by the lowest cost alone each chose another engine, and the model was loaded twice.
--- a/packages/decisions/src/placing/types.ts
+++ b/packages/decisions/src/placing/types.ts
@@ -45,6 +45,8 @@
   readonly coldLoadMs: number
   readonly diskLoadMs: number
   readonly memoryLoadMs: number
+  /** Requests a second for the model: all that come until it is there wait for it. */
+  readonly requestsPerS: number
 }
 
 /** A model that an engine holds, as a candidate to make way. */
--- a/packages/gateway/src/placing/findLoader.ts
+++ b/packages/gateway/src/placing/findLoader.ts
@@ -23,7 +23,8 @@
   context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], unmetForMs = 0
 ): Loader | undefined => {
   const views = viewLoaders({ directory: context.directory, spec, model, servers, unmetForMs, nowMs: context.timers.nowMs() })
-  const choice = chooseLoader(model, views)
+  const requestsPerS = context.demand.requestsPerS(model.name) * context.routerCount()
+  const choice = chooseLoader({ ...model, requestsPerS }, views)
   const view = views.find(candidate => candidate.serverId === choice?.serverId)
   const server = servers.find(candidate => candidate.entry.serverId === choice?.serverId)
   const agent = server && context.agents.find(server.entry.address)
