Unload a model only after its running requests have ended

Load: rare models take turns on engines that hold busy models besides. Ruled out: loads from the weight store (a fifth of the time at five of nine engines, nothing at the others).

Change: the model takes no new requests (routers are told), other orders go on, and the unload follows when routers tell that their requests have ended, which they do within 50 ms for such models.

--- a/packages/decisions/src/placing/placing.test.ts
+++ b/packages/decisions/src/placing/placing.test.ts
@@ -6,7 +6,7 @@
 import { neededReplicas, planReplicas } from './planReplicas.js'
 import { rankServers } from './rankServers.js'
 
-import type { EngineView, WantView } from './planOrder.js'
+import type { EngineView, PlannedOrder, WantView } from './planOrder.js'
 import type { LoaderView, PlacedModel, ServerView } from './types.js'
 
 const server = (serverId: string, given: Partial<ServerView> = {}): ServerView => ({
@@ -26,9 +26,11 @@
 })
 
 const engine = (given: Partial<EngineView> = {}): EngineView => ({
-  residents: [], adapters: [], adapterKeys: new Set(), freeMb: 140_000, freeAdapterSlots: 8, isBusy: false, mayLoadCold: true, unansweredLoad: '', wants: [], ...given
+  residents: [], adapters: [], adapterKeys: new Set(), freeMb: 140_000, freeAdapterSlots: 8, isBusy: false, mayLoadCold: true, comingModel: '', unansweredLoad: '', wants: [], ...given
 })
 
+const orderOf = (view: EngineView): PlannedOrder | undefined => planOrder(view).order
+
 const TIMES = { name: 'm', coldLoadMs: 6_000, diskLoadMs: 440, memoryLoadMs: 320, requestsPerS: 0.1 }
 
 const firstOf = (promptTokens: number, servers: readonly ServerView[]): string | undefined =>
@@ -151,10 +153,10 @@
     // A router that expects room sooner than the agent makes it sends every caller of the model into the same vain wait.
     for (const requestsPerS of [0.1, 1, 5, 20]) {
       const resident = placed('busy', { isRunning: true, requestsPerS })
-      const orderAt = (ageMs: number) => planOrder(engine({ residents: [resident], freeMb: 0, wants: [want('new', { ageMs })] }))
+      const drainedAt = (ageMs: number) => planOrder(engine({ residents: [resident], freeMb: 0, wants: [want('new', { ageMs })] })).drainingModel
       const evictedMs = estimateRoomMs([resident], 1) - unloadMsOf(resident)
-      expect(orderAt(evictedMs + 1), `${requestsPerS} a second`).to.deep.include({ operation: 'unload' })
-      if (evictedMs > 1) expect(orderAt(evictedMs - 1), `${requestsPerS} a second`).to.equal(undefined)
+      expect(drainedAt(evictedMs + 1), `${requestsPerS} a second`).to.equal('busy')
+      if (evictedMs > 1) expect(drainedAt(evictedMs - 1), `${requestsPerS} a second`).to.equal('')
     }
   })
 
@@ -162,7 +164,7 @@
     // Demand jumps to one model, and its second replica has just come. One caller of a rare model must not take it away:
     // the queue at the replica that is left makes several a second late.
     const busy = placed('busy', { replicaCount: 2, requestsPerS: 4, promptTokensPerS: 20_000, idleMs: 200 })
-    expect(planOrder(engine({ residents: [busy], freeMb: 0, wants: [want('rare')] }))).to.equal(undefined)
+    expect(orderOf(engine({ residents: [busy], freeMb: 0, wants: [want('rare')] }))).to.equal(undefined)
   })
 
   it('takes several when one is too small', () => {
@@ -194,44 +196,44 @@
 
 describe('plan of orders', () => {
   it('fetches an adapter beside its model', () => {
-    const order = planOrder(engine({ residents: [placed('m')], wants: [want('m', { adapterName: 'a1' })] }))
+    const order = orderOf(engine({ residents: [placed('m')], wants: [want('m', { adapterName: 'a1' })] }))
     expect(order).to.deep.include({ operation: 'load', modelName: 'm', adapterName: 'a1' })
   })
 
   it('frees a place of the adapter that was idle longest', () => {
     const adapters = [{ modelName: 'm', adapterName: 'a1', idleMs: 500 }, { modelName: 'm', adapterName: 'a2', idleMs: 9_000 }]
-    const order = planOrder(engine({ residents: [placed('m')], adapters, freeAdapterSlots: 0, wants: [want('m', { adapterName: 'a3' })] }))
+    const order = orderOf(engine({ residents: [placed('m')], adapters, freeAdapterSlots: 0, wants: [want('m', { adapterName: 'a3' })] }))
     expect(order).to.deep.include({ operation: 'unload', adapterName: 'a2' })
   })
 
   it('waits for an adapter that is on its way', () => {
-    const order = planOrder(engine({ residents: [placed('m')], adapterKeys: new Set(['m/a1']), wants: [want('m', { adapterName: 'a1' })] }))
+    const order = orderOf(engine({ residents: [placed('m')], adapterKeys: new Set(['m/a1']), wants: [want('m', { adapterName: 'a1' })] }))
     expect(order).to.equal(undefined)
   })
 
   it('makes room before it loads', () => {
     // An engine that is ordered to load more than fits crashes with all that it runs.
-    const order = planOrder(engine({ residents: [placed('old')], freeMb: 10, wants: [want('new')] }))
+    const order = orderOf(engine({ residents: [placed('old')], freeMb: 10, wants: [want('new')] }))
     expect(order).to.deep.include({ operation: 'unload', modelName: 'old' })
   })
 
   it('gives no second order while one is under way', () => {
     const wants = [want('new'), want('m', { adapterName: 'a1' })]
-    expect(planOrder(engine({ residents: [placed('m')], isBusy: true, wants }))).to.equal(undefined)
+    expect(orderOf(engine({ residents: [placed('m')], isBusy: true, wants }))).to.equal(undefined)
   })
 
   it('serves who waits before what is wanted ahead', () => {
     const wants = [want('ahead', { waitingCount: 0, ageMs: 9_000 }), want('awaited', { isAtHand: false })]
-    expect(planOrder(engine({ wants }))?.modelName).to.equal('awaited')
+    expect(orderOf(engine({ wants }))?.modelName).to.equal('awaited')
   })
 
   it('serves the many before the one, by the time that it takes', () => {
     // A busy model has lost its engines; 32 callers wait for its load of six seconds while single callers of rare
     // models keep coming, each with a load of half a second.
     const wants = [want('rare', { ageMs: 2_000 }), want('busy', { waitingCount: 32, isAtHand: false, loadMs: 6_000 })]
-    expect(planOrder(engine({ wants }))?.modelName).to.equal('busy')
+    expect(orderOf(engine({ wants }))?.modelName).to.equal('busy')
     const few = [want('rare'), want('busy', { waitingCount: 3, isAtHand: false, loadMs: 6_000, ageMs: 2_000 })]
-    expect(planOrder(engine({ wants: few }))?.modelName).to.equal('rare')
+    expect(orderOf(engine({ wants: few }))?.modelName).to.equal('rare')
   })
 
   it('takes a copy at hand on another engine before the weight store, though it takes longer', () => {
@@ -240,19 +242,19 @@
   })
 
   it('holds back from the weight store until it may', () => {
-    expect(planOrder(engine({ mayLoadCold: false, wants: [want('new', { isAtHand: false })] }))).to.equal(undefined)
+    expect(orderOf(engine({ mayLoadCold: false, wants: [want('new', { isAtHand: false })] }))).to.equal(undefined)
   })
 
   it('repeats a load whose order got no answer', () => {
     // The answer to a load from the weight store is lost. The order bears the engine's count of orders, so only one of
     // the two is carried out: waiting for the weight store's turn again would cost those who wait five seconds.
     const view = engine({ mayLoadCold: false, unansweredLoad: 'new', wants: [want('new', { isAtHand: false })] })
-    expect(planOrder(view)?.modelName).to.equal('new')
+    expect(orderOf(view)?.modelName).to.equal('new')
   })
 
   it('evicts for a replica that relieves more than it costs', () => {
     const residents = [placed('rare', { requestsPerS: 0.5 })]
-    const order = planOrder(engine({ residents, freeMb: 0, wants: [want('hot', { waitingCount: 0, lateCount: 4 })] }))
+    const order = orderOf(engine({ residents, freeMb: 0, wants: [want('hot', { waitingCount: 0, lateCount: 4 })] }))
     expect(order).to.deep.include({ operation: 'unload', modelName: 'rare' })
   })
 
@@ -260,8 +262,8 @@
     // One caller asks for a rare model. All that is held is the only replica of a model that is asked for ten times a
     // second: without a measure the one caller is served and ten a second wait.
     const view = engine({ residents: [placed('busy', { requestsPerS: 10 })], freeMb: 0, wants: [want('rare')] })
-    expect(planOrder(view)).to.equal(undefined)
-    expect(planOrder({ ...view, wants: [want('rare', { ageMs: 4_000 })] })).to.deep.include({ operation: 'unload' })
+    expect(orderOf(view)).to.equal(undefined)
+    expect(orderOf({ ...view, wants: [want('rare', { ageMs: 4_000 })] })).to.deep.include({ operation: 'unload' })
   })
 
   it('takes room from models in steady use for one that many wait for', () => {
@@ -269,13 +271,33 @@
     // sixty callers come for it in nine seconds: while models in use could never go, all of the sixty were refused.
     const residents = ['first', 'second'].map(name => placed(name, { isRunning: true, idleMs: 50, requestsPerS: 1 }))
     const few = engine({ residents, freeMb: 0, wants: [want('third', { waitingCount: 4 })] })
-    expect(planOrder(few)).to.deep.include({ operation: 'unload' })
+    expect(planOrder(few)).to.deep.equal({ order: undefined, drainingModel: 'first' })
     const one = engine({ residents, freeMb: 0, wants: [want('third')] })
-    expect(planOrder(one)).to.equal(undefined)
+    expect(planOrder(one)).to.deep.equal({ order: undefined, drainingModel: '' })
+  })
+
+  it('orders nothing that would wait for running streams', () => {
+    // Rare models take turns on an engine. One must go whose stream runs for two more seconds. The unload was ordered at once,
+    // and the engine took no other order meanwhile: an adapter of a busy model, ready in 5 ms, came two seconds late.
+    const running = placed('running', { isRunning: true, requestsPerS: 0.3 })
+    const busy = placed('busy', { requestsPerS: 20, promptTokensPerS: 10_000 })
+    const wants = [want('rare', { ageMs: 4_000 }), want('busy', { adapterName: 'a1', waitingCount: 0 })]
+    const plan = planOrder(engine({ residents: [running, busy], freeMb: 66, wants }))
+    expect(plan.drainingModel).to.equal('running')
+    expect(plan.order).to.deep.include({ modelName: 'busy', adapterName: 'a1' })
+    const ended = { ...running, isRunning: false }
+    const later = planOrder(engine({ residents: [ended, busy], freeMb: 66, wants: [want('rare', { ageMs: 4_000 })] }))
+    expect(later.order).to.deep.include({ operation: 'unload', modelName: 'running' })
+  })
+
+  it('drains during a load what the next one needs gone', () => {
+    const running = placed('running', { isRunning: true, requestsPerS: 0.3 })
+    const loading = engine({ residents: [running], freeMb: 0, isBusy: true, comingModel: 'first', wants: [want('first'), want('second', { ageMs: 4_000 })] })
+    expect(planOrder(loading)).to.deep.equal({ order: undefined, drainingModel: 'running' })
   })
 
   it('evicts nothing busy for what nobody waits for', () => {
-    const order = planOrder(engine({ residents: [placed('busy', { requestsPerS: 3 })], freeMb: 0, wants: [want('new', { waitingCount: 0 })] }))
+    const order = orderOf(engine({ residents: [placed('busy', { requestsPerS: 3 })], freeMb: 0, wants: [want('new', { waitingCount: 0 })] }))
     expect(order).to.equal(undefined)
   })
 })
--- a/packages/decisions/src/placing/planOrder.ts
+++ b/packages/decisions/src/placing/planOrder.ts
@@ -39,6 +39,8 @@
   readonly isBusy: boolean
   /** A load from the weight store may begin now. */
   readonly mayLoadCold: boolean
+  /** Model that is being loaded; empty when none. Its room is not free any more. */
+  readonly comingModel: string
   /** Model whose load was ordered without an answer; asked for again it counts as the same load. Empty when none. */
   readonly unansweredLoad: string
   readonly wants: readonly WantView[]
@@ -52,6 +54,13 @@
   readonly isCold: boolean
 }
 
+/** What to do next. */
+export interface OrderPlan {
+  readonly order: PlannedOrder | undefined
+  /** Model that takes no new requests, so that it can be unloaded once those that run have ended; empty when none. */
+  readonly drainingModel: string
+}
+
 /** An adapter in use is not unloaded by the engine; one that was used this lately is likely to be. */
 const ADAPTER_IDLE_MS = 200
 
@@ -84,19 +93,52 @@
   return oldest && { operation: 'unload', modelName: oldest.modelName, adapterName: oldest.adapterName, isCold: false }
 }
 
-const planModel = (engine: EngineView, want: WantView): PlannedOrder | undefined => {
+const NOTHING: OrderPlan = { order: undefined, drainingModel: '' }
+
+const planModel = (engine: EngineView, want: WantView): OrderPlan => {
   const mayLoad = want.isAtHand || engine.mayLoadCold || engine.unansweredLoad === want.modelName
-  if (!mayLoad) return undefined
+  if (!mayLoad) return NOTHING
   if (engine.freeMb >= want.weightsMb) {
-    return { operation: 'load', modelName: want.modelName, adapterName: '', isCold: !want.isAtHand }
+    return { order: { operation: 'load', modelName: want.modelName, adapterName: '', isCold: !want.isAtHand }, drainingModel: '' }
   }
   const wantedModels = new Set(engine.wants.filter(other => other.waitingCount > 0).map(other => other.modelName))
   const movable = engine.residents.filter(resident => !wantedModels.has(resident.modelName))
   const eviction = chooseVictims(movable, want.weightsMb - engine.freeMb)
-  if (!eviction) return undefined
-  if (eviction.loss > lossLimitOf(want)) return undefined
-  const [modelName = ''] = eviction.modelNames
-  return { operation: 'unload', modelName, adapterName: '', isCold: false }
+  if (!eviction || eviction.loss > lossLimitOf(want)) return NOTHING
+  for (const modelName of eviction.modelNames) {
+    const isRunning = engine.residents.some(resident => resident.modelName === modelName && resident.isRunning)
+    if (!isRunning) return { order: { operation: 'unload', modelName, adapterName: '', isCold: false }, drainingModel: '' }
+  }
+  return { order: undefined, drainingModel: eviction.modelNames[0] ?? '' }
+}
+
+const planAdapters = (engine: EngineView, held: ReadonlySet<string>, wants: readonly WantView[]): PlannedOrder | undefined => {
+  for (const want of wants) {
+    if (want.adapterName === '' || !held.has(want.modelName)) continue
+    const order = planAdapter(engine, want)
+    if (order) return order
+  }
+  return undefined
+}
+
+/**
+ * The next order on a whole model. A model that must go while requests run on it takes no new ones and is unloaded after
+ * their end.
+ *
+ * Load pattern: rare models that take turns on an engine, beside busy ones. An engine that is ordered to unload a model in use
+ * waits for its streams, and takes no other order meanwhile: of a played day's late callers of rare models most waited 1.7 to
+ * 2.8 s behind such an unload, and adapters of other models waited with them. Worth of nine days of a deployment with 34 rare
+ * models on eight engines: 0.018 more, 0.013 its standard error, in pairs without processor time; callers of busy models gain most.
+ */
+const planModels = (engine: EngineView, held: ReadonlySet<string>, wants: readonly WantView[]): OrderPlan => {
+  let drainingModel = ''
+  for (const want of wants) {
+    if (held.has(want.modelName) || want.modelName === engine.comingModel) continue
+    const plan = planModel(engine, want)
+    if (plan.order) return { order: plan.order, drainingModel }
+    if (drainingModel === '') drainingModel = plan.drainingModel
+  }
+  return { order: undefined, drainingModel }
 }
 
 /** Requests served in time for each ms that the engine takes no other order. */
@@ -113,25 +155,16 @@
   b.ageMs - a.ageMs
 
 /**
- * The next order for an engine, or undefined when nothing is wanted or possible now.
+ * The next order for an engine, if anything is wanted and possible now, and which model makes room for a later one.
  *
  * Load pattern: a burst for a model that is not there, beside adapters for those that are. Adapters go first: they take
  * 5 ms, and behind a load they would wait for seconds. Room is made before a load is ordered, by the engine's own figures, so that weights
  * and adapters never exceed what it holds.
  */
-export const planOrder = (engine: EngineView): PlannedOrder | undefined => {
-  if (engine.isBusy) return undefined
+export const planOrder = (engine: EngineView): OrderPlan => {
   const held = new Set(engine.residents.map(resident => resident.modelName))
   const wants = [...engine.wants].sort(byUrgency)
-  for (const want of wants) {
-    if (want.adapterName === '' || !held.has(want.modelName)) continue
-    const order = planAdapter(engine, want)
-    if (order) return order
-  }
-  for (const want of wants) {
-    if (held.has(want.modelName)) continue
-    const order = planModel(engine, want)
-    if (order) return order
-  }
-  return undefined
+  const { order, drainingModel } = planModels(engine, held, wants)
+  if (engine.isBusy) return { order: undefined, drainingModel }
+  return { order: planAdapters(engine, held, wants) ?? order, drainingModel }
 }
--- a/packages/gateway/src/router/constants.ts
+++ b/packages/gateway/src/router/constants.ts
@@ -14,6 +14,9 @@
 /** Time between two messages on demand: half the time that an idle model stays at least. */
 export const DEMAND_PERIOD_MS = 500
 
+/** Time between two looks whether requests for a model that is about to go have ended: an idle model is unloaded in 80 ms. */
+export const LEAVING_PERIOD_MS = 50
+
 /** A starting router waits this long for nearly all agents before it calls itself ready without them. */
 export const AGENT_PATIENCE_MS = 1_500
 
--- a/packages/gateway/src/router/createDemandTeller.test.ts
+++ b/packages/gateway/src/router/createDemandTeller.test.ts
@@ -29,10 +29,11 @@
       const message = messageFor('a:1', isNewLink)
       if (message) sent.push(message)
       isNewLink = false
-    }
+    },
+    find: () => ({ send: (message: RouterMessage) => sent.push(message) })
   } as unknown as AgentLinks
-  const tell = createDemandTeller(meter, directory, links)
-  return { timers, meter, directory, sent, tell, relink: () => { isNewLink = true } }
+  const { tell, tellLeaving } = createDemandTeller(meter, directory, links)
+  return { timers, meter, directory, sent, tell, tellLeaving, relink: () => { isNewLink = true } }
 }
 
 const modelsOf = (message: RouterMessage | undefined): readonly string[] =>
@@ -103,4 +104,18 @@
     tell()
     expect(sent[1]).to.deep.include({ runningModels: [] })
   })
+
+  it('tells at once when the last request of a leaving model has ended', () => {
+    const { directory, sent, tell, tellLeaving } = setUp()
+    directory.own.noteRun(START, 'm')
+    tell()
+    directory.own.noteRunEnd(START, 'm')
+    tellLeaving()
+    expect(sent).to.have.length(1)
+    directory.takeState('a:1', makeAgentState('a', { leavingModels: ['m'] }))
+    tellLeaving()
+    tellLeaving()
+    expect(sent).to.have.length(2)
+    expect(sent[1]).to.deep.include({ runningModels: [] })
+  })
 })
--- a/packages/gateway/src/router/createDemandTeller.ts
+++ b/packages/gateway/src/router/createDemandTeller.ts
@@ -20,17 +20,35 @@
   return changed
 }
 
+/** Tells agents of one router's demand. */
+export interface DemandTeller {
+  /** Tells each agent what has changed. */
+  readonly tell: () => void
+  /**
+   * Tells agents that wait for the end of a model's requests when the router's own have ended.
+   *
+   * Gains the time until the next message on demand, half a second, for each model that makes room: a quarter of its turn.
+   */
+  readonly tellLeaving: () => void
+}
+
 /**
  * Makes what tells each agent what has changed in a router's demand; one whose link is new hears all of it.
  *
  * Guards against messages that fill a router's link: with 60 models of several replicas told whole to 39 agents at each
  * change, requests waited 80 ms behind them at 7 Mbit/s (a played day's routers with and without such a link).
  */
-export const createDemandTeller = (meter: DemandMeter, directory: Directory, agents: AgentLinks): () => void => {
+export const createDemandTeller = (meter: DemandMeter, directory: Directory, agents: AgentLinks): DemandTeller => {
   const runningTexts = new Map<string, string>()
   let counts: ReadonlyMap<string, number> = new Map()
 
-  return () => {
+  const noteRuns = (serverAddress: string, runningText: string): boolean => {
+    const hasNewRuns = runningText !== (runningTexts.get(serverAddress) ?? '')
+    runningTexts.set(serverAddress, runningText)
+    return hasNewRuns
+  }
+
+  const tell = (): void => {
     const metered = meter.read()
     const all = metered.map(({ demand }) => demand)
     const fresh = metered.filter(({ isNew }) => isNew).map(({ demand }) => demand)
@@ -41,9 +59,7 @@
 
     agents.sendToEach((serverAddress, isNewLink) => {
       const runningModels = directory.runningModels(serverAddress)
-      const runningText = runningModels.join()
-      const hasNewRuns = isNewLink || runningText !== (runningTexts.get(serverAddress) ?? '')
-      runningTexts.set(serverAddress, runningText)
+      const hasNewRuns = noteRuns(serverAddress, runningModels.join()) || isNewLink
       const models = isNewLink ? all : fresh
       const told = isNewLink ? replicas : changed
       if (models.length === 0 && told.length === 0 && !hasNewRuns) return undefined
@@ -51,4 +67,16 @@
       return message
     })
   }
+
+  const tellLeaving = (): void => {
+    for (const { serverId, address } of directory.entries()) {
+      const state = directory.find(serverId)?.state
+      if (!state || state.leavingModels.length === 0) continue
+      const runningModels = directory.runningModels(address)
+      if (!noteRuns(address, runningModels.join())) continue
+      agents.find(address)?.send({ type: 'demand', models: [], replicas: [], runningModels })
+    }
+  }
+
+  return { tell, tellLeaving }
 }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -17,7 +17,7 @@
 import { createRepeatBudget } from '../retries/createRepeatBudget.js'
 import { createStop } from '../stopping/createStop.js'
 import { drain } from '../stopping/drain.js'
-import { AGENT_PATIENCE_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS, LEAST_ROUTER_COUNT } from './constants.js'
+import { AGENT_PATIENCE_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS, LEAST_ROUTER_COUNT, LEAVING_PERIOD_MS } from './constants.js'
 import { createCatchUp } from './createCatchUp.js'
 import { createDemandTeller } from './createDemandTeller.js'
 import { takeFeeds } from './takeFeeds.js'
@@ -150,8 +150,10 @@
     agents.follow(directory.entries(), hasAgent)
     context.pool.keepOnly(directory.starts())
   }
+  const teller = createDemandTeller(context.demand, directory, agents)
   const stops = [
-    timers.every(DEMAND_PERIOD_MS, createDemandTeller(context.demand, directory, agents)),
+    timers.every(DEMAND_PERIOD_MS, teller.tell),
+    timers.every(LEAVING_PERIOD_MS, teller.tellLeaving),
     timers.every(FOLLOW_PERIOD_MS, follow),
     timers.every(REPLICA_PERIOD_MS, () => watchReplicas(context))
   ]
--- a/packages/sidecar/src/engine/createOrderer.test.ts
+++ b/packages/sidecar/src/engine/createOrderer.test.ts
@@ -39,6 +39,8 @@
   readonly orderer: Orderer
   readonly sent: Array<Order & { readonly serverId: string }>
   readonly want: (modelName: string) => void
+  /** Models for which a router says that it has requests running here. */
+  readonly runs: (...modelNames: string[]) => void
   /** All wants are taken back. */
   readonly drop: () => void
   /** Lets promises settle while virtual time goes on. */
@@ -54,6 +56,7 @@
 const setUp = (answers: Array<Either<Fault, OrderAnswer>>, isFirstStart = true): Bench => {
   const timers = createVirtualTimers()
   const wants = createWantBook(timers)
+  const demand = createDemandBook(timers)
   const sent: Bench['sent'] = []
   let otherServerCount = 0
   const orderer = createOrderer({
@@ -67,7 +70,7 @@
     },
     timers,
     events: createEventLog({ instance: 'a' as InstanceName, role: 'agent', timers }),
-    demand: createDemandBook(timers),
+    demand,
     wants,
     spec: () => SPEC,
     serverId: () => 'i-1',
@@ -90,6 +93,7 @@
     want: modelName => {
       wants.add('r', { type: 'want', wantId: 1, serverId: 'i-1', modelName, waitingCount: 1, lateCount: 0, timeLeftMs: 60_000 }, () => {})
     },
+    runs: (...runningModels) => { demand.take('r', { type: 'demand', models: [], replicas: [], runningModels }) },
     drop: () => { wants.giveUpAll('nobody waits') },
     pass: async durationMs => {
       for (let passedMs = 0; passedMs < durationMs; passedMs += 10) {
@@ -266,4 +270,40 @@
     expect(sent).to.deep.equal([])
     expect(orderer.leavingModels()).to.deep.equal([])
   })
+
+  it('orders no unload while requests run', async () => {
+    // A model must make room while a stream of two seconds runs on it. The engine was ordered to unload it at once, waited for
+    // the stream, and turned all other orders away meanwhile.
+    const { orderer, sent, want, runs, pass } = setUp([])
+    const held = { models: [{ name: 'b', adapters: [] }], runningCount: 1 }
+    runs('b')
+    orderer.take(reportOf(held))
+    want('a')
+    orderer.review()
+    await pass(500)
+    orderer.review()
+    await pass(100)
+    expect(orderer.leavingModels()).to.deep.equal(['b'])
+    expect(sent).to.deep.equal([])
+    runs()
+    orderer.take(reportOf({ ...held, runningCount: 0 }))
+    orderer.review()
+    await pass(10)
+    expect(sent).to.have.length(1)
+    expect(sent[0]).to.deep.include({ operation: 'unload', modelName: 'b' })
+  })
+
+  it('lets a model stay that need not go any more', async () => {
+    const { orderer, sent, want, runs, drop, pass } = setUp([])
+    runs('b')
+    orderer.take(reportOf({ models: [{ name: 'b', adapters: [] }], runningCount: 1 }))
+    want('a')
+    orderer.review()
+    await pass(10)
+    drop()
+    orderer.review()
+    await pass(10)
+    expect(orderer.leavingModels()).to.deep.equal([])
+    expect(sent).to.deep.equal([])
+  })
 })
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -27,6 +27,12 @@
   readonly orderCount: number
 }
 
+/** A model that takes no new requests until those that run have ended. */
+interface Draining {
+  readonly modelName: string
+  readonly sinceMs: number
+}
+
 interface Options {
   readonly engine: EnginePort
   readonly timers: TimerService
@@ -72,6 +78,7 @@
   const heldSinceMs = new Map<string, number>()
   let report: ServerReport | undefined
   let leaving: string | undefined
+  let draining: Draining | undefined
   let load: CurrentLoad | undefined
   let lastColdMs = options.isFirstStart ? -Infinity : timers.nowMs()
   // An order that is turned away has begun no load: the time of the one before it counts again.
@@ -142,12 +149,20 @@
     if (!isDone) await sleep(timers, ORDER_RETRY_MS)
   }
 
+  const drain = (modelName: string): void => {
+    if (modelName === (draining?.modelName ?? '')) return
+    draining = modelName === '' ? undefined : { modelName, sinceMs: timers.nowMs() }
+    options.changed()
+  }
+
   // Guards against requests that reach the engine just as their model goes: they would be turned away there. Routers
   // are told first and the order follows when their newest requests have arrived.
   const giveNotice = async (modelName: string): Promise<void> => {
+    drain(modelName)
+    const toldForMs = timers.nowMs() - (draining?.sinceMs ?? timers.nowMs())
+    if (toldForMs < LEAVE_NOTICE_MS) await sleep(timers, LEAVE_NOTICE_MS - toldForMs)
     leaving = modelName
-    options.changed()
-    await sleep(timers, LEAVE_NOTICE_MS)
+    draining = undefined
   }
 
   const orderOnce = async (): Promise<void> => {
@@ -155,22 +170,28 @@
     if (!report || !spec || options.serverId() === '' || report.isDraining || ordersWithoutReport) return
     const nowMs = timers.nowMs()
     const plannedFor = startNumber
-    const planned = nextOrder({
+    const { order: planned, drainingModel } = nextOrder({
       spec,
       report,
       demand: options.demand,
       wants: options.wants.open(),
       mayLoadCold: coldWaitMs() === 0,
+      comingModel: load?.modelName ?? '',
       unansweredLoad: unanswered && unanswered.orderCount === report.orderCount ? unanswered.modelName : '',
       reserve: lostOrders.reserve(options.serverId(), report, spec),
       nowMs,
       heldSinceMs
     })
+    const isWholeUnload = planned?.operation === 'unload' && planned.adapterName === ''
+    if (!isWholeUnload) drain(drainingModel)
     if (!planned) return
     const seen = report.orderCount
-    if (planned.operation === 'unload' && planned.adapterName === '') await giveNotice(planned.modelName)
+    if (isWholeUnload) await giveNotice(planned.modelName)
     // A restart under the same id may bring the same count: the plan was made for what the start before held.
-    if (!report || report.orderCount !== seen || startNumber !== plannedFor || options.serverId() === '') return
+    if (!report || report.orderCount !== seen || startNumber !== plannedFor || options.serverId() === '') {
+      leaving = undefined
+      return
+    }
     await send(planned, report, spec)
     options.changed()
   }
@@ -186,13 +207,14 @@
     // A load from the weight store takes seconds: it is looked at often only towards its end.
     if (load) return Math.max(FAST_POLL_MS, Math.min(POLL_MS, (load.endsAtMs - timers.nowMs()) / 4))
     const isAdapterComing = options.wants.open().some(want => want.adapterName !== '')
-    return isAdapterComing || leaving !== undefined ? FAST_POLL_MS : POLL_MS
+    return isAdapterComing || leaving !== undefined || draining ? FAST_POLL_MS : POLL_MS
   }
 
   const forget = (): void => {
     report = undefined
     load = undefined
     leaving = undefined
+    draining = undefined
     heldSinceMs.clear()
   }
 
@@ -211,7 +233,7 @@
       lostOrders.noteRestart()
       forget()
     },
-    leavingModels: () => leaving === undefined ? [] : [leaving],
+    leavingModels: () => [leaving, draining?.modelName].filter(name => name !== undefined),
     currentLoad: () => load,
     coldWaitMs,
     heldSinceMs: () => heldSinceMs,
--- a/packages/sidecar/src/engine/viewEngine.ts
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -1,7 +1,7 @@
 import { lateByFewer, planOrder } from '@figmount/decisions'
 import { hasCopy } from '@figmount/fleet'
 
-import type { EngineView, PlannedOrder, ResidentAdapter, PlacedModel, WantView } from '@figmount/decisions'
+import type { EngineView, OrderPlan, ResidentAdapter, PlacedModel, WantView } from '@figmount/decisions'
 import type { EngineSpec, ModelSpec, ServerReport } from '@figmount/fleet'
 import type { DemandBook } from '../demand/createDemandBook.js'
 import type { OpenWant } from '../wants/createWantBook.js'
@@ -14,6 +14,8 @@
   readonly demand: DemandBook
   readonly wants: readonly OpenWant[]
   readonly mayLoadCold: boolean
+  /** Model that is being loaded; empty when none. */
+  readonly comingModel: string
   readonly unansweredLoad: string
   /** Room that lost orders may still take. */
   readonly reserve: Reserve
@@ -81,6 +83,12 @@
   return totalMb
 }
 
+/** Room of the model that is being loaded and not yet listed as held. */
+const comingMb = ({ spec, report, comingModel }: EngineInputs): number => {
+  if (report.models.some(model => model.name === comingModel)) return 0
+  return specsOf(spec).get(comingModel)?.weightsMb ?? 0
+}
+
 const viewAdapters = ({ report, demand }: EngineInputs): readonly ResidentAdapter[] =>
   report.models.flatMap(held => held.adapters.map(adapterName => ({
     modelName: held.name, adapterName, idleMs: demand.adapterIdleMs(held.name, adapterName)
@@ -116,14 +124,15 @@
     residents: viewResidents(inputs),
     adapters,
     adapterKeys,
-    freeMb: freeMbOf(inputs.spec, inputs.report) - reservedMb(inputs.spec, inputs.reserve),
+    freeMb: freeMbOf(inputs.spec, inputs.report) - reservedMb(inputs.spec, inputs.reserve) - comingMb(inputs),
     freeAdapterSlots: inputs.spec.adapterSlots - adapterKeys.size - inputs.reserve.adapterKeys.size,
     isBusy: inputs.report.isBusy,
     mayLoadCold: inputs.mayLoadCold,
+    comingModel: inputs.comingModel,
     unansweredLoad: inputs.unansweredLoad,
     wants: inputs.wants.map(want => viewWant(inputs, want))
   }
 }
 
-/** The next order for the engine, if any. */
-export const nextOrder = (inputs: EngineInputs): PlannedOrder | undefined => planOrder(viewEngine(inputs))
+/** What to do next at the engine. */
+export const nextOrder = (inputs: EngineInputs): OrderPlan => planOrder(viewEngine(inputs))
--- a/packages/sidecar/src/sidecar/describeEngine.ts
+++ b/packages/sidecar/src/sidecar/describeEngine.ts
@@ -33,7 +33,7 @@
 const priceRoom = ({ timers, spec, orderer, demand }: DescribedEngine, report: ServerReport): RoomPrice => {
   if (!spec || report.models.length === 0) return NO_PRICE
   const residents = viewResidents({
-    spec, report, demand, wants: [], mayLoadCold: true, unansweredLoad: '', reserve: NOTHING_RESERVED, nowMs: timers.nowMs(), heldSinceMs: orderer.heldSinceMs()
+    spec, report, demand, wants: [], mayLoadCold: true, comingModel: '', unansweredLoad: '', reserve: NOTHING_RESERVED, nowMs: timers.nowMs(), heldSinceMs: orderer.heldSinceMs()
   })
   const largestMb = Math.max(0, ...spec.models.map(model => model.weightsMb))
   const leaving = residents.find(resident => orderer.leavingModels().includes(resident.modelName))
