Move a want to an engine that has the model sooner

Load: rare models take turns on all engines.

Change: while the load has not begun the choice is made anew four times a second, and the want moves where the model is 0.4 s sooner, never for a new load from the weight store. What watches loads for a waiting request stands in a module of its own.

--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -80,8 +80,8 @@
   return coldWaitLeftMs(server, nowMs) + model.coldLoadMs
 }
 
-/** Time until an agent can begin with something new. */
-const busyMsOf = (spec: EngineSpec, server: KnownServer, modelName: string, nowMs: number): number => {
+/** Time until an agent can begin with something new; until it has the model where that is wanted there already. */
+export const busyMsOf = (spec: EngineSpec, server: KnownServer, modelName: string, nowMs: number): number => {
   const { state } = server
   if (!state) return 0
   let busyMs = loadingLeftMs(server, nowMs)
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -3,14 +3,11 @@
 
 import { GatewayEvent } from '../events.js'
 import { findLoader } from '../placing/findLoader.js'
-import { heldModel } from '../placing/viewServers.js'
 import { limitWait } from '../stopping/limitWait.js'
 import { awaitWant } from './awaitWant.js'
 import { NO_SERVER_RETRY_MS, STOPPING, STOPPING_RETRY_MS } from './constants.js'
+import { MOVED, watchElsewhere, watchSooner } from './watchLoads.js'
 
-import type { Unsubscribe } from '@figmount/base'
-import type { AgentState } from '@figmount/fleet'
-import type { OpenWant } from '../agents/types.js'
 import type { KnownServer } from '../directory/types.js'
 import type { Loader } from '../placing/findLoader.js'
 import type { LateWait, WaitBounds } from './awaitWant.js'
@@ -24,32 +21,6 @@
   | { readonly type: 'lost', readonly reason: string, readonly retryAfterMs: number }
   | LateWait
 
-const MOVED = 'another engine has the model sooner'
-
-/** The engine's agent says that it holds the model or has begun to load it. */
-const hasOrLoads = (state: AgentState, modelName: string, hasOwnBegun: boolean): boolean => {
-  if (!state.isUp || state.isDraining) return false
-  if (state.models.some(model => model.name === modelName) && !state.leavingModels.includes(modelName)) return true
-  return !hasOwnBegun && state.loadingModel === modelName && state.loadingForMs > 0
-}
-
-/**
- * Guards against a model that is loaded twice for one burst: routers that know different states choose different engines.
- * A router that hears of a load that has begun elsewhere takes its own want back, which the slower agent then forgets.
- */
-const watchElsewhere = (context: GatewayContext, request: RoutedRequest, loader: Loader, want: OpenWant): Unsubscribe => {
-  const { modelName } = request.caller
-  const { serverId, address } = loader.server.entry
-  return context.directory.onState((otherAddress, state) => {
-    if (otherAddress === address) return
-    const own = context.directory.find(serverId)
-    const hasOwnBegun = own?.state?.loadingModel === modelName || (own !== undefined && heldModel(own, modelName) !== undefined)
-    if (!hasOrLoads(state, modelName, hasOwnBegun)) return
-    const isServing = context.directory.serving(request.serviceName).some(server => server.entry.address === otherAddress)
-    if (isServing) want.drop(MOVED)
-  })
-}
-
 /** The router stops: the caller comes back when a load that has begun ends, and at once to have any other one begun by another router. */
 const endByStop = (context: GatewayContext, { server }: Loader, modelName: string, readyAtMs: number): ModelWait => {
   const state = context.directory.find(server.entry.serverId)?.state
@@ -94,11 +65,15 @@
   const want = agent.want({ serverId, modelName, adapterName: '', waitingCount: 1, lateCount: 0, unmetForMs: Math.round(unmetForMs), timeLeftMs: keptMs })
   if (isHopeless) return { type: 'late', reason: 'the model comes too late', retryAfterMs: readyInMs }
   const stopWatching = watchElsewhere(context, request, loader, want)
+  const chooseAnew = (): Loader | undefined =>
+    findLoader(context, spec, model, context.directory.serving(request.serviceName), unmetForMs)
+  const stopChoosing = watchSooner(context, spec, modelName, loader, chooseAnew, want)
   const stopLimiting = limitWait({
     stop: context.stop, timers: context.timers, lastSendMs: bounds.lastSendMs, readyAtMs, giveUp: () => want.drop(STOPPING)
   })
   const outcome = await awaitWant(request, want)
   stopWatching()
+  stopChoosing()
   stopLimiting()
   if (outcome.reason === STOPPING) return endByStop(context, loader, modelName, readyAtMs)
   if (outcome.isReady || outcome.reason === MOVED) return { type: 'changed' }
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -123,6 +123,23 @@
     expect(dropped[0]).to.equal(asked[0])
   })
 
+  it('moves to an engine that has the model sooner', async () => {
+    // A caller waits for a rare model behind another load and the streams there. Another engine with a copy, busy when the caller came,
+    // has been idle since: the caller waited on, four seconds in the middle of a played day.
+    const { timers, directory, context, request, asked, dropped } = setUp(() =>
+      asked.length > 1 ? { isReady: false, isLost: false, reason: 'not in time' } : undefined)
+    const behind = { onDisk: ['m'], loadingModel: 'x', loadingForMs: 5, loadingLeftMs: 3_000, queuedModels: ['m'] }
+    directory.takeState('a:1', makeAgentState('a', behind))
+    directory.takeState('b:1', makeAgentState('b', { onDisk: ['m'], loadingModel: 'y', loadingForMs: 5, loadingLeftMs: 4_500 }))
+    const served = serveModel(context, request)
+    await new Promise(resolve => { setImmediate(resolve) })
+    directory.takeState('b:1', makeAgentState('b', { onDisk: ['m'] }))
+    timers.advance(250)
+    await served
+    expect(asked).to.deep.equal(['a:1', 'b:1'])
+    expect(dropped).to.deep.equal(['a:1'])
+  })
+
   it('refuses at once what did not come in time', async () => {
     const { context, request, asked, statuses } = setUp(() => ({ isReady: false, isLost: false, reason: 'not in time' }))
     await serveModel(context, request)
