--- a/packages/decisions/src/placing/planOrder.ts
+++ b/packages/decisions/src/placing/planOrder.ts
@@ -148,7 +148,8 @@
  * What serves most requests for the time that it takes goes first, then the longest wait.
  * By age alone, or with copies at hand always first, 32 callers of a busy model waited 13 s behind one after the other
  * for rare ones. Nor do those that wait always go before a replica that nobody waits for: beside rare models somebody always waits,
- * and a busy model's second replica was asked for 100 times in 14 s in vain, with 345 of its callers late behind the first one.
+ * and a busy model's second replica was asked for 100 times in 14 s in vain, with 345 of its callers late behind the first one. Share
+ * of the worth owed that is earned over the whole day 0.012 more, 0.005 its standard error, over nine days in pairs.
  */
 const byUrgency = (a: WantView, b: WantView): number =>
   densityOf(b) - densityOf(a) ||
