--- a/packages/sidecar/src/engine/createLeaving.ts
+++ b/packages/sidecar/src/engine/createLeaving.ts
@@ -14,7 +14,7 @@
 export interface Leaving {
   /** Models that routers send no requests for. */
   readonly names: () => readonly string[]
-  /** The model whose requests are to end before it is unloaded; empty for none: one that was named before stays. */
+  /** Names the model whose requests are to end before it is unloaded; empty for none. The one named before is kept after all. */
   readonly drain: (modelName: string) => void
   /** Tells routers that the model is unloaded now, and waits until their newest requests have arrived. */
   readonly giveNotice: (modelName: string) => Promise<void>
