Hold plans of nothing to neither an order nor a drain

Found in the read of the whole change: since a plan may also name a model that is to make room, six checks that nothing is ordered would have passed while a model drained. They compare the whole plan now, as strict as before drains. No code of the programs changes.

--- a/packages/decisions/src/placing/placing.test.ts
+++ b/packages/decisions/src/placing/placing.test.ts
@@ -6,7 +6,7 @@
 import { neededReplicas, planReplicas } from './planReplicas.js'
 import { rankServers } from './rankServers.js'
 
-import type { EngineView, PlannedOrder, WantView } from './planOrder.js'
+import type { EngineView, OrderPlan, PlannedOrder, WantView } from './planOrder.js'
 import type { LoaderView, PlacedModel, ServerView } from './types.js'
 
 const server = (serverId: string, given: Partial<ServerView> = {}): ServerView => ({
@@ -31,6 +31,9 @@
 
 const orderOf = (view: EngineView): PlannedOrder | undefined => planOrder(view).order
 
+/** A plan that neither orders anything nor has a model make room. */
+const NOTHING: OrderPlan = { order: undefined, drainingModel: '' }
+
 const TIMES = { name: 'm', coldLoadMs: 6_000, diskLoadMs: 440, memoryLoadMs: 320, requestsPerS: 0.1 }
 
 const firstOf = (promptTokens: number, servers: readonly ServerView[]): string | undefined =>
@@ -164,7 +167,7 @@
     // Demand jumps to one model, and its second replica has just come. One caller of a rare model must not take it away:
     // the queue at the replica that is left makes several a second late.
     const busy = placed('busy', { replicaCount: 2, requestsPerS: 4, promptTokensPerS: 20_000, idleMs: 200 })
-    expect(orderOf(engine({ residents: [busy], freeMb: 0, wants: [want('rare')] }))).to.equal(undefined)
+    expect(planOrder(engine({ residents: [busy], freeMb: 0, wants: [want('rare')] }))).to.deep.equal(NOTHING)
   })
 
   it('takes several when one is too small', () => {
@@ -207,8 +210,7 @@
   })
 
   it('waits for an adapter that is on its way', () => {
-    const order = orderOf(engine({ residents: [placed('m')], adapterKeys: new Set(['m/a1']), wants: [want('m', { adapterName: 'a1' })] }))
-    expect(order).to.equal(undefined)
+    expect(planOrder(engine({ residents: [placed('m')], adapterKeys: new Set(['m/a1']), wants: [want('m', { adapterName: 'a1' })] }))).to.deep.equal(NOTHING)
   })
 
   it('makes room before it loads', () => {
@@ -219,7 +221,7 @@
 
   it('gives no second order while one is under way', () => {
     const wants = [want('new'), want('m', { adapterName: 'a1' })]
-    expect(orderOf(engine({ residents: [placed('m')], isBusy: true, wants }))).to.equal(undefined)
+    expect(planOrder(engine({ residents: [placed('m')], isBusy: true, wants }))).to.deep.equal(NOTHING)
   })
 
   it('serves who waits before what is wanted ahead', () => {
@@ -249,7 +251,7 @@
   })
 
   it('holds back from the weight store until it may', () => {
-    expect(orderOf(engine({ mayLoadCold: false, wants: [want('new', { isAtHand: false })] }))).to.equal(undefined)
+    expect(planOrder(engine({ mayLoadCold: false, wants: [want('new', { isAtHand: false })] }))).to.deep.equal(NOTHING)
   })
 
   it('repeats a load whose order got no answer', () => {
@@ -269,7 +271,7 @@
     // One caller asks for a rare model. All that is held is the only replica of a model that is asked for ten times a
     // second: without a measure the one caller is served and ten a second wait.
     const view = engine({ residents: [placed('busy', { requestsPerS: 10 })], freeMb: 0, wants: [want('rare')] })
-    expect(orderOf(view)).to.equal(undefined)
+    expect(planOrder(view)).to.deep.equal(NOTHING)
     expect(orderOf({ ...view, wants: [want('rare', { ageMs: 4_000 })] })).to.deep.include({ operation: 'unload' })
   })
 
@@ -280,7 +282,7 @@
     const few = engine({ residents, freeMb: 0, wants: [want('third', { waitingCount: 4 })] })
     expect(planOrder(few)).to.deep.equal({ order: undefined, drainingModel: 'first' })
     const one = engine({ residents, freeMb: 0, wants: [want('third')] })
-    expect(planOrder(one)).to.deep.equal({ order: undefined, drainingModel: '' })
+    expect(planOrder(one)).to.deep.equal(NOTHING)
   })
 
   it('orders nothing that would wait for running streams', () => {
@@ -304,7 +306,6 @@
   })
 
   it('evicts nothing busy for what nobody waits for', () => {
-    const order = orderOf(engine({ residents: [placed('busy', { requestsPerS: 3 })], freeMb: 0, wants: [want('new', { waitingCount: 0 })] }))
-    expect(order).to.equal(undefined)
+    expect(planOrder(engine({ residents: [placed('busy', { requestsPerS: 3 })], freeMb: 0, wants: [want('new', { waitingCount: 0 })] }))).to.deep.equal(NOTHING)
   })
 })
