Count no wait for the weight store before a load at hand

Its lines: modelAwaited with waitMs 4004 and 5240, 'too late for this request', at an engine that was idle, held the weights on disk and, asked, loaded them in 67 ms. Two models that lie nowhere were queued there, and the router added the wait for the weight store and the load of each to the time until the engine could begin. An agent passes over what it may not fetch yet, and what is at hand goes first.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -48,6 +48,8 @@
 export type { ModelLoad } from './placing/lateRequests.js'
 export { firstPace, notePace } from './placing/storePace.js'
 export type { SeenLoad, StorePace } from './placing/storePace.js'
+export { estimateBusyMs } from './placing/estimateBusy.js'
+export type { EngineQueue, QueuedLoad } from './placing/estimateBusy.js'
 export { estimateLoadLeftMs } from './placing/estimateLoadLeft.js'
 export { planWait } from './placing/planWait.js'
 export type { WaitPlan, WaitView } from './placing/planWait.js'
--- /dev/null
+++ b/packages/decisions/src/placing/estimateBusy.test.ts
@@ -0,0 +1,34 @@
+import { expect } from 'chai'
+
+import { estimateBusyMs } from './estimateBusy.js'
+
+import type { QueuedLoad } from './estimateBusy.js'
+
+const COLD: QueuedLoad = { isAtHand: false, loadMs: 6_000 }
+const AT_HAND: QueuedLoad = { isAtHand: true, loadMs: 400 }
+const IDLE = { loadingLeftMs: 0, coldWaitMs: 0, roomMs: 0, queued: [] }
+
+describe('time until an engine can begin', () => {
+  it('is the rest of the load under way', () => {
+    expect(estimateBusyMs({ ...IDLE, loadingLeftMs: 900 }, true)).to.equal(900)
+    expect(estimateBusyMs({ ...IDLE, loadingLeftMs: 900 }, false)).to.equal(900)
+  })
+
+  it('is nothing for a copy at hand while others wait for the weight store', () => {
+    // An engine has nothing to do. Two models that lie nowhere are asked for there and may not be fetched for 1.6 s. A stream that lost
+    // its engine needs a model with a copy on this disk, loaded in 67 ms: it was given up for a wait of four seconds.
+    expect(estimateBusyMs({ ...IDLE, coldWaitMs: 1_600, queued: [COLD, COLD] }, true)).to.equal(0)
+  })
+
+  it('counts all loads at hand that were asked for before, with their room', () => {
+    expect(estimateBusyMs({ ...IDLE, loadingLeftMs: 100, roomMs: 50, queued: [AT_HAND, COLD, AT_HAND] }, true)).to.equal(100 + 2 * 450)
+  })
+
+  it('counts the wait for the weight store once before the loads from it', () => {
+    expect(estimateBusyMs({ ...IDLE, coldWaitMs: 1_600, queued: [AT_HAND, COLD, COLD] }, false)).to.equal(1_600 + 2 * 6_000)
+  })
+
+  it('does not add the wait for the weight store to a load that takes longer', () => {
+    expect(estimateBusyMs({ ...IDLE, loadingLeftMs: 3_000, coldWaitMs: 1_600, queued: [COLD] }, false)).to.equal(9_000)
+  })
+})
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -1,7 +1,7 @@
-import { estimateLoadLeftMs } from '@figmount/decisions'
+import { estimateBusyMs, estimateLoadLeftMs } from '@figmount/decisions'
 
-import type { LoaderView, ServerView } from '@figmount/decisions'
-import type { EngineSpec, HeldModel, ModelReplicas, ModelSpec } from '@figmount/fleet'
+import type { LoaderView, QueuedLoad, ServerView } from '@figmount/decisions'
+import type { AgentState, EngineSpec, HeldModel, ModelReplicas, ModelSpec } from '@figmount/fleet'
 import type { Directory } from '../directory/createDirectory.js'
 import type { KnownServer } from '../directory/types.js'
 import type { RoutedRequest } from '../requests/types.js'
@@ -72,25 +72,28 @@
   return views
 }
 
-const loadMs = (spec: EngineSpec, server: KnownServer, modelName: string, nowMs: number): number => {
+const queuedLoad = (spec: EngineSpec, state: AgentState, modelName: string): QueuedLoad | undefined => {
   const model = spec.models.find(candidate => candidate.name === modelName)
-  if (!model) return 0
-  if (server.state?.inMemory.includes(modelName)) return model.memoryLoadMs
-  if (server.state?.onDisk.includes(modelName)) return model.diskLoadMs
-  return coldWaitLeftMs(server, nowMs) + model.coldLoadMs
+  if (!model) return undefined
+  if (state.inMemory.includes(modelName)) return { isAtHand: true, loadMs: model.memoryLoadMs }
+  if (state.onDisk.includes(modelName)) return { isAtHand: true, loadMs: model.diskLoadMs }
+  return { isAtHand: false, loadMs: model.coldLoadMs }
 }
 
-/** Time until an agent can begin with something new; until it has the model where that is wanted there already. */
+/** Time until an agent can begin to load a model; until the engine has it where that is wanted there already. */
 export const busyMsOf = (spec: EngineSpec, server: KnownServer, modelName: string, nowMs: number): number => {
   const { state } = server
   if (!state) return 0
-  let busyMs = loadingLeftMs(server, nowMs)
-  if (state.loadingModel === modelName) return busyMs
-  for (const queued of state.queuedModels) {
-    busyMs += state.roomMs + loadMs(spec, server, queued, nowMs)
-    if (queued === modelName) return busyMs
+  const loadingLeft = loadingLeftMs(server, nowMs)
+  if (state.loadingModel === modelName) return loadingLeft
+  const queued: QueuedLoad[] = []
+  for (const name of state.queuedModels) {
+    const load = queuedLoad(spec, state, name)
+    if (load) queued.push(load)
+    if (name === modelName) break
   }
-  return busyMs
+  const isAtHand = queuedLoad(spec, state, modelName)?.isAtHand ?? false
+  return estimateBusyMs({ loadingLeftMs: loadingLeft, coldWaitMs: coldWaitLeftMs(server, nowMs), roomMs: state.roomMs, queued }, isAtHand)
 }
 
 interface LoaderInputs {
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -20,6 +20,8 @@
 
 const MODEL = { name: 'm', weightsMb: 10, coldLoadMs: 6_000, diskLoadMs: 400, memoryLoadMs: 300, adapterMb: 0 }
 
+const OTHER_MODEL = { ...MODEL, name: 'n' }
+
 const STOP_MS = 8_000
 
 const entryOf = (serverId: string): ServerEntry =>
@@ -73,7 +75,7 @@
       })
     },
     routerCount: () => 1,
-    deployment: () => ({ services: [{ name: 's', engine: { models: [MODEL], weightsCapacityMb: 100, adapterSlots: 1 } }] })
+    deployment: () => ({ services: [{ name: 's', engine: { models: [MODEL, OTHER_MODEL], weightsCapacityMb: 100, adapterSlots: 1 } }] })
   } as unknown as GatewayContext
   const request = {
     caller: { requestId: 'r1', modelName: 'm', adapterName: '', promptTokens: 10, promptParts: [], lastEventId: '' },
@@ -140,6 +142,19 @@
     expect(dropped).to.deep.equal(['a:1'])
   })
 
+  it('waits at engines where only other models wait for the weight store', async () => {
+    // Both engines have a copy and nothing to do; another model that lies nowhere is asked for there and may not be fetched yet. The
+    // caller heard that its model would be there after eight seconds, and it was there after a tenth of one.
+    const { directory, context, request, asked, statuses } = setUp(() => undefined)
+    for (const serverId of ['a', 'b']) {
+      directory.takeState(`${serverId}:1`, makeAgentState(serverId, { onDisk: ['m'], coldWaitMs: 1_600, queuedModels: ['n'] }))
+    }
+    const still = new Promise(resolve => { setImmediate(() => { resolve('waits') }) })
+    expect(await Promise.race([serveModel(context, request), still])).to.equal('waits')
+    expect(asked).to.have.length(1)
+    expect(statuses).to.deep.equal([])
+  })
+
   it('refuses at once what did not come in time', async () => {
     const { context, request, asked, statuses } = setUp(() => ({ isReady: false, isLost: false, reason: 'not in time' }))
     await serveModel(context, request)
