--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -27,6 +27,13 @@
   let state: AgentState | undefined
   let isNew = false
   let nextWantId = 1
+  let lastSentMs = -Infinity
+
+  const send = (message: RouterMessage): void => {
+    if (!link) return
+    lastSentMs = timers.nowMs()
+    link.send(message)
+  }
 
   const settle = (wantId: number, outcome: WantOutcome): void => {
     wants.get(wantId)?.(outcome)
@@ -37,7 +44,7 @@
     for (const wantId of [...wants.keys()]) settle(wantId, { isReady: false, isLost: true, reason })
   }
 
-  const openWant = (open: OpenLink, { adapterName, ...rest }: WantRequest): OpenWant => {
+  const openWant = ({ adapterName, ...rest }: WantRequest): OpenWant => {
     const wantId = nextWantId++
     // The agent settles each want within its time. This covers one that falls silent: the want's time is the caller's
     // patience less what it needs to hear of the end, so nothing may be added to it.
@@ -48,11 +55,11 @@
         resolve(end)
       })
     })
-    open.send({ type: 'want', wantId, ...rest, ...(adapterName === '' ? {} : { adapterName }) })
+    send({ type: 'want', wantId, ...rest, ...(adapterName === '' ? {} : { adapterName }) })
     const drop = (reason: string): void => {
       if (!wants.has(wantId)) return
       settle(wantId, { isReady: false, isLost: false, reason })
-      link?.send({ type: 'wantDropped', wantId })
+      send({ type: 'wantDropped', wantId })
     }
     return { outcome, drop }
   }
@@ -101,15 +108,18 @@
     }
   }
 
-  const stopHeartbeat = timers.every(HEARTBEAT_MS, () => { link?.send({ type: 'heartbeat' }) })
+  // Demand goes out twice a second while there is any: a heartbeat beside it would be a third of all messages to agents.
+  const stopHeartbeat = timers.every(HEARTBEAT_MS / 2, () => {
+    if (timers.nowMs() - lastSentMs >= HEARTBEAT_MS) send({ type: 'heartbeat' })
+  })
   runInBackground(events, 'agents.keepOpen', keepOpen())
 
   return {
     want: request => link
-      ? openWant(link, request)
+      ? openWant(request)
       : { outcome: Promise.resolve({ isReady: false, isLost: true, reason: 'the agent does not answer' }), drop: () => {} },
     send: message => {
-      link?.send(message)
+      send(message)
       return link !== undefined
     },
     isOpen: () => link !== undefined,
--- a/packages/gateway/src/requests/watchLoads.ts
+++ b/packages/gateway/src/requests/watchLoads.ts
@@ -16,10 +16,10 @@
 const RECHOOSE_GAIN_MS = 400
 
 /** The engine's agent says that it holds the model or has begun to load it. */
-const hasOrLoads = (state: AgentState, modelName: string, hasOwnBegun: boolean): boolean => {
+const hasOrLoads = (state: AgentState, modelName: string, hasOwnBegun: () => boolean): boolean => {
   if (!state.isUp || state.isDraining) return false
   if (state.models.some(model => model.name === modelName) && !state.leavingModels.includes(modelName)) return true
-  return !hasOwnBegun && state.loadingModel === modelName && state.loadingForMs > 0
+  return state.loadingModel === modelName && state.loadingForMs > 0 && !hasOwnBegun()
 }
 
 /**
@@ -29,10 +29,12 @@
 export const watchElsewhere = (context: GatewayContext, request: RoutedRequest, loader: Loader, want: OpenWant): Unsubscribe => {
   const { modelName } = request.caller
   const { serverId, address } = loader.server.entry
+  const hasOwnBegun = (): boolean => {
+    const own = context.directory.find(serverId)
+    return own?.state?.loadingModel === modelName || (own !== undefined && heldModel(own, modelName) !== undefined)
+  }
   return context.directory.onState((otherAddress, state) => {
     if (otherAddress === address) return
-    const own = context.directory.find(serverId)
-    const hasOwnBegun = own?.state?.loadingModel === modelName || (own !== undefined && heldModel(own, modelName) !== undefined)
     if (!hasOrLoads(state, modelName, hasOwnBegun)) return
     const isServing = context.directory.serving(request.serviceName).some(server => server.entry.address === otherAddress)
     if (isServing) want.drop(MOVED)
--- a/packages/sidecar/src/engine/viewEngine.ts
+++ b/packages/sidecar/src/engine/viewEngine.ts
@@ -24,7 +24,16 @@
   readonly heldSinceMs: ReadonlyMap<string, number>
 }
 
-const specsOf = (spec: EngineSpec): ReadonlyMap<string, ModelSpec> => new Map(spec.models.map(model => [model.name, model]))
+const specMaps = new WeakMap<EngineSpec, ReadonlyMap<string, ModelSpec>>()
+
+/** Specs by name; made once for each configuration, as an agent plans with each report of its engine. */
+const specsOf = (spec: EngineSpec): ReadonlyMap<string, ModelSpec> => {
+  const known = specMaps.get(spec)
+  if (known) return known
+  const specs = new Map(spec.models.map(model => [model.name, model]))
+  specMaps.set(spec, specs)
+  return specs
+}
 
 /** Time that a load of the model takes the engine. */
 export const loadMsOf = (report: ServerReport, model: ModelSpec | undefined, modelName: string): number => {
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -78,9 +78,10 @@
 
   const keepAlive = (): void => {
     const nowMs = timers.nowMs()
-    for (const link of links) {
-      if (nowMs - (lastSentMs.get(link) ?? 0) >= HEARTBEAT_MS) sendTo(link, { type: 'stateChange', changes: figuresOf(options.describe(links.size)) })
-    }
+    const silent = [...links].filter(link => nowMs - (lastSentMs.get(link) ?? 0) >= HEARTBEAT_MS)
+    if (silent.length === 0) return
+    const changes = figuresOf(options.describe(links.size))
+    for (const link of silent) sendTo(link, { type: 'stateChange', changes })
   }
 
   const settleFor = (link: RouterLink): Settle => (wantId, end) => {
