--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -102,6 +102,35 @@
     server.closeAllConnections()
   })
 
+  it('carry heartbeats only where nothing else is sent', async () => {
+    // Two dozen routers tell three dozen agents of demand twice a second. Heartbeats beside that were a third of all messages, and a link
+    // that has been still for a while must carry one: the agent gives it up after three seconds.
+    const server = createServer()
+    const timers = createTimerService()
+    const context = { instance: 'a' as InstanceName, sharedKey: 'key', timers, offset: () => NO_OFFSET, onPeerOffset: () => {} }
+    const events = createEventLog({ instance: context.instance, role: 'agent', timers })
+    const heard: string[] = []
+    acceptLinks<AgentMessage, RouterMessage>(server, { ...context, events }, async link => {
+      for await (const message of link.received) heard.push(message.type)
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const { port } = server.address() as AddressInfo
+    const links = createAgentLinks({ agentPort: port, context: { ...context, events }, handlers: NO_HANDLERS })
+    links.follow([ENTRY], () => true)
+    const demand: RouterMessage = { type: 'demand', models: [], replicas: [] }
+    await until(() => links.find(ADDRESS)?.send(demand) ?? false)
+    for (let count = 0; count < 6; count++) {
+      await new Promise(resolve => { setTimeout(resolve, 300) })
+      links.find(ADDRESS)?.send(demand)
+    }
+    expect(heard).not.to.include('heartbeat')
+    await new Promise(resolve => { setTimeout(resolve, 2_000) })
+    expect(heard).to.include('heartbeat')
+    links.close()
+    server.close()
+    server.closeAllConnections()
+  })
+
   it('are given up when their server was not listed for long', () => {
     const { timers, links, lost } = setUp()
     links.follow([ENTRY], () => true)
