Count a broken run as a crash only where its engine has died

Cause: each run that broke off counted as a crash of its engine by the request.

A crash is counted when the agent tells of the engine's death, or its start has changed, within a second; or when no agent was heard since half a second after the break. Ruled out: counting by the kind of the connection's end, as a crash resets too.

--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -10,8 +10,8 @@
 import { limitExchange } from './limitExchange.js'
 import { runStream } from './runStream.js'
 import { createCallerStream } from './streamToCaller.js'
+import { watchCrash } from './watchCrash.js'
 
-import type { ServerStart } from '@figmount/fleet'
 import type { KnownServer } from '../directory/types.js'
 import type { WaitBounds } from './awaitWant.js'
 import type { RunEnd } from './runStream.js'
@@ -75,11 +75,6 @@
   return end
 }
 
-const noteCrash = (context: GatewayContext, request: RoutedRequest, start: ServerStart): void => {
-  context.crashes.note(request.requestHash, start)
-  context.agents.relay({ type: 'crash', requestHash: request.requestHash, start })
-}
-
 /**
  * Serves a request to a model: at an engine that holds it, or after having it loaded. A stream that breaks off goes on
  * at another engine where its route allows that; otherwise it is run once.
@@ -153,7 +148,7 @@
     }
     runs += 1
     // A run that was cut by the request's time-out or by the router's stop says nothing about the server.
-    if (timers.nowMs() < request.untilMs && !stop.isEnded()) noteCrash(context, request, start)
+    if (timers.nowMs() < request.untilMs && !stop.isEnded()) watchCrash(context, request, choice.server)
     const mayGoOn = route.isResumable && runs < route.maxAttempts && !stream.hasGap()
     if (!mayGoOn) return fail(context, request, end.reason, serverId)
     context.events.emit(GatewayEvent.streamResumed, { requestKey: caller.requestId, reason: end.reason, peer: serverId, detail: stream.lastEventId() })
--- /dev/null
+++ b/packages/gateway/src/requests/watchCrash.ts
@@ -0,0 +1,34 @@
+import { DEATH_LOOK_MS } from './constants.js'
+
+import type { KnownServer } from '../directory/types.js'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+/** Time within which an agent tells of its engine's death: two reports without an answer and a message, three times over. */
+const DEATH_TOLD_MS = 1_000
+
+/** An agent that is heard this long after a run broke off would know of its engine's death. */
+const VOUCHED_AFTER_MS = 500
+
+const noteCrash = ({ crashes, agents }: GatewayContext, { requestHash }: RoutedRequest, { start }: KnownServer): void => {
+  crashes.note(requestHash, start)
+  agents.relay({ type: 'crash', requestHash, start })
+}
+
+/**
+ * Counts a run that broke off as a crash by its request when its engine has died, or when no agent says that it lives.
+ *
+ * Guards against innocent requests that are turned away as deadly: engines that lost answers by resets, and lived on, had callers who sent the
+ * same request twice refused for ten seconds, 14 within one second of a played day.
+ */
+export const watchCrash = (context: GatewayContext, request: RoutedRequest, server: KnownServer): void => {
+  const { directory, timers } = context
+  const brokenMs = timers.nowMs()
+  const settle = (hasCrashed: boolean): void => {
+    stopLooking()
+    stopWaiting()
+    if (hasCrashed) noteCrash(context, request, server)
+  }
+  const stopLooking = timers.every(DEATH_LOOK_MS, () => { if (directory.isDead(server.start)) settle(true) })
+  const stopWaiting = timers.after(DEATH_TOLD_MS, () => { settle(directory.heardMs(server.entry.address) < brokenMs + VOUCHED_AFTER_MS) })
+  if (directory.isDead(server.start)) settle(true)
+}
