--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -10,6 +10,7 @@
 import type { AddressInfo } from 'node:net'
 import type { InstanceName } from '@figmount/base'
 import type { AgentMessage, RouterMessage, ServerEntry } from '@figmount/fleet'
+import type { Link } from '@figmount/peers'
 
 /** Nobody listens there. */
 const ADDRESS = '127.0.0.1:1'
@@ -41,6 +42,35 @@
   return { timers, links, lost }
 }
 
+/** A router's link to an agent of its own, which answers nothing; `tell` sends a router the agent's state. */
+const setUpAgent = async () => {
+  const server = createServer()
+  const timers = createTimerService()
+  const instance = 'a' as InstanceName
+  const context = { instance, sharedKey: 'key', timers, events: createEventLog({ instance, role: 'agent', timers }), offset: () => NO_OFFSET, onPeerOffset: () => {} }
+  const heard: string[] = []
+  const toRouters: Array<Link<AgentMessage, RouterMessage>> = []
+  acceptLinks<AgentMessage, RouterMessage>(server, context, async link => {
+    toRouters.push(link)
+    for await (const message of link.received) heard.push(message.type)
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  const links = createAgentLinks({ agentPort: port, context, handlers: NO_HANDLERS })
+  links.follow([ENTRY], () => true)
+  return {
+    timers,
+    links,
+    heard,
+    tell: () => { for (const link of toRouters) link.send(makeAgentState('a')) },
+    close: () => {
+      links.close()
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
+
 describe('links to agents', () => {
   it('are not reached before the first one is known', () => {
     // A router starts and knows its configuration and servers, but has dialled no agent yet. Calling itself ready then, it
@@ -55,68 +85,34 @@
   it('are reached only once the agent has told its state', async () => {
     // A router starts and its links open; the agents' first words are still on their way. Calling itself ready then, it
     // knew one engine of two, and had a model loaded there that another router had loaded at the other one.
-    const server = createServer()
-    const context = { instance: 'a' as InstanceName, sharedKey: 'key', timers: createTimerService(), offset: () => NO_OFFSET, onPeerOffset: () => {} }
-    const events = createEventLog({ instance: context.instance, role: 'agent', timers: context.timers })
-    let tell = (): void => {}
-    acceptLinks<AgentMessage, RouterMessage>(server, { ...context, events }, async link => {
-      tell = () => { link.send(makeAgentState('a')) }
-      for await (const message of link.received) expect(message.type).to.equal('heartbeat')
-    })
-    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const { port } = server.address() as AddressInfo
-    const links = createAgentLinks({ agentPort: port, context: { ...context, events }, handlers: NO_HANDLERS })
-    links.follow([ENTRY], () => true)
+    const { links, heard, tell, close } = await setUpAgent()
     await until(() => links.find(ADDRESS)?.send({ type: 'heartbeat' }) ?? false)
     expect(links.isReached()).to.equal(false)
     await until(() => {
       tell()
       return links.isReached()
     })
-    links.close()
-    server.close()
-    server.closeAllConnections()
+    for (const type of heard) expect(type).to.equal('heartbeat')
+    close()
   })
 
   it('end a want in its time when the agent falls silent', async () => {
     // An agent's instance stands still while a request waits for a model there. The router went on waiting for a second beyond
     // the want's time: a caller with two seconds of patience had left by then and heard nothing.
-    const server = createServer()
-    const timers = createTimerService()
-    const context = { instance: 'a' as InstanceName, sharedKey: 'key', timers, offset: () => NO_OFFSET, onPeerOffset: () => {} }
-    const events = createEventLog({ instance: context.instance, role: 'agent', timers })
-    acceptLinks<AgentMessage, RouterMessage>(server, { ...context, events }, async link => {
-      for await (const message of link.received) expect(message.type).to.be.oneOf(['heartbeat', 'want'])
-    })
-    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const { port } = server.address() as AddressInfo
-    const links = createAgentLinks({ agentPort: port, context: { ...context, events }, handlers: NO_HANDLERS })
-    links.follow([ENTRY], () => true)
+    const { timers, links, heard, close } = await setUpAgent()
     await until(() => links.find(ADDRESS)?.isOpen() ?? false)
     const askedMs = timers.nowMs()
     const want = links.find(ADDRESS)?.want({ serverId: 'a', modelName: 'm', adapterName: '', waitingCount: 1, lateCount: 0, timeLeftMs: 100 })
     expect(await want?.outcome).to.deep.include({ isReady: false, isLost: false })
     expect(timers.nowMs() - askedMs).to.be.within(90, 600)
-    links.close()
-    server.close()
-    server.closeAllConnections()
+    for (const type of heard) expect(type).to.be.oneOf(['heartbeat', 'want'])
+    close()
   })
 
   it('carry heartbeats only where nothing else is sent', async () => {
     // Two dozen routers tell three dozen agents of demand twice a second. Heartbeats beside that were a third of all messages, and a link
     // that has been still for a while must carry one: the agent gives it up after three seconds.
-    const server = createServer()
-    const timers = createTimerService()
-    const context = { instance: 'a' as InstanceName, sharedKey: 'key', timers, offset: () => NO_OFFSET, onPeerOffset: () => {} }
-    const events = createEventLog({ instance: context.instance, role: 'agent', timers })
-    const heard: string[] = []
-    acceptLinks<AgentMessage, RouterMessage>(server, { ...context, events }, async link => {
-      for await (const message of link.received) heard.push(message.type)
-    })
-    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const { port } = server.address() as AddressInfo
-    const links = createAgentLinks({ agentPort: port, context: { ...context, events }, handlers: NO_HANDLERS })
-    links.follow([ENTRY], () => true)
+    const { links, heard, close } = await setUpAgent()
     const demand: RouterMessage = { type: 'demand', models: [], replicas: [] }
     await until(() => links.find(ADDRESS)?.send(demand) ?? false)
     for (let count = 0; count < 6; count++) {
@@ -126,9 +122,7 @@
     expect(heard).not.to.include('heartbeat')
     await new Promise(resolve => { setTimeout(resolve, 2_000) })
     expect(heard).to.include('heartbeat')
-    links.close()
-    server.close()
-    server.closeAllConnections()
+    close()
   })
 
   it('are given up when their server was not listed for long', () => {
--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -19,30 +19,37 @@
   return port
 }
 
+const nothing = (): void => {}
+
+/** An agent that serves its links and does nothing else; `describe` says what it tells of its engine. */
+const setUp = async (describe: (routerCount: number) => AgentState) => {
+  const timers = createTimerService()
+  const instance = 'a' as InstanceName
+  const context = { instance, sharedKey: 'key', timers, events: createEventLog({ instance, role: 'agent', timers }), offset: () => NO_OFFSET, onPeerOffset: nothing }
+  const port = await freePort()
+  const links = serveRouters({
+    ...context,
+    host: '127.0.0.1',
+    port,
+    describe,
+    describeLoad: () => undefined,
+    takeWant: nothing,
+    dropWant: nothing,
+    dropRouter: nothing,
+    takeDemand: nothing,
+    takeRelay: nothing,
+    deploymentRelay: () => undefined
+  })
+  const open = async (router: string): Promise<Link<RouterMessage, AgentMessage>> =>
+    (await openLink<RouterMessage, AgentMessage>(`127.0.0.1:${port}`, { ...context, instance: router as InstanceName }).run()).unsafeCoerce()
+  return { timers, links, open }
+}
+
 describe('an agent\'s links', () => {
   it('bring a router one copy of what several routers pass on', async () => {
     // The configuration changes, and every router that has read it passes it on. A router on a narrow link took in a copy from
     // each of the others, and its callers' requests waited behind them.
-    const timers = createTimerService()
-    const instance = 'a' as InstanceName
-    const context = { instance, sharedKey: 'key', timers, events: createEventLog({ instance, role: 'agent', timers }), offset: () => NO_OFFSET, onPeerOffset: () => {} }
-    const port = await freePort()
-    const nothing = (): void => {}
-    const links = serveRouters({
-      ...context,
-      host: '127.0.0.1',
-      port,
-      describe: () => makeStateForTest(),
-      describeLoad: () => undefined,
-      takeWant: nothing,
-      dropWant: nothing,
-      dropRouter: nothing,
-      takeDemand: nothing,
-      takeRelay: nothing,
-      deploymentRelay: () => undefined
-    })
-    const open = async (router: string): Promise<Link<RouterMessage, AgentMessage>> =>
-      (await openLink<RouterMessage, AgentMessage>(`127.0.0.1:${port}`, { ...context, instance: router as InstanceName }).run()).unsafeCoerce()
+    const { timers, links, open } = await setUp(() => makeStateForTest())
     const listener = await open('r0')
     const others = [await open('r1'), await open('r2'), await open('r3')]
     const relay: RouterMessage = { type: 'relay', feedName: 'op', records: [{ key: 'config', value: Buffer.from('x'), offset: 3 }] }
@@ -57,30 +64,12 @@
   it('tell a new router what is taken back before the next look', async () => {
     // An engine begins to leave just as a router is linked, and the next look finds it staying: compared with what the
     // routers before were told nothing has changed. The new router would leave the engine alone from then on.
-    const timers = createTimerService()
-    const instance = 'a' as InstanceName
-    const context = { instance, sharedKey: 'key', timers, events: createEventLog({ instance, role: 'agent', timers }), offset: () => NO_OFFSET, onPeerOffset: () => {} }
     let state: AgentState = makeStateForTest()
-    const port = await freePort()
-    const nothing = (): void => {}
-    const links = serveRouters({
-      ...context,
-      host: '127.0.0.1',
-      port,
-      describe: routerCount => ({ ...state, routerCount }),
-      describeLoad: () => undefined,
-      takeWant: nothing,
-      dropWant: nothing,
-      dropRouter: nothing,
-      takeDemand: nothing,
-      takeRelay: nothing,
-      deploymentRelay: () => undefined
-    })
+    const { timers, links, open } = await setUp(routerCount => ({ ...state, routerCount }))
     // What is told before anybody listens is compared with later.
     links.tell()
     state = { ...state, isDraining: true }
-    const opened = await openLink<RouterMessage, AgentMessage>(`127.0.0.1:${port}`, context).run()
-    const link = opened.unsafeCoerce()
+    const link = await open('r0')
     let seen: AgentState | undefined
     timers.after(100, () => {
       state = { ...state, isDraining: false }
