--- a/packages/gateway/src/requests/watchCrash.ts
+++ b/packages/gateway/src/requests/watchCrash.ts
@@ -3,8 +3,11 @@
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
-/** Time within which an agent tells of its engine's death: two reports without an answer and a message, three times over. */
-const DEATH_TOLD_MS = 1_000
+/**
+ * Time within which an agent has told of its engine's death, or been heard again: it notices a death within 0.8 s, and is heard every 1.5 s
+ * though nothing has changed.
+ */
+const DEATH_TOLD_MS = 2_500
 
 /** An agent that is heard this long after a run broke off would know of its engine's death. */
 const VOUCHED_AFTER_MS = 500
