--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -8,7 +8,7 @@
 
 import type { InstanceName, VirtualTimers } from '@figmount/base'
 import type { AgentLoad, FeedRecord, ServerEntry } from '@figmount/fleet'
-import type { Directory } from './createDirectory.js'
+import type { Directory } from './types.js'
 
 const ADDRESS = 'host:1'
 
--- a/packages/gateway/src/directory/restarts.test.ts
+++ b/packages/gateway/src/directory/restarts.test.ts
@@ -8,7 +8,7 @@
 
 import type { InstanceName } from '@figmount/base'
 import type { AgentState, ServerEntry, ServerStart } from '@figmount/fleet'
-import type { Directory } from './createDirectory.js'
+import type { Directory } from './types.js'
 
 const ADDRESS = 'host:1'
 const PARTS = [{ partId: 'p', tokenCount: 100 }]
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -1,5 +1,8 @@
+import type { Unsubscribe } from '@figmount/base'
 import type { FailureShare } from '@figmount/decisions'
-import type { AgentState, AgentLoad, ServerEntry, ServerStart } from '@figmount/fleet'
+import type { AgentState, AgentLoad, FeedRecord, ServerEntry, ServerStart } from '@figmount/fleet'
+import type { OwnRequests } from './createOwnRequests.js'
+import type { PrefixMemory } from './createPrefixMemory.js'
 
 /** What a router knows of one backend server. */
 export interface KnownServer {
@@ -22,3 +25,43 @@
   /** Prompt tokens of own requests there that have no first event. */
   readonly pendingTokens: number
 }
+
+/** Hears of what an agent tells of the engine at an address. */
+export type StateListener = (address: string, state: AgentState) => void
+
+/** All backend servers that a router knows, by the platform's list, the agents' word and its own requests. */
+export interface Directory {
+  readonly takeRecords: (records: readonly FeedRecord[]) => void
+  /** The list was read whole: servers that are missing have gone. */
+  readonly takeKeys: (keys: ReadonlySet<string>) => void
+  readonly noteOutage: () => void
+  readonly noteRegained: () => void
+  readonly takeState: (address: string, state: AgentState) => void
+  readonly takeLoad: (address: string, load: AgentLoad) => void
+  readonly loseAgent: (address: string) => void
+  /** Calls a listener with each state that an agent tells, after it was taken in. */
+  readonly onState: (listener: StateListener) => Unsubscribe
+  /** Servers of a service that may get new requests. */
+  readonly serving: (serviceName: string) => readonly KnownServer[]
+  readonly find: (serverId: string) => KnownServer | undefined
+  /**
+   * This start of the server has ended or was replaced, by its agent's word or a later start; one that is only unlisted may
+   * still finish what it runs.
+   */
+  readonly isDead: (start: ServerStart) => boolean
+  /** Servers that are listed for a service of the configuration in force. */
+  readonly entries: () => readonly ServerEntry[]
+  /** When the agent beside the engine at an address was last heard; -Infinity where none is. */
+  readonly heardMs: (address: string) => number
+  /** The newest starts of these. */
+  readonly starts: () => readonly ServerStart[]
+  readonly failureShareOf: (server: KnownServer) => number
+  /** Models of own requests that run at an address. */
+  readonly runningModels: (address: string) => readonly string[]
+  readonly own: OwnRequests
+  readonly noteOutcome: (start: ServerStart, hasFailed: boolean) => void
+  /** The address belongs to another server now. */
+  readonly noteReplaced: (start: ServerStart) => void
+  readonly prefixes: PrefixMemory
+  readonly isKnown: () => boolean
+}
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -2,8 +2,7 @@
 
 import type { LoaderView, QueuedLoad, ServerView } from '@figmount/decisions'
 import type { AgentState, EngineSpec, HeldModel, ModelReplicas, ModelSpec } from '@figmount/fleet'
-import type { Directory } from '../directory/createDirectory.js'
-import type { KnownServer } from '../directory/types.js'
+import type { Directory, KnownServer } from '../directory/types.js'
 import type { RoutedRequest } from '../requests/types.js'
 
 /** Asking an agent for an adapter and fetching it: 5 to 10 ms and two messages. */
--- a/packages/gateway/src/router/createDemandTeller.ts
+++ b/packages/gateway/src/router/createDemandTeller.ts
@@ -3,7 +3,7 @@
 import type { Demand, ModelReplicas } from '@figmount/fleet'
 import type { AgentLinks } from '../agents/createAgentLinks.js'
 import type { DemandMeter } from '../demand/createDemandMeter.js'
-import type { Directory } from '../directory/createDirectory.js'
+import type { Directory } from '../directory/types.js'
 
 const countsOf = (replicas: readonly ModelReplicas[]): ReadonlyMap<string, number> =>
   new Map(replicas.map(({ modelName, replicaCount }) => [modelName, replicaCount]))
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -5,7 +5,7 @@
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { Deployment, FeedRecord, StorePort } from '@figmount/fleet'
-import type { Directory } from '../directory/createDirectory.js'
+import type { Directory } from '../directory/types.js'
 
 interface Options {
   readonly store: StorePort
