Let one router's read of the list of servers serve all

A router passes on what it has read, from which offset to which, through two agents. One whose own knowledge reaches to that beginning takes it for an own read and puts its next one off; each draws its own turn, so nobody is elected and a dead reader costs a seventh of the time for leaving servers. A gap counts for nothing. Missing entries carry how long they prove nothing, so that routers that have not seen an outage of the store do not drop servers that lapsed in it.

Ruled out: an elected reader (nobody to elect it); news judged by what the directory knows (a router that missed another one's news would never get it: it is judged by what the reads themselves said).

--- a/packages/fleet/src/feeds/createFeedFollower.test.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -26,6 +26,7 @@
   const keys: string[][] = []
   const outages: string[] = []
   const reads: string[] = []
+  let dueMs = 0
   const next = (): EitherAsync<Fault, FeedPage> => {
     const answer = answers.shift() ?? page(99)
     return answer === SILENT ? EitherAsync(async () => await new Promise<FeedPage>(() => {})) : EitherAsync.liftEither(answer)
@@ -45,7 +46,8 @@
     timers,
     events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers }),
     waitMs: 0,
-    periodMs: 100,
+    dueInMs: () => Math.max(0, dueMs - timers.nowMs()),
+    noteRead: () => { dueMs = timers.nowMs() + 100 },
     take: records => { for (const { key, offset } of records) taken.push(`${key}@${offset}`) },
     takeKeys: known => { keys.push([...known]) },
     lost: () => { outages.push('lost') },
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -5,7 +5,7 @@
 
 import type { Either } from 'purify-ts'
 import type { EventLog, Fault, TimerService } from '@figmount/base'
-import type { FeedPage, FeedRecord, KeyedFeed } from './types.js'
+import type { FeedPage, FeedRead, FeedRecord, FeedStretch, KeyedFeed } from './types.js'
 
 interface Options {
   readonly feed: KeyedFeed
@@ -13,12 +13,14 @@
   readonly events: EventLog
   /** Time that a read waits at the store for news; 0 polls. */
   readonly waitMs: number
-  /** Pause between reads. */
-  readonly periodMs: number
+  /** Time until the next read is due. Asked again when it has passed: what a peer has read may put the read off. */
+  readonly dueInMs: () => number
   /** Records in order of their offsets, never an older one after a newer one of its key. */
   readonly take: (records: readonly FeedRecord[]) => void
   /** The whole list of keys was read, in place of changes: keys that are missing have gone. */
   readonly takeKeys: (keys: ReadonlySet<string>) => void
+  /** The store has answered a read; called after its records were taken. */
+  readonly noteRead?: (read: FeedRead) => void
   readonly lost: (fault: Fault) => void
   readonly regained: (outageMs: number) => void
 }
@@ -27,6 +29,8 @@
 export interface FeedFollower {
   /** Takes in records that a peer has read. */
   readonly offer: (records: readonly FeedRecord[]) => void
+  /** Takes in what a peer has read. True when own reads go on after it: nothing between them is missing. */
+  readonly offerStretch: (stretch: FeedStretch) => boolean
   /** Gives the read that waits up and reads again at once. */
   readonly hurry: () => void
   readonly stop: () => void
@@ -71,14 +75,31 @@
     return await Promise.race([readStore(), givenUp])
   }
 
-  const noteAnswer = (page: FeedPage): void => {
-    const isWhole = nextOffset === undefined
+  const noteAnswer = (page: FeedPage, fromOffset: number | undefined, beganMs: number): void => {
     if (outageSinceMs !== undefined) options.regained(timers.nowMs() - outageSinceMs)
     outageSinceMs = undefined
-    nextOffset = page.isExpired ? undefined : page.nextOffset
-    if (page.isExpired) return
-    if (isWhole) return acceptAll(page)
-    accept(page.records)
+    if (page.isExpired) {
+      nextOffset = undefined
+      return
+    }
+    nextOffset = Math.max(nextOffset ?? 0, page.nextOffset)
+    const isWhole = fromOffset === undefined
+    if (isWhole) acceptAll(page)
+    else accept(page.records)
+    options.noteRead?.({ stretch: { fromOffset: fromOffset ?? 0, toOffset: page.nextOffset, records: page.records }, isWhole, beganMs })
+  }
+
+  const offerStretch = ({ fromOffset, toOffset, records }: FeedStretch): boolean => {
+    accept(records)
+    if (nextOffset === undefined || fromOffset > nextOffset) return false
+    nextOffset = Math.max(nextOffset, toOffset)
+    return true
+  }
+
+  const waitUntilDue = async (): Promise<void> => {
+    for (let leftMs = options.dueInMs(); leftMs > 0 && !stopping.signal.aborted; leftMs = options.dueInMs()) {
+      await sleep(timers, leftMs, stopping.signal)
+    }
   }
 
   const noteFault = (fault: Fault): void => {
@@ -90,12 +111,14 @@
   const follow = async (): Promise<void> => {
     let retryMs = FIRST_RETRY_MS
     while (!stopping.signal.aborted) {
+      const fromOffset = nextOffset
+      const beganMs = timers.nowMs()
       const result = await readOnce()
       if (stopping.signal.aborted) return
-      result.caseOf({ Left: noteFault, Right: noteAnswer })
+      result.caseOf({ Left: noteFault, Right: page => { noteAnswer(page, fromOffset, beganMs) } })
       if (result.isRight()) {
         retryMs = FIRST_RETRY_MS
-        if (nextOffset !== undefined) await sleep(timers, options.periodMs, stopping.signal)
+        if (nextOffset !== undefined) await waitUntilDue()
         continue
       }
       await sleep(timers, retryMs, stopping.signal)
@@ -106,6 +129,7 @@
   runInBackground(options.events, `feeds.follow ${feed.name}`, follow())
   return {
     offer: accept,
+    offerStretch,
     hurry: () => { giveUpWaiting(Left(makeFault('timeout', 'feeds.read', feed.name, 'read again at once'))) },
     stop: () => { stopping.abort() }
   }
--- a/packages/fleet/src/feeds/types.ts
+++ b/packages/fleet/src/feeds/types.ts
@@ -20,6 +20,23 @@
   readonly isExpired: boolean
 }
 
+/** A part of a feed that was read without a gap. */
+export interface FeedStretch {
+  readonly fromOffset: number
+  /** Offset after its last record. */
+  readonly toOffset: number
+  readonly records: readonly FeedRecord[]
+}
+
+/** One own read of a feed. */
+export interface FeedRead {
+  readonly stretch: FeedStretch
+  /** The newest record of every key was read, in place of all records of the stretch. */
+  readonly isWhole: boolean
+  /** Everything that was written before this time is in it. */
+  readonly beganMs: number
+}
+
 /** A feed of keyed records in the platform's store. */
 export interface KeyedFeed {
   readonly name: string
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -1,5 +1,5 @@
 /** Messages between routers and agents. */
-import type { FeedRecord } from '../feeds/types.js'
+import type { FeedRecord, FeedStretch } from '../feeds/types.js'
 import type { HeldModel, ServerStart } from '../servers/types.js'
 
 /** Keeps a silent link open. */
@@ -74,6 +74,17 @@
   readonly records: readonly FeedRecord[]
 }
 
+/**
+ * What a router has read of the list of servers. Those that have read up to its beginning need not read it themselves.
+ */
+export interface ListRead extends FeedStretch {
+  readonly type: 'listRead'
+  /** Time since the read began: what was written later is missing. */
+  readonly ageMs: number
+  /** Time for which a missing server may only have lapsed, as the store was away; 0 when it was not. */
+  readonly settlingMs: number
+}
+
 /** A request that was running when its backend server died, by the hash of what would be sent again. */
 export interface CrashNotice {
   readonly type: 'crash'
@@ -81,7 +92,7 @@
   readonly start: ServerStart
 }
 
-export type RouterMessage = Heartbeat | Want | WantDropped | DeploymentAsked | Demand | Relay | CrashNotice
+export type RouterMessage = Heartbeat | Want | WantDropped | DeploymentAsked | Demand | Relay | ListRead | CrashNotice
 
 /** What an agent's server holds and does. Sent when a link is opened. */
 export interface AgentState extends ServerStart {
@@ -145,4 +156,4 @@
   readonly reason: string
 }
 
-export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | Relay | CrashNotice
+export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | Relay | ListRead | CrashNotice
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -78,6 +78,7 @@
     if (message.type === 'load') return handlers.takeLoad(serverAddress, message)
     if (message.type === 'wantSettled') return settle(message.wantId, message)
     if (message.type === 'relay') return handlers.takeRelay(message)
+    if (message.type === 'listRead') return handlers.takeListRead(message)
     if (message.type === 'crash') handlers.takeCrash(message.requestHash, message.start)
   }
 
--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -18,7 +18,7 @@
 const ENTRY: ServerEntry =
   { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', slots: 1, isDraining: false, models: [] }
 
-const NO_HANDLERS = { takeState: () => {}, takeLoad: () => {}, takeRelay: () => {}, takeCrash: () => {}, lost: () => {} }
+const NO_HANDLERS = { takeState: () => {}, takeLoad: () => {}, takeRelay: () => {}, takeListRead: () => {}, takeCrash: () => {}, lost: () => {} }
 
 const until = async (holds: () => boolean): Promise<void> => {
   while (!holds()) await new Promise(resolve => { setTimeout(resolve, 5) })
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -1,4 +1,4 @@
-import type { AgentLoad, AgentState, Relay, RouterMessage, ServerStart } from '@figmount/fleet'
+import type { AgentLoad, AgentState, ListRead, Relay, RouterMessage, ServerStart } from '@figmount/fleet'
 
 /** What became of a want. */
 export interface WantOutcome {
@@ -33,6 +33,7 @@
   readonly takeState: (address: string, state: AgentState) => void
   readonly takeLoad: (address: string, load: AgentLoad) => void
   readonly takeRelay: (relay: Relay) => void
+  readonly takeListRead: (read: ListRead) => void
   readonly takeCrash: (requestHash: string, start: ServerStart) => void
   readonly lost: (address: string) => void
 }
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -42,7 +42,7 @@
   const missingSinceOutage = new Set<string>()
   const refusedKeys = new Set<string>()
   let isAway = false
-  let regainedMs = -Infinity
+  let settlesAtMs = -Infinity
   let isKnown = false
 
   const startOf = (serverId: string): ServerStart => newestStarts.get(serverId) ?? { serverId, startedAtUnixMs: undefined }
@@ -62,13 +62,21 @@
 
   // Guards against the loss of every server after an outage of the store: entries lapse while servers cannot write
   // there, and come back within two seconds of its return. Until then a missing entry proves nothing.
-  const isSettling = (): boolean => isAway || timers.nowMs() - regainedMs < REAPPEAR_MS
+  const settlingMs = (): number => isAway ? REAPPEAR_MS : Math.max(0, settlesAtMs - timers.nowMs())
+
+  const isSettling = (): boolean => settlingMs() > 0
 
   const noteMissing = (serverId: string): void => {
     if (!isSettling()) return remove(serverId, 'no longer listed')
     missingSinceOutage.add(serverId)
   }
 
+  const noteSettling = (leftMs: number): void => {
+    if (leftMs <= settlingMs()) return
+    settlesAtMs = timers.nowMs() + leftMs
+    timers.after(leftMs, settle)
+  }
+
   const settle = (): void => {
     if (isSettling()) return
     for (const serverId of missingSinceOutage) remove(serverId, 'not listed again after an outage of the store')
@@ -186,9 +194,10 @@
     noteOutage: () => { isAway = true },
     noteRegained: () => {
       isAway = false
-      regainedMs = timers.nowMs()
-      timers.after(REAPPEAR_MS, settle)
+      noteSettling(REAPPEAR_MS)
     },
+    settlingMs,
+    noteSettling,
     takeState: (address, state) => {
       const word = words.get(address) ?? NO_WORD
       words.set(address, { ...word, state, stateAsOfMs: timers.nowMs(), heardMs: timers.nowMs() })
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -36,6 +36,10 @@
   readonly takeKeys: (keys: ReadonlySet<string>) => void
   readonly noteOutage: () => void
   readonly noteRegained: () => void
+  /** Time for which a missing entry proves nothing yet, as the store was away. */
+  readonly settlingMs: () => number
+  /** The same as another router sees it. */
+  readonly noteSettling: (leftMs: number) => void
   readonly takeState: (address: string, state: AgentState) => void
   readonly takeLoad: (address: string, load: AgentLoad) => void
   readonly loseAgent: (address: string) => void
--- a/packages/gateway/src/router/constants.ts
+++ b/packages/gateway/src/router/constants.ts
@@ -1,15 +1,14 @@
 /**
- * How long a router's read of the configuration waits at the store. A change ends the wait at once; where its answer does
- * not come, after an outage or on a dead connection, the router learns of the change from an agent that is ahead. Waits of
- * 2 s were a third of the calls to the store; longer ones than this save little more.
+ * Part of the time within which a leaving server must be left alone that passes at least between two reads of the list, by
+ * this router or another one.
  */
-export const CONFIG_WAIT_MS = 8_000
+export const LIST_AGE_SHARE = 0.45
 
 /**
- * Part of the time within which a leaving server must be left alone that passes between two reads of the list. The rest is
- * for a slow read and for requests on their way.
+ * The rest of that time in which a router reads the list at a moment of its own, so that the first one spares the others
+ * their reads. What is left then is for a slow read and for requests on their way.
  */
-export const POLL_SHARE = 0.6
+export const LIST_SPREAD_SHARE = 0.15
 
 /** Time between two messages on demand: half the time that an idle model stays at least. */
 export const DEMAND_PERIOD_MS = 500
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -81,6 +81,7 @@
       },
       takeLoad: directory.takeLoad,
       takeRelay: relay => { feeds.takeRelay(relay.feedName, relay.records) },
+      takeListRead: read => { feeds.takeListRead(read) },
       takeCrash: crashes.note,
       lost: address => {
         coldLoads.lose(address)
@@ -95,7 +96,9 @@
     directory,
     leaveMs: options.leaveMs,
     deploymentTaken: deployment => { limitCallers(deployment.limits) },
-    relay: (feedName, records) => { agents.relay({ type: 'relay', feedName, records }) }
+    relay: (feedName, records) => { agents.relay({ type: 'relay', feedName, records }) },
+    tellListRead: agents.relay,
+    random: options.random
   })
   const catchUp = createCatchUp({
     timers,
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -1,10 +1,12 @@
-import { createFeedFollower, createNewestDeployment, isSameStart } from '@figmount/fleet'
+import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
-import { CONFIG_WAIT_MS, POLL_SHARE } from './constants.js'
+import { LIST_AGE_SHARE, LIST_SPREAD_SHARE } from './constants.js'
+import { createListNews } from './createListNews.js'
+import { createReadTurns } from './createReadTurns.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
-import type { Deployment, FeedRecord, StorePort } from '@figmount/fleet'
+import type { Deployment, FeedRead, FeedRecord, ListRead, StorePort } from '@figmount/fleet'
 import type { Directory } from '../directory/types.js'
 
 interface Options {
@@ -17,6 +19,9 @@
   readonly deploymentTaken: (deployment: Deployment) => void
   /** Passes on what other routers may have missed. */
   readonly relay: (feedName: string, records: readonly FeedRecord[]) => void
+  /** Spares other routers a read of the list. */
+  readonly tellListRead: (read: ListRead) => void
+  readonly random: () => number
 }
 
 /** The feeds of one router. */
@@ -25,6 +30,7 @@
   /** Offset of the configuration in force; -1 for none. */
   readonly deploymentOffset: () => number
   readonly takeRelay: (feedName: string, records: readonly FeedRecord[]) => void
+  readonly takeListRead: (read: ListRead) => void
   readonly stop: () => void
 }
 
@@ -54,8 +60,8 @@
     feed: store.deploymentFeed,
     timers,
     events,
-    waitMs: CONFIG_WAIT_MS,
-    periodMs: 0,
+    waitMs: LONG_POLL_MS,
+    dueInMs: () => 0,
     take: records => {
       newest.take(records)
       options.relay(store.deploymentFeed.name, records)
@@ -65,12 +71,25 @@
     regained: outageMs => regained(store.deploymentFeed.name, outageMs)
   })
 
-  const isNews = (record: FeedRecord): boolean => {
-    const known = directory.find(record.key)
-    if (!record.value) return known !== undefined
-    const entry = store.decodeServer(record.key, record.value).toMaybe().extractNullable()
-    if (!entry) return known !== undefined
-    return !known || known.entry.isDraining !== entry.isDraining || !isSameStart(known.start, entry)
+  const news = createListNews({
+    decodeServer: store.decodeServer,
+    isHeard: serverId => directory.find(serverId)?.state !== undefined
+  })
+
+  const turns = createReadTurns({
+    timers,
+    periodMs: options.leaveMs * LIST_AGE_SHARE,
+    spreadMs: options.leaveMs * LIST_SPREAD_SHARE,
+    random: options.random
+  })
+
+  const noteListRead = ({ stretch, isWhole, beganMs }: FeedRead): void => {
+    turns.note(beganMs)
+    const records = news.take(stretch.records)
+    // Keys that were dropped are missing from a whole read, so it does not spare others theirs.
+    if (isWhole) return
+    const ageMs = Math.ceil(timers.nowMs() - beganMs)
+    options.tellListRead({ type: 'listRead', ...stretch, records, ageMs, settlingMs: Math.ceil(directory.settlingMs()) })
   }
 
   const servers = createFeedFollower({
@@ -78,13 +97,10 @@
     timers,
     events,
     waitMs: 0,
-    periodMs: options.leaveMs * POLL_SHARE,
-    take: records => {
-      const news = records.filter(isNews)
-      directory.takeRecords(records)
-      if (news.length > 0) options.relay(store.serverFeed.name, news)
-    },
+    dueInMs: turns.dueInMs,
+    take: directory.takeRecords,
     takeKeys: directory.takeKeys,
+    noteRead: noteListRead,
     lost: fault => {
       directory.noteOutage()
       lost(fault)
@@ -104,7 +120,12 @@
     deploymentOffset: newest.offset,
     takeRelay: (feedName, records) => {
       if (feedName === store.deploymentFeed.name) deployments.offer(records)
-      if (feedName === store.serverFeed.name) servers.offer(records)
+    },
+    takeListRead: read => {
+      directory.noteSettling(read.settlingMs)
+      if (!servers.offerStretch(read)) return
+      news.take(read.records)
+      turns.note(timers.nowMs() - read.ageMs)
     },
     stop: () => {
       deployments.stop()
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -7,7 +7,7 @@
 import { createPassedRecords } from './createPassedRecords.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
-import type { AgentLoad, AgentMessage, AgentState, Demand, Relay, RouterMessage, Want } from '@figmount/fleet'
+import type { AgentLoad, AgentMessage, AgentState, Demand, ListRead, Relay, RouterMessage, Want } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
 import type { Settle } from '../wants/createWantBook.js'
 
@@ -46,6 +46,7 @@
   const passed = createPassedRecords()
   let told: ReadonlyMap<string, string> = new Map()
   let lastLoad = ''
+  let passedToOffset = -1
 
   const sendTo = (link: RouterLink, message: AgentMessage): void => {
     lastSentMs.set(link, timers.nowMs())
@@ -96,6 +97,13 @@
     if (fresh) sendToAll(fresh, link)
   }
 
+  // Each router may read the list at the same time as another one: what brings nothing newer is not passed on.
+  const passOnList = (link: RouterLink, read: ListRead): void => {
+    if (read.toOffset <= passedToOffset) return
+    passedToOffset = read.toOffset
+    sendToAll(read, link)
+  }
+
   const sendDeployment = (link: RouterLink): void => {
     const relay = options.deploymentRelay()
     if (relay) sendTo(link, relay)
@@ -107,6 +115,7 @@
       .with({ type: 'wantDropped' }, ({ wantId }) => { options.dropWant(link.peer, wantId) })
       .with({ type: 'demand' }, demand => { options.takeDemand(link.peer, demand) })
       .with({ type: 'relay' }, relay => { passOn(link, relay) })
+      .with({ type: 'listRead' }, read => { passOnList(link, read) })
       .with({ type: 'deploymentAsked' }, () => { sendDeployment(link) })
       .with({ type: 'crash' }, notice => { sendToAll(notice, link) })
       .with({ type: 'heartbeat' }, () => {})
--- a/packages/sidecar/src/sidecar/followDeployment.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.ts
@@ -41,7 +41,7 @@
     timers,
     events,
     waitMs: LONG_POLL_MS,
-    periodMs: 0,
+    dueInMs: () => 0,
     take: newest.take,
     takeKeys: () => {},
     lost: fault => { events.emit(SidecarEvent.feedLost, { step: fault.step, peer: fault.peer, reason: fault.message }) },
