Read an engine's report less often the longer a change takes

Cause: an agent read a report every 8 ms while any adapter was wanted, also where it waited for the end of a load of 13 s, and while a load was late, which at a store shared by two is as long again.

The pause is now a quarter of the distance to what is expected, or since the last order, within 8 and 100 ms.

--- a/packages/sidecar/src/engine/constants.ts
+++ b/packages/sidecar/src/engine/constants.ts
@@ -1,9 +1,12 @@
 /** Time between reports while nothing is expected: a crash is noticed in a tenth of a second, at 3% of a core with start-up. */
 export const POLL_MS = 100
 
-/** Time between reports while an order is carried out; an adapter takes 5 ms. */
+/** Least time between reports while an order is carried out; an adapter takes 5 ms. */
 export const FAST_POLL_MS = 8
 
+/** Part of the time to what is expected, or since it was, that passes between two reports. */
+export const POLL_DISTANCE_SHARE = 0.25
+
 /** A report comes from the same machine within a few ms; a busy one takes longer. */
 export const REPORT_TIMEOUT_MS = 300
 
--- a/packages/sidecar/src/engine/createOrderer.test.ts
+++ b/packages/sidecar/src/engine/createOrderer.test.ts
@@ -5,7 +5,7 @@
 
 import { createDemandBook } from '../demand/createDemandBook.js'
 import { createWantBook } from '../wants/createWantBook.js'
-import { POLL_MS } from './constants.js'
+import { FAST_POLL_MS, POLL_MS } from './constants.js'
 import { createOrderer } from './createOrderer.js'
 
 import type { Fault, InstanceName, VirtualTimers } from '@figmount/base'
@@ -40,6 +40,7 @@
   readonly orderer: Orderer
   readonly sent: Array<Order & { readonly serverId: string }>
   readonly want: (modelName: string) => void
+  readonly wantAdapter: (modelName: string, adapterName: string) => void
   /** Models for which a router says that it has requests running here. */
   readonly runs: (...modelNames: string[]) => void
   /** All wants are taken back. */
@@ -81,6 +82,9 @@
     changed: () => {},
     hurry: () => {}
   })
+  const add = (modelName: string, adapterName: string): void => {
+    wants.add('r', { type: 'want', wantId: 1, serverId: 'i-1', modelName, adapterName, waitingCount: 1, lateCount: 0, timeLeftMs: 60_000 }, () => {})
+  }
   const settle = async (): Promise<void> => await new Promise(resolve => { setImmediate(resolve) })
   return {
     timers,
@@ -91,9 +95,8 @@
       orderer.noteRestart()
       orderer.take(reportOf({ startedAtUnixMs: 2_000, ...given }))
     },
-    want: modelName => {
-      wants.add('r', { type: 'want', wantId: 1, serverId: 'i-1', modelName, waitingCount: 1, lateCount: 0, timeLeftMs: 60_000 }, () => {})
-    },
+    want: modelName => { add(modelName, '') },
+    wantAdapter: add,
     runs: (...runningModels) => { demand.take('r', { type: 'demand', models: [], replicas: [], runningModels }) },
     drop: () => { wants.giveUpAll('nobody waits') },
     pass: async durationMs => {
@@ -309,4 +312,32 @@
     expect(orderer.leavingModels()).to.deep.equal([])
     expect(sent).to.deep.equal([])
   })
+
+  it('reads no more reports than usual while adapters wait for the end of a load, nor while the load is late', async () => {
+    const { timers, orderer, want, wantAdapter, pass } = setUp([])
+    orderer.take(reportOf())
+    want('b')
+    orderer.review()
+    await pass(10)
+    orderer.take(reportOf({ isBusy: true, orderCount: 1 }))
+    wantAdapter('a', 'x')
+    expect(orderer.nextPollMs()).to.equal(POLL_MS)
+    await pass(6_000)
+    expect(orderer.nextPollMs()).to.be.below(POLL_MS)
+    timers.advance(1_000)
+    expect(orderer.nextPollMs()).to.equal(POLL_MS)
+  })
+
+  it('reads reports often while an adapter comes, and less often the longer it takes', async () => {
+    const { timers, orderer, wantAdapter, pass } = setUp([])
+    const held = [{ name: 'a', adapters: [] }]
+    orderer.take(reportOf({ models: held }))
+    wantAdapter('a', 'x')
+    orderer.review()
+    await pass(10)
+    orderer.take(reportOf({ models: held, arrivingAdapters: ['a/x'], orderCount: 1 }))
+    expect(orderer.nextPollMs()).to.equal(FAST_POLL_MS)
+    timers.advance(2_000)
+    expect(orderer.nextPollMs()).to.equal(POLL_MS)
+  })
 })
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -2,7 +2,7 @@
 import { OrderAnswer } from '@figmount/fleet'
 
 import { SidecarEvent } from '../events.js'
-import { FAST_POLL_MS, ORDER_RETRY_MS, ORDER_TIMEOUT_MS, POLL_MS } from './constants.js'
+import { FAST_POLL_MS, ORDER_RETRY_MS, ORDER_TIMEOUT_MS, POLL_DISTANCE_SHARE, POLL_MS } from './constants.js'
 import { createLeaving } from './createLeaving.js'
 import { createLostOrders } from './createLostOrders.js'
 import { loadMsOf, nextOrder } from './viewEngine.js'
@@ -81,6 +81,7 @@
   let isOrdering = false
   let ordersWithoutReport = false
   let startNumber = 0
+  let lastOrderMs = -Infinity
   const lostOrders = createLostOrders(timers)
 
   const coldWaitMs = (): number => Math.max(0, lastColdMs + options.coldSpacingMs - timers.nowMs())
@@ -124,6 +125,7 @@
     // Begins before the order leaves: its answer may be lost though the load has begun.
     coldBeforeMs = lastColdMs
     if (planned.isCold && coldWaitMs() === 0) lastColdMs = timers.nowMs()
+    lastOrderMs = timers.nowMs()
     events.emit(SidecarEvent.orderSent, { model: modelName, adapter: adapterName, step: operation, count: current.orderCount })
     // The count that the engine must have accepted guards against an order that was given up and is carried out
     // seconds later, after newer ones: it would load what no longer fits, and the engine would crash.
@@ -180,12 +182,16 @@
     runInBackground(events, 'engine.order', orderOnce().finally(() => { isOrdering = false }))
   }
 
+  // What takes milliseconds is looked at often, and the longer it takes beyond that the less often. The same for what is
+  // expected at a time, before and after it: a load at a busy store may be seconds late.
+  const pollWithin = (distanceMs: number): number =>
+    Math.min(POLL_MS, Math.max(FAST_POLL_MS, distanceMs * POLL_DISTANCE_SHARE))
+
   const nextPollMs = (): number => {
     if (ordersWithoutReport) return FAST_POLL_MS
-    // A load from the weight store takes seconds: it is looked at often only towards its end.
-    if (load) return Math.max(FAST_POLL_MS, Math.min(POLL_MS, (load.endsAtMs - timers.nowMs()) / 4))
-    const isAdapterComing = options.wants.open().some(want => want.adapterName !== '')
-    return isAdapterComing || leaving.isUnloading() ? FAST_POLL_MS : POLL_MS
+    if (load) return pollWithin(Math.abs(load.endsAtMs - timers.nowMs()))
+    const isChanging = leaving.isUnloading() || (report?.arrivingAdapters.length ?? 0) > 0
+    return isChanging ? pollWithin(timers.nowMs() - lastOrderMs) : POLL_MS
   }
 
   const forget = (): void => {
