Pack a message once for all links that it goes through

Cause: an agent packed each change of its state and load for each of its routers (68 on the large deployment), a router each message on demand for each agent, though most agents hear the same. No measurement of the whole alone.

--- a/packages/agent/src/testing/startAgentForTest.ts
+++ b/packages/agent/src/testing/startAgentForTest.ts
@@ -75,7 +75,7 @@
     inbox.end()
   }
   const link: Link<FromAgent, ToAgent> = {
-    peer, send: message => { if (isOpen) heard.push(message) }, received: inbox.values, close: cut, isOpen: () => isOpen, bufferedBytes: () => 0, lastHeardMs: timers.nowMs
+    peer, send: message => { if (isOpen) heard.push(message) }, sendPacked: ({ body }) => { if (isOpen) heard.push(body) }, received: inbox.values, close: cut, isOpen: () => isOpen, bufferedBytes: () => 0, lastHeardMs: timers.nowMs
   }
   agent.runLink(link).catch(error => { throw error })
   return {
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -1,11 +1,11 @@
 import { runInBackground, sleep } from '@figmount/base'
-import { HEARTBEAT_MS, openLink } from '@figmount/peers'
+import { HEARTBEAT_MS, openLink, packMessage } from '@figmount/peers'
 
 import { GatewayEvent } from '../events.js'
 import { FIRST_REDIAL_MS, LAST_REDIAL_MS } from './constants.js'
 
 import type { AgentMessage, AgentState, RouterMessage } from '@figmount/fleet'
-import type { Link, LinkContext } from '@figmount/peers'
+import type { Link, LinkContext, PackedMessage } from '@figmount/peers'
 import type { AgentHandlers, AgentLink, OpenWant, WantOutcome, WantRequest } from './types.js'
 
 type OpenLink = Link<RouterMessage, AgentMessage>
@@ -29,10 +29,14 @@
   let nextWantId = 1
   let lastSentMs = -Infinity
 
-  const send = (message: RouterMessage): void => {
+  const sendPacked = (message: PackedMessage<RouterMessage>): void => {
     if (!link) return
     lastSentMs = timers.nowMs()
-    link.send(message)
+    link.sendPacked(message)
+  }
+
+  const send = (message: RouterMessage): void => {
+    if (link) sendPacked(packMessage(context, message))
   }
 
   const settle = (wantId: number, outcome: WantOutcome): void => {
@@ -123,6 +127,7 @@
       send(message)
       return link !== undefined
     },
+    sendPacked,
     isOpen: () => link !== undefined,
     takeNewness: () => {
       const wasNew = isNew
--- a/packages/gateway/src/agents/createAgentLinks.ts
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -1,8 +1,10 @@
+import { packMessage } from '@figmount/peers'
+
 import { REACHED_SHARE, RELAY_COUNT, UNLISTED_MS } from './constants.js'
 import { createAgentLink } from './createAgentLink.js'
 
 import type { RouterMessage, ServerEntry } from '@figmount/fleet'
-import type { LinkContext } from '@figmount/peers'
+import type { LinkContext, PackedMessage } from '@figmount/peers'
 import type { AgentHandlers, AgentLink } from './types.js'
 
 interface Options {
@@ -17,7 +19,7 @@
   /** Opens links to new servers' agents and gives up those of servers that were not listed for long. */
   readonly follow: (entries: readonly ServerEntry[], hasAgent: (entry: ServerEntry) => boolean) => void
   readonly find: (serverAddress: string) => AgentLink | undefined
-  /** Sends each agent that answers a message of its own, if there is one; a link is new until the first of them. */
+  /** Sends each agent that answers a message, if there is one for it; a link is new until the first of them. */
   readonly sendToEach: (messageFor: (serverAddress: string, isNewLink: boolean) => RouterMessage | undefined) => void
   /** Sends through a few agents, which pass it on to all other routers. */
   readonly relay: (message: RouterMessage) => void
@@ -57,10 +59,15 @@
     },
     find: serverAddress => links.get(serverAddress),
     sendToEach: messageFor => {
+      // Most agents hear the same: it is packed once.
+      const packed = new Map<RouterMessage, PackedMessage<RouterMessage>>()
       for (const [serverAddress, link] of links) {
         if (!link.isOpen()) continue
         const message = messageFor(serverAddress, link.takeNewness())
-        if (message) link.send(message)
+        if (!message) continue
+        const known = packed.get(message) ?? packMessage(context, message)
+        packed.set(message, known)
+        link.sendPacked(known)
       }
     },
     relay: message => {
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -1,3 +1,4 @@
+import type { PackedMessage } from '@figmount/peers'
 import type { AgentLoad, AgentState, ListRead, Relay, RouterMessage, ServerStart } from '@figmount/fleet'
 
 /** What became of a want. */
@@ -42,6 +43,7 @@
 export interface AgentLink {
   readonly want: (request: WantRequest) => OpenWant
   readonly send: (message: RouterMessage) => boolean
+  readonly sendPacked: (message: PackedMessage<RouterMessage>) => void
   readonly isOpen: () => boolean
   /** True at the first call after each opening of the link. */
   readonly takeNewness: () => boolean
--- a/packages/gateway/src/router/createDemandTeller.ts
+++ b/packages/gateway/src/router/createDemandTeller.ts
@@ -57,14 +57,15 @@
     const changed = changedReplicas(counts, nextCounts)
     counts = nextCounts
 
-    agents.sendToEach((serverAddress, isNewLink) => {
+    const common: Demand = { type: 'demand', models: fresh, replicas: changed }
+    const isCommonEmpty = fresh.length === 0 && changed.length === 0
+
+    agents.sendToEach((serverAddress, isNewLink): Demand | undefined => {
       const runningModels = directory.runningModels(serverAddress)
-      const hasNewRuns = noteRuns(serverAddress, runningModels.join()) || isNewLink
-      const models = isNewLink ? all : fresh
-      const told = isNewLink ? replicas : changed
-      if (models.length === 0 && told.length === 0 && !hasNewRuns) return undefined
-      const message: Demand = { type: 'demand', models, replicas: told, ...(hasNewRuns ? { runningModels } : {}) }
-      return message
+      const hasNewRuns = noteRuns(serverAddress, runningModels.join())
+      if (isNewLink) return { type: 'demand', models: all, replicas, runningModels }
+      if (hasNewRuns) return { ...common, runningModels }
+      return isCommonEmpty ? undefined : common
     })
   }
 
--- a/packages/peers/src/links/types.ts
+++ b/packages/peers/src/links/types.ts
@@ -1,10 +1,18 @@
 import type { EventLog, Fault, InstanceName, LogOffset, TimerService } from '@figmount/base'
 
+/** A message as links carry it, for one that goes through many of them. */
+export interface PackedMessage<Body> {
+  readonly bytes: Uint8Array
+  /** What it says; links of other messages do not take it. */
+  readonly body: Body
+}
+
 /** An open connection to a peer. One task reads `received` and ends with it. */
 export interface Link<Send, Receive> {
   /** The peer's instance name as proved in the handshake, or its address if we dialled. */
   readonly peer: string
   readonly send: (body: Send) => void
+  readonly sendPacked: (message: PackedMessage<Send>) => void
   /** Messages in order; ends when the link is closed, silent or broken. */
   readonly received: AsyncIterable<Receive>
   readonly close: (reason: string) => void
--- a/packages/peers/src/links/wrapSocket.ts
+++ b/packages/peers/src/links/wrapSocket.ts
@@ -8,7 +8,7 @@
 import type { RawData, WebSocket } from 'ws'
 import type { LogOffset } from '@figmount/base'
 import type { Envelope } from '../messages/types.js'
-import type { Link, LinkContext } from './types.js'
+import type { Link, LinkContext, PackedMessage } from './types.js'
 
 /**
  * Records name the fields of like objects once in a message: the demand for 26 models takes 1.5 KB instead of 3.7, by
@@ -28,6 +28,12 @@
   }
 }
 
+/** Packs a message once for all links that it goes through. */
+export const packMessage = <Body>({ offset, events }: Pick<LinkContext, 'offset' | 'events'>, body: Body): PackedMessage<Body> => {
+  const envelope: Envelope<Body> = { offset: offset(), clock: events.tick(), body }
+  return { bytes: codec.pack(envelope), body }
+}
+
 /** Makes a link of an open socket and watches it for silence. */
 export const wrapSocket = <Send, Receive>(socket: WebSocket, peer: string, context: LinkContext): Link<Send, Receive> => {
   const inbox = createInbox<Receive>()
@@ -65,17 +71,17 @@
   socket.on('close', () => finish('closed by peer'))
   socket.on('error', error => finish(error.message))
 
-  const send = (body: Send): void => {
+  const sendPacked = ({ bytes }: PackedMessage<Send>): void => {
     if (!open) return
-    const envelope: Envelope<Send> = { offset: context.offset(), clock: context.events.tick(), body }
-    socket.send(codec.pack(envelope))
+    socket.send(bytes)
     // Guards against a peer that stops reading: without a bound the router's memory grows until it dies.
     if (socket.bufferedAmount > MAX_BUFFERED_BYTES) finish('peer does not read')
   }
 
   return {
     peer,
-    send,
+    send: body => { if (open) sendPacked(packMessage(context, body)) },
+    sendPacked,
     received: inbox.values,
     close: finish,
     isOpen: () => open,
--- a/packages/router/src/testing/createFakeAgent.ts
+++ b/packages/router/src/testing/createFakeAgent.ts
@@ -68,6 +68,7 @@
     return {
       peer: instance,
       send: message => { if (open) answer(message, say) },
+      sendPacked: ({ body }) => { if (open) answer(body, say) },
       received: inbox.values,
       close: end,
       isOpen: () => open,
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http'
 import { match } from 'ts-pattern'
-import { acceptLinks, HEARTBEAT_MS, NO_OFFSET } from '@figmount/peers'
+import { acceptLinks, HEARTBEAT_MS, NO_OFFSET, packMessage } from '@figmount/peers'
 
 import { changedFields, figuresOf, pickFields, textsOf } from './compareStates.js'
 import { LOAD_PERIOD_MS } from './constants.js'
@@ -53,12 +53,18 @@
     link.send(message)
   }
 
-  const sendToAll = (message: AgentMessage, except?: RouterLink): void => {
-    for (const link of links) {
-      if (link !== except) sendTo(link, message)
+  const sendToMany = (receivers: Iterable<RouterLink>, message: AgentMessage): void => {
+    const packed = packMessage({ offset: () => NO_OFFSET, events }, message)
+    for (const link of receivers) {
+      lastSentMs.set(link, timers.nowMs())
+      link.sendPacked(packed)
     }
   }
 
+  const sendToAll = (message: AgentMessage, except?: RouterLink): void => {
+    sendToMany([...links].filter(link => link !== except), message)
+  }
+
   const tell = (): void => {
     const state = options.describe(links.size)
     const next = textsOf(state)
@@ -81,8 +87,7 @@
     const nowMs = timers.nowMs()
     const silent = [...links].filter(link => nowMs - (lastSentMs.get(link) ?? 0) >= HEARTBEAT_MS)
     if (silent.length === 0) return
-    const changes = figuresOf(options.describe(links.size))
-    for (const link of silent) sendTo(link, { type: 'stateChange', changes })
+    sendToMany(silent, { type: 'stateChange', changes: figuresOf(options.describe(links.size)) })
   }
 
   const settleFor = (link: RouterLink): Settle => (wantId, end) => {
