Tell routers of an engine's load only where it matters to them

Cause: the load was told ten times a second to every router whenever it had changed, which it does with each request. It is told now when a choice between engines would change by 20 ms, by 200 ms where no other engine has the models, and once a second otherwise. A new link hears the newest load at once: it heard nothing before until the next change (its test fails without that).

--- a/packages/decisions/src/placing/rankServers.ts
+++ b/packages/decisions/src/placing/rankServers.ts
@@ -1,6 +1,5 @@
-import {
-  FAILURE_COST_MS, OTHER_DATA_CENTRE_COST_MS, PROMPT_TOKENS_PER_MS, RUNNING_COST_MS, STARTING_COST_MS
-} from './constants.js'
+import { FAILURE_COST_MS, OTHER_DATA_CENTRE_COST_MS, PROMPT_TOKENS_PER_MS } from './constants.js'
+import { batchWaitMs } from './isLoadNews.js'
 
 import type { ServerView } from './types.js'
 
@@ -14,9 +13,8 @@
 export const estimateFirstEventMs = (request: RankedRequest, server: ServerView): number => {
   const ownTokens = Math.max(0, request.promptTokens - server.cachedTokens)
   const promptMs = (server.pendingTokens + ownTokens) / PROMPT_TOKENS_PER_MS
-  const batchMs = server.runningCount * RUNNING_COST_MS + server.startingCount * STARTING_COST_MS
   const distanceMs = server.dataCentre === request.dataCentre ? 0 : OTHER_DATA_CENTRE_COST_MS
-  return promptMs + batchMs + server.adapterWaitMs + distanceMs + server.failureShare * FAILURE_COST_MS
+  return promptMs + batchWaitMs(server) + server.adapterWaitMs + distanceMs + server.failureShare * FAILURE_COST_MS
 }
 
 /**
--- a/packages/sidecar/src/demand/createDemandBook.ts
+++ b/packages/sidecar/src/demand/createDemandBook.ts
@@ -36,6 +36,8 @@
   /** The link to a router was lost. */
   readonly dropRouter: (router: string) => void
   readonly totalFor: (modelName: string) => TotalDemand
+  /** Engines that hold a model, as routers tell. */
+  readonly replicaCount: (modelName: string) => number
   /** Demand has been heard of for long enough to know what is idle. */
   readonly isSettled: () => boolean
   readonly adapterIdleMs: (modelName: string, adapterName: string) => number
@@ -50,6 +52,8 @@
   let firstDemandMs: number | undefined
   const adapterUsedMs = new Map<string, number>()
 
+  const replicaCount = (modelName: string): number => replicaCounts.get(modelName) ?? 1
+
   return {
     take: (router, { models, replicas, runningModels }) => {
       const asOfMs = timers.nowMs()
@@ -69,7 +73,7 @@
     dropRouter: router => { routers.delete(router) },
     totalFor: modelName => {
       const nowMs = timers.nowMs()
-      let total: TotalDemand = { requestsPerS: 0, promptTokensPerS: 0, replicaCount: replicaCounts.get(modelName) ?? 1, idleMs: Infinity, isRunning: false }
+      let total: TotalDemand = { requestsPerS: 0, promptTokensPerS: 0, replicaCount: replicaCount(modelName), idleMs: Infinity, isRunning: false }
       for (const { models, runningModels } of routers.values()) {
         if (runningModels.has(modelName)) total = { ...total, isRunning: true }
         const said = models.get(modelName)
@@ -85,6 +89,7 @@
       }
       return total
     },
+    replicaCount,
     isSettled: () => firstDemandMs !== undefined && timers.nowMs() - firstDemandMs > SETTLE_MS,
     adapterIdleMs: (modelName, adapterName) => timers.nowMs() - (adapterUsedMs.get(`${modelName}/${adapterName}`) ?? -Infinity)
   }
--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -8,7 +8,7 @@
 
 import type { AddressInfo } from 'node:net'
 import type { InstanceName } from '@figmount/base'
-import type { AgentMessage, AgentState, RouterMessage } from '@figmount/fleet'
+import type { AgentLoad, AgentMessage, AgentState, RouterMessage } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
 
 const freePort = async (): Promise<number> => {
@@ -19,10 +19,10 @@
   return port
 }
 
-const nothing = (): void => {}
+const nothing = (): undefined => {}
 
 /** An agent that serves its links and does nothing else; `describe` says what it tells of its engine. */
-const setUp = async (describe: (routerCount: number) => AgentState) => {
+const setUp = async (describe: (routerCount: number) => AgentState, describeLoad: () => AgentLoad | undefined = nothing) => {
   const timers = createTimerService()
   const instance = 'a' as InstanceName
   const context = { instance, sharedKey: 'key', timers, events: createEventLog({ instance, role: 'agent', timers }), offset: () => NO_OFFSET, onPeerOffset: nothing }
@@ -32,7 +32,8 @@
     host: '127.0.0.1',
     port,
     describe,
-    describeLoad: () => undefined,
+    describeLoad,
+    hasTwin: () => false,
     takeWant: nothing,
     dropWant: nothing,
     dropRouter: nothing,
@@ -83,4 +84,18 @@
     links.close()
     expect(seen?.isDraining).to.equal(false)
   })
+
+  it('tell a new router the load that the others know', async () => {
+    // A router is linked while the load does not change: without a word it would take a full engine for an idle one.
+    const { timers, links, open } = await setUp(() => makeStateForTest(), () => ({ type: 'load', runningCount: 40, startingCount: 7 }))
+    await new Promise(resolve => { timers.after(300, () => resolve(undefined)) })
+    const link = await open('r0')
+    timers.after(300, () => link.close('the test ends'))
+    let seen: AgentLoad | undefined
+    for await (const message of link.received) {
+      if (message.type === 'load') seen = message
+    }
+    links.close()
+    expect(seen).to.deep.include({ runningCount: 40, startingCount: 7 })
+  })
 })
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http'
 import { match } from 'ts-pattern'
+import { isLoadNews } from '@figmount/decisions'
 import { acceptLinks, HEARTBEAT_MS, NO_OFFSET, packMessage } from '@figmount/peers'
 
 import { changedFields, figuresOf, pickFields, textsOf } from './compareStates.js'
@@ -22,6 +23,8 @@
   readonly events: EventLog
   readonly describe: (routerCount: number) => AgentState
   readonly describeLoad: () => AgentLoad | undefined
+  /** Another engine holds one of the models too, as far as routers have told. */
+  readonly hasTwin: () => boolean
   readonly takeWant: (router: string, want: Want, settle: Settle) => void
   readonly dropWant: (router: string, wantId: number) => void
   readonly dropRouter: (router: string) => void
@@ -45,7 +48,7 @@
   const lastSentMs = new Map<RouterLink, number>()
   const passed = createPassedRecords()
   let told: ReadonlyMap<string, string> = new Map()
-  let lastLoad = ''
+  let toldLoad: { readonly load: AgentLoad, readonly atMs: number } | undefined
   let passedToOffset = -1
 
   const sendTo = (link: RouterLink, message: AgentMessage): void => {
@@ -77,9 +80,9 @@
   const tellLoad = (): void => {
     const load = options.describeLoad()
     if (!load) return
-    const text = JSON.stringify(load)
-    if (text === lastLoad) return
-    lastLoad = text
+    const atMs = timers.nowMs()
+    if (toldLoad && !isLoadNews({ load: toldLoad.load, ageMs: atMs - toldLoad.atMs, hasTwin: options.hasTwin() }, load)) return
+    toldLoad = { load, atMs }
     sendToAll(load)
   }
 
@@ -140,6 +143,7 @@
     // look would be no change to them, and this one would keep it. All begin from the same state.
     tell()
     sendTo(link, options.describe(links.size))
+    if (toldLoad) sendTo(link, toldLoad.load)
     try {
       for await (const message of link.received) take(link, message)
     } finally {
