--- a/packages/decisions/src/forwarding/failureShare.ts
+++ b/packages/decisions/src/forwarding/failureShare.ts
@@ -45,7 +45,7 @@
  * Whether an outcome counts against the server.
  *
  * Load pattern: a server that is cut off with its connections open. Its requests end with callers that leave, not with
- * failures; without counting these it keeps its share of the requests until its entry lapses, six seconds in a played day.
+ * failures; without counting these it keeps its share of the requests until its entry lapses.
  */
 export const countsAsFailure = ({ hasFailed, hasLeft, isSilent, waitedMs }: SeenOutcome): boolean =>
   hasLeft ? isSilent && waitedMs >= SILENT_LEAVE_MS : hasFailed
--- a/packages/decisions/src/placing/chooseLoader.ts
+++ b/packages/decisions/src/placing/chooseLoader.ts
@@ -5,7 +5,7 @@
 
 import type { LoaderView, LoadTimes } from './types.js'
 
-/** Time that one request made late weighs, in ms of a wait: callers are content with a first event in 0.4 to 2.5 s. */
+/** Time that one request made late weighs, in ms of a wait. */
 const LOSS_COST_MS = 200
 
 /** Time that each model held weighs: of two servers the emptier one keeps more choices open. */
@@ -68,13 +68,10 @@
  * The server that has the model soonest, weighed against what its other callers lose.
  *
  * Load pattern: many models of which each is asked for now and then, more than the engines hold. Without it a model
- * is loaded from the weight store in 6 to 13 s although another engine has a copy on its disk and needs 0.4 s.
+ * is loaded from the weight store in seconds although another engine has a copy on its disk.
  *
- * All requests that come until the model is there are late, not only the one that asks: worth of ten days of a deployment whose
- * demand moves every six seconds 0.016 more, 0.008 its standard error, in pairs without processor time.
- *
- * A burst at many routers leads to one load: one that has begun is joined, and of servers that are about equal all
- * routers take the same. By the lowest cost alone two routers loaded a model twice in two of six bursts on a busy machine.
+ * All requests that come until the model is there are late, not only the one that asks. A burst at many routers leads to one
+ * load: one that has begun is joined, and of servers that are about equal all routers take the same.
  */
 export const chooseLoader = (times: LoadTimes, servers: readonly LoaderView[]): LoaderChoice | undefined => {
   const secondMs = secondLoadMs(servers)
--- a/packages/decisions/src/placing/chooseVictims.ts
+++ b/packages/decisions/src/placing/chooseVictims.ts
@@ -14,7 +14,7 @@
 /** An idle model is unloaded in this time, the notice to routers included. */
 const IDLE_UNLOAD_MS = 80
 
-/** A model with running requests is unloaded when they have ended; streams last one to two seconds. */
+/** A model with running requests is unloaded when they have ended. */
 const RUNNING_UNLOAD_MS = 1_500
 
 /** Requests made late by an unload that waits for streams to end: the engine takes no other order meanwhile. */
@@ -49,8 +49,8 @@
  *
  * Load pattern: more models than fit, with demand that moves. Without it the model that was loaded first goes, be it
  * the busiest; with least-recent use alone a model with ten replicas stays where the only replica of another one goes.
- * A model in use may go as well, at a price: when it might not, two steady models on one engine kept out a third one
- * whose 60 callers were refused over nine seconds. Of equal losses the one that was idle longest goes.
+ * A model in use may go as well, at a price: two steady models on one engine must not keep out a third one for ever. Of equal
+ * losses the one that was idle longest goes.
  */
 export const chooseVictims = (residents: readonly PlacedModel[], neededMb: number): Eviction | undefined => {
   const movable = residents
--- a/packages/decisions/src/placing/estimateBusy.ts
+++ b/packages/decisions/src/placing/estimateBusy.ts
@@ -21,9 +21,7 @@
  * Expected time until an engine has done all that it does before one more load. A load at hand passes those that come from the
  * weight store: they wait for the store and not for the engine, and take ten times as long (`planOrder`).
  *
- * Guards against callers that are sent away from an idle engine: two models nowhere on disk were asked for there, neither could be
- * begun for 1.6 s, and a stream that had lost its engine was given up for a wait of 4 to 5 s that took 67 ms. Worth of 18 days of a deployment
- * with 34 rare models on eight engines: 0.028 more, 0.007 its standard error, in pairs without processor time.
+ * Guards against callers that are sent away from an idle engine because models that lie nowhere are asked for there.
  */
 export const estimateBusyMs = ({ loadingLeftMs, coldWaitMs, roomMs, queued }: EngineQueue, isAtHand: boolean): number => {
   let busyMs = loadingLeftMs
--- a/packages/decisions/src/placing/estimateLoadLeft.ts
+++ b/packages/decisions/src/placing/estimateLoadLeft.ts
@@ -15,7 +15,7 @@
  * Expected time until a load ends.
  *
  * Load pattern: a weight store that is shared by more loads than it carries. A load that should have ended is always about
- * to end, and every caller of its model waits in vain: 99 were refused after two seconds each in seven seconds of a played day.
+ * to end, and every caller of its model waits in vain.
  */
 export const estimateLoadLeftMs = ({ leftMs, runningMs, ageMs }: ToldLoad): number => {
   const left = leftMs - ageMs
--- a/packages/decisions/src/placing/planOrder.ts
+++ b/packages/decisions/src/placing/planOrder.ts
@@ -126,9 +126,7 @@
  * their end.
  *
  * Load pattern: rare models that take turns on an engine, beside busy ones. An engine that is ordered to unload a model in use
- * waits for its streams, and takes no other order meanwhile: of a played day's late callers of rare models most waited 1.7 to
- * 2.8 s behind such an unload, and adapters of other models waited with them. Worth of nine days of a deployment with 34 rare
- * models on eight engines: 0.018 more, 0.013 its standard error, in pairs without processor time; callers of busy models gain most.
+ * waits for its streams, and takes no other order meanwhile: other models and adapters would wait with it.
  */
 const planModels = (engine: EngineView, held: ReadonlySet<string>, wants: readonly WantView[]): OrderPlan => {
   let drainingModel = ''
@@ -146,10 +144,8 @@
 
 /**
  * What serves most requests for the time that it takes goes first, then the longest wait.
- * By age alone, or with copies at hand always first, 32 callers of a busy model waited 13 s behind one after the other
- * for rare ones. Nor do those that wait always go before a replica that nobody waits for: beside rare models somebody always waits,
- * and a busy model's second replica was asked for 100 times in 14 s in vain, with 345 of its callers late behind the first one. Share
- * of the worth owed that is earned over the whole day 0.012 more, 0.005 its standard error, over nine days in pairs.
+ * By age alone the many callers of a busy model wait behind one after the other for rare ones. Nor do those that wait always go
+ * before a replica that nobody waits for: beside rare models somebody always waits, and a busy model's replica never has its turn.
  */
 const byUrgency = (a: WantView, b: WantView): number =>
   densityOf(b) - densityOf(a) ||
--- a/packages/decisions/src/placing/planWait.ts
+++ b/packages/decisions/src/placing/planWait.ts
@@ -27,8 +27,7 @@
  * Whether a request waits for a model or an adapter.
  *
  * Load pattern: callers of an engine that takes no order for seconds, as it loads another model. Kept for a fixed time they
- * were refused after 1.5 s each, 27 of 105 on one played day, and came back no later for it. Told the time at once they return
- * when it is there.
+ * are refused late and come back no later for it. Told the time at once they return when it is there.
  */
 export const planWait = ({ readyInMs, leftMs }: WaitView): WaitPlan => {
   const isHopeless = readyInMs > leftMs * LOAD_SHARE
--- a/packages/decisions/src/placing/storePace.ts
+++ b/packages/decisions/src/placing/storePace.ts
@@ -16,13 +16,10 @@
   readonly hasEnded: boolean
 }
 
-/**
- * Loads to begin with. The deployments carry one to four; two show within one load's time which way to go, and cost a
- * store that carries one the least.
- */
+/** Loads to begin with: two show within one load's time which way to go. */
 const FIRST_COUNT = 2
 
-/** A load that takes this many times its time alone was slowed by others; reports come within a few percent of it. */
+/** A load that takes this many times its time alone was slowed by others. */
 const SLOWED = 1.25
 
 /** Time for which a lower count is kept before one more is tried: a load or two of the slowest kind. */
--- a/packages/gateway/src/placing/askFor.ts
+++ b/packages/gateway/src/placing/askFor.ts
@@ -7,12 +7,12 @@
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext } from '../requests/types.js'
 
-/** A replica that was asked for ahead of requests is given up after this time: a slow load takes 13 s and its queue. */
+/** A replica that was asked for ahead of requests is given up after this time: two loads from a slow weight store. */
 const AHEAD_WANT_MS = 30_000
 
 /**
  * Loads from the weight store at a time beyond which none is begun ahead of requests. An engine that loads takes no other
- * order for six seconds or more: with half of the engines loading, callers of rare models waited out their time behind them.
+ * order for seconds: with half of the engines loading, callers of rare models wait out their time behind them.
  */
 const MAX_COLD_LOADS = 1
 
--- a/packages/gateway/src/placing/createColdLoads.ts
+++ b/packages/gateway/src/placing/createColdLoads.ts
@@ -51,9 +51,8 @@
   }
 
   // Guards against a load that is taken for proof of room: the store slows a load by those that were under way when it began,
-  // and the first of two takes its time alone. Counted with the second, it had routers begin four at a time at a store that
-  // carries one: the fourth took half a minute longer than the day's callers had. Agents' words cross, so an older
-  // load may be heard of after a newer one.
+  // and the first of two takes its time alone. Counted with the second, it has routers begin ever more at a store that
+  // carries one. Agents' words cross, so an older load may be heard of after a newer one.
   const noteBegun = (address: string, modelName: string, beganMs: number): void => {
     let atOnceCount = 1
     for (const [other, load] of running) {
--- a/packages/gateway/src/placing/viewServers.ts
+++ b/packages/gateway/src/placing/viewServers.ts
@@ -26,8 +26,7 @@
 /**
  * Models that several engines hold; one that an engine is about to unload counts no more there.
  *
- * Guards against two engines that each evict a busy model as the other's spare: the unload of one waits for running streams. Worth of
- * ten days of a deployment with 34 rare models on eight engines: 0.020 more, 0.007 its standard error, in pairs without processor time.
+ * Guards against two engines that each evict a busy model as the other's spare: the unload of one waits for running streams.
  */
 export const viewReplicas = (directory: Directory): readonly ModelReplicas[] => {
   const counts = new Map<string, number>()
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -41,7 +41,7 @@
 export const MAX_CRASHES = 2
 
 /**
- * An agent that is heard this long after a request was sent to its engine shows that the request has got there. Grounds:
- * servers are one to three ms away, a new connection takes one round trip more, and the agent's word one way.
+ * An agent that is heard this long after a request was sent to its engine shows that the request has got there: a new
+ * connection takes a round trip more, and the agent's word one way.
  */
 export const ARRIVAL_MS = 50
--- a/packages/gateway/src/requests/watchCrash.ts
+++ b/packages/gateway/src/requests/watchCrash.ts
@@ -21,7 +21,7 @@
  * Counts a run that broke off as a crash by its request when its engine has died, or when no agent says that it lives.
  *
  * Guards against innocent requests that are turned away as deadly: engines that lost answers by resets, and lived on, had callers who sent the
- * same request twice refused for ten seconds, 14 within one second of a played day.
+ * same request twice refused for seconds.
  */
 export const watchCrash = (context: GatewayContext, request: RoutedRequest, server: KnownServer): void => {
   const { directory, timers } = context
--- a/packages/gateway/src/requests/watchLoads.ts
+++ b/packages/gateway/src/requests/watchLoads.ts
@@ -45,9 +45,8 @@
  * Moves a want to an engine that has the model sooner, while its load has not begun.
  *
  * Load pattern: rare models that take turns. What an engine is expected to do when a request comes is not what it does: streams
- * last longer, other models are wanted there. Kept at the engine that was first chosen, callers waited four seconds while others
- * with a copy had nothing to do a fifth of their time. With the order of wants by gain (`planOrder`) worth 0.012 more, 0.007 its standard
- * error, over 18 days in pairs without processor time.
+ * last longer, other models are wanted there. Kept at the engine that was first chosen, callers wait while others with a copy
+ * have nothing to do.
  */
 export const watchSooner = (
   context: GatewayContext, spec: EngineSpec, modelName: string, chosen: Loader, choose: () => Loader | undefined, want: OpenWant
--- a/packages/gateway/src/router/createDemandTeller.ts
+++ b/packages/gateway/src/router/createDemandTeller.ts
@@ -24,19 +24,14 @@
 export interface DemandTeller {
   /** Tells each agent what has changed. */
   readonly tell: () => void
-  /**
-   * Tells agents that wait for the end of a model's requests when the router's own have ended.
-   *
-   * Gains the time until the next message on demand, half a second, for each model that makes room: a quarter of its turn.
-   */
+  /** Tells agents that wait for the end of a model's requests when the router's own have ended, without waiting for `tell`. */
   readonly tellLeaving: () => void
 }
 
 /**
  * Makes what tells each agent what has changed in a router's demand; one whose link is new hears all of it.
  *
- * Guards against messages that fill a router's link: with 60 models of several replicas told whole to 39 agents at each
- * change, requests waited 80 ms behind them at 7 Mbit/s (a played day's routers with and without such a link).
+ * Guards against messages that fill a router's link: told whole to all agents at each change, they keep requests waiting.
  */
 export const createDemandTeller = (meter: DemandMeter, directory: Directory, agents: AgentLinks): DemandTeller => {
   const runningTexts = new Map<string, string>()
