Pass a read of the list on also when nothing was written

Cause: agents dropped a read that reached no further than the one before, and while nobody writes to the list that is every read. So all routers went on reading.

What an agent passes on after a silence may have waited in it while it stood still, and would put off reads as if it were new: for a while such reads do not. Test for each, seen red.

--- a/packages/gateway/src/agents/constants.ts
+++ b/packages/gateway/src/agents/constants.ts
@@ -13,5 +13,11 @@
  */
 export const REACHED_SHARE = 0.9
 
+/** An agent that was silent for this long has stood still or was cut off: what it passes on then may have waited there. */
+export const HELD_UP_MS = 1_250
+
+/** Time after such a silence in which what was held up comes out. */
+export const CATCH_UP_MS = 1_000
+
 /** Agents through which a router passes on what it has read: two, in case one is down. */
 export const RELAY_COUNT = 2
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -2,7 +2,7 @@
 import { HEARTBEAT_MS, openLink, packMessage } from '@figmount/peers'
 
 import { GatewayEvent } from '../events.js'
-import { FIRST_REDIAL_MS, LAST_REDIAL_MS } from './constants.js'
+import { CATCH_UP_MS, FIRST_REDIAL_MS, HELD_UP_MS, LAST_REDIAL_MS } from './constants.js'
 
 import type { AgentMessage, AgentState, RouterMessage } from '@figmount/fleet'
 import type { Link, LinkContext, PackedMessage } from '@figmount/peers'
@@ -28,6 +28,8 @@
   let isNew = false
   let nextWantId = 1
   let lastSentMs = -Infinity
+  let heardMs = -Infinity
+  let mayBeOldUntilMs = -Infinity
 
   const sendPacked = (message: PackedMessage<RouterMessage>): void => {
     if (!link) return
@@ -73,7 +75,14 @@
     handlers.takeState(serverAddress, next)
   }
 
+  const noteHeard = (): void => {
+    const nowMs = timers.nowMs()
+    if (nowMs - heardMs > HELD_UP_MS) mayBeOldUntilMs = nowMs + CATCH_UP_MS
+    heardMs = nowMs
+  }
+
   const take = (message: AgentMessage): void => {
+    noteHeard()
     if (message.type === 'state') return takeState(message)
     if (message.type === 'stateChange') {
       if (state) takeState({ ...state, ...message.changes })
@@ -82,7 +91,7 @@
     if (message.type === 'load') return handlers.takeLoad(serverAddress, message)
     if (message.type === 'wantSettled') return settle(message.wantId, message)
     if (message.type === 'relay') return handlers.takeRelay(message)
-    if (message.type === 'listRead') return handlers.takeListRead(message)
+    if (message.type === 'listRead') return handlers.takeListRead(message, timers.nowMs() < mayBeOldUntilMs)
     if (message.type === 'crash') handlers.takeCrash(message.requestHash, message.start)
   }
 
--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -5,11 +5,12 @@
 
 import { makeAgentState } from '../testing/makeAgentState.js'
 
+import { CATCH_UP_MS, HELD_UP_MS } from './constants.js'
 import { createAgentLinks } from './createAgentLinks.js'
 
 import type { AddressInfo } from 'node:net'
 import type { InstanceName } from '@figmount/base'
-import type { AgentMessage, RouterMessage, ServerEntry } from '@figmount/fleet'
+import type { AgentMessage, ListRead, RouterMessage, ServerEntry } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
 
 /** Nobody listens there. */
@@ -20,6 +21,8 @@
 
 const NO_HANDLERS = { takeState: () => {}, takeLoad: () => {}, takeRelay: () => {}, takeListRead: () => {}, takeCrash: () => {}, lost: () => {} }
 
+const wait = async (durationMs: number): Promise<void> => await new Promise(resolve => { setTimeout(resolve, durationMs) })
+
 const until = async (holds: () => boolean): Promise<void> => {
   while (!holds()) await new Promise(resolve => { setTimeout(resolve, 5) })
 }
@@ -42,7 +45,7 @@
   return { timers, links, lost }
 }
 
-/** A router's link to an agent of its own, which answers nothing; `tell` sends a router the agent's state. */
+/** A router's link to an agent of its own, which answers nothing; `tell` sends a router the agent's state, `passOn` a read of the list. */
 const setUpAgent = async () => {
   const server = createServer()
   const timers = createTimerService()
@@ -56,13 +59,17 @@
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const { port } = server.address() as AddressInfo
-  const links = createAgentLinks({ agentPort: port, context, handlers: NO_HANDLERS })
+  const readsMayBeOld: boolean[] = []
+  const handlers = { ...NO_HANDLERS, takeListRead: (_read: ListRead, mayBeOld: boolean): void => { readsMayBeOld.push(mayBeOld) } }
+  const links = createAgentLinks({ agentPort: port, context, handlers })
   links.follow([ENTRY], () => true)
   return {
     timers,
     links,
     heard,
     tell: () => { for (const link of toRouters) link.send(makeAgentState('a')) },
+    passOn: () => { for (const link of toRouters) link.send({ type: 'listRead', fromOffset: 0, toOffset: 1, records: [], ageMs: 0, settlingMs: 0 }) },
+    readsMayBeOld,
     close: () => {
       links.close()
       server.close()
@@ -94,6 +101,23 @@
     close()
   })
 
+  it('tell that a read may be old which an agent passes on after a silence', async () => {
+    // Guards against an agent that stood still and passes on what waited in it as if it were new.
+    const { timers, links, tell, passOn, readsMayBeOld, close } = await setUpAgent()
+    await until(() => links.find(ADDRESS)?.isOpen() ?? false)
+    const stopTelling = timers.every(100, tell)
+    await wait(CATCH_UP_MS + 300)
+    passOn()
+    await until(() => readsMayBeOld.length === 1)
+    stopTelling()
+    await wait(HELD_UP_MS + 100)
+    tell()
+    passOn()
+    await until(() => readsMayBeOld.length === 2)
+    close()
+    expect(readsMayBeOld).to.deep.equal([false, true])
+  })
+
   it('end a want in its time when the agent falls silent', async () => {
     // Guards against callers who have left when their wait ends.
     const { timers, links, heard, close } = await setUpAgent()
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -34,7 +34,8 @@
   readonly takeState: (address: string, state: AgentState) => void
   readonly takeLoad: (address: string, load: AgentLoad) => void
   readonly takeRelay: (relay: Relay) => void
-  readonly takeListRead: (read: ListRead) => void
+  /** `mayBeOld`: it may have been held up on its way for longer than it says. */
+  readonly takeListRead: (read: ListRead, mayBeOld: boolean) => void
   readonly takeCrash: (requestHash: string, start: ServerStart) => void
   readonly lost: (address: string) => void
 }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -82,7 +82,7 @@
       },
       takeLoad: directory.takeLoad,
       takeRelay: relay => { feeds.takeRelay(relay.feedName, relay.records) },
-      takeListRead: read => { feeds.takeListRead(read) },
+      takeListRead: (read, mayBeOld) => { feeds.takeListRead(read, mayBeOld) },
       takeCrash: crashes.note,
       lost: address => {
         coldLoads.lose(address)
--- a/packages/gateway/src/router/takeFeeds.test.ts
+++ b/packages/gateway/src/router/takeFeeds.test.ts
@@ -66,7 +66,7 @@
 
   const tellOthers = (from: number, read: ListRead): void => {
     for (const [to, { feeds }] of routers.entries()) {
-      if (to !== from && !isLost(from, to)) feeds.takeListRead(read)
+      if (to !== from && !isLost(from, to)) feeds.takeListRead(read, false)
     }
   }
 
@@ -158,4 +158,18 @@
     expect(kept).to.deep.equal([true, true, true, true])
     expect(routers.every(({ directory }) => directory.find('a') !== undefined)).to.equal(true)
   })
+
+  it('is not put off by what may have been held up on its way', async () => {
+    // Guards against a leaving server that all routers use on, as an agent that stood still passes an old read on.
+    const { store, routers, pass } = setUp(2, makeRandom(SEED), () => true)
+    await pass(4_000)
+    const [router] = routers
+    store.write('a', entryOf('a', true))
+    for (let passedMs = 0; passedMs < KNOWN_WITHIN_MS; passedMs += 200) {
+      router?.feeds.takeListRead({ type: 'listRead', fromOffset: 0, toOffset: 3, records: [], ageMs: 5, settlingMs: 0 }, true)
+      await pass(200)
+    }
+    stopAll(routers)
+    expect(router && isLeft(router, 'a')).to.equal(true)
+  })
 })
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -30,7 +30,8 @@
   /** Offset of the configuration in force; -1 for none. */
   readonly deploymentOffset: () => number
   readonly takeRelay: (feedName: string, records: readonly FeedRecord[]) => void
-  readonly takeListRead: (read: ListRead) => void
+  /** Takes in another router's read; one that `mayBeOld` does not put off the own one. */
+  readonly takeListRead: (read: ListRead, mayBeOld: boolean) => void
   readonly stop: () => void
 }
 
@@ -121,11 +122,11 @@
     takeRelay: (feedName, records) => {
       if (feedName === store.deploymentFeed.name) deployments.offer(records)
     },
-    takeListRead: read => {
+    takeListRead: (read, mayBeOld) => {
       directory.noteSettling(read.settlingMs)
       if (!servers.offerStretch(read)) return
       news.take(read.records)
-      turns.note(timers.nowMs() - read.ageMs)
+      if (!mayBeOld) turns.note(timers.nowMs() - read.ageMs)
     },
     stop: () => {
       deployments.stop()
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -5,6 +5,7 @@
 
 import { changedFields, figuresOf, pickFields, textsOf } from './compareStates.js'
 import { LOAD_PERIOD_MS } from './constants.js'
+import { createPassedReads } from './createPassedReads.js'
 import { createPassedRecords } from './createPassedRecords.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
@@ -49,7 +50,7 @@
   const passed = createPassedRecords()
   let told: ReadonlyMap<string, string> = new Map()
   let toldLoad: { readonly load: AgentLoad, readonly atMs: number } | undefined
-  let passedToOffset = -1
+  const passedReads = createPassedReads(timers)
 
   const sendTo = (link: RouterLink, message: AgentMessage): void => {
     lastSentMs.set(link, timers.nowMs())
@@ -105,11 +106,8 @@
     if (fresh) sendToAll(fresh, link)
   }
 
-  // Each router may read the list at the same time as another one: what brings nothing newer is not passed on.
   const passOnList = (link: RouterLink, read: ListRead): void => {
-    if (read.toOffset <= passedToOffset) return
-    passedToOffset = read.toOffset
-    sendToAll(read, link)
+    if (passedReads.isNew(read)) sendToAll(read, link)
   }
 
   const sendDeployment = (link: RouterLink): void => {
