--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -59,9 +59,9 @@
     // Guards against the loss of all servers whose entries lapse in an outage.
     const { timers, directory, ids } = setUp()
     directory.takeRecords([listed('a'), listed('b')])
-    directory.noteOutage()
+    directory.lapses.noteOutage()
     timers.advance(8_000)
-    directory.noteRegained()
+    directory.lapses.noteRegained()
     directory.takeKeys(new Set())
     expect(ids()).to.deep.equal(['a', 'b'])
     timers.advance(1_500)
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -1,8 +1,9 @@
 import { failureShareAt, noFailures, noteOutcome } from '@figmount/decisions'
-import { isEarlierStart, isSameStart, REAPPEAR_MS } from '@figmount/fleet'
+import { isEarlierStart, isSameStart } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
 import { MAX_REFUSED_KEYS } from './constants.js'
+import { createLapses } from './createLapses.js'
 import { createOwnRequests } from './createOwnRequests.js'
 import { createPrefixMemory } from './createPrefixMemory.js'
 
@@ -39,10 +40,7 @@
   const stateListeners = new Set<StateListener>()
   const replaced = new Set<string>()
   const prefixes = createPrefixMemory()
-  const missingSinceOutage = new Set<string>()
   const refusedKeys = new Set<string>()
-  let isAway = false
-  let settlesAtMs = -Infinity
   let isKnown = false
 
   const startOf = (serverId: string): ServerStart => newestStarts.get(serverId) ?? { serverId, startedAtUnixMs: undefined }
@@ -60,28 +58,7 @@
     events.emit(GatewayEvent.serverLeft, { peer: serverId, reason })
   }
 
-  // Guards against the loss of every server after an outage of the store: entries lapse while servers cannot write
-  // there, and come back within two seconds of its return. Until then a missing entry proves nothing.
-  const settlingMs = (): number => isAway ? REAPPEAR_MS : Math.max(0, settlesAtMs - timers.nowMs())
-
-  const isSettling = (): boolean => settlingMs() > 0
-
-  const noteMissing = (serverId: string): void => {
-    if (!isSettling()) return remove(serverId, 'no longer listed')
-    missingSinceOutage.add(serverId)
-  }
-
-  const noteSettling = (leftMs: number): void => {
-    if (leftMs <= settlingMs()) return
-    settlesAtMs = timers.nowMs() + leftMs
-    timers.after(leftMs, settle)
-  }
-
-  const settle = (): void => {
-    if (isSettling()) return
-    for (const serverId of missingSinceOutage) remove(serverId, 'not listed again after an outage of the store')
-    missingSinceOutage.clear()
-  }
+  const lapses = createLapses(timers, remove)
 
   // Guards against a server that starts again under its id: it holds nothing of before, and what failed, ran or was kept
   // there is no longer so. Seen by the id alone it would get requests for what it held, and streams that ran at the start
@@ -109,7 +86,7 @@
     const known = entries.get(entry.serverId)
     // An entry is seconds old at times and may be of the start before the one that the agent has told of.
     if (!isEarlierStart(entry, startOf(entry.serverId))) noteStart(entry)
-    missingSinceOutage.delete(entry.serverId)
+    lapses.noteListed(entry.serverId)
     entries.set(entry.serverId, entry)
     if (!known) events.emit(GatewayEvent.serverTaken, { peer: entry.serverId, service: entry.serviceName, detail: entry.address })
     if (!known?.isDraining && entry.isDraining) events.emit(GatewayEvent.serverLeft, { peer: entry.serverId, reason: 'listed as draining' })
@@ -119,7 +96,7 @@
   // Guards against an entry that another program wrote, or that was written over: what it names is not known, so requests
   // must not go there, also not by what the key named before. A server's next own entry brings it back.
   const refuseEntry = (fault: Fault, { key, offset }: FeedRecord): void => {
-    missingSinceOutage.delete(key)
+    lapses.noteListed(key)
     remove(key, 'its entry cannot be read')
     if (refusedKeys.has(key) || refusedKeys.size >= MAX_REFUSED_KEYS) return
     refusedKeys.add(key)
@@ -129,7 +106,7 @@
   const takeRecord = (record: FeedRecord): void => {
     if (!record.value) {
       refusedKeys.delete(record.key)
-      return noteMissing(record.key)
+      return lapses.noteMissing(record.key)
     }
     decodeServer(record.key, record.value).caseOf({
       Left: fault => { refuseEntry(fault, record) },
@@ -181,23 +158,17 @@
 
   return {
     takeRecords: records => {
-      settle()
+      lapses.settle()
       for (const record of records) takeRecord(record)
       isKnown = true
     },
     takeKeys: keys => {
       for (const serverId of [...entries.keys()]) {
-        if (!keys.has(serverId)) noteMissing(serverId)
+        if (!keys.has(serverId)) lapses.noteMissing(serverId)
       }
       isKnown = true
     },
-    noteOutage: () => { isAway = true },
-    noteRegained: () => {
-      isAway = false
-      noteSettling(REAPPEAR_MS)
-    },
-    settlingMs,
-    noteSettling,
+    lapses,
     takeState: (address, state) => {
       const word = words.get(address) ?? NO_WORD
       words.set(address, { ...word, state, stateAsOfMs: timers.nowMs(), heardMs: timers.nowMs() })
@@ -215,7 +186,7 @@
       return () => { stateListeners.delete(listener) }
     },
     serving: serviceName => {
-      settle()
+      lapses.settle()
       const servers: KnownServer[] = []
       for (const entry of entries.values()) {
         if (entry.serviceName !== serviceName) continue
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -1,6 +1,7 @@
 import type { Unsubscribe } from '@figmount/base'
 import type { FailureShare } from '@figmount/decisions'
 import type { AgentState, AgentLoad, FeedRecord, ServerEntry, ServerStart } from '@figmount/fleet'
+import type { Lapses } from './createLapses.js'
 import type { OwnRequests } from './createOwnRequests.js'
 import type { PrefixMemory } from './createPrefixMemory.js'
 
@@ -34,12 +35,8 @@
   readonly takeRecords: (records: readonly FeedRecord[]) => void
   /** The list was read whole: servers that are missing have gone. */
   readonly takeKeys: (keys: ReadonlySet<string>) => void
-  readonly noteOutage: () => void
-  readonly noteRegained: () => void
-  /** Time for which a missing entry proves nothing yet, as the store was away. */
-  readonly settlingMs: () => number
-  /** The same as another router sees it. */
-  readonly noteSettling: (leftMs: number) => void
+  /** What is missing in the list because of an outage of the store. */
+  readonly lapses: Lapses
   readonly takeState: (address: string, state: AgentState) => void
   readonly takeLoad: (address: string, load: AgentLoad) => void
   readonly loseAgent: (address: string) => void
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -90,7 +90,7 @@
     // Keys that were dropped are missing from a whole read, so it does not spare others theirs.
     if (isWhole) return
     const ageMs = Math.ceil(timers.nowMs() - beganMs)
-    options.tellListRead({ type: 'listRead', ...stretch, records, ageMs, settlingMs: Math.ceil(directory.settlingMs()) })
+    options.tellListRead({ type: 'listRead', ...stretch, records, ageMs, settlingMs: Math.ceil(directory.lapses.settlingMs()) })
   }
 
   const servers = createFeedFollower({
@@ -103,11 +103,11 @@
     takeKeys: directory.takeKeys,
     noteRead: noteListRead,
     lost: fault => {
-      directory.noteOutage()
+      directory.lapses.noteOutage()
       lost(fault)
     },
     regained: outageMs => {
-      directory.noteRegained()
+      directory.lapses.noteRegained()
       // Guards against a cut that leaves the read of the configuration waiting on a connection that is dead: it would wait
       // on for seconds, and requests would be handled by an older configuration. The list is read more often and shows the
       // end of the cut.
@@ -123,7 +123,7 @@
       if (feedName === store.deploymentFeed.name) deployments.offer(records)
     },
     takeListRead: (read, mayBeOld) => {
-      directory.noteSettling(read.settlingMs)
+      directory.lapses.noteSettling(read.settlingMs)
       if (!servers.offerStretch(read)) return
       news.take(read.records)
       if (!mayBeOld) turns.note(timers.nowMs() - read.ageMs)
