--- /dev/null
+++ b/packages/gateway/src/requests/chooseServer.ts
@@ -0,0 +1,36 @@
+import { estimateFirstEventMs, estimatePlaceWaitMs, rankServers } from '@figmount/decisions'
+
+import { viewHolders } from '../placing/viewServers.js'
+
+import type { KnownServer } from '../directory/types.js'
+import type { GatewayContext, RoutedRequest } from './types.js'
+
+/** The server that has a request's first event soonest. */
+export interface ServerChoice {
+  readonly server: KnownServer
+  /** Time until the request's adapter is in place; 0 when it is. */
+  readonly adapterWaitMs: number
+  /** Prompt tokens that the server has to compute. */
+  readonly newTokens: number
+  /** Time until the engine has a place for the request. */
+  readonly placeWaitMs: number
+}
+
+/** Chooses among the servers that hold the request's model; undefined when none does. */
+export const chooseServer = (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[]): ServerChoice | undefined => {
+  const views = viewHolders(context.directory, request, servers, context.timers.nowMs())
+  const { promptTokens } = request.caller
+  const ranked = { promptTokens, dataCentre: context.dataCentre }
+  const [best] = rankServers(ranked, views)
+  const server = servers.find(candidate => candidate.entry.serverId === best?.serverId)
+  if (!best || !server) return undefined
+  const alone = { ...best, pendingTokens: 0, startingCount: 0, runningCount: 0 }
+  context.relief.note(context, request, servers, estimateFirstEventMs(ranked, best) - estimateFirstEventMs(ranked, alone))
+  const placeWaitMs = estimatePlaceWaitMs({
+    placeCount: server.entry.slots,
+    runningCount: best.runningCount,
+    startingCount: Math.max(server.load?.startingCount ?? 0, server.ownStartingCount),
+    occupancyMs: context.occupancy.meanMs()
+  })
+  return { server, adapterWaitMs: best.adapterWaitMs, newTokens: Math.max(0, promptTokens - best.cachedTokens), placeWaitMs }
+}
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -1,92 +1,19 @@
-import { countsAsFailure, estimateFirstEventMs, estimatePlaceWaitMs, rankServers } from '@figmount/decisions'
 import { startKeyOf } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
-import { viewHolders } from '../placing/viewServers.js'
 import { awaitAdapter } from './awaitAdapter.js'
 import { awaitModel } from './awaitModel.js'
-import { CROWDED_RETRY_MS, DEATH_LOOK_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_CRASHES, MAX_LOST_LOADS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS, STOPPING, STOPPING_RETRY_MS } from './constants.js'
+import { chooseServer } from './chooseServer.js'
+import { CROWDED_RETRY_MS, FULL_RETRY_MS, LEAST_SERVE_MS, MAX_CRASHES, MAX_LOST_LOADS, MAX_TURNED_AWAY, NO_SERVER_RETRY_MS, STOPPING, STOPPING_RETRY_MS } from './constants.js'
 import { fail, noteLeft, refuse } from './endRequest.js'
 import { isTooCrowded } from './isTooCrowded.js'
-import { limitExchange } from './limitExchange.js'
-import { runStream } from './runStream.js'
+import { runAt } from './runAt.js'
 import { createCallerStream } from './streamToCaller.js'
 import { watchCrash } from './watchCrash.js'
 
-import type { KnownServer } from '../directory/types.js'
 import type { WaitBounds } from './awaitWant.js'
-import type { RunEnd } from './runStream.js'
-import type { CallerStream } from './streamToCaller.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
-interface Choice {
-  readonly server: KnownServer
-  /** Time until the request's adapter is in place; 0 when it is. */
-  readonly adapterWaitMs: number
-  /** Prompt tokens that the server has to compute. */
-  readonly newTokens: number
-  /** Time until the engine has a place for the request. */
-  readonly placeWaitMs: number
-}
-
-const choose = (context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[]): Choice | undefined => {
-  const views = viewHolders(context.directory, request, servers, context.timers.nowMs())
-  const { promptTokens } = request.caller
-  const ranked = { promptTokens, dataCentre: context.dataCentre }
-  const [best] = rankServers(ranked, views)
-  const server = servers.find(candidate => candidate.entry.serverId === best?.serverId)
-  if (!best || !server) return undefined
-  const alone = { ...best, pendingTokens: 0, startingCount: 0, runningCount: 0 }
-  context.relief.note(context, request, servers, estimateFirstEventMs(ranked, best) - estimateFirstEventMs(ranked, alone))
-  const placeWaitMs = estimatePlaceWaitMs({
-    placeCount: server.entry.slots,
-    runningCount: best.runningCount,
-    startingCount: Math.max(server.load?.startingCount ?? 0, server.ownStartingCount),
-    occupancyMs: context.occupancy.meanMs()
-  })
-  return { server, adapterWaitMs: best.adapterWaitMs, newTokens: Math.max(0, promptTokens - best.cachedTokens), placeWaitMs }
-}
-
-/** Runs the request at the chosen server and keeps the router's books on it. */
-const runAt = async (context: GatewayContext, request: RoutedRequest, choice: Choice, stream: CallerStream): Promise<RunEnd> => {
-  const { directory } = context
-  const { start } = choice.server
-  const { modelName, adapterName, promptParts } = request.caller
-  const limit = limitExchange(context, request, 0)
-  // Guards against an engine that dies without closing its connections: a stream that may go on elsewhere would be silent
-  // until its caller leaves, though the agent beside the engine has told of its death.
-  const stopLooking = request.route.isResumable
-    ? context.timers.every(DEATH_LOOK_MS, () => { if (directory.isDead(start)) limit.cut() })
-    : () => {}
-  let isPending = true
-  let startedMs = 0
-  const settlePending = (): void => {
-    if (!isPending) return
-    isPending = false
-    startedMs = context.timers.nowMs()
-    directory.own.noteFirstEvent(start, choice.newTokens)
-  }
-  directory.own.noteSent(start, choice.newTokens)
-  directory.own.noteRun(start, modelName)
-  directory.prefixes.remember(start.serverId, `${modelName}/${adapterName}`, promptParts)
-  const sentMs = context.timers.nowMs()
-  const end = await runStream(context, request, choice.server, stream, limit.signal, settlePending)
-  const isSilent = isPending
-  settlePending()
-  directory.own.noteEnded(start)
-  directory.own.noteRunEnd(start, modelName)
-  if (end.type === 'finished') context.occupancy.note(context.timers.nowMs() - startedMs)
-  limit.release()
-  stopLooking()
-  directory.noteOutcome(start, countsAsFailure({
-    hasFailed: end.type === 'broken' || (end.type === 'notRun' && !end.isMisplaced),
-    hasLeft: request.left.aborted,
-    isSilent,
-    waitedMs: context.timers.nowMs() - sentMs
-  }))
-  return end
-}
-
 /**
  * Serves a request to a model: at an engine that holds it, or after having it loaded. A stream that breaks off goes on
  * at another engine where its route allows that; otherwise it is run once.
@@ -124,7 +51,7 @@
     if (timers.nowMs() >= bounds.lastSendMs()) return giveUp(STOPPING, STOPPING_RETRY_MS)
     const servers = directory.serving(serviceName).filter(server => !avoided.has(startKeyOf(server.start)))
     if (servers.length === 0) return giveUp('no server', NO_SERVER_RETRY_MS)
-    const choice = choose(context, request, servers)
+    const choice = chooseServer(context, request, servers)
     if (!choice) {
       const wait = await awaitModel(context, request, servers, bounds)
       // An engine that dies in the middle of a load has lost its waiting callers nothing but time: another one is asked.
