Let agents learn of configurations from routers

Envelopes of routers' messages carry the offset, an agent that is behind asks one router, by the same catch-up that routers use. An agent reads for itself at its start, every 2 s while no router is linked, every 30 s otherwise.

It is also what a restarted agent needs in an outage of the store: it had no configuration until the store's return.

--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -39,6 +39,7 @@
     dropRouter: nothing,
     takeDemand: nothing,
     takeRelay: nothing,
+    notePeerOffset: nothing,
     deploymentRelay: () => undefined
   })
   const open = async (router: string): Promise<Link<RouterMessage, AgentMessage>> =>
--- a/packages/sidecar/src/sidecar/followDeployment.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.ts
@@ -1,6 +1,7 @@
-import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
+import { createFeedFollower, createNewestDeployment } from '@figmount/fleet'
 
 import { SidecarEvent } from '../events.js'
+import { ALONE_READ_MS, LINKED_READ_MS } from './constants.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
 import type { Deployment, Relay, StorePort } from '@figmount/fleet'
@@ -9,6 +10,8 @@
   readonly store: StorePort
   readonly timers: TimerService
   readonly events: EventLog
+  /** Some router is linked. */
+  readonly hasRouters: () => boolean
 }
 
 /** The configuration as one agent knows it. */
@@ -23,9 +26,17 @@
   readonly stop: () => void
 }
 
-/** Follows the configuration, by the store and by what routers pass on. */
-export const followDeployment = ({ store, timers, events }: Options): FollowedDeployment => {
+/** Follows the configuration, by what routers pass on and, now and then, by the store. */
+export const followDeployment = ({ store, timers, events, hasRouters }: Options): FollowedDeployment => {
   const feed = store.deploymentFeed
+  let readMs = -Infinity
+
+  // Routers may all go at any moment, so it is looked at again before a read by them is due.
+  const dueInMs = (): number => {
+    const periodMs = hasRouters() ? LINKED_READ_MS : ALONE_READ_MS
+    return Math.max(0, Math.min(ALONE_READ_MS, readMs + periodMs - timers.nowMs()))
+  }
+
   const newest = createNewestDeployment({
     store,
     taken: (deployment, { offset }) => {
@@ -40,8 +51,9 @@
     feed,
     timers,
     events,
-    waitMs: LONG_POLL_MS,
-    dueInMs: () => 0,
+    waitMs: 0,
+    dueInMs,
+    noteRead: ({ beganMs }) => { readMs = beganMs },
     take: newest.take,
     takeKeys: () => {},
     lost: fault => { events.emit(SidecarEvent.feedLost, { step: fault.step, peer: fault.peer, reason: fault.message }) },
