Refuse at full engines only those whose callers would leave

What stays is the promise that nobody waits for a place until he leaves: the same rule as for waits for models. Its worth was not measured.

--- a/packages/decisions/src/placing/estimatePlaceWait.ts
+++ b/packages/decisions/src/placing/estimatePlaceWait.ts
@@ -9,19 +9,13 @@
   readonly occupancyMs: number
 }
 
-/** Part of a request's objective that it may wait for a place: more urgent requests pass it, and its prompt takes the rest. */
-const WAIT_SHARE = 0.5
-
-/** Expected time until an engine has a place for one more request, behind all that wait. */
+/**
+ * Expected time until an engine has a place for one more request, behind all that wait.
+ *
+ * Load pattern: a model that more callers ask for than its engines have places. The queue grows until callers leave a silent stream;
+ * those that would leave are told at once (`planWait`), and those before them wait no longer for it.
+ */
 export const estimatePlaceWaitMs = ({ placeCount, runningCount, startingCount, occupancyMs }: EnginePlaces): number => {
   if (runningCount < placeCount) return 0
   return (startingCount + 1) * occupancyMs / placeCount
 }
-
-/**
- * Whether a request comes too late for its caller at the engine that would serve it first.
- *
- * Load pattern: a model that more callers ask for than its engines have places. Without it the queue grows until callers leave:
- * each of them is late, though the engines could serve nine in ten at once. Kept short, it makes those late that are refused.
- */
-export const isCrowded = (placeWaitMs: number, objectiveMs: number): boolean => placeWaitMs > objectiveMs * WAIT_SHARE
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -24,5 +24,5 @@
   requestsCutShort: [2520, 'a stop has come to its end while requests are open: they get their final answer now'],
   requestsUnanswered: [2521, 'a stop closes connections on requests that have no final answer'],
   serverRestarted: [2522, 'a backend server has started again under its id: what was known of it counts no more'],
-  requestCrowded: [2523, 'the engines that hold a request\'s model have no place for it in time: it is refused']
+  requestCrowded: [2523, 'the engines that hold a request\'s model have no place for it before its caller leaves: it is refused']
 })
--- a/packages/gateway/src/requests/isTooCrowded.ts
+++ b/packages/gateway/src/requests/isTooCrowded.ts
@@ -1,4 +1,4 @@
-import { isCrowded } from '@figmount/decisions'
+import { planWait } from '@figmount/decisions'
 import { RequestKind } from '@figmount/fleet'
 
 import type { GatewayContext, RoutedRequest } from './types.js'
@@ -12,6 +12,6 @@
   return true
 }
 
-/** Whether the wait for a place at the best engine leaves a request no chance to be in time. */
-export const isTooCrowded = (context: GatewayContext, request: RoutedRequest, placeWaitMs: number): boolean =>
-  isCrowded(placeWaitMs, request.route.objectiveMs) && !isMostUrgent(context, request)
+/** Whether the wait for a place at the best engine leaves a request no time before its caller leaves. */
+export const isTooCrowded = (context: GatewayContext, request: RoutedRequest, placeWaitMs: number, leftMs: number): boolean =>
+  planWait({ readyInMs: placeWaitMs, leftMs }).isHopeless && !isMostUrgent(context, request)
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -62,7 +62,7 @@
     }
     context.unmet.settle(caller.modelName)
     const { start, entry: { serverId } } = choice.server
-    if (sends === 0 && isTooCrowded(context, request, choice.placeWaitMs)) {
+    if (sends === 0 && isTooCrowded(context, request, choice.placeWaitMs, bounds.callerLeavesMs() - timers.nowMs())) {
       context.events.emit(GatewayEvent.requestCrowded, { requestKey: caller.requestId, model: caller.modelName, peer: serverId, waitMs: Math.round(choice.placeWaitMs) })
       return giveUp('the engines with the model are full', CROWDED_RETRY_MS * (1 + context.random()))
     }
