Name what is told of an engine's load by the field's words

The wait that running requests cause stands in a file of its own, as two decisions use it; an engine that holds a model as well is a replica elsewhere.

--- a/packages/decisions/src/placing/isLoadNews.test.ts
+++ b/packages/decisions/src/placing/isLoadNews.test.ts
@@ -2,7 +2,7 @@
 
 import { isLoadNews } from './isLoadNews.js'
 
-const told = (hasTwin: boolean, ageMs = 100) => ({ load: { runningCount: 10, startingCount: 0 }, ageMs, hasTwin })
+const told = (hasReplicaElsewhere: boolean, ageMs = 100) => ({ load: { runningCount: 10, startingCount: 0 }, ageMs, hasReplicaElsewhere })
 
 describe('news of an engine\'s load', () => {
   it('are each request that starts where another engine could take the next one', () => {
--- a/packages/decisions/src/placing/isLoadNews.ts
+++ b/packages/decisions/src/placing/isLoadNews.ts
@@ -1,11 +1,6 @@
-import { RUNNING_COST_MS, STARTING_COST_MS } from './constants.js'
+import { batchWaitMs } from './batchWait.js'
 
-/** What an engine runs. */
-export interface EngineLoad {
-  readonly runningCount: number
-  /** Requests without a first event, those that wait among them. */
-  readonly startingCount: number
-}
+import type { EngineLoad } from './batchWait.js'
 
 /** A change of the wait at an engine, beside other engines with the same model, that changes which of them is chosen. */
 const CHOICE_STEP_MS = 20
@@ -16,16 +11,12 @@
 /** Time after which smaller changes are told too. */
 const REFRESH_MS = 1_000
 
-/** Delay that an engine's running requests add to a new one. */
-export const batchWaitMs = ({ runningCount, startingCount }: EngineLoad): number =>
-  runningCount * RUNNING_COST_MS + startingCount * STARTING_COST_MS
-
 /** What routers were told of an engine's load, and when. */
 export interface ToldEngineLoad {
   readonly load: EngineLoad
   readonly ageMs: number
   /** Another engine holds one of its models too. */
-  readonly hasTwin: boolean
+  readonly hasReplicaElsewhere: boolean
 }
 
 /**
@@ -34,8 +25,8 @@
  * Load pattern: many engines with rare models before many routers. The load changes with each request, and told each time it is
  * most of the messages between them, though a router that knows one engine for a model has nothing to choose.
  */
-export const isLoadNews = ({ load, ageMs, hasTwin }: ToldEngineLoad, now: EngineLoad): boolean => {
+export const isLoadNews = ({ load, ageMs, hasReplicaElsewhere }: ToldEngineLoad, now: EngineLoad): boolean => {
   const changeMs = Math.abs(batchWaitMs(now) - batchWaitMs(load))
-  if (changeMs >= (hasTwin ? CHOICE_STEP_MS : QUEUE_STEP_MS)) return true
+  if (changeMs >= (hasReplicaElsewhere ? CHOICE_STEP_MS : QUEUE_STEP_MS)) return true
   return changeMs > 0 && ageMs >= REFRESH_MS
 }
--- a/packages/decisions/src/placing/rankServers.ts
+++ b/packages/decisions/src/placing/rankServers.ts
@@ -1,5 +1,5 @@
 import { FAILURE_COST_MS, OTHER_DATA_CENTRE_COST_MS, PROMPT_TOKENS_PER_MS } from './constants.js'
-import { batchWaitMs } from './isLoadNews.js'
+import { batchWaitMs } from './batchWait.js'
 
 import type { ServerView } from './types.js'
 
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -17,8 +17,8 @@
 export const FULL_RETRY_MS = 300
 
 /**
- * Least come-back time when the engines with a model are full, and the time over which callers are spread beyond it: their queues
- * are short, and a replica that relieves them is loaded within a second where a copy lies elsewhere.
+ * Least come-back time when the engines with a model are full, and the time over which callers are spread beyond it: a replica that
+ * relieves them is loaded within a second where a copy lies elsewhere.
  */
 export const CROWDED_RETRY_MS = 1_000
 
--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -33,7 +33,7 @@
     port,
     describe,
     describeLoad,
-    hasTwin: () => false,
+    hasReplicaElsewhere: () => false,
     takeWant: nothing,
     dropWant: nothing,
     dropRouter: nothing,
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -25,7 +25,7 @@
   readonly describe: (routerCount: number) => AgentState
   readonly describeLoad: () => AgentLoad | undefined
   /** Another engine holds one of the models too, as far as routers have told. */
-  readonly hasTwin: () => boolean
+  readonly hasReplicaElsewhere: () => boolean
   readonly takeWant: (router: string, want: Want, settle: Settle) => void
   readonly dropWant: (router: string, wantId: number) => void
   readonly dropRouter: (router: string) => void
@@ -87,7 +87,7 @@
     const load = options.describeLoad()
     if (!load) return
     const atMs = timers.nowMs()
-    if (toldLoad && !isLoadNews({ load: toldLoad.load, ageMs: atMs - toldLoad.atMs, hasTwin: options.hasTwin() }, load)) return
+    if (toldLoad && !isLoadNews({ load: toldLoad.load, ageMs: atMs - toldLoad.atMs, hasReplicaElsewhere: options.hasReplicaElsewhere() }, load)) return
     toldLoad = { load, atMs }
     sendToAll(load)
   }
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -140,7 +140,7 @@
       timers, spec: service()?.engine, isUp, identity, orderer, demand, wants, deploymentOffset: deployments.offset(), routerCount
     }),
     describeLoad: () => describeEngineLoad(orderer),
-    hasTwin: () => orderer.report()?.models.some(({ name }) => demand.replicaCount(name) > 1) ?? false,
+    hasReplicaElsewhere: () => orderer.report()?.models.some(({ name }) => demand.replicaCount(name) > 1) ?? false,
     takeWant,
     dropWant: wants.drop,
     dropRouter: router => {
