Revert "Let agents learn of configurations from routers"

Cause: a router answers an agent that is behind with a relay, and an agent passes every relay on that is new to it, to all routers. So each change of the configuration went from 82 agents to 68 routers each. Besides, all agents hear of a change from the same router first, so all would ask it, on a link of 14 Mbit/s.

To be tried again with an answer that is not passed on, and a router drawn at random to ask.

--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -30,7 +30,7 @@
   readonly wantId: number
 }
 
-/** The sender is behind: it asks for the newest configuration that the other end knows. */
+/** A router is behind: it asks for the newest configuration that the agent knows. */
 export interface DeploymentAsked {
   readonly type: 'deploymentAsked'
 }
@@ -156,4 +156,4 @@
   readonly reason: string
 }
 
-export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | DeploymentAsked | Relay | ListRead | CrashNotice
+export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | Relay | ListRead | CrashNotice
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -89,7 +89,6 @@
       return
     }
     if (message.type === 'load') return handlers.takeLoad(serverAddress, message)
-    if (message.type === 'deploymentAsked') return handlers.sendDeployment(serverAddress)
     if (message.type === 'wantSettled') return settle(message.wantId, message)
     if (message.type === 'relay') return handlers.takeRelay(message)
     if (message.type === 'listRead') return handlers.takeListRead(message, timers.nowMs() < mayBeOldUntilMs)
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -34,8 +34,6 @@
   readonly takeState: (address: string, state: AgentState) => void
   readonly takeLoad: (address: string, load: AgentLoad) => void
   readonly takeRelay: (relay: Relay) => void
-  /** The agent is behind and asks for the newest configuration. */
-  readonly sendDeployment: (address: string) => void
   /** `mayBeOld`: it may have been held up on its way for longer than it says. */
   readonly takeListRead: (read: ListRead, mayBeOld: boolean) => void
   readonly takeCrash: (requestHash: string, start: ServerStart) => void
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -1,5 +1,6 @@
 import { BaseEvent } from '@figmount/base'
-import { createCatchUp, findEngine, findModel } from '@figmount/fleet'
+import { findModel, findEngine } from '@figmount/fleet'
+import { NO_OFFSET } from '@figmount/peers'
 
 import { createAgentLinks } from '../agents/createAgentLinks.js'
 import { createDemandMeter } from '../demand/createDemandMeter.js'
@@ -18,10 +19,11 @@
 import { createStop } from '../stopping/createStop.js'
 import { drain } from '../stopping/drain.js'
 import { AGENT_PATIENCE_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS, LEAST_ROUTER_COUNT, LEAVING_PERIOD_MS } from './constants.js'
+import { createCatchUp } from './createCatchUp.js'
 import { createDemandTeller } from './createDemandTeller.js'
 import { takeFeeds } from './takeFeeds.js'
 
-import type { InstanceName, LogOffset, ProcessContext, RunningProcess } from '@figmount/base'
+import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
 import type { RetryLimits } from '@figmount/decisions'
 import type { HeaderCodec, ServerEntry, StorePort } from '@figmount/fleet'
 import type { Ingress } from '../ingress/startIngress.js'
@@ -68,11 +70,9 @@
   })
   const crashes = createCrashBook(timers)
   const coldLoads = createColdLoads(timers, modelName => findModel(feeds.deployment(), modelName)?.coldLoadMs)
-  // Agents that are behind ask for the configuration that each message's envelope tells of.
-  const nextDeploymentOffset = (): LogOffset => (feeds.deploymentOffset() + 1) as LogOffset
   const agents = createAgentLinks({
     agentPort: options.agentPort,
-    context: { instance: options.instance, sharedKey: options.sharedKey, timers, events, offset: nextDeploymentOffset, onPeerOffset: () => {} },
+    context: { instance: options.instance, sharedKey: options.sharedKey, timers, events, offset: () => NO_OFFSET, onPeerOffset: () => {} },
     handlers: {
       takeState: (address, state) => {
         routerCount = Math.max(routerCount, state.routerCount)
@@ -81,10 +81,6 @@
         catchUp.note(address, state.deploymentOffset)
       },
       takeLoad: directory.takeLoad,
-      sendDeployment: address => {
-        const relay = feeds.deploymentRelay()
-        if (relay) agents.find(address)?.send(relay)
-      },
       takeRelay: relay => { feeds.takeRelay(relay.feedName, relay.records) },
       takeListRead: (read, mayBeOld) => { feeds.takeListRead(read, mayBeOld) },
       takeCrash: crashes.note,
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -6,7 +6,7 @@
 import { createReadTurns } from './createReadTurns.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
-import type { Deployment, FeedRead, FeedRecord, ListRead, Relay, StorePort } from '@figmount/fleet'
+import type { Deployment, FeedRead, FeedRecord, ListRead, StorePort } from '@figmount/fleet'
 import type { Directory } from '../directory/types.js'
 
 interface Options {
@@ -29,8 +29,6 @@
   readonly deployment: () => Deployment | undefined
   /** Offset of the configuration in force; -1 for none. */
   readonly deploymentOffset: () => number
-  /** The configuration in force as it is passed on; undefined for none. */
-  readonly deploymentRelay: () => Relay | undefined
   readonly takeRelay: (feedName: string, records: readonly FeedRecord[]) => void
   /** Takes in another router's read; one that `mayBeOld` does not put off the own one. */
   readonly takeListRead: (read: ListRead, mayBeOld: boolean) => void
@@ -121,10 +119,6 @@
   return {
     deployment: newest.current,
     deploymentOffset: newest.offset,
-    deploymentRelay: () => {
-      const record = newest.record()
-      return record && { type: 'relay', feedName: store.deploymentFeed.name, records: [record] }
-    },
     takeRelay: (feedName, records) => {
       if (feedName === store.deploymentFeed.name) deployments.offer(records)
     },
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -31,8 +31,6 @@
   readonly dropRouter: (router: string) => void
   readonly takeDemand: (router: string, demand: Demand) => void
   readonly takeRelay: (relay: Relay) => void
-  /** A router tells the offset after that of the newest configuration it knows; 0 for none. */
-  readonly notePeerOffset: (router: string, nextOffset: number) => void
   /** The newest configuration, for a router that is behind. */
   readonly deploymentRelay: () => Relay | undefined
 }
@@ -41,9 +39,6 @@
 export interface RouterLinks {
   /** Tells every router the state if it has changed. */
   readonly tell: () => void
-  readonly hasRouters: () => boolean
-  /** Asks a router for the newest configuration. */
-  readonly askDeployment: (router: string) => void
   readonly close: () => void
 }
 
@@ -163,7 +158,7 @@
     timers,
     events,
     offset: () => NO_OFFSET,
-    onPeerOffset: options.notePeerOffset
+    onPeerOffset: () => {}
   }, runLink)
   server.listen(options.port, options.host)
   const stopLoad = timers.every(LOAD_PERIOD_MS, tellLoad)
@@ -171,12 +166,6 @@
 
   return {
     tell,
-    hasRouters: () => links.size > 0,
-    askDeployment: router => {
-      for (const link of links) {
-        if (link.peer === router) return sendTo(link, { type: 'deploymentAsked' })
-      }
-    },
     close: () => {
       stopLoad()
       stopKeepAlive()
--- a/packages/sidecar/src/sidecar/constants.ts
+++ b/packages/sidecar/src/sidecar/constants.ts
@@ -5,12 +5,6 @@
  */
 export const COLD_SPACING_MS = 5_100
 
-/** Time between two reads of the configuration at the store while no router is linked. */
-export const ALONE_READ_MS = 2_000
-
-/** The same while routers are linked, which tell of a newer one. */
-export const LINKED_READ_MS = 30_000
-
 /** Time between two questions for the engine's id: each takes a slot for a moment and is paid for. */
 export const ASK_PERIOD_MS = 500
 
--- a/packages/sidecar/src/sidecar/followDeployment.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.ts
@@ -1,7 +1,6 @@
-import { createFeedFollower, createNewestDeployment } from '@figmount/fleet'
+import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
 
 import { SidecarEvent } from '../events.js'
-import { ALONE_READ_MS, LINKED_READ_MS } from './constants.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
 import type { Deployment, Relay, StorePort } from '@figmount/fleet'
@@ -10,8 +9,6 @@
   readonly store: StorePort
   readonly timers: TimerService
   readonly events: EventLog
-  /** Some router is linked. */
-  readonly hasRouters: () => boolean
 }
 
 /** The configuration as one agent knows it. */
@@ -26,17 +23,9 @@
   readonly stop: () => void
 }
 
-/** Follows the configuration, by what routers pass on and, now and then, by the store. */
-export const followDeployment = ({ store, timers, events, hasRouters }: Options): FollowedDeployment => {
+/** Follows the configuration, by the store and by what routers pass on. */
+export const followDeployment = ({ store, timers, events }: Options): FollowedDeployment => {
   const feed = store.deploymentFeed
-  let readMs = -Infinity
-
-  // Routers may all go at any moment, so it is looked at again before a read by them is due.
-  const dueInMs = (): number => {
-    const periodMs = hasRouters() ? LINKED_READ_MS : ALONE_READ_MS
-    return Math.max(0, Math.min(ALONE_READ_MS, readMs + periodMs - timers.nowMs()))
-  }
-
   const newest = createNewestDeployment({
     store,
     taken: (deployment, { offset }) => {
@@ -51,9 +40,8 @@
     feed,
     timers,
     events,
-    waitMs: 0,
-    dueInMs,
-    noteRead: ({ beganMs }) => { readMs = beganMs },
+    waitMs: LONG_POLL_MS,
+    dueInMs: () => 0,
     take: newest.take,
     takeKeys: () => {},
     lost: fault => { events.emit(SidecarEvent.feedLost, { step: fault.step, peer: fault.peer, reason: fault.message }) },
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -1,5 +1,3 @@
-import { createCatchUp } from '@figmount/fleet'
-
 import { createDemandBook } from '../demand/createDemandBook.js'
 import { createOrderer } from '../engine/createOrderer.js'
 import { hasRestarted } from '../engine/hasRestarted.js'
@@ -39,7 +37,7 @@
   const { timers, events, metrics } = options.context
   const demand = createDemandBook(timers)
   const wants = createWantBook(timers)
-  const deployments = followDeployment({ store: options.store, timers, events, hasRouters: () => links.hasRouters() })
+  const deployments = followDeployment({ store: options.store, timers, events })
   let isUp = false
   let lastReport: ServerReport | undefined
 
@@ -127,8 +125,6 @@
     advance()
   }
 
-  const catchUp = createCatchUp({ timers, ownOffset: deployments.offset, ask: router => { links.askDeployment(router) } })
-
   const links = serveRouters({
     instance: options.instance,
     host: options.host,
@@ -149,7 +145,6 @@
     },
     takeDemand: demand.take,
     takeRelay: deployments.takeRelay,
-    notePeerOffset: (router, nextOffset) => { catchUp.note(router, nextOffset - 1) },
     deploymentRelay: deployments.relay
   })
 
