Send to one link as to many, and take what a choice knows already

Found in the last reading of the change: an agent's send to one link stood beside its send to many; the requests that start at the chosen engine were added up anew beside the ranking's own figure (the same number); two tests repeated one loop. Comments that had become untrue are put right: a router that hears of other routers' reads need not read the list to learn of a cut, and the keys that an agent remembers are no longer those of servers. Two constants tell no measurement any more.

--- a/packages/gateway/src/requests/chooseServer.ts
+++ b/packages/gateway/src/requests/chooseServer.ts
@@ -29,7 +29,7 @@
   const placeWaitMs = estimatePlaceWaitMs({
     placeCount: server.entry.slots,
     runningCount: best.runningCount,
-    startingCount: Math.max(server.load?.startingCount ?? 0, server.ownStartingCount),
+    startingCount: best.startingCount + server.ownStartingCount,
     occupancyMs: context.occupancy.meanMs()
   })
   return { server, adapterWaitMs: best.adapterWaitMs, newTokens: Math.max(0, promptTokens - best.cachedTokens), placeWaitMs }
--- a/packages/gateway/src/router/takeFeeds.test.ts
+++ b/packages/gateway/src/router/takeFeeds.test.ts
@@ -100,6 +100,19 @@
   for (const { feeds } of routers) feeds.stop()
 }
 
+const emptyRead = (fromOffset: number, toOffset: number): ListRead =>
+  ({ type: 'listRead', fromOffset, toOffset, records: [], ageMs: 5, settlingMs: 0 })
+
+/** Tells a router of the same read until it must know what has been written. */
+const tellAgainAndAgain = async (
+  router: TestRouter | undefined, read: ListRead, mayBeOld: boolean, pass: (durationMs: number) => Promise<void>
+): Promise<void> => {
+  for (let passedMs = 0; passedMs < KNOWN_WITHIN_MS; passedMs += 200) {
+    router?.feeds.takeListRead(read, mayBeOld)
+    await pass(200)
+  }
+}
+
 const isLeft = ({ directory }: TestRouter, serverId: string): boolean => directory.find(serverId)?.entry.isDraining !== false
 
 describe('reading the list of servers', () => {
@@ -165,10 +178,7 @@
     await pass(500)
     const [router] = routers
     store.write('a', entryOf('a', true))
-    for (let passedMs = 0; passedMs < KNOWN_WITHIN_MS; passedMs += 200) {
-      router?.feeds.takeListRead({ type: 'listRead', fromOffset: 4, toOffset: 4, records: [], ageMs: 5, settlingMs: 0 }, false)
-      await pass(200)
-    }
+    await tellAgainAndAgain(router, emptyRead(4, 4), false, pass)
     stopAll(routers)
     expect(router && isLeft(router, 'a')).to.equal(true)
   })
@@ -179,10 +189,7 @@
     await pass(4_000)
     const [router] = routers
     store.write('a', entryOf('a', true))
-    for (let passedMs = 0; passedMs < KNOWN_WITHIN_MS; passedMs += 200) {
-      router?.feeds.takeListRead({ type: 'listRead', fromOffset: 0, toOffset: 3, records: [], ageMs: 5, settlingMs: 0 }, true)
-      await pass(200)
-    }
+    await tellAgainAndAgain(router, emptyRead(0, 3), true, pass)
     stopAll(routers)
     expect(router && isLeft(router, 'a')).to.equal(true)
   })
--- a/packages/gateway/src/router/takeFeeds.ts
+++ b/packages/gateway/src/router/takeFeeds.ts
@@ -109,8 +109,8 @@
     regained: outageMs => {
       directory.lapses.noteRegained()
       // Guards against a cut that leaves the read of the configuration waiting on a connection that is dead: it would wait
-      // on for seconds, and requests would be handled by an older configuration. The list is read more often and shows the
-      // end of the cut.
+      // on for seconds, and requests would be handled by an older configuration. A router that hears of no other's reads
+      // reads the list itself, which shows the end of the cut; one that hears of them hears of configurations too.
       deployments.hurry()
       regained(store.serverFeed.name, outageMs)
     }
--- a/packages/sidecar/src/engine/constants.ts
+++ b/packages/sidecar/src/engine/constants.ts
@@ -1,4 +1,4 @@
-/** Time between reports while nothing is expected: a crash is noticed in a tenth of a second, at 3% of a core with start-up. */
+/** Time between reports while nothing is expected: a crash is noticed within it. */
 export const POLL_MS = 100
 
 /** Least time between reports while an order is carried out; an adapter takes 5 ms. */
@@ -22,5 +22,5 @@
 /** Pause after an order that was refused or lost, before the next try. */
 export const ORDER_RETRY_MS = 30
 
-/** An order without an answer is carried out this late at most: the platform says "seconds", and 12 s were seen. */
+/** An order without an answer is carried out this late at most. */
 export const STRAY_MS = 15_000
--- a/packages/sidecar/src/links/createPassedRecords.ts
+++ b/packages/sidecar/src/links/createPassedRecords.ts
@@ -1,6 +1,6 @@
 import type { Relay } from '@figmount/fleet'
 
-/** Keys that are remembered: each start of a server has one of its own, and a deployment has some hundred at a time. */
+/** Keys that are remembered, so that a feed with ever new keys takes no more memory. */
 const MAX_KEYS = 2_000
 
 /** What an agent has passed on to routers. */
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -52,11 +52,6 @@
   let toldLoad: { readonly load: AgentLoad, readonly atMs: number } | undefined
   const passedReads = createPassedReads(timers)
 
-  const sendTo = (link: RouterLink, message: AgentMessage): void => {
-    lastSentMs.set(link, timers.nowMs())
-    link.send(message)
-  }
-
   const sendToMany = (receivers: Iterable<RouterLink>, message: AgentMessage): void => {
     const packed = packMessage({ offset: () => NO_OFFSET, events }, message)
     for (const link of receivers) {
@@ -65,6 +60,8 @@
     }
   }
 
+  const sendTo = (link: RouterLink, message: AgentMessage): void => { sendToMany([link], message) }
+
   const sendToAll = (message: AgentMessage, except?: RouterLink): void => {
     sendToMany([...links].filter(link => link !== except), message)
   }
