Ask for organisations' keys and hold their limits over all routers

Change: keys are kept as HMAC digests by a secret of each process, never reach a server, a line or a metric, and come and go with the configuration; 401, 429 with a true time, 503 where no configuration is known. One agent keeps an organisation's bucket, chosen by rendezvous among those that a router reaches; it holds the part of the limit that its routers are of all, so the parts add up to the whole however processes die, stand still or are cut off.

--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -11,6 +11,8 @@
 /** Everything an event may carry. Units are in the names. */
 export interface EventFields {
   readonly caller?: string
+  /** Name of the organisation that holds the caller's key. */
+  readonly organisation?: string
   readonly requestKey?: string
   readonly attemptId?: string
   readonly service?: string
--- a/packages/fleet/src/deployment/types.ts
+++ b/packages/fleet/src/deployment/types.ts
@@ -36,6 +36,8 @@
   /** Backend servers on which one request may run. */
   readonly maxAttempts: number
   readonly isResumable: boolean
+  /** Callers need no key. */
+  readonly isPublic: boolean
 }
 
 /** A model of a service's engines. */
@@ -75,6 +77,41 @@
   readonly idleTimeoutMs: number
 }
 
+/** What counts against an organisation's limit. */
+export const LimitUnit = {
+  Requests: 'requests',
+  /** Prompt tokens and the most tokens that may come out. */
+  Tokens: 'tokens'
+} as const
+
+export type LimitUnit = typeof LimitUnit[keyof typeof LimitUnit]
+
+/** How much an organisation may ask for, over all routers together. */
+export interface OrganisationLimit {
+  readonly unit: LimitUnit
+  readonly unitsPerS: number
+  /** Units that may come at once after a pause. */
+  readonly burstUnits: number
+  /** What a request without a count of tokens counts as. */
+  readonly plainUnits: number
+}
+
+/** A customer whose callers share keys and a limit. */
+export interface Organisation {
+  readonly name: string
+  /** Rank of its requests, 0 the most urgent; undefined leaves it to the route. */
+  readonly priority: number | undefined
+  /** Undefined for one without a limit. */
+  readonly limit: OrganisationLimit | undefined
+}
+
+/** The organisations of a configuration. */
+export interface Organisations {
+  readonly all: readonly Organisation[]
+  /** Who holds a key, by the key's digest in this process: keys themselves are not kept. */
+  readonly byKeyDigest: ReadonlyMap<string, Organisation>
+}
+
 /** One accepted configuration, whole. */
 export interface Deployment {
   /** Grows with each accepted configuration, in uneven steps. */
@@ -82,4 +119,6 @@
   readonly routes: readonly Route[]
   readonly services: readonly Service[]
   readonly limits: CallerLimits
+  /** Undefined where callers need no key. */
+  readonly organisations: Organisations | undefined
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,5 @@
 /** What routers and agents on the HTTP path share: deployment, servers, feeds of the store, messages, ports to a platform. */
-export { RequestKind } from './deployment/types.js'
+export { LimitUnit, RequestKind } from './deployment/types.js'
 export type * from './deployment/types.js'
 export { DEMAND_MEMORY_MS, decayDemand } from './demand/decayDemand.js'
 export { createNewestDeployment } from './deployment/createNewestDeployment.js'
@@ -14,5 +14,6 @@
 export { createFeedFollower } from './feeds/createFeedFollower.js'
 export type { FeedFollower } from './feeds/createFeedFollower.js'
 export type * from './messages/types.js'
+export { MESSAGE_STRUCTURES } from './messages/structures.js'
 export { OrderAnswer } from './ports/types.js'
 export type * from './ports/types.js'
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -86,13 +86,54 @@
 }
 
 /** A request that was running when its backend server died, by the hash of what would be sent again. */
-export interface CrashNotice {
-  readonly type: 'crash'
+export interface Crash {
   readonly requestHash: string
   readonly start: ServerStart
 }
 
-export type RouterMessage = Heartbeat | Want | WantDropped | DeploymentAsked | Demand | Relay | ListRead | CrashNotice
+/** Crashes that a router has seen of late. */
+export interface CrashNotice {
+  readonly type: 'crash'
+  readonly crashes: readonly Crash[]
+}
+
+/** The organisations whose requests the agent counts for this router from now on, in place of those told before. */
+export interface LimiterChosen {
+  readonly type: 'limiterChosen'
+  readonly organisations: readonly string[]
+  /** The most routers that this one knows of. */
+  readonly routerCount: number
+}
+
+/** A router asks for units of an organisation's limit for one request. */
+export interface UnitsAsked {
+  readonly type: 'unitsAsked'
+  readonly askId: number
+  readonly organisation: string
+  readonly units: number
+  /** The request may wait this long for them. */
+  readonly maxWaitMs: number
+}
+
+/** Units of a request that has not run; below 0 those of one that runs once more. */
+export interface UnitsReturned {
+  readonly type: 'unitsReturned'
+  readonly organisation: string
+  readonly units: number
+}
+
+/** What became of a router's question for units. */
+export interface UnitsAnswered {
+  readonly type: 'unitsAnswered'
+  readonly askId: number
+  /** Unknown: the agent does not count this organisation for the router. */
+  readonly outcome: 'taken' | 'refused' | 'unknown'
+  /** Time after which units that were taken may be used, or those that were refused are there. */
+  readonly waitMs: number
+}
+
+export type RouterMessage =
+  | Heartbeat | Want | WantDropped | DeploymentAsked | Demand | Relay | ListRead | CrashNotice | LimiterChosen | UnitsAsked | UnitsReturned
 
 /** What an agent's server holds and does. Sent when a link is opened. */
 export interface AgentState extends ServerStart {
@@ -156,4 +197,4 @@
   readonly reason: string
 }
 
-export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | Relay | ListRead | CrashNotice
+export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | Relay | ListRead | CrashNotice | UnitsAnswered
--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -19,6 +19,10 @@
   readonly modelName: string
   readonly adapterName: string
   readonly promptTokens: number
+  /** Most tokens that may come out; undefined when the caller counts no tokens. */
+  readonly outputTokens: number | undefined
+  /** Digest of the caller's key; empty without one. */
+  readonly keyDigest: string
   readonly promptParts: readonly PromptPart[]
   /** Last event that the caller has, empty for a new stream. */
   readonly lastEventId: string
@@ -29,6 +33,8 @@
   readonly serverId: string
   readonly deadlineMs: number
   readonly priority: number
+  /** Empty for a request that belongs to none. */
+  readonly organisationName: string
   /** Event after which the server goes on; empty for the beginning. */
   readonly lastEventId: string
 }
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -92,7 +92,9 @@
     if (message.type === 'wantSettled') return settle(message.wantId, message)
     if (message.type === 'relay') return handlers.takeRelay(message)
     if (message.type === 'listRead') return handlers.takeListRead(message, timers.nowMs() < mayBeOldUntilMs)
-    if (message.type === 'crash') handlers.takeCrash(message.requestHash, message.start)
+    if (message.type === 'unitsAnswered') return handlers.takeUnits(serverAddress, message)
+    if (message.type !== 'crash') return
+    for (const crash of message.crashes) handlers.takeCrash(crash)
   }
 
   const serve = async (open: OpenLink): Promise<void> => {
--- a/packages/gateway/src/agents/createAgentLinks.ts
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -23,6 +23,8 @@
   readonly sendToEach: (messageFor: (serverAddress: string, isNewLink: boolean) => RouterMessage | undefined) => void
   /** Sends through a few agents, which pass it on to all other routers. */
   readonly relay: (message: RouterMessage) => void
+  /** Engine addresses of the agents that answer. */
+  readonly openAddresses: () => readonly string[]
   /** Nearly all agents have told their engines' state; false before the first one is known. */
   readonly isReached: () => boolean
   readonly close: () => void
@@ -77,6 +79,7 @@
         if (link.send(message)) sent += 1
       }
     },
+    openAddresses: () => [...links].filter(([, link]) => link.isOpen()).map(([address]) => address),
     isReached: () => {
       let spokenCount = 0
       for (const link of links.values()) spokenCount += Number(link.hasSpoken())
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -1,5 +1,5 @@
 import type { PackedMessage } from '@figmount/peers'
-import type { AgentLoad, AgentState, ListRead, Relay, RouterMessage, ServerStart } from '@figmount/fleet'
+import type { AgentLoad, AgentState, Crash, ListRead, Relay, RouterMessage, UnitsAnswered } from '@figmount/fleet'
 
 /** What became of a want. */
 export interface WantOutcome {
@@ -36,7 +36,8 @@
   readonly takeRelay: (relay: Relay) => void
   /** `mayBeOld`: it may have been held up on its way for longer than it says. */
   readonly takeListRead: (read: ListRead, mayBeOld: boolean) => void
-  readonly takeCrash: (requestHash: string, start: ServerStart) => void
+  readonly takeCrash: (crash: Crash) => void
+  readonly takeUnits: (address: string, answer: UnitsAnswered) => void
   readonly lost: (address: string) => void
 }
 
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -24,5 +24,8 @@
   requestsCutShort: [2520, 'a stop has come to its end while requests are open: they get their final answer now'],
   requestsUnanswered: [2521, 'a stop closes connections on requests that have no final answer'],
   serverRestarted: [2522, 'a backend server has started again under its id: what was known of it counts no more'],
-  requestCrowded: [2523, 'the engines that hold a request\'s model have no place for it before its caller leaves: it is refused']
+  requestCrowded: [2523, 'the engines that hold a request\'s model have no place for it before its caller leaves: it is refused'],
+  keyUnknown: [2524, 'a request brought no key that the configuration names, on a route that asks for one: it is refused'],
+  requestLimited: [2525, 'a request is beyond its organisation\'s limit: it is refused'],
+  limiterAvoided: [2526, 'the agent that counts an organisation\'s requests did not answer: another one counts them']
 })
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -3,6 +3,8 @@
 
 import { GatewayEvent } from '../events.js'
 import { STOPPING, STOPPING_RETRY_MS, UNKNOWN_RETRY_MS } from '../requests/constants.js'
+import { holderOf, isKeyAsked, unitsOf } from '../limits/holderOf.js'
+import { takeQuota } from '../limits/takeQuota.js'
 import { Status } from '../requests/endRequest.js'
 import { serveModel } from '../requests/serveModel.js'
 import { servePlain } from '../requests/servePlain.js'
@@ -39,6 +41,15 @@
   response.end()
 }
 
+/** The configuration in force names no holder of the caller's key. The key itself is not told. */
+const refuseKey = (context: GatewayContext, response: ServerResponse, caller: CallerRequest, route: Route): void => {
+  context.metrics.count('requests_unauthorized_total')
+  context.events.emit(GatewayEvent.keyUnknown, { requestKey: caller.requestId, item: route.name, reason: caller.keyDigest === '' ? 'no key' : 'unknown key' })
+  if (response.destroyed) return
+  response.writeHead(Status.Unauthorized, { 'content-length': 0 })
+  response.end()
+}
+
 const watchLeaving = (message: IncomingMessage, response: ServerResponse): AbortSignal => {
   const leaving = new AbortController()
   onceClosed(message, response, () => {
@@ -52,11 +63,15 @@
   message: IncomingMessage, response: ServerResponse, body: Buffer, arrivedMs: number, left: AbortSignal
 ): Promise<void> => {
   const serviceName = pickService(route, context.random()) ?? ''
+  const organisation = holderOf(deployment, route, caller)
   const deadlineMs = caller.deadlineMs ?? route.timeoutMs
   const request: RoutedRequest = {
     caller,
     route,
     serviceName,
+    organisation,
+    units: organisation?.limit ? unitsOf(organisation.limit, caller) : 0,
+    priority: organisation?.priority ?? route.priority,
     method: message.method ?? 'GET',
     url: message.url ?? '/',
     headers: message.rawHeaders,
@@ -74,10 +89,12 @@
     service: serviceName,
     model: caller.modelName,
     adapter: caller.adapterName,
+    ...(organisation ? { organisation: organisation.name } : {}),
     version: String(deployment.version),
     tokenCount: caller.promptTokens,
     waitMs: Math.round(request.untilMs - arrivedMs)
   })
+  if (organisation && !await takeQuota(context, request, organisation)) return
   context.budget.noteRequest(serviceName)
   const isModel = findEngine(deployment, serviceName) !== undefined
   if (isModel && route.kind === RequestKind.Stream) return await serveModel(context, request)
@@ -101,5 +118,6 @@
   if (!deployment || !context.directory.isKnown()) return refuseEarly(context, response, caller.requestId, 'no deployment known yet', UNKNOWN_RETRY_MS)
   const route = matchRoute(deployment.routes, message.headers.host ?? '', message.url ?? '/')
   if (!route) return endEarly(context, response, Status.NotFound, `no route for ${message.headers.host ?? ''}${message.url ?? ''}`)
+  if (isKeyAsked(deployment, route) && !holderOf(deployment, route, caller)) return refuseKey(context, response, caller, route)
   await serve(context, deployment, caller, route, message, response, read.body, arrivedMs, left)
 }
--- /dev/null
+++ b/packages/gateway/src/limits/holderOf.ts
@@ -0,0 +1,16 @@
+import { LimitUnit } from '@figmount/fleet'
+
+import type { CallerRequest, Deployment, Organisation, OrganisationLimit, Route } from '@figmount/fleet'
+
+/** Requests on the route must bring a key. */
+export const isKeyAsked = ({ organisations }: Deployment, route: Route): boolean => organisations !== undefined && !route.isPublic
+
+/** The organisation that holds the caller's key; undefined where none does or no key is asked for. */
+export const holderOf = (deployment: Deployment, route: Route, { keyDigest }: CallerRequest): Organisation | undefined =>
+  isKeyAsked(deployment, route) ? deployment.organisations?.byKeyDigest.get(keyDigest) : undefined
+
+/** What a request counts against its organisation's limit. */
+export const unitsOf = ({ unit, plainUnits }: OrganisationLimit, { promptTokens, outputTokens }: CallerRequest): number => {
+  if (unit === LimitUnit.Requests || outputTokens === undefined) return plainUnits
+  return promptTokens + outputTokens
+}
--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -7,8 +7,10 @@
 /** HTTP status of an ending of figmount's own. */
 export const Status = {
   BadRequest: 400,
+  Unauthorized: 401,
   NotFound: 404,
   TooLarge: 413,
+  TooManyRequests: 429,
   HeadersTooLarge: 431,
   BadGateway: 502,
   Unavailable: 503,
@@ -20,8 +22,9 @@
 const nameMs = (context: GatewayContext, request: RoutedRequest): number =>
   Math.round(context.timers.nowMs() - request.arrivedMs)
 
-/** Refuses a request that has not run and never will, and tells when to come back. */
+/** Refuses a request that has not run and never will, and tells when to come back. Its units are free for another one. */
 export const refuse = (context: GatewayContext, request: RoutedRequest, reason: string, retryAfterMs: number): void => {
+  if (request.organisation) context.quotas.giveBack(request.organisation, request.units)
   context.metrics.count('requests_refused_total')
   context.events.emit(GatewayEvent.requestRefused, {
     requestKey: request.caller.requestId, reason, retryAfterMs: Math.round(retryAfterMs), waitMs: nameMs(context, request)
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -22,7 +22,7 @@
     count: server.ownCount,
     waitMs: Math.round(timers.nowMs() - request.arrivedMs)
   })
-  const forwarded = codec.encodeForward(request.headers, { serverId, deadlineMs: leftMs, priority: request.route.priority, lastEventId })
+  const forwarded = codec.encodeForward(request.headers, { serverId, deadlineMs: leftMs, priority: request.priority, organisationName: request.organisation?.name ?? '', lastEventId })
   const framing = request.body.length > 0 || request.method !== 'GET' ? ['Content-Length', String(request.body.length)] : []
   return await sendToServer(context, {
     start: server.start,
--- a/packages/gateway/src/requests/isTooCrowded.ts
+++ b/packages/gateway/src/requests/isTooCrowded.ts
@@ -4,9 +4,11 @@
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** An engine takes in more urgent requests first: those that wait for a place do not keep the most urgent ones waiting. */
-const isMostUrgent = (context: GatewayContext, { route, serviceName }: RoutedRequest): boolean => {
-  for (const other of context.deployment()?.routes ?? []) {
-    if (other.priority >= route.priority || other.kind !== RequestKind.Stream) continue
+const isMostUrgent = (context: GatewayContext, { organisation, priority, serviceName }: RoutedRequest): boolean => {
+  const { organisations, routes = [] } = context.deployment() ?? {}
+  if (organisation?.priority !== undefined) return !organisations?.all.some(other => other.priority !== undefined && other.priority < priority)
+  for (const other of routes) {
+    if (other.priority >= priority || other.kind !== RequestKind.Stream) continue
     if (other.shares.some(share => share.serviceName === serviceName)) return false
   }
   return true
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -208,10 +208,10 @@
     } as unknown as GatewayContext
     directory.takeState('a:1', makeAgentState('a', { models: [{ name: 'm', adapters: [] }] }))
     directory.takeLoad('a:1', { type: 'load', runningCount: 1, startingCount: 3 })
-    await serveModel(crowded, { ...request, route: route(1) })
+    await serveModel(crowded, { ...request, route: route(1), priority: 1 })
     expect(statuses).to.deep.equal([503])
     expect(retriesMs).to.deep.equal([1_500])
-    expect(isTooCrowded(crowded, { ...request, route: route(1) }, 8_000, 5_000)).to.equal(true)
-    expect(isTooCrowded(crowded, { ...request, route: route(0) }, 8_000, 5_000)).to.equal(false)
+    expect(isTooCrowded(crowded, { ...request, route: route(1), priority: 1 }, 8_000, 5_000)).to.equal(true)
+    expect(isTooCrowded(crowded, { ...request, route: route(0), priority: 0 }, 8_000, 5_000)).to.equal(false)
   })
 })
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -76,6 +76,7 @@
     }
     if (request.left.aborted) return noteLeft(context, request)
     if (sends > 0 && !budget.takeRepeat(serviceName, context.routerCount())) return giveUp('no repeats left', FULL_RETRY_MS)
+    if (runs > 0 && request.organisation) context.quotas.charge(request.organisation, request.units)
     if (sends > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: caller.requestId, peer: serverId, count: sends })
     sends += 1
     lastPeer = serverId
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -99,6 +99,7 @@
     const server = choose(context, request, tried)
     if (!server) return finish(tried.size > 0 ? 'no other server' : 'no server')
     if (tried.size > 0 && !budget.takeRepeat(request.serviceName, context.routerCount())) return finish('no repeats left')
+    if (runs > 0 && request.organisation) context.quotas.charge(request.organisation, request.units)
     const { start, entry: { serverId } } = server
     if (tried.size > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: request.caller.requestId, peer: serverId, count: tried.size })
     tried.add(startKeyOf(start))
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -1,15 +1,17 @@
 import type { ServerResponse } from 'node:http'
 import type { EventLog, Metrics, TimerService } from '@figmount/base'
-import type { CallerRequest, Deployment, HeaderCodec, RawHeaders, Route } from '@figmount/fleet'
+import type { CallerRequest, Deployment, HeaderCodec, Organisation, RawHeaders, Route } from '@figmount/fleet'
 import type { AgentLinks } from '../agents/createAgentLinks.js'
 import type { DemandMeter } from '../demand/createDemandMeter.js'
 import type { UnmetBook } from '../demand/createUnmetBook.js'
 import type { Directory } from '../directory/types.js'
+import type { Quotas } from '../limits/createQuotas.js'
 import type { ConnectionPool } from '../forwarding/createConnectionPool.js'
 import type { ColdLoads } from '../placing/createColdLoads.js'
 import type { OccupancyMeter } from '../placing/createOccupancyMeter.js'
 import type { QueueRelief } from '../placing/createQueueRelief.js'
 import type { RepeatBudget } from '../retries/createRepeatBudget.js'
+import type { CrashTeller } from '../retries/createCrashTeller.js'
 import type { CrashBook } from '../retries/createCrashBook.js'
 import type { Stop } from '../stopping/types.js'
 
@@ -25,7 +27,9 @@
   readonly unmet: UnmetBook
   readonly pool: ConnectionPool
   readonly budget: RepeatBudget
+  readonly quotas: Quotas
   readonly crashes: CrashBook
+  readonly crashTeller: CrashTeller
   readonly relief: QueueRelief
   readonly coldLoads: ColdLoads
   readonly occupancy: OccupancyMeter
@@ -42,6 +46,12 @@
   readonly caller: CallerRequest
   readonly route: Route
   readonly serviceName: string
+  /** Undefined where no key is asked for. */
+  readonly organisation: Organisation | undefined
+  /** What the request counts against its organisation's limit. */
+  readonly units: number
+  /** Rank of the request, 0 the most urgent. */
+  readonly priority: number
   readonly method: string
   readonly url: string
   readonly headers: RawHeaders
--- a/packages/gateway/src/router/createCatchUp.ts
+++ b/packages/gateway/src/router/createCatchUp.ts
@@ -22,7 +22,7 @@
 
 /**
  * Guards against a router that is cut off from the store, or whose read is never answered: it would go on by an old
- * configuration for seconds, as one did for 8.6 s that had started in an outage. What other routers pass on goes through
+ * configuration for seconds, as one that starts in an outage does. What other routers pass on goes through
  * two agents and may be lost with them; here each agent that is ahead is a way to learn of the change.
  */
 export const createCatchUp = ({ timers, ownOffset, ask }: Options): CatchUp => {
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -1,6 +1,6 @@
-import { BaseEvent } from '@figmount/base'
-import { findModel, findEngine } from '@figmount/fleet'
-import { NO_OFFSET } from '@figmount/peers'
+import { BaseEvent, countMessages } from '@figmount/base'
+import { findModel, findEngine, MESSAGE_STRUCTURES } from '@figmount/fleet'
+import { createMessageCodec, NO_OFFSET } from '@figmount/peers'
 
 import { createAgentLinks } from '../agents/createAgentLinks.js'
 import { createDemandMeter } from '../demand/createDemandMeter.js'
@@ -10,11 +10,14 @@
 import { serveReady } from '../ingress/serveReady.js'
 import { startIngress } from '../ingress/startIngress.js'
 import { takeRequest } from '../ingress/takeRequest.js'
+import { createQuotas } from '../limits/createQuotas.js'
+import { createRouterCount } from '../limits/createRouterCount.js'
 import { createColdLoads } from '../placing/createColdLoads.js'
 import { createOccupancyMeter } from '../placing/createOccupancyMeter.js'
 import { createQueueRelief } from '../placing/createQueueRelief.js'
 import { REPLICA_PERIOD_MS, watchReplicas } from '../placing/watchReplicas.js'
 import { createCrashBook } from '../retries/createCrashBook.js'
+import { createCrashTeller } from '../retries/createCrashTeller.js'
 import { createRepeatBudget } from '../retries/createRepeatBudget.js'
 import { createStop } from '../stopping/createStop.js'
 import { drain } from '../stopping/drain.js'
@@ -72,10 +75,20 @@
   const coldLoads = createColdLoads(timers, modelName => findModel(feeds.deployment(), modelName)?.coldLoadMs)
   const agents = createAgentLinks({
     agentPort: options.agentPort,
-    context: { instance: options.instance, sharedKey: options.sharedKey, timers, events, offset: () => NO_OFFSET, onPeerOffset: () => {} },
+    context: {
+      instance: options.instance,
+      sharedKey: options.sharedKey,
+      timers,
+      events,
+      codec: createMessageCodec(MESSAGE_STRUCTURES),
+      offset: () => NO_OFFSET,
+      onPeerOffset: () => {},
+      noteSent: countMessages(metrics)
+    },
     handlers: {
       takeState: (address, state) => {
         routerCount = Math.max(routerCount, state.routerCount)
+        limitShares.note(state.routerCount)
         coldLoads.takeState(address, state)
         directory.takeState(address, state)
         catchUp.note(address, state.deploymentOffset)
@@ -83,8 +96,10 @@
       takeLoad: directory.takeLoad,
       takeRelay: relay => { feeds.takeRelay(relay.feedName, relay.records) },
       takeListRead: (read, mayBeOld) => { feeds.takeListRead(read, mayBeOld) },
-      takeCrash: crashes.note,
+      takeCrash: crash => { crashes.note(crash.requestHash, crash.start) },
+      takeUnits: (address, answer) => { quotas.takeAnswer(address, answer) },
       lost: address => {
+        quotas.noteLost(address)
         coldLoads.lose(address)
         directory.loseAgent(address)
       }
@@ -106,6 +121,15 @@
     ownOffset: feeds.deploymentOffset,
     ask: address => { agents.find(address)?.send({ type: 'deploymentAsked' }) }
   })
+  const limitShares = createRouterCount(timers)
+  const quotas = createQuotas({
+    timers,
+    events,
+    organisations: () => feeds.deployment()?.organisations,
+    routerCount: limitShares.count,
+    reached: agents.openAddresses,
+    send: (address, message) => { agents.find(address)?.send(message) }
+  })
   const context: GatewayContext = {
     timers,
     events,
@@ -118,6 +142,8 @@
     pool: createConnectionPool(),
     budget: createRepeatBudget(options.retryLimits, timers),
     crashes,
+    quotas,
+    crashTeller: createCrashTeller(timers, agents.relay),
     relief: createQueueRelief(timers),
     coldLoads,
     occupancy: createOccupancyMeter(),
@@ -156,11 +182,22 @@
     context.pool.keepOnly(directory.starts())
   }
   const teller = createDemandTeller(context.demand, directory, agents)
+  let isLeavingLookDue = false
+  const lookWhileLeaving = (): void => {
+    if (isLeavingLookDue || !directory.hasLeaving()) return
+    isLeavingLookDue = true
+    timers.after(LEAVING_PERIOD_MS, () => {
+      isLeavingLookDue = false
+      teller.tellLeaving()
+      lookWhileLeaving()
+    })
+  }
   const stops = [
+    directory.onState(lookWhileLeaving),
     timers.every(DEMAND_PERIOD_MS, teller.tell),
-    timers.every(LEAVING_PERIOD_MS, teller.tellLeaving),
     timers.every(FOLLOW_PERIOD_MS, follow),
-    timers.every(REPLICA_PERIOD_MS, () => watchReplicas(context))
+    timers.every(REPLICA_PERIOD_MS, () => watchReplicas(context)),
+    quotas.stop
   ]
   metrics.gauge('requests_open', ingress.openCount)
   metrics.gauge('servers_known', () => directory.entries().length)
--- a/packages/gateway/src/stopping/constants.ts
+++ b/packages/gateway/src/stopping/constants.ts
@@ -10,8 +10,5 @@
 /** Part of that margin in which the final answers of open requests go out; a link carries one in a few ms. */
 export const LAST_ANSWERS_MS = 200
 
-/**
- * Least time that a request needs from its send to the end of its answer. Of 325 streams of the tyre deployment's kinds half
- * took 0.6 to 2.1 s in all, so with less than this left most would be broken off midway, where a refusal can go elsewhere.
- */
+/** Least time that a request needs from its send to the end of its answer: with less left most streams would be broken off midway. */
 export const LEAST_ANSWER_MS = 2_000
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -1,3 +1,5 @@
+import { countMessages } from '@figmount/base'
+
 import { createDemandBook } from '../demand/createDemandBook.js'
 import { createOrderer } from '../engine/createOrderer.js'
 import { hasRestarted } from '../engine/hasRestarted.js'
@@ -5,6 +7,7 @@
 import { SidecarEvent } from '../events.js'
 import { TELL_PERIOD_MS } from '../links/constants.js'
 import { serveRouters } from '../links/serveRouters.js'
+import { createLimiters } from '../limits/createLimiters.js'
 import { createWantBook } from '../wants/createWantBook.js'
 import { COLD_SPACING_MS } from './constants.js'
 import { createIdentity } from './createIdentity.js'
@@ -12,7 +15,8 @@
 import { followDeployment } from './followDeployment.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
-import type { EnginePort, Service, ServerReport, StorePort, Want } from '@figmount/fleet'
+import type { RateLimit } from '@figmount/decisions'
+import type { EnginePort, Organisations, Service, ServerReport, StorePort, Want } from '@figmount/fleet'
 import type { Settle } from '../wants/createWantBook.js'
 
 /** What an agent on the HTTP path is started with. */
@@ -30,6 +34,11 @@
   readonly store: StorePort
 }
 
+const limitOf = (organisations: Organisations | undefined, name: string): RateLimit | undefined => {
+  const limit = organisations?.all.find(organisation => organisation.name === name)?.limit
+  return limit && { unitsPerS: limit.unitsPerS, burstUnits: limit.burstUnits }
+}
+
 const RESTARTED = 'the engine has restarted'
 
 /** Starts an agent: it watches one engine, orders its models, and tells routers what it holds. */
@@ -38,7 +47,13 @@
   const demand = createDemandBook(timers)
   const wants = createWantBook(timers)
   const deployments = followDeployment({ store: options.store, timers, events })
+  const limiters = createLimiters({
+    timers,
+    limitOf: name => limitOf(deployments.current()?.organisations, name),
+    isFirstStart: options.isFirstStart
+  })
   let isUp = false
+  let advancedMs = -Infinity
   let lastReport: ServerReport | undefined
 
   const service = (): Service | undefined => deployments.current()?.services.find(({ name }) => name === options.serviceName)
@@ -72,10 +87,20 @@
     return adapterName === '' || model.adapters.includes(adapterName)
   }
 
-  const advance = (): void => {
+  const reviewOrders = (): void => {
     wants.review(isHeld)
     orderer.review()
+  }
+
+  const advance = (): void => {
+    reviewOrders()
     links.tell()
+    advancedMs = timers.nowMs()
+  }
+
+  // Reports come about as often while the engine answers.
+  const advanceIfSilent = (): void => {
+    if (timers.nowMs() - advancedMs >= TELL_PERIOD_MS / 2) advance()
   }
 
   // Guards against a restart between two reports: under the same id, and with as many orders taken, the engine looks as before,
@@ -122,7 +147,8 @@
       events.emit(kind, { peer: router, model: want.modelName, adapter: want.adapterName ?? '', reason: end.reason, waitMs: Math.round(timers.nowMs() - takenMs) })
       settle(wantId, end)
     })
-    advance()
+    // Routers hear of the want at the next look, and of a load that begins for it at once.
+    reviewOrders()
   }
 
   const links = serveRouters({
@@ -132,6 +158,7 @@
     sharedKey: options.sharedKey,
     timers,
     events,
+    noteSent: countMessages(metrics),
     describe: routerCount => describeEngine({
       timers, spec: service()?.engine, isUp, identity, orderer, demand, wants, deploymentOffset: deployments.offset(), routerCount
     }),
@@ -142,7 +169,9 @@
     dropRouter: router => {
       wants.dropRouter(router)
       demand.dropRouter(router)
+      limiters.dropRouter(router)
     },
+    limiters,
     takeDemand: demand.take,
     takeRelay: deployments.takeRelay,
     deploymentRelay: deployments.relay
@@ -156,7 +185,7 @@
     take: takeReport,
     down: fault => { noteDown(fault.message) }
   })
-  const stopTelling = timers.every(TELL_PERIOD_MS, advance)
+  const stopTelling = timers.every(TELL_PERIOD_MS, advanceIfSilent)
 
   return {
     address: `${options.host}:${options.port}`,
--- a/packages/timeline/src/explaining/conclude.ts
+++ b/packages/timeline/src/explaining/conclude.ts
@@ -12,6 +12,9 @@
     .with('requestAnswered', () => `answered with ${last.statusCode ?? '?'} by ${last.peer ?? '?'} after ${ms(last.durationMs)}`)
     .with('requestRefused', () => `refused after ${ms(last.waitMs)}, not run: ${last.reason ?? '?'}; it may come back after ${ms(last.retryAfterMs)}`)
     .with('requestFailed', () => `ended without a whole answer after ${ms(last.waitMs)} and may have run at ${last.peer ?? '?'}: ${last.reason ?? '?'}`)
+    .with('keyUnknown', () => `refused with 401, not run: ${last.reason ?? '?'}, by the configuration that the router had then`)
+    .with('requestLimited', () =>
+      `refused with 429, not run: ${last.organisation ?? 'its organisation'} was beyond its limit; it may come back after ${ms(last.retryAfterMs)}`)
     .with('requestLeft', () => `its caller left after ${ms(last.waitMs)}; ${sent}`)
     .otherwise(name => `no end is on record; ${name} is the last line and ${sent}`)
 }
--- a/packages/timeline/src/explaining/explainRequest.test.ts
+++ b/packages/timeline/src/explaining/explainRequest.test.ts
@@ -46,6 +46,13 @@
     expect(explain(refused).conclusion).to.equal('refused after 3 ms, not run: no server; it may come back after 1000 ms')
   })
 
+  it('tells of an unknown key and of a limit that is used up', () => {
+    const limited = line(1, 'r1', 'requestLimited', { requestKey: 'k', organisation: 'acme', retryAfterMs: 300 })
+    expect(explain(limited).conclusion).to.equal('refused with 429, not run: acme was beyond its limit; it may come back after 300 ms')
+    const unknown = line(1, 'r1', 'keyUnknown', { requestKey: 'k', reason: 'unknown key' })
+    expect(explain(unknown).conclusion).to.equal('refused with 401, not run: unknown key, by the configuration that the router had then')
+  })
+
   it('tells where a caller left that had heard nothing', () => {
     const left = explain(
       line(1, 'r1', 'requestSent', { requestKey: 'k', peer: 's1' }), line(900, 'r1', 'requestLeft', { requestKey: 'k', waitMs: 899 })
