--- a/packages/capacity/src/page/renderPage.ts
+++ b/packages/capacity/src/page/renderPage.ts
@@ -70,9 +70,10 @@
     'answers that many long polls, which a stand-in cannot show.'
 }
 
-/** The whole page docs/CAPACITY.md from measured slopes. */
-export const renderPage = (slopes: readonly Slope[]): string => [
+/** The whole page docs/CAPACITY.md from measured slopes and what is known of the users' platform. */
+export const renderPage = (slopes: readonly Slope[], platform: string): string => [
   INTRODUCTION,
+  platform.trim(),
   ...workOut(slopes).map(renderRole),
   renderInForce(slopes),
   renderFailures(slopes),
--- a/scripts/writeCapacityPage.ts
+++ b/scripts/writeCapacityPage.ts
@@ -1,17 +1,18 @@
-/** Works out docs/CAPACITY.md from the file of measurements; with `--check` only compares. */
+/** Works out docs/CAPACITY.md from the file of measurements and the page on sweeps; with `--check` only compares. */
 import { readFileSync, writeFileSync } from 'node:fs'
 import { fitSlope, renderPage } from '@figmount/capacity'
 
 import type { Measurement } from '@figmount/capacity'
 
 const MEASUREMENTS = 'docs/capacity/measurements.json'
+const PLATFORM = 'docs/capacity/sweeps.md'
 const PAGE = 'docs/CAPACITY.md'
 
 const measurements = JSON.parse(readFileSync(MEASUREMENTS, 'utf8')) as readonly Measurement[]
-const page = renderPage(measurements.map(measurement => fitSlope(measurement).unsafeCoerce()))
+const page = renderPage(measurements.map(measurement => fitSlope(measurement).unsafeCoerce()), readFileSync(PLATFORM, 'utf8'))
 if (process.argv.includes('--check')) {
   if (readFileSync(PAGE, 'utf8') !== page) {
-    process.stderr.write(`${PAGE} is not what ${MEASUREMENTS} gives: run npm run capacity:page\n`)
+    process.stderr.write(`${PAGE} is not what ${MEASUREMENTS} and ${PLATFORM} give: run npm run capacity:page\n`)
     process.exit(1)
   }
   process.stdout.write(`${PAGE} is current\n`)
