--- a/packages/decisions/src/limits/types.ts
+++ b/packages/decisions/src/limits/types.ts
@@ -1,4 +1,4 @@
-/** A limit on an organisation's requests, in units of its own: requests or tokens. */
+/** A quota: a limit on an organisation's requests, in units of its own: requests or tokens. */
 export interface RateLimit {
   readonly unitsPerS: number
   /** Units that may come at once after a pause. */
