--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,5 +1,9 @@
+import { chmodSync } from 'node:fs'
+import { join } from 'node:path'
 import { build } from 'esbuild'
 
+const EXECUTABLE = 0o755
+
 // Bundled CommonJS dependencies call `require` for Node's own modules, which ESM output lacks.
 const REQUIRE_SHIM = "import { createRequire as figmountRequire } from 'node:module'; const require = figmountRequire(import.meta.url);"
 
@@ -33,4 +37,6 @@
     sourcemap: 'external',
     logLevel: 'warning'
   })
+  // npx makes a binary executable only when it first meets its clone: one that is built anew is refused.
+  for (const { out } of entries) chmodSync(join(outdir, `${out}.mjs`), EXECUTABLE)
 }
