Grant one agent no second slot of a model

Evidence: the test's caller comes back after each refusal with a time, so a refusal as its last word means 60 s of them. That rules out slow dials (OPEN_WAIT_MS, 2 s), an agent left out after a failed dial (UNREACHABLE_MS, 3 s) and a right that comes a round later. It leaves a second agent that never gets a right.

Cause: proposers spread slots over agents, the fold did not. A router that knows only a1 grants it slot 0, one that knows both grants slot 0 to a2 and slot 1 to a1; the log takes the first and the third. Every slot is granted, nothing more is proposed, and with a1 the model is lost.

Fix: the fold ignores a grant to an agent that holds another slot of the model, also while it gives it up; the slot stays open for the next round.

--- /dev/null
+++ b/packages/proof/src/promises/replicaSpread.test.ts
@@ -0,0 +1,82 @@
+import { randomUUID } from 'node:crypto'
+import { createTimerService } from '@figmount/base'
+import { decodeRecord, encodeRecord, openLog } from '@figmount/records'
+
+import { modelService } from '../rig/sitePlan.js'
+import { askSite, expectWhole, MODEL, MODEL_ID, SERVICE, SLOW_TOKENS, startSmallSite, waitForRun, waitForSlots, warmUp } from '../rig/smallSite.js'
+
+import type { Incarnation, InstanceName, LogOffset, ModelId } from '@figmount/base'
+import type { ItemName, LogRecord, PlatformLogCalls } from '@figmount/records'
+import type { ConfigChange } from '../rig/sitePlan.js'
+import type { Site } from '../rig/createSite.js'
+
+/** Slot and the agent that it is granted to. */
+type Grant = readonly [slotIndex: number, agent: string]
+
+const WRITER = 'r1' as InstanceName
+const START = 0 as LogOffset
+
+const readIncarnations = async (log: PlatformLogCalls): Promise<ReadonlyMap<string, Incarnation>> => {
+  const { records } = (await log.read(START, 0).run()).unsafeCoerce()
+  const incarnations = new Map<string, Incarnation>()
+  for (const { payload } of records) {
+    const record = decodeRecord(payload).toMaybe().extractNullable()
+    if (record?.kind === 'agent.up') incarnations.set(record.instance, record.incarnation)
+  }
+  return incarnations
+}
+
+const grantOf = ([slotIndex, agent]: Grant, incarnations: ReadonlyMap<string, Incarnation>): LogRecord => ({
+  kind: 'right.grant',
+  recordId: randomUUID(),
+  writer: WRITER,
+  right: { kind: 'replica', target: MODEL_ID as ModelId, slotIndex },
+  instance: agent as InstanceName,
+  incarnation: incarnations.get(agent) ?? '' as Incarnation,
+  expectedFence: 0
+})
+
+/** In one call, so that no router's own grant comes between them. */
+const appendGrants = async (site: Site, service: ConfigChange, grants: readonly Grant[]): Promise<void> => {
+  const log = openLog(site.log.address, createTimerService())
+  let incarnations: ReadonlyMap<string, Incarnation> = new Map()
+  await site.rig.until('the agents to be on the log', async () => {
+    incarnations = await readIncarnations(log)
+    return grants.every(([, agent]) => incarnations.has(agent))
+  })
+  const config: LogRecord = {
+    kind: 'config.set',
+    recordId: randomUUID(),
+    writer: WRITER,
+    item: service.name as ItemName,
+    expectedVersion: 0,
+    bodyJson: JSON.stringify(service.body),
+    operatorName: 'desk'
+  }
+  const records = [config, ...grants.map(grant => grantOf(grant, incarnations))]
+  const appended = await log.append(records.map(encodeRecord)).run()
+  log.close()
+  appended.unsafeCoerce()
+}
+
+describe('replicas of a model', () => {
+  let site: Site
+  afterEach(async () => await site.close())
+
+  // Guards against callers who are refused until a lost instance is voided: of two routers that grant at the same moment one
+  // knows only that instance, and it gets every slot.
+  it('outlive an instance to which racing routers granted every slot', async () => {
+    const service = modelService(SERVICE, [{ name: MODEL, maxReplicas: 2 }])
+    site = await startSmallSite('replicas-raced', {
+      agents: ['a1', 'a2'].map(name => ({ name, services: [SERVICE], backendKeys: SLOW_TOKENS })),
+      items: [],
+      prepare: async started => { await appendGrants(started, service, [[0, 'a1'], [0, 'a2'], [1, 'a1']]) }
+    })
+    await waitForSlots(site, 2)
+    await warmUp(site)
+    const asked = askSite(site, { prompt: 'lost', maxTokens: 100 })
+    const holder = await waitForRun(site, 'lost')
+    await Promise.all([site.agent(holder).kill(), site.backend(holder).kill()])
+    expectWhole([await asked])
+  })
+})
--- a/packages/proof/src/rig/smallSite.ts
+++ b/packages/proof/src/rig/smallSite.ts
@@ -59,6 +59,9 @@
     return all.every(status => isAtRest(status, instanceCount, slotCount))
   })
 
+/** Waits until every router has read that so many rights to hold a replica are granted. */
+export const waitForSlots = async (site: Site, slotCount: number): Promise<void> => await waitForRest(site, 0, slotCount)
+
 /** Two routers and two agents with engines, one service with one model that may have one replica; rights are granted. */
 export const startSmallSite = async (name: string, { items, prepare, ...plan }: SmallSitePlan = {}): Promise<Site> => {
   const whole: SitePlan = { name, routers: [{ name: 'r1' }, { name: 'r2' }], agents: DEFAULT_AGENTS, ...plan }
--- a/packages/records/src/fold/foldRecords.test.ts
+++ b/packages/records/src/fold/foldRecords.test.ts
@@ -63,6 +63,17 @@
     expect(findReplicaRights(state, model).map(right => [right.holder, right.fence])).to.deep.equal([['a1', 3]])
   })
 
+  it('grants one agent no second slot of a model, also while it gives the first up', () => {
+    // Guards against a model that is lost with one instance, because that instance holds all of its slots.
+    const first = grantReplica(model, 0, 'a1', 'i1', 0)
+    const second = grantReplica(model, 1, 'a1', 'i1', 0)
+    expect(lastReason(first, second)).to.equal('a1 holds slot 0 of reader/m')
+    const revoke: LogRecord = { kind: 'right.revoke', recordId: 'rev', writer: a1, right: slot0, fence: 3 as LogOffset }
+    expect(lastReason(first, revoke, second)).to.equal('a1 holds slot 0 of reader/m')
+    expect(lastReason(first, revoke, release('a1', 'i1', 3), second)).to.equal('')
+    expect(lastReason(first, grantReplica(model, 1, 'a2', 'i1', 0))).to.equal('')
+  })
+
   it('grants no slot beyond maxReplicas, to no stranger, to none that drains', () => {
     expect(lastReason(grantReplica(model, 2, 'a1', 'i1', 0))).to.equal('reader/m may have 2 replicas')
     expect(lastReason(grantReplica(model, 0, 'a9', 'i1', 0))).to.equal('a9 is not up')
--- a/packages/records/src/proposals/proposeRights.test.ts
+++ b/packages/records/src/proposals/proposeRights.test.ts
@@ -11,7 +11,7 @@
 import { findKeysRight, findReplicaRights } from '../rights/selectors.js'
 import { agentUp, placeAll, setConfig } from '../testing/records.js'
 
-import type { DataCentre, InstanceName, ModelId } from '@figmount/base'
+import type { DataCentre, Incarnation, InstanceName, ModelId } from '@figmount/base'
 import type { AgreedState, LogRecord } from '../fold/types.js'
 import type { NewRecord } from '../log/types.js'
 import type { ListedInstance } from './types.js'
@@ -39,6 +39,7 @@
 const agents = names.map((name, index) => agentIn(name, `dc-${index % 3}`))
 const start = (body: unknown): AgreedState => fold(emptyState, [setConfig('service/reader', 0, body), ...agents])
 const settle = (state: AgreedState, instances = listed(...names)): AgreedState => fold(state, proposeRights(state, instances, all, dayMs))
+const MODEL = 'reader/m' as ModelId
 const holdersOf = (state: AgreedState, model: string): readonly InstanceName[] =>
   findReplicaRights(state, `reader/${model}` as ModelId).map(right => right.holder)
 
@@ -85,6 +86,18 @@
     expect((sorted.at(-1) ?? 0) - (sorted[0] ?? 0)).to.be.at.most(4)
   })
 
+  it('of routers that know different agents never give one agent two slots of a model', () => {
+    // Guards against callers who are refused until a lost instance is voided, though another one could hold the model.
+    const state = fold(emptyState, [setConfig('service/reader', 0, serviceOf(modelOf('m', 2))), agentUp('a1', 'i1'), agentUp('a2', 'i1')])
+    const grant = (slotIndex: number, instance: string): NewRecord =>
+      ({ kind: 'right.grant', right: { kind: 'replica', target: MODEL, slotIndex }, instance: instance as InstanceName, incarnation: 'i1' as Incarnation, expectedFence: 0 })
+    const byOneThatKnowsA1 = [grant(0, 'a1')]
+    const byOneThatKnowsBoth = [grant(0, 'a2'), grant(1, 'a1')]
+    const raced = fold(state, [...byOneThatKnowsA1, ...byOneThatKnowsBoth])
+    expect(holdersOf(raced, 'm')).to.deep.equal(['a1'])
+    expect(holdersOf(settle(raced, listed('a1', 'a2')), 'm')).to.deep.equal(['a1', 'a2'])
+  })
+
   it('leave slots alone while their holder restarts, and move them when it drains', () => {
     const state = settle(start(serviceOf(modelOf('m', 1))))
     const [holder] = holdersOf(state, 'm')
--- a/packages/records/src/rights/applyGrant.ts
+++ b/packages/records/src/rights/applyGrant.ts
@@ -36,6 +36,20 @@
   return undefined
 }
 
+/**
+ * Guards against a model whose replicas all depend on one instance: proposers that know different agents grant two slots to
+ * the same one, every slot counts as granted, and nothing serves the model once that instance is lost.
+ */
+const findSpreadMistake = (state: AgreedState, { right: { kind, target }, instance }: RightGrant): string | undefined => {
+  if (kind === 'keys') return undefined
+  const slotCount = findModel(state, target)?.maxReplicas ?? 0
+  for (let slotIndex = 0; slotIndex < slotCount; slotIndex += 1) {
+    const other = state.rights.get(rightIdOf({ kind, target, slotIndex }))
+    if (other && other.status !== 'free' && other.holder === instance) return `${instance} holds slot ${slotIndex} of ${target}`
+  }
+  return undefined
+}
+
 /**
  * A right that is not in the state has never been granted, or was forgotten with its model. Only the
  * first version of a service rules the latter out, and with it that anybody decided on keys before.
@@ -53,7 +67,8 @@
   const known = state.rights.get(id)
   const mistake = findKeyMistake(state, record.right) ??
     findReceiverMistake(state, record) ??
-    findRightMistake(state, record, known)
+    findRightMistake(state, record, known) ??
+    findSpreadMistake(state, record)
   if (mistake) return ignored(mistake)
   draft.change('rights').set(id, {
     id,
