Count crashes of servers that the list has lost

Cause: whether an engine is dead was asked by its entry in the list. Without one the answer was no, whatever its agent had said.

Fix: the router remembers where an unlisted server was, and asks its agent's word there. So that a server which leaves in order is no crash, a run that breaks off half a second or more after the notice of its leaving does not count; until now one listed as draining did. The time of the agent's word counts where it is earlier.

Twins: the look that cuts streams at dead engines is the same function. Runs that the router itself cuts, as their caller left or their time was over, counted never: an engine that dies in silence was killed again and again. They count now where the engine is known to be dead.

--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -3,6 +3,7 @@
 
 import { GatewayEvent } from '../events.js'
 import { MAX_REFUSED_KEYS } from './constants.js'
+import { createDepartures } from './createDepartures.js'
 import { createLapses } from './createLapses.js'
 import { createOwnRequests } from './createOwnRequests.js'
 import { createPrefixMemory } from './createPrefixMemory.js'
@@ -37,6 +38,7 @@
   const words = new Map<string, AgentWord>()
   const failures = new Map<string, FailureShare>()
   const own = createOwnRequests()
+  const departures = createDepartures(timers)
   const stateListeners = new Set<StateListener>()
   const replaced = new Set<string>()
   const prefixes = createPrefixMemory()
@@ -53,9 +55,12 @@
   }
 
   const remove = (serverId: string, reason: string): void => {
-    if (!entries.delete(serverId)) return
+    const entry = entries.get(serverId)
+    if (!entry) return
+    entries.delete(serverId)
     forget(serverId)
     newestStarts.delete(serverId)
+    departures.note(serverId, entry.address)
     events.emit(GatewayEvent.serverLeft, { peer: serverId, reason })
   }
 
@@ -71,6 +76,7 @@
     newestStarts.set(serverId, start)
     if (!isRestart) return
     forget(serverId)
+    departures.forget(serverId)
     events.emit(GatewayEvent.serverRestarted, { peer: serverId })
   }
 
@@ -89,6 +95,8 @@
     if (!isEarlierStart(entry, startOf(entry.serverId))) noteStart(entry)
     lapses.noteListed(entry.serverId)
     entries.set(entry.serverId, entry)
+    if (!known) departures.forget(entry.serverId)
+    if (entry.isDraining) departures.note(entry.serverId, entry.address)
     if (!known) events.emit(GatewayEvent.serverTaken, { peer: entry.serverId, service: entry.serviceName, detail: entry.address })
     if (!known?.isDraining && entry.isDraining) events.emit(GatewayEvent.serverLeft, { peer: entry.serverId, reason: 'listed as draining' })
     entryTaken(entry)
@@ -119,15 +127,26 @@
   }
 
   // A start that its agent names again is not gone, though one before it under the same id is.
-  const isGone = ({ state }: AgentWord, entry: ServerEntry): boolean => {
-    if (!state || state.serverId === entry.serverId) return false
+  const isGone = ({ state }: AgentWord, start: ServerStart): boolean => {
+    if (!state || state.serverId === start.serverId) return false
     if (state.serverId !== '') return true
     for (const gone of state.goneStarts) {
-      if (isSameStart(gone, entry) || isEarlierStart(entry, gone)) return true
+      if (isSameStart(gone, start) || isEarlierStart(start, gone)) return true
     }
     return false
   }
 
+  // The list may lose a server before its agent tells of the death, or between the agent's word and a look at it.
+  const isDeadUnlisted = (start: ServerStart): boolean => {
+    const word = words.get(departures.addressOf(start.serverId) ?? '') ?? NO_WORD
+    const { state } = word
+    if (!state) return false
+    if (isSameStart(state, start)) return !state.isUp
+    if (state.goneStarts.some(gone => isSameStart(gone, start))) return true
+    if (state.serverId === start.serverId) return !isEarlierStart(state, start)
+    return isGone(word, start)
+  }
+
   const view = (entry: ServerEntry): KnownServer => {
     const word = words.get(entry.address) ?? NO_WORD
     const start = startOf(entry.serverId)
@@ -174,6 +193,8 @@
       const word = words.get(address) ?? NO_WORD
       words.set(address, { ...word, state, stateAsOfMs: timers.nowMs(), heardMs: timers.nowMs() })
       noteWord(state)
+      if (state.goneStarts !== word.state?.goneStarts) departures.noteGone(state.goneStarts)
+      if (state.isDraining) departures.note(state.serverId, address)
       if (state.leavingModels.length > 0) leavingAddresses.add(address)
       else leavingAddresses.delete(address)
       prefixes.keepOnly(state.serverId, new Set(state.models.map(model => model.name)))
@@ -209,11 +230,12 @@
     },
     isDead: start => {
       const entry = entries.get(start.serverId)
-      if (!entry) return false
+      if (!entry) return isDeadUnlisted(start)
       if (!isSameStart(start, startOf(start.serverId))) return true
       const server = view(entry)
       return server.isReplaced || server.state?.isUp === false
     },
+    hasEndedInOrder: departures.hasEndedInOrder,
     entries: namedEntries,
     heardMs: address => (words.get(address) ?? NO_WORD).heardMs,
     starts: () => namedEntries().map(entry => startOf(entry.serverId)),
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -46,10 +46,12 @@
   readonly serving: (serviceName: string) => readonly KnownServer[]
   readonly find: (serverId: string) => KnownServer | undefined
   /**
-   * This start of the server has ended or was replaced, by its agent's word or a later start; one that is only unlisted may
-   * still finish what it runs.
+   * This start of the server has ended or was replaced, by its agent's word or a later start, whether it is still listed or
+   * not; one that is only unlisted may still finish what it runs.
    */
   readonly isDead: (start: ServerStart) => boolean
+  /** This start of the server, at which a run broke off then, had been known to leave before it ended: it drained or was no longer listed. */
+  readonly hasEndedInOrder: (start: ServerStart, brokenMs: number) => boolean
   /** Addresses of engines whose agents wait for the end of a model's requests. */
   readonly leavingAddresses: () => Iterable<string>
   readonly hasLeaving: () => boolean
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -83,6 +83,9 @@
     const end = await runAt(context, request, choice, stream)
     if (end.type === 'answered') return
     if (end.type === 'finished') return stream.finish(serverId)
+    // A run that was cut says nothing about the server by itself.
+    const wasCut = request.left.aborted || timers.nowMs() >= request.untilMs || stop.isEnded()
+    if (end.type === 'broken') watchCrash(context, request, choice.server, wasCut)
     if (request.left.aborted) return noteLeft(context, request)
     avoided.add(startKeyOf(start))
     if (end.type === 'notRun') {
@@ -91,8 +94,6 @@
       continue
     }
     runs += 1
-    // A run that was cut by the request's time-out or by the router's stop says nothing about the server.
-    if (timers.nowMs() < request.untilMs && !stop.isEnded()) watchCrash(context, request, choice.server)
     const mayGoOn = route.isResumable && runs < route.maxAttempts && !stream.hasGap()
     if (!mayGoOn) return fail(context, request, end.reason, serverId)
     context.events.emit(GatewayEvent.streamResumed, { requestKey: caller.requestId, reason: end.reason, peer: serverId, detail: stream.lastEventId() })
--- a/packages/gateway/src/requests/watchCrash.ts
+++ b/packages/gateway/src/requests/watchCrash.ts
@@ -18,14 +18,18 @@
 }
 
 /**
- * Counts a run that broke off as a crash by its request when its engine has died, or when no agent says that it lives.
+ * Counts a run that broke off as a crash by its request when its engine has died, or when no agent says that it lives. One that the
+ * router cut, as its caller left or its time was over, counts only where the engine is known to be dead.
  *
- * Guards against innocent requests that are turned away as deadly: engines that lost answers by resets, and lived on, had callers who sent the
- * same request twice refused for seconds.
+ * Guards against innocent requests that are turned away as deadly: engines that lost answers by resets and lived on, or that left as they had
+ * announced, had callers who sent the same request twice refused for seconds.
  */
-export const watchCrash = (context: GatewayContext, request: RoutedRequest, server: KnownServer): void => {
+export const watchCrash = (context: GatewayContext, request: RoutedRequest, server: KnownServer, wasCut: boolean): void => {
   const { directory, timers } = context
   const brokenMs = timers.nowMs()
+  if (directory.hasEndedInOrder(server.start, brokenMs)) return
+  if (directory.isDead(server.start)) return noteCrash(context, request, server)
+  if (wasCut) return
   const settle = (hasCrashed: boolean): void => {
     stopLooking()
     stopWaiting()
@@ -33,5 +37,4 @@
   }
   const stopLooking = timers.every(DEATH_LOOK_MS, () => { if (directory.isDead(server.start)) settle(true) })
   const stopWaiting = timers.after(DEATH_TOLD_MS, () => { settle(directory.heardMs(server.entry.address) < brokenMs + VOUCHED_AFTER_MS) })
-  if (directory.isDead(server.start)) settle(true)
 }
