Let agents say nothing of an engine that they have not asked yet

What callers saw or could see: streams that are cut at a healthy engine when its agent starts again, and count as crashes by their requests.

Cause: an agent tells each new link its state at once; before the engine's first report that state says that the engine is down. Routers cut resumable streams at an engine that is down within 100 ms, and take their requests for deadly.

Fix: until the engine has answered or failed the agent tells nobody a state; links stay open meanwhile, and all hear the first one. Ruled out: listening only then, as routers would dial up to a second later.

Red before, green after: startSidecar.test.ts (the engine's first report is held for 0.3 s: isUp false came first).

--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -25,7 +25,8 @@
   readonly timers: TimerService
   readonly events: EventLog
   readonly noteSent?: (type: string, byteCount: number) => void
-  readonly describe: (routerCount: number) => AgentState
+  /** Undefined until the agent knows anything of its engine. */
+  readonly describe: (routerCount: number) => AgentState | undefined
   readonly describeLoad: () => AgentLoad | undefined
   /** Another engine holds one of the models too, as far as routers have told. */
   readonly hasReplicaElsewhere: () => boolean
@@ -57,6 +58,7 @@
   const { timers, events } = options
   const codec = createMessageCodec(MESSAGE_STRUCTURES)
   const links = new Set<RouterLink>()
+  const untold = new Set<RouterLink>()
   const lastSentMs = new Map<RouterLink, number>()
   const passed = createPassedRecords()
   let told: ReadonlyMap<string, string> = new Map()
@@ -83,17 +85,29 @@
   /** What is new since all routers were last told; undefined when nothing is. */
   const describeNews = (): StateNews | undefined => {
     const state = options.describe(routerCount())
+    if (!state) return undefined
     const texts = textsOf(state)
     const changed = changedFields(told, texts)
     if (changed.length === 0) return undefined
     return { texts, message: { type: 'stateChange', changes: { ...pickFields(state, changed), ...figuresOf(state) } } }
   }
 
+  /** Tells those who have heard nothing yet the state from which changes are told. */
+  const tellWhole = (): void => {
+    const state = untold.size === 0 ? undefined : options.describe(routerCount())
+    if (!state) return
+    sendToMany(untold, state)
+    if (toldLoad) sendToMany(untold, toldLoad.load)
+    untold.clear()
+  }
+
   const tell = (): void => {
     const news = describeNews()
-    if (!news) return
-    told = news.texts
-    sendToAll(news.message)
+    if (news) {
+      told = news.texts
+      sendToMany([...links].filter(link => !untold.has(link)), news.message)
+    }
+    tellWhole()
   }
 
   const tellLoad = (): void => {
@@ -108,8 +122,9 @@
   const keepAlive = (): void => {
     const nowMs = timers.nowMs()
     const silent = [...links].filter(link => nowMs - (lastSentMs.get(link) ?? 0) >= HEARTBEAT_MS)
-    if (silent.length === 0) return
-    sendToMany(silent, { type: 'stateChange', changes: figuresOf(options.describe(routerCount())) })
+    const state = silent.length === 0 ? undefined : options.describe(routerCount())
+    if (!state) return
+    sendToMany(silent, { type: 'stateChange', changes: figuresOf(state) })
   }
 
   const settleFor = (link: RouterLink): Settle => (wantId, end) => {
@@ -159,15 +174,15 @@
 
   const runLink = async (link: RouterLink): Promise<void> => {
     links.add(link)
+    untold.add(link)
     // Guards against a router that starts from a state which the others were never told: what is taken back before the next
     // look would be no change to them, and this one would keep it. All begin from the same state.
     tell()
-    sendTo(link, options.describe(routerCount()))
-    if (toldLoad) sendTo(link, toldLoad.load)
     try {
       for await (const message of link.received) take(link, message)
     } finally {
       links.delete(link)
+      untold.delete(link)
       lastSentMs.delete(link)
       if (!isLinked(link.peer)) options.dropRouter(link.peer)
     }
--- /dev/null
+++ b/packages/sidecar/src/sidecar/startSidecar.test.ts
@@ -0,0 +1,87 @@
+import { createServer } from 'node:net'
+import { expect } from 'chai'
+import { EitherAsync, Left, Right } from 'purify-ts'
+import { createEventLog, createMetrics, createTimerService, makeFault } from '@figmount/base'
+import { MESSAGE_STRUCTURES } from '@figmount/fleet'
+import { createMessageCodec, NO_OFFSET, openLink } from '@figmount/peers'
+
+import { startSidecar } from './startSidecar.js'
+
+import type { AddressInfo } from 'node:net'
+import type { Either } from 'purify-ts'
+import type { Fault, InstanceName, RunningProcess } from '@figmount/base'
+import type { AgentMessage, EnginePort, FeedPage, RouterMessage, ServerReport, StorePort } from '@figmount/fleet'
+
+const REPORT: ServerReport = {
+  startedAtUnixMs: 1_000, models: [], arrivingAdapters: [], isBusy: false, isDraining: false, orderCount: 0, runningCount: 1, startingCount: 0, inMemory: [], onDisk: []
+}
+
+const away = (): EitherAsync<Fault, FeedPage> => EitherAsync.liftEither(Left(makeFault('unavailable', 'read', 'store', 'no answer')))
+
+const freePort = async (): Promise<number> => {
+  const server = createServer()
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return port
+}
+
+describe('an agent that has just started', () => {
+  let agent: RunningProcess
+  afterEach(async () => { await agent.stop() })
+
+  /** The state that a router hears first; the engine's first report comes when `answer` is called. */
+  const setUp = async () => {
+    const timers = createTimerService()
+    const instance = 'a' as InstanceName
+    const events = createEventLog({ instance, role: 'agent', timers })
+    let answer: (report: Either<Fault, ServerReport>) => void = () => {}
+    const held = new Promise<Either<Fault, ServerReport>>(resolve => { answer = resolve })
+    const engine: EnginePort = {
+      readServerId: () => EitherAsync.liftEither(Right('e')),
+      readReport: () => EitherAsync.fromPromise(async () => await held),
+      sendOrder: () => EitherAsync.liftEither(Right('rejected'))
+    }
+    const feed = { name: 'op', readNewest: away, readSince: away }
+    const store = { deploymentFeed: feed, serverFeed: feed, isDeploymentKey: () => true } as unknown as StorePort
+    const port = await freePort()
+    agent = await startSidecar({
+      context: { settings: undefined, timers, events, metrics: createMetrics() },
+      instance,
+      host: '127.0.0.1',
+      port,
+      sharedKey: 'key',
+      serviceName: 's',
+      isFirstStart: false,
+      engine,
+      store
+    })
+    const context = {
+      instance: 'r' as InstanceName, sharedKey: 'key', timers, events, codec: createMessageCodec(MESSAGE_STRUCTURES), offset: () => NO_OFFSET, onPeerOffset: () => {}
+    }
+    const link = (await openLink<RouterMessage, AgentMessage>(`127.0.0.1:${port}`, context).run()).unsafeCoerce()
+    timers.after(300, () => { answer(Right(REPORT)) })
+    timers.after(2_000, () => link.close('the test ends'))
+    const hearFirst = async (): Promise<AgentMessage | undefined> => {
+      for await (const message of link.received) {
+        if (message.type !== 'state') continue
+        link.close('heard')
+        return message
+      }
+      return undefined
+    }
+    return { answer, hearFirst }
+  }
+
+  it('says nothing of its engine before the engine has answered', async () => {
+    // Guards against streams that routers cut at an engine that lives, and count as crashes.
+    const { hearFirst } = await setUp()
+    expect(await hearFirst()).to.deep.include({ type: 'state', isUp: true })
+  })
+
+  it('tells that its engine is down once that is known', async () => {
+    const { answer, hearFirst } = await setUp()
+    answer(Left(makeFault('unavailable', 'engine.report', 'e', 'refused')))
+    expect(await hearFirst()).to.deep.include({ type: 'state', isUp: false })
+  })
+})
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -16,7 +16,7 @@
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
 import type { RateLimit } from '@figmount/decisions'
-import type { EnginePort, Organisations, Service, ServerReport, StorePort, Want } from '@figmount/fleet'
+import type { AgentState, EnginePort, Organisations, Service, ServerReport, StorePort, Want } from '@figmount/fleet'
 import type { Settle } from '../wants/createWantBook.js'
 
 /** What an agent on the HTTP path is started with. */
@@ -53,6 +53,7 @@
     isFirstStart: options.isFirstStart
   })
   let isUp = false
+  let isEngineKnown = false
   let advancedMs = -Infinity
   let lastReport: ServerReport | undefined
 
@@ -119,6 +120,7 @@
     if (!isUp) events.emit(SidecarEvent.engineUp, { peer: identity.current().serverId })
     if (report.isDraining && !orderer.report()?.isDraining) events.emit(SidecarEvent.engineDraining, { peer: identity.current().serverId })
     isUp = true
+    isEngineKnown = true
     identity.learn(report.startedAtUnixMs)
     orderer.take(report)
     advance()
@@ -127,6 +129,7 @@
   const noteDown = (reason: string): void => {
     if (isUp) events.emit(SidecarEvent.engineDown, { peer: identity.current().serverId, reason })
     isUp = false
+    isEngineKnown = true
     identity.drop(reason)
     orderer.forget()
     wants.giveUpAll('engine is down')
@@ -151,6 +154,12 @@
     reviewOrders()
   }
 
+  // Guards against a word that is not true: an agent that has just started again would say that its engine is down, and routers
+  // would cut the streams that run there.
+  const describeKnown = (routerCount: number): AgentState | undefined => isEngineKnown
+    ? describeEngine({ timers, spec: service()?.engine, isUp, identity, orderer, demand, wants, deploymentOffset: deployments.offset(), routerCount })
+    : undefined
+
   const links = serveRouters({
     instance: options.instance,
     host: options.host,
@@ -159,9 +168,7 @@
     timers,
     events,
     noteSent: countMessages(metrics),
-    describe: routerCount => describeEngine({
-      timers, spec: service()?.engine, isUp, identity, orderer, demand, wants, deploymentOffset: deployments.offset(), routerCount
-    }),
+    describe: describeKnown,
     describeLoad: () => describeEngineLoad(orderer),
     hasReplicaElsewhere: () => orderer.report()?.models.some(({ name }) => demand.replicaCount(name) > 1) ?? false,
     takeWant,
