Keep what routers were told as one value, and one rule for an agent's older word

- An agent's links kept the told state, its texts and the set of links that had heard nothing.
The set is not needed: it holds all links before the first state is told and none after it.
State and texts are one value now, and the first telling no longer describes the engine twice.
- Whether an agent's word is older than a start stood twice in the directory, once for listed servers and once, new, for those that have left the list: isOlderWord serves both.
- Two tests of the sidecar had the same freePort; it lies in testing/ now.
Left: the gateway's own copy (another package), the two alike kills of crashes.test.ts, whose first test is to stay unchanged while its entry has just left the list, and the two trims of createDepartures, which differ in what they hold.

No test's assertion changed.

--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -82,11 +82,11 @@
 
   // The agent sees its engine's starts in their order, whatever the engine's clock says: one that it tells to be gone is no
   // later than the one that it names. Its word may also be older than the list, and then tells of no restart.
+  const isOlderWord = (state: AgentState, start: ServerStart): boolean =>
+    isEarlierStart(state, start) && !state.goneStarts.some(gone => isSameStart(gone, start))
+
   const noteWord = (state: AgentState): void => {
-    if (!entries.has(state.serverId)) return
-    const known = startOf(state.serverId)
-    if (isEarlierStart(state, known) && !state.goneStarts.some(gone => isSameStart(gone, known))) return
-    noteStart(state)
+    if (entries.has(state.serverId) && !isOlderWord(state, startOf(state.serverId))) noteStart(state)
   }
 
   const takeEntry = (entry: ServerEntry): void => {
@@ -142,9 +142,7 @@
     const { state } = word
     if (!state) return false
     if (isSameStart(state, start)) return !state.isUp
-    if (state.goneStarts.some(gone => isSameStart(gone, start))) return true
-    if (state.serverId === start.serverId) return !isEarlierStart(state, start)
-    return isGone(word, start)
+    return state.serverId === start.serverId ? !isOlderWord(state, start) : isGone(word, start)
   }
 
   const view = (entry: ServerEntry): KnownServer => {
--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -1,26 +1,17 @@
 import { expect } from 'chai'
-import { createServer } from 'node:net'
 import { createEventLog, createTimerService } from '@figmount/base'
 import { MESSAGE_STRUCTURES } from '@figmount/fleet'
 import { createMessageCodec, NO_OFFSET, openLink } from '@figmount/peers'
 
 import { createLimiters } from '../limits/createLimiters.js'
+import { freePort } from '../testing/freePort.js'
 import { makeStateForTest } from '../testing/makeStateForTest.js'
 import { serveRouters } from './serveRouters.js'
 
-import type { AddressInfo } from 'node:net'
 import type { InstanceName } from '@figmount/base'
 import type { AgentLoad, AgentMessage, AgentState, RouterMessage } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
 
-const freePort = async (): Promise<number> => {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
-
 const nothing = (): undefined => {}
 
 /** An agent that serves its links and does nothing else; `describe` says what it tells of its engine. */
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -40,13 +40,19 @@
   readonly deploymentRelay: () => Relay | undefined
 }
 
-/** A change of the state since all routers were last told. */
-interface StateNews {
+/** A state that all routers know, and its fields as texts. */
+interface ToldState {
   readonly state: AgentState
   readonly texts: ReadonlyMap<string, string>
+}
+
+/** A change of the state since all routers were last told. */
+interface StateNews extends ToldState {
   readonly message: AgentStateChange
 }
 
+const NO_TEXTS: ToldState['texts'] = new Map()
+
 /** The agent's links from routers. */
 export interface RouterLinks {
   /** Tells every router the state if it has changed. */
@@ -59,11 +65,9 @@
   const { timers, events } = options
   const codec = createMessageCodec(MESSAGE_STRUCTURES)
   const links = new Set<RouterLink>()
-  const untold = new Set<RouterLink>()
   const lastSentMs = new Map<RouterLink, number>()
   const passed = createPassedRecords()
-  let told: ReadonlyMap<string, string> = new Map()
-  let toldState: AgentState | undefined
+  let told: ToldState | undefined
   let toldLoad: { readonly load: AgentLoad, readonly atMs: number } | undefined
   const passedReads = createPassedReads(timers)
 
@@ -89,29 +93,24 @@
     const state = options.describe(routerCount())
     if (!state) return undefined
     const texts = textsOf(state)
-    const changed = changedFields(told, texts)
+    const changed = changedFields(told?.texts ?? NO_TEXTS, texts)
     if (changed.length === 0) return undefined
     return { state, texts, message: { type: 'stateChange', changes: { ...pickFields(state, changed), ...figuresOf(state) } } }
   }
 
   /** Tells routers that have heard nothing yet the state from which changes are told to all. */
-  const tellWhole = (receivers: Iterable<RouterLink>): void => {
-    const state = options.describe(routerCount())
-    if (!state || !toldState) return
-    sendToMany(receivers, { ...toldState, ...figuresOf(state) })
+  const tellWhole = (receivers: Iterable<RouterLink>, state: AgentState): void => {
+    sendToMany(receivers, state)
     if (toldLoad) sendToMany(receivers, toldLoad.load)
   }
 
   const tell = (): void => {
     const news = describeNews()
-    if (news) {
-      told = news.texts
-      toldState = news.state
-      sendToMany([...links].filter(link => !untold.has(link)), news.message)
-    }
-    if (untold.size === 0 || !toldState) return
-    tellWhole(untold)
-    untold.clear()
+    if (!news) return
+    const isFirst = told === undefined
+    told = news
+    if (isFirst) tellWhole(links, news.state)
+    else sendToAll(news.message)
   }
 
   const tellLoad = (): void => {
@@ -180,16 +179,13 @@
     links.add(link)
     // Guards against a router that starts from a state which the others were never told: what is taken back before the next
     // look would be no change to them, and this one would keep it. All begin from the same state.
-    if (toldState) tellWhole([link])
-    else {
-      untold.add(link)
-      tell()
-    }
+    const now = options.describe(routerCount())
+    if (told && now) tellWhole([link], { ...told.state, ...figuresOf(now) })
+    else tell()
     try {
       for await (const message of link.received) take(link, message)
     } finally {
       links.delete(link)
-      untold.delete(link)
       lastSentMs.delete(link)
       if (!isLinked(link.peer)) options.dropRouter(link.peer)
     }
--- a/packages/sidecar/src/sidecar/startSidecar.test.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.test.ts
@@ -1,13 +1,12 @@
-import { createServer } from 'node:net'
 import { expect } from 'chai'
 import { EitherAsync, Left, Right } from 'purify-ts'
 import { createEventLog, createMetrics, createTimerService, makeFault } from '@figmount/base'
 import { MESSAGE_STRUCTURES } from '@figmount/fleet'
 import { createMessageCodec, NO_OFFSET, openLink } from '@figmount/peers'
 
+import { freePort } from '../testing/freePort.js'
 import { startSidecar } from './startSidecar.js'
 
-import type { AddressInfo } from 'node:net'
 import type { Either } from 'purify-ts'
 import type { Fault, InstanceName, RunningProcess } from '@figmount/base'
 import type { AgentMessage, EnginePort, FeedPage, RouterMessage, ServerReport, StorePort } from '@figmount/fleet'
@@ -18,14 +17,6 @@
 
 const away = (): EitherAsync<Fault, FeedPage> => EitherAsync.liftEither(Left(makeFault('unavailable', 'read', 'store', 'no answer')))
 
-const freePort = async (): Promise<number> => {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
-
 describe('an agent that has just started', () => {
   let agent: RunningProcess
   afterEach(async () => { await agent.stop() })
