--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -14,6 +14,8 @@
   /** Organisation that owns the caller's key. */
   readonly organisation?: string
   readonly requestKey?: string
+  /** Start of the hash by which a request is recognised when its caller resends it under another id. */
+  readonly requestHash?: string
   readonly attemptId?: string
   readonly service?: string
   readonly model?: string
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -27,5 +27,8 @@
   requestCrowded: [2523, 'a request was refused: the engines that hold its model have no free slot before its caller leaves'],
   keyUnknown: [2524, 'a request was refused: its route requires a key, and it has none or one that is not in the configuration'],
   requestLimited: [2525, 'a request was refused: it exceeds its organisation\'s limit'],
-  limiterAvoided: [2526, 'the agent that counts an organisation\'s requests did not answer: another one counts them']
+  limiterAvoided: [2526, 'the agent that counts an organisation\'s requests did not answer: another one counts them'],
+  runBroken: [2527, 'a run ended without a complete answer: its backend server may have died of the request'],
+  crashCounted: [2528, 'a backend server died while it ran a request: the request counts as the cause'],
+  crashNoted: [2529, 'another router reports that a backend server died while it ran a request']
 })
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -6,6 +6,7 @@
 import { organisationOf, isKeyRequired, unitsOf } from '../limits/organisationOf.js'
 import { takeQuota } from '../limits/takeQuota.js'
 import { Status } from '../requests/endRequest.js'
+import { shortHash } from '../requests/shortHash.js'
 import { serveModel } from '../requests/serveModel.js'
 import { servePlain } from '../requests/servePlain.js'
 import { onceClosed } from './onceClosed.js'
@@ -85,6 +86,7 @@
   context.metrics.count('requests_total')
   context.events.emit(GatewayEvent.requestTaken, {
     requestKey: caller.requestId,
+    requestHash: shortHash(request.requestHash),
     item: route.name,
     service: serviceName,
     model: caller.modelName,
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -6,6 +6,7 @@
 import { chooseServer } from './chooseServer.js'
 import { OVERLOAD_RETRY_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_CRASHES, MAX_LOST_LOADS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS } from './constants.js'
 import { fail, noteCallerLeft, refuse } from './endRequest.js'
+import { noteBroken } from './noteBroken.js'
 import { shouldShed } from './shouldShed.js'
 import { runOnServer } from './runOnServer.js'
 import { createCallerStream } from './createCallerStream.js'
@@ -80,11 +81,13 @@
     if (sendCount > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: caller.requestId, peer: serverId, count: sendCount })
     sendCount += 1
     lastPeer = serverId
+    const sentMs = timers.nowMs()
     const end = await runOnServer(context, request, choice, stream)
     if (end.type === 'answered') return
     if (end.type === 'finished') return stream.finish(serverId)
     // A run that the router aborted says nothing about the server.
     const wasAborted = request.callerLeft.aborted || timers.nowMs() >= request.untilMs || stop.isEnded()
+    if (end.type === 'broken') noteBroken(context, request, serverId, end.reason, sentMs)
     if (end.type === 'broken') watchCrash(context, request, choice.server, wasAborted)
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
     excludedStarts.add(startKeyOf(start))
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -8,6 +8,7 @@
 import { sendAnswer, fail, noteCallerLeft, refuse } from './endRequest.js'
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
 import { limitExchange } from './limitExchange.js'
+import { noteBroken } from './noteBroken.js'
 
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
@@ -116,6 +117,7 @@
       isSilent: end.type !== 'answered',
       waitedMs: timers.nowMs() - sentMs
     }))
+    if (end.type === 'unknown') noteBroken(context, request, serverId, end.reason, sentMs)
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
     if (end.type === 'answered') return
     if (end.type === 'notRun' || end.type === 'notSent') {
--- a/packages/gateway/src/requests/watchCrash.ts
+++ b/packages/gateway/src/requests/watchCrash.ts
@@ -1,4 +1,6 @@
+import { GatewayEvent } from '../events.js'
 import { DEATH_CHECK_PERIOD_MS } from './constants.js'
+import { shortHash } from './shortHash.js'
 
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
@@ -12,9 +14,21 @@
 /** A message from the agent this long after a run was interrupted, without a report of its engine's death, proves the engine alive. */
 const ALIVE_AFTER_MS = 500
 
-const noteCrash = ({ crashes, crashNotifier }: GatewayContext, { requestHash }: RoutedRequest, { start }: KnownServer): void => {
+const DEAD_REASON = 'reported dead'
+
+const noteCrash = (context: GatewayContext, request: RoutedRequest, { start }: KnownServer, brokenMs: number, reason: string): void => {
+  const { crashes, crashNotifier, events, timers } = context
+  const { requestHash, caller } = request
   crashes.note(requestHash, start)
   crashNotifier.notify({ requestHash, start })
+  events.emit(GatewayEvent.crashCounted, {
+    requestKey: caller.requestId,
+    requestHash: shortHash(requestHash),
+    peer: start.serverId,
+    reason,
+    count: crashes.crashCount(requestHash),
+    ageMs: Math.round(timers.nowMs() - brokenMs)
+  })
 }
 
 /**
@@ -28,13 +42,14 @@
   const { directory, timers } = context
   const brokenMs = timers.nowMs()
   if (directory.hasExitedGracefully(server.start, brokenMs)) return
-  if (directory.isDead(server.start)) return noteCrash(context, request, server)
+  if (directory.isDead(server.start)) return noteCrash(context, request, server, brokenMs, DEAD_REASON)
   if (wasAborted) return
-  const settle = (hasCrashed: boolean): void => {
+  const settle = (reason: string | undefined): void => {
     stopChecking()
     stopWaiting()
-    if (hasCrashed) noteCrash(context, request, server)
+    if (reason) noteCrash(context, request, server, brokenMs, reason)
   }
-  const stopChecking = timers.every(DEATH_CHECK_PERIOD_MS, () => { if (directory.isDead(server.start)) settle(true) })
-  const stopWaiting = timers.after(DEATH_REPORT_MS, () => { settle(directory.lastMessageMs(server.entry.address) < brokenMs + ALIVE_AFTER_MS) })
+  const isAgentSilent = (): boolean => directory.lastMessageMs(server.entry.address) < brokenMs + ALIVE_AFTER_MS
+  const stopChecking = timers.every(DEATH_CHECK_PERIOD_MS, () => { if (directory.isDead(server.start)) settle(DEAD_REASON) })
+  const stopWaiting = timers.after(DEATH_REPORT_MS, () => { settle(isAgentSilent() ? 'no agent reports' : undefined) })
 }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -7,6 +7,7 @@
 import { createUnmetModels } from '../demand/createUnmetModels.js'
 import { createDirectory } from '../directory/createDirectory.js'
 import { createConnectionPool } from '../forwarding/createConnectionPool.js'
+import { GatewayEvent } from '../events.js'
 import { serveReadiness } from '../ingress/serveReadiness.js'
 import { startIngress } from '../ingress/startIngress.js'
 import { takeRequest } from '../ingress/takeRequest.js'
@@ -18,6 +19,7 @@
 import { isServing } from '../placing/stateOfModel.js'
 import { REPLICA_PERIOD_MS, watchReplicas } from '../placing/watchReplicas.js'
 import { createRefusedWants } from '../requests/createRefusedWants.js'
+import { shortHash } from '../requests/shortHash.js'
 import { createCrashHistory } from '../retries/createCrashHistory.js'
 import { createCrashNotifier } from '../retries/createCrashNotifier.js'
 import { createRetryBudget } from '../retries/createRetryBudget.js'
@@ -99,7 +101,10 @@
       takeLoad: directory.takeLoad,
       takeRelay: relay => { feeds.takeRelay(relay.feedName, relay.records) },
       takeListRead: (read, mayBeStale) => { feeds.takeListRead(read, mayBeStale) },
-      takeCrash: crash => { crashes.note(crash.requestHash, crash.start) },
+      takeCrash: ({ requestHash, start }) => {
+        crashes.note(requestHash, start)
+        events.emit(GatewayEvent.crashNoted, { requestHash: shortHash(requestHash), peer: start.serverId, count: crashes.crashCount(requestHash) })
+      },
       takeUnits: (address, answer) => { quotas.takeAnswer(address, answer) },
       lost: address => {
         quotas.noteLost(address)
