--- /dev/null
+++ b/packages/decisions/src/crashes/crashes.test.ts
@@ -0,0 +1,61 @@
+import { expect } from 'chai'
+
+import { isDeadly } from './isDeadly.js'
+import { BreakVerdict, judgeBreak, MAX_BREAK_AGE_MS, ProbeResult } from './judgeBreak.js'
+import { mayHaveDied } from './mayHaveDied.js'
+
+describe('a broken run', () => {
+  const view = { probe: undefined, hasLeftInOrder: false, isReplaced: false, isUnlisted: false, ageMs: 0 }
+
+  it('shows a crash if the address refuses connections or has another server', () => {
+    expect(judgeBreak({ ...view, probe: ProbeResult.Refused })).to.equal(BreakVerdict.Crash)
+    expect(judgeBreak({ ...view, probe: ProbeResult.OtherServer })).to.equal(BreakVerdict.Crash)
+    expect(judgeBreak({ ...view, isReplaced: true })).to.equal(BreakVerdict.Crash)
+  })
+
+  it('shows nothing if its server answers', () => {
+    // Guards against harmless requests that are refused because a living server lost their answers.
+    expect(judgeBreak({ ...view, probe: ProbeResult.Alive, isUnlisted: true })).to.equal(BreakVerdict.Harmless)
+  })
+
+  it('shows nothing if its server had left in order', () => {
+    // Guards against refusing the callers of a rolling replacement.
+    expect(judgeBreak({ ...view, probe: ProbeResult.Refused, hasLeftInOrder: true })).to.equal(BreakVerdict.Harmless)
+  })
+
+  it('stays open at a silent server until its entry goes', () => {
+    // Guards against counting a cut link as a death, and against missing a death in silence.
+    const silent = { ...view, probe: ProbeResult.Unclear, ageMs: 3_000 }
+    expect(judgeBreak(silent)).to.equal(BreakVerdict.Open)
+    expect(judgeBreak({ ...silent, isUnlisted: true })).to.equal(BreakVerdict.Crash)
+    expect(judgeBreak({ ...silent, ageMs: MAX_BREAK_AGE_MS })).to.equal(BreakVerdict.Harmless)
+  })
+})
+
+describe('a run without a complete answer', () => {
+  it('may have cost its server, unless its caller left early', () => {
+    expect(mayHaveDied({ hasLeft: false, waitedMs: 20, leftMs: 900 })).to.equal(true)
+    expect(mayHaveDied({ hasLeft: true, waitedMs: 300, leftMs: 900 })).to.equal(false)
+    expect(mayHaveDied({ hasLeft: true, waitedMs: 1_200, leftMs: 900 })).to.equal(true)
+    expect(mayHaveDied({ hasLeft: true, waitedMs: 300, leftMs: 20 })).to.equal(true)
+  })
+})
+
+describe('a request', () => {
+  it('is not run again after two servers died under it', () => {
+    expect(isDeadly({ ownCount: 1, callerCount: 1, startCount: 1 })).to.equal(false)
+    expect(isDeadly({ ownCount: 2, callerCount: 1, startCount: 2 })).to.equal(true)
+  })
+
+  it('is run although servers died under another caller\'s request with the same content', () => {
+    // Guards against refusing harmless calls with the same path and no body.
+    expect(isDeadly({ ownCount: 0, callerCount: 1, startCount: 4 })).to.equal(false)
+    expect(isDeadly({ ownCount: 1, callerCount: 2, startCount: 4 })).to.equal(false)
+  })
+
+  it('is not run again after servers died under three callers', () => {
+    // Guards against a deadly request whose caller reaches the routers from a new address each time.
+    expect(isDeadly({ ownCount: 0, callerCount: 3, startCount: 3 })).to.equal(true)
+    expect(isDeadly({ ownCount: 0, callerCount: 3, startCount: 1 }), 'callers that one death has hit').to.equal(false)
+  })
+})
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -71,3 +71,8 @@
 export type * from './limits/types.js'
 export { chooseLimiter } from './limits/chooseLimiter.js'
 export { capacityOf, emptyBucket, fullBucket, needAll, needNoDebt, refill, resizeBucket, shareOfLimit, takeUnits } from './limits/takeUnits.js'
+export { isDeadly } from './crashes/isDeadly.js'
+export type { CrashView } from './crashes/isDeadly.js'
+export { BreakVerdict, judgeBreak, ProbeResult } from './crashes/judgeBreak.js'
+export type { BreakView } from './crashes/judgeBreak.js'
+export { mayHaveDied } from './crashes/mayHaveDied.js'
--- a/packages/fleet/src/messages/structures.ts
+++ b/packages/fleet/src/messages/structures.ts
@@ -22,5 +22,10 @@
   ['type', 'wantId', 'serverId', 'modelName', 'waitingCount', 'lateCount', 'timeLeftMs', 'adapterName'],
   ['type', 'askId', 'organisation', 'units', 'maxWaitMs'],
   ['type', 'askId', 'outcome', 'waitMs'],
-  ['type', 'organisation', 'units']
+  ['type', 'organisation', 'units'],
+  ['type', 'crashes', 'answered'],
+  ['identity', 'start', 'ageMs'],
+  ['identity', 'ageMs'],
+  ['contentHash', 'callerId'],
+  ['serverId', 'startedAtUnixMs']
 ]
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -1,4 +1,5 @@
 /** Messages between routers and agents. */
+import type { AnsweredRequest, Crash } from '../crashes/types.js'
 import type { FeedRecord, FeedRange } from '../feeds/types.js'
 import type { HeldModel, ServerStart } from '../servers/types.js'
 
@@ -83,16 +84,11 @@
   readonly settlingMs: number
 }
 
-/** A request that was running when its backend server crashed, identified by the hash of the content that a retry would send. */
-export interface Crash {
-  readonly requestHash: string
-  readonly start: ServerStart
-}
-
-/** Crashes that a router has detected recently. */
+/** Crashes, and answers to requests of which crashes are known, as one router has seen them. */
 export interface CrashNotice {
   readonly type: 'crash'
   readonly crashes: readonly Crash[]
+  readonly answered: readonly AnsweredRequest[]
 }
 
 /** The organisations whose requests the agent counts for this router from now on; replaces the list sent before. */
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -93,14 +93,14 @@
     if (message.type === 'relay') return handlers.takeRelay(message)
     if (message.type === 'listRead') return handlers.takeListRead(message, timers.nowMs() < mayBeStaleUntilMs)
     if (message.type === 'unitsAnswered') return handlers.takeUnits(serverAddress, message)
-    if (message.type !== 'crash') return
-    for (const crash of message.crashes) handlers.takeCrash(crash)
+    if (message.type === 'crash') handlers.takeCrashes(message)
   }
 
   const serve = async (open: OpenLink): Promise<void> => {
     link = open
     isNew = true
     events.emit(GatewayEvent.agentFound, { peer: agentAddress })
+    handlers.found(serverAddress)
     for await (const message of open.received) take(message)
     link = undefined
     state = undefined
--- a/packages/gateway/src/agents/createAgentLinks.ts
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -23,6 +23,8 @@
   readonly sendToEach: (messageFor: (serverAddress: string, isNewLink: boolean) => RouterMessage | undefined) => void
   /** Sends a message to a few agents, which pass it on to all other routers. */
   readonly relay: (message: RouterMessage) => void
+  /** Sends a message to all connected agents. */
+  readonly sendToAll: (message: RouterMessage) => void
   /** Engine addresses of the agents whose links are open. */
   readonly openAddresses: () => readonly string[]
   /** Nearly all agents have sent their engines' state; false while no agent is known. */
@@ -79,6 +81,10 @@
         if (link.send(message)) sent += 1
       }
     },
+    sendToAll: message => {
+      const packed = packMessage(context, message)
+      for (const link of links.values()) link.sendPacked(packed)
+    },
     openAddresses: () => [...links].filter(([, link]) => link.isOpen()).map(([address]) => address),
     isReady: () => {
       let readyCount = 0
--- a/packages/gateway/src/retries/createCrashNotifier.test.ts
+++ b/packages/gateway/src/crashes/createCrashNotifier.test.ts
@@ -3,9 +3,10 @@
 
 import { createCrashNotifier } from './createCrashNotifier.js'
 
-import type { CrashNotice } from '@figmount/fleet'
+import type { Crash, CrashNotice } from '@figmount/fleet'
 
-const crashOf = (requestHash: string) => ({ requestHash, start: { serverId: 'a', startedAtUnixMs: undefined } })
+const crashOf = (contentHash: string): Crash =>
+  ({ identity: { contentHash, callerId: 'c' }, start: { serverId: 'a', startedAtUnixMs: undefined }, ageMs: 0 })
 
 describe('crash notifier', () => {
   it('sends the crashes of one server death as one message', () => {
@@ -17,6 +18,6 @@
     timers.advance(100)
     notifier.notify(crashOf('w'))
     timers.advance(100)
-    expect(sent.map(({ crashes }) => crashes.map(crash => crash.requestHash))).to.deep.equal([['x', 'y', 'z'], ['w']])
+    expect(sent.map(({ crashes }) => crashes.map(crash => crash.identity.contentHash))).to.deep.equal([['x', 'y', 'z'], ['w']])
   })
 })
--- a/packages/gateway/src/retries/createCrashNotifier.ts
+++ b/packages/gateway/src/crashes/createCrashNotifier.ts
@@ -1,12 +1,13 @@
 import type { TimerService } from '@figmount/base'
-import type { Crash, CrashNotice } from '@figmount/fleet'
+import type { AnsweredRequest, Crash, CrashNotice } from '@figmount/fleet'
 
 /** Crashes within this time are sent as one message; a caller takes longer to resend its request. */
 const GATHER_MS = 50
 
-/** Reports to other routers which requests were running when their servers died. */
+/** Reports to other routers which requests were running when their servers died, and which of them were answered since. */
 export interface CrashNotifier {
   readonly notify: (crash: Crash) => void
+  readonly notifyAnswered: (answer: AnsweredRequest) => void
 }
 
 /**
@@ -16,17 +17,27 @@
  * thousands of messages at once.
  */
 export const createCrashNotifier = (timers: TimerService, send: (notice: CrashNotice) => void): CrashNotifier => {
-  let gathered: readonly Crash[] = []
+  let crashes: readonly Crash[] = []
+  let answered: readonly AnsweredRequest[] = []
 
   const flush = (): void => {
-    send({ type: 'crash', crashes: gathered })
-    gathered = []
+    send({ type: 'crash', crashes, answered })
+    crashes = []
+    answered = []
+  }
+
+  const flushSoon = (): void => {
+    if (crashes.length + answered.length === 0) timers.after(GATHER_MS, flush)
   }
 
   return {
     notify: crash => {
-      if (gathered.length === 0) timers.after(GATHER_MS, flush)
-      gathered = [...gathered, crash]
+      flushSoon()
+      crashes = [...crashes, crash]
+    },
+    notifyAnswered: answer => {
+      flushSoon()
+      answered = [...answered, answer]
     }
   }
 }
--- a/packages/gateway/src/requests/watchCrash.test.ts
+++ b/packages/gateway/src/crashes/watchCrash.test.ts
@@ -1,18 +1,19 @@
 import { expect } from 'chai'
 import { Right } from 'purify-ts'
 import { createEventLog, createVirtualTimers } from '@figmount/base'
+import { createCrashHistory } from '@figmount/fleet'
 
 import { createDirectory } from '../directory/createDirectory.js'
-import { createCrashHistory } from '../retries/createCrashHistory.js'
-import { createCrashNotifier } from '../retries/createCrashNotifier.js'
+import { createCrashNotifier } from './createCrashNotifier.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
 import { watchCrash } from './watchCrash.js'
 
 import type { InstanceName } from '@figmount/base'
 import type { ServerEntry } from '@figmount/fleet'
-import type { GatewayContext, RoutedRequest } from './types.js'
+import type { GatewayContext, RoutedRequest } from '../requests/types.js'
 
 const ADDRESS = 'a:1'
+const IDENTITY = { contentHash: 'h', callerId: 'c' }
 const ENTRY: ServerEntry =
   { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', slots: 1, isDraining: false, models: [] }
 
@@ -38,7 +39,7 @@
   const context = { timers, events, directory, crashes, crashNotifier: createCrashNotifier(timers, ({ type }) => { relayed.push(type) }) } as unknown as GatewayContext
   const server = directory.find('a')
   if (!server) throw new Error('engine a is missing from the directory')
-  const interruptRun = (wasCut = false): void => { watchCrash(context, { requestHash: 'h', caller: { requestId: 'r' } } as unknown as RoutedRequest, server, wasCut) }
+  const interruptRun = (wasCut = false): void => { watchCrash(context, { identity: IDENTITY, caller: { requestId: 'r' } } as unknown as RoutedRequest, server, wasCut) }
   return { timers, directory, crashes, relayed, list, unlist, reportDeath, interruptRun }
 }
 
@@ -56,7 +57,7 @@
     timers.advance(1_400)
     directory.takeState(ADDRESS, makeAgentState('a'))
     timers.advance(5_000)
-    expect(crashes.crashCount('h')).to.equal(0)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(0)
     expect(relayed).to.deep.equal([])
   })
 
@@ -65,7 +66,7 @@
     timers.advance(250)
     directory.takeState(ADDRESS, makeAgentState('a', { isUp: false }))
     timers.advance(100)
-    expect(crashes.crashCount('h')).to.equal(1)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(1)
     expect(relayed).to.deep.equal(['crash'])
     timers.advance(5_000)
     expect(relayed).to.have.length(1)
@@ -75,9 +76,9 @@
     // An instance may die with its engine and its agent. A request that crashes instances must not be sent to the next one.
     const { timers, crashes } = setUp()
     timers.advance(300)
-    expect(crashes.crashCount('h')).to.equal(0)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(0)
     timers.advance(2_300)
-    expect(crashes.crashCount('h')).to.equal(1)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(1)
   })
 
   it('is counted if the engine disappears from the list before its agent reports the death', () => {
@@ -88,7 +89,7 @@
     timers.advance(700)
     reportDeath()
     timers.advance(100)
-    expect(crashes.crashCount('h')).to.equal(1)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(1)
   })
 
   it('is counted if the engine disappears from the list before the run is interrupted', () => {
@@ -99,7 +100,7 @@
     interruptRun()
     reportDeath()
     timers.advance(100)
-    expect(crashes.crashCount('h')).to.equal(1)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(1)
   })
 
   it('is counted if the agent\'s report and the list change between two checks', () => {
@@ -112,7 +113,7 @@
     timers.advance(1_000)
     reportDeath()
     timers.advance(2_500)
-    expect(crashes.crashCount('h')).to.equal(1)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(1)
   })
 
   it('is counted if another engine has taken over the address', () => {
@@ -121,7 +122,7 @@
     unlist()
     directory.takeState(ADDRESS, makeAgentState('b'))
     timers.advance(100)
-    expect(crashes.crashCount('h')).to.equal(1)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(1)
   })
 
   it('is counted if agent and engine die together and the engine disappears from the list', () => {
@@ -130,7 +131,7 @@
     directory.loseAgent(ADDRESS)
     unlist()
     timers.advance(2_500)
-    expect(crashes.crashCount('h')).to.equal(1)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(1)
   })
 
   it('is not counted if a live engine disappears from the list', () => {
@@ -140,7 +141,7 @@
     timers.advance(1_400)
     directory.takeState(ADDRESS, makeAgentState('a'))
     timers.advance(5_000)
-    expect(crashes.crashCount('h')).to.equal(0)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(0)
   })
 
   it('is not counted if a draining engine exits', () => {
@@ -151,7 +152,7 @@
     interruptRun()
     reportDeath()
     timers.advance(5_000)
-    expect(crashes.crashCount('h')).to.equal(0)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(0)
   })
 
   it('is not counted if an engine leaves the list, continues to serve and exits', () => {
@@ -162,7 +163,7 @@
     interruptRun()
     reportDeath()
     timers.advance(5_000)
-    expect(crashes.crashCount('h')).to.equal(0)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(0)
   })
 
   it('is counted if the engine was off the list for a while and is listed again', () => {
@@ -174,7 +175,7 @@
     timers.advance(200)
     reportDeath()
     timers.advance(100)
-    expect(crashes.crashCount('h')).to.equal(1)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(1)
   })
 
   it('is counted if the router aborts a run on an engine that is known to be dead', () => {
@@ -183,7 +184,7 @@
     reportDeath()
     timers.advance(2_000)
     interruptRun(true)
-    expect(crashes.crashCount('h')).to.equal(1)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(1)
   })
 
   it('is counted if an engine dies without closing its connections and is unlisted before the run is aborted', () => {
@@ -195,7 +196,7 @@
     unlist()
     timers.advance(1_450)
     interruptRun()
-    expect(crashes.crashCount('h')).to.equal(1)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(1)
   })
 
   it('is not counted if the router aborts a run on an engine that dies later', () => {
@@ -205,6 +206,6 @@
     timers.advance(50)
     reportDeath()
     timers.advance(5_000)
-    expect(crashes.crashCount('h')).to.equal(0)
+    expect(crashes.countsOf(IDENTITY).ownCount).to.equal(0)
   })
 })
--- a/packages/gateway/src/requests/watchCrash.ts
+++ b/packages/gateway/src/crashes/watchCrash.ts
@@ -1,9 +1,8 @@
-import { GatewayEvent } from '../events.js'
 import { DEATH_CHECK_PERIOD_MS } from './constants.js'
-import { shortHash } from './shortHash.js'
+import { noteCrash } from './noteCrash.js'
 
 import type { KnownServer } from '../directory/types.js'
-import type { GatewayContext, RoutedRequest } from './types.js'
+import type { GatewayContext, RoutedRequest } from '../requests/types.js'
 
 /**
  * Time within which an agent reports its engine's death or sends another message: it detects a death within 0.8 s, and sends a
@@ -16,21 +15,6 @@
 
 const DEAD_REASON = 'reported dead'
 
-const noteCrash = (context: GatewayContext, request: RoutedRequest, { start }: KnownServer, brokenMs: number, reason: string): void => {
-  const { crashes, crashNotifier, events, timers } = context
-  const { requestHash, caller } = request
-  crashes.note(requestHash, start)
-  crashNotifier.notify({ requestHash, start })
-  events.emit(GatewayEvent.crashCounted, {
-    requestKey: caller.requestId,
-    requestHash: shortHash(requestHash),
-    peer: start.serverId,
-    reason,
-    count: crashes.crashCount(requestHash),
-    ageMs: Math.round(timers.nowMs() - brokenMs)
-  })
-}
-
 /**
  * Counts an interrupted run as a crash caused by its request if the engine has died, or if no agent confirms that it is alive. A run
  * that the router aborted, because its caller left or its deadline passed, counts only if the engine is already known to be dead.
@@ -42,12 +26,12 @@
   const { directory, timers } = context
   const brokenMs = timers.nowMs()
   if (directory.hasExitedGracefully(server.start, brokenMs)) return
-  if (directory.isDead(server.start)) return noteCrash(context, request, server, brokenMs, DEAD_REASON)
+  if (directory.isDead(server.start)) return noteCrash(context, request, server.start, brokenMs, DEAD_REASON)
   if (wasAborted) return
   const settle = (reason: string | undefined): void => {
     stopChecking()
     stopWaiting()
-    if (reason) noteCrash(context, request, server, brokenMs, reason)
+    if (reason) noteCrash(context, request, server.start, brokenMs, reason)
   }
   const isAgentSilent = (): boolean => directory.lastMessageMs(server.entry.address) < brokenMs + ALIVE_AFTER_MS
   const stopChecking = timers.every(DEATH_CHECK_PERIOD_MS, () => { if (directory.isDead(server.start)) settle(DEAD_REASON) })
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -1,23 +1,25 @@
 import { createHash } from 'node:crypto'
 import { findEngine, matchRoute, pickService, RequestKind } from '@figmount/fleet'
 
+import { shortHash } from '../crashes/shortHash.js'
 import { GatewayEvent } from '../events.js'
 import { STOPPING_REASON, STOPPING_RETRY_MS, NO_DEPLOYMENT_RETRY_MS } from '../requests/constants.js'
 import { organisationOf, isKeyRequired, unitsOf } from '../limits/organisationOf.js'
 import { takeQuota } from '../limits/takeQuota.js'
 import { Status } from '../requests/endRequest.js'
-import { shortHash } from '../requests/shortHash.js'
 import { serveModel } from '../requests/serveModel.js'
 import { servePlain } from '../requests/servePlain.js'
 import { onceClosed } from './onceClosed.js'
 import { readBody } from './readBody.js'
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { CallerRequest, Deployment, Route } from '@figmount/fleet'
+import type { CallerRequest, Deployment, Organisation, RequestIdentity, Route } from '@figmount/fleet'
 import type { GatewayContext, RoutedRequest } from '../requests/types.js'
 
-const hashOf = (message: IncomingMessage, body: Buffer): string =>
-  createHash('sha1').update(`${message.headers.host ?? ''} ${message.url ?? ''}\n`).update(body).digest('base64')
+const identify = (message: IncomingMessage, body: Buffer, organisation: Organisation | undefined): RequestIdentity => ({
+  contentHash: createHash('sha1').update(`${message.headers.host ?? ''} ${message.url ?? ''}\n`).update(body).digest('base64'),
+  callerId: `${organisation?.name ?? ''}@${message.socket.remoteAddress ?? ''}`
+})
 
 const headerBytesOf = (message: IncomingMessage): number => {
   let bytes = 0
@@ -81,12 +83,12 @@
     untilMs: arrivedMs + Math.min(deadlineMs, route.timeoutMs),
     response,
     callerLeft,
-    requestHash: hashOf(message, body)
+    identity: identify(message, body, organisation)
   }
   context.metrics.count('requests_total')
   context.events.emit(GatewayEvent.requestTaken, {
     requestKey: caller.requestId,
-    requestHash: shortHash(request.requestHash),
+    requestHash: shortHash(request.identity),
     item: route.name,
     service: serviceName,
     model: caller.modelName,
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -34,12 +34,6 @@
 /** Engines that may go down while they load one request's model before the request is refused. */
 export const MAX_LOST_LOADS = 2
 
-/** How often a router checks by the agents' reports whether the server of a resumable stream is still alive. */
-export const DEATH_CHECK_PERIOD_MS = 100
-
-/** Server crashes caused by one request after which it is not run again. */
-export const MAX_CRASHES = 2
-
 /**
  * A message from an agent this long after a request was sent to its engine proves that the instance was reachable, so the request has
  * arrived: a new connection takes one more round trip, and the agent's message takes one way.
--- a/packages/gateway/src/requests/runOnServer.ts
+++ b/packages/gateway/src/requests/runOnServer.ts
@@ -1,6 +1,6 @@
 import { countsAsFailure } from '@figmount/decisions'
 
-import { DEATH_CHECK_PERIOD_MS } from './constants.js'
+import { DEATH_CHECK_PERIOD_MS } from '../crashes/constants.js'
 import { limitExchange } from './limitExchange.js'
 import { runStream } from './runStream.js'
 
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { Right } from 'purify-ts'
 import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
+import { createCrashHistory } from '@figmount/fleet'
 
 import { createDirectory } from '../directory/createDirectory.js'
 import { createDemandMeter } from '../demand/createDemandMeter.js'
@@ -8,7 +9,6 @@
 import { createColdLoads } from '../placing/createColdLoads.js'
 import { createOccupancyMeter } from '../placing/createOccupancyMeter.js'
 import { createQueueScaler } from '../placing/createQueueScaler.js'
-import { createCrashHistory } from '../retries/createCrashHistory.js'
 import { createStop } from '../stopping/createStop.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
 import { MAX_LOST_LOADS } from './constants.js'
@@ -27,6 +27,8 @@
 
 const STOP_MS = 8_000
 
+const IDENTITY = { contentHash: 'h', callerId: 'c' }
+
 const entryOf = (serverId: string): ServerEntry =>
   ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', slots: 1, isDraining: false, models: [] })
 
@@ -90,7 +92,7 @@
     arrivedMs: 0,
     untilMs: 5_000,
     callerLeft: new AbortController().signal,
-    requestHash: 'h',
+    identity: IDENTITY,
     response: { headersSent: false, destroyed: false, writeHead: (status: number) => { statuses.push(status) }, end: () => {} }
   } as unknown as RoutedRequest
   return { timers, stop, directory, context, request, asked, dropped, statuses, retriesMs }
@@ -107,6 +109,17 @@
     expect(asked).to.have.members(['a:1', 'b:1'])
   })
 
+  it('refuses a waiting request when it becomes known that engines died of it', async () => {
+    // Guards against a request that waits for its model, and then costs a third engine.
+    const { context, request, asked, statuses } = setUp(() => {
+      for (const serverId of ['x', 'y']) context.crashes.note({ identity: IDENTITY, start: { serverId, startedAtUnixMs: undefined }, ageMs: 0 })
+      return { isReady: false, isLost: true, reason: 'engine is down' }
+    })
+    await serveModel(context, request)
+    expect(asked).to.have.length(1)
+    expect(statuses).to.deep.equal([503])
+  })
+
   it('refuses the request after a few engines went down', async () => {
     const { context, request, asked, statuses } = setUp(() => ({ isReady: false, isLost: true, reason: 'the agent does not answer' }))
     await serveModel(context, request)
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -1,16 +1,19 @@
+import { isDeadly } from '@figmount/decisions'
 import { startKeyOf } from '@figmount/fleet'
 
+import { noteAnswer } from '../crashes/noteAnswer.js'
+import { DEADLY_REASON, DEADLY_RETRY_MS } from '../crashes/constants.js'
+import { noteBroken } from '../crashes/noteBroken.js'
+import { watchCrash } from '../crashes/watchCrash.js'
 import { GatewayEvent } from '../events.js'
 import { awaitAdapter } from './awaitAdapter.js'
 import { awaitModel } from './awaitModel.js'
 import { chooseServer } from './chooseServer.js'
-import { OVERLOAD_RETRY_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_CRASHES, MAX_LOST_LOADS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS } from './constants.js'
+import { OVERLOAD_RETRY_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_LOST_LOADS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS } from './constants.js'
 import { fail, noteCallerLeft, refuse } from './endRequest.js'
-import { noteBroken } from './noteBroken.js'
 import { shouldShed } from './shouldShed.js'
 import { runOnServer } from './runOnServer.js'
 import { createCallerStream } from './createCallerStream.js'
-import { watchCrash } from './watchCrash.js'
 
 import type { WaitBounds } from './awaitWant.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
@@ -43,11 +46,9 @@
   }
 
   context.demand.note(caller.modelName, caller.adapterName, caller.promptTokens)
-  if (context.crashes.crashCount(request.requestHash) >= MAX_CRASHES) {
-    return giveUp('backend servers died while they ran it', NO_SERVER_RETRY_MS * 10)
-  }
 
   for (;;) {
+    if (isDeadly(context.crashes.countsOf(request.identity))) return giveUp(DEADLY_REASON, DEADLY_RETRY_MS)
     if (request.callerLeft.aborted || request.untilMs - timers.nowMs() < MIN_SERVE_MS) return giveUp('no time left', REJECTED_RETRY_MS)
     if (timers.nowMs() >= bounds.lastSendMs()) return giveUp(STOPPING_REASON, STOPPING_RETRY_MS)
     const servers = directory.serving(serviceName).filter(server => !excludedStarts.has(startKeyOf(server.start)))
@@ -83,11 +84,12 @@
     lastPeer = serverId
     const sentMs = timers.nowMs()
     const end = await runOnServer(context, request, choice, stream)
+    if (end.type === 'answered' || end.type === 'finished') noteAnswer(context, request)
     if (end.type === 'answered') return
     if (end.type === 'finished') return stream.finish(serverId)
     // A run that the router aborted says nothing about the server.
     const wasAborted = request.callerLeft.aborted || timers.nowMs() >= request.untilMs || stop.isEnded()
-    if (end.type === 'broken') noteBroken(context, request, serverId, end.reason, sentMs)
+    if (end.type === 'broken') noteBroken(context, request, serverId, end.reason, timers.nowMs() - sentMs)
     if (end.type === 'broken') watchCrash(context, request, choice.server, wasAborted)
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
     excludedStarts.add(startKeyOf(start))
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -1,6 +1,9 @@
 import { RequestKind, startKeyOf } from '@figmount/fleet'
-import { countsAsFailure, rankServers } from '@figmount/decisions'
+import { countsAsFailure, isDeadly, mayHaveDied, rankServers } from '@figmount/decisions'
 
+import { noteAnswer } from '../crashes/noteAnswer.js'
+import { DEADLY_REASON, DEADLY_RETRY_MS, MIN_SILENCE_MS } from '../crashes/constants.js'
+import { noteBroken } from '../crashes/noteBroken.js'
 import { GatewayEvent } from '../events.js'
 import { hasFraming } from '../forwarding/isComplete.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
@@ -8,7 +11,6 @@
 import { sendAnswer, fail, noteCallerLeft, refuse } from './endRequest.js'
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
 import { limitExchange } from './limitExchange.js'
-import { noteBroken } from './noteBroken.js'
 
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
@@ -18,6 +20,9 @@
   | { readonly type: 'answered' }
   | { readonly type: 'notRun', readonly reason: string }
   | { readonly type: 'notSent', readonly reason: string }
+  /** Without a complete answer: the server may have died. */
+  | { readonly type: 'broken', readonly reason: string }
+  /** An answer to another request: the server lives. */
   | { readonly type: 'unknown', readonly reason: string }
   /** A complete answer with a server error. */
   | { readonly type: 'failed', readonly status: number, readonly deliver: () => void }
@@ -50,9 +55,10 @@
   const opened = await openExchange(context, request, server, '', signal)
   if (opened.isLeft()) {
     const { fault, mayHaveRun } = opened.swap().unsafeCoerce()
-    return { type: mayHaveRun ? 'unknown' : 'notSent', reason: fault.message }
+    return { type: mayHaveRun ? 'broken' : 'notSent', reason: fault.message }
   }
   const open = opened.unsafeCoerce()
+  context.pendingRuns.noteAlive(server.start)
   if (isMismatchedAnswer(request, open)) {
     open.abort()
     return { type: 'unknown', reason: 'answer to another request' }
@@ -63,21 +69,63 @@
     if (status === MISDIRECTED) context.directory.noteReplaced(server.start)
     return { type: 'notRun', reason: `turned away with ${status}` }
   }
-  if (read.isLeft()) return { type: 'unknown', reason: read.swap().unsafeCoerce().message }
+  if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
   const deliver = (): void => {
     sendAnswer(context, request, status, context.codec.encodeAnswer(open.message.rawHeaders), read.unsafeCoerce(), serverId, hasFraming(open.message))
   }
+  noteAnswer(context, request)
   if (status >= FIRST_SERVER_ERROR) return { type: 'failed', status, deliver }
   deliver()
   return { type: 'answered' }
 }
 
+interface EndedAttempt {
+  readonly end: AttemptEnd
+  readonly waitedMs: number
+  /** The server had died, or may have, before the request was sent. */
+  readonly wasBroken: boolean
+}
+
+/** Runs one attempt and updates the router's counts and failure rate for the server. */
+const runAttempt = async (context: GatewayContext, request: RoutedRequest, { start, ...server }: KnownServer): Promise<EndedAttempt> => {
+  const { breakWatch, directory, pendingRuns, timers } = context
+  const sentMs = timers.nowMs()
+  const run = pendingRuns.add(start)
+  const wasBroken = breakWatch.isBroken(start) || run.silentForMs > Math.max(MIN_SILENCE_MS, request.route.objectiveMs)
+  directory.own.noteSent(start, 0)
+  const limit = limitExchange(context, request, ANSWER_GRACE_MS)
+  const end = await tryOnce(context, request, { start, ...server }, limit.signal)
+  limit.release()
+  run.end()
+  directory.own.noteFirstEvent(start, 0)
+  directory.own.noteEnded(start)
+  const waitedMs = timers.nowMs() - sentMs
+  directory.noteOutcome(start, countsAsFailure({
+    hasFailed: end.type !== 'answered' && end.type !== 'notRun',
+    hasLeft: request.callerLeft.aborted,
+    isSilent: end.type !== 'answered',
+    waitedMs
+  }))
+  return { end, waitedMs, wasBroken }
+}
+
+/** Begins to find out whether the server has died. Resolves when it is known, or a short while later. */
+const watchBroken = async (
+  context: GatewayContext, request: RoutedRequest, server: KnownServer, reason: string, { waitedMs, wasBroken }: EndedAttempt
+): Promise<void> => {
+  const { timers, stop, breakWatch } = context
+  noteBroken(context, request, server.entry.serverId, reason, waitedMs)
+  const isSuspect = mayHaveDied({ hasLeft: request.callerLeft.aborted, waitedMs, leftMs: request.untilMs - timers.nowMs() })
+  if (isSuspect && !wasBroken && !stop.isEnded()) await breakWatch.watch(request, server)
+}
+
 /**
  * Serves a request to a plain service. An at-most-once request goes to another server only if the previous one reports that it has not
- * run it. An idempotent one is also retried after a failure, within the route's attempts and the retry budget that all routers share.
+ * run it. An idempotent one is also retried after a failure, within the route's attempts and the retry budget that all routers share,
+ * unless servers have died of it.
  */
 export const servePlain = async (context: GatewayContext, request: RoutedRequest): Promise<void> => {
-  const { directory, budget, timers, stop } = context
+  const { budget, crashes, timers, stop } = context
   const mayRunAgain = request.route.kind === RequestKind.Idempotent
   const tried = new Set<string>()
   let runCount = 0
@@ -96,6 +144,7 @@
     if (request.callerLeft.aborted || request.untilMs - timers.nowMs() < MIN_SERVE_MS) return finish('no time left')
     const lastSendMs = runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs)
     if (timers.nowMs() >= lastSendMs) return finish(STOPPING_REASON, STOPPING_RETRY_MS)
+    if (isDeadly(crashes.countsOf(request.identity))) return finish(DEADLY_REASON, DEADLY_RETRY_MS)
     const server = choose(context, request, tried)
     if (!server) return finish(tried.size > 0 ? 'no other server' : 'no server')
     if (tried.size > 0 && !budget.takeRetry(request.serviceName, context.routerCount())) return finish('no repeats left')
@@ -104,20 +153,9 @@
     if (tried.size > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: request.caller.requestId, peer: serverId, count: tried.size })
     tried.add(startKeyOf(start))
     lastPeer = serverId
-    directory.own.noteSent(start, 0)
-    const sentMs = timers.nowMs()
-    const limit = limitExchange(context, request, ANSWER_GRACE_MS)
-    const end = await tryOnce(context, request, server, limit.signal)
-    limit.release()
-    directory.own.noteFirstEvent(start, 0)
-    directory.own.noteEnded(start)
-    directory.noteOutcome(start, countsAsFailure({
-      hasFailed: end.type === 'unknown' || end.type === 'notSent' || end.type === 'failed',
-      hasLeft: request.callerLeft.aborted,
-      isSilent: end.type !== 'answered',
-      waitedMs: timers.nowMs() - sentMs
-    }))
-    if (end.type === 'unknown') noteBroken(context, request, serverId, end.reason, sentMs)
+    const attempt = await runAttempt(context, request, server)
+    const { end } = attempt
+    const verdict = end.type === 'broken' ? watchBroken(context, request, server, end.reason, attempt) : undefined
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
     if (end.type === 'answered') return
     if (end.type === 'notRun' || end.type === 'notSent') {
@@ -129,5 +167,6 @@
     deliverFailed = end.type === 'failed' ? end.deliver : undefined
     const reason = end.type === 'failed' ? `status ${end.status}` : end.reason
     if (!mayRunAgain || runCount >= request.route.maxAttempts) return finish(reason)
+    await verdict
   }
 }
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import type { EventLog, Metrics, TimerService } from '@figmount/base'
-import type { CallerRequest, Deployment, HeaderCodec, Organisation, RawHeaders, Route } from '@figmount/fleet'
+import type { CallerRequest, CrashHistory, Deployment, HeaderCodec, Organisation, RawHeaders, RequestIdentity, Route } from '@figmount/fleet'
 import type { AgentLinks } from '../agents/createAgentLinks.js'
 import type { DemandMeter } from '../demand/createDemandMeter.js'
 import type { UnmetModels } from '../demand/createUnmetModels.js'
@@ -12,8 +12,9 @@
 import type { OccupancyMeter } from '../placing/createOccupancyMeter.js'
 import type { QueueScaler } from '../placing/createQueueScaler.js'
 import type { RetryBudget } from '../retries/createRetryBudget.js'
-import type { CrashNotifier } from '../retries/createCrashNotifier.js'
-import type { CrashHistory } from '../retries/createCrashHistory.js'
+import type { BreakWatch } from '../crashes/createBreakWatch.js'
+import type { PendingRuns } from '../crashes/createPendingRuns.js'
+import type { CrashNotifier } from '../crashes/createCrashNotifier.js'
 import type { Stop } from '../stopping/types.js'
 
 /** The parts of a router that serving a request depends on. */
@@ -32,6 +33,8 @@
   readonly quotas: Quotas
   readonly crashes: CrashHistory
   readonly crashNotifier: CrashNotifier
+  readonly breakWatch: BreakWatch
+  readonly pendingRuns: PendingRuns
   readonly queueScaler: QueueScaler
   readonly coldLoads: ColdLoads
   /** False after a restart of the router: other processes may have been serving callers. */
@@ -68,6 +71,6 @@
   readonly response: ServerResponse
   /** Aborts when the caller leaves. */
   readonly callerLeft: AbortSignal
-  /** Hash by which a request is recognised when its caller resends it after a crash. */
-  readonly requestHash: string
+  /** By which the request is recognised when its caller resends it after a crash. */
+  readonly identity: RequestIdentity
 }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -1,13 +1,18 @@
 import { BaseEvent, countMessages } from '@figmount/base'
-import { findModel, findEngine, MESSAGE_STRUCTURES } from '@figmount/fleet'
+import { createCrashHistory, findEngine, findModel, MESSAGE_STRUCTURES } from '@figmount/fleet'
 import { createMessageCodec, NO_OFFSET } from '@figmount/peers'
 
 import { createAgentLinks } from '../agents/createAgentLinks.js'
+import { PROBE_TIMEOUT_MS } from '../crashes/constants.js'
+import { createBreakWatch } from '../crashes/createBreakWatch.js'
+import { createCrashNotifier } from '../crashes/createCrashNotifier.js'
+import { createPendingRuns } from '../crashes/createPendingRuns.js'
+import { shareCrashes } from '../crashes/shareCrashes.js'
 import { createDemandMeter } from '../demand/createDemandMeter.js'
 import { createUnmetModels } from '../demand/createUnmetModels.js'
 import { createDirectory } from '../directory/createDirectory.js'
 import { createConnectionPool } from '../forwarding/createConnectionPool.js'
-import { GatewayEvent } from '../events.js'
+import { probeServer } from '../forwarding/probeServer.js'
 import { serveReadiness } from '../ingress/serveReadiness.js'
 import { startIngress } from '../ingress/startIngress.js'
 import { takeRequest } from '../ingress/takeRequest.js'
@@ -19,9 +24,6 @@
 import { isServing } from '../placing/stateOfModel.js'
 import { REPLICA_PERIOD_MS, watchReplicas } from '../placing/watchReplicas.js'
 import { createRefusedWants } from '../requests/createRefusedWants.js'
-import { shortHash } from '../requests/shortHash.js'
-import { createCrashHistory } from '../retries/createCrashHistory.js'
-import { createCrashNotifier } from '../retries/createCrashNotifier.js'
 import { createRetryBudget } from '../retries/createRetryBudget.js'
 import { createStop } from '../stopping/createStop.js'
 import { drain } from '../stopping/drain.js'
@@ -69,6 +71,9 @@
   const hasAgent = (entry: ServerEntry): boolean =>
     findEngine(feeds.deployment(), entry.serviceName) !== undefined
 
+  const healthPathOf = ({ serviceName }: ServerEntry): string =>
+    feeds.deployment()?.services.find(service => service.name === serviceName)?.healthPath ?? '/'
+
   const directory = createDirectory({
     timers,
     events,
@@ -101,10 +106,8 @@
       takeLoad: directory.takeLoad,
       takeRelay: relay => { feeds.takeRelay(relay.feedName, relay.records) },
       takeListRead: (read, mayBeStale) => { feeds.takeListRead(read, mayBeStale) },
-      takeCrash: ({ requestHash, start }) => {
-        crashes.note(requestHash, start)
-        events.emit(GatewayEvent.crashNoted, { requestHash: shortHash(requestHash), peer: start.serverId, count: crashes.crashCount(requestHash) })
-      },
+      takeCrashes: notice => { shared.take(notice) },
+      found: address => { shared.sendAll(address) },
       takeUnits: (address, answer) => { quotas.takeAnswer(address, answer) },
       lost: address => {
         quotas.noteLost(address)
@@ -139,6 +142,20 @@
     send: (address, message) => { agents.find(address)?.send(message) }
   })
   const refusedWants = createRefusedWants(events, (serviceName, address) => isServing(directory, serviceName, address))
+  // A crash is kept by the few agents that were told of it; the answer to its request must reach each of them.
+  const crashNotifier = createCrashNotifier(timers, notice => {
+    if (notice.answered.length > 0) agents.sendToAll(notice)
+    else agents.relay(notice)
+  })
+  const shared = shareCrashes({ events, crashes, crashNotifier, send: (address, notice) => { agents.find(address)?.send(notice) } })
+  const breakWatch = createBreakWatch({
+    timers,
+    events,
+    crashes,
+    crashNotifier,
+    directory,
+    probe: async entry => await probeServer({ timers, codec: options.codec }, entry, healthPathOf(entry), PROBE_TIMEOUT_MS)
+  })
   const hasReported = (entry: ServerEntry): boolean => directory.find(entry.serverId)?.state !== undefined
   const areCopiesKnown = (): boolean =>
     options.isFirstStart || timers.nowMs() - startedMs > COPIES_KNOWN_MS || directory.entries().every(entry => !hasAgent(entry) || hasReported(entry))
@@ -156,7 +173,9 @@
     budget: createRetryBudget(options.retryLimits, timers),
     crashes,
     quotas,
-    crashNotifier: createCrashNotifier(timers, agents.relay),
+    crashNotifier,
+    breakWatch,
+    pendingRuns: createPendingRuns(timers),
     queueScaler: createQueueScaler(timers),
     coldLoads,
     isFirstStart: options.isFirstStart,
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -4,13 +4,14 @@
 import { MESSAGE_STRUCTURES } from '@figmount/fleet'
 import { acceptLinks, createMessageCodec, HEARTBEAT_MS, NO_OFFSET, packMessage } from '@figmount/peers'
 
+import { createCrashNotices } from '../crashes/createCrashNotices.js'
 import { changedFields, volatileFieldsOf, pickFields, serializeFields } from './compareStates.js'
 import { LOAD_PERIOD_MS } from './constants.js'
 import { createRelayedReads } from './createRelayedReads.js'
 import { createRelayedRecords } from './createRelayedRecords.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
-import type { AgentLoad, AgentMessage, AgentState, AgentStateChange, Demand, ListRead, Relay, RouterMessage, Want } from '@figmount/fleet'
+import type { AgentLoad, AgentMessage, AgentState, AgentStateChange, CrashNotice, Demand, ListRead, Relay, RouterMessage, Want } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
 import type { Limiters } from '../limits/createLimiters.js'
 import type { Settle } from '../wants/createWantRegistry.js'
@@ -70,6 +71,7 @@
   let sentState: SentState | undefined
   let sentLoad: { readonly load: AgentLoad, readonly atMs: number } | undefined
   const relayedReads = createRelayedReads(timers)
+  const crashNotices = createCrashNotices(timers)
 
   // Guards against counting a router twice while its earlier link, which has gone silent, is still open.
   const routerCount = (): number => new Set([...links].map(link => link.peer)).size
@@ -147,6 +149,11 @@
     if (relayedReads.isNew(read)) sendToAll(read, link)
   }
 
+  const forwardCrashes = (link: RouterLink, notice: CrashNotice): void => {
+    const newPart = crashNotices.takeNew(notice)
+    if (newPart) sendToAll(newPart, link)
+  }
+
   const sendDeployment = (link: RouterLink): void => {
     const relay = options.deploymentRelay()
     if (relay) sendTo(link, relay)
@@ -163,7 +170,7 @@
       .with({ type: 'limiterChosen' }, chosen => { options.limiters.choose(link.peer, chosen) })
       .with({ type: 'unitsAsked' }, asked => { sendTo(link, options.limiters.ask(link.peer, asked)) })
       .with({ type: 'unitsReturned' }, returned => { options.limiters.returnUnits(link.peer, returned) })
-      .with({ type: 'crash' }, notice => { sendToAll(notice, link) })
+      .with({ type: 'crash' }, notice => { forwardCrashes(link, notice) })
       .with({ type: 'heartbeat' }, () => {})
       .exhaustive()
   }
@@ -182,6 +189,8 @@
     const currentState = options.describe(routerCount())
     if (sentState && currentState) sendFullState([link], { ...sentState.state, ...volatileFieldsOf(currentState) })
     else sendUpdate()
+    const knownCrashes = crashNotices.all()
+    if (knownCrashes) sendTo(link, knownCrashes)
     try {
       for await (const message of link.received) take(link, message)
     } finally {
