--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -35,6 +35,7 @@
   readonly concurrentCount?: number
   readonly maxCount?: number
   readonly tokenCount?: number
+  readonly limitPerS?: number
   readonly durationMs?: number
   readonly waitMs?: number
   readonly retryAfterMs?: number
--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -39,12 +39,19 @@
   readonly lastEventId: string
 }
 
+/** What an answer says of the number of requests that its server takes from all routers together. */
+export type NamedLimit =
+  | { readonly type: 'none' }
+  | { readonly type: 'named', readonly requestsPerS: number }
+  | { readonly type: 'unreadable' }
+
 /** A backend server's answer as described by its headers. */
 export interface ServerAnswer {
   readonly requestId: string
   readonly serverId: string
   /** The server states that it has not run the request and will not run it. */
   readonly isNotRun: boolean
+  readonly limit: NamedLimit
 }
 
 /** Header names and values in alternation, in the order received. */
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -24,7 +24,7 @@
   })
   const forwarded = codec.encodeForward(request.headers, { serverId, deadlineMs: leftMs, priority: request.priority, organisationName: request.organisation?.name ?? '', lastEventId })
   const framing = request.body.length > 0 || request.method !== 'GET' ? ['Content-Length', String(request.body.length)] : []
-  return await sendToServer(context, {
+  const opened = await sendToServer(context, {
     start: server.start,
     address,
     method: request.method,
@@ -34,6 +34,7 @@
     headTimeoutMs: leftMs + ANSWER_GRACE_MS,
     mayBeInTransit: () => context.directory.lastMessageMs(address) < sentMs + REQUEST_ARRIVAL_MS
   }, signal)
+  return opened.ifRight(({ answer }) => { context.serverLimits.noteAnswer(server.start, answer) })
 }
 
 /** The answer belongs to another request: a late one on a reused connection, or one from another program's server. */
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -15,6 +15,7 @@
 import type { BreakWatch } from '../crashes/createBreakWatch.js'
 import type { PendingRuns } from '../crashes/createPendingRuns.js'
 import type { CrashNotifier } from '../crashes/createCrashNotifier.js'
+import type { ServerLimits } from '../serverLimits/createServerLimits.js'
 import type { Stop } from '../stopping/types.js'
 
 /** The parts of a router that serving a request depends on. */
@@ -35,6 +36,7 @@
   readonly crashNotifier: CrashNotifier
   readonly breakWatch: BreakWatch
   readonly pendingRuns: PendingRuns
+  readonly serverLimits: ServerLimits
   readonly queueScaler: QueueScaler
   readonly coldLoads: ColdLoads
   /** False after a restart of the router: other processes may have been serving callers. */
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -25,6 +25,7 @@
 import { REPLICA_PERIOD_MS, watchReplicas } from '../placing/watchReplicas.js'
 import { createRefusedWants } from '../requests/createRefusedWants.js'
 import { createRetryBudget } from '../retries/createRetryBudget.js'
+import { createServerLimits } from '../serverLimits/createServerLimits.js'
 import { createStop } from '../stopping/createStop.js'
 import { drain } from '../stopping/drain.js'
 import { AGENT_READY_TIMEOUT_MS, COPIES_KNOWN_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS, MIN_ROUTER_COUNT, LEAVING_PERIOD_MS } from './constants.js'
@@ -173,6 +174,7 @@
     budget: createRetryBudget(options.retryLimits, timers),
     crashes,
     quotas,
+    serverLimits: createServerLimits({ events }),
     crashNotifier,
     breakWatch,
     pendingRuns: createPendingRuns(timers),
