--- a/packages/fleet/src/messages/structures.ts
+++ b/packages/fleet/src/messages/structures.ts
@@ -24,6 +24,7 @@
   ['type', 'askId', 'outcome', 'waitMs'],
   ['type', 'organisation', 'units'],
   ['type', 'crashes', 'answered'],
+  ['type', 'start', 'limitPerS'],
   ['identity', 'start', 'ageMs'],
   ['identity', 'ageMs'],
   ['contentHash', 'callerId'],
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -91,6 +91,14 @@
   readonly answered: readonly AnsweredRequest[]
 }
 
+/** The limit that a backend server names in its answers has changed, as one router has seen it. */
+export interface ServerLimitNotice {
+  readonly type: 'serverLimit'
+  readonly start: ServerStart
+  /** Requests per second from all routers together; undefined if the answers name no limit any more. */
+  readonly limitPerS: number | undefined
+}
+
 /** The organisations whose requests the agent counts for this router from now on; replaces the list sent before. */
 export interface LimiterChosen {
   readonly type: 'limiterChosen'
@@ -127,7 +135,7 @@
 }
 
 export type RouterMessage =
-  | Heartbeat | Want | WantDropped | DeploymentAsked | Demand | Relay | ListRead | CrashNotice | LimiterChosen | UnitsAsked | UnitsReturned
+  | Heartbeat | Want | WantDropped | DeploymentAsked | Demand | Relay | ListRead | CrashNotice | ServerLimitNotice | LimiterChosen | UnitsAsked | UnitsReturned
 
 /** Full state of an agent's server. Sent when a link is opened. */
 export interface AgentState extends ServerStart {
@@ -193,4 +201,4 @@
   readonly reason: string
 }
 
-export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | Relay | ListRead | CrashNotice | UnitsAnswered
+export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | Relay | ListRead | CrashNotice | ServerLimitNotice | UnitsAnswered
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -93,7 +93,8 @@
     if (message.type === 'relay') return handlers.takeRelay(message)
     if (message.type === 'listRead') return handlers.takeListRead(message, timers.nowMs() < mayBeStaleUntilMs)
     if (message.type === 'unitsAnswered') return handlers.takeUnits(serverAddress, message)
-    if (message.type === 'crash') handlers.takeCrashes(message)
+    if (message.type === 'crash') return handlers.takeCrashes(message)
+    if (message.type === 'serverLimit') handlers.takeServerLimit(message)
   }
 
   const serve = async (open: OpenLink): Promise<void> => {
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -31,5 +31,6 @@
   runBroken: [2527, 'a run ended without a complete answer: its backend server may have died of the request'],
   crashCounted: [2528, 'a backend server died while it ran a request: the request counts as the cause'],
   crashNoted: [2529, 'another router reports that a backend server died while it ran a request'],
-  serverLimited: [2530, 'a backend server names a limit on requests from all routers, another one, or none any more']
+  serverLimited: [2530, 'a backend server names a limit on requests from all routers, another one, or none any more'],
+  requestHeldBack: [2531, 'all backend servers that could run a request have named limits that leave it no turn now']
 })
--- a/packages/gateway/src/placing/findLoader.ts
+++ b/packages/gateway/src/placing/findLoader.ts
@@ -22,7 +22,10 @@
 export const findLoader = (
   context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], unmetForMs = 0
 ): Loader | undefined => {
-  const views = viewLoaders({ directory: context.directory, spec, model, servers, unmetForMs, nowMs: context.timers.nowMs() })
+  // A copy on an engine that takes few requests helps few callers.
+  const unlimited = servers.filter(({ start }) => !context.serverLimits.isLimited(start))
+  const candidates = unlimited.length > 0 ? unlimited : servers
+  const views = viewLoaders({ directory: context.directory, spec, model, servers: candidates, unmetForMs, nowMs: context.timers.nowMs() })
   const requestsPerS = context.demand.requestsPerS(model.name) * context.routerCount()
   const choice = chooseLoader({ ...model, requestsPerS }, views)
   const view = views.find(candidate => candidate.serverId === choice?.serverId)
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -6,6 +6,9 @@
 import { noteBroken } from '../crashes/noteBroken.js'
 import { watchCrash } from '../crashes/watchCrash.js'
 import { GatewayEvent } from '../events.js'
+import { heldModel } from '../placing/viewServers.js'
+import { LIMITED_REASON } from '../serverLimits/constants.js'
+import { holdBack } from '../serverLimits/holdBack.js'
 import { awaitAdapter } from './awaitAdapter.js'
 import { awaitModel } from './awaitModel.js'
 import { chooseServer } from './chooseServer.js'
@@ -28,6 +31,7 @@
   const stream = createCallerStream(context, request)
   // Keyed by start: a server that has restarted under the same id is a different server here.
   const excludedStarts = new Set<string>()
+  const turn = context.serverLimits.openTurn(request.priority)
   let runCount = 0
   let sendCount = 0
   let rejectionCount = 0
@@ -40,6 +44,7 @@
   }
 
   const giveUp = (reason: string, retryAfterMs: number): void => {
+    turn.end()
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
     if (runCount > 0) return fail(context, request, reason, lastPeer)
     refuse(context, request, reason, retryAfterMs)
@@ -53,13 +58,19 @@
     if (timers.nowMs() >= bounds.lastSendMs()) return giveUp(STOPPING_REASON, STOPPING_RETRY_MS)
     const servers = directory.serving(serviceName).filter(server => !excludedStarts.has(startKeyOf(server.start)))
     if (servers.length === 0) return giveUp('no server', NO_SERVER_RETRY_MS)
-    const choice = chooseServer(context, request, servers)
+    const free = servers.filter(({ start }) => turn.waitMs(start) === 0)
+    const choice = chooseServer(context, request, free)
     if (!choice) {
+      const holders = servers.filter(server => heldModel(server, caller.modelName))
+      const noteWait = (waitMs: number): void => { context.queueScaler.note(context, request, free, waitMs) }
+      const held = await holdBack(context, request, turn, holders, bounds.callerLeavesMs() - timers.nowMs(), noteWait)
+      if (held.type === 'waited') continue
       const wait = await awaitModel(context, request, servers, bounds)
       // An engine that dies during a load has cost its waiting callers only time: another engine is asked.
       if (wait.type === 'changed') continue
       lostLoadCount += Number(wait.type === 'lost')
       if (wait.type === 'lost' && lostLoadCount <= MAX_LOST_LOADS) continue
+      if (held.type === 'hopeless' && held.waitMs < wait.retryAfterMs) return giveUp(LIMITED_REASON, held.waitMs)
       return giveUp(wait.reason, wait.retryAfterMs)
     }
     context.unmetModels.settle(caller.modelName)
@@ -68,6 +79,7 @@
       context.events.emit(GatewayEvent.requestCrowded, { requestKey: caller.requestId, model: caller.modelName, peer: serverId, waitMs: Math.round(choice.slotWaitMs) })
       return giveUp('the engines with the model are full', OVERLOAD_RETRY_MS * (1 + context.random()))
     }
+    turn.take(start)
     const wait = choice.adapterWaitMs === 0 ? undefined : await awaitAdapter(context, request, choice.server, choice.adapterWaitMs, bounds)
     if (wait?.type === 'late') return giveUp(wait.reason, wait.retryAfterMs)
     if (wait?.type === 'missed') {
--- a/packages/gateway/src/requests/servePlain.test.ts
+++ b/packages/gateway/src/requests/servePlain.test.ts
@@ -2,6 +2,7 @@
 import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
 
 import { createStop } from '../stopping/createStop.js'
+import { makeServerLimits } from '../testing/makeServerLimits.js'
 import { STOPPING_RETRY_MS } from './constants.js'
 import { servePlain } from './servePlain.js'
 
@@ -22,6 +23,7 @@
       metrics: createMetrics(),
       stop,
       directory: {},
+      serverLimits: makeServerLimits(timers),
       codec: {
         encodeRefusal: (_requestId: string, retryAfterMs: number) => {
           retriesMs.push(retryAfterMs)
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -7,6 +7,8 @@
 import { GatewayEvent } from '../events.js'
 import { hasFraming } from '../forwarding/isComplete.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
+import { LIMITED_REASON } from '../serverLimits/constants.js'
+import { holdBack } from '../serverLimits/holdBack.js'
 import { ANSWER_GRACE_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS } from './constants.js'
 import { sendAnswer, fail, noteCallerLeft, refuse } from './endRequest.js'
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
@@ -30,9 +32,8 @@
 const FIRST_SERVER_ERROR = 500
 const MISDIRECTED = 421
 
-const choose = (context: GatewayContext, request: RoutedRequest, triedStarts: ReadonlySet<string>): KnownServer | undefined => {
+const choose = (context: GatewayContext, servers: readonly KnownServer[]): KnownServer | undefined => {
   const { directory } = context
-  const servers = directory.serving(request.serviceName).filter(server => !triedStarts.has(startKeyOf(server.start)))
   const offset = Math.floor(context.random() * servers.length)
   // Equal servers are ordered at random, so that routers do not all start with the same one.
   const shuffled = [...servers.slice(offset), ...servers.slice(0, offset)]
@@ -128,12 +129,14 @@
   const { budget, crashes, timers, stop } = context
   const mayRunAgain = request.route.kind === RequestKind.Idempotent
   const tried = new Set<string>()
+  const turn = context.serverLimits.openTurn(request.priority)
   let runCount = 0
   let rejectionCount = 0
   let deliverFailed: (() => void) | undefined
   let lastPeer = ''
 
   const finish = (reason: string, retryAfterMs = tried.size > 0 ? REJECTED_RETRY_MS : NO_SERVER_RETRY_MS): void => {
+    turn.end()
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
     if (deliverFailed) return deliverFailed()
     if (runCount > 0) return fail(context, request, reason, lastPeer)
@@ -145,13 +148,20 @@
     const lastSendMs = runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs)
     if (timers.nowMs() >= lastSendMs) return finish(STOPPING_REASON, STOPPING_RETRY_MS)
     if (isDeadly(crashes.countsOf(request.identity))) return finish(DEADLY_REASON, DEADLY_RETRY_MS)
-    const server = choose(context, request, tried)
-    if (!server) return finish(tried.size > 0 ? 'no other server' : 'no server')
+    const servers = context.directory.serving(request.serviceName).filter(({ start }) => !tried.has(startKeyOf(start)))
+    if (servers.length === 0) return finish(tried.size > 0 ? 'no other server' : 'no server')
+    const server = choose(context, servers.filter(({ start }) => turn.waitMs(start) === 0))
+    if (!server) {
+      const held = await holdBack(context, request, turn, servers, request.untilMs - timers.nowMs(), () => {})
+      if (held.type === 'hopeless') return finish(LIMITED_REASON, held.waitMs)
+      continue
+    }
     if (tried.size > 0 && !budget.takeRetry(request.serviceName, context.routerCount())) return finish('no repeats left')
     if (runCount > 0 && request.organisation) context.quotas.charge(request.organisation, request.units)
     const { start, entry: { serverId } } = server
     if (tried.size > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: request.caller.requestId, peer: serverId, count: tried.size })
     tried.add(startKeyOf(start))
+    turn.take(start)
     lastPeer = serverId
     const attempt = await runAttempt(context, request, server)
     const { end } = attempt
--- a/packages/gateway/src/requests/watchLoads.ts
+++ b/packages/gateway/src/requests/watchLoads.ts
@@ -16,6 +16,13 @@
 /** Minimum gain for moving to another engine: a moved want loses its place in the queue, and states are a tenth of a second old. */
 const RECHOOSE_GAIN_MS = 400
 
+/** The engine at the address takes so few requests that waiting for it may have been ruled out. */
+const isLimitedAt = ({ directory, serverLimits }: GatewayContext, address: string): boolean =>
+  directory.entries().some(({ serverId }) => {
+    const server = directory.find(serverId)
+    return server !== undefined && server.entry.address === address && serverLimits.isLimited(server.start)
+  })
+
 /**
  * Withdraws a want when another engine has started to load the same model.
  *
@@ -31,7 +38,7 @@
   }
   return context.directory.onState((otherAddress, state) => {
     if (otherAddress === address) return
-    const isSooner = isHolding(state, modelName) || (hasBegunLoading(state, modelName) && !hasOwnBegun())
+    const isSooner = (isHolding(state, modelName) && !isLimitedAt(context, otherAddress)) || (hasBegunLoading(state, modelName) && !hasOwnBegun())
     if (isSooner && isServing(context.directory, request.serviceName, otherAddress)) want.drop(MOVED_REASON)
   })
 }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -108,6 +108,7 @@
       takeRelay: relay => { feeds.takeRelay(relay.feedName, relay.records) },
       takeListRead: (read, mayBeStale) => { feeds.takeListRead(read, mayBeStale) },
       takeCrashes: notice => { shared.take(notice) },
+      takeServerLimit: notice => { serverLimits.takeNotice(notice) },
       found: address => { shared.sendAll(address) },
       takeUnits: (address, answer) => { quotas.takeAnswer(address, answer) },
       lost: address => {
@@ -142,6 +143,14 @@
     reachableAddresses: agents.openAddresses,
     send: (address, message) => { agents.find(address)?.send(message) }
   })
+  const serverLimits = createServerLimits({
+    timers,
+    events,
+    // Without agents nobody counts the routers.
+    routerCount: () => agents.openAddresses().length > 0 ? limitRouterCount.count() : routerCount,
+    send: agents.relay,
+    random: options.random
+  })
   const refusedWants = createRefusedWants(events, (serviceName, address) => isServing(directory, serviceName, address))
   // A crash is kept by the few agents that were told of it; the answer to its request must reach each of them.
   const crashNotifier = createCrashNotifier(timers, notice => {
@@ -174,7 +183,7 @@
     budget: createRetryBudget(options.retryLimits, timers),
     crashes,
     quotas,
-    serverLimits: createServerLimits({ events }),
+    serverLimits,
     crashNotifier,
     breakWatch,
     pendingRuns: createPendingRuns(timers),
--- a/packages/gateway/src/serverLimits/createServerLimits.ts
+++ b/packages/gateway/src/serverLimits/createServerLimits.ts
@@ -1,35 +1,169 @@
+import { firstSlotMs, moveSlot, slotGapMs, slotWaitMs, takeSlot } from '@figmount/decisions'
 import { startKeyOf } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
+import { MAX_LIMITED, NOTICE_PERIOD_MS, OVER_RETENTION_MS, UNSEEN_RETENTION_MS } from './constants.js'
 
-import type { EventLog } from '@figmount/base'
-import type { ServerAnswer, ServerStart } from '@figmount/fleet'
+import type { EventLog, TimerService } from '@figmount/base'
+import type { ServerPace } from '@figmount/decisions'
+import type { ServerAnswer, ServerLimitNotice, ServerStart } from '@figmount/fleet'
 
 interface Options {
+  readonly timers: TimerService
   readonly events: EventLog
+  /** Number of routers that share each limit. */
+  readonly routerCount: () => number
+  /** Tells the other routers of a limit that has changed. */
+  readonly send: (notice: ServerLimitNotice) => void
+  readonly random: () => number
+}
+
+/** One request's turn among those that wait for limited servers. */
+export interface Turn {
+  /** Time until the request may be sent to the server, behind the more urgent and earlier ones that wait for it; 0 at once. */
+  readonly waitMs: (start: ServerStart) => number
+  /** The request waits for these servers, and for no others; returns true if it did not wait before. */
+  readonly waitFor: (starts: readonly ServerStart[]) => boolean
+  /** The request is sent to the server, and no longer waits. */
+  readonly take: (start: ServerStart) => void
+  /** The request no longer waits. */
+  readonly end: () => void
 }
 
 /** Limits that servers name in their answers, on requests from all routers together. */
 export interface ServerLimits {
   /** Takes what an answer of the server says. */
   readonly noteAnswer: (start: ServerStart, answer: ServerAnswer) => void
+  /** Takes what another router has learned. */
+  readonly takeNotice: (notice: ServerLimitNotice) => void
+  readonly isLimited: (start: ServerStart) => boolean
+  /** `priority`: 0 is the most urgent. */
+  readonly openTurn: (priority: number) => Turn
+}
+
+interface LimitedServer {
+  limitPerS: number
+  nextSlotMs: number
+  /** Time at which an answer showed that the limit has ended; undefined while it holds. */
+  overMs: number | undefined
+  noticeMs: number
+  /** Time at which an answer, or another router, last named it. */
+  seenMs: number
+}
+
+interface Waiter {
+  readonly priority: number
+  readonly number: number
+  startKeys: ReadonlySet<string>
 }
 
-/** Creates the record of one router. */
-export const createServerLimits = ({ events }: Options): ServerLimits => {
-  const limitsPerS = new Map<string, number>()
+/**
+ * Creates the limits of one router. Each router uses an equal share of a limit, at times of its own, so that all stay within it without
+ * asking anybody.
+ */
+export const createServerLimits = ({ timers, events, routerCount, send, random }: Options): ServerLimits => {
+  // Ordered by the time at which the limit was first named.
+  const servers = new Map<string, LimitedServer>()
+  const waiters = new Set<Waiter>()
+  let waiterCount = 0
+
+  const paceOf = ({ limitPerS }: LimitedServer): ServerPace => ({ limitPerS, routerCount: routerCount() })
+
+  const trim = (): void => {
+    const nowMs = timers.nowMs()
+    for (const [startKey, { overMs, seenMs }] of servers) {
+      const isOld = nowMs - seenMs > UNSEEN_RETENTION_MS || (overMs !== undefined && nowMs - overMs > OVER_RETENTION_MS)
+      if (isOld || servers.size > MAX_LIMITED) servers.delete(startKey)
+    }
+  }
+
+  const limitedAt = (start: ServerStart): LimitedServer | undefined => {
+    if (servers.size === 0) return undefined
+    const server = servers.get(startKeyOf(start))
+    return server?.overMs === undefined ? server : undefined
+  }
+
+  const noteLimit = (start: ServerStart, limitPerS: number): boolean => {
+    const startKey = startKeyOf(start)
+    const nowMs = timers.nowMs()
+    const known = servers.get(startKey)
+    if (known) known.seenMs = nowMs
+    if (known?.limitPerS === limitPerS && known.overMs === undefined) return false
+    const reason = known?.overMs === undefined ? known ? 'changed' : 'named' : 'named again'
+    if (known) {
+      known.limitPerS = limitPerS
+      known.overMs = undefined
+      known.nextSlotMs = moveSlot(known.nextSlotMs, paceOf(known), nowMs)
+    } else {
+      trim()
+      const pace = { limitPerS, routerCount: routerCount() }
+      servers.set(startKey, { limitPerS, nextSlotMs: firstSlotMs(pace, nowMs, random()), overMs: undefined, noticeMs: -Infinity, seenMs: nowMs })
+    }
+    events.emit(GatewayEvent.serverLimited, { peer: start.serverId, limitPerS, reason, count: routerCount() })
+    return true
+  }
+
+  const noteOver = (start: ServerStart): boolean => {
+    const known = limitedAt(start)
+    if (!known) return false
+    known.overMs = timers.nowMs()
+    events.emit(GatewayEvent.serverLimited, { peer: start.serverId, limitPerS: known.limitPerS, reason: 'ended' })
+    return true
+  }
+
+  /** Guards against a server that names its limit in every other answer: each change would be a message to all routers. */
+  const tell = ({ serverId, startedAtUnixMs }: ServerStart, limitPerS: number | undefined): void => {
+    const known = servers.get(startKeyOf({ serverId, startedAtUnixMs }))
+    if (!known || timers.nowMs() - known.noticeMs < NOTICE_PERIOD_MS) return
+    known.noticeMs = timers.nowMs()
+    send({ type: 'serverLimit', start: { serverId, startedAtUnixMs }, limitPerS })
+  }
+
+  const isAhead = (other: Waiter, own: Waiter): boolean =>
+    other.priority < own.priority || (other.priority === own.priority && other.number < own.number)
+
+  const countAhead = (startKey: string, own: Waiter): number => {
+    let count = 0
+    for (const other of waiters) count += Number(other.startKeys.has(startKey) && isAhead(other, own))
+    return count
+  }
+
+  const waitMs = (start: ServerStart, own: Waiter): number => {
+    const server = limitedAt(start)
+    if (!server) return 0
+    const pace = paceOf(server)
+    return slotWaitMs(server.nextSlotMs, pace, timers.nowMs()) + countAhead(startKeyOf(start), own) * slotGapMs(pace)
+  }
 
   return {
     noteAnswer: (start, { limit, isNotRun }) => {
-      const startKey = startKeyOf(start)
-      const known = limitsPerS.get(startKey)
-      if (limit.type === 'named' && limit.requestsPerS !== known) {
-        limitsPerS.set(startKey, limit.requestsPerS)
-        events.emit(GatewayEvent.serverLimited, { peer: start.serverId, limitPerS: limit.requestsPerS, reason: known === undefined ? 'named' : 'changed' })
+      if (limit.type === 'named' && noteLimit(start, limit.requestsPerS)) return tell(start, limit.requestsPerS)
+      // A request that is turned away may be so before the server looks at its limit.
+      if (limit.type === 'none' && !isNotRun && noteOver(start)) tell(start, undefined)
+    },
+    takeNotice: ({ start, limitPerS }) => {
+      if (limitPerS === undefined) noteOver(start)
+      else noteLimit(start, limitPerS)
+    },
+    isLimited: start => limitedAt(start) !== undefined,
+    openTurn: priority => {
+      const own: Waiter = { priority, number: waiterCount++, startKeys: new Set() }
+      const end = (): void => { waiters.delete(own) }
+      return {
+        waitMs: start => waitMs(start, own),
+        waitFor: starts => {
+          const isFirst = !waiters.has(own)
+          own.startKeys = new Set(starts.map(startKeyOf))
+          waiters.add(own)
+          return isFirst
+        },
+        take: start => {
+          end()
+          const server = limitedAt(start)
+          if (server) server.nextSlotMs = takeSlot(server.nextSlotMs, paceOf(server), timers.nowMs())
+        },
+        end
       }
-      if (limit.type !== 'none' || isNotRun || known === undefined) return
-      limitsPerS.delete(startKey)
-      events.emit(GatewayEvent.serverLimited, { peer: start.serverId, limitPerS: known, reason: 'ended' })
     }
   }
 }
--- a/packages/gateway/src/testing/createTestRouter.ts
+++ b/packages/gateway/src/testing/createTestRouter.ts
@@ -14,6 +14,7 @@
 import { DEMAND_PERIOD_MS } from '../router/constants.js'
 import { createDemandReporter } from '../router/createDemandReporter.js'
 import { createStop } from '../stopping/createStop.js'
+import { makeServerLimits } from './makeServerLimits.js'
 
 import type { EventLog, InstanceName, VirtualTimers } from '@figmount/base'
 import type { AgentMessage, Deployment, EngineSpec, RouterMessage, ServerEntry } from '@figmount/fleet'
@@ -111,6 +112,7 @@
     isFirstStart,
     areCopiesKnown: () => true,
     coldLoads,
+    serverLimits: makeServerLimits(timers),
     deployment: () => deployment,
     routerCount: () => routerCount,
     stop: createStop(timers, STOP_MS),
