Take a request whose limited servers have gone out of the queue for a turn

It stood in the queue of servers that no longer exist while it waited for its model elsewhere; others behind it at a server that it had also waited for were held up. Found by reading.

--- a/packages/gateway/src/serverLimits/holdBack.ts
+++ b/packages/gateway/src/serverLimits/holdBack.ts
@@ -25,7 +25,10 @@
   context: GatewayContext, request: RoutedRequest, turn: Turn, servers: readonly KnownServer[], leftMs: number, noteWait: (waitMs: number) => void
 ): Promise<HeldBack> => {
   const [first] = servers
-  if (!first) return { type: 'noServer' }
+  if (!first) {
+    turn.end()
+    return { type: 'noServer' }
+  }
   const waitMs = Math.min(...servers.map(({ start }) => turn.waitMs(start)))
   const { isHopeless } = planWait({ readyInMs: waitMs, leftMs })
   const isFirstWait = !isHopeless && turn.waitFor(servers.map(({ start }) => start))
