--- a/packages/fleet/src/crashes/createCrashHistory.ts
+++ b/packages/fleet/src/crashes/createCrashHistory.ts
@@ -37,6 +37,10 @@
   readonly callerCount: number
   /** Starts that died so. */
   readonly startCount: number
+  /** Another request that was not answered was running at each of the request's own deaths, too. */
+  readonly isTied: boolean
+  /** Time since the latest death under the request of this caller; Infinity without one. */
+  readonly sinceLastMs: number
 }
 
 /** Requests that were running when their backend servers died, and answered ones, as one process knows them. */
@@ -52,6 +56,8 @@
   readonly crashes: () => readonly Crash[]
 }
 
+const NO_CRASHES: ReadonlyMap<string, KnownCrash> = new Map()
+
 /** Creates the crash history of one process. */
 export const createCrashHistory = (timers: TimerService): CrashHistory => {
   const contents = new Map<string, ContentCrashes>()
@@ -88,6 +94,33 @@
     return startKeys.size
   }
 
+  const isAnswered = (identity: RequestIdentity): boolean => answers.ageOfRequestMs(identity) < RETENTION_MS
+
+  const ranAtAll = (own: ReadonlyMap<string, KnownCrash>, other: ReadonlyMap<string, KnownCrash>): boolean => {
+    if (other === own || other.size < own.size) return false
+    for (const startKey of own.keys()) {
+      if (!other.has(startKey)) return false
+    }
+    return true
+  }
+
+  const isTied = (own: ReadonlyMap<string, KnownCrash>): boolean => {
+    // One death hits all that ran at its server: it shows no tie.
+    if (own.size < 2) return false
+    for (const [contentHash, { byCaller }] of contents) {
+      for (const [callerId, other] of byCaller) {
+        if (ranAtAll(own, other) && !isAnswered({ contentHash, callerId })) return true
+      }
+    }
+    return false
+  }
+
+  const sinceLastMs = (own: ReadonlyMap<string, KnownCrash>): number => {
+    let lastMs = -Infinity
+    for (const { atMs } of own.values()) lastMs = Math.max(lastMs, atMs)
+    return timers.nowMs() - lastMs
+  }
+
   return {
     note: ({ identity, start, ageMs }) => {
       trim()
@@ -104,8 +137,11 @@
     countsOf: identity => {
       const { contentHash } = identity
       const isContentAnswered = answers.ageOfContentMs(contentHash) < RETENTION_MS
+      const own = isAnswered(identity) ? NO_CRASHES : crashesOf(identity) ?? NO_CRASHES
       return {
-        ownCount: answers.ageOfRequestMs(identity) < RETENTION_MS ? 0 : crashesOf(identity)?.size ?? 0,
+        ownCount: own.size,
+        isTied: isTied(own),
+        sinceLastMs: sinceLastMs(own),
         callerCount: isContentAnswered ? 0 : contents.get(contentHash)?.byCaller.size ?? 0,
         startCount: isContentAnswered ? 0 : countStarts(contentHash)
       }
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -1,8 +1,8 @@
-import { isDeadly } from '@figmount/decisions'
 import { startKeyOf } from '@figmount/fleet'
 
+import { checkCrashes } from '../crashes/checkCrashes.js'
 import { noteAnswer } from '../crashes/noteAnswer.js'
-import { DEADLY_REASON, DEADLY_RETRY_MS } from '../crashes/constants.js'
+import { DEADLY_REASON } from '../crashes/constants.js'
 import { noteBroken } from '../crashes/noteBroken.js'
 import { watchCrash } from '../crashes/watchCrash.js'
 import { GatewayEvent } from '../events.js'
@@ -53,9 +53,11 @@
   context.demand.note(caller.modelName, caller.adapterName, caller.promptTokens)
 
   for (;;) {
-    if (isDeadly(context.crashes.countsOf(request.identity))) return giveUp(DEADLY_REASON, DEADLY_RETRY_MS)
     if (request.callerLeft.aborted || request.untilMs - timers.nowMs() < MIN_SERVE_MS) return giveUp('no time left', REJECTED_RETRY_MS)
     if (timers.nowMs() >= bounds.lastSendMs()) return giveUp(STOPPING_REASON, STOPPING_RETRY_MS)
+    const check = await checkCrashes(context, request, bounds.callerLeavesMs() - timers.nowMs())
+    if (check.type === 'refused') return giveUp(DEADLY_REASON, check.retryAfterMs)
+    if (check.type === 'waited') continue
     const servers = directory.serving(serviceName).filter(server => !excludedStarts.has(startKeyOf(server.start)))
     if (servers.length === 0) return giveUp('no server', NO_SERVER_RETRY_MS)
     const free = servers.filter(({ start }) => turn.waitMs(start) === 0)
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -1,8 +1,9 @@
 import { RequestKind, startKeyOf } from '@figmount/fleet'
-import { countsAsFailure, isDeadly, mayHaveDied, rankServers } from '@figmount/decisions'
+import { countsAsFailure, mayHaveDied, rankServers } from '@figmount/decisions'
 
+import { checkCrashes } from '../crashes/checkCrashes.js'
 import { noteAnswer } from '../crashes/noteAnswer.js'
-import { DEADLY_REASON, DEADLY_RETRY_MS, MIN_SILENCE_MS } from '../crashes/constants.js'
+import { DEADLY_REASON, MIN_SILENCE_MS } from '../crashes/constants.js'
 import { noteBroken } from '../crashes/noteBroken.js'
 import { GatewayEvent } from '../events.js'
 import { hasFraming } from '../forwarding/isComplete.js'
@@ -126,7 +127,7 @@
  * unless servers have died of it.
  */
 export const servePlain = async (context: GatewayContext, request: RoutedRequest): Promise<void> => {
-  const { budget, crashes, timers, stop } = context
+  const { budget, timers, stop } = context
   const mayRunAgain = request.route.kind === RequestKind.Idempotent
   const tried = new Set<string>()
   const turn = context.serverLimits.openTurn(request.priority)
@@ -147,7 +148,9 @@
     if (request.callerLeft.aborted || request.untilMs - timers.nowMs() < MIN_SERVE_MS) return finish('no time left')
     const lastSendMs = runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs)
     if (timers.nowMs() >= lastSendMs) return finish(STOPPING_REASON, STOPPING_RETRY_MS)
-    if (isDeadly(crashes.countsOf(request.identity))) return finish(DEADLY_REASON, DEADLY_RETRY_MS)
+    const check = await checkCrashes(context, request, request.untilMs - timers.nowMs())
+    if (check.type === 'refused') return finish(DEADLY_REASON, check.retryAfterMs)
+    if (check.type === 'waited') continue
     const servers = context.directory.serving(request.serviceName).filter(({ start }) => !tried.has(startKeyOf(start)))
     if (servers.length === 0) return finish(tried.size > 0 ? 'no other server' : 'no server')
     const server = choose(context, servers.filter(({ start }) => turn.waitMs(start) === 0))
