--- a/packages/gateway/src/crashes/createBreakWatch.ts
+++ b/packages/gateway/src/crashes/createBreakWatch.ts
@@ -38,7 +38,7 @@
 export const createBreakWatch = ({ directory, probe, ...context }: Options): BreakWatch => {
   const { timers, events } = context
   const broken = new Map<string, BrokenServer>()
-  // Ordered by time.
+  // Times of the servers' deaths by start, in order.
   const diedMs = new Map<string, number>()
 
   const judge = ({ start, entry }: KnownServer, brokenMs: number, result: ProbeResult | undefined): BreakVerdict => judgeBreak({
--- a/packages/gateway/src/serverLimits/createServerLimits.ts
+++ b/packages/gateway/src/serverLimits/createServerLimits.ts
@@ -83,14 +83,16 @@
     return server?.overMs === undefined ? server : undefined
   }
 
+  /** Takes a limit; returns false if it is known. */
   const noteLimit = (start: ServerStart, limitPerS: number): boolean => {
     const startKey = startKeyOf(start)
     const nowMs = timers.nowMs()
     const known = servers.get(startKey)
     if (known) known.seenMs = nowMs
     if (known?.limitPerS === limitPerS && known.overMs === undefined) return false
-    const reason = known?.overMs === undefined ? known ? 'changed' : 'named' : 'named again'
+    let reason = 'named'
     if (known) {
+      reason = known.overMs === undefined ? 'changed' : 'named again'
       known.limitPerS = limitPerS
       known.overMs = undefined
       known.nextSlotMs = moveSlot(known.nextSlotMs, paceOf(known), nowMs)
@@ -103,6 +105,7 @@
     return true
   }
 
+  /** Takes the end of a limit; returns false if none is known. */
   const noteOver = (start: ServerStart): boolean => {
     const known = limitedAt(start)
     if (!known) return false
