--- a/packages/gateway/src/crashes/createBreakWatch.ts
+++ b/packages/gateway/src/crashes/createBreakWatch.ts
@@ -16,10 +16,8 @@
   readonly probe: (entry: ServerEntry) => Promise<ProbeResult>
 }
 
-/** A server that has broken off runs, and the requests of those runs. */
+/** The requests whose runs a server has broken off. */
 interface BrokenServer {
-  readonly server: KnownServer
-  readonly brokenMs: number
   readonly requests: Set<RoutedRequest>
   readonly settled: Promise<void>
 }
@@ -84,7 +82,7 @@
     const requests = new Set<RoutedRequest>()
     const settled = settle(startKey, server, brokenMs, requests)
       .catch((error: Error) => { events.emit(BaseEvent.unexpectedFault, { step: 'crashes.watch', reason: error.message }) })
-    return { server, brokenMs, requests, settled }
+    return { requests, settled }
   }
 
   return {
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -89,14 +89,15 @@
 }
 
 /** Runs one attempt and updates the router's counts and failure rate for the server. */
-const runAttempt = async (context: GatewayContext, request: RoutedRequest, { start, ...server }: KnownServer): Promise<EndedAttempt> => {
+const runAttempt = async (context: GatewayContext, request: RoutedRequest, server: KnownServer): Promise<EndedAttempt> => {
+  const { start } = server
   const { breakWatch, directory, pendingRuns, timers } = context
   const sentMs = timers.nowMs()
   const run = pendingRuns.add(start)
   const wasBroken = breakWatch.isBroken(start) || run.silentForMs > Math.max(MIN_SILENCE_MS, request.route.objectiveMs)
   directory.own.noteSent(start, 0)
   const limit = limitExchange(context, request, ANSWER_GRACE_MS)
-  const end = await tryOnce(context, request, { start, ...server }, limit.signal)
+  const end = await tryOnce(context, request, server, limit.signal)
   limit.release()
   run.end()
   directory.own.noteFirstEvent(start, 0)
