--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -32,5 +32,6 @@
   crashCounted: [2528, 'a backend server died while it ran a request: the request counts as the cause'],
   crashNoted: [2529, 'another router reports that a backend server died while it ran a request'],
   serverLimited: [2530, 'a backend server names a limit on requests from all routers, another one, or none any more'],
-  requestHeldBack: [2531, 'all backend servers that could run a request have named limits that leave it no turn now']
+  requestHeldBack: [2531, 'all backend servers that could run a request have named limits that leave it no turn now'],
+  deploymentAsked: [2532, 'the router is behind and asks an agent for the newest configuration']
 })
--- a/packages/gateway/src/router/createCatchUp.ts
+++ b/packages/gateway/src/router/createCatchUp.ts
@@ -10,8 +10,8 @@
   readonly timers: TimerService
   /** Offset of the router's newest configuration. */
   readonly ownOffset: () => number
-  /** Requests the newest configuration from an agent. */
-  readonly ask: (agentAddress: string) => void
+  /** Requests the newest configuration from an agent; the router has been behind for `behindMs`. */
+  readonly ask: (agentAddress: string, behindMs: number) => void
 }
 
 /** Brings a router up to date when it does not get the configuration from the store. */
@@ -29,11 +29,19 @@
  */
 export const createCatchUp = ({ timers, ownOffset, ask }: Options): CatchUp => {
   let askedMs = -Infinity
+  let behindSinceMs: number | undefined
   return {
     note: (agentAddress, offset) => {
-      if (offset <= ownOffset() || timers.nowMs() - askedMs < ASK_PERIOD_MS) return
-      askedMs = timers.nowMs()
-      timers.after(BEHIND_MS, () => { if (offset > ownOffset()) ask(agentAddress) })
+      if (offset <= ownOffset()) {
+        behindSinceMs = undefined
+        return
+      }
+      const nowMs = timers.nowMs()
+      behindSinceMs ??= nowMs
+      if (nowMs - askedMs < ASK_PERIOD_MS) return
+      askedMs = nowMs
+      const sinceMs = behindSinceMs
+      timers.after(BEHIND_MS, () => { if (offset > ownOffset()) ask(agentAddress, timers.nowMs() - sinceMs) })
     }
   }
 }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -11,6 +11,7 @@
 import { createDemandMeter } from '../demand/createDemandMeter.js'
 import { createUnmetModels } from '../demand/createUnmetModels.js'
 import { createDirectory } from '../directory/createDirectory.js'
+import { GatewayEvent } from '../events.js'
 import { createConnectionPool } from '../forwarding/createConnectionPool.js'
 import { probeServer } from '../forwarding/probeServer.js'
 import { serveReadiness } from '../ingress/serveReadiness.js'
@@ -132,7 +133,10 @@
   const catchUp = createCatchUp({
     timers,
     ownOffset: feeds.deploymentOffset,
-    ask: address => { agents.find(address)?.send({ type: 'deploymentAsked' }) }
+    ask: (address, behindMs) => {
+      events.emit(GatewayEvent.deploymentAsked, { peer: address, offset: feeds.deploymentOffset(), waitMs: Math.round(behindMs) })
+      agents.find(address)?.send({ type: 'deploymentAsked' })
+    }
   })
   const limitRouterCount = createRouterCount(timers)
   const quotas = createQuotas({
