--- a/packages/fleet/src/feeds/types.ts
+++ b/packages/fleet/src/feeds/types.ts
@@ -37,13 +37,23 @@
   readonly beganMs: number
 }
 
-/** A feed of keyed records in the platform's store. */
+/** Observes or ends a read while it is in progress. */
+export interface ReadControl {
+  readonly signal: AbortSignal
+  /** Called with each part of the answer. */
+  readonly noteProgress: () => void
+}
+
+/**
+ * A feed of keyed records in the platform's store. `timeoutMs` is the longest time until an answer begins: a large one takes as long as it
+ * needs while its bytes arrive.
+ */
 export interface KeyedFeed {
   readonly name: string
   /** Reads the newest record of every key. */
-  readonly readNewest: (timeoutMs: number) => EitherAsync<Fault, FeedPage>
+  readonly readNewest: (timeoutMs: number, control?: ReadControl) => EitherAsync<Fault, FeedPage>
   /** Reads the records from an offset on. The store waits up to `waitMs` for the first one. */
-  readonly readSince: (offset: number, waitMs: number, timeoutMs: number) => EitherAsync<Fault, FeedPage>
+  readonly readSince: (offset: number, waitMs: number, timeoutMs: number, control?: ReadControl) => EitherAsync<Fault, FeedPage>
 }
 
 /** A record to be appended to a feed. */
