--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -5,7 +5,7 @@
 
 import type { Either } from 'purify-ts'
 import type { EventLog, Fault, TimerService } from '@figmount/base'
-import type { FeedPage, FeedRead, FeedRecord, FeedRange, KeyedFeed } from './types.js'
+import type { FeedPage, FeedRead, FeedRecord, FeedRange, KeyedFeed, ReadControl } from './types.js'
 
 interface Options {
   readonly feed: KeyedFeed
@@ -33,6 +33,12 @@
   readonly offerRange: (stretch: FeedRange) => boolean
   /** Abandons the read that is waiting and reads again at once. */
   readonly readNow: () => void
+  /** Ends a read that waits at the store, unless its answer has begun. The next one begins when it is due. */
+  readonly pause: () => void
+  /** Time since the latest part of the answer to the current read; Infinity while none arrives. */
+  readonly quietMs: () => number
+  /** The latest read has succeeded. */
+  readonly isFollowing: () => boolean
   readonly stop: () => void
 }
 
@@ -43,7 +49,8 @@
   const newestOffset = new Map<string, number>()
   let outageSinceMs: number | undefined
   let nextOffset: number | undefined
-  let abandonRead: (given: Either<Fault, FeedPage>) => void = () => {}
+  let abandonRead: (given: Either<Fault, FeedPage> | undefined) => void = () => {}
+  let progressMs = -Infinity
 
   const accept = (records: readonly FeedRecord[]): void => {
     const newRecords: FeedRecord[] = []
@@ -64,15 +71,25 @@
 
   // Guards against a connection that has died silently, without an answer or an error. The read times out and is repeated on
   // another connection.
-  const readStore = async (): Promise<Either<Fault, FeedPage>> => {
-    if (nextOffset === undefined) return await feed.readNewest(READ_GRACE_MS).run()
-    return await feed.readSince(nextOffset, options.waitMs, options.waitMs + READ_GRACE_MS).run()
+  const readStore = async (control: ReadControl): Promise<Either<Fault, FeedPage>> => {
+    if (nextOffset === undefined) return await feed.readNewest(READ_GRACE_MS, control).run()
+    return await feed.readSince(nextOffset, options.waitMs, options.waitMs + READ_GRACE_MS, control).run()
   }
 
-  // A late result of an abandoned read is ignored: the next read returns the same records.
-  const readOnce = async (): Promise<Either<Fault, FeedPage>> => {
-    const abandoned = new Promise<Either<Fault, FeedPage>>(resolve => { abandonRead = resolve })
-    return await Promise.race([readStore(), abandoned])
+  /** One read; undefined if it was paused. A late result of an abandoned read is ignored: the next read returns the same records. */
+  const readOnce = async (): Promise<Either<Fault, FeedPage> | undefined> => {
+    const ending = new AbortController()
+    const control = { signal: ending.signal, noteProgress: () => { if (!ending.signal.aborted) progressMs = timers.nowMs() } }
+    const abandoned = new Promise<Either<Fault, FeedPage> | undefined>(resolve => {
+      abandonRead = given => {
+        resolve(given)
+        ending.abort()
+      }
+    })
+    const result = await Promise.race([abandoned, readStore(control)])
+    abandonRead = () => {}
+    progressMs = -Infinity
+    return result
   }
 
   const noteAnswer = (page: FeedPage, fromOffset: number | undefined, beganMs: number): void => {
@@ -115,6 +132,10 @@
       const beganMs = timers.nowMs()
       const result = await readOnce()
       if (stopping.signal.aborted) return
+      if (!result) {
+        await waitUntilDue()
+        continue
+      }
       result.caseOf({ Left: noteFault, Right: page => { noteAnswer(page, fromOffset, beganMs) } })
       if (result.isRight()) {
         retryMs = INITIAL_RETRY_MS
@@ -131,6 +152,9 @@
     offer: accept,
     offerRange,
     readNow: () => { abandonRead(Left(makeFault('timeout', 'feeds.read', feed.name, 'read again at once'))) },
+    pause: () => { if (progressMs === -Infinity) abandonRead(undefined) },
+    quietMs: () => timers.nowMs() - progressMs,
+    isFollowing: () => nextOffset !== undefined && outageSinceMs === undefined,
     stop: () => { stopping.abort() }
   }
 }
--- a/packages/fleet/src/messages/structures.ts
+++ b/packages/fleet/src/messages/structures.ts
@@ -23,6 +23,8 @@
   ['type', 'askId', 'organisation', 'units', 'maxWaitMs'],
   ['type', 'askId', 'outcome', 'waitMs'],
   ['type', 'organisation', 'units'],
+  ['type', 'offset', 'index'],
+  ['type', 'offset', 'index', 'count', 'key', 'bytes'],
   ['type', 'crashes', 'answered'],
   ['type', 'start', 'limitPerS'],
   ['identity', 'start', 'ageMs'],
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -1,6 +1,6 @@
 /** Messages between routers and agents. */
 import type { AnsweredRequest, Crash } from '../crashes/types.js'
-import type { FeedRecord, FeedRange } from '../feeds/types.js'
+import type { FeedRange } from '../feeds/types.js'
 import type { HeldModel, ServerStart } from '../servers/types.js'
 
 /** Keeps an idle link open. */
@@ -31,9 +31,30 @@
   readonly wantId: number
 }
 
-/** A router whose configuration is outdated requests the newest one that the agent has. */
+/** A process whose configuration is outdated asks a peer for a piece of a newer one. */
 export interface DeploymentAsked {
   readonly type: 'deploymentAsked'
+  /** Offset of the configuration. */
+  readonly offset: number
+  readonly index: number
+}
+
+/** One piece of the compressed configuration at an offset. */
+export interface DeploymentPiece {
+  readonly type: 'deploymentPiece'
+  readonly offset: number
+  readonly index: number
+  /** Number of pieces of the whole. */
+  readonly count: number
+  /** Key of the configuration's record. */
+  readonly key: string
+  readonly bytes: Uint8Array
+}
+
+/** A router tells an agent which configuration it has, for agents that get none from the store. */
+export interface DeploymentHeld {
+  readonly type: 'deploymentHeld'
+  readonly offset: number
 }
 
 /** Demand for one model, measured by one router. */
@@ -68,13 +89,6 @@
   readonly runningModels?: readonly string[]
 }
 
-/** Store records that a router has read, for processes that get no answer from the store. */
-export interface Relay {
-  readonly type: 'relay'
-  readonly feedName: string
-  readonly records: readonly FeedRecord[]
-}
-
 /** A router's read of the server list. A router that has read up to the start of the range need not read the range itself. */
 export interface ListRead extends FeedRange {
   readonly type: 'listRead'
@@ -135,7 +149,7 @@
 }
 
 export type RouterMessage =
-  | Heartbeat | Want | WantDropped | DeploymentAsked | Demand | Relay | ListRead | CrashNotice | ServerLimitNotice | LimiterChosen | UnitsAsked | UnitsReturned
+  | Heartbeat | Want | WantDropped | DeploymentAsked | DeploymentPiece | DeploymentHeld | Demand | ListRead | CrashNotice | ServerLimitNotice | LimiterChosen | UnitsAsked | UnitsReturned
 
 /** Full state of an agent's server. Sent when a link is opened. */
 export interface AgentState extends ServerStart {
@@ -175,6 +189,8 @@
   readonly routerCount: number
   /** Offset of the newest configuration that the agent has received; -1 for none. */
   readonly deploymentOffset: number
+  /** The agent's reads of the configuration succeed. */
+  readonly followsDeployments: boolean
 }
 
 /** Fields of an agent's state that have changed since the last message about it. */
@@ -201,4 +217,4 @@
   readonly reason: string
 }
 
-export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | Relay | ListRead | CrashNotice | ServerLimitNotice | UnitsAnswered
+export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | DeploymentAsked | DeploymentPiece | ListRead | CrashNotice | ServerLimitNotice | UnitsAnswered
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -90,7 +90,8 @@
     }
     if (message.type === 'load') return handlers.takeLoad(serverAddress, message)
     if (message.type === 'wantSettled') return settle(message.wantId, message)
-    if (message.type === 'relay') return handlers.takeRelay(message)
+    if (message.type === 'deploymentAsked') return handlers.takeDeploymentAsked(serverAddress, message)
+    if (message.type === 'deploymentPiece') return handlers.takeDeploymentPiece(serverAddress, message)
     if (message.type === 'listRead') return handlers.takeListRead(message, timers.nowMs() < mayBeStaleUntilMs)
     if (message.type === 'unitsAnswered') return handlers.takeUnits(serverAddress, message)
     if (message.type === 'crash') return handlers.takeCrashes(message)
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -1,5 +1,5 @@
 import type { PackedMessage } from '@figmount/peers'
-import type { AgentLoad, AgentState, CrashNotice, ListRead, Relay, RouterMessage, ServerLimitNotice, UnitsAnswered } from '@figmount/fleet'
+import type { AgentLoad, AgentState, CrashNotice, DeploymentAsked, DeploymentPiece, ListRead, RouterMessage, ServerLimitNotice, UnitsAnswered } from '@figmount/fleet'
 
 /** The outcome of a want, which is a router's request to an agent to have a model or an adapter loaded. */
 export interface WantOutcome {
@@ -33,7 +33,9 @@
 export interface AgentHandlers {
   readonly takeState: (address: string, state: AgentState) => void
   readonly takeLoad: (address: string, load: AgentLoad) => void
-  readonly takeRelay: (relay: Relay) => void
+  /** The agent asks for a piece of the router's configuration. */
+  readonly takeDeploymentAsked: (address: string, asked: DeploymentAsked) => void
+  readonly takeDeploymentPiece: (address: string, piece: DeploymentPiece) => void
   /** `mayBeStale`: the message may have been delayed for longer than the age it states. */
   readonly takeListRead: (read: ListRead, mayBeStale: boolean) => void
   readonly takeCrashes: (notice: CrashNotice) => void
--- a/packages/gateway/src/router/constants.ts
+++ b/packages/gateway/src/router/constants.ts
@@ -27,3 +27,6 @@
 
 /** Time after a restart in which the agents that can be reached have reported: they may have restarted as well. */
 export const COPIES_KNOWN_MS = 2_000
+
+/** How often a router that relies on the agents for the configuration reviews whether it must read the store itself. */
+export const DUTY_REVIEW_MS = 250
--- a/packages/gateway/src/router/followFeeds.test.ts
+++ b/packages/gateway/src/router/followFeeds.test.ts
@@ -80,7 +80,9 @@
       directory,
       leaveMs: LEAVE_MS,
       deploymentTaken: () => {},
-      relay: () => {},
+      deploymentHeld: () => {},
+      mustReadDeployments: () => true,
+      storeRegained: () => {},
       sendListRead: read => { timers.after(STEP_MS, () => sendToOthers(index, read)) },
       random
     })
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -1,7 +1,7 @@
 import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
-import { LIST_AGE_SHARE, LIST_SPREAD_SHARE } from './constants.js'
+import { DUTY_REVIEW_MS, LIST_AGE_SHARE, LIST_SPREAD_SHARE } from './constants.js'
 import { createListChanges } from './createListChanges.js'
 import { createReadSchedule } from './createReadSchedule.js'
 
@@ -17,8 +17,12 @@
   /** Time within which routers must stop using a leaving server. */
   readonly leaveMs: number
   readonly deploymentTaken: (deployment: Deployment) => void
-  /** Relays records that other routers may have missed. */
-  readonly relay: (feedName: string, records: readonly FeedRecord[]) => void
+  /** The router has a newer configuration, which others may lack. */
+  readonly deploymentHeld: (offset: number) => void
+  /** The router reads the configuration from the store itself. */
+  readonly mustReadDeployments: () => boolean
+  /** The store answers again after an outage. */
+  readonly storeRegained: () => void
   /** Sends a read of the list to other routers, which saves them their own. */
   readonly sendListRead: (read: ListRead) => void
   readonly random: () => number
@@ -29,7 +33,14 @@
   readonly deployment: () => Deployment | undefined
   /** Offset of the configuration in force; -1 if there is none. */
   readonly deploymentOffset: () => number
-  readonly takeRelay: (feedName: string, records: readonly FeedRecord[]) => void
+  /** The record of the configuration in force. */
+  readonly deploymentRecord: () => FeedRecord | undefined
+  /** Time since the latest part of the answer to the router's read of the configuration; Infinity while none arrives. */
+  readonly deploymentQuietMs: () => number
+  /** Takes a configuration that a peer has sent. */
+  readonly takeDeployment: (record: FeedRecord) => void
+  /** Ends the read of the configuration that waits at the store, if the router need not read it. */
+  readonly reviewReads: () => void
   /** Applies another router's read; a possibly stale one does not postpone the router's own read. */
   readonly takeListRead: (read: ListRead, mayBeStale: boolean) => void
   readonly stop: () => void
@@ -62,10 +73,10 @@
     timers,
     events,
     waitMs: LONG_POLL_MS,
-    dueInMs: () => 0,
+    dueInMs: () => options.mustReadDeployments() ? 0 : DUTY_REVIEW_MS,
     take: records => {
       newest.take(records)
-      options.relay(store.deploymentFeed.name, records)
+      options.deploymentHeld(newest.offset())
     },
     takeKeys: () => {},
     lost,
@@ -108,6 +119,7 @@
     },
     regained: outageMs => {
       directory.missingEntries.noteRegained()
+      options.storeRegained()
       // Guards against a network cut that leaves the read of the configuration waiting on a dead connection: it would wait for seconds
       // while requests are served by an older configuration. A router that receives no reads from others reads the list itself, which
       // shows the end of the cut; one that receives them also receives configurations.
@@ -119,9 +131,10 @@
   return {
     deployment: newest.current,
     deploymentOffset: newest.offset,
-    takeRelay: (feedName, records) => {
-      if (feedName === store.deploymentFeed.name) deployments.offer(records)
-    },
+    deploymentRecord: newest.record,
+    deploymentQuietMs: deployments.quietMs,
+    takeDeployment: record => { deployments.offer([record]) },
+    reviewReads: () => { if (!options.mustReadDeployments()) deployments.pause() },
     takeListRead: (read, mayBeStale) => {
       directory.missingEntries.noteSettling(read.settlingMs)
       if (!servers.offerRange(read)) return
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -1,5 +1,6 @@
 import { BaseEvent, countMessages } from '@figmount/base'
-import { createCrashHistory, findEngine, findModel, MESSAGE_STRUCTURES } from '@figmount/fleet'
+import { planFetch } from '@figmount/decisions'
+import { createCopyFetch, createCopySource, createCrashHistory, findEngine, findModel, MESSAGE_STRUCTURES } from '@figmount/fleet'
 import { createMessageCodec, NO_OFFSET } from '@figmount/peers'
 
 import { createAgentLinks } from '../agents/createAgentLinks.js'
@@ -30,8 +31,8 @@
 import { createStop } from '../stopping/createStop.js'
 import { drain } from '../stopping/drain.js'
 import { AGENT_READY_TIMEOUT_MS, COPIES_KNOWN_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS, MIN_ROUTER_COUNT, LEAVING_PERIOD_MS } from './constants.js'
-import { createCatchUp } from './createCatchUp.js'
 import { createDemandReporter } from './createDemandReporter.js'
+import { createReadDuty } from './createReadDuty.js'
 import { followFeeds } from './followFeeds.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
@@ -51,6 +52,8 @@
   /** host:port for the balancer's readiness checks. */
   readonly readyAddress: string
   readonly agentPort: number
+  /** Bandwidth of the router's own link. */
+  readonly linkMbps: number
   readonly sharedKey: string
   readonly retryLimits: RetryLimits
   /** Maximum duration of a stop. */
@@ -103,16 +106,28 @@
         limitRouterCount.note(state.routerCount)
         coldLoads.takeState(address, state)
         directory.takeState(address, state)
-        catchUp.note(address, state.deploymentOffset)
+        readDuty.noteState(address, state.followsDeployments)
+        copyFetch.noteOffer(address, state.deploymentOffset)
+        feeds.reviewReads()
       },
       takeLoad: directory.takeLoad,
-      takeRelay: relay => { feeds.takeRelay(relay.feedName, relay.records) },
+      takeDeploymentAsked: (address, asked) => {
+        const piece = copySource.pieceOf(asked)
+        if (piece) agents.find(address)?.send(piece)
+      },
+      takeDeploymentPiece: (address, piece) => { copyFetch.takePiece(address, piece) },
       takeListRead: (read, mayBeStale) => { feeds.takeListRead(read, mayBeStale) },
       takeCrashes: notice => { shared.take(notice) },
       takeServerLimit: notice => { serverLimits.takeNotice(notice) },
-      found: address => { shared.sendAll(address) },
+      found: address => {
+        shared.sendAll(address)
+        const offset = feeds.deploymentOffset()
+        if (offset >= 0) agents.find(address)?.send({ type: 'deploymentHeld', offset })
+      },
       takeUnits: (address, answer) => { quotas.takeAnswer(address, answer) },
       lost: address => {
+        readDuty.lose(address)
+        copyFetch.losePeer(address)
         quotas.noteLost(address)
         coldLoads.lose(address)
         directory.loseAgent(address)
@@ -126,17 +141,30 @@
     directory,
     leaveMs: options.leaveMs,
     deploymentTaken: deployment => { limitCallers(deployment.limits) },
-    relay: (feedName, records) => { agents.relay({ type: 'relay', feedName, records }) },
+    deploymentHeld: offset => { agents.relay({ type: 'deploymentHeld', offset }) },
+    mustReadDeployments: () => readDuty.isDue(),
+    storeRegained: () => { readDuty.noteRegained() },
     sendListRead: agents.relay,
     random: options.random
   })
-  const catchUp = createCatchUp({
+  const copySource = createCopySource(feeds.deploymentRecord)
+  const copyFetch = createCopyFetch({
     timers,
     ownOffset: feeds.deploymentOffset,
-    ask: (address, behindMs) => {
-      events.emit(GatewayEvent.deploymentAsked, { peer: address, offset: feeds.deploymentOffset(), waitMs: Math.round(behindMs) })
-      agents.find(address)?.send({ type: 'deploymentAsked' })
-    }
+    readsStore: () => readDuty.isDue(),
+    readQuietMs: feeds.deploymentQuietMs,
+    plan: planFetch,
+    ask: (address, asked, behindMs) => {
+      if (asked.index === 0) events.emit(GatewayEvent.deploymentAsked, { peer: address, offset: asked.offset, waitMs: Math.round(behindMs) })
+      agents.find(address)?.send(asked)
+    },
+    take: feeds.takeDeployment
+  })
+  const readDuty = createReadDuty({
+    timers,
+    linkMbps: options.linkMbps,
+    hasConfiguration: () => feeds.deployment() !== undefined,
+    failedFetchCount: copyFetch.failedCount
   })
   const limitRouterCount = createRouterCount(timers)
   const quotas = createQuotas({
--- a/packages/gateway/src/testing/createTestAgent.ts
+++ b/packages/gateway/src/testing/createTestAgent.ts
@@ -53,7 +53,7 @@
   let lastSentMs = -Infinity
 
   const describe = (): AgentState | undefined => lastReport &&
-    describeEngine({ timers, spec, isUp, identity, orderer, demand, wants, deploymentOffset: 0, routerCount })
+    describeEngine({ timers, spec, isUp, identity, orderer, demand, wants, deploymentOffset: 0, followsDeployments: true, routerCount })
 
   const sendUpdate = (): void => {
     const state = isStopped ? undefined : describe()
--- a/packages/gateway/src/testing/makeAgentState.ts
+++ b/packages/gateway/src/testing/makeAgentState.ts
@@ -24,5 +24,6 @@
   demandTokensPerS: [],
   routerCount: 1,
   deploymentOffset: -1,
+  followsDeployments: true,
   ...given
 })
--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -33,8 +33,9 @@
     dropRouter: nothing,
     limiters: createLimiters({ timers, limitOf: nothing, isFirstStart: true }),
     takeDemand: nothing,
-    takeRelay: nothing,
-    deploymentRelay: () => undefined
+    pieceOf: ({ offset, index }) => ({ type: 'deploymentPiece', offset, index, count: 1, key: 'config', bytes: Buffer.from('x') }),
+    noteHeld: nothing,
+    takePiece: nothing
   })
   const open = async (router: string): Promise<Link<RouterMessage, AgentMessage>> =>
     (await openLink<RouterMessage, AgentMessage>(`127.0.0.1:${port}`, { ...context, instance: router as InstanceName }).run()).unsafeCoerce()
@@ -42,16 +43,23 @@
 }
 
 describe('an agent\'s links', () => {
-  it('send a router one copy of a record that several routers relay', async () => {
+  it('send a router the configuration once, and only when it asks', async () => {
     // Guards against requests that wait behind copies on a narrow link.
     const { timers, links, open } = await setUp(() => makeStateForTest())
     const listener = await open('r0')
     const others = [await open('r1'), await open('r2'), await open('r3')]
-    const relay: RouterMessage = { type: 'relay', feedName: 'op', records: [{ key: 'config', value: Buffer.from('x'), offset: 3 }] }
-    timers.after(100, () => { for (const link of others) link.send(relay) })
+    const held: RouterMessage = { type: 'deploymentHeld', offset: 3 }
+    const piece: RouterMessage = { type: 'deploymentPiece', offset: 3, index: 0, count: 1, key: 'config', bytes: Buffer.from('x') }
+    timers.after(100, () => {
+      for (const link of others) {
+        link.send(held)
+        link.send(piece)
+      }
+    })
+    timers.after(200, () => { listener.send({ type: 'deploymentAsked', offset: 3, index: 0 }) })
     timers.after(400, () => listener.close('the test ends'))
     let copyCount = 0
-    for await (const message of listener.received) copyCount += Number(message.type === 'relay')
+    for await (const message of listener.received) copyCount += Number(message.type === 'deploymentPiece')
     links.close()
     expect(copyCount).to.equal(1)
   })
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -8,10 +8,9 @@
 import { changedFields, volatileFieldsOf, pickFields, serializeFields } from './compareStates.js'
 import { LOAD_PERIOD_MS } from './constants.js'
 import { createRelayedReads } from './createRelayedReads.js'
-import { createRelayedRecords } from './createRelayedRecords.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
-import type { AgentLoad, AgentMessage, AgentState, AgentStateChange, CrashNotice, Demand, ListRead, Relay, RouterMessage, Want } from '@figmount/fleet'
+import type { AgentLoad, AgentMessage, AgentState, AgentStateChange, CrashNotice, Demand, DeploymentAsked, DeploymentPiece, ListRead, RouterMessage, Want } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
 import type { Limiters } from '../limits/createLimiters.js'
 import type { Settle } from '../wants/createWantRegistry.js'
@@ -36,9 +35,11 @@
   readonly dropRouter: (router: string) => void
   readonly limiters: Limiters
   readonly takeDemand: (router: string, demand: Demand) => void
-  readonly takeRelay: (relay: Relay) => void
-  /** The newest configuration, for a router that has an older one. */
-  readonly deploymentRelay: () => Relay | undefined
+  /** A piece of the agent's configuration, for a router that has an older one. */
+  readonly pieceOf: (asked: DeploymentAsked) => DeploymentPiece | undefined
+  /** A router has the configuration at an offset. */
+  readonly noteHeld: (router: string, offset: number) => void
+  readonly takePiece: (router: string, piece: DeploymentPiece) => void
 }
 
 /** The state last sent to all routers, and its serialized fields. */
@@ -58,6 +59,8 @@
 export interface RouterLinks {
   /** Sends every router the changes of the state, if there are any. */
   readonly sendUpdate: () => void
+  /** Sends one router a message, if it is linked. */
+  readonly send: (router: string, message: AgentMessage) => void
   readonly close: () => void
 }
 
@@ -67,7 +70,6 @@
   const codec = createMessageCodec(MESSAGE_STRUCTURES)
   const links = new Set<RouterLink>()
   const lastSentMs = new Map<RouterLink, number>()
-  const relayedRecords = createRelayedRecords()
   let sentState: SentState | undefined
   let sentLoad: { readonly load: AgentLoad, readonly atMs: number } | undefined
   const relayedReads = createRelayedReads(timers)
@@ -139,12 +141,6 @@
     sendTo(link, { type: 'wantSettled', wantId, ...outcome })
   }
 
-  const forwardRelay = (link: RouterLink, relay: Relay): void => {
-    options.takeRelay(relay)
-    const newRecords = relayedRecords.takeNew(relay)
-    if (newRecords) sendToAll(newRecords, link)
-  }
-
   const forwardListRead = (link: RouterLink, read: ListRead): void => {
     if (relayedReads.isNew(read)) sendToAll(read, link)
   }
@@ -154,9 +150,9 @@
     if (newPart) sendToAll(newPart, link)
   }
 
-  const sendDeployment = (link: RouterLink): void => {
-    const relay = options.deploymentRelay()
-    if (relay) sendTo(link, relay)
+  const sendPiece = (link: RouterLink, asked: DeploymentAsked): void => {
+    const piece = options.pieceOf(asked)
+    if (piece) sendTo(link, piece)
   }
 
   const take = (link: RouterLink, message: RouterMessage): void => {
@@ -164,9 +160,10 @@
       .with({ type: 'want' }, want => { options.takeWant(link.peer, want, settleFor(link)) })
       .with({ type: 'wantDropped' }, ({ wantId }) => { options.dropWant(link.peer, wantId) })
       .with({ type: 'demand' }, demand => { options.takeDemand(link.peer, demand) })
-      .with({ type: 'relay' }, relay => { forwardRelay(link, relay) })
       .with({ type: 'listRead' }, read => { forwardListRead(link, read) })
-      .with({ type: 'deploymentAsked' }, () => { sendDeployment(link) })
+      .with({ type: 'deploymentAsked' }, asked => { sendPiece(link, asked) })
+      .with({ type: 'deploymentHeld' }, ({ offset }) => { options.noteHeld(link.peer, offset) })
+      .with({ type: 'deploymentPiece' }, piece => { options.takePiece(link.peer, piece) })
       .with({ type: 'limiterChosen' }, chosen => { options.limiters.choose(link.peer, chosen) })
       .with({ type: 'unitsAsked' }, asked => { sendTo(link, options.limiters.ask(link.peer, asked)) })
       .with({ type: 'unitsReturned' }, returned => { options.limiters.returnUnits(link.peer, returned) })
@@ -218,6 +215,12 @@
 
   return {
     sendUpdate,
+    send: (router, message) => {
+      for (const link of links) {
+        if (link.peer !== router) continue
+        return sendTo(link, message)
+      }
+    },
     close: () => {
       stopLoad()
       stopKeepAlive()
--- a/packages/sidecar/src/sidecar/describeEngine.ts
+++ b/packages/sidecar/src/sidecar/describeEngine.ts
@@ -20,6 +20,7 @@
   readonly demand: DemandTotals
   readonly wants: WantRegistry
   readonly deploymentOffset: number
+  readonly followsDeployments: boolean
   readonly routerCount: number
 }
 
@@ -76,7 +77,8 @@
     ...(report ? estimateEvictionCost(engine, report) : NO_EVICTION_COST),
     demandTokensPerS: models.map(model => Math.round(demand.totalFor(model.name).promptTokensPerS)),
     routerCount: engine.routerCount,
-    deploymentOffset: engine.deploymentOffset
+    deploymentOffset: engine.deploymentOffset,
+    followsDeployments: engine.followsDeployments
   }
 }
 
--- a/packages/sidecar/src/sidecar/followDeployment.test.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.test.ts
@@ -26,9 +26,9 @@
 }
 
 describe('followDeployment', () => {
-  it('applies a configuration relayed by a router while the store is unavailable', () => {
+  it('applies a configuration sent by a router while the store is unavailable', () => {
     const deployment = setUp()
-    deployment.takeRelay({ type: 'relay', feedName: 'op', records: [record(7, 4)] })
+    deployment.take(record(7, 4))
     expect(deployment.current()?.version).to.equal(7)
     expect(deployment.offset()).to.equal(4)
     deployment.stop()
@@ -36,19 +36,19 @@
 
   it('ignores a configuration older than the current one', () => {
     const deployment = setUp()
-    deployment.takeRelay({ type: 'relay', feedName: 'op', records: [record(7, 4)] })
-    deployment.takeRelay({ type: 'relay', feedName: 'op', records: [record(6, 3)] })
+    deployment.take(record(7, 4))
+    deployment.take(record(6, 3))
     expect(deployment.current()?.version).to.equal(7)
     deployment.stop()
   })
 
-  it('relays the configuration record unchanged, and none before one was received', () => {
+  it('has the configuration record unchanged for its peers, and none before one was received', () => {
     const deployment = setUp()
-    expect(deployment.relay()).to.equal(undefined)
-    deployment.takeRelay({ type: 'relay', feedName: 'other', records: [record(8, 9)] })
-    expect(deployment.relay()).to.equal(undefined)
-    deployment.takeRelay({ type: 'relay', feedName: 'op', records: [record(7, 4)] })
-    expect(deployment.relay()?.records).to.deep.equal([record(7, 4)])
+    expect(deployment.record()).to.equal(undefined)
+    deployment.take({ ...record(8, 9), key: 'other' })
+    expect(deployment.record()).to.equal(undefined)
+    deployment.take(record(7, 4))
+    expect(deployment.record()).to.deep.equal(record(7, 4))
     deployment.stop()
   })
 })
--- a/packages/sidecar/src/sidecar/followDeployment.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.ts
@@ -3,7 +3,7 @@
 import { SidecarEvent } from '../events.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
-import type { Deployment, Relay, StorePort } from '@figmount/fleet'
+import type { Deployment, FeedRecord, StorePort } from '@figmount/fleet'
 
 interface Options {
   readonly store: StorePort
@@ -16,14 +16,18 @@
   readonly current: () => Deployment | undefined
   /** Offset of the newest configuration; -1 for none. */
   readonly offset: () => number
-  /** Applies records that a router has read. */
-  readonly takeRelay: (relay: Relay) => void
-  /** The newest configuration as a relay message. */
-  readonly relay: () => Relay | undefined
+  /** The record of the newest configuration. */
+  readonly record: () => FeedRecord | undefined
+  /** Takes a configuration that a router has sent. */
+  readonly take: (record: FeedRecord) => void
+  /** Time since the latest part of the answer to the agent's read; Infinity while none arrives. */
+  readonly quietMs: () => number
+  /** The latest read of the store has succeeded. */
+  readonly isFollowing: () => boolean
   readonly stop: () => void
 }
 
-/** Follows the configuration by reading the store and by records that routers relay. */
+/** Follows the configuration by reading the store and by copies that routers send. */
 export const followDeployment = ({ store, timers, events }: Options): FollowedDeployment => {
   const feed = store.deploymentFeed
   const newest = createNewestDeployment({
@@ -51,11 +55,10 @@
   return {
     current: newest.current,
     offset: newest.offset,
-    takeRelay: relay => { if (relay.feedName === feed.name) follower.offer(relay.records) },
-    relay: () => {
-      const record = newest.record()
-      return record && { type: 'relay', feedName: feed.name, records: [record] }
-    },
+    record: newest.record,
+    take: record => { follower.offer([record]) },
+    quietMs: follower.quietMs,
+    isFollowing: follower.isFollowing,
     stop: follower.stop
   }
 }
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -1,5 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { countMessages } from '@figmount/base'
+import { planFetch } from '@figmount/decisions'
+import { createCopyFetch, createCopySource } from '@figmount/fleet'
 
 import { createDemandTotals } from '../demand/createDemandTotals.js'
 import { createOrderer } from '../engine/createOrderer.js'
@@ -49,6 +51,16 @@
   const demand = createDemandTotals(timers)
   const wants = createWantRegistry(timers)
   const deployments = followDeployment({ store: options.store, timers, events })
+  const copySource = createCopySource(deployments.record)
+  const copyFetch = createCopyFetch({
+    timers,
+    ownOffset: deployments.offset,
+    readsStore: () => true,
+    readQuietMs: deployments.quietMs,
+    plan: planFetch,
+    ask: (router, asked) => { links.send(router, asked) },
+    take: deployments.take
+  })
   const limiters = createLimiters({
     timers,
     limitOf: name => limitOf(deployments.current()?.organisations, name),
@@ -170,7 +182,7 @@
   // Guards against reporting the engine as down before its first answer: an agent that has just restarted would do so, and routers
   // would cut the streams that run there.
   const describeIfKnown = (routerCount: number): AgentState | undefined => hasEngineResult
-    ? describeEngine({ timers, spec: service()?.engine, isUp, identity, orderer, demand, wants, deploymentOffset: deployments.offset(), routerCount })
+    ? describeEngine({ timers, spec: service()?.engine, isUp, identity, orderer, demand, wants, deploymentOffset: deployments.offset(), followsDeployments: deployments.isFollowing(), routerCount })
     : undefined
 
   const links = serveRouters({
@@ -190,11 +202,13 @@
       wants.dropRouter(router)
       demand.dropRouter(router)
       limiters.dropRouter(router)
+      copyFetch.losePeer(router)
     },
     limiters,
     takeDemand: demand.take,
-    takeRelay: deployments.takeRelay,
-    deploymentRelay: deployments.relay
+    pieceOf: copySource.pieceOf,
+    noteHeld: copyFetch.noteOffer,
+    takePiece: copyFetch.takePiece
   })
 
   const watch = watchEngine({
--- a/packages/sidecar/src/testing/makeStateForTest.ts
+++ b/packages/sidecar/src/testing/makeStateForTest.ts
@@ -23,5 +23,6 @@
   evictionLoss: 1,
   demandTokensPerS: [5],
   routerCount: 2,
-  deploymentOffset: 1
+  deploymentOffset: 1,
+  followsDeployments: true
 })
