Find a request's route in an index of hosts and prefixes

Cause: each request went through all routes, 15 us of a full core at 1,600 and four times that on a quarter of one; large configurations come in series.

--- a/packages/fleet/src/deployment/types.ts
+++ b/packages/fleet/src/deployment/types.ts
@@ -112,11 +112,18 @@
   readonly byKeyDigest: ReadonlyMap<string, Organisation>
 }
 
+/** Finds the route of a request. */
+export interface RouteTable {
+  /** The host's route with the longest matching path prefix; the query is ignored. */
+  readonly find: (hostHeader: string, url: string) => Route | undefined
+}
+
 /** One accepted, complete configuration. */
 export interface Deployment {
   /** Grows with each accepted configuration, by varying steps. */
   readonly version: number
   readonly routes: readonly Route[]
+  readonly routeTable: RouteTable
   readonly services: readonly Service[]
   readonly limits: CallerLimits
   /** Undefined where callers need no key. */
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { findEngine, matchRoute, pickService, RequestKind } from '@figmount/fleet'
+import { findEngine, pickService, RequestKind } from '@figmount/fleet'
 
 import { shortHash } from '../crashes/shortHash.js'
 import { GatewayEvent } from '../events.js'
@@ -120,7 +120,7 @@
   if (read.type === 'stopped' || context.stop.isClosing()) return refuseUnrouted(context, response, caller.requestId, STOPPING_REASON, STOPPING_RETRY_MS)
   const deployment = context.deployment()
   if (!deployment || !context.directory.hasList()) return refuseUnrouted(context, response, caller.requestId, 'no deployment known yet', NO_DEPLOYMENT_RETRY_MS)
-  const route = matchRoute(deployment.routes, message.headers.host ?? '', message.url ?? '/')
+  const route = deployment.routeTable.find(message.headers.host ?? '', message.url ?? '/')
   if (!route) return reject(context, response, Status.NotFound, `no route for ${message.headers.host ?? ''}${message.url ?? ''}`)
   if (isKeyRequired(deployment, route) && !organisationOf(deployment, route, caller)) return refuseKey(context, response, caller, route)
   await serve(context, deployment, caller, route, message, response, read.body, arrivedMs, callerLeft)
