--- a/packages/fleet/src/messages/structures.ts
+++ b/packages/fleet/src/messages/structures.ts
@@ -27,6 +27,7 @@
   ['type', 'offset', 'index', 'count', 'key', 'bytes'],
   ['type', 'crashes', 'answered'],
   ['type', 'start', 'limitPerS'],
+  ['type', 'start'],
   ['identity', 'start', 'ageMs'],
   ['identity', 'ageMs'],
   ['contentHash', 'callerId'],
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -113,6 +113,12 @@
   readonly limitPerS: number | undefined
 }
 
+/** A backend server says in its answers that it leaves, as one router has seen it. */
+export interface ServerLeavingNotice {
+  readonly type: 'serverLeaving'
+  readonly start: ServerStart
+}
+
 /** The organisations whose requests the agent counts for this router from now on; replaces the list sent before. */
 export interface LimiterChosen {
   readonly type: 'limiterChosen'
@@ -149,7 +155,7 @@
 }
 
 export type RouterMessage =
-  | Heartbeat | Want | WantDropped | DeploymentAsked | DeploymentPiece | DeploymentHeld | Demand | ListRead | CrashNotice | ServerLimitNotice | LimiterChosen | UnitsAsked | UnitsReturned
+  | Heartbeat | Want | WantDropped | DeploymentAsked | DeploymentPiece | DeploymentHeld | Demand | ListRead | CrashNotice | ServerLimitNotice | ServerLeavingNotice | LimiterChosen | UnitsAsked | UnitsReturned
 
 /** Full state of an agent's server. Sent when a link is opened. */
 export interface AgentState extends ServerStart {
@@ -217,4 +223,4 @@
   readonly reason: string
 }
 
-export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | DeploymentAsked | DeploymentPiece | ListRead | CrashNotice | ServerLimitNotice | UnitsAnswered
+export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | DeploymentAsked | DeploymentPiece | ListRead | CrashNotice | ServerLimitNotice | ServerLeavingNotice | UnitsAnswered
--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -51,6 +51,8 @@
   readonly serverId: string
   /** The server states that it has not run the request and will not run it. */
   readonly isNotRun: boolean
+  /** The server states that it leaves: it takes no new requests from now on. */
+  readonly isLeaving: boolean
   readonly limit: NamedLimit
 }
 
--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -55,6 +55,42 @@
     expect(ids()).to.deep.equal(['c'])
   })
 
+  it('uses no server that says that it leaves, whatever the list says', () => {
+    // Guards against requests to a leaving server while the store is away, or after its entry was lost and written again.
+    const { directory, ids } = setUp()
+    directory.takeRecords([listed('a'), listed('b')])
+    const start = { serverId: 'a', startedAtUnixMs: undefined }
+    expect(directory.noteLeaving(start, 'an answer')).to.equal(true)
+    expect(directory.noteLeaving(start, 'an answer')).to.equal(false)
+    expect(ids()).to.deep.equal(['b'])
+    directory.takeRecords([listed('a')])
+    directory.takeRecords([gone('a')])
+    directory.takeRecords([listed('a')])
+    expect(ids()).to.deep.equal(['b'])
+    expect(directory.find('a')?.entry.isDraining).to.equal(true)
+  })
+
+  it('uses a server again that has started again after it said that it leaves', () => {
+    const { directory, ids } = setUp()
+    const listStart = (startedAtUnixMs: number): void => {
+      directory.takeRecords([{ key: 'a', value: Buffer.from(JSON.stringify({ ...entryOf('a'), startedAtUnixMs })), offset: 1 }])
+    }
+    listStart(1_000)
+    directory.noteLeaving({ serverId: 'a', startedAtUnixMs: 1_000 }, 'an answer')
+    expect(ids()).to.deep.equal([])
+    listStart(9_000)
+    expect(ids()).to.deep.equal(['a'])
+    directory.noteLeaving({ serverId: 'a', startedAtUnixMs: 1_000 }, 'a late notice')
+    expect(ids()).to.deep.equal(['a'])
+  })
+
+  it('learns that a server leaves before the server is listed', () => {
+    const { directory, ids } = setUp()
+    directory.noteLeaving({ serverId: 'a', startedAtUnixMs: undefined }, 'another router')
+    directory.takeRecords([listed('a'), listed('b')])
+    expect(ids()).to.deep.equal(['b'])
+  })
+
   it('keeps servers whose entries expired during an outage of the store', () => {
     // Guards against losing all servers whose entries expire in an outage.
     const { timers, directory, ids } = setUp()
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -145,7 +145,17 @@
     return state.serverId === start.serverId ? !isStaleReport(state, start) : isGone(report, start)
   }
 
-  const view = (entry: ServerEntry): KnownServer => {
+  const noteLeaving = (start: ServerStart, source: string): boolean => {
+    if (!departures.noteLeaving(start)) return false
+    const entry = entries.get(start.serverId)
+    if (entry) departures.note(start.serverId, entry.address)
+    events.emit(GatewayEvent.serverLeft, { peer: start.serverId, reason: source })
+    return true
+  }
+
+  const view = (listed: ServerEntry): KnownServer => {
+    // Guards against a server whose entry cannot show that it leaves, as it does not reach the store or the store is away.
+    const entry = departures.isLeaving(startOf(listed.serverId)) ? { ...listed, isDraining: true } : listed
     const report = reports.get(entry.address) ?? NO_REPORT
     const start = startOf(entry.serverId)
     const isReplaced = isGone(report, entry)
@@ -253,6 +263,7 @@
       const nowMs = timers.nowMs()
       failures.set(serverId, noteOutcome(failures.get(serverId) ?? noFailures(nowMs), hasFailed, nowMs))
     },
+    noteLeaving,
     noteReplaced: start => {
       if (isSameStart(start, startOf(start.serverId))) replaced.add(start.serverId)
     },
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -69,6 +69,8 @@
   readonly own: OwnRequests
   /** Updates the failure share of a server, unless it has restarted since. */
   readonly noteOutcome: (start: ServerStart, hasFailed: boolean) => void
+  /** The server says that it leaves: it gets no new requests, whatever the list says; `source` is logged. Returns false if that is known. */
+  readonly noteLeaving: (start: ServerStart, source: string) => boolean
   /** Another server has taken over the address. */
   readonly noteReplaced: (start: ServerStart) => void
   readonly prefixes: PrefixIndex
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -119,6 +119,7 @@
       takeListRead: (read, mayBeStale) => { feeds.takeListRead(read, mayBeStale) },
       takeCrashes: notice => { shared.take(notice) },
       takeServerLimit: notice => { serverLimits.takeNotice(notice) },
+      takeServerLeaving: ({ start }) => { directory.noteLeaving(start, 'another router reports that it leaves') },
       found: address => {
         shared.sendAll(address)
         const offset = feeds.deploymentOffset()
--- a/packages/gateway/src/serverLimits/createServerLimits.test.ts
+++ b/packages/gateway/src/serverLimits/createServerLimits.test.ts
@@ -9,7 +9,7 @@
 const START: ServerStart = { serverId: 'a', startedAtUnixMs: 1_000 }
 const PRIORITY = 2
 
-const answer = (limit: NamedLimit, isNotRun = false): ServerAnswer => ({ requestId: '', serverId: '', isNotRun, limit })
+const answer = (limit: NamedLimit, isNotRun = false): ServerAnswer => ({ requestId: '', serverId: '', isNotRun, isLeaving: false, limit })
 const named = (requestsPerS: number): ServerAnswer => answer({ type: 'named', requestsPerS })
 const NONE = answer({ type: 'none' })
 
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -168,7 +168,7 @@
       .with({ type: 'unitsAsked' }, asked => { sendTo(link, options.limiters.ask(link.peer, asked)) })
       .with({ type: 'unitsReturned' }, returned => { options.limiters.returnUnits(link.peer, returned) })
       .with({ type: 'crash' }, notice => { forwardCrashes(link, notice) })
-      .with({ type: 'serverLimit' }, notice => { sendToAll(notice, link) })
+      .with({ type: 'serverLimit' }, { type: 'serverLeaving' }, notice => { sendToAll(notice, link) })
       .with({ type: 'heartbeat' }, () => {})
       .exhaustive()
   }
