--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -53,6 +53,8 @@
   readonly isNotRun: boolean
   /** The server states that it leaves: it takes no new requests from now on. */
   readonly isLeaving: boolean
+  /** Time for which a server that turns the request away wants no others from this router; 0 for none. */
+  readonly restMs: number
   readonly limit: NamedLimit
 }
 
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -32,6 +32,7 @@
   crashCounted: [2528, 'a backend server died while it ran a request: the request counts as the cause'],
   crashNoted: [2529, 'another router reports that a backend server died while it ran a request'],
   serverLimited: [2530, 'a backend server names a limit on requests from all routers, another one, or none any more'],
-  requestHeldBack: [2531, 'all backend servers that could run a request have named limits that leave it no turn now'],
-  deploymentAsked: [2532, 'the router is behind and asks an agent for the newest configuration']
+  requestHeldBack: [2531, 'all backend servers that could run a request have named limits, or want rest, and leave it no turn now'],
+  deploymentAsked: [2532, 'the router is behind and asks an agent for the newest configuration'],
+  serverRests: [2533, 'a backend server has turned a request away and wants no more from this router for a while']
 })
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -3,14 +3,13 @@
 import { ANSWER_GRACE_MS, REQUEST_ARRIVAL_MS } from './constants.js'
 
 import type { Either } from 'purify-ts'
-import type { ServerAnswer } from '@figmount/fleet'
 import type { KnownServer } from '../directory/types.js'
 import type { OpenAnswer, SendFault } from '../forwarding/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** Takes what an answer says of its server, whichever request it answers. */
-const noteServerAnswer = (context: GatewayContext, { start }: KnownServer, answer: ServerAnswer): void => {
-  context.serverLimits.noteAnswer(start, answer)
+const noteServerAnswer = (context: GatewayContext, { start }: KnownServer, { answer, message }: OpenAnswer): void => {
+  context.serverLimits.noteAnswer(start, answer, message.statusCode ?? 0)
   if (answer.isLeaving && context.directory.noteLeaving(start, 'its answers say that it leaves')) context.agents.relay({ type: 'serverLeaving', start })
 }
 
@@ -41,7 +40,7 @@
     headTimeoutMs: leftMs + ANSWER_GRACE_MS,
     mayBeInTransit: () => context.directory.lastMessageMs(address) < sentMs + REQUEST_ARRIVAL_MS
   }, signal)
-  return opened.ifRight(({ answer }) => { noteServerAnswer(context, server, answer) })
+  return opened.ifRight(open => { noteServerAnswer(context, server, open) })
 }
 
 /** The answer belongs to another request: a late one on a reused connection, or one from another program's server. */
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -106,7 +106,8 @@
     if (end.type === 'broken') noteBroken(context, request, serverId, end.reason, timers.nowMs() - sentMs)
     if (end.type === 'broken') watchCrash(context, request, choice.server, wasAborted)
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
-    excludedStarts.add(startKeyOf(start))
+    // A server that wants rest may be asked again after it.
+    if (end.type !== 'notRun' || !context.serverLimits.isResting(start)) excludedStarts.add(startKeyOf(start))
     if (end.type === 'notRun') {
       rejectionCount += 1
       if (rejectionCount >= MAX_REJECTIONS) return giveUp(end.reason, REJECTED_RETRY_MS)
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -132,12 +132,19 @@
   const mayRunAgain = request.route.kind === RequestKind.Idempotent
   const tried = new Set<string>()
   const turn = context.serverLimits.openTurn(request.priority)
+  let sendCount = 0
   let runCount = 0
   let rejectionCount = 0
   let deliverFailed: (() => void) | undefined
   let lastPeer = ''
 
-  const finish = (reason: string, retryAfterMs = tried.size > 0 ? REJECTED_RETRY_MS : NO_SERVER_RETRY_MS): void => {
+  /** Retry-after of a request that servers have turned away: when the first of them takes requests again. */
+  const earliestRetryMs = (): number => {
+    const waitsMs = context.directory.serving(request.serviceName).map(({ start }) => turn.waitMs(start))
+    return Math.max(REJECTED_RETRY_MS, waitsMs.length > 0 ? Math.min(...waitsMs) : 0)
+  }
+
+  const finish = (reason: string, retryAfterMs = sendCount > 0 ? earliestRetryMs() : NO_SERVER_RETRY_MS): void => {
     turn.end()
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
     if (deliverFailed) return deliverFailed()
@@ -153,17 +160,18 @@
     if (check.type === 'refused') return finish(DEADLY_REASON, check.retryAfterMs)
     if (check.type === 'waited') continue
     const servers = context.directory.serving(request.serviceName).filter(({ start }) => !tried.has(startKeyOf(start)))
-    if (servers.length === 0) return finish(tried.size > 0 ? 'no other server' : 'no server')
+    if (servers.length === 0) return finish(sendCount > 0 ? 'no other server' : 'no server')
     const server = choose(context, servers.filter(({ start }) => turn.waitMs(start) === 0))
     if (!server) {
       const held = await holdBack(context, request, turn, servers, request.untilMs - timers.nowMs(), () => {})
       if (held.type === 'hopeless') return finish(LIMITED_REASON, held.waitMs)
       continue
     }
-    if (tried.size > 0 && !budget.takeRetry(request.serviceName, context.routerCount())) return finish('no repeats left')
+    if (sendCount > 0 && !budget.takeRetry(request.serviceName, context.routerCount())) return finish('no repeats left')
     if (runCount > 0 && request.organisation) context.quotas.charge(request.organisation, request.units)
     const { start, entry: { serverId } } = server
-    if (tried.size > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: request.caller.requestId, peer: serverId, count: tried.size })
+    if (sendCount > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: request.caller.requestId, peer: serverId, count: sendCount })
+    sendCount += 1
     tried.add(startKeyOf(start))
     turn.take(start)
     lastPeer = serverId
@@ -175,6 +183,8 @@
     if (end.type === 'notRun' || end.type === 'notSent') {
       rejectionCount += 1
       if (rejectionCount >= MAX_REJECTIONS) return finish(end.reason)
+      // A server that wants rest may be asked again after it.
+      if (context.serverLimits.isResting(start)) tried.delete(startKeyOf(start))
       continue
     }
     runCount += 1
--- a/packages/gateway/src/serverLimits/createServerLimits.ts
+++ b/packages/gateway/src/serverLimits/createServerLimits.ts
@@ -3,6 +3,7 @@
 
 import { GatewayEvent } from '../events.js'
 import { MAX_LIMITED, NOTICE_PERIOD_MS, OVER_RETENTION_MS, UNSEEN_RETENTION_MS } from './constants.js'
+import { createServerRests } from './createServerRests.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
 import type { ServerPace } from '@figmount/decisions'
@@ -30,17 +31,22 @@
   readonly end: () => void
 }
 
-/** Limits that servers name in their answers, on requests from all routers together. */
+/** Limits that servers name in their answers, on requests from all routers together, and rests that they ask this router for. */
 export interface ServerLimits {
   /** Takes what an answer of the server says. */
-  readonly noteAnswer: (start: ServerStart, answer: ServerAnswer) => void
+  readonly noteAnswer: (start: ServerStart, answer: ServerAnswer, status: number) => void
   /** Takes what another router has learned. */
   readonly takeNotice: (notice: ServerLimitNotice) => void
+  /** The server takes fewer requests than there may be, or none for a while. */
   readonly isLimited: (start: ServerStart) => boolean
+  /** The server wants no requests from this router now. */
+  readonly isResting: (start: ServerStart) => boolean
   /** `priority`: 0 is the most urgent. */
   readonly openTurn: (priority: number) => Turn
 }
 
+const UNAVAILABLE = 503
+
 interface LimitedServer {
   limitPerS: number
   nextSlotMs: number
@@ -65,6 +71,7 @@
   // Ordered by the time at which the limit was first named.
   const servers = new Map<string, LimitedServer>()
   const waiters = new Set<Waiter>()
+  const rests = createServerRests(timers, events)
   let waiterCount = 0
 
   const paceOf = ({ limitPerS }: LimitedServer): ServerPace => ({ limitPerS, routerCount: routerCount() })
@@ -132,14 +139,21 @@
   }
 
   const waitMs = (start: ServerStart, own: Waiter): number => {
+    const restMs = rests.leftMs(start)
     const server = limitedAt(start)
-    if (!server) return 0
+    if (!server) return restMs
     const pace = paceOf(server)
-    return slotWaitMs(server.nextSlotMs, pace, timers.nowMs()) + countAhead(startKeyOf(start), own) * slotGapMs(pace)
+    return Math.max(restMs, slotWaitMs(server.nextSlotMs, pace, timers.nowMs()) + countAhead(startKeyOf(start), own) * slotGapMs(pace))
+  }
+
+  const noteRest = (start: ServerStart, restMs: number, status: number): void => {
+    if (status === UNAVAILABLE && restMs > 0) rests.noteAsked(start, restMs)
+    else rests.noteAnswered(start)
   }
 
   return {
-    noteAnswer: (start, { limit, isNotRun }) => {
+    noteAnswer: (start, { limit, isNotRun, restMs }, status) => {
+      noteRest(start, restMs, status)
       if (limit.type === 'named' && noteLimit(start, limit.requestsPerS)) return tell(start, limit.requestsPerS)
       // A request that is turned away may be so before the server looks at its limit.
       if (limit.type === 'none' && !isNotRun && noteOver(start)) tell(start, undefined)
@@ -148,7 +162,8 @@
       if (limitPerS === undefined) noteOver(start)
       else noteLimit(start, limitPerS)
     },
-    isLimited: start => limitedAt(start) !== undefined,
+    isLimited: start => limitedAt(start) !== undefined || rests.leftMs(start) > 0,
+    isResting: start => rests.leftMs(start) > 0,
     openTurn: priority => {
       const own: Waiter = { priority, number: waiterCount++, startKeys: new Set() }
       const end = (): void => { waiters.delete(own) }
@@ -162,6 +177,7 @@
         },
         take: start => {
           end()
+          rests.noteSent(start)
           const server = limitedAt(start)
           if (server) server.nextSlotMs = takeSlot(server.nextSlotMs, paceOf(server), timers.nowMs())
         },
