--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -119,6 +119,35 @@
   readonly start: ServerStart
 }
 
+/** The software version of the server that began a stream. */
+export interface StreamOrigin {
+  /** Id of the caller's request whose answer began the stream. */
+  readonly streamId: string
+  readonly serviceName: string
+  readonly softwareVersion: string
+}
+
+/** Streams have begun in a service with several software versions; the agent remembers it for a while. */
+export interface StreamsBegan {
+  readonly type: 'streamsBegan'
+  readonly origins: readonly StreamOrigin[]
+}
+
+/** A router asks at which software version a stream began. */
+export interface OriginAsked {
+  readonly type: 'originAsked'
+  readonly askId: number
+  readonly streamId: string
+  readonly serviceName: string
+}
+
+/** Answer to `OriginAsked`; no version if the agent does not know. */
+export interface OriginAnswered {
+  readonly type: 'originAnswered'
+  readonly askId: number
+  readonly softwareVersion: string | undefined
+}
+
 /** The organisations whose requests the agent counts for this router from now on; replaces the list sent before. */
 export interface LimiterChosen {
   readonly type: 'limiterChosen'
@@ -155,7 +184,7 @@
 }
 
 export type RouterMessage =
-  | Heartbeat | Want | WantDropped | DeploymentAsked | DeploymentPiece | DeploymentHeld | Demand | ListRead | CrashNotice | ServerLimitNotice | ServerLeavingNotice | LimiterChosen | UnitsAsked | UnitsReturned
+  | Heartbeat | Want | WantDropped | DeploymentAsked | DeploymentPiece | DeploymentHeld | Demand | ListRead | CrashNotice | ServerLimitNotice | ServerLeavingNotice | StreamsBegan | OriginAsked | LimiterChosen | UnitsAsked | UnitsReturned
 
 /** Full state of an agent's server. Sent when a link is opened. */
 export interface AgentState extends ServerStart {
@@ -223,4 +252,4 @@
   readonly reason: string
 }
 
-export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | DeploymentAsked | DeploymentPiece | ListRead | CrashNotice | ServerLimitNotice | ServerLeavingNotice | UnitsAnswered
+export type AgentMessage = Heartbeat | AgentState | AgentStateChange | AgentLoad | WantSettled | DeploymentAsked | DeploymentPiece | ListRead | CrashNotice | ServerLimitNotice | ServerLeavingNotice | OriginAnswered | UnitsAnswered
--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -24,6 +24,8 @@
   /** Digest of the caller's key; empty when it sends none. */
   readonly keyDigest: string
   readonly promptParts: readonly PromptPart[]
+  /** Id of the caller's earlier request whose answer began the stream that it takes up again; empty if it names none. */
+  readonly resumes: string
   /** Id of the last event that the caller has received; empty for a new stream. */
   readonly lastEventId: string
 }
--- a/packages/fleet/src/servers/types.ts
+++ b/packages/fleet/src/servers/types.ts
@@ -20,6 +20,8 @@
   /** `host:port`; another server may use it later. */
   readonly address: string
   readonly dataCentre: string
+  /** Version of the server's software. What two versions write does not fit together. */
+  readonly softwareVersion: string
   readonly slots: number
   readonly isDraining: boolean
   readonly models: readonly HeldModel[]
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -94,6 +94,7 @@
     if (message.type === 'deploymentPiece') return handlers.takeDeploymentPiece(serverAddress, message)
     if (message.type === 'listRead') return handlers.takeListRead(message, timers.nowMs() < mayBeStaleUntilMs)
     if (message.type === 'unitsAnswered') return handlers.takeUnits(serverAddress, message)
+    if (message.type === 'originAnswered') return handlers.takeOrigin(serverAddress, message)
     if (message.type === 'crash') return handlers.takeCrashes(message)
     if (message.type === 'serverLimit') return handlers.takeServerLimit(message)
     if (message.type === 'serverLeaving') handlers.takeServerLeaving(message)
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -1,5 +1,5 @@
 import type { PackedMessage } from '@figmount/peers'
-import type { AgentLoad, AgentState, CrashNotice, DeploymentAsked, DeploymentPiece, ListRead, RouterMessage, ServerLeavingNotice, ServerLimitNotice, UnitsAnswered } from '@figmount/fleet'
+import type { AgentLoad, AgentState, CrashNotice, DeploymentAsked, DeploymentPiece, ListRead, OriginAnswered, RouterMessage, ServerLeavingNotice, ServerLimitNotice, UnitsAnswered } from '@figmount/fleet'
 
 /** The outcome of a want, which is a router's request to an agent to have a model or an adapter loaded. */
 export interface WantOutcome {
@@ -41,6 +41,7 @@
   readonly takeCrashes: (notice: CrashNotice) => void
   readonly takeServerLimit: (notice: ServerLimitNotice) => void
   readonly takeServerLeaving: (notice: ServerLeavingNotice) => void
+  readonly takeOrigin: (address: string, answer: OriginAnswered) => void
   readonly takeUnits: (address: string, answer: UnitsAnswered) => void
   /** The link was opened. */
   readonly found: (address: string) => void
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -7,6 +7,7 @@
 import { createMissingEntries } from './createMissingEntries.js'
 import { createOwnRequests } from './createOwnRequests.js'
 import { createPrefixIndex } from './createPrefixIndex.js'
+import { createSoftwareVersions } from './createSoftwareVersions.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { FailureShare } from '@figmount/decisions'
@@ -39,6 +40,7 @@
   const failures = new Map<string, FailureShare>()
   const own = createOwnRequests()
   const departures = createDepartures(timers)
+  const versions = createSoftwareVersions(timers)
   const stateListeners = new Set<StateListener>()
   const replaced = new Set<string>()
   const prefixes = createPrefixIndex()
@@ -61,6 +63,7 @@
     forget(serverId)
     newestStarts.delete(serverId)
     departures.note(serverId, entry.address)
+    versions.noteGone(entry)
     events.emit(GatewayEvent.serverLeft, { peer: serverId, reason })
   }
 
@@ -95,6 +98,7 @@
     if (!isEarlierStart(entry, startOf(entry.serverId))) noteStart(entry)
     missingEntries.noteListed(entry.serverId)
     entries.set(entry.serverId, entry)
+    if (known && known.softwareVersion !== entry.softwareVersion) versions.noteGone(known)
     if (!known) departures.forget(entry.serverId)
     if (entry.isDraining) departures.note(entry.serverId, entry.address)
     if (!known) events.emit(GatewayEvent.serverTaken, { peer: entry.serverId, service: entry.serviceName, detail: entry.address })
@@ -232,6 +236,7 @@
       }
       return servers
     },
+    versionsOf: serviceName => versions.of(serviceName, entries.values()),
     find: serverId => {
       const entry = entries.get(serverId)
       return entry && view(entry)
--- /dev/null
+++ b/packages/gateway/src/origins/createStreamOrigins.ts
@@ -0,0 +1,124 @@
+import { rankByRendezvous } from '@figmount/base'
+
+import type { TimerService, Unsubscribe } from '@figmount/base'
+import type { OriginAnswered, RouterMessage, StreamOrigin } from '@figmount/fleet'
+
+/** Time for which callers may take a stream up again. */
+const RETENTION_MS = 120_000
+
+/** Streams remembered at once. */
+const MAX_STREAMS = 20_000
+
+/** Agents that remember a stream's origin: one may leave while another does not answer. */
+const KEEPER_COUNT = 3
+
+/** Time limit for the agents' answers, which take a few ms. */
+const ANSWER_MS = 200
+
+/** How often it is checked whether a service has come to have several software versions. */
+const REVIEW_PERIOD_MS = 250
+
+interface Options {
+  readonly timers: TimerService
+  /** Servers of several software versions serve, or have served of late, in the service. */
+  readonly hasSeveralVersions: (serviceName: string) => boolean
+  /** Engine addresses of the agents whose links are open. */
+  readonly reachableAddresses: () => readonly string[]
+  readonly send: (serverAddress: string, message: RouterMessage) => void
+}
+
+/** At which software version the router's streams began, and how to find out for those of other routers. */
+export interface StreamOrigins {
+  readonly note: (origin: StreamOrigin) => void
+  /** The software version that began a stream; undefined if nobody knows. */
+  readonly find: (streamId: string, serviceName: string) => Promise<string | undefined>
+  readonly takeAnswer: (serverAddress: string, answer: OriginAnswered) => void
+  readonly stop: Unsubscribe
+}
+
+interface OpenQuery {
+  /** Agents that have not answered. */
+  readonly askedAddresses: Set<string>
+  readonly settle: (softwareVersion: string | undefined) => void
+}
+
+/**
+ * Creates the origins of one router.
+ *
+ * Streams of a service with several versions are remembered by a few agents, chosen by the stream's id among those that the router
+ * reaches; routers that reach the same agents choose the same ones. Of a service with one version the agents learn nothing.
+ */
+export const createStreamOrigins = ({ timers, hasSeveralVersions, reachableAddresses, send }: Options): StreamOrigins => {
+  const own = new Map<string, StreamOrigin & { readonly notedMs: number }>()
+  const mixedServices = new Set<string>()
+  const openQueries = new Map<number, OpenQuery>()
+  let nextAskId = 1
+
+  const keepersOf = (streamId: string): readonly string[] => rankByRendezvous(streamId, reachableAddresses()).slice(0, KEEPER_COUNT)
+
+  const tell = ({ streamId, serviceName, softwareVersion }: StreamOrigin): void => {
+    for (const address of keepersOf(streamId)) send(address, { type: 'streamsBegan', origins: [{ streamId, serviceName, softwareVersion }] })
+  }
+
+  // Ordered by time.
+  const trim = (): void => {
+    const oldestMs = timers.nowMs() - RETENTION_MS
+    for (const [key, { notedMs }] of own) {
+      if (own.size <= MAX_STREAMS && notedMs > oldestMs) return
+      own.delete(key)
+    }
+  }
+
+  /** Tells of the streams that began while a service had one version, once it has several. */
+  const review = (): void => {
+    trim()
+    const services = new Set([...own.values()].map(({ serviceName }) => serviceName))
+    for (const serviceName of services) {
+      if (!hasSeveralVersions(serviceName)) {
+        mixedServices.delete(serviceName)
+        continue
+      }
+      if (mixedServices.has(serviceName)) continue
+      mixedServices.add(serviceName)
+      for (const origin of own.values()) {
+        if (origin.serviceName === serviceName) tell(origin)
+      }
+    }
+  }
+
+  const ask = async (streamId: string, serviceName: string): Promise<string | undefined> => await new Promise(resolve => {
+    const askId = nextAskId++
+    const keepers = keepersOf(streamId)
+    const settle = (softwareVersion: string | undefined): void => {
+      stopTimer()
+      openQueries.delete(askId)
+      resolve(softwareVersion)
+    }
+    const stopTimer = timers.after(ANSWER_MS, () => { settle(undefined) })
+    if (keepers.length === 0) return settle(undefined)
+    openQueries.set(askId, { askedAddresses: new Set(keepers), settle })
+    for (const address of keepers) send(address, { type: 'originAsked', askId, streamId, serviceName })
+  })
+
+  const stopReviewing = timers.every(REVIEW_PERIOD_MS, review)
+
+  return {
+    note: origin => {
+      own.delete(origin.streamId)
+      own.set(origin.streamId, { ...origin, notedMs: timers.nowMs() })
+      if (mixedServices.has(origin.serviceName)) tell(origin)
+      else review()
+    },
+    find: async (streamId, serviceName) => {
+      const known = own.get(streamId)
+      if (known?.serviceName === serviceName) return known.softwareVersion
+      return await ask(streamId, serviceName)
+    },
+    takeAnswer: (serverAddress, { askId, softwareVersion }) => {
+      const query = openQueries.get(askId)
+      if (!query?.askedAddresses.delete(serverAddress)) return
+      if (softwareVersion !== undefined || query.askedAddresses.size === 0) query.settle(softwareVersion)
+    },
+    stop: stopReviewing
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/origins/origins.test.ts
@@ -0,0 +1,130 @@
+import { expect } from 'chai'
+import { createVirtualTimers } from '@figmount/base'
+
+import { createOriginMemory } from '../../../sidecar/src/origins/createOriginMemory.js'
+import { createStreamOrigins } from './createStreamOrigins.js'
+import { createVersionLock } from './createVersionLock.js'
+
+import type { RouterMessage } from '@figmount/fleet'
+import type { KnownServer } from '../directory/types.js'
+import type { GatewayContext, RoutedRequest } from '../requests/types.js'
+import type { StreamOrigins } from './createStreamOrigins.js'
+
+const SERVICE = 's'
+const AGENTS = ['a', 'b', 'c', 'd', 'e'] as const
+
+/** Routers that reach the same agents, unless an agent is in `silent`. */
+const setUp = (routerCount: number) => {
+  const timers = createVirtualTimers()
+  const memories = new Map(AGENTS.map(name => [name as string, createOriginMemory(timers)]))
+  const silent = new Set<string>()
+  const sent: RouterMessage[] = []
+  const routers: StreamOrigins[] = []
+  let hasSeveral = true
+
+  const send = (routerIndex: number, address: string, message: RouterMessage): void => {
+    sent.push(message)
+    const memory = memories.get(address)
+    if (!memory || silent.has(address)) return
+    if (message.type === 'streamsBegan') memory.note(message.origins)
+    if (message.type !== 'originAsked') return
+    const softwareVersion = memory.find(message.streamId, message.serviceName)
+    timers.after(2, () => { routers[routerIndex]?.takeAnswer(address, { type: 'originAnswered', askId: message.askId, softwareVersion }) })
+  }
+
+  for (let index = 0; index < routerCount; index++) {
+    routers.push(createStreamOrigins({ timers, hasSeveralVersions: () => hasSeveral, reachableAddresses: () => AGENTS, send: (address, message) => { send(index, address, message) } }))
+  }
+
+  const find = async (router: StreamOrigins | undefined, streamId: string, serviceName = SERVICE): Promise<string | undefined> => {
+    const found = router?.find(streamId, serviceName)
+    timers.advance(500)
+    return await found
+  }
+  return { timers, routers, memories, silent, sent, find, setSeveral: (several: boolean) => { hasSeveral = several } }
+}
+
+const note = (router: StreamOrigins | undefined, streamId: string, softwareVersion = 'v1'): void => { router?.note({ streamId, serviceName: SERVICE, softwareVersion }) }
+
+describe('the origins of streams', () => {
+  it('are known to the router that began one, and to any other', async () => {
+    const { routers: [first, second], find } = setUp(2)
+    note(first, 'r1')
+    expect(await find(first, 'r1')).to.equal('v1')
+    expect(await find(second, 'r1')).to.equal('v1')
+  })
+
+  it('are known while agents are silent or have started again', async () => {
+    const { routers: [first, second], silent, sent, find } = setUp(2)
+    note(first, 'r1')
+    expect(sent).to.have.length(3)
+    for (const name of AGENTS.slice(0, 2)) silent.add(name)
+    expect(await find(second, 'r1')).to.equal('v1')
+  })
+
+  it('are not guessed: of an unknown stream, or one of another service, nobody knows', async () => {
+    const { routers: [first, second], find } = setUp(2)
+    note(first, 'r1')
+    expect(await find(second, 'r2')).to.equal(undefined)
+    expect(await find(first, 'r1', 'other')).to.equal(undefined)
+  })
+
+  it('cost no message while a service has one version, and are told once it has two', async () => {
+    // Guards against streams that began before the first server of the next version was listed.
+    const { timers, routers: [first, second], sent, find, setSeveral } = setUp(2)
+    setSeveral(false)
+    note(first, 'r1')
+    timers.advance(1_000)
+    expect(sent).to.deep.equal([])
+    setSeveral(true)
+    timers.advance(500)
+    expect(await find(second, 'r1')).to.equal('v1')
+  })
+
+  it('are forgotten after two minutes', async () => {
+    const { timers, routers: [first, second], memories, find } = setUp(2)
+    note(first, 'r1')
+    timers.advance(121_000)
+    expect(await find(second, 'r1')).to.equal(undefined)
+    expect([...memories.values()].every(memory => memory.find('r1', SERVICE) === undefined)).to.equal(true)
+  })
+})
+
+describe('the version lock of a stream', () => {
+  const serverOf = (softwareVersion: string): KnownServer => ({ entry: { softwareVersion } } as unknown as KnownServer)
+
+  const makeLock = (caller: { readonly lastEventId: string, readonly resumes: string }, versions: readonly string[], known?: string) => {
+    const noted: string[] = []
+    const context = {
+      directory: { versionsOf: () => new Set(versions) },
+      origins: { find: async () => known, note: ({ streamId }: { readonly streamId: string }) => { noted.push(streamId) } }
+    } as unknown as GatewayContext
+    const request = { caller: { requestId: 'own', ...caller }, route: { isResumable: true }, serviceName: SERVICE } as unknown as RoutedRequest
+    return { lock: createVersionLock(context, request), noted }
+  }
+
+  it('keeps a stream at the version of its first event', async () => {
+    const { lock, noted } = makeLock({ lastEventId: '', resumes: '' }, ['v1', 'v2'])
+    expect(await lock.resolve()).to.equal(true)
+    expect(lock.mayServe(serverOf('v2'))).to.equal(true)
+    lock.begin(serverOf('v2'))
+    lock.begin(serverOf('v1'))
+    expect([lock.mayServe(serverOf('v1')), lock.mayServe(serverOf('v2'))]).to.deep.equal([false, true])
+    expect(noted[0]).to.equal('own')
+  })
+
+  it('keeps a stream that its caller takes up at the version that began it', async () => {
+    const { lock, noted } = makeLock({ lastEventId: '3', resumes: 'first' }, ['v1', 'v2'], 'v1')
+    expect(await lock.resolve()).to.equal(true)
+    expect([lock.mayServe(serverOf('v1')), lock.mayServe(serverOf('v2'))]).to.deep.equal([true, false])
+    lock.begin(serverOf('v1'))
+    expect(noted).to.deep.equal(['first'])
+  })
+
+  it('lets no server go on with a stream that nobody knows, unless there is one version', async () => {
+    // Guards against a guess, and against a refusal where there is nothing to guess.
+    expect(await makeLock({ lastEventId: '3', resumes: 'first' }, ['v1', 'v2']).lock.resolve()).to.equal(false)
+    expect(await makeLock({ lastEventId: '3', resumes: '' }, ['v1', 'v2'], 'v1').lock.resolve()).to.equal(false)
+    expect(await makeLock({ lastEventId: '3', resumes: 'first' }, ['v1']).lock.resolve()).to.equal(true)
+  })
+})
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -42,16 +42,17 @@
 /**
  * Has a model loaded that no engine holds, and waits for it. A request that would time out before the load ends, or whose caller
  * would leave before the first event, is refused at once with the time of the load's end; the load starts for its next attempt.
+ * `candidates` returns the servers that may run the request.
  */
 export const awaitModel = async (
-  context: GatewayContext, request: RoutedRequest, servers: readonly KnownServer[], bounds: WaitBounds
+  context: GatewayContext, request: RoutedRequest, candidates: () => readonly KnownServer[], bounds: WaitBounds
 ): Promise<ModelWait> => {
   const { modelName, requestId } = request.caller
   const spec = findEngine(context.deployment(), request.serviceName)
   const model = spec?.models.find(candidate => candidate.name === modelName)
   if (!spec || !model) return { type: 'late', reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
   const unmetForMs = context.unmetModels.note(modelName)
-  const loader = findLoader(context, spec, model, servers, unmetForMs)
+  const loader = findLoader(context, spec, model, candidates(), unmetForMs)
   if (!loader) return { type: 'late', reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
   const { agent } = loader
   const { serverId, address } = loader.server.entry
@@ -81,9 +82,9 @@
     if (loader.isCold) context.refusedWants.add({ serviceName: request.serviceName, modelName, address, want })
     return { type: 'late', reason: 'the model comes too late', retryAfterMs: readyInMs }
   }
-  const stopWatching = watchLoadsElsewhere(context, request, loader, want)
+  const stopWatching = watchLoadsElsewhere(context, request, loader, candidates, want)
   const rechoose = (): Loader | undefined =>
-    findLoader(context, spec, model, context.directory.serving(request.serviceName), unmetForMs)
+    findLoader(context, spec, model, candidates(), unmetForMs)
   const stopChoosing = watchFasterLoader(context, spec, modelName, loader, rechoose, want)
   const stopLimiting = limitWait({
     stop: context.stop, timers: context.timers, lastSendMs: bounds.lastSendMs, readyAtMs, giveUp: () => want.drop(STOPPING_REASON)
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -25,6 +25,9 @@
 /** Retry-after while a service has no known server: a crashed server is back within seconds. */
 export const NO_SERVER_RETRY_MS = 1_000
 
+/** Retry-after of a stream that is taken up again and of which no agent answers: links to others are open within a second. */
+export const UNKNOWN_ORIGIN_RETRY_MS = 500
+
 /** Time limit for an agent to load an adapter once its engine accepts orders: a fetch takes 5 to 10 ms, ten times that under a burst. */
 export const ADAPTER_WAIT_MS = 1_500
 
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -6,18 +6,20 @@
 import { noteBroken } from '../crashes/noteBroken.js'
 import { watchCrash } from '../crashes/watchCrash.js'
 import { GatewayEvent } from '../events.js'
+import { createVersionLock } from '../origins/createVersionLock.js'
 import { heldModel } from '../placing/viewServers.js'
 import { LIMITED_REASON } from '../serverLimits/constants.js'
 import { holdBack } from '../serverLimits/holdBack.js'
 import { awaitAdapter } from './awaitAdapter.js'
 import { awaitModel } from './awaitModel.js'
 import { chooseServer } from './chooseServer.js'
-import { OVERLOAD_RETRY_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_LOST_LOADS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS } from './constants.js'
+import { OVERLOAD_RETRY_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_LOST_LOADS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS, UNKNOWN_ORIGIN_RETRY_MS } from './constants.js'
 import { fail, noteCallerLeft, refuse } from './endRequest.js'
 import { shouldShed } from './shouldShed.js'
 import { runOnServer } from './runOnServer.js'
 import { createCallerStream } from './createCallerStream.js'
 
+import type { KnownServer } from '../directory/types.js'
 import type { WaitBounds } from './awaitWant.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
@@ -31,6 +33,7 @@
   const stream = createCallerStream(context, request)
   // Keyed by start: a server that has restarted under the same id is a different server here.
   const excludedStarts = new Set<string>()
+  const versionLock = createVersionLock(context, request)
   const turn = context.serverLimits.openTurn(request.priority)
   let runCount = 0
   let sendCount = 0
@@ -50,7 +53,11 @@
     refuse(context, request, reason, retryAfterMs)
   }
 
+  const candidates = (): readonly KnownServer[] =>
+    directory.serving(serviceName).filter(server => !excludedStarts.has(startKeyOf(server.start)) && versionLock.mayServe(server))
+
   context.demand.note(caller.modelName, caller.adapterName, caller.promptTokens)
+  if (!await versionLock.resolve()) return giveUp('nobody knows which software version began the stream', UNKNOWN_ORIGIN_RETRY_MS)
 
   for (;;) {
     if (request.callerLeft.aborted || request.untilMs - timers.nowMs() < MIN_SERVE_MS) return giveUp('no time left', REJECTED_RETRY_MS)
@@ -58,7 +65,7 @@
     const check = await checkCrashes(context, request, bounds.callerLeavesMs() - timers.nowMs())
     if (check.type === 'refused') return giveUp(DEADLY_REASON, check.retryAfterMs)
     if (check.type === 'waited') continue
-    const servers = directory.serving(serviceName).filter(server => !excludedStarts.has(startKeyOf(server.start)))
+    const servers = candidates()
     if (servers.length === 0) return giveUp('no server', NO_SERVER_RETRY_MS)
     const free = servers.filter(({ start }) => turn.waitMs(start) === 0)
     const choice = chooseServer(context, request, free)
@@ -67,7 +74,7 @@
       const noteWait = (waitMs: number): void => { context.queueScaler.note(context, request, free, waitMs) }
       const held = await holdBack(context, request, turn, holders, bounds.callerLeavesMs() - timers.nowMs(), noteWait)
       if (held.type === 'waited') continue
-      const wait = await awaitModel(context, request, servers, bounds)
+      const wait = await awaitModel(context, request, candidates, bounds)
       // An engine that dies during a load has cost its waiting callers only time: another engine is asked.
       if (wait.type === 'changed') continue
       lostLoadCount += Number(wait.type === 'lost')
@@ -97,7 +104,7 @@
     sendCount += 1
     lastPeer = serverId
     const sentMs = timers.nowMs()
-    const end = await runOnServer(context, request, choice, stream)
+    const end = await runOnServer(context, request, choice, stream, versionLock)
     if (end.type === 'answered' || end.type === 'finished') noteAnswer(context, request)
     if (end.type === 'answered') return
     if (end.type === 'finished') return stream.finish(serverId)
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -15,6 +15,7 @@
 import type { BreakWatch } from '../crashes/createBreakWatch.js'
 import type { PendingRuns } from '../crashes/createPendingRuns.js'
 import type { CrashNotifier } from '../crashes/createCrashNotifier.js'
+import type { StreamOrigins } from '../origins/createStreamOrigins.js'
 import type { ServerLimits } from '../serverLimits/createServerLimits.js'
 import type { Stop } from '../stopping/types.js'
 
@@ -37,6 +38,7 @@
   readonly breakWatch: BreakWatch
   readonly pendingRuns: PendingRuns
   readonly serverLimits: ServerLimits
+  readonly origins: StreamOrigins
   readonly queueScaler: QueueScaler
   readonly coldLoads: ColdLoads
   /** False after a restart of the router: other processes may have been serving callers. */
--- a/packages/gateway/src/requests/watchLoads.ts
+++ b/packages/gateway/src/requests/watchLoads.ts
@@ -1,9 +1,10 @@
-import { hasBegunLoading, isHolding, isServing } from '../placing/stateOfModel.js'
+import { hasBegunLoading, isHolding } from '../placing/stateOfModel.js'
 import { busyMsOf, heldModel } from '../placing/viewServers.js'
 
 import type { Unsubscribe } from '@figmount/base'
 import type { EngineSpec } from '@figmount/fleet'
 import type { OpenWant } from '../agents/types.js'
+import type { KnownServer } from '../directory/types.js'
 import type { Loader } from '../placing/findLoader.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
@@ -29,7 +30,7 @@
  * Guards against a model that is loaded twice for one burst: routers with different views of the state choose different engines. The
  * agent that has not started to load drops the withdrawn want.
  */
-export const watchLoadsElsewhere = (context: GatewayContext, request: RoutedRequest, loader: Loader, want: OpenWant): Unsubscribe => {
+export const watchLoadsElsewhere = (context: GatewayContext, request: RoutedRequest, loader: Loader, candidates: () => readonly KnownServer[], want: OpenWant): Unsubscribe => {
   const { modelName } = request.caller
   const { serverId, address } = loader.server.entry
   const hasOwnBegun = (): boolean => {
@@ -39,7 +40,7 @@
   return context.directory.onState((otherAddress, state) => {
     if (otherAddress === address) return
     const isSooner = (isHolding(state, modelName) && !isLimitedAt(context, otherAddress)) || (hasBegunLoading(state, modelName) && !hasOwnBegun())
-    if (isSooner && isServing(context.directory, request.serviceName, otherAddress)) want.drop(MOVED_REASON)
+    if (isSooner && candidates().some(({ entry }) => entry.address === otherAddress)) want.drop(MOVED_REASON)
   })
 }
 
--- a/packages/gateway/src/router/createListChanges.ts
+++ b/packages/gateway/src/router/createListChanges.ts
@@ -21,8 +21,8 @@
 const GONE: RecordSummary = { server: 'gone', models: '' }
 const UNREADABLE: RecordSummary = { server: 'unreadable', models: '' }
 
-const summarise = ({ startedAtUnixMs, serviceName, address, isDraining, models }: ServerEntry): RecordSummary =>
-  ({ server: JSON.stringify([startedAtUnixMs, serviceName, address, isDraining]), models: JSON.stringify(models) })
+const summarise = ({ startedAtUnixMs, serviceName, address, softwareVersion, isDraining, models }: ServerEntry): RecordSummary =>
+  ({ server: JSON.stringify([startedAtUnixMs, serviceName, address, softwareVersion, isDraining]), models: JSON.stringify(models) })
 
 /** Creates the filter of one router. */
 export const createListChanges = ({ decodeServer, hasAgentState }: Options): ListChanges => {
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -20,6 +20,7 @@
 import { takeRequest } from '../ingress/takeRequest.js'
 import { createQuotas } from '../limits/createQuotas.js'
 import { createRouterCount } from '../limits/createRouterCount.js'
+import { createStreamOrigins } from '../origins/createStreamOrigins.js'
 import { createColdLoads } from '../placing/createColdLoads.js'
 import { createOccupancyMeter } from '../placing/createOccupancyMeter.js'
 import { createQueueScaler } from '../placing/createQueueScaler.js'
@@ -120,6 +121,7 @@
       takeCrashes: notice => { shared.take(notice) },
       takeServerLimit: notice => { serverLimits.takeNotice(notice) },
       takeServerLeaving: ({ start }) => { directory.noteLeaving(start, 'another router reports that it leaves') },
+      takeOrigin: (address, answer) => { origins.takeAnswer(address, answer) },
       found: address => {
         shared.sendAll(address)
         const offset = feeds.deploymentOffset()
@@ -184,6 +186,12 @@
     send: agents.relay,
     random: options.random
   })
+  const origins = createStreamOrigins({
+    timers,
+    hasSeveralVersions: serviceName => directory.versionsOf(serviceName).size > 1,
+    reachableAddresses: agents.openAddresses,
+    send: (address, message) => { agents.find(address)?.send(message) }
+  })
   const refusedWants = createRefusedWants(events, (serviceName, address) => isServing(directory, serviceName, address))
   // A crash is kept by the few agents that were told of it; the answer to its request must reach each of them.
   const crashNotifier = createCrashNotifier(timers, notice => {
@@ -217,6 +225,7 @@
     crashes,
     quotas,
     serverLimits,
+    origins,
     crashNotifier,
     breakWatch,
     pendingRuns: createPendingRuns(timers),
@@ -276,7 +285,8 @@
     timers.every(DEMAND_PERIOD_MS, demandReporter.report),
     timers.every(FOLLOW_PERIOD_MS, follow),
     timers.every(REPLICA_PERIOD_MS, () => watchReplicas(context)),
-    quotas.stop
+    quotas.stop,
+    origins.stop
   ]
   metrics.gauge('requests_open', ingress.openCount)
   metrics.gauge('servers_known', () => directory.entries().length)
--- a/packages/gateway/src/testing/createTestRouter.ts
+++ b/packages/gateway/src/testing/createTestRouter.ts
@@ -52,7 +52,7 @@
 const SERVICE = 's'
 
 const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: SERVICE, address: serverId, dataCentre: 'east', slots: 8, isDraining: false, models: [] })
+  ({ serverId, startedAtUnixMs: undefined, serviceName: SERVICE, address: serverId, dataCentre: 'east', softwareVersion: 'v1', slots: 8, isDraining: false, models: [] })
 
 /** Opens wants as `createAgentLink` does. */
 const createTestLink = (timers: VirtualTimers, send: (message: RouterMessage) => void) => {
@@ -130,7 +130,7 @@
         context.unmetModels.settle(modelName)
         return 'served'
       }
-      const wait = await awaitModel(context, request, servers, { lastSendMs: () => Infinity, callerLeavesMs: () => leavesMs })
+      const wait = await awaitModel(context, request, () => directory.serving(SERVICE), { lastSendMs: () => Infinity, callerLeavesMs: () => leavesMs })
       if (wait.type !== 'changed') return wait.reason
     }
     return 'no time left'
--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -4,6 +4,7 @@
 import { createMessageCodec, NO_OFFSET, openLink } from '@figmount/peers'
 
 import { createLimiters } from '../limits/createLimiters.js'
+import { createOriginMemory } from '../origins/createOriginMemory.js'
 import { freePort } from '../testing/freePort.js'
 import { makeStateForTest } from '../testing/makeStateForTest.js'
 import { serveRouters } from './serveRouters.js'
@@ -32,6 +33,7 @@
     dropWant: nothing,
     dropRouter: nothing,
     limiters: createLimiters({ timers, limitOf: nothing, isFirstStart: true }),
+    origins: createOriginMemory(timers),
     takeDemand: nothing,
     pieceOf: ({ offset, index }) => ({ type: 'deploymentPiece', offset, index, count: 1, key: 'config', bytes: Buffer.from('x') }),
     noteHeld: nothing,
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -12,6 +12,7 @@
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
 import type { AgentLoad, AgentMessage, AgentState, AgentStateChange, CrashNotice, Demand, DeploymentAsked, DeploymentPiece, ListRead, RouterMessage, Want } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
+import type { OriginMemory } from '../origins/createOriginMemory.js'
 import type { Limiters } from '../limits/createLimiters.js'
 import type { Settle } from '../wants/createWantRegistry.js'
 
@@ -34,6 +35,7 @@
   readonly dropWant: (router: string, wantId: number) => void
   readonly dropRouter: (router: string) => void
   readonly limiters: Limiters
+  readonly origins: OriginMemory
   readonly takeDemand: (router: string, demand: Demand) => void
   /** A piece of the agent's configuration, for a router that has an older one. */
   readonly pieceOf: (asked: DeploymentAsked) => DeploymentPiece | undefined
@@ -166,6 +168,10 @@
       .with({ type: 'deploymentPiece' }, piece => { options.takePiece(link.peer, piece) })
       .with({ type: 'limiterChosen' }, chosen => { options.limiters.choose(link.peer, chosen) })
       .with({ type: 'unitsAsked' }, asked => { sendTo(link, options.limiters.ask(link.peer, asked)) })
+      .with({ type: 'streamsBegan' }, ({ origins }) => { options.origins.note(origins) })
+      .with({ type: 'originAsked' }, ({ askId, streamId, serviceName }) => {
+        sendTo(link, { type: 'originAnswered', askId, softwareVersion: options.origins.find(streamId, serviceName) })
+      })
       .with({ type: 'unitsReturned' }, returned => { options.limiters.returnUnits(link.peer, returned) })
       .with({ type: 'crash' }, notice => { forwardCrashes(link, notice) })
       .with({ type: 'serverLimit' }, { type: 'serverLeaving' }, notice => { sendToAll(notice, link) })
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -11,6 +11,7 @@
 import { STATE_PERIOD_MS } from '../links/constants.js'
 import { serveRouters } from '../links/serveRouters.js'
 import { createLimiters } from '../limits/createLimiters.js'
+import { createOriginMemory } from '../origins/createOriginMemory.js'
 import { createLoadLeases } from '../leases/createLoadLeases.js'
 import { createWantRegistry } from '../wants/createWantRegistry.js'
 import { COLD_SPACING_MS } from './constants.js'
@@ -205,6 +206,7 @@
       copyFetch.losePeer(router)
     },
     limiters,
+    origins: createOriginMemory(timers),
     takeDemand: demand.take,
     pieceOf: copySource.pieceOf,
     noteHeld: copyFetch.noteOffer,
