Keep the shared structures of messages within what the encoding holds

Messages whose own field names came after that could not be decoded: an agent whose engine had restarted sent its state, its routers closed the link as malformed, and it was opened and closed again for ever; the engine's models were not loaded.

--- a/packages/peers/src/links/createMessageCodec.test.ts
+++ b/packages/peers/src/links/createMessageCodec.test.ts
@@ -26,4 +26,16 @@
     const unknown = createMessageCodec([]).pack(message(body)).length
     expect(known).to.be.below(unknown)
   })
+
+  it('refuses more structures than messages can have', () => {
+    // Guards against messages that their receiver cannot decode, which closes the link again and again.
+    const structures = Array.from({ length: 31 }, (_, index) => ['type', `field${index}`])
+    const [sender, receiver] = [createMessageCodec(structures), createMessageCodec(structures)]
+    for (const [, field = ''] of structures) {
+      const body = { type: 'a', [field]: 1, more: { [field]: 2, other: [{ unknown: 3 }] } }
+      expect(receiver.unpack(sender.pack(message(body)))).to.deep.equal(message(body))
+      expect(receiver.unpack(sender.pack(message({ type: 'a', [field]: 1 })))).to.deep.equal(message({ type: 'a', [field]: 1 }))
+    }
+    expect(() => createMessageCodec([...structures, ['one', 'more']])).to.throw('32 structures')
+  })
 })
