Read on after a configuration that a peer has sent

Cause: a copy from a peer did not move on the place where the router's own reads continue. A router with a narrow link that comes to read the store itself, as after an outage, would have read all large configurations since its start again, uncompressed. Found by reading; the test 'reads on after the newest record that a peer has sent' holds it. The request that ends a server's rest is called a probe, as in a circuit breaker.

--- a/packages/decisions/src/limits/serverRest.test.ts
+++ b/packages/decisions/src/limits/serverRest.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { beginTrial, extendRest, restLeftMs } from './serverRest.js'
+import { beginProbe, extendRest, restLeftMs } from './serverRest.js'
 
 describe('the rest that a server asks for', () => {
   it('lasts as long as it was asked for', () => {
@@ -21,9 +21,9 @@
 
   it('ends with one request, whose answer the others wait for', () => {
     const rest = extendRest(undefined, 1_000, 0)
-    const trial = beginTrial(rest, 1_000)
-    expect(restLeftMs(trial, 1_100)).to.be.greaterThan(0)
-    expect(restLeftMs(trial, 2_000)).to.equal(0)
-    expect(beginTrial(rest, 500)).to.equal(rest)
+    const probed = beginProbe(rest, 1_000)
+    expect(restLeftMs(probed, 1_100)).to.be.greaterThan(0)
+    expect(restLeftMs(probed, 2_000)).to.equal(0)
+    expect(beginProbe(rest, 500)).to.equal(rest)
   })
 })
--- a/packages/fleet/src/feeds/createFeedFollower.test.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -27,6 +27,7 @@
   const outages: string[] = []
   const reads: string[] = []
   let dueMs = 0
+  let part: () => void = () => {}
   const next = (): EitherAsync<Fault, FeedPage> => {
     const answer = answers.shift() ?? page(99)
     return answer === NO_ANSWER ? EitherAsync(async () => await new Promise<FeedPage>(() => {})) : EitherAsync.liftEither(answer)
@@ -38,8 +39,9 @@
         reads.push('newest')
         return next()
       },
-      readSince: offset => {
+      readSince: (offset, _waitMs, _timeoutMs, control) => {
         reads.push(`since ${offset}`)
+        part = () => { control?.noteProgress() }
         return next()
       }
     },
@@ -59,7 +61,7 @@
       await new Promise(resolve => { setImmediate(resolve) })
     }
   }
-  return { follower, taken, keys, outages, reads, pass }
+  return { follower, taken, keys, outages, reads, pass, part: () => { part() } }
 }
 
 describe('createFeedFollower', () => {
@@ -75,8 +77,8 @@
     // Guards against a configuration that is reverted by a late answer of the store.
     const { follower, taken, pass } = setUp([page(4, record('config', 3)), page(5)])
     await pass(100)
-    follower.offer([record('config', 9)])
-    follower.offer([record('config', 7)])
+    follower.offerNewest(record('config', 9))
+    follower.offerNewest(record('config', 7))
     await pass(200)
     expect(taken).to.deep.equal(['config@3', 'config@9'])
   })
@@ -100,6 +102,31 @@
     expect(taken).to.deep.equal(['config@5'])
   })
 
+  it('reads on after the newest record that a peer has sent', async () => {
+    // Guards against a router with a narrow link that reads all large configurations again which agents have sent it.
+    const { follower, reads, pass } = setUp([page(5), page(10)])
+    await pass(50)
+    follower.offerNewest(record('config', 9))
+    await pass(300)
+    expect(reads).to.not.include('since 5')
+    expect(reads[1]).to.equal('since 10')
+  })
+
+  it('ends a read that waits when it is paused, and none whose answer has begun', async () => {
+    const { follower, reads, taken, pass, part } = setUp([page(5), NO_ANSWER, page(6, record('config', 5))])
+    await pass(200)
+    expect(reads).to.have.length(2)
+    part()
+    follower.pause()
+    await pass(200)
+    expect(reads).to.have.length(2)
+    expect(follower.quietMs()).to.be.within(150, 300)
+    follower.readNow()
+    await pass(500)
+    expect(taken).to.deep.equal(['config@5'])
+    expect(follower.quietMs()).to.equal(Infinity)
+  })
+
   it('reports an outage once, and its end', async () => {
     const { outages, pass } = setUp([page(5), unavailable, unavailable, unavailable, page(6)])
     await pass(4_000)
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -27,8 +27,8 @@
 
 /** Follows one feed of the store, by its own reads and by records that peers have read. */
 export interface FeedFollower {
-  /** Applies records that a peer has read. */
-  readonly offer: (records: readonly FeedRecord[]) => void
+  /** Applies the newest record of a feed of which only that one counts, as a peer has it. The follower's own reads continue after it. */
+  readonly offerNewest: (record: FeedRecord) => void
   /** Applies a range that a peer has read. Returns true when the range leaves no gap, so that the follower's own reads continue after it. */
   readonly offerRange: (stretch: FeedRange) => boolean
   /** Abandons the read that is waiting and reads again at once. */
@@ -149,7 +149,10 @@
 
   runInBackground(options.events, `feeds.follow ${feed.name}`, follow())
   return {
-    offer: accept,
+    offerNewest: record => {
+      accept([record])
+      if (nextOffset !== undefined) nextOffset = Math.max(nextOffset, record.offset + 1)
+    },
     offerRange,
     readNow: () => { abandonRead(Left(makeFault('timeout', 'feeds.read', feed.name, 'read again at once'))) },
     pause: () => { if (progressMs === -Infinity) abandonRead(undefined) },
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -133,7 +133,7 @@
     deploymentOffset: newest.offset,
     deploymentRecord: newest.record,
     deploymentQuietMs: deployments.quietMs,
-    takeDeployment: record => { deployments.offer([record]) },
+    takeDeployment: deployments.offerNewest,
     reviewReads: () => { if (!options.mustReadDeployments()) deployments.pause() },
     takeListRead: (read, mayBeStale) => {
       directory.missingEntries.noteSettling(read.settlingMs)
--- a/packages/gateway/src/serverLimits/createServerRests.ts
+++ b/packages/gateway/src/serverLimits/createServerRests.ts
@@ -1,4 +1,4 @@
-import { beginTrial, extendRest, restLeftMs } from '@figmount/decisions'
+import { beginProbe, extendRest, restLeftMs } from '@figmount/decisions'
 import { startKeyOf } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
@@ -46,7 +46,7 @@
     },
     noteSent: start => {
       const rest = restOf(start)
-      if (rest) rests.set(startKeyOf(start), beginTrial(rest, timers.nowMs()))
+      if (rest) rests.set(startKeyOf(start), beginProbe(rest, timers.nowMs()))
     },
     leftMs: start => {
       const rest = restOf(start)
--- a/packages/sidecar/src/sidecar/followDeployment.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.ts
@@ -56,7 +56,7 @@
     current: newest.current,
     offset: newest.offset,
     record: newest.record,
-    take: record => { follower.offer([record]) },
+    take: follower.offerNewest,
     quietMs: follower.quietMs,
     isFollowing: follower.isFollowing,
     stop: follower.stop
