Fetch a configuration once, also if it is not put in force

Cause: a process was behind as long as a peer named a higher offset than its own. One that does not put a record in force, as its version is not newer or it cannot be decoded, would have fetched it from its peers without a pause, on a narrow link at that link's full rate.

--- a/packages/fleet/src/copies/copies.test.ts
+++ b/packages/fleet/src/copies/copies.test.ts
@@ -30,6 +30,7 @@
   const taken: FeedRecord[] = []
   let ownOffset = 1
   let byteCount = 0
+  let isRefusing = false
 
   for (const name of peerNames) {
     const peer: Peer = { record: undefined, isSilent: false, isSpoiled: false }
@@ -60,6 +61,7 @@
     },
     take: record => {
       taken.push(record)
+      if (isRefusing) return
       ownOffset = Math.max(ownOffset, record.offset)
     }
   })
@@ -73,7 +75,7 @@
   const pass = (durationMs: number): void => {
     for (let passedMs = 0; passedMs < durationMs; passedMs += 10) timers.advance(10)
   }
-  return { peers, fetch, asked, taken, offer, pass, learn: (offset: number) => { ownOffset = offset }, byteCount: () => byteCount }
+  return { peers, fetch, asked, taken, offer, pass, learn: (offset: number) => { ownOffset = offset }, byteCount: () => byteCount, refuse: () => { isRefusing = true } }
 }
 
 const peersAsked = (asked: ReadonlyArray<readonly [peer: string, offset: number, index: number]>): readonly string[] => [...new Set(asked.map(([peer]) => peer))]
@@ -157,6 +159,18 @@
     expect(taken).to.deep.equal([next])
   })
 
+  it('takes a configuration once that the process does not put in force', () => {
+    // Guards against a link that is always busy with a configuration which its receiver refuses.
+    const { taken, offer, pass, refuse } = setUp(['a', 'b'])
+    refuse()
+    for (const peer of ['a', 'b']) offer(peer, makeRecord(5))
+    pass(3_000)
+    expect(taken).to.have.length(1)
+    offer('a', makeRecord(6))
+    pass(1_000)
+    expect(taken.map(({ offset }) => offset)).to.deep.equal([5, 6])
+  })
+
   it('counts failures until the process is up to date', () => {
     // Guards against a router that relies on its peers although none of them answers.
     const { peers, fetch, offer, pass, learn } = setUp(['a', 'b'])
--- a/packages/fleet/src/copies/createCopyFetch.ts
+++ b/packages/fleet/src/copies/createCopyFetch.ts
@@ -55,8 +55,13 @@
   let behindSinceMs: number | undefined
   let failedCount = 0
   let isReviewDue = false
+  let takenOffset = -Infinity
 
-  const newerOffers = (): ReadonlyArray<readonly [peer: string, offset: number]> => [...offers].filter(([, offset]) => offset > ownOffset())
+  // Guards against a configuration that the process does not put in force, as it has a newer version or cannot decode it: it would be
+  // fetched again and again.
+  const isNewer = (offset: number): boolean => offset > ownOffset() && offset > takenOffset
+
+  const newerOffers = (): ReadonlyArray<readonly [peer: string, offset: number]> => [...offers].filter(([, offset]) => isNewer(offset))
 
   const askNext = (): void => {
     if (!open) return
@@ -116,7 +121,10 @@
     open = undefined
     Either.encase(() => inflateRawSync(Buffer.concat(pieces), { maxOutputLength: MAX_CONFIGURATION_BYTES })).caseOf({
       Left: () => { noteFailure(peer) },
-      Right: value => { options.take({ key, value, offset }) }
+      Right: value => {
+        takenOffset = offset
+        options.take({ key, value, offset })
+      }
     })
     review()
   }
@@ -124,7 +132,7 @@
   return {
     noteOffer: (peer, offset) => {
       offers.set(peer, offset)
-      if (offset > ownOffset()) review()
+      if (isNewer(offset)) review()
     },
     takePiece: (peer, { offset, index, count, key, bytes }) => {
       if (open?.peer !== peer) return
@@ -132,7 +140,7 @@
       const pieces = offset === open.offset ? open.pieces : []
       if (index !== pieces.length) return
       open = { peer, offset, pieces: [...pieces, bytes], quietSinceMs: timers.nowMs() }
-      if (offset <= ownOffset()) return review()
+      if (!isNewer(offset)) return review()
       if (open.pieces.length === count) return finish(open, key)
       askNext()
     },
