--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -34,6 +34,14 @@
   /** Others of the same kind in progress, and how many may be. */
   readonly concurrentCount?: number
   readonly maxCount?: number
+  /** Retries that a process has sent for a service within the budget's window, how many it may send, and how many have no answer yet. */
+  readonly retryCount?: number
+  readonly maxRetryCount?: number
+  readonly unansweredCount?: number
+  /** Routers that share a limit, as far as the process knows. */
+  readonly routerCount?: number
+  /** Time since the process started. */
+  readonly upForMs?: number
   readonly tokenCount?: number
   readonly limitPerS?: number
   readonly durationMs?: number
--- a/packages/decisions/src/forwarding/retryAllowance.ts
+++ b/packages/decisions/src/forwarding/retryAllowance.ts
@@ -24,6 +24,16 @@
   return count
 }
 
+/** Retries of one router within the window. */
+export const countRetries = (limits: RetryLimits, history: RetryHistory, nowMs: number): number =>
+  countSince(history.repeatTimesMs, nowMs - limits.windowMs)
+
+/** Retries that one router may send within the window. */
+export const maxRetries = (limits: RetryLimits, history: RetryHistory, routerCount: number, nowMs: number): number => {
+  const requests = countSince(history.requestTimesMs, nowMs - limits.windowMs)
+  return (requests * limits.ratio + limits.slackCount / Math.max(1, routerCount)) * USABLE_SHARE
+}
+
 /**
  * Whether a router may send a request again. It uses at most the ratio of its own requests and an equal share of the slack, so
  * that all routers together stay within the platform's limit without communicating.
@@ -32,10 +42,5 @@
  * The repeats of many routers would add up and overload the remaining servers. `routerCount` is the largest number of
  * routers seen so far, because a router that is merely unreachable still uses its share.
  */
-export const mayRepeat = (limits: RetryLimits, history: RetryHistory, routerCount: number, nowMs: number): boolean => {
-  const sinceMs = nowMs - limits.windowMs
-  const requests = countSince(history.requestTimesMs, sinceMs)
-  const repeats = countSince(history.repeatTimesMs, sinceMs)
-  const allowed = requests * limits.ratio + limits.slackCount / Math.max(1, routerCount)
-  return repeats + 1 <= allowed * USABLE_SHARE
-}
+export const mayRepeat = (limits: RetryLimits, history: RetryHistory, routerCount: number, nowMs: number): boolean =>
+  countRetries(limits, history, nowMs) + 1 <= maxRetries(limits, history, routerCount, nowMs)
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -34,5 +34,6 @@
   serverLimited: [2530, 'a backend server names a limit on requests from all routers, another one, or none any more'],
   requestHeldBack: [2531, 'all backend servers that could run a request have named limits, or want rest, and leave it no turn now'],
   deploymentAsked: [2532, 'the router is behind and asks an agent for the newest configuration'],
-  serverRests: [2533, 'a backend server has turned a request away and wants no more from this router for a while']
+  serverRests: [2533, 'a backend server has turned a request away and wants no more from this router for a while'],
+  retryDenied: [2534, 'a request may not be retried: this router has spent its part of the retry budget']
 })
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -10,6 +10,7 @@
 import { heldModel } from '../placing/viewServers.js'
 import { LIMITED_REASON } from '../serverLimits/constants.js'
 import { holdBack } from '../serverLimits/holdBack.js'
+import { takeRetry } from '../retries/takeRetry.js'
 import { awaitAdapter } from './awaitAdapter.js'
 import { awaitModel } from './awaitModel.js'
 import { chooseServer } from './chooseServer.js'
@@ -28,7 +29,7 @@
  * engine if its route allows that; otherwise a request is run once.
  */
 export const serveModel = async (context: GatewayContext, request: RoutedRequest): Promise<void> => {
-  const { directory, timers, budget, stop } = context
+  const { directory, timers, stop } = context
   const { caller, route, serviceName } = request
   const stream = createCallerStream(context, request)
   // Keyed by start: a server that has restarted under the same id is a different server here.
@@ -98,13 +99,14 @@
       continue
     }
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
-    if (sendCount > 0 && !budget.takeRetry(serviceName, context.routerCount())) return giveUp('no repeats left', REJECTED_RETRY_MS)
+    const retry = sendCount > 0 ? takeRetry(context, request, serverId, sendCount) : undefined
+    if (retry?.isTaken === false) return giveUp('no repeats left', REJECTED_RETRY_MS)
     if (runCount > 0 && request.organisation) context.quotas.charge(request.organisation, request.units)
-    if (sendCount > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: caller.requestId, peer: serverId, count: sendCount })
     sendCount += 1
     lastPeer = serverId
     const sentMs = timers.nowMs()
     const end = await runOnServer(context, request, choice, stream, versionLock)
+    retry?.settle()
     if (end.type === 'answered' || end.type === 'finished') noteAnswer(context, request)
     if (end.type === 'answered') return
     if (end.type === 'finished') return stream.finish(serverId)
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -5,9 +5,9 @@
 import { noteAnswer } from '../crashes/noteAnswer.js'
 import { DEADLY_REASON, MIN_SILENCE_MS } from '../crashes/constants.js'
 import { noteBroken } from '../crashes/noteBroken.js'
-import { GatewayEvent } from '../events.js'
 import { hasFraming } from '../forwarding/isComplete.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
+import { takeRetry } from '../retries/takeRetry.js'
 import { LIMITED_REASON } from '../serverLimits/constants.js'
 import { holdBack } from '../serverLimits/holdBack.js'
 import { ANSWER_GRACE_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS } from './constants.js'
@@ -128,7 +128,7 @@
  * unless servers have died of it.
  */
 export const servePlain = async (context: GatewayContext, request: RoutedRequest): Promise<void> => {
-  const { budget, timers, stop } = context
+  const { timers, stop } = context
   const mayRunAgain = request.route.kind === RequestKind.Idempotent
   const tried = new Set<string>()
   const turn = context.serverLimits.openTurn(request.priority)
@@ -167,15 +167,16 @@
       if (held.type === 'hopeless') return finish(LIMITED_REASON, held.waitMs)
       continue
     }
-    if (sendCount > 0 && !budget.takeRetry(request.serviceName, context.routerCount())) return finish('no repeats left')
+    const retry = sendCount > 0 ? takeRetry(context, request, server.entry.serverId, sendCount) : undefined
+    if (retry?.isTaken === false) return finish('no repeats left')
     if (runCount > 0 && request.organisation) context.quotas.charge(request.organisation, request.units)
     const { start, entry: { serverId } } = server
-    if (sendCount > 0) context.events.emit(GatewayEvent.requestRepeated, { requestKey: request.caller.requestId, peer: serverId, count: sendCount })
     sendCount += 1
     tried.add(startKeyOf(start))
     turn.take(start)
     lastPeer = serverId
     const attempt = await runAttempt(context, request, server)
+    retry?.settle()
     const { end } = attempt
     const verdict = end.type === 'broken' ? watchBroken(context, request, server, end.reason, attempt) : undefined
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -221,7 +221,7 @@
     unmetModels: createUnmetModels(timers),
     refusedWants,
     pool: createConnectionPool(),
-    budget: createRetryBudget(options.retryLimits, timers),
+    budget: createRetryBudget({ limits: options.retryLimits, timers, metrics, routerCount: () => routerCount }),
     crashes,
     quotas,
     serverLimits,
