--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -42,6 +42,8 @@
   readonly routerCount?: number
   /** Time since the process started. */
   readonly upForMs?: number
+  /** Time for which other processes have counted this one. */
+  readonly countedForMs?: number
   readonly tokenCount?: number
   readonly limitPerS?: number
   readonly durationMs?: number
--- a/packages/decisions/src/forwarding/retryAllowance.ts
+++ b/packages/decisions/src/forwarding/retryAllowance.ts
@@ -1,46 +1,73 @@
-/** Limits of the platform for the repeats of all routers together. */
+/** Limits of the platform for the retries of one service, by all routers together. */
 export interface RetryLimits {
-  /** Repeats per request. */
+  /** Retries per request. */
   readonly ratio: number
   readonly windowMs: number
-  /** Additional repeats per window, over all routers. */
+  /** Additional retries per window. */
   readonly slackCount: number
 }
 
-/** Times of one router's requests and repeats for one service within the window. */
-export interface RetryHistory {
-  readonly requestTimesMs: readonly number[]
-  readonly repeatTimesMs: readonly number[]
+/** What one router knows of its own retries for one service. */
+export interface RetryView {
+  /** Requests that it has received within the window. */
+  readonly requestCount: number
+  /** Retries that it has sent and that may still arrive, or have arrived within the window. */
+  readonly retryCount: number
+  /** Time since its process started. */
+  readonly upForMs: number
+  /** Number of routers, as far as it has heard. */
+  readonly routerCount: number
+  /** Time for which the other routers have counted this one; 0 while they may not. */
+  readonly countedForMs: number
 }
 
-/** Share of the limit that is used. The rest covers requests in transit and windows that do not align. */
-const USABLE_SHARE = 0.8
+/** Share of the limits that routers use which know all their retries in the window. */
+const KNOWN_SHARE = 0.6
 
-const countSince = (timesMs: readonly number[], sinceMs: number): number => {
-  let count = 0
-  for (const timeMs of timesMs) {
-    if (timeMs > sinceMs) count += 1
-  }
-  return count
-}
+/**
+ * Share that routers use which have started within the window. With `KNOWN_SHARE` it is less than 1: what a start spends comes on top of
+ * what the process before it has spent.
+ */
+const START_SHARE = 0.35
 
-/** Retries of one router within the window. */
-export const countRetries = (limits: RetryLimits, history: RetryHistory, nowMs: number): number =>
-  countSince(history.repeatTimesMs, nowMs - limits.windowMs)
+const isWhole = (knownForMs: number, { windowMs }: RetryLimits): boolean => knownForMs >= windowMs
 
-/** Retries that one router may send within the window. */
-export const maxRetries = (limits: RetryLimits, history: RetryHistory, routerCount: number, nowMs: number): number => {
-  const requests = countSince(history.requestTimesMs, nowMs - limits.windowMs)
-  return (requests * limits.ratio + limits.slackCount / Math.max(1, routerCount)) * USABLE_SHARE
+const slackShare = (countedForMs: number, limits: RetryLimits): number =>
+  isWhole(countedForMs, limits) ? KNOWN_SHARE : START_SHARE * countedForMs / limits.windowMs
+
+/** Retries within the window that a router may send, not all of which need to be whole. */
+export const maxRetries = (limits: RetryLimits, { requestCount, upForMs, routerCount, countedForMs }: RetryView): number => {
+  const ratioShare = isWhole(upForMs, limits) ? KNOWN_SHARE : START_SHARE
+  return requestCount * limits.ratio * ratioShare + limits.slackCount / Math.max(1, routerCount) * slackShare(countedForMs, limits)
 }
 
 /**
- * Whether a router may send a request again. It uses at most the ratio of its own requests and an equal share of the slack, so
- * that all routers together stay within the platform's limit without communicating.
+ * Whether a router may send one more retry.
+ *
+ * Load pattern: servers turn requests away while routers are killed and start again. Each start knows nothing of the retries before it.
+ * If it spent its whole part, ten starts in a window would send ten times the limit to servers that are full. A router therefore spends a
+ * part that is smaller until it has run for a window, and grows with the requests that it has received and the time for which it has been
+ * counted: however often it starts, its processes together spend no more in a window than one of them.
  *
- * Load pattern: a backend server crashes and all of its requests are repeated by routers that may be unable to reach each other.
- * The repeats of many routers would add up and overload the remaining servers. `routerCount` is the largest number of
- * routers seen so far, because a router that is merely unreachable still uses its share.
+ * The part that belongs to requests needs no number of routers. The part of the slack does: a router that nobody counts has none of it.
  */
-export const mayRepeat = (limits: RetryLimits, history: RetryHistory, routerCount: number, nowMs: number): boolean =>
-  countRetries(limits, history, nowMs) + 1 <= maxRetries(limits, history, routerCount, nowMs)
+export const mayRetry = (limits: RetryLimits, view: RetryView): boolean => view.retryCount + 1 <= maxRetries(limits, view)
+
+/** Retries per ms by which a router's part grows; 0 once it is whole. */
+const growthPerMs = (limits: RetryLimits, { requestCount, upForMs, routerCount, countedForMs }: RetryView): number => {
+  const byRequests = isWhole(upForMs, limits) ? 0 : requestCount * limits.ratio * START_SHARE / Math.max(1, upForMs)
+  const isGrowing = countedForMs > 0 && !isWhole(countedForMs, limits)
+  return byRequests + (isGrowing ? limits.slackCount / Math.max(1, routerCount) * START_SHARE / limits.windowMs : 0)
+}
+
+/**
+ * Expected time until a router may send one more retry, behind `aheadCount` others that wait; Infinity if nothing tells. `leavesInMs` holds
+ * the times until its retries leave the window, in order.
+ */
+export const retryWaitMs = (limits: RetryLimits, view: RetryView, aheadCount: number, leavesInMs: readonly number[]): number => {
+  const missingCount = view.retryCount + aheadCount + 1 - maxRetries(limits, view)
+  if (missingCount <= 0) return 0
+  const growth = growthPerMs(limits, view)
+  const grownMs = growth > 0 ? missingCount / growth : Infinity
+  return Math.min(grownMs, leavesInMs[Math.ceil(missingCount) - 1] ?? Infinity)
+}
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -220,7 +220,7 @@
   readonly evictionLoss: number
   /** Demand of all routers for each of `models`, in the same order, in prompt tokens per second. */
   readonly demandTokensPerS: readonly number[]
-  /** Number of routers that are linked to the agent. */
+  /** Number of routers that are linked to the agent, or were a short while ago. */
   readonly routerCount: number
   /** Offset of the newest configuration that the agent has received; -1 for none. */
   readonly deploymentOffset: number
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -35,5 +35,6 @@
   requestHeldBack: [2531, 'all backend servers that could run a request have named limits, or want rest, and leave it no turn now'],
   deploymentAsked: [2532, 'the router is behind and asks an agent for the newest configuration'],
   serverRests: [2533, 'a backend server has turned a request away and wants no more from this router for a while'],
-  retryDenied: [2534, 'a request may not be retried: this router has spent its part of the retry budget']
+  retryDenied: [2534, 'a request may not be retried: this router has spent its part of the retry budget'],
+  retryAwaited: [2535, 'a request waits until it may be retried']
 })
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -5,6 +5,7 @@
 import type { Either } from 'purify-ts'
 import type { KnownServer } from '../directory/types.js'
 import type { OpenAnswer, SendFault } from '../forwarding/types.js'
+import type { Arrival, TakenRetry } from '../retries/createRetryBudget.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** Takes what an answer says of its server, whichever request it answers. */
@@ -13,9 +14,12 @@
   if (answer.isLeaving && context.directory.noteLeaving(start, 'its answers say that it leaves')) context.agents.relay({ type: 'serverLeaving', start })
 }
 
-/** Sends a request to one server with the time left until its deadline, and logs it. */
+const arrivalOf = (opened: Either<SendFault, OpenAnswer>): Arrival =>
+  opened.caseOf({ Right: () => 'certain', Left: ({ mayHaveRun }) => mayHaveRun ? 'unknown' : 'none' })
+
+/** Sends a request to one server with the time left until its deadline, and logs it. `retry`: undefined for the request's first send. */
 export const openExchange = async (
-  context: GatewayContext, request: RoutedRequest, server: KnownServer, lastEventId: string, signal: AbortSignal
+  context: GatewayContext, request: RoutedRequest, server: KnownServer, lastEventId: string, retry: TakenRetry | undefined, signal: AbortSignal
 ): Promise<Either<SendFault, OpenAnswer>> => {
   const { timers, codec } = context
   const sentMs = timers.nowMs()
@@ -40,6 +44,7 @@
     headTimeoutMs: leftMs + ANSWER_GRACE_MS,
     mayBeInTransit: () => context.directory.lastMessageMs(address) < sentMs + REQUEST_ARRIVAL_MS
   }, signal)
+  retry?.noteArrival(arrivalOf(opened))
   return opened.ifRight(open => { noteServerAnswer(context, server, open) })
 }
 
--- a/packages/gateway/src/requests/runOnServer.ts
+++ b/packages/gateway/src/requests/runOnServer.ts
@@ -5,13 +5,16 @@
 import { runStream } from './runStream.js'
 
 import type { VersionLock } from '../origins/createVersionLock.js'
+import type { TakenRetry } from '../retries/createRetryBudget.js'
 import type { ServerChoice } from './chooseServer.js'
 import type { RunEnd } from './runStream.js'
 import type { CallerStream } from './createCallerStream.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** Runs the request on the chosen server and updates the router's counts, prefix index and failure rate for that server. */
-export const runOnServer = async (context: GatewayContext, request: RoutedRequest, choice: ServerChoice, stream: CallerStream, versionLock: VersionLock): Promise<RunEnd> => {
+export const runOnServer = async (
+  context: GatewayContext, request: RoutedRequest, choice: ServerChoice, stream: CallerStream, versionLock: VersionLock, retry: TakenRetry | undefined
+): Promise<RunEnd> => {
   const { directory } = context
   const { start } = choice.server
   const { modelName, adapterName, promptParts } = request.caller
@@ -37,7 +40,7 @@
   directory.own.noteRun(start, modelName)
   directory.prefixes.remember(start.serverId, `${modelName}/${adapterName}`, promptParts)
   const sentMs = context.timers.nowMs()
-  const end = await runStream(context, request, choice.server, stream, limit.signal, noteFirstEvent)
+  const end = await runStream(context, request, choice.server, stream, retry, limit.signal, noteFirstEvent)
   const isSilent = isPending
   settlePending()
   directory.own.noteEnded(start)
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -6,6 +6,7 @@
 
 import type { KnownServer } from '../directory/types.js'
 import type { OpenAnswer } from '../forwarding/types.js'
+import type { TakenRetry } from '../retries/createRetryBudget.js'
 import type { CallerStream } from './createCallerStream.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
@@ -40,10 +41,10 @@
 
 /** Runs a stream on one server and forwards its events. */
 export const runStream = async (
-  context: GatewayContext, request: RoutedRequest, server: KnownServer, stream: CallerStream, signal: AbortSignal, firstEvent: () => void
+  context: GatewayContext, request: RoutedRequest, server: KnownServer, stream: CallerStream, retry: TakenRetry | undefined, signal: AbortSignal, firstEvent: () => void
 ): Promise<RunEnd> => {
   const { serverId } = server.entry
-  const opened = await openExchange(context, request, server, stream.lastEventId(), signal)
+  const opened = await openExchange(context, request, server, stream.lastEventId(), retry, signal)
   if (opened.isLeft()) {
     const { fault, mayHaveRun } = opened.swap().unsafeCoerce()
     if (mayHaveRun) return { type: 'broken', reason: fault.message }
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -8,9 +8,9 @@
 import { GatewayEvent } from '../events.js'
 import { createVersionLock } from '../origins/createVersionLock.js'
 import { heldModel } from '../placing/viewServers.js'
+import { awaitRetry } from '../retries/awaitRetry.js'
 import { LIMITED_REASON } from '../serverLimits/constants.js'
 import { holdBack } from '../serverLimits/holdBack.js'
-import { takeRetry } from '../retries/takeRetry.js'
 import { awaitAdapter } from './awaitAdapter.js'
 import { awaitModel } from './awaitModel.js'
 import { chooseServer } from './chooseServer.js'
@@ -21,6 +21,7 @@
 import { createCallerStream } from './createCallerStream.js'
 
 import type { KnownServer } from '../directory/types.js'
+import type { TakenRetry } from '../retries/createRetryBudget.js'
 import type { WaitBounds } from './awaitWant.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
@@ -36,6 +37,8 @@
   const excludedStarts = new Set<string>()
   const versionLock = createVersionLock(context, request)
   const turn = context.serverLimits.openTurn(request.priority)
+  // Taken, but not sent yet.
+  let retry: TakenRetry | undefined
   let runCount = 0
   let sendCount = 0
   let rejectionCount = 0
@@ -49,6 +52,7 @@
 
   const giveUp = (reason: string, retryAfterMs: number): void => {
     turn.end()
+    retry?.noteArrival('none')
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
     if (runCount > 0) return fail(context, request, reason, lastPeer)
     refuse(context, request, reason, retryAfterMs)
@@ -98,15 +102,19 @@
       if (rejectionCount >= MAX_REJECTIONS) return giveUp('the adapter did not come', REJECTED_RETRY_MS)
       continue
     }
-    if (request.callerLeft.aborted) return noteCallerLeft(context, request)
-    const retry = sendCount > 0 ? takeRetry(context, request, serverId, sendCount) : undefined
-    if (retry?.isTaken === false) return giveUp('no repeats left', REJECTED_RETRY_MS)
+    if (request.callerLeft.aborted) return giveUp('the caller left', REJECTED_RETRY_MS)
+    if (sendCount > 0 && !retry) {
+      const granted = await awaitRetry(context, request, { start, sendCount, leftMs: () => bounds.callerLeavesMs() - timers.nowMs() })
+      retry = granted.retry
+      if (!retry) return giveUp('no repeats left', REJECTED_RETRY_MS)
+      if (granted.hasWaited) continue
+    }
     if (runCount > 0 && request.organisation) context.quotas.charge(request.organisation, request.units)
     sendCount += 1
     lastPeer = serverId
     const sentMs = timers.nowMs()
-    const end = await runOnServer(context, request, choice, stream, versionLock)
-    retry?.settle()
+    const end = await runOnServer(context, request, choice, stream, versionLock, retry)
+    retry = undefined
     if (end.type === 'answered' || end.type === 'finished') noteAnswer(context, request)
     if (end.type === 'answered') return
     if (end.type === 'finished') return stream.finish(serverId)
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -7,7 +7,7 @@
 import { noteBroken } from '../crashes/noteBroken.js'
 import { hasFraming } from '../forwarding/isComplete.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
-import { takeRetry } from '../retries/takeRetry.js'
+import { awaitRetry } from '../retries/awaitRetry.js'
 import { LIMITED_REASON } from '../serverLimits/constants.js'
 import { holdBack } from '../serverLimits/holdBack.js'
 import { ANSWER_GRACE_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS } from './constants.js'
@@ -16,12 +16,13 @@
 import { limitExchange } from './limitExchange.js'
 
 import type { KnownServer } from '../directory/types.js'
+import type { TakenRetry } from '../retries/createRetryBudget.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** How one attempt on one server ended. */
 type AttemptEnd =
   | { readonly type: 'answered' }
-  | { readonly type: 'notRun', readonly reason: string }
+  | { readonly type: 'notRun', readonly reason: string, readonly isMisdirected: boolean }
   | { readonly type: 'notSent', readonly reason: string }
   /** Without a complete answer: the server may have died. */
   | { readonly type: 'broken', readonly reason: string }
@@ -52,9 +53,11 @@
   return servers.find(server => server.entry.serverId === best?.serverId)
 }
 
-const tryOnce = async (context: GatewayContext, request: RoutedRequest, server: KnownServer, signal: AbortSignal): Promise<AttemptEnd> => {
+const tryOnce = async (
+  context: GatewayContext, request: RoutedRequest, server: KnownServer, retry: TakenRetry | undefined, signal: AbortSignal
+): Promise<AttemptEnd> => {
   const { serverId } = server.entry
-  const opened = await openExchange(context, request, server, '', signal)
+  const opened = await openExchange(context, request, server, '', retry, signal)
   if (opened.isLeft()) {
     const { fault, mayHaveRun } = opened.swap().unsafeCoerce()
     return { type: mayHaveRun ? 'broken' : 'notSent', reason: fault.message }
@@ -69,7 +72,7 @@
   const read = await readAnswer(open, serverId)
   if (open.answer.isNotRun || status === MISDIRECTED) {
     if (status === MISDIRECTED) context.directory.noteReplaced(server.start)
-    return { type: 'notRun', reason: `turned away with ${status}` }
+    return { type: 'notRun', reason: `turned away with ${status}`, isMisdirected: status === MISDIRECTED }
   }
   if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
   const deliver = (): void => {
@@ -89,7 +92,9 @@
 }
 
 /** Runs one attempt and updates the router's counts and failure rate for the server. */
-const runAttempt = async (context: GatewayContext, request: RoutedRequest, server: KnownServer): Promise<EndedAttempt> => {
+const runAttempt = async (
+  context: GatewayContext, request: RoutedRequest, server: KnownServer, retry: TakenRetry | undefined
+): Promise<EndedAttempt> => {
   const { start } = server
   const { breakWatch, directory, pendingRuns, timers } = context
   const sentMs = timers.nowMs()
@@ -97,14 +102,15 @@
   const wasBroken = breakWatch.isBroken(start) || run.silentForMs > Math.max(MIN_SILENCE_MS, request.route.objectiveMs)
   directory.own.noteSent(start, 0)
   const limit = limitExchange(context, request, ANSWER_GRACE_MS)
-  const end = await tryOnce(context, request, server, limit.signal)
+  const end = await tryOnce(context, request, server, retry, limit.signal)
   limit.release()
   run.end()
   directory.own.noteFirstEvent(start, 0)
   directory.own.noteEnded(start)
   const waitedMs = timers.nowMs() - sentMs
   directory.noteOutcome(start, countsAsFailure({
-    hasFailed: end.type !== 'answered' && end.type !== 'notRun',
+    // Guards against retries that are used up on a server which turns requests away at once, and so always seems idle.
+    hasFailed: end.type === 'notRun' ? !end.isMisdirected : end.type !== 'answered',
     hasLeft: request.callerLeft.aborted,
     isSilent: end.type !== 'answered',
     waitedMs
@@ -132,6 +138,8 @@
   const mayRunAgain = request.route.kind === RequestKind.Idempotent
   const tried = new Set<string>()
   const turn = context.serverLimits.openTurn(request.priority)
+  // Taken, but not sent yet.
+  let retry: TakenRetry | undefined
   let sendCount = 0
   let runCount = 0
   let rejectionCount = 0
@@ -146,6 +154,7 @@
 
   const finish = (reason: string, retryAfterMs = sendCount > 0 ? earliestRetryMs() : NO_SERVER_RETRY_MS): void => {
     turn.end()
+    retry?.noteArrival('none')
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
     if (deliverFailed) return deliverFailed()
     if (runCount > 0) return fail(context, request, reason, lastPeer)
@@ -167,16 +176,20 @@
       if (held.type === 'hopeless') return finish(LIMITED_REASON, held.waitMs)
       continue
     }
-    const retry = sendCount > 0 ? takeRetry(context, request, server.entry.serverId, sendCount) : undefined
-    if (retry?.isTaken === false) return finish('no repeats left')
+    if (sendCount > 0 && !retry) {
+      const granted = await awaitRetry(context, request, { start: server.start, sendCount, leftMs: () => request.untilMs - timers.nowMs() })
+      retry = granted.retry
+      if (!retry) return finish('no repeats left')
+      if (granted.hasWaited) continue
+    }
     if (runCount > 0 && request.organisation) context.quotas.charge(request.organisation, request.units)
     const { start, entry: { serverId } } = server
     sendCount += 1
     tried.add(startKeyOf(start))
     turn.take(start)
     lastPeer = serverId
-    const attempt = await runAttempt(context, request, server)
-    retry?.settle()
+    const attempt = await runAttempt(context, request, server, retry)
+    retry = undefined
     const { end } = attempt
     const verdict = end.type === 'broken' ? watchBroken(context, request, server, end.reason, attempt) : undefined
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -48,7 +48,7 @@
   readonly occupancy: OccupancyMeter
   readonly dataCentre: string
   readonly deployment: () => Deployment | undefined
-  /** The highest number of routers that agents have reported since this router's start; it never falls. */
+  /** The highest number of routers reported in the last minutes. */
   readonly routerCount: () => number
   readonly stop: Stop
   readonly random: () => number
--- a/packages/gateway/src/retries/createRetryBudget.ts
+++ b/packages/gateway/src/retries/createRetryBudget.ts
@@ -1,97 +1,134 @@
-import { countRetries, maxRetries, mayRepeat } from '@figmount/decisions'
+import { maxRetries, mayRetry, retryWaitMs } from '@figmount/decisions'
+
+import { isAhead } from '../requests/isAhead.js'
 
 import type { Metrics, TimerService } from '@figmount/base'
-import type { RetryLimits } from '@figmount/decisions'
+import type { RetryLimits, RetryView } from '@figmount/decisions'
+import type { Waiter } from '../requests/isAhead.js'
+import type { RouterMembership } from '../router/createRouterMembership.js'
 
-interface ServiceHistory {
-  readonly requestTimesMs: number[]
-  readonly repeatTimesMs: number[]
-  /** Retries whose servers have not answered yet. */
-  unansweredCount: number
+/** What is known of a request that was sent: whether it has reached its server. */
+export type Arrival = 'certain' | 'unknown' | 'none'
+
+/** A retry that was taken from the budget. It counts until it has left the window, which begins once it has arrived. */
+export interface TakenRetry {
+  readonly noteArrival: (arrival: Arrival) => void
 }
 
-/** Whether a request may be retried, and on what that was decided. Counts are those of this router. */
-export interface RetryDecision {
-  readonly isTaken: boolean
-  /** Retries within the window, before this one. */
-  readonly retryCount: number
+/** What a decision on a retry is based on. Counts are those of this router. */
+export interface RetryInputs extends RetryView {
+  /** Retries that may be sent within the window. */
   readonly maxRetryCount: number
+  /** Retries of which it is not known whether they have arrived. */
   readonly unansweredCount: number
-  readonly routerCount: number
-  /** Time since this router started. */
-  readonly upForMs: number
-  /** The retry's server has answered, or its run has ended without an answer. */
-  readonly settle: () => void
+}
+
+/** A request that wants a retry, among those that wait for one. */
+export interface RetryTurn {
+  /** Time until the request may be retried, behind the more urgent and earlier ones that wait; Infinity if nothing tells. */
+  readonly waitMs: () => number
+  /** The request waits from now on. */
+  readonly wait: () => void
+  readonly take: () => TakenRetry
+  /** The request no longer waits. */
+  readonly end: () => void
 }
 
 /** Retries that this router may still send, by service. */
 export interface RetryBudget {
   readonly noteRequest: (serviceName: string) => void
-  /** Takes one retry from the budget, if one is left. */
-  readonly takeRetry: (serviceName: string) => RetryDecision
+  readonly inputs: (serviceName: string) => RetryInputs
+  /** `priority`: 0 is the most urgent. */
+  readonly openTurn: (serviceName: string, priority: number) => RetryTurn
 }
 
 interface Options {
   readonly limits: RetryLimits
   readonly timers: TimerService
   readonly metrics: Metrics
-  /** Number of routers that share the limits. */
-  readonly routerCount: () => number
+  readonly membership: Pick<RouterMembership, 'routerCount' | 'countedForMs'>
+}
+
+interface SentRetry {
+  /** Time at which it leaves the window; Infinity until it has arrived. */
+  leavesMs: number
+}
+
+interface ServiceHistory {
+  readonly requestTimesMs: number[]
+  retries: readonly SentRetry[]
+  readonly waiters: Set<Waiter>
 }
 
 /** Creates the retry budget of one router. */
-export const createRetryBudget = ({ limits, timers, metrics, routerCount }: Options): RetryBudget => {
+export const createRetryBudget = ({ limits, timers, metrics, membership }: Options): RetryBudget => {
   const startedMs = timers.nowMs()
   const histories = new Map<string, ServiceHistory>()
+  let waiterCount = 0
 
-  const historyOf = (serviceName: string): ServiceHistory => {
-    const known = histories.get(serviceName)
-    if (known) return known
-    const made = { requestTimesMs: [], repeatTimesMs: [], unansweredCount: 0 }
+  const createHistory = (serviceName: string): ServiceHistory => {
+    const made = { requestTimesMs: [], retries: [], waiters: new Set<Waiter>() }
     histories.set(serviceName, made)
-    metrics.gauge(`retries_in_window{service="${serviceName}"}`, () => countRetries(limits, made, timers.nowMs()))
-    metrics.gauge(`retries_allowed{service="${serviceName}"}`, () => maxRetries(limits, made, routerCount(), timers.nowMs()))
+    metrics.gauge(`retries_in_window{service="${serviceName}"}`, () => inputsOf(trimmed(serviceName)).retryCount)
+    metrics.gauge(`retries_allowed{service="${serviceName}"}`, () => inputsOf(trimmed(serviceName)).maxRetryCount)
     return made
   }
 
-  const trim = (timesMs: number[], sinceMs: number): void => {
-    while (timesMs.length > 0 && (timesMs[0] ?? 0) <= sinceMs) timesMs.shift()
-  }
-
   const trimmed = (serviceName: string): ServiceHistory => {
-    const history = historyOf(serviceName)
-    const sinceMs = timers.nowMs() - limits.windowMs
-    trim(history.requestTimesMs, sinceMs)
-    trim(history.repeatTimesMs, sinceMs)
+    const history = histories.get(serviceName) ?? createHistory(serviceName)
+    const nowMs = timers.nowMs()
+    const { requestTimesMs, retries } = history
+    while (requestTimesMs.length > 0 && (requestTimesMs[0] ?? 0) <= nowMs - limits.windowMs) requestTimesMs.shift()
+    if (retries.some(({ leavesMs }) => leavesMs <= nowMs)) history.retries = retries.filter(({ leavesMs }) => leavesMs > nowMs)
     return history
   }
 
-  const take = (history: ServiceHistory): (() => void) => {
-    let isOpen = true
-    history.repeatTimesMs.push(timers.nowMs())
-    history.unansweredCount += 1
-    return () => {
-      if (!isOpen) return
-      isOpen = false
-      history.unansweredCount -= 1
+  const inputsOf = ({ requestTimesMs, retries }: ServiceHistory): RetryInputs => {
+    const view = {
+      requestCount: requestTimesMs.length,
+      retryCount: retries.length,
+      upForMs: timers.nowMs() - startedMs,
+      routerCount: membership.routerCount(),
+      countedForMs: membership.countedForMs()
     }
+    return { ...view, maxRetryCount: maxRetries(limits, view), unansweredCount: retries.filter(({ leavesMs }) => leavesMs === Infinity).length }
+  }
+
+  const waitMs = (history: ServiceHistory, own: Waiter): number => {
+    const view = inputsOf(history)
+    let aheadCount = 0
+    for (const other of history.waiters) aheadCount += Number(other !== own && isAhead(other, own))
+    if (aheadCount === 0 && mayRetry(limits, view)) return 0
+    const nowMs = timers.nowMs()
+    return retryWaitMs(limits, view, aheadCount, history.retries.map(({ leavesMs }) => leavesMs - nowMs).sort((a, b) => a - b))
+  }
+
+  // Guards against retries on a link that stalls: sent over a long time, they arrive together when it heals. One that may still arrive counts
+  // for a second window after its run has ended.
+  const noteArrival = (retry: SentRetry, arrival: Arrival): void => {
+    const windows = { certain: 1, unknown: 2, none: 0 }[arrival]
+    retry.leavesMs = timers.nowMs() + windows * limits.windowMs
   }
 
   return {
     noteRequest: serviceName => { trimmed(serviceName).requestTimesMs.push(timers.nowMs()) },
-    takeRetry: serviceName => {
-      const history = trimmed(serviceName)
-      const nowMs = timers.nowMs()
-      const seen = {
-        retryCount: countRetries(limits, history, nowMs),
-        maxRetryCount: maxRetries(limits, history, routerCount(), nowMs),
-        unansweredCount: history.unansweredCount,
-        routerCount: routerCount(),
-        upForMs: Math.round(nowMs - startedMs)
+    inputs: serviceName => inputsOf(trimmed(serviceName)),
+    openTurn: (serviceName, priority) => {
+      const own: Waiter = { priority, number: waiterCount++ }
+      const end = (): void => { trimmed(serviceName).waiters.delete(own) }
+      return {
+        waitMs: () => waitMs(trimmed(serviceName), own),
+        wait: () => { trimmed(serviceName).waiters.add(own) },
+        take: () => {
+          end()
+          const history = trimmed(serviceName)
+          const retry: SentRetry = { leavesMs: Infinity }
+          history.retries = [...history.retries, retry]
+          metrics.count(`retries_sent_total{service="${serviceName}"}`)
+          return { noteArrival: arrival => { noteArrival(retry, arrival) } }
+        },
+        end
       }
-      const isTaken = mayRepeat(limits, history, routerCount(), nowMs)
-      metrics.count(`${isTaken ? 'retries_sent_total' : 'retries_denied_total'}{service="${serviceName}"}`)
-      return { isTaken, ...seen, settle: isTaken ? take(history) : () => {} }
     }
   }
 }
--- a/packages/gateway/src/router/constants.ts
+++ b/packages/gateway/src/router/constants.ts
@@ -22,9 +22,6 @@
 /** Time between two updates of the set of agents to connect to. */
 export const FOLLOW_PERIOD_MS = 500
 
-/** Number of routers that is assumed until agents report more: the retries that all may send are split by it. */
-export const MIN_ROUTER_COUNT = 4
-
 /** Time after a restart in which the agents that can be reached have reported: they may have restarted as well. */
 export const COPIES_KNOWN_MS = 2_000
 
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -31,9 +31,10 @@
 import { createServerLimits } from '../serverLimits/createServerLimits.js'
 import { createStop } from '../stopping/createStop.js'
 import { drain } from '../stopping/drain.js'
-import { AGENT_READY_TIMEOUT_MS, COPIES_KNOWN_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS, MIN_ROUTER_COUNT, LEAVING_PERIOD_MS } from './constants.js'
+import { AGENT_READY_TIMEOUT_MS, COPIES_KNOWN_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS, LEAVING_PERIOD_MS } from './constants.js'
 import { createDemandReporter } from './createDemandReporter.js'
 import { createReadDuty } from './createReadDuty.js'
+import { createRouterMembership } from './createRouterMembership.js'
 import { followFeeds } from './followFeeds.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
@@ -72,7 +73,6 @@
   const startedMs = timers.nowMs()
   const routerStop = createStop(timers, options.stopMs)
   let limitCallers: Ingress['limit'] = () => {}
-  let routerCount = MIN_ROUTER_COUNT
 
   const hasAgent = (entry: ServerEntry): boolean =>
     findEngine(feeds.deployment(), entry.serviceName) !== undefined
@@ -103,7 +103,7 @@
     },
     handlers: {
       takeState: (address, state) => {
-        routerCount = Math.max(routerCount, state.routerCount)
+        membership.note(state.routerCount)
         limitRouterCount.note(state.routerCount)
         coldLoads.takeState(address, state)
         directory.takeState(address, state)
@@ -170,6 +170,7 @@
     failedFetchCount: copyFetch.failedCount
   })
   const limitRouterCount = createRouterCount(timers)
+  const membership = createRouterMembership(timers, () => agents.openAddresses().length > 0)
   const quotas = createQuotas({
     timers,
     events,
@@ -182,7 +183,7 @@
     timers,
     events,
     // Without agents nobody counts the routers.
-    routerCount: () => agents.openAddresses().length > 0 ? limitRouterCount.count() : routerCount,
+    routerCount: () => agents.openAddresses().length > 0 ? limitRouterCount.count() : membership.routerCount(),
     send: agents.relay,
     random: options.random
   })
@@ -221,7 +222,7 @@
     unmetModels: createUnmetModels(timers),
     refusedWants,
     pool: createConnectionPool(),
-    budget: createRetryBudget({ limits: options.retryLimits, timers, metrics, routerCount: () => routerCount }),
+    budget: createRetryBudget({ limits: options.retryLimits, timers, metrics, membership }),
     crashes,
     quotas,
     serverLimits,
@@ -236,7 +237,7 @@
     occupancy: createOccupancyMeter(),
     dataCentre: options.dataCentre,
     deployment: feeds.deployment,
-    routerCount: () => routerCount,
+    routerCount: membership.routerCount,
     stop: routerStop,
     random: options.random
   }
@@ -286,6 +287,7 @@
     timers.every(FOLLOW_PERIOD_MS, follow),
     timers.every(REPLICA_PERIOD_MS, () => watchReplicas(context)),
     quotas.stop,
+    membership.stop,
     origins.stop
   ]
   metrics.gauge('requests_open', ingress.openCount)
--- a/packages/gateway/src/serverLimits/createServerLimits.ts
+++ b/packages/gateway/src/serverLimits/createServerLimits.ts
@@ -2,12 +2,14 @@
 import { startKeyOf } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
+import { isAhead } from '../requests/isAhead.js'
 import { MAX_LIMITED, NOTICE_PERIOD_MS, OVER_RETENTION_MS, UNSEEN_RETENTION_MS } from './constants.js'
 import { createServerRests } from './createServerRests.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
 import type { ServerPace } from '@figmount/decisions'
 import type { ServerAnswer, ServerLimitNotice, ServerStart } from '@figmount/fleet'
+import type { Waiter } from '../requests/isAhead.js'
 
 interface Options {
   readonly timers: TimerService
@@ -57,9 +59,7 @@
   seenMs: number
 }
 
-interface Waiter {
-  readonly priority: number
-  readonly number: number
+interface ServerWaiter extends Waiter {
   startKeys: ReadonlySet<string>
 }
 
@@ -70,7 +70,7 @@
 export const createServerLimits = ({ timers, events, routerCount, send, random }: Options): ServerLimits => {
   // Ordered by the time at which the limit was first named.
   const servers = new Map<string, LimitedServer>()
-  const waiters = new Set<Waiter>()
+  const waiters = new Set<ServerWaiter>()
   const rests = createServerRests(timers, events)
   let waiterCount = 0
 
@@ -129,16 +129,13 @@
     send({ type: 'serverLimit', start: { serverId, startedAtUnixMs }, limitPerS })
   }
 
-  const isAhead = (other: Waiter, own: Waiter): boolean =>
-    other.priority < own.priority || (other.priority === own.priority && other.number < own.number)
-
-  const countAhead = (startKey: string, own: Waiter): number => {
+  const countAhead = (startKey: string, own: ServerWaiter): number => {
     let count = 0
     for (const other of waiters) count += Number(other.startKeys.has(startKey) && isAhead(other, own))
     return count
   }
 
-  const waitMs = (start: ServerStart, own: Waiter): number => {
+  const waitMs = (start: ServerStart, own: ServerWaiter): number => {
     const restMs = rests.leftMs(start)
     const server = limitedAt(start)
     if (!server) return restMs
@@ -165,7 +162,7 @@
     isLimited: start => limitedAt(start) !== undefined || rests.leftMs(start) > 0,
     isResting: start => rests.leftMs(start) > 0,
     openTurn: priority => {
-      const own: Waiter = { priority, number: waiterCount++, startKeys: new Set() }
+      const own: ServerWaiter = { priority, number: waiterCount++, startKeys: new Set() }
       const end = (): void => { waiters.delete(own) }
       return {
         waitMs: start => waitMs(start, own),
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -8,6 +8,7 @@
 import { changedFields, volatileFieldsOf, pickFields, serializeFields } from './compareStates.js'
 import { LOAD_PERIOD_MS } from './constants.js'
 import { createRelayedReads } from './createRelayedReads.js'
+import { createRouterCensus } from './createRouterCensus.js'
 
 import type { EventLog, InstanceName, TimerService } from '@figmount/base'
 import type { AgentLoad, AgentMessage, AgentState, AgentStateChange, CrashNotice, Demand, DeploymentAsked, DeploymentPiece, ListRead, RouterMessage, Want } from '@figmount/fleet'
@@ -76,9 +77,7 @@
   let sentLoad: { readonly load: AgentLoad, readonly atMs: number } | undefined
   const relayedReads = createRelayedReads(timers)
   const crashNotices = createCrashNotices(timers)
-
-  // Guards against counting a router twice while its earlier link, which has gone silent, is still open.
-  const routerCount = (): number => new Set([...links].map(link => link.peer)).size
+  const census = createRouterCensus(timers)
 
   const sendToMany = (receivers: Iterable<RouterLink>, message: AgentMessage): void => {
     const packed = packMessage({ offset: () => NO_OFFSET, events, codec }, message)
@@ -96,7 +95,7 @@
 
   /** The changes since the last state sent to all routers; undefined when there are none. */
   const describeUpdate = (): StateUpdate | undefined => {
-    const state = options.describe(routerCount())
+    const state = options.describe(census.count())
     if (!state) return undefined
     const texts = serializeFields(state)
     const changed = changedFields(sentState?.texts ?? NO_TEXTS, texts)
@@ -131,7 +130,7 @@
   const keepAlive = (): void => {
     const nowMs = timers.nowMs()
     const silent = [...links].filter(link => nowMs - (lastSentMs.get(link) ?? 0) >= HEARTBEAT_MS)
-    const state = silent.length === 0 ? undefined : options.describe(routerCount())
+    const state = silent.length === 0 ? undefined : options.describe(census.count())
     if (!state) return
     sendToMany(silent, { type: 'stateChange', changes: volatileFieldsOf(state) })
   }
@@ -188,9 +187,10 @@
 
   const runLink = async (link: RouterLink): Promise<void> => {
     links.add(link)
+    census.noteLinked(link.peer)
     // Guards against a new router that starts from a state which the others never received: a change reverted before the next
     // comparison would not be sent, and the new router would keep it. So all routers start from the same state.
-    const currentState = options.describe(routerCount())
+    const currentState = options.describe(census.count())
     if (sentState && currentState) sendFullState([link], { ...sentState.state, ...volatileFieldsOf(currentState) })
     else sendUpdate()
     const knownCrashes = crashNotices.all()
@@ -199,6 +199,7 @@
       for await (const message of link.received) take(link, message)
     } finally {
       links.delete(link)
+      census.noteLost(link.peer)
       lastSentMs.delete(link)
       if (!isLinked(link.peer)) options.dropRouter(link.peer)
     }
