--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -111,6 +111,12 @@
   readonly decodeServer: (key: string, value: Uint8Array) => Either<Fault, ServerEntry>
 }
 
+/** The platform's store as routers use it. */
+export interface RouterStorePort extends StorePort {
+  /** What routers tell each other where no agent runs; they write it. */
+  readonly routerFeed: WritableFeed
+}
+
 /** The platform's store as agents use it. */
 export interface AgentStorePort extends StorePort {
   /** Leases for loads from the weight store; agents write them. */
--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -95,9 +95,7 @@
     if (message.type === 'listRead') return handlers.takeListRead(message, timers.nowMs() < mayBeStaleUntilMs)
     if (message.type === 'unitsAnswered') return handlers.takeUnits(serverAddress, message)
     if (message.type === 'originAnswered') return handlers.takeOrigin(serverAddress, message)
-    if (message.type === 'crash') return handlers.takeCrashes(message)
-    if (message.type === 'serverLimit') return handlers.takeServerLimit(message)
-    if (message.type === 'serverLeaving') handlers.takeServerLeaving(message)
+    if (message.type === 'crash' || message.type === 'serverLimit' || message.type === 'serverLeaving') handlers.takeNotice(message)
   }
 
   const serve = async (open: OpenLink): Promise<void> => {
--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -19,7 +19,7 @@
 const ENTRY: ServerEntry =
   { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: [] }
 
-const NO_HANDLERS = { takeState: () => {}, takeLoad: () => {}, takeDeploymentAsked: () => {}, takeDeploymentPiece: () => {}, takeListRead: () => {}, takeCrashes: () => {}, takeServerLimit: () => {}, takeServerLeaving: () => {}, found: () => {}, takeOrigin: () => {}, takeUnits: () => {}, lost: () => {} }
+const NO_HANDLERS = { takeState: () => {}, takeLoad: () => {}, takeDeploymentAsked: () => {}, takeDeploymentPiece: () => {}, takeListRead: () => {}, takeNotice: () => {}, found: () => {}, takeOrigin: () => {}, takeUnits: () => {}, lost: () => {} }
 
 const wait = async (durationMs: number): Promise<void> => await new Promise(resolve => { setTimeout(resolve, durationMs) })
 
--- a/packages/gateway/src/agents/types.ts
+++ b/packages/gateway/src/agents/types.ts
@@ -1,5 +1,6 @@
 import type { PackedMessage } from '@figmount/peers'
-import type { AgentLoad, AgentState, CrashNotice, DeploymentAsked, DeploymentPiece, ListRead, OriginAnswered, RouterMessage, ServerLeavingNotice, ServerLimitNotice, UnitsAnswered } from '@figmount/fleet'
+import type { AgentLoad, AgentState, DeploymentAsked, DeploymentPiece, ListRead, OriginAnswered, RouterMessage, UnitsAnswered } from '@figmount/fleet'
+import type { RouterNotice } from '../routerFeed/types.js'
 
 /** The outcome of a want, which is a router's request to an agent to have a model or an adapter loaded. */
 export interface WantOutcome {
@@ -38,9 +39,8 @@
   readonly takeDeploymentPiece: (address: string, piece: DeploymentPiece) => void
   /** `mayBeStale`: the message may have been delayed for longer than the age it states. */
   readonly takeListRead: (read: ListRead, mayBeStale: boolean) => void
-  readonly takeCrashes: (notice: CrashNotice) => void
-  readonly takeServerLimit: (notice: ServerLimitNotice) => void
-  readonly takeServerLeaving: (notice: ServerLeavingNotice) => void
+  /** The agent passes on what another router tells all others. */
+  readonly takeNotice: (notice: RouterNotice) => void
   readonly takeOrigin: (address: string, answer: OriginAnswered) => void
   readonly takeUnits: (address: string, answer: UnitsAnswered) => void
   /** The link was opened. */
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -11,7 +11,7 @@
 /** Takes what an answer says of its server, whichever request it answers. */
 const noteServerAnswer = (context: GatewayContext, { start }: KnownServer, { answer, message }: OpenAnswer): void => {
   context.serverLimits.noteAnswer(start, answer, message.statusCode ?? 0)
-  if (answer.isLeaving && context.directory.noteLeaving(start, 'its answers say that it leaves')) context.agents.relay({ type: 'serverLeaving', start })
+  if (answer.isLeaving && context.directory.noteLeaving(start, 'its answers say that it leaves')) context.tellRouters({ type: 'serverLeaving', start })
 }
 
 const arrivalOf = (opened: Either<SendFault, OpenAnswer>): Arrival =>
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -12,6 +12,7 @@
 import type { OccupancyMeter } from '../placing/createOccupancyMeter.js'
 import type { QueueScaler } from '../placing/createQueueScaler.js'
 import type { RetryBudget } from '../retries/createRetryBudget.js'
+import type { RouterNotice } from '../routerFeed/types.js'
 import type { BreakWatch } from '../crashes/createBreakWatch.js'
 import type { PendingRuns } from '../crashes/createPendingRuns.js'
 import type { CrashNotifier } from '../crashes/createCrashNotifier.js'
@@ -27,6 +28,8 @@
   readonly codec: HeaderCodec
   readonly directory: Directory
   readonly agents: AgentLinks
+  /** Tells all other routers. */
+  readonly tellRouters: (notice: RouterNotice) => void
   readonly demand: DemandMeter
   readonly unmetModels: UnmetModels
   readonly refusedWants: RefusedWants
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -28,6 +28,7 @@
 import { REPLICA_PERIOD_MS, watchReplicas } from '../placing/watchReplicas.js'
 import { createRefusedWants } from '../requests/createRefusedWants.js'
 import { createRetryBudget } from '../retries/createRetryBudget.js'
+import { createRouterFeed } from '../routerFeed/createRouterFeed.js'
 import { createServerLimits } from '../serverLimits/createServerLimits.js'
 import { createStop } from '../stopping/createStop.js'
 import { drain } from '../stopping/drain.js'
@@ -39,9 +40,10 @@
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
 import type { RetryLimits } from '@figmount/decisions'
-import type { HeaderCodec, ServerEntry, StorePort } from '@figmount/fleet'
+import type { HeaderCodec, RouterStorePort, ServerEntry } from '@figmount/fleet'
 import type { Ingress } from '../ingress/startIngress.js'
 import type { GatewayContext } from '../requests/types.js'
+import type { RouterNotice } from '../routerFeed/types.js'
 
 /** Options of a router that serves callers over HTTP. */
 export interface GatewayOptions {
@@ -63,7 +65,7 @@
   /** Time within which the router must stop using a leaving server. */
   readonly leaveMs: number
   readonly codec: HeaderCodec
-  readonly store: StorePort
+  readonly store: RouterStorePort
   readonly random: () => number
 }
 
@@ -77,6 +79,20 @@
   const hasAgent = (entry: ServerEntry): boolean =>
     findEngine(feeds.deployment(), entry.serviceName) !== undefined
 
+  /** No agent counts the routers, or passes on what they tell each other. */
+  const isAgentless = (): boolean => feeds.deployment() !== undefined && directory.hasList() && !directory.entries().some(hasAgent)
+
+  const tellRouters = (notice: RouterNotice): void => {
+    if (isAgentless()) routerFeed.send(notice)
+    else agents.relay(notice)
+  }
+
+  const takeNotice = (notice: RouterNotice): void => {
+    if (notice.type === 'crash') shared.take(notice)
+    else if (notice.type === 'serverLimit') serverLimits.takeNotice(notice)
+    else directory.noteLeaving(notice.start, 'another router reports that it leaves')
+  }
+
   const healthPathOf = ({ serviceName }: ServerEntry): string =>
     feeds.deployment()?.services.find(service => service.name === serviceName)?.healthPath ?? '/'
 
@@ -118,9 +134,7 @@
       },
       takeDeploymentPiece: (address, piece) => { copyFetch.takePiece(address, piece) },
       takeListRead: (read, mayBeStale) => { feeds.takeListRead(read, mayBeStale) },
-      takeCrashes: notice => { shared.take(notice) },
-      takeServerLimit: notice => { serverLimits.takeNotice(notice) },
-      takeServerLeaving: ({ start }) => { directory.noteLeaving(start, 'another router reports that it leaves') },
+      takeNotice,
       takeOrigin: (address, answer) => { origins.takeAnswer(address, answer) },
       found: address => {
         shared.sendAll(address)
@@ -170,21 +184,31 @@
     failedFetchCount: copyFetch.failedCount
   })
   const limitRouterCount = createRouterCount(timers)
-  const membership = createRouterMembership(timers, () => agents.openAddresses().length > 0)
+  const routerFeed = createRouterFeed({
+    feed: options.store.routerFeed,
+    instance: options.instance,
+    timers,
+    events,
+    isNeeded: isAgentless,
+    counted: count => { membership.note(count) },
+    takeNotice
+  })
+  const membership = createRouterMembership(timers, () => agents.openAddresses().length > 0 || routerFeed.isCounted())
+  // Without agents the number that was heard of last holds, as routers that are cut off still use their parts.
+  const sharingRouterCount = (): number => agents.openAddresses().length > 0 ? limitRouterCount.count() : membership.routerCount()
   const quotas = createQuotas({
     timers,
     events,
     organisations: () => feeds.deployment()?.organisations,
-    routerCount: limitRouterCount.count,
+    routerCount: sharingRouterCount,
     reachableAddresses: agents.openAddresses,
     send: (address, message) => { agents.find(address)?.send(message) }
   })
   const serverLimits = createServerLimits({
     timers,
     events,
-    // Without agents nobody counts the routers.
-    routerCount: () => agents.openAddresses().length > 0 ? limitRouterCount.count() : membership.routerCount(),
-    send: agents.relay,
+    routerCount: sharingRouterCount,
+    send: tellRouters,
     random: options.random
   })
   const origins = createStreamOrigins({
@@ -196,8 +220,8 @@
   const refusedWants = createRefusedWants(events, (serviceName, address) => isServing(directory, serviceName, address))
   // A crash is kept by the few agents that were told of it; the answer to its request must reach each of them.
   const crashNotifier = createCrashNotifier(timers, notice => {
-    if (notice.answered.length > 0) agents.sendToAll(notice)
-    else agents.relay(notice)
+    if (isAgentless() || notice.answered.length === 0) tellRouters(notice)
+    else agents.sendToAll(notice)
   })
   const shared = shareCrashes({ events, crashes, crashNotifier, send: (address, notice) => { agents.find(address)?.send(notice) } })
   const breakWatch = createBreakWatch({
@@ -218,6 +242,7 @@
     codec: options.codec,
     directory,
     agents,
+    tellRouters,
     demand: createDemandMeter(timers),
     unmetModels: createUnmetModels(timers),
     refusedWants,
@@ -288,6 +313,7 @@
     timers.every(REPLICA_PERIOD_MS, () => watchReplicas(context)),
     quotas.stop,
     membership.stop,
+    routerFeed.stop,
     origins.stop
   ]
   metrics.gauge('requests_open', ingress.openCount)
