--- a/packages/gateway/src/limits/createQuotas.ts
+++ b/packages/gateway/src/limits/createQuotas.ts
@@ -38,7 +38,7 @@
   readonly timers: TimerService
   readonly events: EventLog
   readonly organisations: () => Organisations | undefined
-  /** The highest number of routers seen recently. */
+  /** The highest number of routers seen recently; Infinity if it is not known. */
   readonly routerCount: () => number
   /** Engine addresses of the agents whose links are open. */
   readonly reachableAddresses: () => readonly string[]
--- a/packages/gateway/src/router/createRouterMembership.ts
+++ b/packages/gateway/src/router/createRouterMembership.ts
@@ -11,6 +11,8 @@
   readonly note: (count: number) => void
   /** The highest number reported in the last minutes. */
   readonly routerCount: () => number
+  /** False while nobody has told a number since this router started. */
+  readonly isKnown: () => boolean
   /** Time for which the others have counted this router; 0 while they may not. */
   readonly countedForMs: () => number
   readonly stop: Unsubscribe
@@ -26,6 +28,7 @@
       review()
     },
     routerCount: () => member.routerCount,
+    isKnown: () => Number.isFinite(member.heardMs),
     countedForMs: () => countedForMs(member, timers.nowMs()),
     stop: timers.every(REVIEW_MS, review)
   }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -200,7 +200,8 @@
     timers,
     events,
     organisations: () => feeds.deployment()?.organisations,
-    routerCount: sharingRouterCount,
+    // A router to which nobody has told their number has no part of a limit.
+    routerCount: () => agents.openAddresses().length > 0 || membership.isKnown() ? sharingRouterCount() : Infinity,
     reachableAddresses: agents.openAddresses,
     send: (address, message) => { agents.find(address)?.send(message) }
   })
