Let a stopping router wait for a retry no longer than it sends, and ask cheaply whether an agent is linked

A request that waited for a retry did not look at its router's stop, as waits for models and turns do. Whether any agent is linked was asked by listing all links, with each state that an agent sends.

--- a/packages/gateway/src/agents/createAgentLinks.ts
+++ b/packages/gateway/src/agents/createAgentLinks.ts
@@ -27,6 +27,8 @@
   readonly sendToAll: (message: RouterMessage) => void
   /** Engine addresses of the agents whose links are open. */
   readonly openAddresses: () => readonly string[]
+  /** Some agent's link is open. */
+  readonly isLinked: () => boolean
   /** Nearly all agents have sent their engines' state; false while no agent is known. */
   readonly isReady: () => boolean
   readonly close: () => void
@@ -86,6 +88,12 @@
       for (const link of links.values()) link.sendPacked(packed)
     },
     openAddresses: () => [...links].filter(([, link]) => link.isOpen()).map(([address]) => address),
+    isLinked: () => {
+      for (const link of links.values()) {
+        if (link.isOpen()) return true
+      }
+      return false
+    },
     isReady: () => {
       let readyCount = 0
       for (const link of links.values()) readyCount += Number(link.hasState())
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -104,7 +104,7 @@
     }
     if (request.callerLeft.aborted) return giveUp('the caller left', REJECTED_RETRY_MS)
     if (sendCount > 0 && !retry) {
-      const granted = await awaitRetry(context, request, { start, sendCount, leftMs: () => bounds.callerLeavesMs() - timers.nowMs() })
+      const granted = await awaitRetry(context, request, { start, sendCount, leftMs: () => Math.min(bounds.callerLeavesMs(), bounds.lastSendMs()) - timers.nowMs() })
       retry = granted.retry
       if (!retry) return giveUp('no repeats left', REJECTED_RETRY_MS)
       if (granted.hasWaited) continue
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -146,6 +146,8 @@
   let deliverFailed: (() => void) | undefined
   let lastPeer = ''
 
+  const lastSendMs = (): number => runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs)
+
   /** Retry-after of a request that servers have turned away: when the first of them takes requests again. */
   const earliestRetryMs = (): number => {
     const waitsMs = context.directory.serving(request.serviceName).map(({ start }) => turn.waitMs(start))
@@ -163,8 +165,7 @@
 
   for (;;) {
     if (request.callerLeft.aborted || request.untilMs - timers.nowMs() < MIN_SERVE_MS) return finish('no time left')
-    const lastSendMs = runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs)
-    if (timers.nowMs() >= lastSendMs) return finish(STOPPING_REASON, STOPPING_RETRY_MS)
+    if (timers.nowMs() >= lastSendMs()) return finish(STOPPING_REASON, STOPPING_RETRY_MS)
     const check = await checkCrashes(context, request, request.untilMs - timers.nowMs())
     if (check.type === 'refused') return finish(DEADLY_REASON, check.retryAfterMs)
     if (check.type === 'waited') continue
@@ -177,7 +178,7 @@
       continue
     }
     if (sendCount > 0 && !retry) {
-      const granted = await awaitRetry(context, request, { start: server.start, sendCount, leftMs: () => request.untilMs - timers.nowMs() })
+      const granted = await awaitRetry(context, request, { start: server.start, sendCount, leftMs: () => Math.min(request.untilMs, lastSendMs()) - timers.nowMs() })
       retry = granted.retry
       if (!retry) return finish('no repeats left')
       if (granted.hasWaited) continue
--- a/packages/gateway/src/retries/awaitRetry.ts
+++ b/packages/gateway/src/retries/awaitRetry.ts
@@ -6,7 +6,7 @@
 import type { EventKind } from '@figmount/base'
 import type { ServerStart } from '@figmount/fleet'
 import type { GatewayContext, RoutedRequest } from '../requests/types.js'
-import type { RetryTurn, TakenRetry } from './createRetryBudget.js'
+import type { TakenRetry } from './createRetryBudget.js'
 
 /** How often a request that waits for a retry looks whether it may have one. */
 const CHECK_PERIOD_MS = 50
@@ -22,7 +22,7 @@
   readonly start: ServerStart
   /** Sends of the request before. */
   readonly sendCount: number
-  /** Time until the caller leaves. */
+  /** Time until the caller leaves, or a stopping router no longer sends it. */
   readonly leftMs: () => number
 }
 
@@ -67,8 +67,8 @@
     return { retry: undefined, hasWaited }
   }
 
-  const waitForTurn = async (turn: RetryTurn): Promise<GrantedRetry> => {
-    let hasWaited = false
+  let hasWaited = false
+  try {
     for (;;) {
       const waitMs = turn.waitMs()
       if (waitMs === 0) {
@@ -81,10 +81,6 @@
       turn.wait()
       await sleep(timers, Math.min(waitMs, CHECK_PERIOD_MS), request.callerLeft)
     }
-  }
-
-  try {
-    return await waitForTurn(turn)
   } finally {
     turn.end()
   }
--- a/packages/gateway/src/router/createRouterMembership.ts
+++ b/packages/gateway/src/router/createRouterMembership.ts
@@ -7,7 +7,7 @@
 
 /** What a router knows of the number of routers: it shares bounds with all of them. */
 export interface RouterMembership {
-  /** Somebody who counts routers, and this one among them, reports their number. */
+  /** Somebody who counts routers reports their number. */
   readonly note: (count: number) => void
   /** The highest number reported in the last minutes. */
   readonly routerCount: () => number
@@ -23,10 +23,7 @@
   let member = newMember
   const review = (): void => { if (isCounted()) member = noteCounted(member, timers.nowMs()) }
   return {
-    note: count => {
-      member = noteRouterCount(member, count, timers.nowMs())
-      review()
-    },
+    note: count => { member = noteRouterCount(member, count, timers.nowMs()) },
     routerCount: () => member.routerCount,
     isKnown: () => Number.isFinite(member.heardMs),
     countedForMs: () => countedForMs(member, timers.nowMs()),
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -193,15 +193,15 @@
     counted: count => { membership.note(count) },
     takeNotice
   })
-  const membership = createRouterMembership(timers, () => agents.openAddresses().length > 0 || routerFeed.isCounted())
+  const membership = createRouterMembership(timers, () => agents.isLinked() || routerFeed.isCounted())
   // Without agents the number that was heard of last holds, as routers that are cut off still use their parts.
-  const sharingRouterCount = (): number => agents.openAddresses().length > 0 ? limitRouterCount.count() : membership.routerCount()
+  const sharingRouterCount = (): number => agents.isLinked() ? limitRouterCount.count() : membership.routerCount()
   const quotas = createQuotas({
     timers,
     events,
     organisations: () => feeds.deployment()?.organisations,
     // A router to which nobody has told their number has no part of a limit.
-    routerCount: () => agents.openAddresses().length > 0 || membership.isKnown() ? sharingRouterCount() : Infinity,
+    routerCount: () => agents.isLinked() || membership.isKnown() ? sharingRouterCount() : Infinity,
     reachableAddresses: agents.openAddresses,
     send: (address, message) => { agents.find(address)?.send(message) }
   })
