--- a/packages/decisions/src/forwarding/retryAllowance.test.ts
+++ b/packages/decisions/src/forwarding/retryAllowance.test.ts
@@ -147,6 +147,17 @@
     }
   })
 
+  it('stay within the limits if all are spent at once just before the kill and again a window later', () => {
+    const requestCount = 600
+    for (const routerCount of [4, 12, 68]) {
+      const before = { ...WHOLE_VIEW, requestCount: requestCount / routerCount, routerCount }
+      const after = { ...before, upForMs: LIMITS.windowMs - 1, countedForMs: LIMITS.windowMs - 1 }
+      const spent = [before, after].map(view => Math.floor(maxRetries(LIMITS, view)) * routerCount)
+      expect(spent[0]).to.be.greaterThan(0)
+      expect((spent[0] ?? 0) + (spent[1] ?? 0)).to.be.at.most(requestCount * LIMITS.ratio + LIMITS.slackCount)
+    }
+  })
+
   it('use up half of what is allowed while nothing starts', () => {
     // Guards against bounds that hold because nothing is retried.
     const { requestTimesMs, retryTimesMs } = simulate({ ...CALM, seed: 5, routerCount: 4, requestsPerS: 20 }, 60_000)
