--- a/packages/decisions/src/forwarding/retryAllowance.ts
+++ b/packages/decisions/src/forwarding/retryAllowance.ts
@@ -22,23 +22,33 @@
 }
 
 /** Share of the limits that routers use which know all their retries in the window. */
-const KNOWN_SHARE = 0.6
+const KNOWN_SHARE = 0.55
 
 /**
  * Share that routers use which have started within the window. With `KNOWN_SHARE` it is less than 1: what a start spends comes on top of
  * what the process before it has spent.
  */
-const START_SHARE = 0.35
+const START_SHARE = 0.4
+
+/** Share of its part of the slack that a start may spend at once, as far as it is no more than `FIRST_COUNT`. */
+const FIRST_SHARE = 0.55
+
+/** A start meets the first server that fails before it can know of it. */
+const FIRST_COUNT = 1
 
 const isWhole = (knownForMs: number, { windowMs }: RetryLimits): boolean => knownForMs >= windowMs
 
-const slackShare = (countedForMs: number, limits: RetryLimits): number =>
-  isWhole(countedForMs, limits) ? KNOWN_SHARE : START_SHARE * countedForMs / limits.windowMs
+const maxFromSlack = (limits: RetryLimits, { routerCount, countedForMs }: RetryView): number => {
+  const part = limits.slackCount / Math.max(1, routerCount)
+  if (isWhole(countedForMs, limits)) return part * KNOWN_SHARE
+  const startPart = part * START_SHARE
+  return Math.max(startPart * countedForMs / limits.windowMs, Math.min(FIRST_COUNT, startPart * FIRST_SHARE))
+}
 
 /** Retries within the window that a router may send, not all of which need to be whole. */
-export const maxRetries = (limits: RetryLimits, { requestCount, upForMs, routerCount, countedForMs }: RetryView): number => {
-  const ratioShare = isWhole(upForMs, limits) ? KNOWN_SHARE : START_SHARE
-  return requestCount * limits.ratio * ratioShare + limits.slackCount / Math.max(1, routerCount) * slackShare(countedForMs, limits)
+export const maxRetries = (limits: RetryLimits, view: RetryView): number => {
+  const ratioShare = isWhole(view.upForMs, limits) ? KNOWN_SHARE : START_SHARE
+  return view.requestCount * limits.ratio * ratioShare + maxFromSlack(limits, view)
 }
 
 /**
@@ -49,7 +59,8 @@
  * part that is smaller until it has run for a window, and grows with the requests that it has received and the time for which it has been
  * counted: however often it starts, its processes together spend no more in a window than one of them.
  *
- * The part that belongs to requests needs no number of routers. The part of the slack does: a router that nobody counts has none of it.
+ * The part that belongs to requests needs no number of routers. The part of the slack does: a router that nobody counts has no more of it
+ * than a start, one retry at most.
  */
 export const mayRetry = (limits: RetryLimits, view: RetryView): boolean => view.retryCount + 1 <= maxRetries(limits, view)
 
--- a/packages/gateway/src/routerFeed/createRouterFeed.test.ts
+++ b/packages/gateway/src/routerFeed/createRouterFeed.test.ts
@@ -64,6 +64,20 @@
     router.stop()
   })
 
+  it('takes a router for counted at once that has only started again', async () => {
+    // Guards against callers that are refused after each start of their router, as it has no part of what all share.
+    const { join, pass } = setUp()
+    const [first, second] = [join('r0'), join('r1')]
+    await pass(8_000)
+    first.stop()
+    await pass(1_000)
+    const again = join('r0')
+    await pass(1_000)
+    expect(again.isCounted()).to.equal(true)
+    expect(again.counts.at(-1)).to.equal(2)
+    for (const router of [second, again]) router.stop()
+  })
+
   it('passes notices on, with the time that they took, also to a router that starts later and after an outage', async () => {
     // Guards against a request that kills servers again at a router which has started since.
     const { feed, join, pass } = setUp()
--- a/packages/gateway/src/routerFeed/createRouterFeed.ts
+++ b/packages/gateway/src/routerFeed/createRouterFeed.ts
@@ -8,7 +8,7 @@
 
 import type { EventLog, TimerService } from '@figmount/base'
 import type { FeedFollower, FeedRecord, NewRecord, WritableFeed } from '@figmount/fleet'
-import type { NoticeRecord } from './routerFeedCodec.js'
+import type { NoticeRecord, PresenceRecord } from './routerFeedCodec.js'
 import type { RouterNotice } from './types.js'
 
 /** How often a router writes that it runs. */
@@ -54,6 +54,7 @@
  */
 export const createRouterFeed = (options: Options): RouterFeed => {
   const { feed, instance, timers, events } = options
+  const startedUnixMs = timers.unixMs()
   const seenMs = new Map<string, number>()
   let ownSinceMs: number | undefined
   let waiting: readonly NewRecord[] = []
@@ -85,9 +86,12 @@
     return seenMs.size
   }
 
-  const notePresence = (name: string): void => {
+  const notePresence = ({ instance: name, writtenUnixMs }: PresenceRecord): void => {
     seenMs.set(name, timers.nowMs())
-    if (name === instance) ownSinceMs ??= timers.nowMs()
+    if (name !== instance || ownSinceMs !== undefined) return
+    // The others have counted this router all along if it has only started again.
+    const wasPresent = writtenUnixMs < startedUnixMs && ageOf(writtenUnixMs) < ROUTER_RETENTION_MS
+    ownSinceMs = timers.nowMs() - (wasPresent ? PRESENCE_PERIOD_MS : 0)
   }
 
   const ageOf = (writtenUnixMs: number): number => Math.max(0, timers.unixMs() - writtenUnixMs)
@@ -100,7 +104,7 @@
     for (const record of records) {
       const decoded = decodeRouterRecord(record)
       if (decoded?.type === 'notice') takeNotice(decoded)
-      else if (decoded && ageOf(decoded.writtenUnixMs) < HISTORY_AFTER_MS) notePresence(decoded.instance)
+      else if (decoded && ageOf(decoded.writtenUnixMs) < HISTORY_AFTER_MS) notePresence(decoded)
     }
     options.counted(count())
   }
