--- a/packages/decisions/src/forwarding/retryAllowance.ts
+++ b/packages/decisions/src/forwarding/retryAllowance.ts
@@ -57,7 +57,8 @@
  * Load pattern: servers turn requests away while routers are killed and start again. Each start knows nothing of the retries before it.
  * If it spent its whole part, ten starts in a window would send ten times the limit to servers that are full. A router therefore spends a
  * part that is smaller until it has run for a window, and grows with the requests that it has received and the time for which it has been
- * counted: however often it starts, its processes together spend no more in a window than one of them.
+ * counted: however often it starts, its processes together spend no more in a window than one of them. Only the one retry that each start
+ * may send at once comes on top; the limits leave room for some twenty starts of all routers in a window.
  *
  * The part that belongs to requests needs no number of routers. The part of the slack does: a router that nobody counts has no more of it
  * than a start, one retry at most.
