Keep the highest recent number of routers in one place, and compute a retry's inputs once

The equal part of the slack stood in two places. A wait for a retry computed the log's fields each time it looked.

--- a/packages/decisions/src/forwarding/retryAllowance.test.ts
+++ b/packages/decisions/src/forwarding/retryAllowance.test.ts
@@ -85,7 +85,7 @@
     requestCount: countSince(router.requestTimesMs, nowMs - LIMITS.windowMs),
     retryCount: countSince(router.retryTimesMs, nowMs - LIMITS.windowMs),
     upForMs: nowMs - router.startedMs,
-    routerCount: router.member.routerCount,
+    routerCount: router.member.routers.count,
     countedForMs: countedForMs(router.member, nowMs)
   })
 
--- a/packages/decisions/src/forwarding/retryAllowance.ts
+++ b/packages/decisions/src/forwarding/retryAllowance.ts
@@ -38,8 +38,10 @@
 
 const isWhole = (knownForMs: number, { windowMs }: RetryLimits): boolean => knownForMs >= windowMs
 
+const slackPart = ({ slackCount }: RetryLimits, routerCount: number): number => slackCount / Math.max(1, routerCount)
+
 const maxFromSlack = (limits: RetryLimits, { routerCount, countedForMs }: RetryView): number => {
-  const part = limits.slackCount / Math.max(1, routerCount)
+  const part = slackPart(limits, routerCount)
   if (isWhole(countedForMs, limits)) return part * KNOWN_SHARE
   const startPart = part * START_SHARE
   return Math.max(startPart * countedForMs / limits.windowMs, Math.min(FIRST_COUNT, startPart * FIRST_SHARE))
@@ -69,7 +71,7 @@
 const growthPerMs = (limits: RetryLimits, { requestCount, upForMs, routerCount, countedForMs }: RetryView): number => {
   const byRequests = isWhole(upForMs, limits) ? 0 : requestCount * limits.ratio * START_SHARE / Math.max(1, upForMs)
   const isGrowing = countedForMs > 0 && !isWhole(countedForMs, limits)
-  return byRequests + (isGrowing ? limits.slackCount / Math.max(1, routerCount) * START_SHARE / limits.windowMs : 0)
+  return byRequests + (isGrowing ? slackPart(limits, routerCount) * START_SHARE / limits.windowMs : 0)
 }
 
 /**
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -66,6 +66,7 @@
 export type { RetryLimits, RetryView } from './forwarding/retryAllowance.js'
 export { countedForMs, newMember, noteCounted, noteRouterCount, ROUTER_RETENTION_MS } from './limits/membership.js'
 export type { Membership } from './limits/membership.js'
+export { leastCount, noteCount } from './limits/recentHighest.js'
 export { judgeLease } from './placing/judgeLease.js'
 export type { ColdWant, LeaseDecision, LeaseInputs, LeaseView } from './placing/judgeLease.js'
 export { listColdWants, planOrder } from './placing/planOrder.js'
--- a/packages/decisions/src/limits/membership.ts
+++ b/packages/decisions/src/limits/membership.ts
@@ -1,23 +1,20 @@
+import { leastCount, noteCount } from './recentHighest.js'
+
+import type { RecentHighest } from './recentHighest.js'
+
 /** What one router knows of the number of routers. A plain value. */
 export interface Membership {
-  /** Highest number heard of. */
-  readonly routerCount: number
-  /** Time at which that number, or a higher one, was last heard of. */
-  readonly heardMs: number
+  readonly routers: RecentHighest
   /** Begin of the time for which the others have counted this router; undefined while they may not. */
   readonly countedSinceMs: number | undefined
   /** Time at which this router was last known to be counted. */
   readonly countedMs: number
 }
 
-/**
- * Routers that are assumed until a number is heard of. Routers that all start at once hear of fewer at first.
- */
+/** Routers that are assumed until a number is heard of. Routers that all start at once hear of fewer at first. */
 const MIN_ROUTER_COUNT = 4
 
-/**
- * Time for which the highest number is kept. Routers that are cut off from all others still use their parts, and a cut lasts minutes.
- */
+/** Time for which the highest number is kept. Routers that are cut off from all others still use their parts, and a cut lasts minutes. */
 const HEARD_RETENTION_MS = 600_000
 
 /** Time for which those who count routers remember one that they have lost. */
@@ -27,13 +24,11 @@
 const FORGOTTEN_AFTER_MS = ROUTER_RETENTION_MS / 2
 
 /** A router that has just started. */
-export const newMember: Membership = { routerCount: MIN_ROUTER_COUNT, heardMs: -Infinity, countedSinceMs: undefined, countedMs: -Infinity }
+export const newMember: Membership = { routers: leastCount(MIN_ROUTER_COUNT), countedSinceMs: undefined, countedMs: -Infinity }
 
 /** A number of routers was heard of. */
-export const noteRouterCount = (member: Membership, count: number, nowMs: number): Membership => {
-  if (count < member.routerCount && nowMs - member.heardMs < HEARD_RETENTION_MS) return member
-  return { ...member, routerCount: Math.max(MIN_ROUTER_COUNT, count), heardMs: nowMs }
-}
+export const noteRouterCount = (member: Membership, count: number, nowMs: number): Membership =>
+  ({ ...member, routers: noteCount(member.routers, count, MIN_ROUTER_COUNT, HEARD_RETENTION_MS, nowMs) })
 
 const isForgotten = ({ countedMs }: Membership, nowMs: number): boolean => nowMs - countedMs > FORGOTTEN_AFTER_MS
 
--- a/packages/gateway/src/limits/createRouterCount.ts
+++ b/packages/gateway/src/limits/createRouterCount.ts
@@ -1,7 +1,8 @@
+import { leastCount, noteCount, ROUTER_RETENTION_MS } from '@figmount/decisions'
+
 import type { TimerService } from '@figmount/base'
 
-/** Time for which the highest count is kept: a router that was not seen for longer is gone. */
-const RETENTION_MS = 30_000
+const MIN_COUNT = 1
 
 /** The highest number of routers that agents have reported recently. */
 export interface RouterCount {
@@ -11,15 +12,9 @@
 
 /** Creates the count of one router. A router that is cut off is counted for a while, because it still admits its share of all limits. */
 export const createRouterCount = (timers: TimerService): RouterCount => {
-  let most = 1
-  let seenMs = -Infinity
+  let highest = leastCount(MIN_COUNT)
   return {
-    note: count => {
-      const nowMs = timers.nowMs()
-      if (count < most && nowMs - seenMs < RETENTION_MS) return
-      most = Math.max(1, count)
-      seenMs = nowMs
-    },
-    count: () => most
+    note: count => { highest = noteCount(highest, count, MIN_COUNT, ROUTER_RETENTION_MS, timers.nowMs()) },
+    count: () => highest.count
   }
 }
--- a/packages/gateway/src/retries/createRetryBudget.ts
+++ b/packages/gateway/src/retries/createRetryBudget.ts
@@ -83,21 +83,24 @@
     return history
   }
 
-  const inputsOf = ({ requestTimesMs, retries }: ServiceHistory): RetryInputs => {
-    const view = {
-      requestCount: requestTimesMs.length,
-      retryCount: retries.length,
-      upForMs: timers.nowMs() - startedMs,
-      routerCount: membership.routerCount(),
-      countedForMs: membership.countedForMs()
-    }
-    return { ...view, maxRetryCount: maxRetries(limits, view), unansweredCount: retries.filter(({ leavesMs }) => leavesMs === Infinity).length }
+  const viewOf = ({ requestTimesMs, retries }: ServiceHistory): RetryView => ({
+    requestCount: requestTimesMs.length,
+    retryCount: retries.length,
+    upForMs: timers.nowMs() - startedMs,
+    routerCount: membership.routerCount(),
+    countedForMs: membership.countedForMs()
+  })
+
+  const inputsOf = (history: ServiceHistory): RetryInputs => {
+    const view = viewOf(history)
+    const unanswered = history.retries.filter(({ leavesMs }) => leavesMs === Infinity)
+    return { ...view, maxRetryCount: maxRetries(limits, view), unansweredCount: unanswered.length }
   }
 
   const waitMs = (history: ServiceHistory, own: Waiter): number => {
-    const view = inputsOf(history)
+    const view = viewOf(history)
     let aheadCount = 0
-    for (const other of history.waiters) aheadCount += Number(other !== own && isAhead(other, own))
+    for (const other of history.waiters) aheadCount += Number(isAhead(other, own))
     if (aheadCount === 0 && mayRetry(limits, view)) return 0
     const nowMs = timers.nowMs()
     return retryWaitMs(limits, view, aheadCount, history.retries.map(({ leavesMs }) => leavesMs - nowMs).sort((a, b) => a - b))
--- a/packages/gateway/src/router/createRouterMembership.ts
+++ b/packages/gateway/src/router/createRouterMembership.ts
@@ -24,8 +24,8 @@
   const review = (): void => { if (isCounted()) member = noteCounted(member, timers.nowMs()) }
   return {
     note: count => { member = noteRouterCount(member, count, timers.nowMs()) },
-    routerCount: () => member.routerCount,
-    isKnown: () => Number.isFinite(member.heardMs),
+    routerCount: () => member.routers.count,
+    isKnown: () => Number.isFinite(member.routers.heardMs),
     countedForMs: () => countedForMs(member, timers.nowMs()),
     stop: timers.every(REVIEW_MS, review)
   }
