Encode and decode the values of figmount's own records in one place

The feed of routers beside no agent had its own copy of the lease codec's msgpack and schema code, line by line. Both call fleet's encodeRecordValue and decodeRecordValue. A transform in a schema that changed nothing is gone. 40 tests of the two codecs' slices pass.

--- a/packages/gateway/src/routerFeed/routerFeedCodec.ts
+++ b/packages/gateway/src/routerFeed/routerFeedCodec.ts
@@ -1,6 +1,5 @@
-import { Packr } from 'msgpackr'
-import { Either } from 'purify-ts'
 import * as z from 'zod'
+import { decodeRecordValue, encodeRecordValue } from '@figmount/fleet'
 
 import type { FeedRecord, NewRecord } from '@figmount/fleet'
 import type { RouterNotice } from './types.js'
@@ -26,9 +25,7 @@
 const PRESENCE = 'router'
 const NOTICE = 'notice'
 
-const packr = new Packr({ useRecords: false })
-
-const startSchema = z.object({ serverId: z.string(), startedAtUnixMs: z.number().optional().transform(startedAtUnixMs => startedAtUnixMs) })
+const startSchema = z.object({ serverId: z.string(), startedAtUnixMs: z.number().optional() })
 const identitySchema = z.object({ contentHash: z.string(), callerId: z.string() })
 const ageSchema = z.number().nonnegative()
 
@@ -47,17 +44,14 @@
 
 /** Encodes that a router runs. */
 export const encodePresence = (instance: string, writtenUnixMs: number): NewRecord =>
-  ({ key: `${PRESENCE}/${instance}`, value: packr.pack({ writtenUnixMs }) })
+  ({ key: `${PRESENCE}/${instance}`, value: encodeRecordValue({ writtenUnixMs }) })
 
 /** Encodes a router's `index`th notice. */
 export const encodeNotice = (instance: string, index: number, writtenUnixMs: number, notice: RouterNotice): NewRecord =>
-  ({ key: `${NOTICE}/${instance}/${index % KEPT_COUNT}`, value: packr.pack({ writtenUnixMs, notice }) })
-
-const decode = <T>(schema: z.ZodType<T>, value: Uint8Array): T | undefined =>
-  Either.encase(() => packr.unpack(value) as unknown).map(fields => schema.safeParse(fields).data).orDefault(undefined)
+  ({ key: `${NOTICE}/${instance}/${index % KEPT_COUNT}`, value: encodeRecordValue({ writtenUnixMs, notice }) })
 
 const decodeNotice = (instance: string, value: Uint8Array): NoticeRecord | undefined => {
-  const fields = decode(noticeRecordSchema, value)
+  const fields = decodeRecordValue(noticeRecordSchema, value)
   return fields && { type: 'notice', instance, writtenUnixMs: fields.writtenUnixMs, notice: fields.notice as RouterNotice }
 }
 
@@ -66,6 +60,6 @@
   const [kind, instance = ''] = key.split('/')
   if (!value || instance === '') return undefined
   if (kind === NOTICE) return decodeNotice(instance, value)
-  const fields = kind === PRESENCE ? decode(presenceSchema, value) : undefined
+  const fields = kind === PRESENCE ? decodeRecordValue(presenceSchema, value) : undefined
   return fields && { type: 'presence', instance, writtenUnixMs: fields.writtenUnixMs }
 }
--- a/packages/sidecar/src/leases/leaseCodec.ts
+++ b/packages/sidecar/src/leases/leaseCodec.ts
@@ -1,6 +1,5 @@
-import { Packr } from 'msgpackr'
-import { Either } from 'purify-ts'
 import * as z from 'zod'
+import { decodeRecordValue, encodeRecordValue } from '@figmount/fleet'
 
 import { MAX_LIFETIME_MS } from './constants.js'
 
@@ -10,8 +9,6 @@
 /** Key of the record that says how many loads the weight store carries. No lease has this key. */
 export const LIMIT_KEY = 'limit'
 
-const packr = new Packr({ useRecords: false })
-
 const leaseSchema = z.object({
   modelName: z.string(),
   waitingCount: z.number().nonnegative(),
@@ -25,20 +22,17 @@
   failedTrialCount: z.number().int().nonnegative()
 })
 
-const decode = <T>(schema: z.ZodType<T>, value: Uint8Array): T | undefined =>
-  Either.encase(() => packr.unpack(value) as unknown).map(fields => schema.safeParse(fields).data).orDefault(undefined)
-
 /** Key of a lease. It is unique, so that a removal carried out late does not end a newer lease. */
 export const leaseKeyOf = (instance: string, leaseId: string): string => `lease/${instance}/${leaseId}`
 
 /** Encodes a lease as a record of the feed. */
-export const encodeLease = (key: string, lease: LoadLease): NewRecord => ({ key, value: packr.pack(lease) })
+export const encodeLease = (key: string, lease: LoadLease): NewRecord => ({ key, value: encodeRecordValue(lease) })
 
 /** Encodes the limit as a record of the feed. */
-export const encodeLimit = (limit: StoreLimit): NewRecord => ({ key: LIMIT_KEY, value: packr.pack(limit) })
+export const encodeLimit = (limit: StoreLimit): NewRecord => ({ key: LIMIT_KEY, value: encodeRecordValue(limit) })
 
 /** Decodes a lease; undefined for malformed bytes. */
-export const decodeLease = (value: Uint8Array): LoadLease | undefined => decode(leaseSchema, value)
+export const decodeLease = (value: Uint8Array): LoadLease | undefined => decodeRecordValue(leaseSchema, value)
 
 /** Decodes the limit; undefined for malformed bytes. */
-export const decodeLimit = (value: Uint8Array): StoreLimit | undefined => decode(limitSchema, value)
+export const decodeLimit = (value: Uint8Array): StoreLimit | undefined => decodeRecordValue(limitSchema, value)
