--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -77,7 +77,7 @@
   let sentLoad: { readonly load: AgentLoad, readonly atMs: number } | undefined
   const relayedReads = createRelayedReads(timers)
   const crashNotices = createCrashNotices(timers)
-  const census = createRouterCensus(timers)
+  const census = createRouterCensus(timers, () => [...links].map(link => link.peer))
 
   const sendToMany = (receivers: Iterable<RouterLink>, message: AgentMessage): void => {
     const packed = packMessage({ offset: () => NO_OFFSET, events, codec }, message)
@@ -187,7 +187,6 @@
 
   const runLink = async (link: RouterLink): Promise<void> => {
     links.add(link)
-    census.noteLinked(link.peer)
     // Guards against a new router that starts from a state which the others never received: a change reverted before the next
     // comparison would not be sent, and the new router would keep it. So all routers start from the same state.
     const currentState = options.describe(census.count())
