--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -16,6 +16,8 @@
   readonly requestKey?: string
   /** Start of the hash by which a request is recognised when its caller resends it under another id. */
   readonly requestHash?: string
+  /** Parts of a prompt that requests share, in order; the newest ones are left out of a long list. */
+  readonly promptParts?: readonly string[]
   readonly attemptId?: string
   readonly service?: string
   readonly model?: string
--- a/packages/gateway/src/crashes/noteBroken.ts
+++ b/packages/gateway/src/crashes/noteBroken.ts
@@ -1,4 +1,5 @@
 import { GatewayEvent } from '../events.js'
+import { sharedParts } from './sharedParts.js'
 import { shortHash } from './shortHash.js'
 
 import type { GatewayContext, RoutedRequest } from '../requests/types.js'
@@ -8,6 +9,7 @@
   context.events.emit(GatewayEvent.runBroken, {
     requestKey: request.caller.requestId,
     requestHash: shortHash(request.identity),
+    promptParts: sharedParts(request.caller),
     peer: serverId,
     reason,
     count: context.crashes.countsOf(request.identity).ownCount,
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -36,5 +36,6 @@
   deploymentAsked: [2532, 'the router is behind and asks an agent for the newest configuration'],
   serverRests: [2533, 'a backend server has turned a request away and wants no more from this router for a while'],
   retryDenied: [2534, 'a request may not be retried: this router has spent its part of the retry budget'],
-  retryAwaited: [2535, 'a request waits until it may be retried']
+  retryAwaited: [2535, 'a request waits until it may be retried'],
+  crashDisproved: [2536, 'a request was answered under which backend servers had died: it does not count as the cause any more']
 })
