--- a/packages/fleet/src/crashes/types.ts
+++ b/packages/fleet/src/crashes/types.ts
@@ -22,3 +22,27 @@
   /** Time since the answer. */
   readonly ageMs: number
 }
+
+/** A part of prompts that ran on a server which died. */
+export interface PartRun {
+  readonly partId: string
+  /** Time since the latest run with it was sent. */
+  readonly sentAgeMs: number
+  /** Time since the latest run with it was sent that proves it harmless at that time; undefined if none is known. */
+  readonly provenAgeMs: number | undefined
+}
+
+/** The death of a backend server and the shared parts of prompts that it had begun to answer, or was about to. */
+export interface PartDeath {
+  readonly start: ServerStart
+  /** Time since the runs ended. */
+  readonly ageMs: number
+  readonly parts: readonly PartRun[]
+}
+
+/** A backend server has written on a prompt with the part for a while and has not died of it. */
+export interface PartProof {
+  readonly partId: string
+  /** Time since that run was sent. */
+  readonly sentAgeMs: number
+}
--- a/packages/fleet/src/messages/structures.ts
+++ b/packages/fleet/src/messages/structures.ts
@@ -23,7 +23,7 @@
   ['type', 'askId', 'organisation', 'units', 'maxWaitMs'],
   ['type', 'askId', 'outcome', 'waitMs'],
   ['type', 'organisation', 'units'],
-  ['type', 'crashes', 'answered'],
+  ['type', 'crashes', 'answered', 'partDeaths', 'partProofs'],
   ['type', 'start', 'limitPerS'],
   ['streamId', 'serviceName', 'softwareVersion'],
   ['type', 'askId', 'streamId', 'serviceName'],
@@ -31,5 +31,6 @@
   ['identity', 'start', 'ageMs'],
   ['identity', 'ageMs'],
   ['contentHash', 'callerId'],
+  ['partId', 'sentAgeMs', 'provenAgeMs'],
   ['serverId', 'startedAtUnixMs']
 ]
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -1,5 +1,5 @@
 /** Messages between routers and agents. */
-import type { AnsweredRequest, Crash } from '../crashes/types.js'
+import type { AnsweredRequest, Crash, PartDeath, PartProof } from '../crashes/types.js'
 import type { FeedRange } from '../feeds/types.js'
 import type { HeldModel, ServerStart } from '../servers/types.js'
 
@@ -98,11 +98,13 @@
   readonly settlingMs: number
 }
 
-/** Crashes, and answers to requests of which crashes are known, as one router has seen them. */
+/** Crashes, and what disproves that a request or a part of prompts was their cause, as one router has seen them. */
 export interface CrashNotice {
   readonly type: 'crash'
   readonly crashes: readonly Crash[]
   readonly answered: readonly AnsweredRequest[]
+  readonly partDeaths: readonly PartDeath[]
+  readonly partProofs: readonly PartProof[]
 }
 
 /** The limit that a backend server names in its answers has changed, as one router has seen it. */
--- a/packages/gateway/src/crashes/constants.ts
+++ b/packages/gateway/src/crashes/constants.ts
@@ -1,7 +1,10 @@
 /** Reason with which a request is refused under which servers have died. */
 export const DEADLY_REASON = 'backend servers died while they ran it'
 
-/** Retry-after of such a request. */
+/** Reason with which a request is refused for a part of its prompt. */
+export const DEADLY_PART_REASON = 'backend servers died of a part of its prompt'
+
+/** Retry-after of a request under which servers have died. */
 export const DEADLY_RETRY_MS = 10_000
 
 /** How often a router looks for evidence of the death of a server that broke off a run. */
@@ -16,6 +19,9 @@
 /** Time for which a retry waits until it is known whether the server has died: a health check takes one round trip. */
 export const VERDICT_WAIT_MS = 100
 
+/** A server that has written on a prompt for this long does not die of it: one that does dies as it begins. */
+export const PROOF_MS = 500
+
 /** Time for which a dead server is remembered; it leaves the list within seconds, unless the store is away. */
 export const DEAD_RETENTION_MS = 60_000
 
--- a/packages/gateway/src/crashes/createBreakWatch.test.ts
+++ b/packages/gateway/src/crashes/createBreakWatch.test.ts
@@ -16,7 +16,7 @@
 const ENTRY: ServerEntry =
   { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: 'a:1', dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: [] }
 
-const requestOf = (identity: RequestIdentity): RoutedRequest => ({ identity, caller: { requestId: 'r' } }) as unknown as RoutedRequest
+const requestOf = (identity: RequestIdentity): RoutedRequest => ({ identity, caller: { requestId: 'r', promptParts: [] } }) as unknown as RoutedRequest
 
 /** A router with one plain server whose health checks end as `probe` says. */
 const setUp = (probe: () => ProbeResult) => {
--- a/packages/gateway/src/crashes/createCrashNotifier.test.ts
+++ b/packages/gateway/src/crashes/createCrashNotifier.test.ts
@@ -14,9 +14,9 @@
     const timers = createVirtualTimers()
     const sent: CrashNotice[] = []
     const notifier = createCrashNotifier(timers, notice => { sent.push(notice) })
-    for (const hash of ['x', 'y', 'z']) notifier.notify(crashOf(hash))
+    for (const hash of ['x', 'y', 'z']) notifier.notify({ crashes: [crashOf(hash)] })
     timers.advance(100)
-    notifier.notify(crashOf('w'))
+    notifier.notify({ crashes: [crashOf('w')] })
     timers.advance(100)
     expect(sent.map(({ crashes }) => crashes.map(crash => crash.identity.contentHash))).to.deep.equal([['x', 'y', 'z'], ['w']])
   })
--- a/packages/gateway/src/crashes/createCrashNotifier.ts
+++ b/packages/gateway/src/crashes/createCrashNotifier.ts
@@ -1,15 +1,22 @@
 import type { TimerService } from '@figmount/base'
-import type { AnsweredRequest, Crash, CrashNotice } from '@figmount/fleet'
+import type { CrashNotice } from '@figmount/fleet'
 
 /** Crashes within this time are sent as one message; a caller takes longer to resend its request. */
 const GATHER_MS = 50
 
-/** Reports to other routers which requests were running when their servers died, and which of them were answered since. */
+/** What is reported; all lists together may be empty. */
+export type CrashNews = Partial<Omit<CrashNotice, 'type'>>
+
+/** Reports to other routers what was running when servers died, and what was answered since. */
 export interface CrashNotifier {
-  readonly notify: (crash: Crash) => void
-  readonly notifyAnswered: (answer: AnsweredRequest) => void
+  readonly notify: (news: CrashNews) => void
 }
 
+const NO_NEWS: CrashNotice = { type: 'crash', crashes: [], answered: [], partDeaths: [], partProofs: [] }
+
+const isEmpty = ({ crashes, answered, partDeaths, partProofs }: CrashNotice): boolean =>
+  crashes.length + answered.length + partDeaths.length + partProofs.length === 0
+
 /**
  * Gathers crashes before they are sent.
  *
@@ -17,27 +24,25 @@
  * thousands of messages at once.
  */
 export const createCrashNotifier = (timers: TimerService, send: (notice: CrashNotice) => void): CrashNotifier => {
-  let crashes: readonly Crash[] = []
-  let answered: readonly AnsweredRequest[] = []
+  let gathered = NO_NEWS
 
   const flush = (): void => {
-    send({ type: 'crash', crashes, answered })
-    crashes = []
-    answered = []
-  }
-
-  const flushSoon = (): void => {
-    if (crashes.length + answered.length === 0) timers.after(GATHER_MS, flush)
+    const notice = gathered
+    gathered = NO_NEWS
+    send(notice)
   }
 
   return {
-    notify: crash => {
-      flushSoon()
-      crashes = [...crashes, crash]
-    },
-    notifyAnswered: answer => {
-      flushSoon()
-      answered = [...answered, answer]
+    notify: ({ crashes = [], answered = [], partDeaths = [], partProofs = [] }) => {
+      const wasEmpty = isEmpty(gathered)
+      gathered = {
+        type: 'crash',
+        crashes: [...gathered.crashes, ...crashes],
+        answered: [...gathered.answered, ...answered],
+        partDeaths: [...gathered.partDeaths, ...partDeaths],
+        partProofs: [...gathered.partProofs, ...partProofs]
+      }
+      if (wasEmpty && !isEmpty(gathered)) timers.after(GATHER_MS, flush)
     }
   }
 }
--- a/packages/gateway/src/crashes/noteAnswer.ts
+++ b/packages/gateway/src/crashes/noteAnswer.ts
@@ -8,6 +8,6 @@
   breakWatch.forget(identity)
   const answer = { identity, ageMs: 0 }
   if (!crashes.noteAnswer(answer)) return
-  crashNotifier.notifyAnswered(answer)
+  crashNotifier.notify({ answered: [answer] })
   events.emit(GatewayEvent.crashDisproved, { requestKey: caller.requestId, requestHash: shortHash(identity) })
 }
--- a/packages/gateway/src/crashes/noteCrash.ts
+++ b/packages/gateway/src/crashes/noteCrash.ts
@@ -1,4 +1,5 @@
 import { GatewayEvent } from '../events.js'
+import { sharedParts } from './sharedParts.js'
 import { shortHash } from './shortHash.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
@@ -19,12 +20,12 @@
   const { timers, events, crashes, crashNotifier } = context
   const crash = { identity, start, ageMs: timers.nowMs() - brokenMs }
   crashes.note(crash)
-  crashNotifier.notify(crash)
   const answer = crashes.answerTo(identity)
-  if (answer) crashNotifier.notifyAnswered(answer)
+  crashNotifier.notify({ crashes: [crash], answered: answer ? [answer] : [] })
   events.emit(GatewayEvent.crashCounted, {
     requestKey: caller.requestId,
     requestHash: shortHash(identity),
+    promptParts: sharedParts(caller),
     peer: start.serverId,
     reason,
     count: crashes.countsOf(identity).ownCount,
--- a/packages/gateway/src/crashes/shareCrashes.ts
+++ b/packages/gateway/src/crashes/shareCrashes.ts
@@ -4,11 +4,13 @@
 import type { EventLog } from '@figmount/base'
 import type { CrashHistory, CrashNotice } from '@figmount/fleet'
 import type { CrashNotifier } from './createCrashNotifier.js'
+import type { PartGuard } from './createPartGuard.js'
 
 interface Options {
   readonly events: EventLog
   readonly crashes: CrashHistory
   readonly crashNotifier: CrashNotifier
+  readonly partGuard: PartGuard
   readonly send: (address: string, notice: CrashNotice) => void
 }
 
@@ -21,20 +23,23 @@
 }
 
 /** Keeps a router's crash history up to date with the other routers'. */
-export const shareCrashes = ({ events, crashes, crashNotifier, send }: Options): SharedCrashes => ({
+export const shareCrashes = ({ events, crashes, crashNotifier, partGuard, send }: Options): SharedCrashes => ({
   take: notice => {
     for (const crash of notice.crashes) {
       if (!crashes.note(crash)) continue
       const answer = crashes.answerTo(crash.identity)
-      if (answer) crashNotifier.notifyAnswered(answer)
+      if (answer) crashNotifier.notify({ answered: [answer] })
       events.emit(GatewayEvent.crashNoted, {
         requestHash: shortHash(crash.identity), peer: crash.start.serverId, count: crashes.countsOf(crash.identity).ownCount, ageMs: Math.round(crash.ageMs)
       })
     }
     for (const answer of notice.answered) crashes.noteAnswer(answer)
+    partGuard.takeDeaths(notice.partDeaths)
+    partGuard.takeProofs(notice.partProofs)
   },
   sendAll: address => {
     const known = crashes.crashes()
-    if (known.length > 0) send(address, { type: 'crash', crashes: known, answered: [] })
+    const partDeaths = partGuard.deaths()
+    if (known.length + partDeaths.length > 0) send(address, { type: 'crash', crashes: known, answered: [], partDeaths, partProofs: [] })
   }
 })
--- a/packages/gateway/src/crashes/watchCrash.test.ts
+++ b/packages/gateway/src/crashes/watchCrash.test.ts
@@ -36,10 +36,10 @@
   directory.takeState(ADDRESS, makeAgentState('a'))
   const relayed: string[] = []
   const crashes = createCrashHistory(timers)
-  const context = { timers, events, directory, crashes, crashNotifier: createCrashNotifier(timers, ({ type }) => { relayed.push(type) }) } as unknown as GatewayContext
+  const context = { timers, events, directory, crashes, crashNotifier: createCrashNotifier(timers, ({ type }) => { relayed.push(type) }), partGuard: { noteDeath: () => {} } } as unknown as GatewayContext
   const server = directory.find('a')
   if (!server) throw new Error('engine a is missing from the directory')
-  const interruptRun = (wasCut = false): void => { watchCrash(context, { identity: IDENTITY, caller: { requestId: 'r' } } as unknown as RoutedRequest, server, wasCut) }
+  const interruptRun = (wasCut = false): void => { watchCrash(context, { identity: IDENTITY, caller: { requestId: 'r', promptParts: [] } } as unknown as RoutedRequest, server, { sentMs: 0, isProven: false }, wasCut) }
   return { timers, directory, crashes, relayed, list, unlist, reportDeath, interruptRun }
 }
 
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -37,5 +37,8 @@
   serverRests: [2533, 'a backend server has turned a request away and wants no more from this router for a while'],
   retryDenied: [2534, 'a request may not be retried: this router has spent its part of the retry budget'],
   retryAwaited: [2535, 'a request waits until it may be retried'],
-  crashDisproved: [2536, 'a request was answered under which backend servers had died: it does not count as the cause any more']
+  crashDisproved: [2536, 'a request was answered under which backend servers had died: it does not count as the cause any more'],
+  partsBlamed: [2537, 'backend servers die of one of these parts of prompts, as far as is known now'],
+  partsTried: [2538, 'a request is run to find out whether backend servers die of parts of its prompt'],
+  partsProven: [2539, 'a backend server has written on parts of prompts under which others had died']
 })
--- a/packages/gateway/src/requests/runOnServer.ts
+++ b/packages/gateway/src/requests/runOnServer.ts
@@ -1,6 +1,6 @@
 import { countsAsFailure } from '@figmount/decisions'
 
-import { DEATH_CHECK_PERIOD_MS } from '../crashes/constants.js'
+import { DEATH_CHECK_PERIOD_MS, PROOF_MS } from '../crashes/constants.js'
 import { limitExchange } from './limitExchange.js'
 import { runStream } from './runStream.js'
 
@@ -11,10 +11,18 @@
 import type { CallerStream } from './createCallerStream.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
+/** A run on a server that has ended. */
+export interface EndedRun {
+  readonly end: RunEnd
+  readonly sentMs: number
+  /** The server has written on the request for a while: it does not die of it. */
+  readonly isProven: boolean
+}
+
 /** Runs the request on the chosen server and updates the router's counts, prefix index and failure rate for that server. */
 export const runOnServer = async (
   context: GatewayContext, request: RoutedRequest, choice: ServerChoice, stream: CallerStream, versionLock: VersionLock, retry: TakenRetry | undefined
-): Promise<RunEnd> => {
+): Promise<EndedRun> => {
   const { directory } = context
   const { start } = choice.server
   const { modelName, adapterName, promptParts } = request.caller
@@ -26,9 +34,16 @@
     : () => {}
   let isPending = true
   let startedMs = 0
-  const noteFirstEvent = (): void => {
+  let isProven = false
+  const noteEvent = (): void => {
     if (isPending) versionLock.begin(choice.server)
     settlePending()
+    if (context.timers.nowMs() - startedMs >= PROOF_MS) proveParts()
+  }
+  const proveParts = (): void => {
+    if (isProven) return
+    isProven = true
+    context.partGuard.noteProof(request.caller, sentMs)
   }
   const settlePending = (): void => {
     if (!isPending) return
@@ -40,12 +55,13 @@
   directory.own.noteRun(start, modelName)
   directory.prefixes.remember(start.serverId, `${modelName}/${adapterName}`, promptParts)
   const sentMs = context.timers.nowMs()
-  const end = await runStream(context, request, choice.server, stream, retry, limit.signal, noteFirstEvent)
+  const end = await runStream(context, request, choice.server, stream, retry, limit.signal, noteEvent)
   const isSilent = isPending
   settlePending()
   directory.own.noteEnded(start)
   directory.own.noteRunEnd(start, modelName)
   if (end.type === 'finished') context.occupancy.note(context.timers.nowMs() - startedMs)
+  if (end.type === 'finished') proveParts()
   limit.release()
   stopDeathChecks()
   directory.noteOutcome(start, countsAsFailure({
@@ -54,5 +70,5 @@
     isSilent,
     waitedMs: context.timers.nowMs() - sentMs
   }))
-  return end
+  return { end, sentMs, isProven }
 }
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -23,13 +23,13 @@
 const OK = 200
 const MISDIRECTED = 421
 
-const relay = async (context: GatewayContext, request: RoutedRequest, stream: CallerStream, open: OpenAnswer, firstEvent: () => void): Promise<RunEnd> => {
+const relay = async (context: GatewayContext, request: RoutedRequest, stream: CallerStream, open: OpenAnswer, noteEvent: () => void): Promise<RunEnd> => {
   stream.open(open.message.statusCode ?? OK, context.codec.encodeAnswer(open.message.rawHeaders), hasFraming(open.message))
   const end = await relayEvents({
     answer: open,
     timers: context.timers,
     take: event => {
-      firstEvent()
+      noteEvent()
       return stream.take(event)
     },
     onceDrained: stream.onceDrained,
@@ -41,7 +41,7 @@
 
 /** Runs a stream on one server and forwards its events. */
 export const runStream = async (
-  context: GatewayContext, request: RoutedRequest, server: KnownServer, stream: CallerStream, retry: TakenRetry | undefined, signal: AbortSignal, firstEvent: () => void
+  context: GatewayContext, request: RoutedRequest, server: KnownServer, stream: CallerStream, retry: TakenRetry | undefined, signal: AbortSignal, noteEvent: () => void
 ): Promise<RunEnd> => {
   const { serverId } = server.entry
   const opened = await openExchange(context, request, server, stream.lastEventId(), retry, signal)
@@ -56,7 +56,7 @@
     open.abort()
     return { type: 'broken', reason: 'answer to another request' }
   }
-  if (status === OK && !open.answer.isNotRun) return await relay(context, request, stream, open, firstEvent)
+  if (status === OK && !open.answer.isNotRun) return await relay(context, request, stream, open, noteEvent)
   const read = await readAnswer(open, serverId)
   if (status === MISDIRECTED || open.answer.isNotRun) {
     return { type: 'notRun', reason: `turned away with ${status}`, isMisdirected: status === MISDIRECTED }
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -11,6 +11,7 @@
 import { createQueueScaler } from '../placing/createQueueScaler.js'
 import { createStop } from '../stopping/createStop.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
+import { makePartGuard } from '../testing/makePartGuard.js'
 import { makeServerLimits } from '../testing/makeServerLimits.js'
 import { MAX_LOST_LOADS } from './constants.js'
 import { createRefusedWants } from './createRefusedWants.js'
@@ -63,6 +64,7 @@
     refusedWants: createRefusedWants(events, () => true),
     areCopiesKnown: () => true,
     crashes: createCrashHistory(timers),
+    partGuard: makePartGuard(timers, events),
     serverLimits: makeServerLimits(timers),
     stop,
     queueScaler: createQueueScaler(timers),
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -2,7 +2,6 @@
 
 import { checkCrashes } from '../crashes/checkCrashes.js'
 import { noteAnswer } from '../crashes/noteAnswer.js'
-import { DEADLY_REASON } from '../crashes/constants.js'
 import { noteBroken } from '../crashes/noteBroken.js'
 import { watchCrash } from '../crashes/watchCrash.js'
 import { GatewayEvent } from '../events.js'
@@ -68,7 +67,7 @@
     if (request.callerLeft.aborted || request.untilMs - timers.nowMs() < MIN_SERVE_MS) return giveUp('no time left', REJECTED_RETRY_MS)
     if (timers.nowMs() >= bounds.lastSendMs()) return giveUp(STOPPING_REASON, STOPPING_RETRY_MS)
     const check = await checkCrashes(context, request, bounds.callerLeavesMs() - timers.nowMs())
-    if (check.type === 'refused') return giveUp(DEADLY_REASON, check.retryAfterMs)
+    if (check.type === 'refused') return giveUp(check.reason, check.retryAfterMs)
     if (check.type === 'waited') continue
     const servers = candidates()
     if (servers.length === 0) return giveUp('no server', NO_SERVER_RETRY_MS)
@@ -112,8 +111,8 @@
     if (runCount > 0 && request.organisation) context.quotas.charge(request.organisation, request.units)
     sendCount += 1
     lastPeer = serverId
-    const sentMs = timers.nowMs()
-    const end = await runOnServer(context, request, choice, stream, versionLock, retry)
+    const run = await runOnServer(context, request, choice, stream, versionLock, retry)
+    const { end, sentMs } = run
     retry = undefined
     if (end.type === 'answered' || end.type === 'finished') noteAnswer(context, request)
     if (end.type === 'answered') return
@@ -121,7 +120,7 @@
     // A run that the router aborted says nothing about the server.
     const wasAborted = request.callerLeft.aborted || timers.nowMs() >= request.untilMs || stop.isEnded()
     if (end.type === 'broken') noteBroken(context, request, serverId, end.reason, timers.nowMs() - sentMs)
-    if (end.type === 'broken') watchCrash(context, request, choice.server, wasAborted)
+    if (end.type === 'broken') watchCrash(context, request, choice.server, run, wasAborted)
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
     // A server that wants rest may be asked again after it.
     if (end.type !== 'notRun' || !context.serverLimits.isResting(start)) excludedStarts.add(startKeyOf(start))
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -3,7 +3,7 @@
 
 import { checkCrashes } from '../crashes/checkCrashes.js'
 import { noteAnswer } from '../crashes/noteAnswer.js'
-import { DEADLY_REASON, MIN_SILENCE_MS } from '../crashes/constants.js'
+import { MIN_SILENCE_MS } from '../crashes/constants.js'
 import { noteBroken } from '../crashes/noteBroken.js'
 import { hasFraming } from '../forwarding/isComplete.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
@@ -167,7 +167,7 @@
     if (request.callerLeft.aborted || request.untilMs - timers.nowMs() < MIN_SERVE_MS) return finish('no time left')
     if (timers.nowMs() >= lastSendMs()) return finish(STOPPING_REASON, STOPPING_RETRY_MS)
     const check = await checkCrashes(context, request, request.untilMs - timers.nowMs())
-    if (check.type === 'refused') return finish(DEADLY_REASON, check.retryAfterMs)
+    if (check.type === 'refused') return finish(check.reason, check.retryAfterMs)
     if (check.type === 'waited') continue
     const servers = context.directory.serving(request.serviceName).filter(({ start }) => !tried.has(startKeyOf(start)))
     if (servers.length === 0) return finish(sendCount > 0 ? 'no other server' : 'no server')
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -16,6 +16,7 @@
 import type { BreakWatch } from '../crashes/createBreakWatch.js'
 import type { PendingRuns } from '../crashes/createPendingRuns.js'
 import type { CrashNotifier } from '../crashes/createCrashNotifier.js'
+import type { PartGuard } from '../crashes/createPartGuard.js'
 import type { StreamOrigins } from '../origins/createStreamOrigins.js'
 import type { ServerLimits } from '../serverLimits/createServerLimits.js'
 import type { Stop } from '../stopping/types.js'
@@ -38,6 +39,7 @@
   readonly quotas: Quotas
   readonly crashes: CrashHistory
   readonly crashNotifier: CrashNotifier
+  readonly partGuard: PartGuard
   readonly breakWatch: BreakWatch
   readonly pendingRuns: PendingRuns
   readonly serverLimits: ServerLimits
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -1,12 +1,13 @@
 import { BaseEvent, countMessages } from '@figmount/base'
 import { planFetch } from '@figmount/decisions'
-import { createCopyFetch, createCopySource, createCrashHistory, findEngine, findModel, MESSAGE_STRUCTURES } from '@figmount/fleet'
+import { createCopyFetch, createCopySource, createCrashHistory, createPartHistory, findEngine, findModel, MESSAGE_STRUCTURES } from '@figmount/fleet'
 import { createMessageCodec, NO_OFFSET } from '@figmount/peers'
 
 import { createAgentLinks } from '../agents/createAgentLinks.js'
 import { PROBE_TIMEOUT_MS } from '../crashes/constants.js'
 import { createBreakWatch } from '../crashes/createBreakWatch.js'
 import { createCrashNotifier } from '../crashes/createCrashNotifier.js'
+import { createPartGuard } from '../crashes/createPartGuard.js'
 import { createPendingRuns } from '../crashes/createPendingRuns.js'
 import { shareCrashes } from '../crashes/shareCrashes.js'
 import { createDemandMeter } from '../demand/createDemandMeter.js'
@@ -219,12 +220,13 @@
     send: (address, message) => { agents.find(address)?.send(message) }
   })
   const refusedWants = createRefusedWants(events, (serviceName, address) => isServing(directory, serviceName, address))
-  // A crash is kept by the few agents that were told of it; the answer to its request must reach each of them.
+  // A crash is kept by the few agents that were told of it; what disproves it must reach each of them.
   const crashNotifier = createCrashNotifier(timers, notice => {
-    if (isAgentless() || notice.answered.length === 0) tellRouters(notice)
+    if (isAgentless() || notice.answered.length + notice.partProofs.length === 0) tellRouters(notice)
     else agents.sendToAll(notice)
   })
-  const shared = shareCrashes({ events, crashes, crashNotifier, send: (address, notice) => { agents.find(address)?.send(notice) } })
+  const partGuard = createPartGuard({ timers, events, history: createPartHistory(timers), crashNotifier })
+  const shared = shareCrashes({ events, crashes, crashNotifier, partGuard, send: (address, notice) => { agents.find(address)?.send(notice) } })
   const breakWatch = createBreakWatch({
     timers,
     events,
@@ -254,6 +256,7 @@
     serverLimits,
     origins,
     crashNotifier,
+    partGuard,
     breakWatch,
     pendingRuns: createPendingRuns(timers),
     queueScaler: createQueueScaler(timers),
@@ -318,6 +321,7 @@
     origins.stop
   ]
   metrics.gauge('requests_open', ingress.openCount)
+  metrics.gauge('deadly_parts', partGuard.foundCount)
   metrics.gauge('servers_known', () => directory.entries().length)
 
   const stop = async (): Promise<void> => {
--- a/packages/gateway/src/routerFeed/createRouterFeed.test.ts
+++ b/packages/gateway/src/routerFeed/createRouterFeed.test.ts
@@ -8,7 +8,7 @@
 import type { RouterNotice } from './types.js'
 
 const IDENTITY = { contentHash: 'h', callerId: 'c' }
-const CRASH: RouterNotice = { type: 'crash', crashes: [{ identity: IDENTITY, start: { serverId: 'a', startedAtUnixMs: 5 }, ageMs: 10 }], answered: [] }
+const CRASH: RouterNotice = { type: 'crash', crashes: [{ identity: IDENTITY, start: { serverId: 'a', startedAtUnixMs: 5 }, ageMs: 10 }], answered: [], partDeaths: [], partProofs: [] }
 const LIMIT: RouterNotice = { type: 'serverLimit', start: { serverId: 'a', startedAtUnixMs: undefined }, limitPerS: undefined }
 
 const setUp = (isNeeded = true) => {
--- a/packages/gateway/src/routerFeed/routerFeedCodec.ts
+++ b/packages/gateway/src/routerFeed/routerFeedCodec.ts
@@ -28,12 +28,16 @@
 const startSchema = z.object({ serverId: z.string(), startedAtUnixMs: z.number().optional() })
 const identitySchema = z.object({ contentHash: z.string(), callerId: z.string() })
 const ageSchema = z.number().nonnegative()
+const partProofSchema = z.object({ partId: z.string(), sentAgeMs: ageSchema })
+const partRunSchema = partProofSchema.extend({ provenAgeMs: ageSchema.optional() })
 
 const noticeSchema = z.discriminatedUnion('type', [
   z.object({
     type: z.literal('crash'),
     crashes: z.array(z.object({ identity: identitySchema, start: startSchema, ageMs: ageSchema })),
-    answered: z.array(z.object({ identity: identitySchema, ageMs: ageSchema }))
+    answered: z.array(z.object({ identity: identitySchema, ageMs: ageSchema })),
+    partDeaths: z.array(z.object({ start: startSchema, ageMs: ageSchema, parts: z.array(partRunSchema) })).default([]),
+    partProofs: z.array(partProofSchema).default([])
   }),
   z.object({ type: z.literal('serverLimit'), start: startSchema, limitPerS: z.number().optional() }),
   z.object({ type: z.literal('serverLeaving'), start: startSchema })
--- a/packages/sidecar/src/crashes/createCrashNotices.test.ts
+++ b/packages/sidecar/src/crashes/createCrashNotices.test.ts
@@ -6,8 +6,8 @@
 import type { CrashNotice } from '@figmount/fleet'
 
 const identity = { contentHash: 'h', callerId: 'c' }
-const notice: CrashNotice = { type: 'crash', crashes: [{ identity, start: { serverId: 'a', startedAtUnixMs: undefined }, ageMs: 0 }], answered: [] }
-const answered: CrashNotice = { type: 'crash', crashes: [], answered: [{ identity, ageMs: 0 }] }
+const notice: CrashNotice = { type: 'crash', crashes: [{ identity, start: { serverId: 'a', startedAtUnixMs: undefined }, ageMs: 0 }], answered: [], partDeaths: [], partProofs: [] }
+const answered: CrashNotice = { type: 'crash', crashes: [], answered: [{ identity, ageMs: 0 }], partDeaths: [], partProofs: [] }
 
 describe('crash notices', () => {
   it('are passed on once', () => {
