--- a/packages/base/src/events/catalogue.ts
+++ b/packages/base/src/events/catalogue.ts
@@ -8,5 +8,8 @@
   badInput: [1004, 'invalid external input was rejected; the process continues'],
   unexpectedFault: [1005, 'a step failed with an error that has no event kind of its own'],
   settingsReloaded: [1006, 'a changed settings file was loaded'],
-  settingsRefused: [1007, 'a changed settings file is invalid; the current settings stay in force']
+  settingsRefused: [1007, 'a changed settings file is invalid; the current settings stay in force'],
+  storeRestored: [1008, 'the store has come back from an older copy: what was written last may be gone, and offsets are given out again'],
+  recordDropped: [1009, 'a record that was read from the store counts as older than the one known under its key and is dropped'],
+  deploymentOutdated: [1010, 'a configuration older than the one in force was received and is not put in force']
 })
--- a/packages/fleet/src/deployment/createNewestDeployment.ts
+++ b/packages/fleet/src/deployment/createNewestDeployment.ts
@@ -6,6 +6,8 @@
 interface Options {
   readonly store: StorePort
   readonly taken: (deployment: Deployment, record: FeedRecord) => void
+  /** A record holds an older version than the one in force. */
+  readonly outdated?: (deployment: Deployment, record: FeedRecord) => void
   readonly refused: (fault: Fault, record: FeedRecord) => void
 }
 
@@ -20,7 +22,7 @@
 }
 
 /** Keeps the newest configuration. An older version never replaces it, whether it comes from the store or from a peer. */
-export const createNewestDeployment = ({ store, taken, refused }: Options): NewestDeployment => {
+export const createNewestDeployment = ({ store, taken, refused, outdated }: Options): NewestDeployment => {
   let current: Deployment | undefined
   let newest: FeedRecord | undefined
 
@@ -29,6 +31,7 @@
     store.decodeDeployment(record.key, record.value).caseOf({
       Left: fault => { refused(fault, record) },
       Right: next => {
+        if (current && next.version < current.version) outdated?.(next, record)
         if (current && next.version <= current.version) return
         current = next
         newest = record
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -1,5 +1,5 @@
 import { Left } from 'purify-ts'
-import { makeFault, runInBackground, sleep } from '@figmount/base'
+import { BaseEvent, makeFault, runInBackground, sleep } from '@figmount/base'
 
 import { INITIAL_RETRY_MS, MAX_RETRY_MS, READ_GRACE_MS } from './constants.js'
 
@@ -51,13 +51,27 @@
   let nextOffset: number | undefined
   let abandonRead: (given: Either<Fault, FeedPage> | undefined) => void = () => {}
   let progressMs = -Infinity
+  let knownEra: number | undefined
 
-  const accept = (records: readonly FeedRecord[]): void => {
+  const noteDropped = ({ key, offset }: FeedRecord): void => {
+    options.events.emit(BaseEvent.recordDropped, { peer: feed.name, item: key, offset, detail: String(newestOffset.get(key)) })
+  }
+
+  const noteEra = ({ era, nextOffset: endOffset }: FeedPage, fromOffset: number | undefined): void => {
+    if (era === undefined || era === knownEra) return
+    if (knownEra !== undefined) options.events.emit(BaseEvent.storeRestored, { peer: feed.name, version: String(era), offset: endOffset, detail: `read from ${fromOffset ?? 'the newest'}` })
+    knownEra = era
+  }
+
+  const accept = (records: readonly FeedRecord[], isOwnRead = false): void => {
     const newRecords: FeedRecord[] = []
     for (const record of records) {
       // Guards against an older value that arrives late, from a slow answer or a peer: it would restore a configuration or a
       // server entry that has been replaced. Offsets only grow, so the record with the greater offset is the newer one.
-      if (record.offset <= (newestOffset.get(record.key) ?? -1)) continue
+      if (record.offset <= (newestOffset.get(record.key) ?? -1)) {
+        if (isOwnRead && record.offset < (newestOffset.get(record.key) ?? -1)) noteDropped(record)
+        continue
+      }
       newestOffset.set(record.key, record.offset)
       newRecords.push(record)
     }
@@ -65,7 +79,7 @@
   }
 
   const acceptAll = (page: FeedPage): void => {
-    accept(page.records)
+    accept(page.records, true)
     options.takeKeys(new Set(page.records.map(record => record.key)))
   }
 
@@ -95,6 +109,7 @@
   const noteAnswer = (page: FeedPage, fromOffset: number | undefined, beganMs: number): void => {
     if (outageSinceMs !== undefined) options.regained(timers.nowMs() - outageSinceMs)
     outageSinceMs = undefined
+    noteEra(page, fromOffset)
     if (page.isExpired) {
       nextOffset = undefined
       return
@@ -102,7 +117,7 @@
     nextOffset = Math.max(nextOffset ?? 0, page.nextOffset)
     const isWhole = fromOffset === undefined
     if (isWhole) acceptAll(page)
-    else accept(page.records)
+    else accept(page.records, true)
     options.noteRead?.({ stretch: { fromOffset: fromOffset ?? 0, toOffset: page.nextOffset, records: page.records }, isWhole, beganMs })
   }
 
--- a/packages/fleet/src/feeds/types.ts
+++ b/packages/fleet/src/feeds/types.ts
@@ -18,6 +18,8 @@
   readonly nextOffset: number
   /** The requested records have expired: only the newest values can be read. */
   readonly isExpired: boolean
+  /** The store's era: it rises when the store comes back from an older copy. Undefined if unknown. */
+  readonly era?: number
 }
 
 /** A range of a feed that was read without gaps. */
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -1,3 +1,4 @@
+import { BaseEvent } from '@figmount/base'
 import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
@@ -55,6 +56,7 @@
       events.emit(GatewayEvent.deploymentTaken, { version: String(deployment.version), offset, count: deployment.routes.length })
       options.deploymentTaken(deployment)
     },
+    outdated: (deployment, { offset }) => { events.emit(BaseEvent.deploymentOutdated, { version: String(deployment.version), offset }) },
     refused: (fault, { offset }) => {
       events.emit(GatewayEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset })
     }
--- a/packages/sidecar/src/sidecar/followDeployment.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.ts
@@ -1,3 +1,4 @@
+import { BaseEvent } from '@figmount/base'
 import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
 
 import { SidecarEvent } from '../events.js'
@@ -35,6 +36,7 @@
     taken: (deployment, { offset }) => {
       events.emit(SidecarEvent.deploymentTaken, { version: String(deployment.version), offset })
     },
+    outdated: (deployment, { offset }) => { events.emit(BaseEvent.deploymentOutdated, { version: String(deployment.version), offset }) },
     refused: (fault, { offset }) => {
       events.emit(SidecarEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset })
     }
