--- a/packages/fleet/src/copies/copies.test.ts
+++ b/packages/fleet/src/copies/copies.test.ts
@@ -5,15 +5,23 @@
 import { createCopyFetch } from './createCopyFetch.js'
 import { createCopySource } from './createCopySource.js'
 
+import type { DeploymentCopy } from '../deployment/createNewestDeployment.js'
 import type { FeedRecord } from '../feeds/types.js'
 import type { DeploymentAsked, DeploymentPiece } from '../messages/types.js'
 
+const OFFSET_OF_VERSION = 10
+
 /** Random bytes do not shrink when they are compressed: such a record has five pieces. */
-const makeRecord = (offset: number): FeedRecord => ({ key: 'config', value: randomBytes(80_000), offset })
+const makeRecord = (version: number): FeedRecord => ({ key: 'config', value: randomBytes(80_000), offset: version + OFFSET_OF_VERSION })
 
 /** Time that one piece takes from its peer. */
 const PIECE_MS = 20
 
+/** The records of these tests stand at offsets that are ten greater than their versions. */
+const copyOf = (record: FeedRecord): DeploymentCopy => ({ version: record.offset - OFFSET_OF_VERSION, record })
+
+const versionsOf = (records: readonly FeedRecord[]): readonly number[] => records.map(record => copyOf(record).version)
+
 interface Peer {
   record: FeedRecord | undefined
   isSilent: boolean
@@ -26,16 +34,16 @@
   const timers = createVirtualTimers()
   const peers = new Map<string, Peer>()
   const sources = new Map<string, ReturnType<typeof createCopySource>>()
-  const asked: Array<readonly [peer: string, offset: number, index: number]> = []
+  const asked: Array<readonly [peer: string, version: number, index: number]> = []
   const taken: FeedRecord[] = []
-  let ownOffset = 1
+  let ownVersion = 1
   let byteCount = 0
   let isRefusing = false
 
   for (const name of peerNames) {
     const peer: Peer = { record: undefined, isSilent: false, isSpoiled: false }
     peers.set(name, peer)
-    sources.set(name, createCopySource(() => peer.record))
+    sources.set(name, createCopySource(() => peer.record && copyOf(peer.record)))
   }
 
   const answer = (name: string, request: DeploymentAsked): void => {
@@ -48,7 +56,7 @@
 
   const fetch = createCopyFetch({
     timers,
-    ownOffset: () => ownOffset,
+    ownVersion: () => ownVersion,
     readsStore: () => readsStore,
     readQuietMs: () => Infinity,
     plan: ({ behindMs, readsStore, fetchQuietMs }) => {
@@ -56,29 +64,29 @@
       return !readsStore || behindMs >= 150 ? 'fetch' : 'wait'
     },
     ask: (peer, request) => {
-      asked.push([peer, request.offset, request.index])
+      asked.push([peer, request.version, request.index])
       timers.after(PIECE_MS, () => { answer(peer, request) })
     },
     take: record => {
       taken.push(record)
       if (isRefusing) return
-      ownOffset = Math.max(ownOffset, record.offset)
+      ownVersion = Math.max(ownVersion, copyOf(record).version)
     }
   })
 
   const offer = (name: string, record: FeedRecord): void => {
     const peer = peers.get(name)
     if (peer) peer.record = record
-    fetch.noteOffer(name, record.offset)
+    fetch.noteOffer(name, copyOf(record).version)
   }
 
   const pass = (durationMs: number): void => {
     for (let passedMs = 0; passedMs < durationMs; passedMs += 10) timers.advance(10)
   }
-  return { peers, fetch, asked, taken, offer, pass, learn: (offset: number) => { ownOffset = offset }, byteCount: () => byteCount, refuse: () => { isRefusing = true } }
+  return { peers, fetch, asked, taken, offer, pass, learn: (version: number) => { ownVersion = version }, byteCount: () => byteCount, refuse: () => { isRefusing = true } }
 }
 
-const peersAsked = (asked: ReadonlyArray<readonly [peer: string, offset: number, index: number]>): readonly string[] => [...new Set(asked.map(([peer]) => peer))]
+const peersAsked = (asked: ReadonlyArray<readonly [peer: string, version: number, index: number]>): readonly string[] => [...new Set(asked.map(([peer]) => peer))]
 
 describe('a fetch of the configuration', () => {
   it('takes it once, piece by piece, from one of the peers that have it', () => {
@@ -93,8 +101,8 @@
   })
 
   it('is sent compressed', () => {
-    const source = createCopySource(() => ({ key: 'config', value: Buffer.from('{"name":"route"},'.repeat(5_000)), offset: 5 }))
-    const piece = source.pieceOf({ type: 'deploymentAsked', offset: 5, index: 0 })
+    const source = createCopySource(() => ({ version: 5, record: { key: 'config', value: Buffer.from('{"name":"route"},'.repeat(5_000)), offset: 15 } }))
+    const piece = source.pieceOf({ type: 'deploymentAsked', version: 5, index: 0 })
     expect(piece?.count).to.equal(1)
     expect(piece?.bytes.length).to.be.below(1_000)
   })
@@ -108,7 +116,7 @@
     expect(asked).to.deep.equal([])
     offer('a', makeRecord(9))
     pass(1_000)
-    expect(taken.map(({ offset }) => offset)).to.deep.equal([9])
+    expect(versionsOf(taken)).to.deep.equal([9])
   })
 
   it('turns to another peer when one falls silent or is lost', () => {
@@ -146,7 +154,7 @@
     }
     pass(1_000)
     expect(taken.length).to.be.greaterThan(3)
-    expect(taken.at(-1)?.offset).to.equal(14)
+    expect(versionsOf(taken).at(-1)).to.equal(14)
   })
 
   it('begins with the newest configuration of a peer that has dropped the one asked for', () => {
@@ -168,7 +176,7 @@
     expect(taken).to.have.length(1)
     offer('a', makeRecord(6))
     pass(1_000)
-    expect(taken.map(({ offset }) => offset)).to.deep.equal([5, 6])
+    expect(versionsOf(taken)).to.deep.equal([5, 6])
   })
 
   it('counts failures until the process is up to date', () => {
--- a/packages/fleet/src/copies/createCopyFetch.ts
+++ b/packages/fleet/src/copies/createCopyFetch.ts
@@ -13,8 +13,8 @@
 
 interface Options {
   readonly timers: TimerService
-  /** Offset of the process's newest configuration; -1 for none. */
-  readonly ownOffset: () => number
+  /** Version of the process's newest configuration; -1 for none. */
+  readonly ownVersion: () => number
   /** The process reads the store itself. */
   readonly readsStore: () => boolean
   /** Time since the latest part of the answer to the process's own read; Infinity while no answer arrives. */
@@ -27,8 +27,8 @@
 
 /** Fetches configurations that peers have and the process lacks, one at a time and piece by piece. */
 export interface CopyFetch {
-  /** A peer has the configuration at an offset. */
-  readonly noteOffer: (peer: string, offset: number) => void
+  /** A peer has this version of the configuration. */
+  readonly noteOffer: (peer: string, version: number) => void
   readonly takePiece: (peer: string, piece: DeploymentPiece) => void
   readonly losePeer: (peer: string) => void
   /** Fetches that failed since the process was last up to date. */
@@ -37,7 +37,7 @@
 
 interface OpenFetch {
   readonly peer: string
-  readonly offset: number
+  readonly version: number
   readonly pieces: readonly Uint8Array[]
   readonly quietSinceMs: number
 }
@@ -49,43 +49,43 @@
  * asked for when the one before has arrived, so that at most one is under way on a narrow link.
  */
 export const createCopyFetch = (options: Options): CopyFetch => {
-  const { timers, ownOffset } = options
+  const { timers, ownVersion } = options
   const offers = new Map<string, number>()
   let open: OpenFetch | undefined
   let behindSinceMs: number | undefined
   let failedCount = 0
   let isReviewDue = false
-  let takenOffset = -Infinity
+  let takenVersion = -Infinity
 
   // Guards against a configuration that the process does not put in force, as it has a newer version or cannot decode it: it would be
   // fetched again and again.
-  const isNewer = (offset: number): boolean => offset > ownOffset() && offset > takenOffset
+  const isNewer = (version: number): boolean => version > ownVersion() && version > takenVersion
 
-  const newerOffers = (): ReadonlyArray<readonly [peer: string, offset: number]> => [...offers].filter(([, offset]) => isNewer(offset))
+  const newerOffers = (): ReadonlyArray<readonly [peer: string, version: number]> => [...offers].filter(([, version]) => isNewer(version))
 
   const askNext = (): void => {
     if (!open) return
     const behindMs = timers.nowMs() - (behindSinceMs ?? timers.nowMs())
-    options.ask(open.peer, { type: 'deploymentAsked', offset: open.offset, index: open.pieces.length }, behindMs)
+    options.ask(open.peer, { type: 'deploymentAsked', version: open.version, index: open.pieces.length }, behindMs)
   }
 
   /** Counts a failed fetch; its peer is the last to be asked again. */
   const noteFailure = (peer: string): void => {
     failedCount += 1
-    const offset = offers.get(peer)
-    if (offset === undefined) return
+    const version = offers.get(peer)
+    if (version === undefined) return
     offers.delete(peer)
-    offers.set(peer, offset)
+    offers.set(peer, version)
   }
 
   /** Asks the first peer that offers the newest configuration. */
   const begin = (): void => {
     if (open) noteFailure(open.peer)
     const newer = newerOffers()
-    const newestOffset = Math.max(...newer.map(([, offset]) => offset))
-    const [peer, offset] = newer.find(([, offered]) => offered === newestOffset) ?? []
-    if (peer === undefined || offset === undefined) return
-    open = { peer, offset, pieces: [], quietSinceMs: timers.nowMs() }
+    const newestVersion = Math.max(...newer.map(([, version]) => version))
+    const [peer, version] = newer.find(([, offered]) => offered === newestVersion) ?? []
+    if (peer === undefined || version === undefined) return
+    open = { peer, version, pieces: [], quietSinceMs: timers.nowMs() }
     askNext()
   }
 
@@ -117,12 +117,12 @@
     })
   }
 
-  const finish = ({ peer, offset, pieces }: OpenFetch, key: string): void => {
+  const finish = ({ peer, version, pieces }: OpenFetch, { key, offset }: DeploymentPiece): void => {
     open = undefined
     Either.encase(() => inflateRawSync(Buffer.concat(pieces), { maxOutputLength: MAX_CONFIGURATION_BYTES })).caseOf({
       Left: () => { noteFailure(peer) },
       Right: value => {
-        takenOffset = offset
+        takenVersion = version
         options.take({ key, value, offset })
       }
     })
@@ -130,18 +130,19 @@
   }
 
   return {
-    noteOffer: (peer, offset) => {
-      offers.set(peer, offset)
-      if (isNewer(offset)) review()
+    noteOffer: (peer, version) => {
+      offers.set(peer, version)
+      if (isNewer(version)) review()
     },
-    takePiece: (peer, { offset, index, count, key, bytes }) => {
+    takePiece: (peer, piece) => {
+      const { version, index, count, bytes } = piece
       if (open?.peer !== peer) return
       // The peer has dropped the configuration that was asked for and begins with its newest one.
-      const pieces = offset === open.offset ? open.pieces : []
+      const pieces = version === open.version ? open.pieces : []
       if (index !== pieces.length) return
-      open = { peer, offset, pieces: [...pieces, bytes], quietSinceMs: timers.nowMs() }
-      if (!isNewer(offset)) return review()
-      if (open.pieces.length === count) return finish(open, key)
+      open = { peer, version, pieces: [...pieces, bytes], quietSinceMs: timers.nowMs() }
+      if (!isNewer(version)) return review()
+      if (open.pieces.length === count) return finish(open, piece)
       askNext()
     },
     losePeer: peer => {
--- a/packages/fleet/src/deployment/createNewestDeployment.ts
+++ b/packages/fleet/src/deployment/createNewestDeployment.ts
@@ -11,14 +11,20 @@
   readonly refused: (fault: Fault, record: FeedRecord) => void
 }
 
+/** A configuration as it was read, with its version. */
+export interface DeploymentCopy {
+  readonly version: number
+  readonly record: FeedRecord
+}
+
 /** The newest configuration that a process has decoded. */
 export interface NewestDeployment {
   readonly take: (records: readonly FeedRecord[]) => void
   readonly current: () => Deployment | undefined
-  /** The record that contains the current configuration. */
-  readonly record: () => FeedRecord | undefined
-  /** Offset of that record; -1 for none. */
-  readonly offset: () => number
+  /** The current configuration as it can be sent to a peer. */
+  readonly copy: () => DeploymentCopy | undefined
+  /** Version of the current configuration; -1 for none. */
+  readonly version: () => number
 }
 
 /** Keeps the newest configuration. An older version never replaces it, whether it comes from the store or from a peer. */
@@ -43,7 +49,7 @@
   return {
     take: records => { for (const record of records) applyRecord(record) },
     current: () => current,
-    record: () => newest,
-    offset: () => newest?.offset ?? -1
+    copy: () => current && newest && { version: current.version, record: newest },
+    version: () => current?.version ?? -1
   }
 }
--- a/packages/fleet/src/feeds/createFeedFollower.test.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -28,6 +28,7 @@
   const reads: string[] = []
   let dueMs = 0
   let part: () => void = () => {}
+  let restored: () => void = () => {}
   const next = (): EitherAsync<Fault, FeedPage> => {
     const answer = answers.shift() ?? page(99)
     return answer === NO_ANSWER ? EitherAsync(async () => await new Promise<FeedPage>(() => {})) : EitherAsync.liftEither(answer)
@@ -47,6 +48,10 @@
     },
     timers,
     events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers }),
+    onRestored: listener => {
+      restored = listener
+      return () => {}
+    },
     waitMs: 0,
     dueInMs: () => Math.max(0, dueMs - timers.nowMs()),
     noteRead: () => { dueMs = timers.nowMs() + 100 },
@@ -61,7 +66,7 @@
       await new Promise(resolve => { setImmediate(resolve) })
     }
   }
-  return { follower, taken, keys, outages, reads, pass, part: () => { part() } }
+  return { follower, taken, keys, outages, reads, pass, part: () => { part() }, restore: () => { restored() } }
 }
 
 describe('createFeedFollower', () => {
@@ -132,4 +137,22 @@
     await pass(4_000)
     expect(outages).to.deep.equal(['lost', 'regained'])
   })
+
+  it('reads all again when the store has come back from an older copy', async () => {
+    // Guards against a read that waits at an offset which the copy gives out again.
+    const { taken, reads, pass, restore } = setUp([page(5, record('a', 3)), NO_ANSWER, page(1_004, record('a', 1_003))])
+    await pass(300)
+    restore()
+    await pass(300)
+    expect(reads.slice(0, 3)).to.deep.equal(['newest', 'since 5', 'newest'])
+    expect(taken).to.deep.equal(['a@3', 'a@1003'])
+  })
+
+  it('takes no range of a peer that has not yet seen the store come back', async () => {
+    // Guards against an entry from before the return that arrives late: its key may be unknown in the copy.
+    const { follower, taken, pass } = setUp([page(1_005, record('a', 1_003))])
+    await pass(100)
+    expect(follower.offerRange({ fromOffset: 3, toOffset: 7, records: [record('b', 6)] })).to.equal(false)
+    expect(taken).to.deep.equal(['a@1003'])
+  })
 })
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -1,4 +1,4 @@
-import { Left } from 'purify-ts'
+import { Left, Right } from 'purify-ts'
 import { BaseEvent, makeFault, runInBackground, sleep } from '@figmount/base'
 
 import { INITIAL_RETRY_MS, MAX_RETRY_MS, READ_GRACE_MS } from './constants.js'
@@ -11,12 +11,17 @@
   readonly feed: KeyedFeed
   readonly timers: TimerService
   readonly events: EventLog
+  /** Calls back when the store has come back from an older copy. */
+  readonly onRestored: (listener: () => void) => () => void
   /** Time that a read waits at the store for new records; 0 polls. */
   readonly waitMs: number
   /** Time until the next read is due. Evaluated again after that time, because a peer's read may postpone the follower's own one. */
   readonly dueInMs: () => number
-  /** Called with records in order of their offsets, never with an older one after a newer one of the same key. */
-  readonly take: (records: readonly FeedRecord[]) => void
+  /**
+   * Called with records in order of their offsets, never with an older one after a newer one of the same key. `isCopy`: these are all records of
+   * a store that has come back from an older copy, and may be older than what is known.
+   */
+  readonly take: (records: readonly FeedRecord[], isCopy: boolean) => void
   /** Called with all keys after a read of the newest records; a key that is missing has been removed. */
   readonly takeKeys: (keys: ReadonlySet<string>) => void
   /** Called when the store has answered a read, after the records were taken. */
@@ -57,17 +62,20 @@
     options.events.emit(BaseEvent.recordDropped, { peer: feed.name, item: key, offset, detail: String(newestOffset.get(key)) })
   }
 
-  const noteEra = ({ era, nextOffset: endOffset }: FeedPage, fromOffset: number | undefined): void => {
-    if (era === undefined || era === knownEra) return
-    if (knownEra !== undefined) options.events.emit(BaseEvent.storeRestored, { peer: feed.name, version: String(era), offset: endOffset, detail: `read from ${fromOffset ?? 'the newest'}` })
+  /** Returns true if the page is the first one of its era, and not of the first era that the process has seen. */
+  const noteEra = ({ era, nextOffset: endOffset }: FeedPage): boolean => {
+    if (era === undefined || era === knownEra) return false
+    const isRestored = knownEra !== undefined
     knownEra = era
+    if (isRestored) options.events.emit(BaseEvent.storeRestored, { peer: feed.name, version: String(era), offset: endOffset })
+    return isRestored
   }
 
-  const accept = (records: readonly FeedRecord[], isOwnRead = false): void => {
+  const accept = (records: readonly FeedRecord[], isOwnRead = false, isCopy = false): void => {
     const newRecords: FeedRecord[] = []
     for (const record of records) {
       // Guards against an older value that arrives late, from a slow answer or a peer: it would restore a configuration or a
-      // server entry that has been replaced. Offsets only grow, so the record with the greater offset is the newer one.
+      // server entry that has been replaced. The record with the greater offset is the newer one, also in a later era of the store.
       if (record.offset <= (newestOffset.get(record.key) ?? -1)) {
         if (isOwnRead && record.offset < (newestOffset.get(record.key) ?? -1)) noteDropped(record)
         continue
@@ -75,11 +83,11 @@
       newestOffset.set(record.key, record.offset)
       newRecords.push(record)
     }
-    if (newRecords.length > 0) options.take(newRecords)
+    if (newRecords.length > 0 || isCopy) options.take(newRecords, isCopy)
   }
 
   const acceptAll = (page: FeedPage): void => {
-    accept(page.records, true)
+    accept(page.records, true, noteEra(page))
     options.takeKeys(new Set(page.records.map(record => record.key)))
   }
 
@@ -87,7 +95,9 @@
   // another connection.
   const readStore = async (control: ReadControl): Promise<Either<Fault, FeedPage>> => {
     if (nextOffset === undefined) return await feed.readNewest(READ_GRACE_MS, control).run()
-    return await feed.readSince(nextOffset, options.waitMs, options.waitMs + READ_GRACE_MS, control).run()
+    // After an outage the store may have come back from an older copy, which a read that waits there would show late.
+    const waitMs = outageSinceMs === undefined ? options.waitMs : 0
+    return await feed.readSince(nextOffset, waitMs, waitMs + READ_GRACE_MS, control).run()
   }
 
   /** One read; undefined if it was paused. A late result of an abandoned read is ignored: the next read returns the same records. */
@@ -109,7 +119,6 @@
   const noteAnswer = (page: FeedPage, fromOffset: number | undefined, beganMs: number): void => {
     if (outageSinceMs !== undefined) options.regained(timers.nowMs() - outageSinceMs)
     outageSinceMs = undefined
-    noteEra(page, fromOffset)
     if (page.isExpired) {
       nextOffset = undefined
       return
@@ -122,6 +131,8 @@
   }
 
   const offerRange = ({ fromOffset, toOffset, records }: FeedRange): boolean => {
+    // Guards against a range that another router read before the store came back from an older copy, or that is late otherwise.
+    if (nextOffset !== undefined && toOffset < nextOffset) return false
     accept(records)
     if (nextOffset === undefined || fromOffset > nextOffset) return false
     nextOffset = Math.max(nextOffset, toOffset)
@@ -162,6 +173,11 @@
     }
   }
 
+  // Guards against a read that waits at an offset of the copy, or beyond its end, while changes are written before it.
+  const stopRestores = options.onRestored(() => {
+    if (nextOffset !== undefined) abandonRead(Right({ records: [], nextOffset: 0, isExpired: true }))
+  })
+
   runInBackground(options.events, `feeds.follow ${feed.name}`, follow())
   return {
     offerNewest: record => {
@@ -173,6 +189,9 @@
     pause: () => { if (progressMs === -Infinity) abandonRead(undefined) },
     quietMs: () => timers.nowMs() - progressMs,
     isFollowing: () => nextOffset !== undefined && outageSinceMs === undefined,
-    stop: () => { stopping.abort() }
+    stop: () => {
+      stopRestores()
+      stopping.abort()
+    }
   }
 }
--- a/packages/fleet/src/feeds/types.ts
+++ b/packages/fleet/src/feeds/types.ts
@@ -7,7 +7,7 @@
   readonly key: string
   /** Undefined when the key was deleted. */
   readonly value: Uint8Array | undefined
-  /** Position in the feed; a greater offset is newer. */
+  /** Position in the feed; a greater one is newer, also after the store has come back from an older copy. */
   readonly offset: number
 }
 
@@ -68,8 +68,15 @@
 /** A feed to which figmount itself writes. */
 export interface WritableFeed extends KeyedFeed {
   /**
-   * Appends all records or none. With `atOffset` they are appended only if the feed ends there; false if it does not. After a fault
-   * the records may have been appended, or may still be.
+   * Appends all records or none. With `atOffset` they are appended only if the feed ends there. After a fault the records may have been
+   * appended, or may still be.
    */
-  readonly append: (records: readonly NewRecord[], atOffset: number | undefined, timeoutMs: number) => EitherAsync<Fault, boolean>
+  readonly append: (records: readonly NewRecord[], atOffset: number | undefined, timeoutMs: number) => EitherAsync<Fault, AppendOutcome>
 }
+
+/** What an append has done. */
+export type AppendOutcome =
+  /** `offset` is that of the first record. It differs from the one asked for if the store has come back from an older copy meanwhile. */
+  | { readonly type: 'appended', readonly offset: number }
+  /** The feed ends elsewhere: nothing was appended. */
+  | { readonly type: 'moved' }
--- a/packages/fleet/src/messages/structures.test.ts
+++ b/packages/fleet/src/messages/structures.test.ts
@@ -9,9 +9,9 @@
 
 const MESSAGES: ReadonlyArray<RouterMessage | AgentMessage> = [
   { type: 'heartbeat' },
-  { type: 'deploymentAsked', offset: 3, index: 0 },
-  { type: 'deploymentHeld', offset: 3 },
-  { type: 'deploymentPiece', offset: 3, index: 0, count: 1, key: 'config', bytes: Buffer.from('x') },
+  { type: 'deploymentAsked', version: 3, index: 0 },
+  { type: 'deploymentHeld', version: 3 },
+  { type: 'deploymentPiece', version: 3, offset: 3, index: 0, count: 1, key: 'config', bytes: Buffer.from('x') },
   { type: 'serverLeaving', start: START },
   { type: 'serverLimit', start: START, limitPerS: undefined },
   { type: 'streamsBegan', origins: [{ streamId: 's', serviceName: 'r', softwareVersion: 'v1' }] },
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -34,14 +34,16 @@
 /** A process whose configuration is outdated asks a peer for a piece of a newer one. */
 export interface DeploymentAsked {
   readonly type: 'deploymentAsked'
-  /** Offset of the configuration. */
-  readonly offset: number
+  /** Version of the configuration. Offsets do not tell which is newer: processes may have read different eras of the store. */
+  readonly version: number
   readonly index: number
 }
 
-/** One piece of the compressed configuration at an offset. */
+/** One piece of a compressed configuration. */
 export interface DeploymentPiece {
   readonly type: 'deploymentPiece'
+  readonly version: number
+  /** Position of its record, where the peer has read it. */
   readonly offset: number
   readonly index: number
   /** Number of pieces of the whole. */
@@ -54,7 +56,7 @@
 /** A router tells an agent which configuration it has, for agents that get none from the store. */
 export interface DeploymentHeld {
   readonly type: 'deploymentHeld'
-  readonly offset: number
+  readonly version: number
 }
 
 /** Demand for one model, measured by one router. */
@@ -224,8 +226,8 @@
   readonly demandTokensPerS: readonly number[]
   /** Number of routers that are linked to the agent, or were a short while ago. */
   readonly routerCount: number
-  /** Offset of the newest configuration that the agent has received; -1 for none. */
-  readonly deploymentOffset: number
+  /** Version of the newest configuration that the agent has received; -1 for none. */
+  readonly deploymentVersion: number
   /** The agent's reads of the configuration succeed. */
   readonly followsDeployments: boolean
 }
--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -105,6 +105,8 @@
 export interface StorePort {
   readonly deploymentFeed: KeyedFeed
   readonly serverFeed: KeyedFeed
+  /** Calls back when the store has come back from an older copy: what was written last may be gone. Returns a function that ends it. */
+  readonly onRestored: (listener: () => void) => () => void
   /** Decodes a record whose key is accepted by `isDeploymentKey`; a fault for a malformed one. */
   readonly decodeDeployment: (key: string, value: Uint8Array) => Either<Fault, Deployment>
   readonly isDeploymentKey: (key: string) => boolean
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -130,6 +130,19 @@
     })
   }
 
+  // Guards against an entry from before its server left: the copy lists it as ready again, and its server may even still answer. A server
+  // that runs renews its entry within two seconds.
+  const isOutdated = ({ key, value }: FeedRecord): boolean => {
+    if (!value || departures.addressOf(key) === undefined) return false
+    return decodeServer(key, value).map(entry => !isEarlierStart(startOf(key), entry)).orDefault(false)
+  }
+
+  const takeRecords = (records: readonly FeedRecord[]): void => {
+    missingEntries.settle()
+    for (const record of records) takeRecord(record)
+    isListRead = true
+  }
+
   // A start that the agent reports as current is not gone, even if an earlier one under the same id is.
   const isGone = ({ state }: AgentReport, start: ServerStart): boolean => {
     if (!state || state.serverId === start.serverId) return false
@@ -189,10 +202,9 @@
   const configuredEntries = (): readonly ServerEntry[] => [...entries.values()].filter(entry => isServiceConfigured(entry.serviceName))
 
   return {
-    takeRecords: records => {
-      missingEntries.settle()
-      for (const record of records) takeRecord(record)
-      isListRead = true
+    takeRecords,
+    takeCopy: records => {
+      takeRecords(records.filter(record => !isOutdated(record)))
     },
     takeKeys: keys => {
       for (const serverId of [...entries.keys()]) {
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -33,6 +33,8 @@
 /** All backend servers known to a router: from the platform's list, the agents' reports and its own requests. */
 export interface Directory {
   readonly takeRecords: (records: readonly FeedRecord[]) => void
+  /** Takes the records of a store that has come back from an older copy: they show no server that is known to have left since. */
+  readonly takeCopy: (records: readonly FeedRecord[]) => void
   /** The whole list was read: servers that are not in it are gone. */
   readonly takeKeys: (keys: ReadonlySet<string>) => void
   /** Entries that are missing because of an outage of the store. */
--- a/packages/gateway/src/router/followFeeds.test.ts
+++ b/packages/gateway/src/router/followFeeds.test.ts
@@ -48,7 +48,7 @@
   const write = (key: string, entry: ServerEntry | undefined): void => {
     records.push({ key, value: entry && Buffer.from(JSON.stringify(entry)), offset: records.length })
   }
-  const port: StorePort = { serverFeed, deploymentFeed, isDeploymentKey: () => true, decodeServer, decodeDeployment: key => Left(makeFault('invalid', 'decode', key, 'none')) }
+  const port: StorePort = { serverFeed, deploymentFeed, onRestored: () => () => {}, isDeploymentKey: () => true, decodeServer, decodeDeployment: key => Left(makeFault('invalid', 'decode', key, 'none')) }
   return { port, write, readCount: () => readCount, setDown: (down: boolean) => { isDown = down } }
 }
 
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -1,5 +1,5 @@
 import { BaseEvent } from '@figmount/base'
-import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
+import { createFeedFollower, createNewestDeployment, LONG_POLL_MS, RELIST_GRACE_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
 import { DUTY_REVIEW_MS, LIST_AGE_SHARE, LIST_SPREAD_SHARE } from './constants.js'
@@ -7,7 +7,7 @@
 import { createReadSchedule } from './createReadSchedule.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
-import type { Deployment, FeedRead, FeedRecord, ListRead, StorePort } from '@figmount/fleet'
+import type { Deployment, DeploymentCopy, FeedRead, FeedRecord, ListRead, StorePort } from '@figmount/fleet'
 import type { Directory } from '../directory/types.js'
 
 interface Options {
@@ -19,7 +19,7 @@
   readonly leaveMs: number
   readonly deploymentTaken: (deployment: Deployment) => void
   /** The router has a newer configuration, which others may lack. */
-  readonly deploymentHeld: (offset: number) => void
+  readonly deploymentHeld: (version: number) => void
   /** The router reads the configuration from the store itself. */
   readonly mustReadDeployments: () => boolean
   /** The store answers again after an outage. */
@@ -32,10 +32,10 @@
 /** The feeds of one router. */
 export interface Feeds {
   readonly deployment: () => Deployment | undefined
-  /** Offset of the configuration in force; -1 if there is none. */
-  readonly deploymentOffset: () => number
-  /** The record of the configuration in force. */
-  readonly deploymentRecord: () => FeedRecord | undefined
+  /** Version of the configuration in force; -1 if there is none. */
+  readonly deploymentVersion: () => number
+  /** The configuration in force, for agents. */
+  readonly deploymentCopy: () => DeploymentCopy | undefined
   /** Time since the latest part of the answer to the router's read of the configuration; Infinity while none arrives. */
   readonly deploymentQuietMs: () => number
   /** Takes a configuration that a peer has sent. */
@@ -70,16 +70,20 @@
     events.emit(GatewayEvent.feedRegained, { peer: feedName, durationMs: Math.round(outageMs) })
   }
 
+  const takeDeployments = (records: readonly FeedRecord[]): void => {
+    const versionBefore = newest.version()
+    newest.take(records)
+    if (newest.version() > versionBefore) options.deploymentHeld(newest.version())
+  }
+
   const deployments = createFeedFollower({
     feed: store.deploymentFeed,
     timers,
     events,
+    onRestored: store.onRestored,
     waitMs: LONG_POLL_MS,
     dueInMs: () => options.mustReadDeployments() ? 0 : DUTY_REVIEW_MS,
-    take: records => {
-      newest.take(records)
-      options.deploymentHeld(newest.offset())
-    },
+    take: takeDeployments,
     takeKeys: () => {},
     lost,
     regained: outageMs => regained(store.deploymentFeed.name, outageMs)
@@ -110,9 +114,14 @@
     feed: store.serverFeed,
     timers,
     events,
+    onRestored: store.onRestored,
     waitMs: 0,
     dueInMs: readSchedule.dueInMs,
-    take: directory.takeRecords,
+    take: (records, isCopy) => {
+      if (!isCopy) return directory.takeRecords(records)
+      directory.missingEntries.noteSettling(RELIST_GRACE_MS)
+      directory.takeCopy(records)
+    },
     takeKeys: directory.takeKeys,
     noteRead: noteListRead,
     lost: fault => {
@@ -132,10 +141,14 @@
 
   return {
     deployment: newest.current,
-    deploymentOffset: newest.offset,
-    deploymentRecord: newest.record,
+    deploymentVersion: newest.version,
+    deploymentCopy: newest.copy,
     deploymentQuietMs: deployments.quietMs,
-    takeDeployment: deployments.offerNewest,
+    // Its version decides: the sender may have read an earlier era of the store, or a later one.
+    takeDeployment: record => {
+      deployments.offerNewest(record)
+      takeDeployments([record])
+    },
     reviewReads: () => { if (!options.mustReadDeployments()) deployments.pause() },
     takeListRead: (read, mayBeStale) => {
       directory.missingEntries.noteSettling(read.settlingMs)
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -125,7 +125,7 @@
         coldLoads.takeState(address, state)
         directory.takeState(address, state)
         readDuty.noteState(address, state.followsDeployments)
-        copyFetch.noteOffer(address, state.deploymentOffset)
+        copyFetch.noteOffer(address, state.deploymentVersion)
         feeds.reviewReads()
       },
       takeLoad: directory.takeLoad,
@@ -139,8 +139,8 @@
       takeOrigin: (address, answer) => { origins.takeAnswer(address, answer) },
       found: address => {
         shared.sendAll(address)
-        const offset = feeds.deploymentOffset()
-        if (offset >= 0) agents.find(address)?.send({ type: 'deploymentHeld', offset })
+        const version = feeds.deploymentVersion()
+        if (version >= 0) agents.find(address)?.send({ type: 'deploymentHeld', version })
       },
       takeUnits: (address, answer) => { quotas.takeAnswer(address, answer) },
       lost: address => {
@@ -159,21 +159,21 @@
     directory,
     leaveMs: options.leaveMs,
     deploymentTaken: deployment => { limitCallers(deployment.limits) },
-    deploymentHeld: offset => { agents.relay({ type: 'deploymentHeld', offset }) },
+    deploymentHeld: version => { agents.relay({ type: 'deploymentHeld', version }) },
     mustReadDeployments: () => readDuty.isDue(),
     storeRegained: () => { readDuty.noteRegained() },
     sendListRead: agents.relay,
     random: options.random
   })
-  const copySource = createCopySource(feeds.deploymentRecord)
+  const copySource = createCopySource(feeds.deploymentCopy)
   const copyFetch = createCopyFetch({
     timers,
-    ownOffset: feeds.deploymentOffset,
+    ownVersion: feeds.deploymentVersion,
     readsStore: () => readDuty.isDue(),
     readQuietMs: feeds.deploymentQuietMs,
     plan: planFetch,
     ask: (address, asked, behindMs) => {
-      if (asked.index === 0) events.emit(GatewayEvent.deploymentAsked, { peer: address, offset: asked.offset, waitMs: Math.round(behindMs) })
+      if (asked.index === 0) events.emit(GatewayEvent.deploymentAsked, { peer: address, version: String(asked.version), waitMs: Math.round(behindMs) })
       agents.find(address)?.send(asked)
     },
     take: feeds.takeDeployment
@@ -191,6 +191,7 @@
     timers,
     events,
     isNeeded: isAgentless,
+    onRestored: options.store.onRestored,
     counted: count => { membership.note(count) },
     takeNotice
   })
--- a/packages/gateway/src/routerFeed/createRouterFeed.test.ts
+++ b/packages/gateway/src/routerFeed/createRouterFeed.test.ts
@@ -22,6 +22,7 @@
       instance: name,
       timers,
       events: createEventLog({ instance: name as InstanceName, role: 'router', timers }),
+      onRestored: () => () => {},
       isNeeded: () => isNeeded,
       counted: count => { counts.push(count) },
       takeNotice: notice => { notices.push(notice) }
--- a/packages/gateway/src/routerFeed/createRouterFeed.ts
+++ b/packages/gateway/src/routerFeed/createRouterFeed.ts
@@ -33,6 +33,8 @@
   readonly events: EventLog
   /** No agent passes on what routers tell each other. */
   readonly isNeeded: () => boolean
+  /** The store has come back from an older copy. */
+  readonly onRestored: (listener: () => void) => () => void
   /** A number of routers was counted. */
   readonly counted: (routerCount: number) => void
   readonly takeNotice: (notice: RouterNotice) => void
@@ -57,6 +59,8 @@
   const startedUnixMs = timers.unixMs()
   const seenMs = new Map<string, number>()
   let ownSinceMs: number | undefined
+  /** Own records by key: the store may lose the last ones. */
+  const written = new Map<string, NewRecord>()
   let waiting: readonly NewRecord[] = []
   let noticeCount = 0
   let writtenMs = -Infinity
@@ -75,6 +79,7 @@
   }
 
   const enqueue = (record: NewRecord): void => {
+    written.set(record.key, record)
     waiting = [...waiting.filter(({ key }) => key !== record.key), record].slice(-MAX_WAITING)
     runInBackground(events, 'routerFeed.write', write())
   }
@@ -113,6 +118,7 @@
     feed,
     timers,
     events,
+    onRestored: options.onRestored,
     waitMs: LONG_POLL_MS,
     dueInMs: () => options.isNeeded() ? 0 : REVIEW_MS,
     take,
@@ -130,6 +136,11 @@
   }
 
   const stopReviews = timers.every(REVIEW_MS, review)
+  // Guards against notices that a store which comes back from an older copy has lost: routers that start then would not know of them.
+  const stopRewrites = options.onRestored(() => {
+    if (!options.isNeeded()) return
+    for (const record of [...written.values()]) enqueue(record)
+  })
 
   return {
     send: notice => { enqueue(encodeNotice(instance, noticeCount++, timers.unixMs(), notice)) },
@@ -141,6 +152,7 @@
     },
     stop: () => {
       stopReviews()
+      stopRewrites()
       follower?.stop()
     }
   }
--- a/packages/gateway/src/testing/createTestAgent.ts
+++ b/packages/gateway/src/testing/createTestAgent.ts
@@ -53,7 +53,7 @@
   let lastSentMs = -Infinity
 
   const describe = (): AgentState | undefined => lastReport &&
-    describeEngine({ timers, spec, isUp, identity, orderer, demand, wants, deploymentOffset: 0, followsDeployments: true, routerCount })
+    describeEngine({ timers, spec, isUp, identity, orderer, demand, wants, deploymentVersion: 0, followsDeployments: true, routerCount })
 
   const sendUpdate = (): void => {
     const state = isStopped ? undefined : describe()
@@ -80,6 +80,7 @@
     timers,
     events,
     isFirstStart,
+    onRestored: () => () => {},
     makeId,
     changed: () => {
       review()
--- a/packages/gateway/src/testing/makeAgentState.ts
+++ b/packages/gateway/src/testing/makeAgentState.ts
@@ -23,7 +23,7 @@
   evictionLoss: 0,
   demandTokensPerS: [],
   routerCount: 1,
-  deploymentOffset: -1,
+  deploymentVersion: -1,
   followsDeployments: true,
   ...given
 })
--- a/packages/sidecar/src/leases/constants.ts
+++ b/packages/sidecar/src/leases/constants.ts
@@ -39,3 +39,6 @@
 
 /** Time after a restart of the agent in which it takes no lease: agents that restart together all have their callers' wants by then. */
 export const RESTART_SETTLE_MS = 500
+
+/** The same after the store has come back from an older copy: all agents have seen it, and have written their leases again, by then. */
+export const RESTORE_SETTLE_MS = 3_000
--- a/packages/sidecar/src/leases/createLeaseReader.test.ts
+++ b/packages/sidecar/src/leases/createLeaseReader.test.ts
@@ -25,7 +25,7 @@
     return await new Promise<Either<Fault, FeedPage>>(resolve => { answer = resolve })
   })
   const reader = createLeaseReader({
-    feed: { name: 'leases', readNewest: () => read('newest'), readSince: () => read('since'), append: () => EitherAsync.liftEither(Right(true)) },
+    feed: { name: 'leases', readNewest: () => read('newest'), readSince: () => read('since'), append: () => EitherAsync.liftEither(Right({ type: 'appended', offset: 0 })) },
     timers,
     events: createEventLog({ instance: 'a' as InstanceName, role: 'agent', timers }),
     isNeeded: () => true,
--- a/packages/sidecar/src/leases/createLeaseWriter.ts
+++ b/packages/sidecar/src/leases/createLeaseWriter.ts
@@ -3,7 +3,7 @@
 import { LEASE_CALL_TIMEOUT_MS, LEASE_RETRY_MS, MAX_LEASE_RETRY_MS } from './constants.js'
 
 import type { Fault, TimerService } from '@figmount/base'
-import type { NewRecord, WritableFeed } from '@figmount/fleet'
+import type { AppendOutcome, NewRecord, WritableFeed } from '@figmount/fleet'
 
 interface Options {
   readonly feed: WritableFeed
@@ -12,16 +12,31 @@
   readonly failed: (fault: Fault, beganMs: number) => void
 }
 
+/** What has become of records. */
+export type AppendResult =
+  | 'appended'
+  /** The feed has moved on: nothing was appended. */
+  | 'moved'
+  /** The store has come back from an older copy meanwhile: the records stand after others than their writer has read. */
+  | 'elsewhere'
+  /** No answer: they may have been appended, or may still be. */
+  | 'unknown'
+
 /** Writes records of the lease feed. */
 export interface LeaseWriter {
-  /** Appends records, only at `atOffset` if it is given. False: the feed has moved on. Undefined: no answer, so they may have been appended. */
-  readonly append: (records: readonly NewRecord[], atOffset?: number) => Promise<boolean | undefined>
+  /** Appends records, only at `atOffset` if it is given. */
+  readonly append: (records: readonly NewRecord[], atOffset?: number) => Promise<AppendResult>
   /** Removes a lease, as long as it has not expired. */
   readonly remove: (key: string, lifetimeMs: number) => Promise<void>
   /** Time until the next attempt to take a lease: the store is not called again at once after it failed. */
   readonly pauseLeftMs: () => number
 }
 
+const resultOf = (outcome: AppendOutcome, atOffset: number | undefined): AppendResult => {
+  if (outcome.type === 'moved') return 'moved'
+  return atOffset === undefined || outcome.offset === atOffset ? 'appended' : 'elsewhere'
+}
+
 /** Creates the writer of one agent. */
 export const createLeaseWriter = ({ feed, timers, answered, failed }: Options): LeaseWriter => {
   let pauseMs = 0
@@ -39,11 +54,11 @@
     answered()
   }
 
-  const append = async (records: readonly NewRecord[], atOffset?: number): Promise<boolean | undefined> => {
+  const append = async (records: readonly NewRecord[], atOffset?: number): Promise<AppendResult> => {
     const beganMs = timers.nowMs()
     const result = await feed.append(records, atOffset, LEASE_CALL_TIMEOUT_MS).run()
     result.caseOf({ Left: fault => { noteFailure(fault, beganMs) }, Right: noteAnswer })
-    return result.map<boolean | undefined>(isAppended => isAppended).orDefault(undefined)
+    return result.map<AppendResult>(outcome => resultOf(outcome, atOffset)).orDefault('unknown')
   }
 
   const pauseLeftMs = (): number => Math.max(0, pausedUntilMs - timers.nowMs())
@@ -53,7 +68,7 @@
     remove: async (key, lifetimeMs) => {
       const expiresMs = timers.nowMs() + lifetimeMs
       while (timers.nowMs() < expiresMs) {
-        if (await append([{ key, value: undefined }])) return
+        if (await append([{ key, value: undefined }]) === 'appended') return
         await sleep(timers, Math.max(LEASE_RETRY_MS, pauseLeftMs()))
       }
     },
--- a/packages/sidecar/src/leases/createLimitKeeper.ts
+++ b/packages/sidecar/src/leases/createLimitKeeper.ts
@@ -45,13 +45,13 @@
     const known = takePage(emptyBook, page, true, clock()).pace
     const pace = notePace(known, load, timers.nowMs())
     if (pace === known) return true
-    const isWritten = await writer.append([recordOf(pace)], page.nextOffset)
-    if (isWritten) {
+    const result = await writer.append([recordOf(pace)], page.nextOffset)
+    if (result === 'appended') {
       events.emit(SidecarEvent.storeLimitChanged, {
         model: modelName, maxCount: pace.fullSpeedCount, concurrentCount: load.concurrentCount - 1, durationMs: Math.round(load.tookMs)
       })
     }
-    return isWritten !== false
+    return result === 'appended' || result === 'unknown'
   }
 
   const updateRepeatedly = async (modelName: string, load: LoadObservation): Promise<void> => {
--- a/packages/sidecar/src/leases/createLoadLeases.test.ts
+++ b/packages/sidecar/src/leases/createLoadLeases.test.ts
@@ -48,6 +48,7 @@
       timers,
       events: createEventLog({ instance: instance as InstanceName, role: 'agent', timers }),
       isFirstStart,
+      onRestored: () => () => {},
       makeId: () => String(leaseCount++),
       changed: () => { review() }
     })
--- a/packages/sidecar/src/leases/createLoadLeases.ts
+++ b/packages/sidecar/src/leases/createLoadLeases.ts
@@ -1,12 +1,13 @@
 import { isSlowedLoad, judgeLease, mayTryMore } from '@figmount/decisions'
-import { hash64, runInBackground } from '@figmount/base'
+import { hash64, runInBackground, sleep } from '@figmount/base'
 
 import { SidecarEvent } from '../events.js'
-import { FALLBACK_MS, RESTART_SETTLE_MS } from './constants.js'
+import { FALLBACK_MS, LEASE_RETRY_MS, RESTART_SETTLE_MS, RESTORE_SETTLE_MS } from './constants.js'
 import { createLeaseReader } from './createLeaseReader.js'
 import { createLeaseWriter } from './createLeaseWriter.js'
 import { createLimitKeeper } from './createLimitKeeper.js'
 import { createOutage } from './createOutage.js'
+import { createOwnRecords } from './createOwnRecords.js'
 import { deadKeys, emptyBook, takePage, viewLeases } from './leaseBook.js'
 import { encodeLease, leaseKeyOf } from './leaseCodec.js'
 import { makeOwnLease, mayBegin, renewedLease, reviewLease } from './ownLease.js'
@@ -24,6 +25,8 @@
   readonly events: EventLog
   /** False after a restart of the agent. */
   readonly isFirstStart: boolean
+  /** The store has come back from an older copy. */
+  readonly onRestored: (listener: () => void) => () => void
   readonly makeId: () => string
   /** Called when the agent has got a lease, or needs none any more. */
   readonly changed: () => void
@@ -42,10 +45,11 @@
  */
 export const createLoadLeases = (options: Options): LoadLeases => {
   const { feed, instance, timers, events } = options
-  const settledMs = options.isFirstStart ? -Infinity : timers.nowMs() + RESTART_SETTLE_MS
+  let settledMs = options.isFirstStart ? -Infinity : timers.nowMs() + RESTART_SETTLE_MS
   const jitter = jitterOf(instance)
   const readOutage = createOutage(timers)
   const writeOutage = createOutage(timers)
+  const ownRecords = createOwnRecords(timers)
   let needs = NO_NEEDS
   let lastNeededMs = -Infinity
   let book = emptyBook
@@ -96,7 +100,12 @@
   const isNeeded = ({ modelName }: OwnLease): boolean =>
     needs.loadingModel === modelName || needs.wants.some(want => want.modelName === modelName)
 
-  const remove = ({ key, lifetimeMs }: OwnLease): void => { runInBackground(events, 'leases.remove', writer.remove(key, lifetimeMs)) }
+  const leftMs = ({ takenMs, lifetimeMs }: OwnLease): number => takenMs + lifetimeMs - timers.nowMs()
+
+  const remove = (lease: OwnLease): void => {
+    ownRecords.note({ key: lease.key, value: undefined }, leftMs(lease))
+    runInBackground(events, 'leases.remove', writer.remove(lease.key, lease.lifetimeMs))
+  }
 
   const release = (lease: OwnLease, reason: string): void => {
     held = undefined
@@ -109,12 +118,15 @@
   const leaveToExpire = (lease: OwnLease): void => {
     held = undefined
     events.emit(SidecarEvent.leaseLeft, { model: lease.modelName, durationMs: Math.round(timers.nowMs() - lease.takenMs) })
-    runInBackground(events, 'leases.leave', writer.append([recordOf({ ...lease, modelName: '' })]))
+    const record = recordOf({ ...lease, modelName: '' })
+    ownRecords.note(record, leftMs(lease))
+    runInBackground(events, 'leases.leave', writer.append([record]))
   }
 
   const adopt = (lease: OwnLease): void => {
     pending = undefined
     held = lease
+    ownRecords.note(recordOf(lease), leftMs(lease))
     awaitedModel = ''
     events.emit(SidecarEvent.leaseTaken, { model: lease.modelName, concurrentCount: lease.concurrentCount - 1, maxCount: book.pace.fullSpeedCount })
     options.changed()
@@ -123,15 +135,17 @@
   const takeLease = async (lease: OwnLease, atOffset: number): Promise<void> => {
     pending = lease
     const removals = deadKeys(book, timers.nowMs()).map(key => ({ key, value: undefined }))
-    const isAppended = await writer.append([recordOf(lease), ...removals], atOffset)
+    const result = await writer.append([recordOf(lease), ...removals], atOffset)
     // A read has shown this lease before the append was answered, or an earlier one that is used instead.
     if (pending !== lease) {
-      if (isAppended && held?.key !== lease.key) remove(lease)
+      if (result !== 'moved' && result !== 'unknown' && held?.key !== lease.key) remove(lease)
       return
     }
     pending = undefined
-    if (isAppended) return adopt(lease)
-    if (isAppended === false) return
+    if (result === 'appended') return adopt(lease)
+    if (result === 'moved') return
+    // Others may have taken leases of which the read before the store came back says nothing.
+    if (result === 'elsewhere') return remove(lease)
     // Without an answer the append may have been carried out, or may be later: reads show it.
     unseen.set(lease.key, lease)
     reader.restart()
@@ -164,7 +178,7 @@
     const decision = decide()
     if (decision?.type !== 'take' || atOffset === undefined) return
     const key = leaseKeyOf(instance, options.makeId())
-    const lease = makeOwnLease(key, decision.want, othersLeases().length + 1, book.pace.fullSpeedCount, timers.nowMs())
+    const lease = makeOwnLease(key, atOffset, decision.want, othersLeases().length + 1, book.pace.fullSpeedCount, timers.nowMs())
     runInBackground(events, 'leases.take', takeLease(lease, atOffset))
   }
 
@@ -181,6 +195,9 @@
     else stopTimer = timers.after(decision.forMs, planAttempt)
   }
 
+  /** The lease stands where it was to be appended, not in the later history of a store that has come back from an older copy. */
+  const isInPlace = ({ key, atOffset }: OwnLease): boolean => book.leases.get(key)?.offset === atOffset
+
   /** Uses or removes leases whose append was carried out after it had got no answer. */
   const settleUnseen = (): void => {
     for (const [key, lease] of unseen) {
@@ -188,7 +205,7 @@
       if (!isOver && !book.leases.has(key)) continue
       unseen.delete(key)
       if (isOver) continue
-      if (held || !isNeeded(lease)) {
+      if (held || !isNeeded(lease) || !isInPlace(lease)) {
         remove(lease)
         continue
       }
@@ -206,7 +223,7 @@
       readOutage.noteAnswer()
       updateFallback()
       book = takePage(book, page, isWhole, { nowMs: timers.nowMs(), unixMs: timers.unixMs() })
-      if (pending && book.leases.has(pending.key)) adopt(pending)
+      if (pending && isInPlace(pending)) adopt(pending)
       settleUnseen()
       planAttempt()
     },
@@ -229,8 +246,10 @@
   }
 
   const renew = async (renewed: OwnLease): Promise<void> => {
-    const isRenewed = await writer.append([recordOf(renewed)])
-    if (isRenewed && held?.key === renewed.key) held = { ...held, lifetimeMs: renewed.lifetimeMs }
+    const result = await writer.append([recordOf(renewed)])
+    if (result !== 'appended') return
+    ownRecords.note(recordOf(renewed), leftMs(renewed))
+    if (held?.key === renewed.key) held = { ...held, lifetimeMs: renewed.lifetimeMs }
   }
 
   const renewIfDue = (lease: OwnLease): void => {
@@ -269,6 +288,23 @@
     isFallback = false
   }
 
+  const rewrite = async (): Promise<void> => {
+    for (let records = ownRecords.all(); records.length > 0; records = ownRecords.all()) {
+      if (isStopped || await writer.append(records) === 'appended') return
+      await sleep(timers, Math.max(LEASE_RETRY_MS, writer.pauseLeftMs()))
+    }
+  }
+
+  // Guards against loads beyond the limit: leases of loads that go on may be gone, and leases that were removed may be back. Each agent
+  // writes its own records again, and takes no lease before the others have done so.
+  const stopRestores = options.onRestored(() => {
+    settledMs = timers.nowMs() + RESTORE_SETTLE_MS
+    reader.restart()
+    attemptModel = ''
+    stopTimer()
+    runInBackground(events, 'leases.rewrite', rewrite())
+  })
+
   return {
     review: next => {
       needs = withoutPassedOver(next)
@@ -285,6 +321,7 @@
     stop: () => {
       isStopped = true
       stopTimer()
+      stopRestores()
       if (held && held.begunMs === undefined) release(held, 'the agent stops')
     }
   }
--- a/packages/sidecar/src/leases/leaseBook.ts
+++ b/packages/sidecar/src/leases/leaseBook.ts
@@ -13,6 +13,8 @@
   readonly waitingCount: number
   readonly takenMs: number
   readonly expiresMs: number
+  /** Where it stands in the feed. */
+  readonly offset: number
 }
 
 /** All leases and the limit, as far as the feed was read. A plain value. */
@@ -30,8 +32,8 @@
 /** The book before anything was read. */
 export const emptyBook: LeaseBook = { leases: new Map(), pace: initialPace }
 
-const toKnownLease = ({ modelName, waitingCount, lifetimeMs }: LoadLease, takenMs: number): KnownLease =>
-  ({ modelName, waitingCount, takenMs, expiresMs: takenMs + lifetimeMs })
+const toKnownLease = ({ modelName, waitingCount, lifetimeMs }: LoadLease, takenMs: number, offset: number): KnownLease =>
+  ({ modelName, waitingCount, takenMs, expiresMs: takenMs + lifetimeMs, offset })
 
 // Bytes of another writer that hide the limit: as little is known as at the first start.
 const toPace = (value: Uint8Array, clock: ClockReading): StorePace => {
@@ -49,14 +51,14 @@
 export const takePage = (book: LeaseBook, page: FeedPage, isWhole: boolean, clock: ClockReading): LeaseBook => {
   const leases = new Map(isWhole ? [] : book.leases)
   let { pace } = book
-  for (const { key, value } of page.records) {
+  for (const { key, value, offset } of page.records) {
     if (key === LIMIT_KEY) {
       if (value) pace = toPace(value, clock)
       continue
     }
     const lease = value && decodeLease(value)
     const ageMs = isWhole && lease ? Math.max(0, clock.unixMs - lease.takenUnixMs) : 0
-    if (lease) leases.set(key, toKnownLease(lease, book.leases.get(key)?.takenMs ?? clock.nowMs - ageMs))
+    if (lease) leases.set(key, toKnownLease(lease, book.leases.get(key)?.takenMs ?? clock.nowMs - ageMs, offset))
     else leases.delete(key)
   }
   return { leases, pace }
--- a/packages/sidecar/src/leases/leaseFaults.test.ts
+++ b/packages/sidecar/src/leases/leaseFaults.test.ts
@@ -13,6 +13,8 @@
 const MODEL_NAMES = [...'abcdefgh']
 const WANT_GAP_MS = LOAD_MS / 8
 const FAULT_GAP_MS = 4_000
+/** Records that a store loses which comes back from an older copy. */
+const MAX_LOST_RECORDS = 6
 const FAULT_MIN_MS = 500
 const FAULT_MAX_MS = 12_000
 /** Clocks differ by up to this. */
@@ -27,11 +29,12 @@
   /** Changes that leave the store within reach and lose no load. */
   const changeCalmly = (): void => {
     const agent = pick(agents)
-    const kind = draw(3)
+    const kind = draw(4)
     if (kind === 0) agent.skewMs = (random() - 0.5) * SKEW_MAX_MS
     if (kind === 1) feed.dropHistory()
     if (kind === 2) feed.add({ key: pick(['', 'lease/other/1', LIMIT_KEY]), value: Uint8Array.of(draw(256), draw(256), draw(256)) })
-    note(`change ${['clock', 'history', 'record'][kind]} ${kind === 0 ? `${agent.name} ${Math.round(agent.skewMs)}` : ''}`)
+    if (kind === 3) feed.restore(draw(MAX_LOST_RECORDS))
+    note(`change ${['clock', 'history', 'record', 'restore'][kind]} ${kind === 0 ? `${agent.name} ${Math.round(agent.skewMs)}` : ''}`)
     counts.changes += 1
   }
 
--- a/packages/sidecar/src/leases/ownLease.test.ts
+++ b/packages/sidecar/src/leases/ownLease.test.ts
@@ -10,14 +10,14 @@
 
 const WANT = { modelName: 'm', waitingCount: 1, coldLoadMs: LOAD_MS }
 
-const leaseWith = (given: Partial<OwnLease> = {}): OwnLease => ({ ...makeOwnLease('k', WANT, 1, 1, 0), ...given })
+const leaseWith = (given: Partial<OwnLease> = {}): OwnLease => ({ ...makeOwnLease('k', 0, WANT, 1, 1, 0), ...given })
 
 const needsWith = (given: Partial<LeaseNeeds> = {}): LeaseNeeds => ({ wants: [WANT], loadingModel: '', isMakingRoom: false, isHeld: () => false, ...given })
 
 describe('own lease', () => {
   it('lives for as long as its load is expected to take', () => {
     expect(leaseWith().lifetimeMs).to.be.within(LOAD_MS, 1.2 * LOAD_MS)
-    expect(makeOwnLease('k', WANT, 3, 2, 0).lifetimeMs).to.be.within(1.5 * LOAD_MS, 1.8 * LOAD_MS)
+    expect(makeOwnLease('k', 0, WANT, 3, 2, 0).lifetimeMs).to.be.within(1.5 * LOAD_MS, 1.8 * LOAD_MS)
   })
 
   it('is kept for longer while the engine makes room', () => {
@@ -54,7 +54,7 @@
 
   it('is not renewed at once for a short load', () => {
     // Guards against a place at the weight store that stays taken for longer than the lost load would have taken.
-    const short = { ...makeOwnLease('k', { ...WANT, coldLoadMs: 1_500 }, 1, 1, 0), begunMs: 10 }
+    const short = { ...makeOwnLease('k', 0, { ...WANT, coldLoadMs: 1_500 }, 1, 1, 0), begunMs: 10 }
     expect(renewedLease(short, 500)).to.equal(undefined)
     expect(renewedLease(short, 1_400)).not.to.equal(undefined)
   })
--- a/packages/sidecar/src/leases/ownLease.ts
+++ b/packages/sidecar/src/leases/ownLease.ts
@@ -6,6 +6,8 @@
 /** A lease that this agent has or is about to take. A plain value. */
 export interface OwnLease {
   readonly key: string
+  /** Where it was to be appended: nobody had taken a lease after those that this agent had read. */
+  readonly atOffset: number
   readonly modelName: string
   readonly waitingCount: number
   readonly coldLoadMs: number
@@ -34,9 +36,10 @@
   | { readonly type: 'unused' }
 
 /** A lease for a load beside `concurrentCount - 1` others at a store that carries `fullSpeedCount`. */
-export const makeOwnLease = (key: string, want: ColdWant, concurrentCount: number, fullSpeedCount: number, nowMs: number): OwnLease => ({
+export const makeOwnLease = (key: string, atOffset: number, want: ColdWant, concurrentCount: number, fullSpeedCount: number, nowMs: number): OwnLease => ({
   ...want,
   key,
+  atOffset,
   concurrentCount,
   lifetimeMs: want.coldLoadMs * Math.max(1, concurrentCount / fullSpeedCount) * LIFETIME_RATIO,
   takenMs: nowMs,
--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -35,7 +35,7 @@
     limiters: createLimiters({ timers, limitOf: nothing, isFirstStart: true }),
     origins: createOriginMemory(timers),
     takeDemand: nothing,
-    pieceOf: ({ offset, index }) => ({ type: 'deploymentPiece', offset, index, count: 1, key: 'config', bytes: Buffer.from('x') }),
+    pieceOf: ({ version, index }) => ({ type: 'deploymentPiece', version, offset: version, index, count: 1, key: 'config', bytes: Buffer.from('x') }),
     noteHeld: nothing,
     takePiece: nothing
   })
@@ -50,15 +50,15 @@
     const { timers, links, open } = await setUp(() => makeStateForTest())
     const listener = await open('r0')
     const others = [await open('r1'), await open('r2'), await open('r3')]
-    const held: RouterMessage = { type: 'deploymentHeld', offset: 3 }
-    const piece: RouterMessage = { type: 'deploymentPiece', offset: 3, index: 0, count: 1, key: 'config', bytes: Buffer.from('x') }
+    const held: RouterMessage = { type: 'deploymentHeld', version: 3 }
+    const piece: RouterMessage = { type: 'deploymentPiece', version: 3, offset: 3, index: 0, count: 1, key: 'config', bytes: Buffer.from('x') }
     timers.after(100, () => {
       for (const link of others) {
         link.send(held)
         link.send(piece)
       }
     })
-    timers.after(200, () => { listener.send({ type: 'deploymentAsked', offset: 3, index: 0 }) })
+    timers.after(200, () => { listener.send({ type: 'deploymentAsked', version: 3, index: 0 }) })
     timers.after(400, () => listener.close('the test ends'))
     let copyCount = 0
     for await (const message of listener.received) copyCount += Number(message.type === 'deploymentPiece')
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -40,8 +40,8 @@
   readonly takeDemand: (router: string, demand: Demand) => void
   /** A piece of the agent's configuration, for a router that has an older one. */
   readonly pieceOf: (asked: DeploymentAsked) => DeploymentPiece | undefined
-  /** A router has the configuration at an offset. */
-  readonly noteHeld: (router: string, offset: number) => void
+  /** A router has this version of the configuration. */
+  readonly noteHeld: (router: string, version: number) => void
   readonly takePiece: (router: string, piece: DeploymentPiece) => void
 }
 
@@ -163,7 +163,7 @@
       .with({ type: 'demand' }, demand => { options.takeDemand(link.peer, demand) })
       .with({ type: 'listRead' }, read => { forwardListRead(link, read) })
       .with({ type: 'deploymentAsked' }, asked => { sendPiece(link, asked) })
-      .with({ type: 'deploymentHeld' }, ({ offset }) => { options.noteHeld(link.peer, offset) })
+      .with({ type: 'deploymentHeld' }, ({ version }) => { options.noteHeld(link.peer, version) })
       .with({ type: 'deploymentPiece' }, piece => { options.takePiece(link.peer, piece) })
       .with({ type: 'limiterChosen' }, chosen => { options.limiters.choose(link.peer, chosen) })
       .with({ type: 'unitsAsked' }, asked => { sendTo(link, options.limiters.ask(link.peer, asked)) })
--- a/packages/sidecar/src/sidecar/describeEngine.ts
+++ b/packages/sidecar/src/sidecar/describeEngine.ts
@@ -19,7 +19,7 @@
   readonly orderer: Orderer
   readonly demand: DemandTotals
   readonly wants: WantRegistry
-  readonly deploymentOffset: number
+  readonly deploymentVersion: number
   readonly followsDeployments: boolean
   readonly routerCount: number
 }
@@ -77,7 +77,7 @@
     ...(report ? estimateEvictionCost(engine, report) : NO_EVICTION_COST),
     demandTokensPerS: models.map(model => Math.round(demand.totalFor(model.name).promptTokensPerS)),
     routerCount: engine.routerCount,
-    deploymentOffset: engine.deploymentOffset,
+    deploymentVersion: engine.deploymentVersion,
     followsDeployments: engine.followsDeployments
   }
 }
--- a/packages/sidecar/src/sidecar/followDeployment.test.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.test.ts
@@ -30,7 +30,8 @@
     const deployment = setUp()
     deployment.take(record(7, 4))
     expect(deployment.current()?.version).to.equal(7)
-    expect(deployment.offset()).to.equal(4)
+    expect(deployment.version()).to.equal(7)
+    expect(deployment.copy()?.record.offset).to.equal(4)
     deployment.stop()
   })
 
@@ -42,13 +43,22 @@
     deployment.stop()
   })
 
+  it('takes a newer version from a peer that has read an earlier era of the store', () => {
+    // Guards against a process that starts after the store has come back from an older copy, and stays with what it reads there.
+    const deployment = setUp()
+    deployment.take(record(6, 1_000))
+    deployment.take(record(7, 4))
+    expect(deployment.current()?.version).to.equal(7)
+    deployment.stop()
+  })
+
   it('has the configuration record unchanged for its peers, and none before one was received', () => {
     const deployment = setUp()
-    expect(deployment.record()).to.equal(undefined)
+    expect(deployment.copy()).to.equal(undefined)
     deployment.take({ ...record(8, 9), key: 'other' })
-    expect(deployment.record()).to.equal(undefined)
+    expect(deployment.copy()).to.equal(undefined)
     deployment.take(record(7, 4))
-    expect(deployment.record()).to.deep.equal(record(7, 4))
+    expect(deployment.copy()).to.deep.equal({ version: 7, record: record(7, 4) })
     deployment.stop()
   })
 })
--- a/packages/sidecar/src/sidecar/followDeployment.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.ts
@@ -4,7 +4,7 @@
 import { SidecarEvent } from '../events.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
-import type { Deployment, FeedRecord, StorePort } from '@figmount/fleet'
+import type { Deployment, DeploymentCopy, FeedRecord, StorePort } from '@figmount/fleet'
 
 interface Options {
   readonly store: StorePort
@@ -15,10 +15,10 @@
 /** The newest configuration that one agent has received. */
 export interface FollowedDeployment {
   readonly current: () => Deployment | undefined
-  /** Offset of the newest configuration; -1 for none. */
-  readonly offset: () => number
-  /** The record of the newest configuration. */
-  readonly record: () => FeedRecord | undefined
+  /** Version of the newest configuration; -1 for none. */
+  readonly version: () => number
+  /** The newest configuration, for routers. */
+  readonly copy: () => DeploymentCopy | undefined
   /** Takes a configuration that a router has sent. */
   readonly take: (record: FeedRecord) => void
   /** Time since the latest part of the answer to the agent's read; Infinity while none arrives. */
@@ -46,6 +46,7 @@
     feed,
     timers,
     events,
+    onRestored: store.onRestored,
     waitMs: LONG_POLL_MS,
     dueInMs: () => 0,
     take: newest.take,
@@ -56,9 +57,13 @@
 
   return {
     current: newest.current,
-    offset: newest.offset,
-    record: newest.record,
-    take: follower.offerNewest,
+    version: newest.version,
+    copy: newest.copy,
+    // Its version decides: the sender may have read an earlier era of the store, or a later one.
+    take: record => {
+      follower.offerNewest(record)
+      newest.take([record])
+    },
     quietMs: follower.quietMs,
     isFollowing: follower.isFollowing,
     stop: follower.stop
--- a/packages/sidecar/src/sidecar/startSidecar.test.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.test.ts
@@ -34,7 +34,7 @@
       sendOrder: () => EitherAsync.liftEither(Right('rejected'))
     }
     const feed = { name: 'op', readNewest: away, readSince: away }
-    const store = { deploymentFeed: feed, serverFeed: feed, leaseFeed: { ...feed, append: away }, isDeploymentKey: () => true } as unknown as AgentStorePort
+    const store = { deploymentFeed: feed, serverFeed: feed, leaseFeed: { ...feed, append: away }, onRestored: () => () => {}, isDeploymentKey: () => true } as unknown as AgentStorePort
     const port = await freePort()
     agent = await startSidecar({
       context: { settings: undefined, timers, events, metrics: createMetrics() },
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -52,10 +52,10 @@
   const demand = createDemandTotals(timers)
   const wants = createWantRegistry(timers)
   const deployments = followDeployment({ store: options.store, timers, events })
-  const copySource = createCopySource(deployments.record)
+  const copySource = createCopySource(deployments.copy)
   const copyFetch = createCopyFetch({
     timers,
-    ownOffset: deployments.offset,
+    ownVersion: deployments.version,
     readsStore: () => true,
     readQuietMs: deployments.quietMs,
     plan: planFetch,
@@ -88,6 +88,7 @@
     timers,
     events,
     isFirstStart: options.isFirstStart,
+    onRestored: options.store.onRestored,
     makeId: randomUUID,
     changed: () => { reviewAndSendState() }
   })
@@ -183,7 +184,7 @@
   // Guards against reporting the engine as down before its first answer: an agent that has just restarted would do so, and routers
   // would cut the streams that run there.
   const describeIfKnown = (routerCount: number): AgentState | undefined => hasEngineResult
-    ? describeEngine({ timers, spec: service()?.engine, isUp, identity, orderer, demand, wants, deploymentOffset: deployments.offset(), followsDeployments: deployments.isFollowing(), routerCount })
+    ? describeEngine({ timers, spec: service()?.engine, isUp, identity, orderer, demand, wants, deploymentVersion: deployments.version(), followsDeployments: deployments.isFollowing(), routerCount })
     : undefined
 
   const links = serveRouters({
--- a/packages/sidecar/src/testing/createFaultyFeed.ts
+++ b/packages/sidecar/src/testing/createFaultyFeed.ts
@@ -3,7 +3,7 @@
 
 import type { Either } from 'purify-ts'
 import type { Fault, TimerService, VirtualTimers } from '@figmount/base'
-import type { FeedPage, FeedRecord, NewRecord, WritableFeed } from '@figmount/fleet'
+import type { AppendOutcome, FeedPage, FeedRecord, NewRecord, WritableFeed } from '@figmount/fleet'
 
 /** How the store treats the calls of one agent. */
 export const StoreMode = {
@@ -42,13 +42,20 @@
   readonly added: (record: NewRecord, calledMs: number) => void
 }
 
+/** The store as one process uses it. */
+export interface TestPort extends WritableFeed {
+  readonly onRestored: (listener: () => void) => () => void
+}
+
 /** A lease feed whose store fails for some agents. */
 export interface FaultyFeed {
-  readonly portOf: (instance: string, process: TestProcess) => WritableFeed
+  readonly portOf: (instance: string, process: TestProcess) => TestPort
   readonly setMode: (instance: string, mode: StoreMode) => void
   readonly modeOf: (instance: string) => StoreMode
   /** Deletes all records but the newest of each key. */
   readonly dropHistory: () => void
+  /** Comes back from a copy without the last records; each process notices it at its next call or shortly afterwards. */
+  readonly restore: (lostCount: number) => void
   /** Appends a record of another writer. */
   readonly add: (record: NewRecord) => void
   readonly calls: readonly StoreCall[]
@@ -58,6 +65,10 @@
 const WAY_MS = 10
 const LATE_MIN_MS = 1_000
 const LATE_MAX_MS = 6_000
+/** A process reads other feeds of the store and notices within this time that it has come back. */
+const NOTICE_MS = 1_200
+/** Offsets of one era. */
+const ERA_OFFSETS = 1_000_000
 
 const NO_ANSWER: Either<Fault, never> = Left(makeFault('timeout', 'feed', 'store', 'no answer'))
 
@@ -104,6 +115,10 @@
   const modes = new Map<string, StoreMode>()
   const waiters = new Set<() => void>()
   let firstOffset = 0
+  let era = 0
+
+  const positionOf = (index: number): number => era * ERA_OFFSETS + index
+  const isOfEra = (position: number): boolean => Math.floor(position / ERA_OFFSETS) === era
 
   const modeOf = (instance: string): StoreMode => modes.get(instance) ?? StoreMode.Healthy
 
@@ -114,7 +129,7 @@
   }
 
   const add = (record: NewRecord, calledMs: number): void => {
-    records.push({ key: record.key, value: record.value, offset: records.length })
+    records.push({ key: record.key, value: record.value, offset: positionOf(records.length) })
     added(record, calledMs)
   }
 
@@ -124,7 +139,7 @@
   }
 
   const page = (found: readonly FeedRecord[], isExpired = false): Either<Fault, FeedPage> =>
-    Right({ records: found, nextOffset: records.length, isExpired })
+    Right({ records: found, nextOffset: positionOf(records.length), isExpired })
 
   type Answer<T> = (result: Either<Fault, T>) => void
 
@@ -145,44 +160,79 @@
       })
     }))
 
-  const readSince = (offset: number, waitMs: number, answer: Answer<FeedPage>): void => {
+  const readSince = (position: number, waitMs: number, answer: Answer<FeedPage>): void => {
+    const offset = position % ERA_OFFSETS
+    const isGone = (): boolean => !isOfEra(position) || offset < firstOffset
     const finish = (): void => {
       waiters.delete(finish)
-      answer(page(offset < firstOffset ? [] : records.slice(offset), offset < firstOffset))
+      answer(page(isGone() ? [] : records.slice(offset), isGone()))
     }
-    if (offset < firstOffset || offset < records.length) return finish()
+    if (isGone() || offset < records.length) return finish()
     waiters.add(finish)
     timers.after(waitMs, () => { if (waiters.has(finish)) finish() })
   }
 
-  const append = (added: readonly NewRecord[], atOffset: number | undefined, calledMs: number): boolean => {
-    if (atOffset !== undefined && atOffset !== records.length) return false
+  const append = (added: readonly NewRecord[], atOffset: number | undefined, calledMs: number): AppendOutcome => {
+    // The store knows offsets only: one of an earlier era may fit by chance.
+    if (atOffset !== undefined && atOffset % ERA_OFFSETS !== records.length) return { type: 'moved' }
+    const offset = positionOf(records.length)
     for (const record of added) add(record, calledMs)
     notify()
-    return true
+    return { type: 'appended', offset }
+  }
+
+  /** What one process knows of the store's era. It notices a later one by any answer, and at the latest by its reads of other feeds. */
+  const createEraView = (instance: string, process: TestProcess) => {
+    const listeners = new Set<() => void>()
+    let knownEra = era
+    const note = (): void => {
+      if (knownEra === era) return
+      knownEra = era
+      for (const listener of listeners) listener()
+    }
+    process.timers.every(NOTICE_MS * (0.5 + random() / 2), () => { if (modeOf(instance) === StoreMode.Healthy) note() })
+    const onRestored = (listener: () => void): (() => void) => {
+      listeners.add(listener)
+      return () => { listeners.delete(listener) }
+    }
+    const noteAnswered = <T>(called: EitherAsync<Fault, T>): EitherAsync<Fault, T> => called.ifRight(note)
+    return { onRestored, noteAnswered }
   }
 
   return {
-    portOf: (instance, process) => ({
-      name: 'leases',
-      readNewest: timeoutMs => call<FeedPage>(instance, process, timeoutMs, (_mode, answer) => { answer(page(newest())) }),
-      readSince: (offset, waitMs, timeoutMs) => call<FeedPage>(instance, process, timeoutMs, (_mode, answer) => { readSince(offset, waitMs, answer) }),
-      append: (added, atOffset, timeoutMs) => {
-        const calledMs = timers.nowMs()
-        return call<boolean>(instance, process, timeoutMs, (mode, answer) => {
-          const lateMs = mode === StoreMode.Late ? LATE_MIN_MS + random() * (LATE_MAX_MS - LATE_MIN_MS) : 0
-          if (lateMs > 0) return timers.after(lateMs, () => { answer(Right(append(added, atOffset, calledMs))) })
-          const isAppended = append(added, atOffset, calledMs)
-          if (mode !== StoreMode.AnswerLost) answer(Right(isAppended))
-        })
+    portOf: (instance, process) => {
+      const view = createEraView(instance, process)
+      const callStore = <T>(timeoutMs: number, arrive: (mode: StoreMode, answer: Answer<T>) => void): EitherAsync<Fault, T> =>
+        view.noteAnswered(call<T>(instance, process, timeoutMs, arrive))
+      return {
+        name: 'leases',
+        onRestored: view.onRestored,
+        readNewest: timeoutMs => callStore<FeedPage>(timeoutMs, (_mode, answer) => { answer(page(newest())) }),
+        readSince: (offset, waitMs, timeoutMs) => callStore<FeedPage>(timeoutMs, (_mode, answer) => { readSince(offset, waitMs, answer) }),
+        append: (added, atOffset, timeoutMs) => {
+          const calledMs = timers.nowMs()
+          return callStore<AppendOutcome>(timeoutMs, (mode, answer) => {
+            const lateMs = mode === StoreMode.Late ? LATE_MIN_MS + random() * (LATE_MAX_MS - LATE_MIN_MS) : 0
+            if (lateMs > 0) return timers.after(lateMs, () => { answer(Right(append(added, atOffset, calledMs))) })
+            const outcome = append(added, atOffset, calledMs)
+            if (mode !== StoreMode.AnswerLost) answer(Right(outcome))
+          })
+        }
       }
-    }),
+    },
     setMode: (instance, mode) => {
       modes.set(instance, mode)
       if (mode === StoreMode.Down) notify()
     },
     modeOf,
     dropHistory: () => { firstOffset = records.length },
+    restore: lostCount => {
+      records.splice(Math.max(0, records.length - lostCount))
+      firstOffset = Math.min(firstOffset, records.length)
+      era += 1
+      for (const [index, record] of records.entries()) records[index] = { ...record, offset: positionOf(index) }
+      notify()
+    },
     add: record => {
       add(record, timers.nowMs())
       notify()
--- a/packages/sidecar/src/testing/createFaultyFleet.ts
+++ b/packages/sidecar/src/testing/createFaultyFleet.ts
@@ -137,8 +137,10 @@
 
   const start = (agent: Agent, isFirstStart: boolean): void => {
     const process = createTestProcess(timers, () => agent.skewMs)
+    const port = feed.portOf(agent.name, process)
     const leases = createLoadLeases({
-      feed: feed.portOf(agent.name, process),
+      feed: port,
+      onRestored: port.onRestored,
       instance: agent.name,
       timers: process.timers,
       events: createEventLog({ instance: agent.name as InstanceName, role: 'agent', timers: process.timers }),
--- a/packages/sidecar/src/testing/createLeaseFeed.ts
+++ b/packages/sidecar/src/testing/createLeaseFeed.ts
@@ -3,7 +3,7 @@
 
 import type { Either } from 'purify-ts'
 import type { Fault, VirtualTimers } from '@figmount/base'
-import type { FeedPage, FeedRecord, NewRecord, WritableFeed } from '@figmount/fleet'
+import type { AppendOutcome, FeedPage, FeedRecord, NewRecord, WritableFeed } from '@figmount/fleet'
 
 /** How the feed of a test answers. */
 export const FeedMode = {
@@ -76,9 +76,11 @@
       return page(records.slice(offset))
     }),
     append: (added, atOffset, timeoutMs) => answer('append', timeoutMs, async () => {
-      const isAppended = atOffset === undefined || atOffset === records.length
+      const offset = records.length
+      const isAppended = atOffset === undefined || atOffset === offset
       if (isAppended) add(added)
-      return mode === FeedMode.AnswerLost ? NO_ANSWER : Right(isAppended)
+      if (mode === FeedMode.AnswerLost) return NO_ANSWER
+      return Right<AppendOutcome, Fault>(isAppended ? { type: 'appended', offset } : { type: 'moved' })
     }),
     setMode: next => { mode = next },
     keys: () => newest().map(record => record.key),
--- a/packages/sidecar/src/testing/makeStateForTest.ts
+++ b/packages/sidecar/src/testing/makeStateForTest.ts
@@ -23,6 +23,6 @@
   evictionLoss: 1,
   demandTokensPerS: [5],
   routerCount: 2,
-  deploymentOffset: 1,
+  deploymentVersion: 1,
   followsDeployments: true
 })
