Reset the caller's connection when a stream without a length or chunks breaks off

Callers took a stream for whole whose engine had closed the connection inside an event: the router left the cut event out and closed its own connection in order, which ends an answer that has neither a length nor chunks. Such an answer is reset now. unframedStreams.test.ts: red before, green now; wholePath.test.ts green.

--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -1,4 +1,5 @@
 import { GatewayEvent } from '../events.js'
+import { breakOff } from './breakOff.js'
 
 import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
@@ -40,7 +41,7 @@
   context.metrics.count('requests_failed_total')
   context.events.emit(GatewayEvent.requestFailed, { requestKey: request.caller.requestId, reason, peer, waitMs: elapsedMs(context, request) })
   if (!isOpen(request)) {
-    request.response.destroy()
+    breakOff(request.response)
     return
   }
   request.response.writeHead(isLate ? Status.GatewayTimeout : Status.BadGateway, { 'content-length': 0 })
