--- a/packages/fleet/src/crashes/createPartHistory.test.ts
+++ b/packages/fleet/src/crashes/createPartHistory.test.ts
@@ -44,6 +44,17 @@
     expect(second.proofOf('p')).to.deep.equal({ partId: 'p', sentAgeMs: 2_700 })
   })
 
+  it('passes on no parts that were disproved', () => {
+    // Guards against a megabyte for each process that links after many engines have died.
+    const timers = createVirtualTimers()
+    const history = createPartHistory(timers)
+    history.note(death('a', 0, 'p', 'q'))
+    history.note(death('b', 0, 'q'))
+    timers.advance(1_000)
+    history.noteProof({ partId: 'q', sentAgeMs: 0 })
+    expect(history.deaths().map(({ start, parts }) => [start.serverId, parts.map(({ partId }) => partId)])).to.deep.equal([['a', ['p']]])
+  })
+
   it('forgets and is bounded', () => {
     const timers = createVirtualTimers()
     const history = createPartHistory(timers)
--- a/packages/fleet/src/crashes/createPartHistory.ts
+++ b/packages/fleet/src/crashes/createPartHistory.ts
@@ -29,7 +29,7 @@
   readonly noteProof: (proof: PartProof) => boolean
   /** The latest proof of a part; undefined if none is known. */
   readonly proofOf: (partId: string) => PartProof | undefined
-  /** All known deaths. */
+  /** All known deaths, with the parts that no later run has disproved. */
   readonly deaths: () => readonly PartDeath[]
   /** The same for a decision, on the clock of this process. */
   readonly view: () => { readonly deaths: readonly KnownDeath[], readonly provenMs: ReadonlyMap<string, number> }
@@ -80,6 +80,15 @@
     return atMs === undefined ? undefined : timers.nowMs() - atMs
   }
 
+  const suspectsOf = ({ start, atMs, sentMs }: KnownDeath): PartDeath => {
+    const parts: PartRun[] = []
+    for (const [partId, partSentMs] of sentMs) {
+      if ((provenMs.get(partId) ?? -Infinity) > atMs) continue
+      parts.push({ partId, sentAgeMs: timers.nowMs() - partSentMs, provenAgeMs: provenAgeMs(partId) })
+    }
+    return { start, ageMs: timers.nowMs() - atMs, parts }
+  }
+
   const noteRun = (sentMs: Map<string, number>, { partId, sentAgeMs, provenAgeMs: ageMs }: PartRun): void => {
     sentMs.set(partId, timers.nowMs() - sentAgeMs)
     if (ageMs !== undefined) keepProof(partId, Math.max(timers.nowMs() - ageMs, provenMs.get(partId) ?? -Infinity))
@@ -112,11 +121,7 @@
     },
     deaths: () => {
       trim()
-      return [...deaths.values()].map(({ start, atMs, sentMs }) => ({
-        start,
-        ageMs: timers.nowMs() - atMs,
-        parts: [...sentMs].map(([partId, partSentMs]) => ({ partId, sentAgeMs: timers.nowMs() - partSentMs, provenAgeMs: provenAgeMs(partId) }))
-      }))
+      return [...deaths.values()].map(suspectsOf).filter(({ parts }) => parts.length > 0)
     },
     view: () => ({ deaths: [...deaths.values()], provenMs }),
     changeCount: () => {
