--- a/packages/gateway/src/router/createListChanges.test.ts
+++ b/packages/gateway/src/router/createListChanges.test.ts
@@ -37,6 +37,14 @@
     expect(isChange(changes, { key: 'b', value: undefined, offset: 0 })).to.equal(false)
   })
 
+  it('include the next record of each server after the store has come back from an older copy', () => {
+    // Guards against a server that one router knows to have left and the reader of the list does not: its renewed entry was not passed on.
+    const changes = setUp()
+    changes.take([recordOf()])
+    changes.reset()
+    expect(isChange(changes, recordOf())).to.equal(true)
+  })
+
   it('include an entry that has become unreadable', () => {
     const changes = setUp()
     changes.take([recordOf()])
--- a/packages/gateway/src/router/createListChanges.ts
+++ b/packages/gateway/src/router/createListChanges.ts
@@ -10,6 +10,8 @@
 export interface ListChanges {
   /** Returns the records whose content differs from the previous one of the same server. */
   readonly take: (records: readonly FeedRecord[]) => readonly FeedRecord[]
+  /** Counts the next record of each server as a change. */
+  readonly reset: () => void
 }
 
 /** The content of a record, as texts to compare. */
@@ -39,5 +41,8 @@
     return now.server !== before.server || (now.models !== before.models && !hasAgentState(record.key))
   }
 
-  return { take: records => records.filter(isChange) }
+  return {
+    take: records => records.filter(isChange),
+    reset: () => { known.clear() }
+  }
 }
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -101,9 +101,15 @@
     random: options.random
   })
 
+  /** The read that is taken now is the first one after the store has come back from an older copy. */
+  let isCopyRead = false
+
   const noteListRead = ({ stretch, isWhole, beganMs }: FeedRead): void => {
     readSchedule.note(beganMs)
     const records = listChanges.take(stretch.records)
+    // Guards against a server that others know to have left: they take it again by a record that renews what the copy says.
+    if (isCopyRead) listChanges.reset()
+    isCopyRead = false
     // A whole read does not contain the keys that were removed, so it cannot replace the reads of other routers.
     if (isWhole) return
     const ageMs = Math.ceil(timers.nowMs() - beganMs)
@@ -119,6 +125,7 @@
     dueInMs: readSchedule.dueInMs,
     take: (records, isCopy) => {
       if (!isCopy) return directory.takeRecords(records)
+      isCopyRead = true
       directory.missingEntries.noteSettling(RELIST_GRACE_MS)
       directory.takeCopy(records)
     },
