--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -54,6 +54,14 @@
   /** Age of the information on which a decision was based. */
   readonly ageMs?: number
   readonly statusCode?: number
+  /** How the server marked the end of an answer, and how the router did so for its caller: a length, chunks or the end of the connection. */
+  readonly framing?: string
+  readonly callerFraming?: string
+  /** What shows that an answer is complete. */
+  readonly endProof?: string
+  /** Ids of a stream's events: the last one that its caller has, and the first ones that each run added. */
+  readonly lastEventId?: string
+  readonly runStarts?: readonly string[]
   readonly memoryMb?: number
   readonly memoryCapacityMb?: number
   readonly repeatable?: boolean
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -96,6 +96,7 @@
     ...(organisation ? { organisation: organisation.name } : {}),
     version: String(deployment.version),
     tokenCount: caller.promptTokens,
+    ...(caller.lastEventId === '' ? {} : { lastEventId: caller.lastEventId }),
     waitMs: Math.round(request.untilMs - arrivedMs)
   })
   if (organisation && !await takeQuota(context, request, organisation)) return
--- a/packages/gateway/src/requests/createCallerStream.ts
+++ b/packages/gateway/src/requests/createCallerStream.ts
@@ -1,6 +1,8 @@
+import { Framing } from '../forwarding/framing.js'
 import { endAfterDrain, delimitByClose, noteAnswered } from './endRequest.js'
 
 import type { RawHeaders } from '@figmount/fleet'
+import type { AnswerEnd } from '../forwarding/framing.js'
 import type { StreamEvent } from '../streams/createEventSplitter.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
@@ -11,10 +13,13 @@
   /** Forwards an event unless the caller has it already; returns false when the caller reads too slowly. */
   readonly take: (event: StreamEvent) => boolean
   readonly onceDrained: (resume: () => void) => void
-  readonly finish: (peer: string) => void
+  /** Ends the caller's answer; `end`: how the end of the last run was marked and recognised. */
+  readonly finish: (peer: string, end: AnswerEnd) => void
   readonly hasBegun: () => boolean
   /** Id of the event after which another run continues; empty before the first event. */
   readonly lastEventId: () => string
+  /** Ids of the first event that each run has added. */
+  readonly runStarts: () => readonly string[]
   /** Arrival time of the newest event; before the first one, that of the request. */
   readonly lastEventMs: () => number
   /** The server skipped an event: the stream cannot be completed. */
@@ -36,6 +41,8 @@
   let isGapSeen = false
   let firstEventMs: number | undefined
   let lastEventMs = request.arrivedMs
+  const runStarts: string[] = []
+  let isRunNew = false
 
   const sendHead = (): void => {
     if (!head || response.headersSent || response.destroyed) return
@@ -57,11 +64,16 @@
       lastNumber = number
     }
     lastEventId = event.eventId
+    if (isRunNew) runStarts.push(event.eventId)
+    isRunNew = false
     return true
   }
 
   return {
-    open: (status, headers, isFramed) => { head ??= { status, headers, isFramed } },
+    open: (status, headers, isFramed) => {
+      head ??= { status, headers, isFramed }
+      isRunNew = true
+    },
     take: event => {
       if (!acceptEvent(event)) return true
       if (isGapSeen || response.destroyed) return true
@@ -70,13 +82,15 @@
       return response.write(event.bytes)
     },
     onceDrained: resume => { response.once('drain', resume) },
-    finish: peer => {
+    finish: (peer, end) => {
       sendHead()
-      noteAnswered(context, request, peer, head?.status ?? 0, firstEventMs)
+      const callerFraming = response.chunkedEncoding ? Framing.Chunks : Framing.Connection
+      noteAnswered(context, request, { peer, status: head?.status ?? 0, end, callerFraming, events: { firstEventMs, lastEventId, runStarts } })
       endAfterDrain(response)
     },
     hasBegun: () => response.headersSent,
     lastEventId: () => lastEventId,
+    runStarts: () => runStarts,
     lastEventMs: () => lastEventMs,
     hasGap: () => isGapSeen
   }
--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -1,8 +1,10 @@
 import { GatewayEvent } from '../events.js'
+import { Framing } from '../forwarding/framing.js'
 import { breakOff } from './breakOff.js'
 
 import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
+import type { AnswerEnd } from '../forwarding/framing.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** HTTP statuses of answers that the router itself gives. */
@@ -70,11 +72,19 @@
   else response.end()
 }
 
-/** Sends the caller a server's answer that was read completely. */
-export const sendAnswer = (
-  context: GatewayContext, request: RoutedRequest, status: number, headers: RawHeaders, body: Buffer, peer: string, isFramed: boolean
-): void => {
-  noteAnswered(context, request, peer, status)
+/** A server's answer that was read completely. */
+export interface CompleteAnswer {
+  readonly peer: string
+  readonly status: number
+  readonly headers: RawHeaders
+  readonly body: Buffer
+  readonly end: AnswerEnd
+}
+
+/** Sends the caller a server's complete answer. */
+export const sendAnswer = (context: GatewayContext, request: RoutedRequest, { peer, status, headers, body, end }: CompleteAnswer): void => {
+  const isFramed = end.framing !== Framing.Connection
+  noteAnswered(context, request, { peer, status, end, callerFraming: isFramed ? Framing.Length : Framing.Connection })
   if (!isOpen(request)) return
   if (!isFramed) delimitByClose(request)
   request.response.writeHead(status, [...headers, ...(isFramed ? ['content-length', String(body.length)] : [])])
@@ -82,12 +92,41 @@
   endAfterDrain(request.response)
 }
 
-/** Logs and counts a complete answer; `firstEventMs` is the time from the request's arrival to a stream's first event. */
-export const noteAnswered = (context: GatewayContext, request: RoutedRequest, peer: string, status: number, firstEventMs?: number): void => {
+/** What is logged of a complete answer. */
+interface AnsweredNote {
+  readonly peer: string
+  readonly status: number
+  readonly end: AnswerEnd
+  readonly callerFraming: Framing
+  /** Only of a stream. */
+  readonly events?: StreamNote
+}
+
+/** What is logged of a stream's events. */
+export interface StreamNote {
+  /** Time from the request's arrival to the first event; undefined for a stream without events. */
+  readonly firstEventMs: number | undefined
+  readonly lastEventId: string
+  readonly runStarts: readonly string[]
+}
+
+/** Logs and counts a complete answer. */
+export const noteAnswered = (context: GatewayContext, request: RoutedRequest, { peer, status, end, callerFraming, events }: AnsweredNote): void => {
   const tookMs = context.timers.nowMs() - request.arrivedMs
   context.metrics.count('requests_answered_total')
+  if (end.framing === Framing.Connection) context.metrics.count('answers_without_framing_total')
   context.metrics.observeMs('request_ms', tookMs)
-  context.events.emit(GatewayEvent.requestAnswered, { requestKey: request.caller.requestId, peer, durationMs: Math.round(tookMs), waitMs: Math.round(firstEventMs ?? tookMs), statusCode: status })
+  context.events.emit(GatewayEvent.requestAnswered, {
+    requestKey: request.caller.requestId,
+    peer,
+    durationMs: Math.round(tookMs),
+    waitMs: Math.round(events?.firstEventMs ?? tookMs),
+    statusCode: status,
+    framing: end.framing,
+    callerFraming,
+    endProof: end.proof,
+    ...(events ? { lastEventId: events.lastEventId, runStarts: events.runStarts } : {})
+  })
 }
 
 /** Logs that the caller left. */
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -30,7 +30,8 @@
     peer: serverId,
     ageMs: Math.round(Math.min(timers.nowMs() - server.stateAsOfMs, Number.MAX_SAFE_INTEGER)),
     count: server.ownCount,
-    waitMs: Math.round(timers.nowMs() - request.arrivedMs)
+    waitMs: Math.round(timers.nowMs() - request.arrivedMs),
+    ...(lastEventId === '' ? {} : { lastEventId })
   })
   const forwarded = codec.encodeForward(request.headers, { serverId, deadlineMs: leftMs, priority: request.priority, organisationName: request.organisation?.name ?? '', lastEventId })
   const framing = request.body.length > 0 || request.method !== 'GET' ? ['Content-Length', String(request.body.length)] : []
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -1,3 +1,4 @@
+import { endOf } from '../forwarding/framing.js'
 import { hasFraming } from '../forwarding/isComplete.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
 import { relayEvents } from '../streams/relayEvents.js'
@@ -5,6 +6,7 @@
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
 
 import type { KnownServer } from '../directory/types.js'
+import type { AnswerEnd } from '../forwarding/framing.js'
 import type { OpenAnswer } from '../forwarding/types.js'
 import type { TakenRetry } from '../retries/createRetryBudget.js'
 import type { CallerStream } from './createCallerStream.js'
@@ -13,7 +15,7 @@
 /** How one run of a stream ended. */
 export type RunEnd =
   /** The server has sent the whole stream; the caller's answer is not ended yet. */
-  | { readonly type: 'finished' }
+  | { readonly type: 'finished', readonly answerEnd: AnswerEnd }
   /** The caller got a complete answer of the server that is not a stream. */
   | { readonly type: 'answered' }
   /** The server reports that it has not run the request, or nothing was sent. */
@@ -36,7 +38,7 @@
     silenceMs: request.route.patienceMs
   })
   if (stream.hasGap()) return { type: 'broken', reason: 'an event is missing' }
-  return end.isWhole ? { type: 'finished' } : { type: 'broken', reason: end.reason }
+  return end.isWhole ? { type: 'finished', answerEnd: endOf(open.message) } : { type: 'broken', reason: end.reason }
 }
 
 /** Runs a stream on one server and forwards its events. */
@@ -63,6 +65,6 @@
   }
   if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
   if (stream.hasBegun()) return { type: 'broken', reason: `status ${status}` }
-  sendAnswer(context, request, status, context.codec.encodeAnswer(open.message.rawHeaders), read.unsafeCoerce(), serverId, hasFraming(open.message))
+  sendAnswer(context, request, { peer: serverId, status, headers: context.codec.encodeAnswer(open.message.rawHeaders), body: read.unsafeCoerce(), end: endOf(open.message) })
   return { type: 'answered' }
 }
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -116,7 +116,7 @@
     retry = undefined
     if (end.type === 'answered' || end.type === 'finished') noteAnswer(context, request)
     if (end.type === 'answered') return
-    if (end.type === 'finished') return stream.finish(serverId)
+    if (end.type === 'finished') return stream.finish(serverId, end.answerEnd)
     // A run that the router aborted says nothing about the server.
     const wasAborted = request.callerLeft.aborted || timers.nowMs() >= request.untilMs || stop.isEnded()
     if (end.type === 'broken') noteBroken(context, request, serverId, end.reason, timers.nowMs() - sentMs)
@@ -132,6 +132,6 @@
     runCount += 1
     const mayResume = route.isResumable && runCount < route.maxAttempts && !stream.hasGap()
     if (!mayResume) return fail(context, request, end.reason, serverId)
-    context.events.emit(GatewayEvent.streamResumed, { requestKey: caller.requestId, reason: end.reason, peer: serverId, detail: stream.lastEventId() })
+    context.events.emit(GatewayEvent.streamResumed, { requestKey: caller.requestId, reason: end.reason, peer: serverId, lastEventId: stream.lastEventId(), runStarts: stream.runStarts() })
   }
 }
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -5,7 +5,7 @@
 import { noteAnswer } from '../crashes/noteAnswer.js'
 import { MIN_SILENCE_MS } from '../crashes/constants.js'
 import { noteBroken } from '../crashes/noteBroken.js'
-import { hasFraming } from '../forwarding/isComplete.js'
+import { endOf } from '../forwarding/framing.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
 import { awaitRetry } from '../retries/awaitRetry.js'
 import { LIMITED_REASON } from '../serverLimits/constants.js'
@@ -76,7 +76,7 @@
   }
   if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
   const deliver = (): void => {
-    sendAnswer(context, request, status, context.codec.encodeAnswer(open.message.rawHeaders), read.unsafeCoerce(), serverId, hasFraming(open.message))
+    sendAnswer(context, request, { peer: serverId, status, headers: context.codec.encodeAnswer(open.message.rawHeaders), body: read.unsafeCoerce(), end: endOf(open.message) })
   }
   noteAnswer(context, request)
   if (status >= FIRST_SERVER_ERROR) return { type: 'failed', status, deliver }
