--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -40,5 +40,6 @@
   crashDisproved: [2536, 'a request was answered under which backend servers had died: it does not count as the cause any more'],
   partsBlamed: [2537, 'backend servers die of one of these parts of prompts, as far as is known now'],
   partsTried: [2538, 'a request is run to find out whether backend servers die of parts of its prompt'],
-  partsProven: [2539, 'a backend server has written on parts of prompts under which others had died']
+  partsProven: [2539, 'a backend server has written on parts of prompts under which others had died'],
+  closeJudged: [2540, 'a backend server closed the connection of an answer without a length or chunks: whether the answer counts as complete']
 })
--- a/packages/gateway/src/forwarding/framing.ts
+++ b/packages/gateway/src/forwarding/framing.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http'
+import type { OpenAnswer } from './types.js'
 
-/** How an answer's end is marked. */
+/** How the end of an answer is marked. */
 export const Framing = {
   Length: 'length',
   Chunks: 'chunks',
@@ -16,12 +17,34 @@
   return headers['content-length'] === undefined ? Framing.Connection : Framing.Length
 }
 
+/** What the end of an answer's bytes shows. */
+export const BytesEnd = {
+  /** All bytes of its framing have arrived. */
+  Marked: 'marked',
+  /** The server's system has closed the connection in order, and nothing else marks the end. */
+  Closed: 'closed',
+  BrokenOff: 'broken_off'
+} as const
+
+export type BytesEnd = typeof BytesEnd[keyof typeof BytesEnd]
+
+/**
+ * What the end of an answer's bytes shows.
+ *
+ * Guards against an answer without framing whose connection was reset: Node ends it as after an orderly close.
+ */
+export const bytesEndOf = ({ message, framing }: OpenAnswer): BytesEnd => {
+  if (!message.complete) return BytesEnd.BrokenOff
+  if (framing !== Framing.Connection) return BytesEnd.Marked
+  return message.socket.readableEnded ? BytesEnd.Closed : BytesEnd.BrokenOff
+}
+
 /** What shows that an answer is complete. */
 export const EndProof = {
-  /** Its length or its last chunk. */
+  /** Its framing. */
   Framing: 'framing',
-  /** The server has closed its connection in order. */
-  OrderlyClose: 'orderly_close'
+  /** After the close of its connection the same start of its server has answered a health check. */
+  HealthCheck: 'health_check'
 } as const
 
 export type EndProof = typeof EndProof[keyof typeof EndProof]
@@ -31,9 +54,3 @@
   readonly framing: Framing
   readonly proof: EndProof
 }
-
-/** The end of a message that is complete. */
-export const endOf = (message: IncomingMessage): AnswerEnd => {
-  const framing = framingOf(message)
-  return { framing, proof: framing === Framing.Connection ? EndProof.OrderlyClose : EndProof.Framing }
-}
--- a/packages/gateway/src/forwarding/readAnswer.ts
+++ b/packages/gateway/src/forwarding/readAnswer.ts
@@ -2,7 +2,7 @@
 import { makeFault } from '@figmount/base'
 
 import { MAX_ANSWER_BYTES } from './constants.js'
-import { isComplete } from './isComplete.js'
+import { BytesEnd, bytesEndOf } from './framing.js'
 
 import type { Either } from 'purify-ts'
 import type { Fault } from '@figmount/base'
@@ -10,9 +10,16 @@
 
 const STEP = 'forwarding.readWhole'
 
+/** An answer that was read to its end. */
+export interface ReadAnswer {
+  readonly body: Buffer
+  readonly end: BytesEnd
+}
+
 /** Reads an answer to its end; a fault if it breaks off or is too large. */
-export const readAnswer = async ({ message, abort }: OpenAnswer, serverId: string): Promise<Either<Fault, Buffer>> =>
+export const readAnswer = async (open: OpenAnswer, serverId: string): Promise<Either<Fault, ReadAnswer>> =>
   await new Promise(resolve => {
+    const { message, abort } = open
     const chunks: Buffer[] = []
     let byteCount = 0
     const fail = (reason: string): void => resolve(Left(makeFault('unavailable', STEP, serverId, reason)))
@@ -25,7 +32,11 @@
       }
       chunks.push(chunk)
     })
-    message.on('end', () => isComplete(message) ? resolve(Right(Buffer.concat(chunks))) : fail('answer broke off'))
+    message.on('end', () => {
+      const end = bytesEndOf(open)
+      if (end === BytesEnd.BrokenOff) return fail('answer broke off')
+      resolve(Right({ body: Buffer.concat(chunks), end }))
+    })
     message.on('error', error => fail(error.message))
     message.on('close', () => fail('connection closed'))
   })
--- a/packages/gateway/src/forwarding/sendToServer.ts
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -3,6 +3,7 @@
 import { makeFault } from '@figmount/base'
 
 import { CONNECT_TIMEOUT_MS } from './constants.js'
+import { framingOf } from './framing.js'
 
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
@@ -72,7 +73,7 @@
     hasHead = true
     pool.noteAnswer(message)
     const answer = codec.decodeAnswer(message.rawHeaders)
-    settle(Right({ message, answer, abort }))
+    settle(Right({ message, answer, framing: framingOf(message), abort }))
   }
 
   const noteConnected = (): void => {
--- a/packages/gateway/src/forwarding/types.ts
+++ b/packages/gateway/src/forwarding/types.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Fault } from '@figmount/base'
 import type { ServerAnswer, ServerStart } from '@figmount/fleet'
+import type { Framing } from './framing.js'
 
 /** A request as it is sent to a server. */
 export interface OutboundRequest {
@@ -22,6 +23,7 @@
 export interface OpenAnswer {
   readonly message: IncomingMessage
   readonly answer: ServerAnswer
+  readonly framing: Framing
   /** Ends the exchange and its connection; the server stops working on the request. */
   readonly abort: () => void
 }
--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -4,7 +4,8 @@
 
 import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
-import type { AnswerEnd } from '../forwarding/framing.js'
+import type { AnswerEnd, EndProof } from '../forwarding/framing.js'
+import type { OpenAnswer } from '../forwarding/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** HTTP statuses of answers that the router itself gives. */
@@ -81,6 +82,15 @@
   readonly end: AnswerEnd
 }
 
+/** Makes the answer to pass on from a server's open one, once its body was read and shown to be complete. */
+export const completeAnswer = ({ codec }: GatewayContext, { message, framing }: OpenAnswer, body: Buffer, proof: EndProof, peer: string): CompleteAnswer => ({
+  peer,
+  status: message.statusCode ?? 0,
+  headers: codec.encodeAnswer(message.rawHeaders),
+  body,
+  end: { framing, proof }
+})
+
 /** Sends the caller a server's complete answer. */
 export const sendAnswer = (context: GatewayContext, request: RoutedRequest, { peer, status, headers, body, end }: CompleteAnswer): void => {
   const isFramed = end.framing !== Framing.Connection
--- a/packages/gateway/src/requests/runOnServer.ts
+++ b/packages/gateway/src/requests/runOnServer.ts
@@ -19,9 +19,18 @@
   readonly isProven: boolean
 }
 
+/** What a run of a stream depends on beside its server. */
+interface RunOptions {
+  readonly stream: CallerStream
+  readonly versionLock: VersionLock
+  readonly retry: TakenRetry | undefined
+  /** The stream may go on elsewhere if this run breaks off. */
+  readonly mayRunElsewhere: boolean
+}
+
 /** Runs the request on the chosen server and updates the router's counts, prefix index and failure rate for that server. */
 export const runOnServer = async (
-  context: GatewayContext, request: RoutedRequest, choice: ServerChoice, stream: CallerStream, versionLock: VersionLock, retry: TakenRetry | undefined
+  context: GatewayContext, request: RoutedRequest, choice: ServerChoice, { stream, versionLock, retry, mayRunElsewhere }: RunOptions
 ): Promise<EndedRun> => {
   const { directory } = context
   const { start } = choice.server
@@ -55,7 +64,7 @@
   directory.own.noteRun(start, modelName)
   directory.prefixes.remember(start.serverId, `${modelName}/${adapterName}`, promptParts)
   const sentMs = context.timers.nowMs()
-  const end = await runStream(context, request, choice.server, stream, retry, limit.signal, noteEvent)
+  const end = await runStream(context, request, { server: choice.server, stream, retry, mayRunElsewhere, signal: limit.signal, noteEvent })
   const isSilent = isPending
   settlePending()
   directory.own.noteEnded(start)
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -1,8 +1,8 @@
-import { endOf } from '../forwarding/framing.js'
-import { hasFraming } from '../forwarding/isComplete.js'
+import { awaitProof } from '../ends/awaitProof.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
+import { BytesEnd, Framing } from '../forwarding/framing.js'
 import { relayEvents } from '../streams/relayEvents.js'
-import { sendAnswer } from './endRequest.js'
+import { completeAnswer, sendAnswer } from './endRequest.js'
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
 
 import type { KnownServer } from '../directory/types.js'
@@ -25,9 +25,24 @@
 const OK = 200
 const MISDIRECTED = 421
 
-const relay = async (context: GatewayContext, request: RoutedRequest, stream: CallerStream, open: OpenAnswer, noteEvent: () => void): Promise<RunEnd> => {
-  stream.open(open.message.statusCode ?? OK, context.codec.encodeAnswer(open.message.rawHeaders), hasFraming(open.message))
-  const end = await relayEvents({
+/** One run of a stream on one server. */
+export interface StreamRun {
+  readonly server: KnownServer
+  readonly stream: CallerStream
+  readonly retry: TakenRetry | undefined
+  /** The stream may go on elsewhere if this run breaks off. */
+  readonly mayRunElsewhere: boolean
+  /** Aborts when the run must end. */
+  readonly signal: AbortSignal
+  readonly noteEvent: () => void
+}
+
+const NO_PROOF_REASON = 'the connection was closed, and nothing shows that its server lives'
+
+const relay = async (context: GatewayContext, request: RoutedRequest, run: StreamRun, open: OpenAnswer): Promise<RunEnd> => {
+  const { stream, noteEvent } = run
+  stream.open(open.message.statusCode ?? OK, context.codec.encodeAnswer(open.message.rawHeaders), open.framing !== Framing.Connection)
+  const { end, reason } = await relayEvents({
     answer: open,
     timers: context.timers,
     take: event => {
@@ -38,13 +53,14 @@
     silenceMs: request.route.patienceMs
   })
   if (stream.hasGap()) return { type: 'broken', reason: 'an event is missing' }
-  return end.isWhole ? { type: 'finished', answerEnd: endOf(open.message) } : { type: 'broken', reason: end.reason }
+  if (end === BytesEnd.BrokenOff) return { type: 'broken', reason }
+  const proof = await awaitProof(context, request, { ...run, end })
+  return proof ? { type: 'finished', answerEnd: { framing: open.framing, proof } } : { type: 'broken', reason: NO_PROOF_REASON }
 }
 
 /** Runs a stream on one server and forwards its events. */
-export const runStream = async (
-  context: GatewayContext, request: RoutedRequest, server: KnownServer, stream: CallerStream, retry: TakenRetry | undefined, signal: AbortSignal, noteEvent: () => void
-): Promise<RunEnd> => {
+export const runStream = async (context: GatewayContext, request: RoutedRequest, run: StreamRun): Promise<RunEnd> => {
+  const { server, stream, retry, signal } = run
   const { serverId } = server.entry
   const opened = await openExchange(context, request, server, stream.lastEventId(), retry, signal)
   if (opened.isLeft()) {
@@ -58,13 +74,16 @@
     open.abort()
     return { type: 'broken', reason: 'answer to another request' }
   }
-  if (status === OK && !open.answer.isNotRun) return await relay(context, request, stream, open, noteEvent)
+  if (status === OK && !open.answer.isNotRun) return await relay(context, request, run, open)
   const read = await readAnswer(open, serverId)
   if (status === MISDIRECTED || open.answer.isNotRun) {
     return { type: 'notRun', reason: `turned away with ${status}`, isMisdirected: status === MISDIRECTED }
   }
   if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
   if (stream.hasBegun()) return { type: 'broken', reason: `status ${status}` }
-  sendAnswer(context, request, { peer: serverId, status, headers: context.codec.encodeAnswer(open.message.rawHeaders), body: read.unsafeCoerce(), end: endOf(open.message) })
+  const { body, end } = read.unsafeCoerce()
+  const proof = await awaitProof(context, request, { ...run, end })
+  if (!proof) return { type: 'broken', reason: NO_PROOF_REASON }
+  sendAnswer(context, request, completeAnswer(context, open, body, proof, serverId))
   return { type: 'answered' }
 }
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -111,7 +111,7 @@
     if (runCount > 0 && request.organisation) context.quotas.charge(request.organisation, request.units)
     sendCount += 1
     lastPeer = serverId
-    const run = await runOnServer(context, request, choice, stream, versionLock, retry)
+    const run = await runOnServer(context, request, choice, { stream, versionLock, retry, mayRunElsewhere: route.isResumable && runCount + 1 < route.maxAttempts })
     const { end, sentMs } = run
     retry = undefined
     if (end.type === 'answered' || end.type === 'finished') noteAnswer(context, request)
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -5,13 +5,13 @@
 import { noteAnswer } from '../crashes/noteAnswer.js'
 import { MIN_SILENCE_MS } from '../crashes/constants.js'
 import { noteBroken } from '../crashes/noteBroken.js'
-import { endOf } from '../forwarding/framing.js'
+import { awaitProof } from '../ends/awaitProof.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
 import { awaitRetry } from '../retries/awaitRetry.js'
 import { LIMITED_REASON } from '../serverLimits/constants.js'
 import { holdBack } from '../serverLimits/holdBack.js'
 import { ANSWER_GRACE_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS } from './constants.js'
-import { sendAnswer, fail, noteCallerLeft, refuse } from './endRequest.js'
+import { completeAnswer, sendAnswer, fail, noteCallerLeft, refuse } from './endRequest.js'
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
 import { limitExchange } from './limitExchange.js'
 
@@ -53,8 +53,16 @@
   return servers.find(server => server.entry.serverId === best?.serverId)
 }
 
+/** One attempt of a request on one server. */
+interface Attempt {
+  readonly server: KnownServer
+  readonly retry: TakenRetry | undefined
+  /** The request may run elsewhere if this attempt breaks off. */
+  readonly mayRunElsewhere: boolean
+}
+
 const tryOnce = async (
-  context: GatewayContext, request: RoutedRequest, server: KnownServer, retry: TakenRetry | undefined, signal: AbortSignal
+  context: GatewayContext, request: RoutedRequest, { server, retry, mayRunElsewhere }: Attempt, signal: AbortSignal
 ): Promise<AttemptEnd> => {
   const { serverId } = server.entry
   const opened = await openExchange(context, request, server, '', retry, signal)
@@ -75,9 +83,10 @@
     return { type: 'notRun', reason: `turned away with ${status}`, isMisdirected: status === MISDIRECTED }
   }
   if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
-  const deliver = (): void => {
-    sendAnswer(context, request, { peer: serverId, status, headers: context.codec.encodeAnswer(open.message.rawHeaders), body: read.unsafeCoerce(), end: endOf(open.message) })
-  }
+  const { body, end } = read.unsafeCoerce()
+  const proof = await awaitProof(context, request, { server, end, mayRunElsewhere, signal })
+  if (!proof) return { type: 'broken', reason: 'the connection was closed, and nothing shows that its server lives' }
+  const deliver = (): void => { sendAnswer(context, request, completeAnswer(context, open, body, proof, serverId)) }
   noteAnswer(context, request)
   if (status >= FIRST_SERVER_ERROR) return { type: 'failed', status, deliver }
   deliver()
@@ -92,17 +101,15 @@
 }
 
 /** Runs one attempt and updates the router's counts and failure rate for the server. */
-const runAttempt = async (
-  context: GatewayContext, request: RoutedRequest, server: KnownServer, retry: TakenRetry | undefined
-): Promise<EndedAttempt> => {
-  const { start } = server
+const runAttempt = async (context: GatewayContext, request: RoutedRequest, attempt: Attempt): Promise<EndedAttempt> => {
+  const { start } = attempt.server
   const { breakWatch, directory, pendingRuns, timers } = context
   const sentMs = timers.nowMs()
   const run = pendingRuns.add(start)
   const wasBroken = breakWatch.isBroken(start) || run.silentForMs > Math.max(MIN_SILENCE_MS, request.route.objectiveMs)
   directory.own.noteSent(start, 0)
   const limit = limitExchange(context, request, ANSWER_GRACE_MS)
-  const end = await tryOnce(context, request, server, retry, limit.signal)
+  const end = await tryOnce(context, request, attempt, limit.signal)
   limit.release()
   run.end()
   directory.own.noteFirstEvent(start, 0)
@@ -189,7 +196,7 @@
     tried.add(startKeyOf(start))
     turn.take(start)
     lastPeer = serverId
-    const attempt = await runAttempt(context, request, server, retry)
+    const attempt = await runAttempt(context, request, { server, retry, mayRunElsewhere: mayRunAgain && runCount + 1 < request.route.maxAttempts })
     retry = undefined
     const { end } = attempt
     const verdict = end.type === 'broken' ? watchBroken(context, request, server, end.reason, attempt) : undefined
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -13,6 +13,7 @@
 import { createDemandMeter } from '../demand/createDemandMeter.js'
 import { createUnmetModels } from '../demand/createUnmetModels.js'
 import { createDirectory } from '../directory/createDirectory.js'
+import { createLifeChecks } from '../ends/createLifeChecks.js'
 import { GatewayEvent } from '../events.js'
 import { createConnectionPool } from '../forwarding/createConnectionPool.js'
 import { probeServer } from '../forwarding/probeServer.js'
@@ -40,7 +41,7 @@
 import { followFeeds } from './followFeeds.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
-import type { RetryLimits } from '@figmount/decisions'
+import type { ProbeResult, RetryLimits } from '@figmount/decisions'
 import type { HeaderCodec, RouterStorePort, ServerEntry } from '@figmount/fleet'
 import type { Ingress } from '../ingress/startIngress.js'
 import type { GatewayContext } from '../requests/types.js'
@@ -228,13 +229,14 @@
   })
   const partGuard = createPartGuard({ timers, events, history: createPartHistory(timers), crashNotifier })
   const shared = shareCrashes({ events, crashes, crashNotifier, partGuard, send: (address, notice) => { agents.find(address)?.send(notice) } })
+  const probe = async (entry: ServerEntry): Promise<ProbeResult> => await probeServer({ timers, codec: options.codec }, entry, healthPathOf(entry), PROBE_TIMEOUT_MS)
   const breakWatch = createBreakWatch({
     timers,
     events,
     crashes,
     crashNotifier,
     directory,
-    probe: async entry => await probeServer({ timers, codec: options.codec }, entry, healthPathOf(entry), PROBE_TIMEOUT_MS)
+    probe
   })
   const hasReported = (entry: ServerEntry): boolean => directory.find(entry.serverId)?.state !== undefined
   const areCopiesKnown = (): boolean =>
@@ -259,6 +261,7 @@
     crashNotifier,
     partGuard,
     breakWatch,
+    lifeChecks: createLifeChecks(probe),
     pendingRuns: createPendingRuns(timers),
     queueScaler: createQueueScaler(timers),
     coldLoads,
--- a/packages/gateway/src/streams/relayEvents.test.ts
+++ b/packages/gateway/src/streams/relayEvents.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai'
 import { createVirtualTimers } from '@figmount/base'
 
+import { BytesEnd } from '../forwarding/framing.js'
 import { relayEvents } from './relayEvents.js'
 
 import type { OpenAnswer } from '../forwarding/types.js'
@@ -42,6 +43,6 @@
     expect(abortCount()).to.equal(0)
     timers.advance(SILENCE_MS / 2)
     expect(abortCount()).to.equal(1)
-    expect(await end).to.deep.include({ isWhole: false })
+    expect(await end).to.deep.include({ end: BytesEnd.BrokenOff })
   })
 })
--- a/packages/gateway/src/streams/relayEvents.ts
+++ b/packages/gateway/src/streams/relayEvents.ts
@@ -1,4 +1,4 @@
-import { isComplete } from '../forwarding/isComplete.js'
+import { BytesEnd, bytesEndOf } from '../forwarding/framing.js'
 import { createEventSplitter } from './createEventSplitter.js'
 
 import type { TimerService } from '@figmount/base'
@@ -7,7 +7,7 @@
 
 /** How a stream from one server ended. */
 export interface RelayEnd {
-  readonly isWhole: boolean
+  readonly end: BytesEnd
   readonly reason: string
 }
 
@@ -30,17 +30,18 @@
     let lastDataMs = timers.nowMs()
     let isPaused = false
 
-    const finish = (isWhole: boolean, reason: string): void => {
+    const finish = (end: BytesEnd, reason: string): void => {
       stopWatching()
-      resolve({ isWhole, reason })
+      resolve({ end, reason })
     }
+    const breakOff = (reason: string): void => { finish(BytesEnd.BrokenOff, reason) }
 
     // Guards against a server that stops sending in the middle of a stream while its connection stays open: the caller would wait until
     // it gives up. Aborting the exchange lets a resumable stream continue on another server. While the reader is stalled, nothing is read
     // from the server, so that silence does not count.
     const stopWatching = timers.every(silenceMs / 4, () => {
       if (isPaused || timers.nowMs() - lastDataMs < silenceMs) return
-      finish(false, `no event for ${silenceMs} ms`)
+      breakOff(`no event for ${silenceMs} ms`)
       abort()
     })
 
@@ -58,9 +59,11 @@
       })
     })
     message.on('end', () => {
-      const hasEnded = isComplete(message) && splitter.rest().length === 0
-      finish(hasEnded, hasEnded ? 'ended' : 'broke off')
+      // A server may end in the middle of an event.
+      if (splitter.rest().length > 0) return breakOff('broke off')
+      const end = bytesEndOf(answer)
+      finish(end, end === BytesEnd.BrokenOff ? 'broke off' : 'ended')
     })
-    message.on('error', error => finish(false, error.message))
-    message.on('close', () => finish(false, 'connection closed'))
+    message.on('error', error => breakOff(error.message))
+    message.on('close', () => breakOff('connection closed'))
   })
