--- a/packages/gateway/src/ingress/startIngress.ts
+++ b/packages/gateway/src/ingress/startIngress.ts
@@ -1,7 +1,6 @@
 import { createServer } from 'node:http'
 
 import { MAX_HEADER_BYTES } from './constants.js'
-import { breakOff } from '../requests/breakOff.js'
 import { onceClosed } from './onceClosed.js'
 
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
@@ -78,7 +77,7 @@
     onceClosed(message, response, () => { openCount -= 1 })
     take(message, response).catch((error: Error) => {
       onError(error)
-      if (response.headersSent) breakOff(response)
+      if (response.headersSent) response.destroy()
       else response.writeHead(BAD_GATEWAY, { 'content-length': 0 }).end()
     })
   }
--- a/packages/gateway/src/requests/createCallerStream.test.ts
+++ b/packages/gateway/src/requests/createCallerStream.test.ts
@@ -2,21 +2,23 @@
 import { expect } from 'chai'
 import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
 
+import { MAX_ANSWER_BYTES } from '../forwarding/constants.js'
+import { EndProof, Framing } from '../forwarding/framing.js'
 import { createCallerStream } from './createCallerStream.js'
 
 import type { InstanceName } from '@figmount/base'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
-const setUp = (lastEventId = '') => {
+const setUp = ({ lastEventId = '', takesChunks = true } = {}) => {
   const timers = createVirtualTimers()
   const written: string[] = []
   const response = Object.assign(new EventEmitter(), {
     headersSent: false,
     destroyed: false,
-    shouldKeepAlive: true,
-    writeHead: (status: number) => {
+    useChunkedEncodingByDefault: takesChunks,
+    writeHead: (status: number, headers: readonly string[]) => {
       response.headersSent = true
-      written.push(`head ${status}`)
+      written.push(['head', status, ...headers].join(' '))
     },
     flushHeaders: () => {},
     write: (bytes: Buffer) => {
@@ -30,13 +32,13 @@
   const request = { response, arrivedMs: 0, caller: { requestId: 'r1', lastEventId } } as unknown as RoutedRequest
   const stream = createCallerStream(context, request)
   const take = (eventId: number): boolean => stream.take({ bytes: Buffer.from(`e${eventId}`), eventId: String(eventId) })
-  return { stream, written, take, response }
+  return { stream, written, take }
 }
 
 describe('a caller\'s stream', () => {
   it('sends no head before the first event, so that a failure can still get its own status', () => {
     const { stream, written, take } = setUp()
-    stream.open(200, [], true)
+    stream.open(200, [])
     expect(written).to.deep.equal([])
     take(1)
     expect(written).to.deep.equal(['head 200', 'e1'])
@@ -45,17 +47,17 @@
   it('forwards each event once when a second run continues the first', () => {
     // The first engine dies after event 2. The second run starts with event 2 again, which the caller must not get twice.
     const { stream, written, take } = setUp()
-    stream.open(200, [], true)
+    stream.open(200, [])
     take(1)
     take(2)
-    stream.open(200, [], true)
+    stream.open(200, [])
     for (const id of [2, 3, 4]) take(id)
     expect(written).to.deep.equal(['head 200', 'e1', 'e2', 'e3', 'e4'])
   })
 
   it('forwards nothing after a missing event', () => {
     const { stream, written, take } = setUp()
-    stream.open(200, [], true)
+    stream.open(200, [])
     take(1)
     take(3)
     expect(stream.hasGap()).to.equal(true)
@@ -63,16 +65,28 @@
   })
 
   it('resumes after the last event that the caller has', () => {
-    const { stream, written, take } = setUp('7')
-    stream.open(200, [], true)
+    const { stream, written, take } = setUp({ lastEventId: '7' })
+    stream.open(200, [])
     for (const id of [7, 8]) take(id)
     expect(written).to.deep.equal(['head 200', 'e8'])
   })
 
-  it('closes the caller\'s connection when the server\'s answer is delimited by its connection\'s end', () => {
-    const { stream, response, take } = setUp()
-    stream.open(200, [], false)
-    take(1)
-    expect(response.shouldKeepAlive).to.equal(false)
+  it('is held for a caller of HTTP/1.0 and then sent with a length', () => {
+    // Guards against an answer whose end is the end of its connection, which the end of the router's process would mark as well.
+    const { stream, written, take } = setUp({ takesChunks: false })
+    stream.open(200, [])
+    for (const id of [1, 2]) take(id)
+    expect(written).to.deep.equal([])
+    stream.finish('s1', { framing: Framing.Connection, proof: EndProof.HealthCheck })
+    expect(written).to.deep.equal(['head 200 content-length 4', 'e1', 'e2', 'end'])
+  })
+
+  it('cannot be completed if it is too long to be held', () => {
+    const { stream } = setUp({ takesChunks: false })
+    stream.open(200, [])
+    stream.take({ bytes: Buffer.alloc(MAX_ANSWER_BYTES), eventId: '1' })
+    expect(stream.isTooLong()).to.equal(false)
+    stream.take({ bytes: Buffer.from('x'), eventId: '2' })
+    expect(stream.isTooLong()).to.equal(true)
   })
 })
--- a/packages/gateway/src/requests/createCallerStream.ts
+++ b/packages/gateway/src/requests/createCallerStream.ts
@@ -1,5 +1,5 @@
-import { Framing } from '../forwarding/framing.js'
-import { endAfterDrain, delimitByClose, noteAnswered } from './endRequest.js'
+import { createEventSink } from '../streams/createEventSink.js'
+import { noteAnswered } from './endRequest.js'
 
 import type { RawHeaders } from '@figmount/fleet'
 import type { AnswerEnd } from '../forwarding/framing.js'
@@ -9,7 +9,7 @@
 /** A caller's side of a stream, over all runs of its request. */
 export interface CallerStream {
   /** Stores the head of the first run; it is sent to the caller with the first event. */
-  readonly open: (status: number, headers: RawHeaders, isFramed: boolean) => void
+  readonly open: (status: number, headers: RawHeaders) => void
   /** Forwards an event unless the caller has it already; returns false when the caller reads too slowly. */
   readonly take: (event: StreamEvent) => boolean
   readonly onceDrained: (resume: () => void) => void
@@ -24,6 +24,8 @@
   readonly lastEventMs: () => number
   /** The server skipped an event: the stream cannot be completed. */
   readonly hasGap: () => boolean
+  /** The caller takes no chunks, and the stream is too long to be held until its end. */
+  readonly isTooLong: () => boolean
 }
 
 const isSuccessor = (last: string, next: string): boolean => {
@@ -35,7 +37,8 @@
 /** Creates the caller's side of one stream. */
 export const createCallerStream = (context: GatewayContext, request: RoutedRequest): CallerStream => {
   const { response } = request
-  let head: { readonly status: number, readonly headers: RawHeaders, readonly isFramed: boolean } | undefined
+  const sink = createEventSink(response)
+  let head: { readonly status: number, readonly headers: RawHeaders } | undefined
   let lastEventId = request.caller.lastEventId
   let lastNumber: number | undefined
   let isGapSeen = false
@@ -44,11 +47,9 @@
   const runStarts: string[] = []
   let isRunNew = false
 
-  const sendHead = (): void => {
-    if (!head || response.headersSent || response.destroyed) return
-    if (!head.isFramed) delimitByClose(request)
-    response.writeHead(head.status, [...head.headers])
-    response.flushHeaders()
+  const begin = (): void => {
+    if (!head || firstEventMs !== undefined || response.destroyed) return
+    sink.begin(head.status, head.headers)
     firstEventMs = context.timers.nowMs() - request.arrivedMs
     context.metrics.observeMs('first_event_ms', firstEventMs)
   }
@@ -70,28 +71,28 @@
   }
 
   return {
-    open: (status, headers, isFramed) => {
-      head ??= { status, headers, isFramed }
+    open: (status, headers) => {
+      head ??= { status, headers }
       isRunNew = true
     },
     take: event => {
       if (!acceptEvent(event)) return true
       if (isGapSeen || response.destroyed) return true
       lastEventMs = context.timers.nowMs()
-      sendHead()
-      return response.write(event.bytes)
+      begin()
+      return sink.write(event.bytes)
     },
     onceDrained: resume => { response.once('drain', resume) },
     finish: (peer, end) => {
-      sendHead()
-      const callerFraming = response.chunkedEncoding ? Framing.Chunks : Framing.Connection
-      noteAnswered(context, request, { peer, status: head?.status ?? 0, end, callerFraming, events: { firstEventMs, lastEventId, runStarts } })
-      endAfterDrain(response)
+      begin()
+      noteAnswered(context, request, { peer, status: head?.status ?? 0, end, callerFraming: sink.framing, events: { firstEventMs, lastEventId, runStarts } })
+      sink.end()
     },
     hasBegun: () => response.headersSent,
     lastEventId: () => lastEventId,
     runStarts: () => runStarts,
     lastEventMs: () => lastEventMs,
-    hasGap: () => isGapSeen
+    hasGap: () => isGapSeen,
+    isTooLong: sink.isTooLong
   }
 }
--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -1,8 +1,7 @@
 import { GatewayEvent } from '../events.js'
 import { Framing } from '../forwarding/framing.js'
-import { breakOff } from './breakOff.js'
+import { endAfterDrain } from '../streams/createEventSink.js'
 
-import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
 import type { AnswerEnd, EndProof } from '../forwarding/framing.js'
 import type { OpenAnswer } from '../forwarding/types.js'
@@ -38,41 +37,19 @@
   request.response.end()
 }
 
-/** Fails a request that may have run. Once the answer's head was sent, only closing the connection marks the answer as incomplete. */
+/** Fails a request that may have run. Once the answer's head was sent, closing the connection before the end of its framing marks it as incomplete. */
 export const fail = (context: GatewayContext, request: RoutedRequest, reason: string, peer: string): void => {
   const isLate = context.timers.nowMs() >= request.untilMs
   context.metrics.count('requests_failed_total')
   context.events.emit(GatewayEvent.requestFailed, { requestKey: request.caller.requestId, reason, peer, waitMs: elapsedMs(context, request) })
   if (!isOpen(request)) {
-    breakOff(request.response)
+    request.response.destroy()
     return
   }
   request.response.writeHead(isLate ? Status.GatewayTimeout : Status.BadGateway, { 'content-length': 0 })
   request.response.end()
 }
 
-/**
- * Delimits the answer by the end of its connection, as the server did.
- *
- * Guards against a truncated answer without a length that is passed on as a complete one: a connection closed halfway looks like one
- * closed after the whole body. A length added by the router would make the truncated body look complete for certain.
- */
-export const delimitByClose = ({ response }: RoutedRequest): void => {
-  response.shouldKeepAlive = false
-  response.useChunkedEncodingByDefault = false
-}
-
-/**
- * Ends an answer once its bytes are handed to the operating system.
- *
- * Guards against truncated answers to callers that read slowly: Node considers a connection idle as soon as its answer is ended, so a
- * stopping router would close it with the rest unsent.
- */
-export const endAfterDrain = (response: ServerResponse): void => {
-  if (response.writableNeedDrain) response.once('drain', () => response.end())
-  else response.end()
-}
-
 /** A server's answer that was read completely. */
 export interface CompleteAnswer {
   readonly peer: string
@@ -93,11 +70,9 @@
 
 /** Sends the caller a server's complete answer. */
 export const sendAnswer = (context: GatewayContext, request: RoutedRequest, { peer, status, headers, body, end }: CompleteAnswer): void => {
-  const isFramed = end.framing !== Framing.Connection
-  noteAnswered(context, request, { peer, status, end, callerFraming: isFramed ? Framing.Length : Framing.Connection })
+  noteAnswered(context, request, { peer, status, end, callerFraming: Framing.Length })
   if (!isOpen(request)) return
-  if (!isFramed) delimitByClose(request)
-  request.response.writeHead(status, [...headers, ...(isFramed ? ['content-length', String(body.length)] : [])])
+  request.response.writeHead(status, [...headers, 'content-length', String(body.length)])
   request.response.write(body)
   endAfterDrain(request.response)
 }
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -1,6 +1,6 @@
 import { awaitProof } from '../ends/awaitProof.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
-import { BytesEnd, Framing } from '../forwarding/framing.js'
+import { BytesEnd } from '../forwarding/framing.js'
 import { relayEvents } from '../streams/relayEvents.js'
 import { completeAnswer, sendAnswer } from './endRequest.js'
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
@@ -41,7 +41,7 @@
 
 const relay = async (context: GatewayContext, request: RoutedRequest, run: StreamRun, open: OpenAnswer): Promise<RunEnd> => {
   const { stream, noteEvent } = run
-  stream.open(open.message.statusCode ?? OK, context.codec.encodeAnswer(open.message.rawHeaders), open.framing !== Framing.Connection)
+  stream.open(open.message.statusCode ?? OK, context.codec.encodeAnswer(open.message.rawHeaders))
   const { end, reason } = await relayEvents({
     answer: open,
     timers: context.timers,
@@ -53,6 +53,7 @@
     silenceMs: request.route.patienceMs
   })
   if (stream.hasGap()) return { type: 'broken', reason: 'an event is missing' }
+  if (stream.isTooLong()) return { type: 'broken', reason: 'too long for a caller that takes no chunks' }
   if (end === BytesEnd.BrokenOff) return { type: 'broken', reason }
   const proof = await awaitProof(context, request, { ...run, end })
   return proof ? { type: 'finished', answerEnd: { framing: open.framing, proof } } : { type: 'broken', reason: NO_PROOF_REASON }
