--- a/packages/gateway/src/forwarding/sendToServer.ts
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -73,7 +73,7 @@
     hasHead = true
     pool.noteAnswer(message)
     const answer = codec.decodeAnswer(message.rawHeaders)
-    settle(Right({ message, answer, framing: framingOf(message), abort }))
+    settle(Right({ message, answer, framing: framingOf(message, outbound.method), abort }))
   }
 
   const noteConnected = (): void => {
--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -56,6 +56,8 @@
   readonly status: number
   readonly headers: RawHeaders
   readonly body: Buffer
+  /** Length that the server announced; of an answer without a body, the length of what it stands for. */
+  readonly announcedLength: string | undefined
   readonly end: AnswerEnd
 }
 
@@ -65,14 +67,17 @@
   status: message.statusCode ?? 0,
   headers: codec.encodeAnswer(message.rawHeaders),
   body,
+  announcedLength: message.headers['content-length'],
   end: { framing, proof }
 })
 
 /** Sends the caller a server's complete answer. */
-export const sendAnswer = (context: GatewayContext, request: RoutedRequest, { peer, status, headers, body, end }: CompleteAnswer): void => {
-  noteAnswered(context, request, { peer, status, end, callerFraming: Framing.Length })
+export const sendAnswer = (context: GatewayContext, request: RoutedRequest, { peer, status, headers, body, announcedLength, end }: CompleteAnswer): void => {
+  const hasBody = end.framing !== Framing.NoBody
+  const length = hasBody ? String(body.length) : announcedLength
+  noteAnswered(context, request, { peer, status, end, callerFraming: hasBody ? Framing.Length : Framing.NoBody })
   if (!isOpen(request)) return
-  request.response.writeHead(status, [...headers, 'content-length', String(body.length)])
+  request.response.writeHead(status, [...headers, ...(length === undefined ? [] : ['content-length', length])])
   request.response.write(body)
   endAfterDrain(request.response)
 }
