--- a/packages/gateway/src/ends/awaitProof.ts
+++ b/packages/gateway/src/ends/awaitProof.ts
@@ -40,17 +40,18 @@
   const closedMs = timers.nowMs()
   const maxAgeMs = maxWaitMs(context, request, mayRunElsewhere)
   const judged = new AbortController()
-  const over = sleep(timers, maxAgeMs, AbortSignal.any([signal, judged.signal])).then(() => undefined)
   let probe: ProbeResult | undefined
+  let isOver = false
+  const over = sleep(timers, maxAgeMs, AbortSignal.any([signal, judged.signal])).then(() => { isOver = true })
 
   const judge = (): CloseVerdict =>
-    signal.aborted ? CloseVerdict.BrokenOff : judgeClose({ probe, isDead: directory.isDead(server.start), ageMs: timers.nowMs() - closedMs, maxAgeMs })
+    isOver ? CloseVerdict.BrokenOff : judgeClose({ probe, isDead: directory.isDead(server.start), ageMs: timers.nowMs() - closedMs, maxAgeMs })
 
   let verdict = judge()
   while (verdict === CloseVerdict.Open) {
     probe = await Promise.race([lifeChecks.check(server), over]) ?? probe
     verdict = judge()
-    if (verdict === CloseVerdict.Open) await sleep(timers, PROBE_PAUSE_MS, signal)
+    if (verdict === CloseVerdict.Open) await Promise.race([sleep(timers, PROBE_PAUSE_MS, judged.signal), over])
   }
   judged.abort()
   metrics.count(verdict === CloseVerdict.Whole ? 'ends_proven_total' : 'ends_not_proven_total')
