--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -20,6 +20,9 @@
   GatewayTimeout: 504
 } as const
 
+/** The system takes this much of an answer at once: the smallest send buffer that it gives a connection by default. */
+const ONE_WRITE_BYTES = 16 * 1024
+
 const isOpen = ({ response }: RoutedRequest): boolean => !response.headersSent && !response.destroyed
 
 const elapsedMs = (context: GatewayContext, request: RoutedRequest): number =>
@@ -71,15 +74,36 @@
   end: { framing, proof }
 })
 
+/**
+ * How the end of an answer is marked for its caller.
+ *
+ * A server that lives may still have broken off its answer in the middle; that can't be told where the answer had no framing. A length from the
+ * router would say that it is whole, so a short one ends with its connection as the server's did. The system takes it in one
+ * write, so the end of the router's process cannot cut it. A longer one could be cut, and gets a length.
+ */
+const callerFramingOf = ({ response }: RoutedRequest, { body, end }: CompleteAnswer): Framing => {
+  if (end.framing === Framing.NoBody) return Framing.NoBody
+  const fitsOneWrite = body.length <= ONE_WRITE_BYTES && response.socket?.writableLength === 0
+  return end.framing === Framing.Connection && fitsOneWrite ? Framing.Connection : Framing.Length
+}
+
 /** Sends the caller a server's complete answer. */
-export const sendAnswer = (context: GatewayContext, request: RoutedRequest, { peer, status, headers, body, announcedLength, end }: CompleteAnswer): void => {
-  const hasBody = end.framing !== Framing.NoBody
-  const length = hasBody ? String(body.length) : announcedLength
-  noteAnswered(context, request, { peer, status, end, callerFraming: hasBody ? Framing.Length : Framing.NoBody })
+export const sendAnswer = (context: GatewayContext, request: RoutedRequest, answer: CompleteAnswer): void => {
+  const { peer, status, headers, body, announcedLength, end } = answer
+  const { response } = request
+  const callerFraming = callerFramingOf(request, answer)
+  noteAnswered(context, request, { peer, status, end, callerFraming })
   if (!isOpen(request)) return
-  request.response.writeHead(status, [...headers, ...(length === undefined ? [] : ['content-length', length])])
-  request.response.write(body)
-  endAfterDrain(request.response)
+  if (callerFraming === Framing.Connection) {
+    response.shouldKeepAlive = false
+    response.useChunkedEncodingByDefault = false
+    response.writeHead(status, [...headers]).end(body)
+    return
+  }
+  const length = callerFraming === Framing.NoBody ? announcedLength : String(body.length)
+  response.writeHead(status, [...headers, ...(length === undefined ? [] : ['content-length', length])])
+  response.write(body)
+  endAfterDrain(response)
 }
 
 /** What is logged of a complete answer. */
