--- a/packages/gateway/src/requests/createCallerStream.test.ts
+++ b/packages/gateway/src/requests/createCallerStream.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai'
 import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
 
+import { Taken } from '../streams/relayEvents.js'
 import { createCallerStream } from './createCallerStream.js'
 
 import type { InstanceName } from '@figmount/base'
@@ -29,7 +30,7 @@
   const context = { timers, events, metrics: createMetrics() } as unknown as GatewayContext
   const request = { response, arrivedMs: 0, caller: { requestId: 'r1', lastEventId } } as unknown as RoutedRequest
   const stream = createCallerStream(context, request)
-  const take = (eventId: number): boolean => stream.take({ bytes: Buffer.from(`e${eventId}`), eventId: String(eventId) })
+  const take = (eventId: number): Taken => stream.take({ bytes: Buffer.from(`e${eventId}`), eventId: String(eventId) })
   return { stream, written, take, response }
 }
 
@@ -57,11 +58,22 @@
     const { stream, written, take } = setUp()
     stream.open(200, [], true)
     take(1)
-    take(3)
-    expect(stream.hasGap()).to.equal(true)
+    expect(take(3)).to.equal(Taken.Gap)
+    expect(take(4)).to.equal(Taken.Gap)
     expect(written).to.deep.equal(['head 200', 'e1'])
   })
 
+  it('forwards nothing of a run that begins after an event that the caller lacks, and goes on with another', () => {
+    // Guards against an event that is left out where a run goes on, and against a stream that ends for the fault of one server.
+    const { stream, written, take } = setUp('7')
+    stream.open(200, [], true)
+    expect(take(9)).to.equal(Taken.Gap)
+    expect(written).to.deep.equal([])
+    stream.open(200, [], true)
+    for (const id of [8, 9]) expect(take(id)).to.equal(Taken.InTime)
+    expect(written).to.deep.equal(['head 200', 'e8', 'e9'])
+  })
+
   it('resumes after the last event that the caller has', () => {
     const { stream, written, take } = setUp('7')
     stream.open(200, [], true)
--- a/packages/gateway/src/requests/createCallerStream.ts
+++ b/packages/gateway/src/requests/createCallerStream.ts
@@ -1,4 +1,7 @@
+import { beginRun, eventNumberOf, openAccount, takeEvent } from '@figmount/decisions'
+
 import { Framing } from '../forwarding/framing.js'
+import { Taken } from '../streams/relayEvents.js'
 import { endAfterDrain, delimitByClose, noteAnswered } from './endRequest.js'
 
 import type { RawHeaders } from '@figmount/fleet'
@@ -10,8 +13,8 @@
 export interface CallerStream {
   /** Stores the head of the first run; it is sent to the caller with the first event. */
   readonly open: (status: number, headers: RawHeaders, isFramed: boolean) => void
-  /** Forwards an event unless the caller has it already; returns false when the caller reads too slowly. */
-  readonly take: (event: StreamEvent) => boolean
+  /** Forwards an event unless the caller has it already. */
+  readonly take: (event: StreamEvent) => Taken
   readonly onceDrained: (resume: () => void) => void
   /** Ends the caller's answer; `end`: how the end of the last run was marked and recognised. */
   readonly finish: (peer: string, end: AnswerEnd) => void
@@ -22,23 +25,13 @@
   readonly runStarts: () => readonly string[]
   /** Arrival time of the newest event; before the first one, that of the request. */
   readonly lastEventMs: () => number
-  /** The server skipped an event: the stream cannot be completed. */
-  readonly hasGap: () => boolean
-}
-
-const isSuccessor = (last: string, next: string): boolean => {
-  const [lastNumber, nextNumber] = [Number(last), Number(next)]
-  if (!Number.isInteger(lastNumber) || !Number.isInteger(nextNumber)) return true
-  return nextNumber > lastNumber
 }
 
 /** Creates the caller's side of one stream. */
 export const createCallerStream = (context: GatewayContext, request: RoutedRequest): CallerStream => {
   const { response } = request
   let head: { readonly status: number, readonly headers: RawHeaders, readonly isFramed: boolean } | undefined
-  let lastEventId = request.caller.lastEventId
-  let lastNumber: number | undefined
-  let isGapSeen = false
+  let account = openAccount(request.caller.lastEventId)
   let firstEventMs: number | undefined
   let lastEventMs = request.arrivedMs
   const runStarts: string[] = []
@@ -53,45 +46,46 @@
     context.metrics.observeMs('first_event_ms', firstEventMs)
   }
 
-  // Guards against events that are duplicated or missing where one run continues another. Ids increase by one, so the caller gets
-  // each event once and a gap is detected.
-  const acceptEvent = (event: StreamEvent): boolean => {
-    if (event.eventId === '') return true
-    if (lastEventId !== '' && !isSuccessor(lastEventId, event.eventId)) return false
-    const number = Number(event.eventId)
-    if (Number.isInteger(number)) {
-      if (lastNumber !== undefined && number !== lastNumber + 1) isGapSeen = true
-      lastNumber = number
-    }
-    lastEventId = event.eventId
-    if (isRunNew) runStarts.push(event.eventId)
+  const noteRunStart = ({ eventId }: StreamEvent): void => {
+    if (!isRunNew || eventNumberOf(eventId) === undefined) return
+    runStarts.push(eventId)
     isRunNew = false
-    return true
+  }
+
+  const passOn = (events: readonly StreamEvent[]): Taken => {
+    if (events.length === 0 || response.destroyed) return Taken.InTime
+    lastEventMs = context.timers.nowMs()
+    sendHead()
+    let keepsUp = true
+    for (const event of events) {
+      noteRunStart(event)
+      keepsUp = response.write(event.bytes)
+    }
+    return keepsUp ? Taken.InTime : Taken.Slowly
   }
 
   return {
     open: (status, headers, isFramed) => {
       head ??= { status, headers, isFramed }
+      account = beginRun(account)
       isRunNew = true
     },
     take: event => {
-      if (!acceptEvent(event)) return true
-      if (isGapSeen || response.destroyed) return true
-      lastEventMs = context.timers.nowMs()
-      sendHead()
-      return response.write(event.bytes)
+      const taken = takeEvent(account, event)
+      account = taken.account
+      if (account.hasGap) return Taken.Gap
+      return passOn(taken.passedOn)
     },
     onceDrained: resume => { response.once('drain', resume) },
     finish: (peer, end) => {
       sendHead()
       const callerFraming = response.chunkedEncoding ? Framing.Chunks : Framing.Connection
-      noteAnswered(context, request, { peer, status: head?.status ?? 0, end, callerFraming, events: { firstEventMs, lastEventId, runStarts } })
+      noteAnswered(context, request, { peer, status: head?.status ?? 0, end, callerFraming, events: { firstEventMs, lastEventId: account.lastEventId, runStarts } })
       endAfterDrain(response)
     },
     hasBegun: () => response.headersSent,
-    lastEventId: () => lastEventId,
+    lastEventId: () => account.lastEventId,
     runStarts: () => runStarts,
-    lastEventMs: () => lastEventMs,
-    hasGap: () => isGapSeen
+    lastEventMs: () => lastEventMs
   }
 }
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -37,7 +37,6 @@
     onceDrained: stream.onceDrained,
     silenceMs: request.route.patienceMs
   })
-  if (stream.hasGap()) return { type: 'broken', reason: 'an event is missing' }
   return end.isWhole ? { type: 'finished', answerEnd: endOf(open.message) } : { type: 'broken', reason: end.reason }
 }
 
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -130,7 +130,7 @@
       continue
     }
     runCount += 1
-    const mayResume = route.isResumable && runCount < route.maxAttempts && !stream.hasGap()
+    const mayResume = route.isResumable && runCount < route.maxAttempts
     if (!mayResume) return fail(context, request, end.reason, serverId)
     context.events.emit(GatewayEvent.streamResumed, { requestKey: caller.requestId, reason: end.reason, peer: serverId, lastEventId: stream.lastEventId(), runStarts: stream.runStarts() })
   }
--- a/packages/gateway/src/streams/relayEvents.test.ts
+++ b/packages/gateway/src/streams/relayEvents.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai'
 import { createVirtualTimers } from '@figmount/base'
 
-import { relayEvents } from './relayEvents.js'
+import { relayEvents, Taken } from './relayEvents.js'
 
 import type { OpenAnswer } from '../forwarding/types.js'
 
@@ -17,7 +17,7 @@
   const end = relayEvents({
     answer: { message, abort: () => { abortCount += 1 } } as unknown as OpenAnswer,
     timers,
-    take: () => false,
+    take: () => Taken.Slowly,
     onceDrained: resume => { drain = resume },
     silenceMs: SILENCE_MS
   })
--- a/packages/gateway/src/streams/relayEvents.ts
+++ b/packages/gateway/src/streams/relayEvents.ts
@@ -11,11 +11,22 @@
   readonly reason: string
 }
 
+/** What became of an event. */
+export const Taken = {
+  /** The reader keeps up. */
+  InTime: 'in_time',
+  /** The reader is too slow. */
+  Slowly: 'slowly',
+  /** An event before it is missing: nothing more of this run is taken. */
+  Gap: 'gap'
+} as const
+
+export type Taken = typeof Taken[keyof typeof Taken]
+
 interface Options {
   readonly answer: OpenAnswer
   readonly timers: TimerService
-  /** Takes an event; returns false when the reader is too slow. */
-  readonly take: (event: StreamEvent) => boolean
+  readonly take: (event: StreamEvent) => Taken
   /** Calls back once the reader can take more. */
   readonly onceDrained: (resume: () => void) => void
   /** Time without data from the server after which the stream counts as broken. */
@@ -29,8 +40,10 @@
     const splitter = createEventSplitter()
     let lastDataMs = timers.nowMs()
     let isPaused = false
+    let isOver = false
 
     const finish = (isWhole: boolean, reason: string): void => {
+      isOver = true
       stopWatching()
       resolve({ isWhole, reason })
     }
@@ -45,9 +58,18 @@
     })
 
     message.on('data', (chunk: Buffer) => {
+      // Buffered data may come after an abort.
+      if (isOver) return
       lastDataMs = timers.nowMs()
       let keepsUp = true
-      for (const event of splitter.push(chunk)) keepsUp = take(event) && keepsUp
+      for (const event of splitter.push(chunk)) {
+        const taken = take(event)
+        if (taken === Taken.Gap) {
+          finish(false, 'an event is missing')
+          return abort()
+        }
+        if (taken === Taken.Slowly) keepsUp = false
+      }
       if (keepsUp) return
       isPaused = true
       message.pause()
