--- a/packages/gateway/src/requests/createCallerStream.test.ts
+++ b/packages/gateway/src/requests/createCallerStream.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai'
 import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
 
+import { EndProof, Framing } from '../forwarding/framing.js'
 import { Taken } from '../streams/relayEvents.js'
 import { createCallerStream } from './createCallerStream.js'
 
@@ -30,7 +31,7 @@
   const context = { timers, events, metrics: createMetrics() } as unknown as GatewayContext
   const request = { response, arrivedMs: 0, caller: { requestId: 'r1', lastEventId } } as unknown as RoutedRequest
   const stream = createCallerStream(context, request)
-  const take = (eventId: number): Taken => stream.take({ bytes: Buffer.from(`e${eventId}`), eventId: String(eventId) })
+  const take = (eventId: number | ''): Taken => stream.take({ bytes: Buffer.from(`e${eventId}`), eventId: String(eventId), hasData: true })
   return { stream, written, take, response }
 }
 
@@ -81,6 +82,28 @@
     expect(written).to.deep.equal(['head 200', 'e8'])
   })
 
+  it('goes on in no other run after a piece without a number, until a number follows', () => {
+    // Guards against a piece that comes from two runs because nothing tells that the caller has it.
+    const { stream, take } = setUp()
+    stream.open(200, [], true)
+    take(1)
+    take('')
+    expect(stream.mayGoOn()).to.equal(false)
+    take(2)
+    expect(stream.mayGoOn()).to.equal(true)
+  })
+
+  it('holds a piece without a number at the beginning of a run until it can be placed, or until the end', () => {
+    const { stream, written, take } = setUp('7')
+    for (const eventIds of [['', 3, ''], ['', 8], ['']] as const) {
+      stream.open(200, [], true)
+      for (const id of eventIds) take(id)
+    }
+    expect(written).to.deep.equal(['head 200', 'e', 'e8'])
+    stream.finish('a', { framing: Framing.Chunks, proof: EndProof.Framing })
+    expect(written).to.deep.equal(['head 200', 'e', 'e8', 'e', 'end'])
+  })
+
   it('closes the caller\'s connection when the server\'s answer is delimited by its connection\'s end', () => {
     const { stream, response, take } = setUp()
     stream.open(200, [], false)
--- a/packages/gateway/src/requests/createCallerStream.ts
+++ b/packages/gateway/src/requests/createCallerStream.ts
@@ -1,4 +1,4 @@
-import { beginRun, eventNumberOf, openAccount, takeEvent } from '@figmount/decisions'
+import { beginRun, endRun, eventNumberOf, mayGoOn, openAccount, takeEvent } from '@figmount/decisions'
 
 import { Framing } from '../forwarding/framing.js'
 import { Taken } from '../streams/relayEvents.js'
@@ -13,7 +13,7 @@
 export interface CallerStream {
   /** Stores the head of the first run; it is sent to the caller with the first event. */
   readonly open: (status: number, headers: RawHeaders, isFramed: boolean) => void
-  /** Forwards an event unless the caller has it already. */
+  /** Forwards an event unless the caller has it already; one that can't be placed yet is held. */
   readonly take: (event: StreamEvent) => Taken
   readonly onceDrained: (resume: () => void) => void
   /** Ends the caller's answer; `end`: how the end of the last run was marked and recognised. */
@@ -25,13 +25,15 @@
   readonly runStarts: () => readonly string[]
   /** Arrival time of the newest event; before the first one, that of the request. */
   readonly lastEventMs: () => number
+  /** Another run may continue the stream; false after a piece without a number. */
+  readonly mayGoOn: () => boolean
 }
 
 /** Creates the caller's side of one stream. */
 export const createCallerStream = (context: GatewayContext, request: RoutedRequest): CallerStream => {
   const { response } = request
   let head: { readonly status: number, readonly headers: RawHeaders, readonly isFramed: boolean } | undefined
-  let account = openAccount(request.caller.lastEventId)
+  let account = openAccount<StreamEvent>(request.caller.lastEventId)
   let firstEventMs: number | undefined
   let lastEventMs = request.arrivedMs
   const runStarts: string[] = []
@@ -78,6 +80,7 @@
     },
     onceDrained: resume => { response.once('drain', resume) },
     finish: (peer, end) => {
+      passOn(endRun(account).passedOn)
       sendHead()
       const callerFraming = response.chunkedEncoding ? Framing.Chunks : Framing.Connection
       noteAnswered(context, request, { peer, status: head?.status ?? 0, end, callerFraming, events: { firstEventMs, lastEventId: account.lastEventId, runStarts } })
@@ -86,6 +89,7 @@
     hasBegun: () => response.headersSent,
     lastEventId: () => account.lastEventId,
     runStarts: () => runStarts,
-    lastEventMs: () => lastEventMs
+    lastEventMs: () => lastEventMs,
+    mayGoOn: () => mayGoOn(account)
   }
 }
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -130,6 +130,7 @@
       continue
     }
     runCount += 1
+    if (!stream.mayGoOn()) return fail(context, request, `${end.reason}, after a piece without a number`, serverId)
     const mayResume = route.isResumable && runCount < route.maxAttempts
     if (!mayResume) return fail(context, request, end.reason, serverId)
     context.events.emit(GatewayEvent.streamResumed, { requestKey: caller.requestId, reason: end.reason, peer: serverId, lastEventId: stream.lastEventId(), runStarts: stream.runStarts() })
--- a/packages/gateway/src/streams/createEventSplitter.test.ts
+++ b/packages/gateway/src/streams/createEventSplitter.test.ts
@@ -28,6 +28,11 @@
     expect(events.map(({ eventId }) => eventId)).to.deep.equal(['7', ''])
   })
 
+  it('tells pieces from comments and other lines without data', () => {
+    const events = createEventSplitter().push(Buffer.from('data: x\n\n: data: x\n\nretry: 5\n\nevent: a\r\ndata\r\n\r\ndatabase: x\n\nid: 1\n\n'))
+    expect(events.map(({ hasData }) => hasData)).to.deep.equal([true, false, false, true, false, false])
+  })
+
   it('holds back an incomplete event', () => {
     const splitter = createEventSplitter()
     expect(splitter.push(Buffer.from('id: 1\ndata: pi'))).to.deep.equal([])
--- a/packages/gateway/src/streams/createEventSplitter.ts
+++ b/packages/gateway/src/streams/createEventSplitter.ts
@@ -3,6 +3,8 @@
   readonly bytes: Buffer
   /** Empty for an event without an id, such as a comment. */
   readonly eventId: string
+  /** False for a comment and the like, which are no pieces of the stream. */
+  readonly hasData: boolean
 }
 
 /** Splits a byte stream into events. */
@@ -15,6 +17,7 @@
 const NEW_LINE = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const ID_LINE = /^id:[ ]?(.*)$/m
+const DATA_LINE = /^data(?::|$)/m
 
 /** Index after the blank line that ends the first event, or -1. */
 const endOfEvent = (bytes: Buffer): number => {
@@ -27,7 +30,10 @@
   return -1
 }
 
-const idOf = (bytes: Buffer): string => (ID_LINE.exec(bytes.toString('latin1'))?.[1] ?? '').trim()
+const readEvent = (bytes: Buffer): StreamEvent => {
+  const text = bytes.toString('latin1')
+  return { bytes, eventId: (ID_LINE.exec(text)?.[1] ?? '').trim(), hasData: DATA_LINE.test(text) }
+}
 
 /** Creates a splitter for one `text/event-stream` body. */
 export const createEventSplitter = (): EventSplitter => {
@@ -37,8 +43,7 @@
       pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk])
       const events: StreamEvent[] = []
       for (let end = endOfEvent(pending); end !== -1; end = endOfEvent(pending)) {
-        const bytes = pending.subarray(0, end)
-        events.push({ bytes, eventId: idOf(bytes) })
+        events.push(readEvent(pending.subarray(0, end)))
         pending = pending.subarray(end)
       }
       return events
