--- a/packages/decisions/src/streams/takeEvent.test.ts
+++ b/packages/decisions/src/streams/takeEvent.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 
-import { beginRun, endRun, mayGoOn, openAccount, takeEvent } from './takeEvent.js'
+import { beginRun, endRun, mayEnd, mayGoOn, openAccount, takeEvent } from './takeEvent.js'
 
 import type { AccountedEvent } from './takeEvent.js'
 
@@ -121,6 +121,16 @@
     expect({ heldCount: account.held.length, hasGap: account.hasGap }).to.deep.equal({ heldCount: 0, hasGap: true })
   })
 
+  it('does not end with a run that ends before the last event', () => {
+    // Guards against a stream that counts as complete as another run has begun anew and ended early.
+    const ends = (eventIds: readonly string[]): boolean => {
+      const pieces = eventIds.map((eventId, index) => ({ index, eventId, hasData: true, bytes: { length: 1 } }))
+      return mayEnd(pieces.reduce((account, piece) => takeEvent(account, piece).account, openAccount<Piece>('3')))
+    }
+    expect([['1', '2'], ['1', '2', '']].map(ends)).to.deep.equal([false, false])
+    expect([[], [''], ['1', '2', '3'], ['4', '5'], ['4', '5', '4']].map(ends)).to.deep.equal([true, true, true, true, true])
+  })
+
   it('passes comments on and does not count them', () => {
     const comment = { index: 0, eventId: '', hasData: false, bytes: { length: 1 } }
     const before = openAccount<Piece>('7')
--- a/packages/decisions/src/streams/takeEvent.ts
+++ b/packages/decisions/src/streams/takeEvent.ts
@@ -15,6 +15,8 @@
   readonly hasUnplaced: boolean
   /** Newest number of this run. */
   readonly runNumber: number | undefined
+  /** This run has sent the last event. */
+  readonly hasLast: boolean
   /** This run has sent the last event again after a piece without a number: whether the caller has the next such piece is unknown. */
   readonly isRepeating: boolean
   /** Pieces without a number were dropped after this run's newest number, which the caller has. */
@@ -41,7 +43,7 @@
 /** The number of an event; undefined if its id is none. */
 export const eventNumberOf = (eventId: string): number | undefined => NUMBER.test(eventId) ? Number(eventId) : undefined
 
-const NEW_RUN = { runNumber: undefined, isRepeating: false, hasDropped: false, held: [], hasGap: false }
+const NEW_RUN = { runNumber: undefined, hasLast: false, isRepeating: false, hasDropped: false, held: [], hasGap: false }
 
 /** The account of a caller that says which event it has got last; empty if it has none. */
 export const openAccount = <Event>(lastEventId: string): StreamAccount<Event> => ({ lastEventId, hasUnplaced: false, ...NEW_RUN })
@@ -58,11 +60,11 @@
 
 const takeNumbered = <Event extends AccountedEvent>(account: StreamAccount<Event>, event: Event, number: number): TakenEvent<Event> => {
   const last = eventNumberOf(account.lastEventId)
-  if (last !== undefined && number <= last) return drop({ ...account, runNumber: number, isRepeating: account.hasUnplaced, hasDropped: false, held: [] })
+  if (last !== undefined && number <= last) return drop({ ...account, runNumber: number, hasLast: account.hasLast || number === last, isRepeating: account.hasUnplaced, hasDropped: false, held: [] })
   // Where the run leaves the last event out, what was dropped may have come after it.
   if (last !== undefined && (number > last + 1 || account.hasDropped)) return endWithGap(account)
   return {
-    account: { ...account, lastEventId: event.eventId, hasUnplaced: false, runNumber: number, isRepeating: false, hasDropped: false, held: [] },
+    account: { ...account, lastEventId: event.eventId, hasUnplaced: false, runNumber: number, hasLast: true, isRepeating: false, hasDropped: false, held: [] },
     passedOn: [...account.held, event]
   }
 }
@@ -92,5 +94,12 @@
   return event.hasData ? takeUnnumbered(account, event) : { account, passedOn: [event] }
 }
 
+/**
+ * Whether the end of a run may be the end of the stream.
+ *
+ * Guards against a stream that counts as complete as a run has begun anew and ended before the last event that the caller has.
+ */
+export const mayEnd = ({ runNumber, hasLast }: StreamAccount<unknown>): boolean => runNumber === undefined || hasLast
+
 /** Decides what becomes of held pieces at the end of a run that has come to its end without a number. */
 export const endRun = <Event>(account: StreamAccount<Event>): TakenEvent<Event> => ({ account: beginRun(account), passedOn: account.held })
--- a/packages/gateway/src/requests/createCallerStream.ts
+++ b/packages/gateway/src/requests/createCallerStream.ts
@@ -1,4 +1,4 @@
-import { beginRun, endRun, eventNumberOf, mayGoOn, openAccount, takeEvent } from '@figmount/decisions'
+import { beginRun, endRun, eventNumberOf, mayEnd, mayGoOn, openAccount, takeEvent } from '@figmount/decisions'
 
 import { Framing } from '../forwarding/framing.js'
 import { Taken } from '../streams/relayEvents.js'
@@ -25,6 +25,8 @@
   readonly runStarts: () => readonly string[]
   /** Arrival time of the newest event; before the first one, that of the request. */
   readonly lastEventMs: () => number
+  /** The end of this run may be the end of the stream; false if it has not come to the last event. */
+  readonly mayEnd: () => boolean
   /** Another run may continue the stream; false after a piece without a number. */
   readonly mayGoOn: () => boolean
 }
@@ -90,6 +92,7 @@
     lastEventId: () => account.lastEventId,
     runStarts: () => runStarts,
     lastEventMs: () => lastEventMs,
+    mayEnd: () => mayEnd(account),
     mayGoOn: () => mayGoOn(account)
   }
 }
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -37,6 +37,7 @@
     onceDrained: stream.onceDrained,
     silenceMs: request.route.patienceMs
   })
+  if (end.isWhole && !stream.mayEnd()) return { type: 'broken', reason: 'ended before an event that the caller has' }
   return end.isWhole ? { type: 'finished', answerEnd: endOf(open.message) } : { type: 'broken', reason: end.reason }
 }
 
