--- a/packages/fleet/src/feeds/createFeedFollower.test.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -78,6 +78,13 @@
     expect(reads.slice(0, 2)).to.deep.equal(['newest', 'since 5'])
   })
 
+  it('takes the newest records of all keys in the order in which they were written', async () => {
+    // Guards against an older record that counts as the newer one as a page is sorted by keys.
+    const { taken, pass } = setUp([page(9, record('a', 8), record('b', 3), record('c', 5))])
+    await pass(100)
+    expect(taken).to.deep.equal(['b@3', 'c@5', 'a@8'])
+  })
+
   it('ignores an older record of a key after a newer one', async () => {
     // Guards against a configuration that is reverted by a late answer of the store.
     const { follower, taken, pass } = setUp([page(4, record('config', 3)), page(5)])
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -73,7 +73,8 @@
 
   const accept = (records: readonly FeedRecord[], isOwnRead = false, isCopy = false): void => {
     const newRecords: FeedRecord[] = []
-    for (const record of records) {
+    // The newest records come sorted by their keys.
+    for (const record of [...records].sort((one, other) => one.offset - other.offset)) {
       // Guards against an older value that arrives late, from a slow answer or a peer: it would restore a configuration or a
       // server entry that has been replaced. The record with the greater offset is the newer one, also in a later era of the store.
       if (record.offset <= (newestOffset.get(record.key) ?? -1)) {
