--- a/packages/fleet/src/feeds/createFeedFollower.test.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -85,6 +85,15 @@
     expect(taken).to.deep.equal(['b@3', 'c@5', 'a@8'])
   })
 
+  it('does not miss a key in a read that was sent before a peer read it', async () => {
+    // Guards against a server that is removed by an answer older than its entry, and stays away as that was taken before.
+    const { follower, keys, taken, pass } = setUp([page(5, record('a', 3)), page(8, record('b', 7))])
+    follower.offerRange({ fromOffset: 6, toOffset: 8, records: [record('b', 7)] })
+    await pass(300)
+    expect(taken).to.deep.equal(['b@7', 'a@3'])
+    expect(keys.map(known => [...known].sort())).to.deep.equal([['a', 'b']])
+  })
+
   it('ignores an older record of a key after a newer one', async () => {
     // Guards against a configuration that is reverted by a late answer of the store.
     const { follower, taken, pass } = setUp([page(4, record('config', 3)), page(5)])
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -22,7 +22,7 @@
    * a store that has come back from an older copy, and may be older than what is known.
    */
   readonly take: (records: readonly FeedRecord[], isCopy: boolean) => void
-  /** Called with all keys after a read of the newest records; a key that is missing has been removed. */
+  /** Called with all keys after a read of the newest records, and those of later ones; a key that is missing has been removed. */
   readonly takeKeys: (keys: ReadonlySet<string>) => void
   /** Called when the store has answered a read, after the records were taken. */
   readonly noteRead?: (read: FeedRead) => void
@@ -89,7 +89,12 @@
 
   const acceptAll = (page: FeedPage): void => {
     accept(page.records, true, noteEra(page))
-    options.takeKeys(new Set(page.records.map(record => record.key)))
+    const keys = new Set(page.records.map(record => record.key))
+    // Guards against a key that counts as removed by an answer older than its record, which a peer has sent: it would not be taken again.
+    for (const [key, offset] of newestOffset) {
+      if (offset >= page.nextOffset) keys.add(key)
+    }
+    options.takeKeys(keys)
   }
 
   // Guards against a connection that has died silently, without an answer or an error. The read times out and is repeated on
