--- a/packages/gateway/src/router/createListChanges.test.ts
+++ b/packages/gateway/src/router/createListChanges.test.ts
@@ -10,8 +10,8 @@
 const ENTRY: ServerEntry =
   { serverId: 'a', startedAtUnixMs: 1, serviceName: 's', address: 'a:1', dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: [] }
 
-const recordOf = (given: Partial<ServerEntry> = {}): FeedRecord =>
-  ({ key: 'a', value: Buffer.from(JSON.stringify({ ...ENTRY, ...given })), offset: 0 })
+const recordOf = (given: Partial<ServerEntry> = {}, offset = 0): FeedRecord =>
+  ({ key: 'a', value: Buffer.from(JSON.stringify({ ...ENTRY, ...given })), offset })
 
 const setUp = (hasAgentState = true): ListChanges => createListChanges({
   decodeServer: (key, bytes) => Either.encase(() => JSON.parse(Buffer.from(bytes).toString()) as ServerEntry)
@@ -45,6 +45,17 @@
     expect(isChange(changes, recordOf())).to.equal(true)
   })
 
+  it('are told from the newest record, whichever comes last', () => {
+    // Guards against an entry that is not passed on as it equals an older one that came late: the others keep the one between them.
+    const changes = setUp()
+    changes.take([recordOf({ isDraining: true }, 7)])
+    expect(isChange(changes, recordOf({}, 4))).to.equal(false)
+    expect(isChange(changes, recordOf({}, 9))).to.equal(true)
+    changes.take([{ key: 'a', value: undefined, offset: 12 }])
+    expect(isChange(changes, recordOf({}, 11))).to.equal(false)
+    expect(isChange(changes, recordOf({}, 13))).to.equal(true)
+  })
+
   it('include an entry that has become unreadable', () => {
     const changes = setUp()
     changes.take([recordOf()])
--- a/packages/gateway/src/router/createListChanges.ts
+++ b/packages/gateway/src/router/createListChanges.ts
@@ -20,6 +20,10 @@
   readonly models: string
 }
 
+interface KnownRecord extends RecordSummary {
+  readonly offset: number
+}
+
 const GONE: RecordSummary = { server: 'gone', models: '' }
 const UNREADABLE: RecordSummary = { server: 'unreadable', models: '' }
 
@@ -28,16 +32,17 @@
 
 /** Creates the filter of one router. */
 export const createListChanges = ({ decodeServer, hasAgentState }: Options): ListChanges => {
-  const known = new Map<string, RecordSummary>()
+  const known = new Map<string, KnownRecord>()
 
   const summaryOf = ({ key, value }: FeedRecord): RecordSummary =>
     value ? decodeServer(key, value).map(summarise).orDefault(UNREADABLE) : GONE
 
   const isChange = (record: FeedRecord): boolean => {
-    const before = known.get(record.key) ?? GONE
+    const before = known.get(record.key) ?? { ...GONE, offset: -1 }
+    // Guards against an older record that comes late, by a slow read or from another router: a later one that equals it would not be passed on.
+    if (record.offset < before.offset) return false
     const now = summaryOf(record)
-    if (now === GONE) known.delete(record.key)
-    else known.set(record.key, now)
+    known.set(record.key, { ...now, offset: record.offset })
     return now.server !== before.server || (now.models !== before.models && !hasAgentState(record.key))
   }
 
