--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -22,7 +22,7 @@
    * a store that has come back from an older copy, and may be older than what is known.
    */
   readonly take: (records: readonly FeedRecord[], isCopy: boolean) => void
-  /** Called with all keys after a read of the newest records; a key that is missing has been removed. */
+  /** Called with all keys after a read of the newest records, and those of later ones; a key that is missing has been removed. */
   readonly takeKeys: (keys: ReadonlySet<string>) => void
   /** Called when the store has answered a read, after the records were taken. */
   readonly noteRead?: (read: FeedRead) => void
@@ -73,7 +73,8 @@
 
   const accept = (records: readonly FeedRecord[], isOwnRead = false, isCopy = false): void => {
     const newRecords: FeedRecord[] = []
-    for (const record of records) {
+    // The newest records come sorted by their keys.
+    for (const record of [...records].sort((one, other) => one.offset - other.offset)) {
       // Guards against an older value that arrives late, from a slow answer or a peer: it would restore a configuration or a
       // server entry that has been replaced. The record with the greater offset is the newer one, also in a later era of the store.
       if (record.offset <= (newestOffset.get(record.key) ?? -1)) {
@@ -88,7 +89,12 @@
 
   const acceptAll = (page: FeedPage): void => {
     accept(page.records, true, noteEra(page))
-    options.takeKeys(new Set(page.records.map(record => record.key)))
+    const keys = new Set(page.records.map(record => record.key))
+    // Guards against a key that counts as removed by an answer older than its record, which a peer has sent: it would not be taken again.
+    for (const [key, offset] of newestOffset) {
+      if (offset >= page.nextOffset) keys.add(key)
+    }
+    options.takeKeys(keys)
   }
 
   // Guards against a connection that has died silently, without an answer or an error. The read times out and is repeated on
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -130,8 +130,9 @@
       continue
     }
     runCount += 1
-    const mayResume = route.isResumable && runCount < route.maxAttempts && !stream.hasGap() && !stream.isTooLong()
+    const mayResume = route.isResumable && runCount < route.maxAttempts && !stream.isTooLong()
     if (!mayResume) return fail(context, request, end.reason, serverId)
+    if (!stream.mayGoOn()) return fail(context, request, `${end.reason}, after a piece without a number`, serverId)
     context.events.emit(GatewayEvent.streamResumed, { requestKey: caller.requestId, reason: end.reason, peer: serverId, lastEventId: stream.lastEventId(), runStarts: stream.runStarts() })
   }
 }
--- a/packages/gateway/src/streams/relayEvents.test.ts
+++ b/packages/gateway/src/streams/relayEvents.test.ts
@@ -3,7 +3,7 @@
 import { createVirtualTimers } from '@figmount/base'
 
 import { BytesEnd } from '../forwarding/framing.js'
-import { relayEvents } from './relayEvents.js'
+import { relayEvents, Taken } from './relayEvents.js'
 
 import type { OpenAnswer } from '../forwarding/types.js'
 
@@ -18,7 +18,7 @@
   const end = relayEvents({
     answer: { message, abort: () => { abortCount += 1 } } as unknown as OpenAnswer,
     timers,
-    take: () => false,
+    take: () => Taken.Slowly,
     onceDrained: resume => { drain = resume },
     silenceMs: SILENCE_MS
   })
