--- a/packages/agent/src/plain/callPlain.ts
+++ b/packages/agent/src/plain/callPlain.ts
@@ -1,8 +1,9 @@
 import { Agent, request as httpRequest } from 'node:http'
-import { FaultKind, faultFrom, makeFault } from '@figmount/base'
+import { FaultKind, faultFrom, Framing, framingOf, makeFault } from '@figmount/base'
 
 import { isConnectFailure } from '../engine/engineFaults.js'
 import { CONNECT_TIMEOUT_MS, HOP_BY_HOP_HEADERS, IDLE_SOCKET_MS, MAX_ANSWER_BYTES, POOLED_SILENCE_MS } from './constants.js'
+import { isAnswering } from './isAnswering.js'
 
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { Fault, TimerService } from '@figmount/base'
@@ -57,12 +58,18 @@
   return Buffer.concat(parts)
 }
 
+/** Whether an answer that is delimited by its connection was closed in order. Node marks it as complete after a reset, too. */
+const isClosedInOrder = ({ socket }: IncomingMessage): boolean => socket.readableEnded
+
 /**
  * Creates the function that calls one plain service over Node's `http`.
  *
  * An idle pooled connection may have gone silent: a call on it would hang, and whether it ran would be unknown. Calls
  * that are not repeatable therefore never use a pooled connection. Repeatable ones do, and are sent again over a new
  * connection if a reused one returns nothing.
+ *
+ * The system closes the connections of a killed process in order. An answer that is delimited by its connection
+ * therefore counts as whole only if the service answers again at once; the new process after a restart takes longer.
  */
 export const createCallPlain = (address: string, timers: TimerService): CallPlain => {
   const pool = new Agent({ keepAlive: true, timeout: IDLE_SOCKET_MS })
@@ -70,7 +77,14 @@
   const [host = '', portText = ''] = address.split(':')
   const fail = faultFrom('plain.call', address)
 
-  const callOnce = async ({ call, signal, onSent }: CallOptions, agent: Agent): Promise<CallEnd & { readonly onReused: boolean }> => {
+  const mustBeWhole = async (response: IncomingMessage, { call, signal }: CallOptions): Promise<void> => {
+    if (framingOf(response, call.method) !== Framing.Connection) return
+    if (!isClosedInOrder(response)) throw new Error('connection reset in an answer without a length')
+    if (!await isAnswering(address, timers, signal)) throw new Error('the service does not answer after an answer without a length')
+  }
+
+  const callOnce = async (options: CallOptions, agent: Agent): Promise<CallEnd & { readonly onReused: boolean }> => {
+    const { call, signal, onSent } = options
     let sent = false
     let request: ClientRequest | undefined
     let stopWatching = (): void => {}
@@ -100,6 +114,7 @@
       })
       stopWatching()
       const body = await readBody(response)
+      await mustBeWhole(response, options)
       return { kind: 'answered', answer: { status: response.statusCode ?? 0, headers: answerHeaders(response), body }, onReused: isReused() }
     } catch (thrown) {
       stopWatching()
