--- a/packages/agent/src/engine/createEngineClient.ts
+++ b/packages/agent/src/engine/createEngineClient.ts
@@ -1,8 +1,8 @@
 import { Agent } from 'node:http'
 import { createClient } from '@connectrpc/connect'
-import { createConnectTransport } from '@connectrpc/connect-node'
 import { EitherAsync } from 'purify-ts'
 import { match } from 'ts-pattern'
+import { createTransport } from '@figmount/base'
 import { ORDER_DEADLINE_MS } from '@figmount/records'
 import { CheckpointTier, Engine, ResidentState } from '@figmount/schema'
 
@@ -48,7 +48,7 @@
 }
 
 const makeClient = (address: string, agent: Agent): Client<typeof Engine> =>
-  createClient(Engine, createConnectTransport({ baseUrl: `http://${address}`, httpVersion: '1.1', useBinaryFormat: true, nodeOptions: { agent } }))
+  createClient(Engine, createTransport({ address, agent }))
 
 /**
  * Creates the client of one engine. Generations share pooled connections; orders, inventory requests and resumed streams
