--- a/packages/router/src/plain/answerPlain.ts
+++ b/packages/router/src/plain/answerPlain.ts
@@ -1,3 +1,4 @@
+import { Framing, framingOf } from '@figmount/base'
 import { RefusalReason } from '@figmount/schema'
 
 import { reasonName, runStateName } from '../requests/refusals.js'
@@ -26,8 +27,7 @@
 /** Sends a refusal as HTTP status, `retry-after` in whole seconds, and details as JSON. */
 export const sendRefusal = (response: ServerResponse, note: RefusalNote): void => {
   const retryAfter = note.retryAfterMs > 0 ? { 'retry-after': String(Math.ceil(note.retryAfterMs / MS_PER_SECOND)) } : {}
-  response.writeHead(statusOf(note.reason), { 'content-type': 'application/json', ...retryAfter })
-  response.end(`${JSON.stringify({
+  const body = Buffer.from(`${JSON.stringify({
     runState: runStateName(note.runState),
     reason: reasonName(note.reason),
     retryAfterMs: Math.round(note.retryAfterMs),
@@ -35,11 +35,20 @@
     step: note.step,
     peer: note.peer
   })}\n`)
+  response.writeHead(statusOf(note.reason), { 'content-type': 'application/json', 'content-length': body.length, ...retryAfter })
+  response.end(body)
 }
 
-/** Forwards the answer of a plain service without its hop-by-hop headers. */
+const hasNoBody = (response: ServerResponse, statusCode: number): boolean =>
+  framingOf({ statusCode, headers: {} }, response.req.method ?? '') === Framing.NoBody
+
+/**
+ * Forwards the answer of a plain service without its hop-by-hop headers, and with its length: without one, callers of
+ * HTTP/1.0 would take the end of a killed router's connection for the end of the answer.
+ */
 export const forwardAnswer = (response: ServerResponse, answer: PlainAnswer): void => {
   const headers = answer.headers.filter(([name]) => !HOP_BY_HOP_HEADERS.has(name.toLowerCase()))
-  response.writeHead(answer.status, headers.flatMap(([name, value]) => [name, value]))
+  const length = hasNoBody(response, answer.status) ? [] : [['content-length', String(answer.body.length)]]
+  response.writeHead(answer.status, [...headers, ...length].flat())
   response.end(answer.body)
 }
