--- a/packages/agent/src/engine/runStream.ts
+++ b/packages/agent/src/engine/runStream.ts
@@ -71,7 +71,7 @@
     failingSinceMs = undefined
     failureCount = 0
     const skip = nextIndex - chunk.firstTokenIndex
-    if (skip < 0 && chunk.tokens.length > 0) return makeFault(FaultKind.Internal, 'engine.stream', engine.address, `gap before token ${chunk.firstTokenIndex}`)
+    if (skip < 0) return makeFault(FaultKind.Internal, 'engine.stream', engine.address, `gap before token ${chunk.firstTokenIndex}`)
     const fresh = skip > 0 ? chunk.tokens.slice(skip) : chunk.tokens
     if (fresh.length === 0) return undefined
     onTokens(nextIndex, fresh)
