--- a/packages/proof/src/promises/plainCalls.test.ts
+++ b/packages/proof/src/promises/plainCalls.test.ts
@@ -1,3 +1,4 @@
+import { createTimerService, sleep } from '@figmount/base'
 import { expect } from 'chai'
 
 import { plainService } from '../rig/sitePlan.js'
@@ -76,4 +77,22 @@
     expect(again.ok).to.equal(false)
     expect(await runCount('lost')).to.equal(1)
   })
+
+  it('get no part of an answer whose service is killed', async () => {
+    // Guards against half an answer without a length that counts as whole, as the system closes the connection in order.
+    await start('plain-killed', 50)
+    await callUntilServed('r1', 'warm')
+    await site.backend('p1').command({ action: 'unframe', pauseMs: 1_000 })
+    issuedAtMs = Date.now()
+    const whole = await call('r1', 'whole', 0)
+    expect(whole.headers.get('content-length')).to.equal(String((await whole.clone().text()).length))
+    expect(await whole.json()).to.deep.include({ key: 'whole', count: 1, bodyBytes: 9 })
+    const pending = call('r1', 'cut', 0)
+    await site.rig.events.waitFor(event => event.name === 'plainCalled' && event.requestKey === 'cut', 'the call to run')
+    await sleep(createTimerService(), 500)
+    await site.backend('p1').kill()
+    const cut = await pending
+    expect(cut.status).to.equal(502)
+    expect(await cut.json()).to.deep.include({ runState: 'may_have_run' })
+  })
 })
--- a/packages/standin/src/plain/startPlain.ts
+++ b/packages/standin/src/plain/startPlain.ts
@@ -17,15 +17,36 @@
 const commandSchema = z.discriminatedUnion('action', [
   z.strictObject({ action: z.literal('slow'), delayMs: z.number().min(0) }),
   /** The next `count` calls are executed, but their connections are closed before the answer. */
-  z.strictObject({ action: z.literal('lose'), count: z.number().int().min(0) })
+  z.strictObject({ action: z.literal('lose'), count: z.number().int().min(0) }),
+  /** From now on answers have neither length nor chunks, and pause after their first half. */
+  z.strictObject({ action: z.literal('unframe'), pauseMs: z.number().min(0) })
 ])
 
+/** Has the answer end with its connection. */
+const omitFraming = (response: ServerResponse): void => {
+  response.useChunkedEncodingByDefault = false
+  response.shouldKeepAlive = false
+}
+
 /** Starts a plain HTTP service whose answers contain the number of calls with the same request key. */
 export const startPlain = async (context: StandinContext<PlainSettings>): Promise<StartedStandin> => {
   const { settings, timers, events, metrics } = context
   const callCounts = new Map<string, number>()
   let delayMs = settings.delay_ms
   let loseCount = 0
+  let unframedPauseMs: number | undefined
+
+  const answer = async (response: ServerResponse, body: string): Promise<void> => {
+    if (unframedPauseMs === undefined) {
+      response.end(body)
+      return
+    }
+    const half = body.length / 2
+    omitFraming(response)
+    response.write(body.slice(0, half))
+    await sleep(timers, unframedPauseMs)
+    response.end(body.slice(half))
+  }
 
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const body = await readBody(request, MAX_BODY_BYTES)
@@ -39,15 +60,18 @@
       request.socket.destroy()
       return
     }
-    response.writeHead(200, { 'content-type': 'application/json', 'figmount-call-count': String(count) })
-    response.end(JSON.stringify({ key, count, method: request.method, path: request.url, bodyBytes: body?.length ?? 0 }))
+    response.statusCode = 200
+    response.setHeader('content-type', 'application/json')
+    response.setHeader('figmount-call-count', String(count))
+    await answer(response, JSON.stringify({ key, count, method: request.method, path: request.url, bodyBytes: body?.length ?? 0 }))
   }
 
   const run = (input: unknown): unknown => {
     const command = commandSchema.parse(input)
     events.emit(StandinEvent.controlChanged, { detail: JSON.stringify(command) })
     if (command.action === 'slow') delayMs = command.delayMs
-    else loseCount = command.count
+    if (command.action === 'lose') loseCount = command.count
+    if (command.action === 'unframe') unframedPauseMs = command.pauseMs
     return {}
   }
 
