--- a/packages/agent/src/engine/runStream.test.ts
+++ b/packages/agent/src/engine/runStream.test.ts
@@ -50,6 +50,13 @@
     expect({ tokens, resumedFrom }).to.deep.equal({ tokens: WHOLE, resumedFrom: [] })
   })
 
+  it('is followed by nothing', async () => {
+    // Guards against tokens behind the end that reach the caller or not, depending on how the stream's bytes arrive.
+    const { end, tokens } = await run([chunk(0, WHOLE, true), chunk(4, ['of another answer'])])
+    expect(end).to.deep.include({ kind: 'finished', tokenCount: 4 })
+    expect(tokens).to.deep.equal(WHOLE)
+  })
+
   it('is not the end of its connection', async () => {
     // Guards against part of a stream that counts as whole.
     const { end, tokens, resumedFrom } = await run([chunk(0, ['a', 'b'])])
--- a/packages/agent/src/engine/runStream.ts
+++ b/packages/agent/src/engine/runStream.ts
@@ -85,13 +85,17 @@
     const forward = (): void => controller.abort()
     signal.addEventListener('abort', forward, { once: true })
     let lastReceivedMs = timers.nowMs()
+    let hasEnded = false
     const stopWatching = abortWhenSilent(timers, () => lastReceivedMs, controller)
     try {
       for await (const chunk of open(controller.signal)) {
         lastReceivedMs = timers.nowMs()
+        if (hasEnded) continue
         const gap = acceptChunk(chunk)
         if (gap) return onEnd({ kind: 'broken', thrown: undefined, fault: gap })
-        if (chunk.last) onEnd({ kind: 'last', finishReason: chunk.finishReason })
+        if (!chunk.last) continue
+        hasEnded = true
+        onEnd({ kind: 'last', finishReason: chunk.finishReason })
       }
       onEnd({ kind: 'broken', thrown: undefined, fault: makeFault(FaultKind.Unavailable, 'engine.stream', engine.address, 'ended without a last chunk') })
     } catch (thrown) {
