--- a/packages/base/src/metrics/serveMetrics.ts
+++ b/packages/base/src/metrics/serveMetrics.ts
@@ -8,8 +8,9 @@
 export const serveMetrics = async (address: string, metrics: Metrics): Promise<() => void> => {
   const [host = '', port = ''] = address.split(':')
   const server = createServer((_message, response) => {
-    response.writeHead(200, { 'content-type': CONTENT_TYPE })
-    response.end(metrics.text())
+    const text = metrics.text()
+    response.writeHead(200, { 'content-type': CONTENT_TYPE, 'content-length': Buffer.byteLength(text) })
+    response.end(text)
   })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/packages/base/src/rpc/serveRpc.ts
+++ b/packages/base/src/rpc/serveRpc.ts
@@ -31,7 +31,7 @@
 const DEFAULT_MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 const sendText = (response: ServerResponse, status: number, text: string): void => {
-  response.writeHead(status, { 'content-type': 'text/plain; charset=utf-8' })
+  response.writeHead(status, { 'content-type': 'text/plain; charset=utf-8', 'content-length': Buffer.byteLength(text) })
   response.end(text)
 }
 
