--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -1,10 +1,10 @@
 import { GatewayEvent } from '../events.js'
 import { Framing } from '../forwarding/framing.js'
-import { breakOff } from './breakOff.js'
+import { endAfterDrain } from '../streams/createEventSink.js'
 
-import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
-import type { AnswerEnd } from '../forwarding/framing.js'
+import type { AnswerEnd, EndProof } from '../forwarding/framing.js'
+import type { OpenAnswer } from '../forwarding/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** HTTP statuses of answers that the router itself gives. */
@@ -37,57 +37,47 @@
   request.response.end()
 }
 
-/** Fails a request that may have run. Once the answer's head was sent, only closing the connection marks the answer as incomplete. */
+/** Fails a request that may have run. Once the answer's head was sent, closing the connection before the end of its framing marks it as incomplete. */
 export const fail = (context: GatewayContext, request: RoutedRequest, reason: string, peer: string): void => {
   const isLate = context.timers.nowMs() >= request.untilMs
   context.metrics.count('requests_failed_total')
   context.events.emit(GatewayEvent.requestFailed, { requestKey: request.caller.requestId, reason, peer, waitMs: elapsedMs(context, request) })
   if (!isOpen(request)) {
-    breakOff(request.response)
+    request.response.destroy()
     return
   }
   request.response.writeHead(isLate ? Status.GatewayTimeout : Status.BadGateway, { 'content-length': 0 })
   request.response.end()
 }
 
-/**
- * Delimits the answer by the end of its connection, as the server did.
- *
- * Guards against a truncated answer without a length that is passed on as a complete one: a connection closed halfway looks like one
- * closed after the whole body. A length added by the router would make the truncated body look complete for certain.
- */
-export const delimitByClose = ({ response }: RoutedRequest): void => {
-  response.shouldKeepAlive = false
-  response.useChunkedEncodingByDefault = false
-}
-
-/**
- * Ends an answer once its bytes are handed to the operating system.
- *
- * Guards against truncated answers to callers that read slowly: Node considers a connection idle as soon as its answer is ended, so a
- * stopping router would close it with the rest unsent.
- */
-export const endAfterDrain = (response: ServerResponse): void => {
-  if (response.writableNeedDrain) response.once('drain', () => response.end())
-  else response.end()
-}
-
 /** A server's answer that was read completely. */
 export interface CompleteAnswer {
   readonly peer: string
   readonly status: number
   readonly headers: RawHeaders
   readonly body: Buffer
+  /** Length that the server announced; of an answer without a body, the length of what it stands for. */
+  readonly announcedLength: string | undefined
   readonly end: AnswerEnd
 }
 
+/** Makes the answer to pass on from a server's open one, once its body was read and shown to be complete. */
+export const completeAnswer = ({ codec }: GatewayContext, { message, framing }: OpenAnswer, body: Buffer, proof: EndProof, peer: string): CompleteAnswer => ({
+  peer,
+  status: message.statusCode ?? 0,
+  headers: codec.encodeAnswer(message.rawHeaders),
+  body,
+  announcedLength: message.headers['content-length'],
+  end: { framing, proof }
+})
+
 /** Sends the caller a server's complete answer. */
-export const sendAnswer = (context: GatewayContext, request: RoutedRequest, { peer, status, headers, body, end }: CompleteAnswer): void => {
-  const isFramed = end.framing !== Framing.Connection
-  noteAnswered(context, request, { peer, status, end, callerFraming: isFramed ? Framing.Length : Framing.Connection })
+export const sendAnswer = (context: GatewayContext, request: RoutedRequest, { peer, status, headers, body, announcedLength, end }: CompleteAnswer): void => {
+  const hasBody = end.framing !== Framing.NoBody
+  const length = hasBody ? String(body.length) : announcedLength
+  noteAnswered(context, request, { peer, status, end, callerFraming: hasBody ? Framing.Length : Framing.NoBody })
   if (!isOpen(request)) return
-  if (!isFramed) delimitByClose(request)
-  request.response.writeHead(status, [...headers, ...(isFramed ? ['content-length', String(body.length)] : [])])
+  request.response.writeHead(status, [...headers, ...(length === undefined ? [] : ['content-length', length])])
   request.response.write(body)
   endAfterDrain(request.response)
 }
