--- a/packages/gateway/src/forwarding/sendToServer.ts
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -1,9 +1,9 @@
 import { request as httpRequest } from 'node:http'
 import { Left, Right } from 'purify-ts'
-import { makeFault } from '@figmount/base'
+import { makeFault, wasReset } from '@figmount/base'
 
 import { CONNECT_TIMEOUT_MS } from './constants.js'
-import { framingOf } from './framing.js'
+import { Framing, framingOf } from './framing.js'
 
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
@@ -73,7 +73,10 @@
     hasHead = true
     pool.noteAnswer(message)
     const answer = codec.decodeAnswer(message.rawHeaders)
-    settle(Right({ message, answer, framing: framingOf(message, outbound.method), abort }))
+    const framing = framingOf(message, outbound.method)
+    let isReset = false
+    if (framing === Framing.Connection) message.socket.prependOnceListener('end', () => { isReset = wasReset(message.socket) })
+    settle(Right({ message, answer, framing, wasReset: () => isReset, abort }))
   }
 
   const noteConnected = (): void => {
--- a/packages/gateway/src/forwarding/types.ts
+++ b/packages/gateway/src/forwarding/types.ts
@@ -24,6 +24,8 @@
   readonly message: IncomingMessage
   readonly answer: ServerAnswer
   readonly framing: Framing
+  /** The server has reset the connection of an answer that ends with it. */
+  readonly wasReset: () => boolean
   /** Ends the exchange and its connection; the server stops working on the request. */
   readonly abort: () => void
 }
--- a/packages/standin/src/proxy/relayBytes.ts
+++ b/packages/standin/src/proxy/relayBytes.ts
@@ -1,6 +1,4 @@
-import { sleep } from '@figmount/base'
-
-import { wasReset } from './wasReset.js'
+import { sleep, wasReset } from '@figmount/base'
 
 import type { Socket } from 'node:net'
 import type { TimerService } from '@figmount/base'
--- a/packages/standin/src/proxy/startProxy.test.ts
+++ b/packages/standin/src/proxy/startProxy.test.ts
@@ -1,9 +1,9 @@
 import { once } from 'node:events'
 import { connect, createServer } from 'node:net'
 import { expect } from 'chai'
+import { wasReset } from '@figmount/base'
 
 import { startForTest } from '../testing/startForTest.js'
-import { wasReset } from './wasReset.js'
 
 import type { AddressInfo, Server, Socket } from 'node:net'
 import type { StandinUnderTest } from '../testing/startForTest.js'
