--- a/packages/agent/src/plain/callPlain.ts
+++ b/packages/agent/src/plain/callPlain.ts
@@ -1,5 +1,5 @@
 import { Agent, request as httpRequest } from 'node:http'
-import { FaultKind, faultFrom, Framing, framingOf, makeFault } from '@figmount/base'
+import { FaultKind, faultFrom, Framing, framingOf, makeFault, watchReset } from '@figmount/base'
 
 import { isConnectFailure } from '../engine/engineFaults.js'
 import { CONNECT_TIMEOUT_MS, HOP_BY_HOP_HEADERS, IDLE_SOCKET_MS, MAX_ANSWER_BYTES, POOLED_SILENCE_MS } from './constants.js'
@@ -58,9 +58,6 @@
   return Buffer.concat(parts)
 }
 
-/** Whether an answer that is delimited by its connection was closed in order. Node marks it as complete after a reset, too. */
-const isClosedInOrder = ({ socket }: IncomingMessage): boolean => socket.readableEnded
-
 /**
  * Creates the function that calls one plain service over Node's `http`.
  *
@@ -77,9 +74,10 @@
   const [host = '', portText = ''] = address.split(':')
   const fail = faultFrom('plain.call', address)
 
-  const mustBeWhole = async (response: IncomingMessage, { call, signal }: CallOptions): Promise<void> => {
+  const mustBeWhole = async (response: IncomingMessage, wasReset: () => boolean, { call, signal }: CallOptions): Promise<void> => {
     if (framingOf(response, call.method) !== Framing.Connection) return
-    if (!isClosedInOrder(response)) throw new Error('connection reset in an answer without a length')
+    // Node marks the answer as complete after a reset, too.
+    if (!response.socket.readableEnded || wasReset()) throw new Error('connection reset in an answer without a length')
     if (!await isAnswering(address, timers, signal)) throw new Error('the service does not answer after an answer without a length')
   }
 
@@ -113,8 +111,9 @@
         })
       })
       stopWatching()
+      const wasReset = framingOf(response, call.method) === Framing.Connection ? watchReset(response.socket) : () => false
       const body = await readBody(response)
-      await mustBeWhole(response, options)
+      await mustBeWhole(response, wasReset, options)
       return { kind: 'answered', answer: { status: response.statusCode ?? 0, headers: answerHeaders(response), body }, onReused: isReused() }
     } catch (thrown) {
       stopWatching()
--- a/packages/base/src/sockets/wasReset.ts
+++ b/packages/base/src/sockets/wasReset.ts
@@ -7,3 +7,10 @@
  * then knows no peer any more, while it still knows that of a connection that the peer has closed in order.
  */
 export const wasReset = (socket: Socket): boolean => socket.remoteAddress === undefined
+
+/** Watches a connection until its end; the function that it returns tells then whether the connection was reset. */
+export const watchReset = (socket: Socket): (() => boolean) => {
+  let isReset = false
+  socket.prependOnceListener('end', () => { isReset = wasReset(socket) })
+  return () => isReset
+}
--- a/packages/gateway/src/forwarding/framing.ts
+++ b/packages/gateway/src/forwarding/framing.ts
@@ -1,29 +1,6 @@
-import type { IncomingMessage } from 'node:http'
-import type { OpenAnswer } from './types.js'
-
-/** How the end of an answer is marked. */
-export const Framing = {
-  /** The status, or the request's method, allows no body. */
-  NoBody: 'no_body',
-  Length: 'length',
-  Chunks: 'chunks',
-  /** By the end of its connection. */
-  Connection: 'connection'
-} as const
-
-export type Framing = typeof Framing[keyof typeof Framing]
+import { Framing } from '@figmount/base'
 
-const NO_CONTENT = 204
-const NOT_MODIFIED = 304
-const LAST_CODING_CHUNKED = /(?:^|,)\s*chunked\s*$/i
-
-/** How a server marks the end of its answer to a request with this method. */
-export const framingOf = ({ headers, statusCode }: Pick<IncomingMessage, 'headers' | 'statusCode'>, method: string): Framing => {
-  if (method === 'HEAD' || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED) return Framing.NoBody
-  const codings = headers['transfer-encoding']
-  if (codings !== undefined) return LAST_CODING_CHUNKED.test(codings) ? Framing.Chunks : Framing.Connection
-  return headers['content-length'] === undefined ? Framing.Connection : Framing.Length
-}
+import type { OpenAnswer } from './types.js'
 
 /** What the end of an answer's bytes shows. */
 export const BytesEnd = {
--- a/packages/gateway/src/forwarding/sendToServer.ts
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -1,9 +1,8 @@
 import { request as httpRequest } from 'node:http'
 import { Left, Right } from 'purify-ts'
-import { makeFault, wasReset } from '@figmount/base'
+import { Framing, framingOf, makeFault, watchReset } from '@figmount/base'
 
 import { CONNECT_TIMEOUT_MS } from './constants.js'
-import { Framing, framingOf } from './framing.js'
 
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
@@ -74,9 +73,8 @@
     pool.noteAnswer(message)
     const answer = codec.decodeAnswer(message.rawHeaders)
     const framing = framingOf(message, outbound.method)
-    let isReset = false
-    if (framing === Framing.Connection) message.socket.prependOnceListener('end', () => { isReset = wasReset(message.socket) })
-    settle(Right({ message, answer, framing, wasReset: () => isReset, abort }))
+    const wasReset = framing === Framing.Connection ? watchReset(message.socket) : () => false
+    settle(Right({ message, answer, framing, wasReset, abort }))
   }
 
   const noteConnected = (): void => {
--- a/packages/gateway/src/forwarding/types.ts
+++ b/packages/gateway/src/forwarding/types.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage } from 'node:http'
-import type { Fault } from '@figmount/base'
+import type { Fault, Framing } from '@figmount/base'
 import type { ServerAnswer, ServerStart } from '@figmount/fleet'
-import type { Framing } from './framing.js'
 
 /** A request as it is sent to a server. */
 export interface OutboundRequest {
--- a/packages/gateway/src/requests/createCallerStream.test.ts
+++ b/packages/gateway/src/requests/createCallerStream.test.ts
@@ -1,9 +1,9 @@
 import { EventEmitter } from 'node:events'
 import { expect } from 'chai'
-import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
+import { createEventLog, createMetrics, createVirtualTimers, Framing } from '@figmount/base'
 
 import { MAX_ANSWER_BYTES } from '../forwarding/constants.js'
-import { EndProof, Framing } from '../forwarding/framing.js'
+import { EndProof } from '../forwarding/framing.js'
 import { Taken } from '../streams/relayEvents.js'
 import { createCallerStream } from './createCallerStream.js'
 
--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -1,5 +1,6 @@
+import { Framing } from '@figmount/base'
+
 import { GatewayEvent } from '../events.js'
-import { Framing } from '../forwarding/framing.js'
 import { endAfterDrain } from '../streams/createEventSink.js'
 
 import type { RawHeaders } from '@figmount/fleet'
--- a/packages/gateway/src/streams/createEventSink.ts
+++ b/packages/gateway/src/streams/createEventSink.ts
@@ -1,5 +1,6 @@
+import { Framing } from '@figmount/base'
+
 import { MAX_ANSWER_BYTES } from '../forwarding/constants.js'
-import { Framing } from '../forwarding/framing.js'
 
 import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
