--- a/packages/gateway/src/forwarding/probeServer.ts
+++ b/packages/gateway/src/forwarding/probeServer.ts
@@ -1,6 +1,8 @@
 import { request as httpRequest } from 'node:http'
 import { ProbeResult } from '@figmount/decisions'
 
+import { boundInterimAnswers } from './boundInterimAnswers.js'
+
 import type { IncomingMessage } from 'node:http'
 import type { TimerService } from '@figmount/base'
 import type { HeaderCodec, ServerEntry } from '@figmount/fleet'
@@ -36,6 +38,7 @@
 
   const stopTimer = timers.after(timeoutMs, () => end(ProbeResult.Unclear))
   request.once('response', takeAnswer)
+  boundInterimAnswers(request, () => end(ProbeResult.Unclear))
   request.on('error', (error: NodeJS.ErrnoException) => end(error.code === 'ECONNREFUSED' ? ProbeResult.Refused : ProbeResult.Unclear))
   request.end()
 })
--- a/packages/gateway/src/forwarding/sendToServer.test.ts
+++ b/packages/gateway/src/forwarding/sendToServer.test.ts
@@ -1,4 +1,5 @@
 import { once } from 'node:events'
+import { maxHeaderSize } from 'node:http'
 import { createServer } from 'node:net'
 import { createTimerService, sleep } from '@figmount/base'
 import { expect } from 'chai'
@@ -14,6 +15,7 @@
 
 const SERVER_ID = 's1'
 const NO_BODY_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+const INTERIM_ANSWER = 'HTTP/1.1 100 Continue\r\n\r\n'
 const BEGUN_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf'
 
 /** More than a connection's receiver accepts before it reads, less than the sender's system buffers. */
@@ -151,4 +153,22 @@
     await once(second.message.resume(), 'end')
     expect(connections.map(({ how }) => how)).to.deep.equal([[]])
   })
+
+  // Guards against interim answers without end, which keep a router from all other work.
+  it('ends an exchange whose interim answers are longer than a head may be', async () => {
+    await listen(INTERIM_ANSWER.repeat(maxHeaderSize / INTERIM_ANSWER.length + 1) + NO_BODY_ANSWER)
+    const { fault, mayHaveRun } = (await send(new AbortController().signal)).swap().unsafeCoerce()
+    expect({ kind: fault.kind, mayHaveRun }).to.deep.equal({ kind: 'unavailable', mayHaveRun: true })
+    await closeOf(await untilSeen(() => true))
+  })
+
+  // Guards against refusing a server that uses what HTTP lets it send before its answer.
+  it('takes interim answers up to the length of a head', async () => {
+    const hint = 'HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n'
+    const progress = 'HTTP/1.1 102 Processing\r\n\r\n'
+    await listen(hint + INTERIM_ANSWER + progress.repeat((maxHeaderSize - 200) / progress.length) + NO_BODY_ANSWER)
+    const { message } = (await send(new AbortController().signal)).unsafeCoerce()
+    expect(message.statusCode).to.equal(200)
+    await once(message.resume(), 'end')
+  })
 })
--- a/packages/gateway/src/forwarding/sendToServer.ts
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -2,6 +2,7 @@
 import { Left, Right } from 'purify-ts'
 import { makeFault } from '@figmount/base'
 
+import { boundInterimAnswers } from './boundInterimAnswers.js'
 import { CONNECT_TIMEOUT_MS } from './constants.js'
 
 import type { IncomingMessage } from 'node:http'
@@ -94,6 +95,7 @@
 
   request.once('socket', takeSocket)
   request.once('response', takeAnswer)
+  boundInterimAnswers(request, () => fail('unavailable', 'interim answers without end'))
   request.on('error', (error: Error) => fail('unavailable', error.message))
   request.once('close', () => fail('unavailable', 'connection closed'))
   signal.addEventListener('abort', () => {
