--- a/packages/decisions/src/placing/chooseVictims.ts
+++ b/packages/decisions/src/placing/chooseVictims.ts
@@ -15,7 +15,7 @@
 const IDLE_UNLOAD_MS = 80
 
 /** Expected time to unload a model with running requests, which have to end first. */
-const RUNNING_UNLOAD_MS = 1_500
+export const RUNNING_UNLOAD_MS = 1_500
 
 /** Requests made late by an unload that waits for running streams: the engine accepts no other order meanwhile. */
 const RUNNING_LOSS = 2
--- a/packages/gateway/src/placing/findLoader.ts
+++ b/packages/gateway/src/placing/findLoader.ts
@@ -1,5 +1,6 @@
 import { chooseLoader } from '@figmount/decisions'
 
+import { preferUnlimited } from './preferUnlimited.js'
 import { viewLoaders } from './viewServers.js'
 
 import type { EngineSpec, ModelSpec } from '@figmount/fleet'
@@ -22,9 +23,7 @@
 export const findLoader = (
   context: GatewayContext, spec: EngineSpec, model: ModelSpec, servers: readonly KnownServer[], unmetForMs = 0
 ): Loader | undefined => {
-  // A copy on an engine that takes few requests helps few callers.
-  const unlimited = servers.filter(({ start }) => !context.serverLimits.isLimited(start))
-  const candidates = unlimited.length > 0 ? unlimited : servers
+  const candidates = preferUnlimited(context, servers)
   const views = viewLoaders({ directory: context.directory, spec, model, servers: candidates, unmetForMs, nowMs: context.timers.nowMs() })
   const requestsPerS = context.demand.requestsPerS(model.name) * context.routerCount()
   const choice = chooseLoader({ ...model, requestsPerS }, views)
--- a/packages/gateway/src/requests/awaitModel.ts
+++ b/packages/gateway/src/requests/awaitModel.ts
@@ -4,6 +4,7 @@
 import { GatewayEvent } from '../events.js'
 import { findLoader } from '../placing/findLoader.js'
 import { limitWait } from '../stopping/limitWait.js'
+import { awaitDeparture } from './awaitDeparture.js'
 import { awaitWant } from './awaitWant.js'
 import { MAX_QUEUED_COLD_LOADS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS, UNKNOWN_COPIES_RETRY_MS } from './constants.js'
 import { MOVED_REASON, watchLoadsElsewhere, watchFasterLoader } from './watchLoads.js'
@@ -53,7 +54,10 @@
   if (!spec || !model) return { type: 'late', reason: 'the model is not of this service', retryAfterMs: NO_SERVER_RETRY_MS }
   const unmetForMs = context.unmetModels.note(modelName)
   const loader = findLoader(context, spec, model, candidates(), unmetForMs)
-  if (!loader) return { type: 'late', reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
+  if (!loader) {
+    const mayLoad = await awaitDeparture(context, request, model, candidates, bounds)
+    return mayLoad ? { type: 'changed' } : { type: 'late', reason: 'no agent can load the model', retryAfterMs: NO_SERVER_RETRY_MS }
+  }
   const { agent } = loader
   const { serverId, address } = loader.server.entry
   const readyInMs = loader.readyInMs + storeWaitMs(context, loader, model)
