--- a/packages/sidecar/src/leases/createLeaseReader.ts
+++ b/packages/sidecar/src/leases/createLeaseReader.ts
@@ -23,8 +23,8 @@
   readonly start: () => void
   /** Offset at which the feed ended at the last read; undefined before the first one. */
   readonly endOffset: () => number | undefined
-  /** Reads the newest record of each key next, as it is unknown what the store has carried out. */
-  readonly restart: () => void
+  /** Reads the newest record of each key next, as it is unknown what the store has carried out; `isAnswering`: the store has just answered. */
+  readonly restart: (isAnswering: boolean) => void
 }
 
 /**
@@ -36,6 +36,8 @@
   let endOffset: number | undefined
   let cancelRead: () => void = () => {}
   let restartCount = 0
+  /** When the read under way began, or the first one before it that was cancelled without an answer. */
+  let beganMs: number | undefined
 
   const read = async (): Promise<Either<Fault, FeedPage> | undefined> => {
     const cancelled = new Promise<undefined>(resolve => { cancelRead = () => { resolve(undefined) } })
@@ -53,13 +55,15 @@
   const follow = async (): Promise<void> => {
     let retryMs = LEASE_RETRY_MS
     while (isNeeded()) {
-      const beganMs = timers.nowMs()
       const isWhole = endOffset === undefined
       const countBefore = restartCount
+      const sinceMs = beganMs ??= timers.nowMs()
       const result = await read()
+      if (result?.isRight()) beganMs = undefined
       // A read that ended at the moment of the restart would continue from its offset, and never show what the store carried out before.
       if (restartCount !== countBefore) continue
-      result?.caseOf({ Left: fault => { failed(fault, beganMs) }, Right: page => { takePage(page, isWhole) } })
+      beganMs = undefined
+      result?.caseOf({ Left: fault => { failed(fault, sinceMs) }, Right: page => { takePage(page, isWhole) } })
       if (result?.isLeft()) await sleep(timers, retryMs)
       retryMs = result?.isLeft() ? Math.min(MAX_LEASE_RETRY_MS, retryMs * 2) : LEASE_RETRY_MS
     }
@@ -70,11 +74,13 @@
       if (isReading || !isNeeded()) return
       isReading = true
       endOffset = undefined
+      beganMs = undefined
       runInBackground(events, 'leases.read', follow().finally(() => { isReading = false }))
     },
     endOffset: () => endOffset,
-    restart: () => {
+    restart: isAnswering => {
       restartCount += 1
+      if (isAnswering) beganMs = undefined
       endOffset = undefined
       cancelRead()
     }
--- a/packages/sidecar/src/leases/createLoadLeases.ts
+++ b/packages/sidecar/src/leases/createLoadLeases.ts
@@ -156,7 +156,7 @@
     if (result === 'elsewhere') return remove(lease)
     // Without an answer the append may have been carried out, or may be later: reads show it.
     unseen.set(lease.key, lease)
-    reader.restart()
+    reader.restart(false)
   }
 
   const noteAwaited = ({ modelName, waitingCount }: ColdWant, otherCount: number, waitMs: number): void => {
@@ -308,7 +308,7 @@
   // writes its own records again, and takes no lease before the others have done so.
   const stopRestores = options.onRestored(() => {
     settledMs = timers.nowMs() + RESTORE_SETTLE_MS
-    reader.restart()
+    reader.restart(true)
     attemptModel = ''
     stopTimer()
     limitKeeper.restore()
