--- a/packages/gateway/src/routerFeed/createRouterFeed.test.ts
+++ b/packages/gateway/src/routerFeed/createRouterFeed.test.ts
@@ -14,6 +14,7 @@
 const setUp = (isNeeded = true) => {
   const timers = createVirtualTimers()
   const feed = createLeaseFeed(timers)
+  const listeners = new Set<() => void>()
   const join = (name: string) => {
     const counts: number[] = []
     const notices: RouterNotice[] = []
@@ -22,7 +23,10 @@
       instance: name,
       timers,
       events: createEventLog({ instance: name as InstanceName, role: 'router', timers }),
-      onRestored: () => () => {},
+      onRestored: listener => {
+        listeners.add(listener)
+        return () => { listeners.delete(listener) }
+      },
       isNeeded: () => isNeeded,
       counted: count => { counts.push(count) },
       takeNotice: notice => { notices.push(notice) }
@@ -35,7 +39,8 @@
       for (let turn = 0; turn < 20; turn++) await new Promise(resolve => { setImmediate(resolve) })
     }
   }
-  return { feed, join, pass }
+  const restore = (): void => { for (const listener of listeners) listener() }
+  return { feed, join, pass, restore }
 }
 
 describe('the feed of routers beside no agent', () => {
@@ -99,6 +104,23 @@
     for (const router of [first, second, third]) router.stop()
   })
 
+  it('passes the newest limit of a server on last, to a router that starts later and after a return of the store', async () => {
+    // Guards against an older limit that replaces the newest one.
+    const { join, pass, restore } = setUp()
+    const first = join('r0')
+    const second = join('r1')
+    for (let limitPerS = 1; limitPerS <= 21; limitPerS++) {
+      first.send({ ...LIMIT, limitPerS })
+      await pass(50)
+    }
+    const later = join('r2')
+    await pass(2_000)
+    restore()
+    await pass(2_000)
+    expect([second, later].map(({ notices }) => notices.at(-1))).to.deep.equal([{ ...LIMIT, limitPerS: 21 }, { ...LIMIT, limitPerS: 21 }])
+    for (const router of [first, second, later]) router.stop()
+  })
+
   it('is left alone by records of other writers', async () => {
     const { feed, join, pass } = setUp()
     const router = join('r0')
--- a/packages/gateway/src/routerFeed/createRouterFeed.ts
+++ b/packages/gateway/src/routerFeed/createRouterFeed.ts
@@ -59,7 +59,7 @@
   const startedUnixMs = timers.unixMs()
   const seenMs = new Map<string, number>()
   let ownSinceMs: number | undefined
-  /** Own records by key: the store may lose the last ones. */
+  /** Own records by key, in the order in which they were written: the store may lose the last ones. */
   const written = new Map<string, NewRecord>()
   let waiting: readonly NewRecord[] = []
   let noticeCount = 0
@@ -79,6 +79,7 @@
   }
 
   const enqueue = (record: NewRecord): void => {
+    written.delete(record.key)
     written.set(record.key, record)
     waiting = [...waiting.filter(({ key }) => key !== record.key), record].slice(-MAX_WAITING)
     runInBackground(events, 'routerFeed.write', write())
