--- a/packages/gateway/src/origins/createVersionLock.ts
+++ b/packages/gateway/src/origins/createVersionLock.ts
@@ -23,7 +23,10 @@
     resolve: async () => {
       if (!isTakenUp) return true
       const versions = context.directory.versionsOf(serviceName)
-      if (versions.size <= 1) return true
+      if (versions.size <= 1) {
+        [softwareVersion] = versions
+        return true
+      }
       if (caller.resumes === '') return false
       softwareVersion = await context.origins.find(caller.resumes, serviceName)
       return softwareVersion !== undefined
--- a/packages/gateway/src/origins/origins.test.ts
+++ b/packages/gateway/src/origins/origins.test.ts
@@ -121,6 +121,13 @@
     expect(noted).to.deep.equal(['first'])
   })
 
+  it('keeps a stream that its caller takes up at the only version, also when another one comes while it waits', async () => {
+    // Guards against a server of a new version that goes on with a stream as it was listed after the question of who began it.
+    const { lock } = makeLock({ lastEventId: '3', resumes: '' }, ['v1'])
+    expect(await lock.resolve()).to.equal(true)
+    expect([lock.mayServe(serverOf('v1')), lock.mayServe(serverOf('v2'))]).to.deep.equal([true, false])
+  })
+
   it('lets no server go on with a stream that nobody knows, unless there is one version', async () => {
     // Guards against a guess, and against a refusal where there is nothing to guess.
     expect(await makeLock({ lastEventId: '3', resumes: 'first' }, ['v1', 'v2']).lock.resolve()).to.equal(false)
