--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -249,6 +249,7 @@
       return servers
     },
     versionsOf: serviceName => versions.of(serviceName, entries.values()),
+    knowsVersions: versions.areKnown,
     find: serverId => {
       const entry = entries.get(serverId)
       return entry && view(entry)
--- a/packages/gateway/src/directory/createSoftwareVersions.ts
+++ b/packages/gateway/src/directory/createSoftwareVersions.ts
@@ -8,11 +8,14 @@
 export interface SoftwareVersions {
   /** The server is no longer listed, or has another version now. */
   readonly noteGone: (entry: ServerEntry) => void
+  /** False as long as servers of further versions may have gone before this record began. */
+  readonly areKnown: () => boolean
   readonly of: (serviceName: string, listed: Iterable<ServerEntry>) => ReadonlySet<string>
 }
 
 /** Creates the record of one router. */
 export const createSoftwareVersions = (timers: TimerService): SoftwareVersions => {
+  const beganMs = timers.nowMs()
   const gone = new Map<string, { readonly serviceName: string, readonly softwareVersion: string, readonly goneMs: number }>()
 
   const trim = (): void => {
@@ -26,6 +29,7 @@
     noteGone: ({ serviceName, softwareVersion }) => {
       gone.set(`${serviceName} ${softwareVersion}`, { serviceName, softwareVersion, goneMs: timers.nowMs() })
     },
+    areKnown: () => timers.nowMs() - beganMs >= RETENTION_MS,
     of: (serviceName, listed) => {
       trim()
       const versions = new Set<string>()
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -50,6 +50,8 @@
   readonly find: (serverId: string) => KnownServer | undefined
   /** Software versions of the service's servers, of those listed now and of those that were listed a short while ago. */
   readonly versionsOf: (serviceName: string) => ReadonlySet<string>
+  /** False after the start of the router: servers of further versions may have gone just before. */
+  readonly knowsVersions: () => boolean
   /**
    * This start of the server has ended or was replaced, as its agent or a later start shows, whether it is still listed or not. A server
    * that merely disappeared from the list may still finish its requests.
--- a/packages/gateway/src/origins/createVersionLock.ts
+++ b/packages/gateway/src/origins/createVersionLock.ts
@@ -23,13 +23,10 @@
     resolve: async () => {
       if (!isTakenUp) return true
       const versions = context.directory.versionsOf(serviceName)
-      if (versions.size <= 1) {
-        [softwareVersion] = versions
-        return true
-      }
-      if (caller.resumes === '') return false
-      softwareVersion = await context.origins.find(caller.resumes, serviceName)
-      return softwareVersion !== undefined
+      const mayBeOthers = versions.size > 1 || !context.directory.knowsVersions()
+      if (mayBeOthers && caller.resumes !== '') softwareVersion = await context.origins.find(caller.resumes, serviceName)
+      if (versions.size <= 1) softwareVersion ??= [...versions][0]
+      return versions.size <= 1 || softwareVersion !== undefined
     },
     mayServe: server => softwareVersion === undefined || server.entry.softwareVersion === softwareVersion,
     begin: server => {
--- a/packages/gateway/src/origins/origins.test.ts
+++ b/packages/gateway/src/origins/origins.test.ts
@@ -93,10 +93,10 @@
 describe('the version lock of a stream', () => {
   const serverOf = (softwareVersion: string): KnownServer => ({ entry: { softwareVersion } } as unknown as KnownServer)
 
-  const makeLock = (caller: { readonly lastEventId: string, readonly resumes: string }, versions: readonly string[], known?: string) => {
+  const makeLock = (caller: { readonly lastEventId: string, readonly resumes: string }, versions: readonly string[], known?: string, knowsVersions = true) => {
     const noted: string[] = []
     const context = {
-      directory: { versionsOf: () => new Set(versions) },
+      directory: { versionsOf: () => new Set(versions), knowsVersions: () => knowsVersions },
       origins: { find: async () => known, note: ({ streamId }: { readonly streamId: string }) => { noted.push(streamId) } }
     } as unknown as GatewayContext
     const request = { caller: { requestId: 'own', ...caller }, route: { isResumable: true }, serviceName: SERVICE } as unknown as RoutedRequest
@@ -128,6 +128,16 @@
     expect([lock.mayServe(serverOf('v1')), lock.mayServe(serverOf('v2'))]).to.deep.equal([true, false])
   })
 
+  it('keeps a stream at the version that began it also at a router that knows only the next one', async () => {
+    // Guards against a router that has started after the last server of the version had gone: another version would go on with its streams.
+    const { lock } = makeLock({ lastEventId: '3', resumes: 'first' }, ['v2'], 'v1', false)
+    expect(await lock.resolve()).to.equal(true)
+    expect(lock.mayServe(serverOf('v2'))).to.equal(false)
+    const unknown = makeLock({ lastEventId: '3', resumes: 'first' }, ['v2'], undefined, false)
+    expect(await unknown.lock.resolve()).to.equal(true)
+    expect(unknown.lock.mayServe(serverOf('v2'))).to.equal(true)
+  })
+
   it('lets no server go on with a stream that nobody knows, unless there is one version', async () => {
     // Guards against a guess, and against a refusal where there is nothing to guess.
     expect(await makeLock({ lastEventId: '3', resumes: 'first' }, ['v1', 'v2']).lock.resolve()).to.equal(false)
