--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -10,13 +10,14 @@
 import { serveRouters } from './serveRouters.js'
 
 import type { InstanceName } from '@figmount/base'
-import type { AgentLoad, AgentMessage, AgentState, RouterMessage } from '@figmount/fleet'
+import type { AgentLoad, AgentMessage, AgentState, RouterMessage, Want } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
+import type { Settle } from '../wants/createWantRegistry.js'
 
 const nothing = (): undefined => {}
 
 /** Sets up an agent that only serves its links; `describe` returns the engine state that it reports. */
-const setUp = async (describe: (routerCount: number) => AgentState, describeLoad: () => AgentLoad | undefined = nothing) => {
+const setUp = async (describe: (routerCount: number) => AgentState, describeLoad: () => AgentLoad | undefined = nothing, takeWant: (router: string, want: Want, settle: Settle) => void = nothing) => {
   const timers = createTimerService()
   const instance = 'a' as InstanceName
   const codec = createMessageCodec(MESSAGE_STRUCTURES)
@@ -29,7 +30,7 @@
     describe,
     describeLoad,
     hasReplicaElsewhere: () => false,
-    takeWant: nothing,
+    takeWant,
     dropWant: nothing,
     dropRouter: nothing,
     limiters: createLimiters({ timers, limitOf: nothing, isFirstStart: true }),
@@ -88,6 +89,29 @@
     expect(seen?.isDraining).to.equal(false)
   })
 
+  it('send a router a change that is reverted after it was sent to this one alone', async () => {
+    // Guards against a router that keeps a state which it got with the answer to its want.
+    let state: AgentState = makeStateForTest()
+    const { timers, links, open } = await setUp(routerCount => ({ ...state, routerCount }), nothing, (_router, want, settle) => {
+      state = { ...state, isDraining: true }
+      settle(want.wantId, { isReady: false, isLost: false, reason: 'not in time' })
+    })
+    const link = await open('r0')
+    const seen: boolean[] = []
+    timers.after(100, () => { link.send({ type: 'want', wantId: 1, serverId: 'a', modelName: 'm', waitingCount: 1, lateCount: 0, timeLeftMs: 100 }) })
+    timers.after(200, () => {
+      state = { ...state, isDraining: false }
+      links.sendUpdate()
+    })
+    timers.after(400, () => link.close('the test ends'))
+    for await (const message of link.received) {
+      if (message.type === 'state') seen.push(message.isDraining)
+      if (message.type === 'stateChange' && message.changes.isDraining !== undefined) seen.push(message.changes.isDraining)
+    }
+    links.close()
+    expect(seen).to.deep.equal([false, true, false])
+  })
+
   it('send a new router the load that the others have', async () => {
     // A router links while the load does not change. Without a load message it would take a full engine for an idle one.
     const { timers, links, open } = await setUp(() => makeStateForTest(), () => ({ type: 'load', runningCount: 40, startingCount: 7 }))
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -51,7 +51,7 @@
   readonly texts: ReadonlyMap<string, string>
 }
 
-/** A changed state and the message with its changes since the last state sent to all routers. */
+/** A changed state and the message with its changes since a state that was sent. */
 interface StateUpdate extends SentState {
   readonly message: AgentStateChange
 }
@@ -74,6 +74,8 @@
   const links = new Set<RouterLink>()
   const lastSentMs = new Map<RouterLink, number>()
   let sentState: SentState | undefined
+  /** The states of routers that have got changes since `sentState` alone. */
+  const ahead = new Map<RouterLink, SentState['texts']>()
   let sentLoad: { readonly load: AgentLoad, readonly atMs: number } | undefined
   const relayedReads = createRelayedReads(timers)
   const crashNotices = createCrashNotices(timers)
@@ -93,14 +95,11 @@
     sendToMany([...links].filter(link => link !== except), message)
   }
 
-  /** The changes since the last state sent to all routers; undefined when there are none. */
-  const describeUpdate = (): StateUpdate | undefined => {
-    const state = options.describe(census.count())
-    if (!state) return undefined
-    const texts = serializeFields(state)
-    const changed = changedFields(sentState?.texts ?? NO_TEXTS, texts)
+  const updateSince = (texts: SentState['texts'], state: AgentState): StateUpdate | undefined => {
+    const now = serializeFields(state)
+    const changed = changedFields(texts, now)
     if (changed.length === 0) return undefined
-    return { state, texts, message: { type: 'stateChange', changes: { ...pickFields(state, changed), ...volatileFieldsOf(state) } } }
+    return { state, texts: now, message: { type: 'stateChange', changes: { ...pickFields(state, changed), ...volatileFieldsOf(state) } } }
   }
 
   /** Sends newly linked routers the full state to which the later changes sent to all routers apply. */
@@ -109,13 +108,26 @@
     if (sentLoad) sendToMany(receivers, sentLoad.load)
   }
 
+  // Guards against a router that keeps a change which was sent to it alone and is reverted before the next comparison with what all have.
+  const sendToAhead = (state: AgentState): void => {
+    for (const [link, texts] of ahead) {
+      const update = updateSince(texts, state)
+      if (update && links.has(link)) sendTo(link, update.message)
+    }
+  }
+
   const sendUpdate = (): void => {
-    const update = describeUpdate()
+    const state = options.describe(census.count())
+    if (!state) return
+    sendToAhead(state)
+    const update = updateSince(sentState?.texts ?? NO_TEXTS, state)
+    const others = [...links].filter(link => !ahead.has(link))
+    ahead.clear()
     if (!update) return
     const isFirst = sentState === undefined
     sentState = update
     if (isFirst) sendFullState(links, update.state)
-    else sendToAll(update.message)
+    else sendToMany(others, update.message)
   }
 
   const sendLoad = (): void => {
@@ -137,8 +149,12 @@
 
   const settleFor = (link: RouterLink): Settle => (wantId, outcome) => {
     // The state is sent first: a router whose want is met must see which engine holds the model. Others get it at the next comparison.
-    const update = describeUpdate()
-    if (update) sendTo(link, update.message)
+    const state = options.describe(census.count())
+    const update = state && updateSince(ahead.get(link) ?? sentState?.texts ?? NO_TEXTS, state)
+    if (update) {
+      sendTo(link, update.message)
+      ahead.set(link, update.texts)
+    }
     sendTo(link, { type: 'wantSettled', wantId, ...outcome })
   }
 
@@ -200,6 +216,7 @@
       links.delete(link)
       census.noteLost(link.peer)
       lastSentMs.delete(link)
+      ahead.delete(link)
       if (!isLinked(link.peer)) options.dropRouter(link.peer)
     }
   }
