--- a/packages/gateway/src/requests/createCallerStream.ts
+++ b/packages/gateway/src/requests/createCallerStream.ts
@@ -66,6 +66,7 @@
       noteRunStart(event)
       keepsUp = sink.write(event.bytes)
     }
+    if (sink.isTooLong()) return Taken.Gap
     return keepsUp ? Taken.InTime : Taken.Slowly
   }
 
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -52,8 +52,8 @@
     onceDrained: stream.onceDrained,
     silenceMs: request.route.patienceMs
   })
-  if (end === BytesEnd.BrokenOff) return { type: 'broken', reason }
   if (stream.isTooLong()) return { type: 'broken', reason: 'too long for a caller that takes no chunks' }
+  if (end === BytesEnd.BrokenOff) return { type: 'broken', reason }
   if (!stream.mayEnd()) return { type: 'broken', reason: 'ended before an event that the caller has' }
   const proof = await awaitProof(context, request, { ...run, mayRunElsewhere: run.mayRunElsewhere && stream.mayGoOn(), end })
   return proof ? { type: 'finished', answerEnd: { framing: open.framing, proof } } : { type: 'broken', reason: NO_PROOF_REASON }
--- a/packages/gateway/src/streams/createEventSink.ts
+++ b/packages/gateway/src/streams/createEventSink.ts
@@ -40,22 +40,38 @@
   isTooLong: () => false
 })
 
+/** Small pieces are joined to blocks of this size, as each piece keeps the memory that it was read into. */
+const BLOCK_BYTES = 64 * 1024
+
 const createHeldSink = (response: ServerResponse): EventSink => {
-  const held: Buffer[] = []
+  const blocks: Buffer[] = []
+  let pieces: Buffer[] = []
+  let pieceBytes = 0
   let byteCount = 0
   let head: { readonly status: number, readonly headers: RawHeaders } | undefined
+
+  const joinPieces = (): void => {
+    blocks.push(Buffer.concat(pieces))
+    pieces = []
+    pieceBytes = 0
+  }
+
   return {
     framing: Framing.Length,
     begin: (status, headers) => { head ??= { status, headers } },
     write: bytes => {
       byteCount += bytes.length
-      if (byteCount <= MAX_ANSWER_BYTES) held.push(bytes)
+      if (byteCount > MAX_ANSWER_BYTES) return true
+      pieces.push(bytes)
+      pieceBytes += bytes.length
+      if (pieceBytes >= BLOCK_BYTES) joinPieces()
       return true
     },
     end: () => {
       if (!head) return
       response.writeHead(head.status, [...head.headers, 'content-length', String(byteCount)])
-      for (const bytes of held) response.write(bytes)
+      joinPieces()
+      for (const block of blocks) response.write(block)
       endAfterDrain(response)
     },
     isTooLong: () => byteCount > MAX_ANSWER_BYTES
--- a/packages/gateway/src/streams/relayEvents.ts
+++ b/packages/gateway/src/streams/relayEvents.ts
@@ -17,7 +17,7 @@
   InTime: 'in_time',
   /** The reader is too slow. */
   Slowly: 'slowly',
-  /** An event before it is missing: nothing more of this run is taken. */
+  /** An event before it is missing, or there is no room for it: nothing more of this run is taken. */
   Gap: 'gap'
 } as const
 
