--- a/packages/gateway/src/forwarding/framing.ts
+++ b/packages/gateway/src/forwarding/framing.ts
@@ -28,7 +28,7 @@
 export const EndProof = {
   /** Its framing. */
   Framing: 'framing',
-  /** After the close of its connection the same start of its server has answered a health check. */
+  /** After the close of its connection a server with the same id has answered a health check. */
   HealthCheck: 'health_check'
 } as const
 
