--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -67,7 +67,7 @@
     events.emit(GatewayEvent.serverLeft, { peer: serverId, reason })
   }
 
-  const missingEntries = createMissingEntries(timers, remove)
+  const missingEntries = createMissingEntries(timers, events, remove)
 
   // Guards against mistaking a server that has restarted under the same id for its previous start, whose models, failures, requests and
   // cached prefixes are gone. It would get requests for models it no longer holds, and streams that ran on the previous start would
@@ -92,10 +92,11 @@
     if (entries.has(state.serverId) && !isStaleReport(state, startOf(state.serverId))) noteStart(state)
   }
 
-  const takeEntry = (entry: ServerEntry): void => {
+  const takeEntry = (entry: ServerEntry, source: string): void => {
     const known = entries.get(entry.serverId)
     // An entry may be seconds old and belong to the start before the one that the agent has reported.
     if (!isEarlierStart(entry, startOf(entry.serverId))) noteStart(entry)
+    if (departures.addressOf(entry.serverId) !== undefined && !entry.isDraining) events.emit(GatewayEvent.serverReturned, { peer: entry.serverId, reason: source })
     missingEntries.noteListed(entry.serverId)
     entries.set(entry.serverId, entry)
     if (known && known.softwareVersion !== entry.softwareVersion) versions.noteGone(known)
@@ -116,7 +117,7 @@
     events.emit(GatewayEvent.recordRefused, { step: fault.step, peer: fault.peer, reason: fault.message, offset })
   }
 
-  const takeRecord = (record: FeedRecord): void => {
+  const takeRecord = (record: FeedRecord, source: string): void => {
     if (!record.value) {
       refusedKeys.delete(record.key)
       return missingEntries.noteMissing(record.key)
@@ -125,7 +126,7 @@
       Left: fault => { refuseEntry(fault, record) },
       Right: entry => {
         refusedKeys.delete(record.key)
-        takeEntry(entry)
+        takeEntry(entry, source)
       }
     })
   }
@@ -137,9 +138,9 @@
     return decodeServer(key, value).map(entry => !isEarlierStart(startOf(key), entry)).orDefault(false)
   }
 
-  const takeRecords = (records: readonly FeedRecord[]): void => {
+  const takeRecords = (records: readonly FeedRecord[], source = 'the list'): void => {
     missingEntries.settle()
-    for (const record of records) takeRecord(record)
+    for (const record of records) takeRecord(record, source)
     isListRead = true
   }
 
@@ -204,7 +205,7 @@
   return {
     takeRecords,
     takeCopy: records => {
-      takeRecords(records.filter(record => !isOutdated(record)))
+      takeRecords(records.filter(record => !isOutdated(record)), 'an older copy of the list')
     },
     takeKeys: keys => {
       for (const serverId of [...entries.keys()]) {
--- a/packages/gateway/src/directory/createMissingEntries.ts
+++ b/packages/gateway/src/directory/createMissingEntries.ts
@@ -1,6 +1,8 @@
 import { RELIST_GRACE_MS } from '@figmount/fleet'
 
-import type { TimerService } from '@figmount/base'
+import { GatewayEvent } from '../events.js'
+
+import type { EventLog, TimerService } from '@figmount/base'
 
 /**
  * Entries that disappeared from the list during an outage of the store or just after it.
@@ -11,8 +13,8 @@
 export interface MissingEntries {
   readonly noteOutage: () => void
   readonly noteRegained: () => void
-  /** Another router has seen an outage: for this time missing entries do not show that servers are gone. */
-  readonly noteSettling: (leftMs: number) => void
+  /** For this time missing entries do not show that servers are gone; `source` is logged. */
+  readonly noteSettling: (leftMs: number, source: string) => void
   /** Remaining time in which missing entries do not show that servers are gone. */
   readonly settlingMs: () => number
   /** An entry is missing: its server is removed at once, or after an outage if it is not listed again in time. */
@@ -23,10 +25,11 @@
 }
 
 /** Creates the tracker of missing entries in one router's list. `remove` is called for each server that is gone. */
-export const createMissingEntries = (timers: TimerService, remove: (serverId: string, reason: string) => void): MissingEntries => {
+export const createMissingEntries = (timers: TimerService, events: EventLog, remove: (serverId: string, reason: string) => void): MissingEntries => {
   const missing = new Set<string>()
   let isStoreDown = false
   let settlesAtMs = -Infinity
+  let doubt = ''
 
   const settlingMs = (): number => isStoreDown ? RELIST_GRACE_MS : Math.max(0, settlesAtMs - timers.nowMs())
 
@@ -36,23 +39,28 @@
     missing.clear()
   }
 
-  const noteSettling = (leftMs: number): void => {
+  const noteSettling = (leftMs: number, source: string): void => {
     if (leftMs <= settlingMs()) return
+    doubt = source
     settlesAtMs = timers.nowMs() + leftMs
     timers.after(leftMs, settle)
   }
 
   return {
-    noteOutage: () => { isStoreDown = true },
+    noteOutage: () => {
+      isStoreDown = true
+      doubt = 'the store does not answer'
+    },
     noteRegained: () => {
       isStoreDown = false
-      noteSettling(RELIST_GRACE_MS)
+      noteSettling(RELIST_GRACE_MS, 'the store did not answer')
     },
     noteSettling,
     settlingMs,
     noteMissing: serverId => {
-      if (settlingMs() > 0) missing.add(serverId)
-      else remove(serverId, 'no longer listed')
+      if (settlingMs() === 0) return remove(serverId, 'no longer listed')
+      missing.add(serverId)
+      events.emit(GatewayEvent.entryDoubted, { peer: serverId, reason: doubt, waitMs: Math.round(settlingMs()) })
     },
     noteListed: serverId => { missing.delete(serverId) },
     settle
--- a/packages/gateway/src/origins/createVersionLock.ts
+++ b/packages/gateway/src/origins/createVersionLock.ts
@@ -1,3 +1,5 @@
+import { GatewayEvent } from '../events.js'
+
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext, RoutedRequest } from '../requests/types.js'
 
@@ -19,14 +21,22 @@
   const isTakenUp = route.isResumable && caller.lastEventId !== ''
   let softwareVersion: string | undefined
 
+  const judge = (reason: string, versionCount: number): boolean => {
+    context.events.emit(GatewayEvent.takeUpJudged, { requestKey: caller.requestId, item: caller.resumes, service: serviceName, version: softwareVersion ?? '', count: versionCount, reason })
+    return softwareVersion !== undefined
+  }
+
   return {
     resolve: async () => {
       if (!isTakenUp) return true
       const versions = context.directory.versionsOf(serviceName)
       const mayBeOthers = versions.size > 1 || !context.directory.knowsVersions()
       if (mayBeOthers && caller.resumes !== '') softwareVersion = await context.origins.find(caller.resumes, serviceName)
-      if (versions.size <= 1) softwareVersion ??= [...versions][0]
-      return versions.size <= 1 || softwareVersion !== undefined
+      if (softwareVersion !== undefined) return judge('its origin is known', versions.size)
+      if (versions.size > 1) return judge('nobody knows its origin', versions.size)
+      softwareVersion = [...versions][0]
+      judge('one version is known', versions.size)
+      return true
     },
     mayServe: server => softwareVersion === undefined || server.entry.softwareVersion === softwareVersion,
     begin: server => {
--- a/packages/gateway/src/origins/origins.test.ts
+++ b/packages/gateway/src/origins/origins.test.ts
@@ -96,6 +96,7 @@
   const makeLock = (caller: { readonly lastEventId: string, readonly resumes: string }, versions: readonly string[], known?: string, knowsVersions = true) => {
     const noted: string[] = []
     const context = {
+      events: { emit: () => {} },
       directory: { versionsOf: () => new Set(versions), knowsVersions: () => knowsVersions },
       origins: { find: async () => known, note: ({ streamId }: { readonly streamId: string }) => { noted.push(streamId) } }
     } as unknown as GatewayContext
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -126,7 +126,7 @@
     take: (records, isCopy) => {
       if (!isCopy) return directory.takeRecords(records)
       isCopyRead = true
-      directory.missingEntries.noteSettling(RELIST_GRACE_MS)
+      directory.missingEntries.noteSettling(RELIST_GRACE_MS, 'the store has come back from an older copy')
       directory.takeCopy(records)
     },
     takeKeys: directory.takeKeys,
@@ -158,7 +158,7 @@
     },
     reviewReads: () => { if (!options.mustReadDeployments()) deployments.pause() },
     takeListRead: (read, mayBeStale) => {
-      directory.missingEntries.noteSettling(read.settlingMs)
+      directory.missingEntries.noteSettling(read.settlingMs, 'another router doubts the store')
       if (!servers.offerRange(read)) return
       listChanges.take(read.records)
       if (!mayBeStale) readSchedule.note(timers.nowMs() - read.ageMs)
