--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -26,6 +26,10 @@
   readonly takeKeys: (keys: ReadonlySet<string>) => void
   /** Called when the store has answered a read, after the records were taken. */
   readonly noteRead?: (read: FeedRead) => void
+  /** Called when the store has answered a read, before the records are taken. */
+  readonly noteAnswered?: (beganMs: number) => void
+  /** Called with each read that fails, while `lost` is called with the first one of an outage. */
+  readonly noteFailed?: (beganMs: number) => void
   readonly lost: (fault: Fault) => void
   readonly regained: (outageMs: number) => void
 }
@@ -131,6 +135,7 @@
     }
     nextOffset = Math.max(nextOffset ?? 0, page.nextOffset)
     const isWhole = fromOffset === undefined
+    options.noteAnswered?.(beganMs)
     if (isWhole) acceptAll(page)
     else accept(page.records, true)
     options.noteRead?.({ stretch: { fromOffset: fromOffset ?? 0, toOffset: page.nextOffset, records: page.records }, isWhole, beganMs })
@@ -151,7 +156,8 @@
     }
   }
 
-  const noteFault = (fault: Fault): void => {
+  const noteFault = (fault: Fault, beganMs: number): void => {
+    options.noteFailed?.(beganMs)
     if (outageSinceMs !== undefined) return
     outageSinceMs = timers.nowMs()
     options.lost(fault)
@@ -168,7 +174,7 @@
         await waitUntilDue()
         continue
       }
-      result.caseOf({ Left: noteFault, Right: page => { noteAnswer(page, fromOffset, beganMs) } })
+      result.caseOf({ Left: fault => { noteFault(fault, beganMs) }, Right: page => { noteAnswer(page, fromOffset, beganMs) } })
       if (result.isRight()) {
         retryMs = INITIAL_RETRY_MS
         if (nextOffset !== undefined) await waitUntilDue()
--- a/packages/fleet/src/messages/structures.ts
+++ b/packages/fleet/src/messages/structures.ts
@@ -15,7 +15,7 @@
   ['roomMs', 'loadingLeftMs', 'loadingForMs', 'coldWaitMs', 'evictionLoss', 'demandTokensPerS'],
   ['name', 'adapters'],
   ['type', 'runningCount', 'startingCount'],
-  ['type', 'fromOffset', 'toOffset', 'records', 'ageMs', 'settlingMs'],
+  ['type', 'fromOffset', 'toOffset', 'records', 'ageMs', 'answeredForMs', 'isAfterBreak'],
   ['key', 'value', 'offset'],
   ['type', 'wantId', 'isReady', 'isLost', 'reason'],
   ['type', 'wantId', 'serverId', 'modelName', 'waitingCount', 'lateCount', 'unmetForMs', 'timeLeftMs'],
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -96,8 +96,10 @@
   readonly type: 'listRead'
   /** Time since the read began. Records written later are missing. */
   readonly ageMs: number
-  /** Time during which a missing server may merely have expired because the store was unavailable; 0 when the store was available. */
-  readonly settlingMs: number
+  /** Time before the read in which the store is known to have answered. */
+  readonly answeredForMs: number
+  /** The sender has seen the store fail just before that time. */
+  readonly isAfterBreak: boolean
 }
 
 /** Crashes, and what disproves that a request or a part of prompts was their cause, as one router has seen them. */
--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -68,7 +68,7 @@
     links,
     receivedTypes,
     sendState: () => { for (const link of toRouters) link.send(makeAgentState('a')) },
-    sendListRead: () => { for (const link of toRouters) link.send({ type: 'listRead', fromOffset: 0, toOffset: 1, records: [], ageMs: 0, settlingMs: 0 }) },
+    sendListRead: () => { for (const link of toRouters) link.send({ type: 'listRead', fromOffset: 0, toOffset: 1, records: [], ageMs: 0, answeredForMs: 0, isAfterBreak: false }) },
     staleFlags,
     close: () => {
       links.close()
--- a/packages/gateway/src/crashes/createBreakWatch.test.ts
+++ b/packages/gateway/src/crashes/createBreakWatch.test.ts
@@ -2,7 +2,7 @@
 import { Right } from 'purify-ts'
 import { createEventLog, createVirtualTimers } from '@figmount/base'
 import { ProbeResult } from '@figmount/decisions'
-import { createCrashHistory } from '@figmount/fleet'
+import { createCrashHistory, RELIST_GRACE_MS } from '@figmount/fleet'
 
 import { createDirectory } from '../directory/createDirectory.js'
 import { createBreakWatch } from './createBreakWatch.js'
@@ -86,12 +86,13 @@
 
   it('has not died if its entry goes in an outage of the store and comes back', async () => {
     // Guards against harmless requests that are refused after an outage of the store and of links at the same time.
-    const { directory, pass, breakRun, list, unlist, count } = setUp(() => ProbeResult.Unclear)
+    const { timers, directory, pass, breakRun, list, unlist, count } = setUp(() => ProbeResult.Unclear)
+    const doubtUntil = (untilMs: number): void => { directory.missingEntries.setDoubt({ untilMs, keepUntilMs: () => Infinity, reason: 'an outage' }) }
     breakRun()
-    directory.missingEntries.noteOutage()
+    doubtUntil(Infinity)
     unlist()
     await pass(4_000)
-    directory.missingEntries.noteRegained()
+    doubtUntil(timers.nowMs() + RELIST_GRACE_MS)
     await pass(1_000)
     list()
     await pass(8_000)
--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { Either } from 'purify-ts'
 import { createEventLog, createVirtualTimers, makeFault } from '@figmount/base'
+import { RELIST_GRACE_MS } from '@figmount/fleet'
 
 import { viewReplicas } from '../placing/viewServers.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
@@ -95,9 +96,10 @@
     // Guards against losing all servers whose entries expire in an outage.
     const { timers, directory, ids } = setUp()
     directory.takeRecords([listed('a'), listed('b')])
-    directory.missingEntries.noteOutage()
+    const doubtUntil = (untilMs: number): void => { directory.missingEntries.setDoubt({ untilMs, keepUntilMs: () => Infinity, reason: 'an outage' }) }
+    doubtUntil(Infinity)
     timers.advance(8_000)
-    directory.missingEntries.noteRegained()
+    doubtUntil(timers.nowMs() + RELIST_GRACE_MS)
     directory.takeKeys(new Set())
     expect(ids()).to.deep.equal(['a', 'b'])
     timers.advance(1_500)
--- a/packages/gateway/src/directory/createMissingEntries.ts
+++ b/packages/gateway/src/directory/createMissingEntries.ts
@@ -1,23 +1,27 @@
-import { RELIST_GRACE_MS } from '@figmount/fleet'
-
 import { GatewayEvent } from '../events.js'
 
 import type { EventLog, TimerService } from '@figmount/base'
 
+/** The store may have been unavailable: a missing entry may have expired, and be listed again. */
+export interface Doubt {
+  /** Missing entries show from then on that their servers are gone. */
+  readonly untilMs: number
+  /** Time until which an entry that is found missing now may be kept at most. */
+  readonly keepUntilMs: () => number
+  /** What the doubt rests on; it is logged. */
+  readonly reason: string
+}
+
 /**
- * Entries that disappeared from the list during an outage of the store or just after it.
+ * Entries that disappeared from the list when the store may have been unavailable.
  *
  * Guards against losing every server after an outage of the store: entries expire while servers cannot renew them, and reappear within
  * two seconds after it. Until then a missing entry does not show that its server is gone.
  */
 export interface MissingEntries {
-  readonly noteOutage: () => void
-  readonly noteRegained: () => void
-  /** For this time missing entries do not show that servers are gone; `source` is logged. */
-  readonly noteSettling: (leftMs: number, source: string) => void
-  /** Remaining time in which missing entries do not show that servers are gone. */
-  readonly settlingMs: () => number
-  /** An entry is missing: its server is removed at once, or after an outage if it is not listed again in time. */
+  /** Replaces the doubt; undefined if missing entries show that their servers are gone. */
+  readonly setDoubt: (doubt: Doubt | undefined) => void
+  /** An entry is missing: its server is removed at once, or in case of doubt if it is not listed again in time. */
   readonly noteMissing: (serverId: string) => void
   readonly noteListed: (serverId: string) => void
   /** Removes the servers that were not listed again in time. */
@@ -26,41 +30,41 @@
 
 /** Creates the tracker of missing entries in one router's list. `remove` is called for each server that is gone. */
 export const createMissingEntries = (timers: TimerService, events: EventLog, remove: (serverId: string, reason: string) => void): MissingEntries => {
-  const missing = new Set<string>()
-  let isStoreDown = false
-  let settlesAtMs = -Infinity
-  let doubt = ''
-
-  const settlingMs = (): number => isStoreDown ? RELIST_GRACE_MS : Math.max(0, settlesAtMs - timers.nowMs())
+  /** Time until which each may be kept at most. */
+  const missing = new Map<string, number>()
+  let doubt: Doubt | undefined
 
   const settle = (): void => {
-    if (settlingMs() > 0) return
-    for (const serverId of missing) remove(serverId, 'not listed again after an outage of the store')
-    missing.clear()
+    const nowMs = timers.nowMs()
+    for (const [serverId, keepUntilMs] of missing) {
+      if (nowMs < Math.min(keepUntilMs, doubt?.untilMs ?? -Infinity)) continue
+      missing.delete(serverId)
+      remove(serverId, 'not listed again after an outage of the store')
+    }
   }
 
-  const noteSettling = (leftMs: number, source: string): void => {
-    if (leftMs <= settlingMs()) return
-    doubt = source
-    settlesAtMs = timers.nowMs() + leftMs
-    timers.after(leftMs, settle)
+  const settleAt = (atMs: number): void => {
+    if (atMs < Infinity) timers.after(Math.max(0, atMs - timers.nowMs()), settle)
   }
 
   return {
-    noteOutage: () => {
-      isStoreDown = true
-      doubt = 'the store does not answer'
-    },
-    noteRegained: () => {
-      isStoreDown = false
-      noteSettling(RELIST_GRACE_MS, 'the store did not answer')
+    setDoubt: next => {
+      doubt = next
+      settle()
+      if (missing.size > 0) settleAt(next?.untilMs ?? -Infinity)
     },
-    noteSettling,
-    settlingMs,
     noteMissing: serverId => {
-      if (settlingMs() === 0) return remove(serverId, 'no longer listed')
-      missing.add(serverId)
-      events.emit(GatewayEvent.entryDoubted, { peer: serverId, reason: doubt, waitMs: Math.round(settlingMs()) })
+      const nowMs = timers.nowMs()
+      const keepUntilMs = doubt?.keepUntilMs() ?? -Infinity
+      const untilMs = Math.min(doubt?.untilMs ?? -Infinity, keepUntilMs)
+      if (untilMs <= nowMs) {
+        missing.delete(serverId)
+        return remove(serverId, 'no longer listed')
+      }
+      if (missing.has(serverId)) return
+      missing.set(serverId, keepUntilMs)
+      settleAt(untilMs)
+      events.emit(GatewayEvent.entryDoubted, { peer: serverId, reason: doubt?.reason ?? '', ...(untilMs < Infinity ? { waitMs: Math.round(untilMs - nowMs) } : {}) })
     },
     noteListed: serverId => { missing.delete(serverId) },
     settle
--- a/packages/gateway/src/router/followFeeds.test.ts
+++ b/packages/gateway/src/router/followFeeds.test.ts
@@ -103,7 +103,7 @@
 }
 
 const emptyRead = (fromOffset: number, toOffset: number): ListRead =>
-  ({ type: 'listRead', fromOffset, toOffset, records: [], ageMs: 5, settlingMs: 0 })
+  ({ type: 'listRead', fromOffset, toOffset, records: [], ageMs: 5, answeredForMs: 0, isAfterBreak: false })
 
 /** Sends a router the same read repeatedly until it must have seen all that was written. */
 const sendRepeatedly = async (
@@ -164,7 +164,7 @@
     await pass(500)
     const [router] = routers
     const gone: FeedRecord = { key: 'a', value: undefined, offset: 3 }
-    router?.feeds.takeListRead({ type: 'listRead', fromOffset: 3, toOffset: 4, records: [gone], ageMs: 5, settlingMs: 2_000 }, false)
+    router?.feeds.takeListRead({ type: 'listRead', fromOffset: 3, toOffset: 4, records: [gone], ageMs: 5, answeredForMs: 0, isAfterBreak: true }, false)
     await pass(1_000)
     const isKept = router?.directory.find('a') !== undefined
     store.write('a', undefined)
@@ -174,6 +174,21 @@
     expect(router?.directory.find('a')).to.equal(undefined)
   })
 
+  it('removes a server in time whose entry goes while other routers doubt the store again and again', async () => {
+    // Guards against one router's doubt that becomes everyone's: a router that has read the list all the while keeps a server that has left.
+    const { store, routers, pass } = setUp(1, makeRandom(SEED))
+    await pass(3_000)
+    const [router] = routers
+    store.write('a', undefined)
+    for (let passedMs = 0; passedMs < LEAVE_MS; passedMs += 500) {
+      router?.feeds.takeListRead({ ...emptyRead(4, 4), isAfterBreak: true }, false)
+      await pass(500)
+    }
+    const isGone = router?.directory.find('a') === undefined
+    stopAll(routers)
+    expect(isGone).to.equal(true)
+  })
+
   it('is not postponed by a read that leaves a gap', async () => {
     // Guards against missing a leaving server whose record was in a lost message.
     const { store, routers, pass } = setUp(1, makeRandom(SEED))
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -1,10 +1,11 @@
 import { BaseEvent } from '@figmount/base'
-import { createFeedFollower, createNewestDeployment, LONG_POLL_MS, RELIST_GRACE_MS } from '@figmount/fleet'
+import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
 import { DUTY_REVIEW_MS, LIST_AGE_SHARE, LIST_SPREAD_SHARE } from './constants.js'
 import { createListChanges } from './createListChanges.js'
 import { createReadSchedule } from './createReadSchedule.js'
+import { createStoreWatch } from './createStoreWatch.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { Deployment, DeploymentCopy, FeedRead, FeedRecord, ListRead, StorePort } from '@figmount/fleet'
@@ -101,11 +102,14 @@
     random: options.random
   })
 
+  const storeWatch = createStoreWatch({ timers, leaveMs: options.leaveMs, setDoubt: directory.missingEntries.setDoubt })
+
   /** The read that is taken now is the first one after the store has come back from an older copy. */
   let isCopyRead = false
 
   const noteListRead = ({ stretch, isWhole, beganMs }: FeedRead): void => {
     readSchedule.note(beganMs)
+    storeWatch.noteTaken(beganMs)
     const records = listChanges.take(stretch.records)
     // Guards against a server that others know to have left: they take it again by a record that renews what the copy says.
     if (isCopyRead) listChanges.reset()
@@ -113,7 +117,8 @@
     // A whole read does not contain the keys that were removed, so it cannot replace the reads of other routers.
     if (isWhole) return
     const ageMs = Math.ceil(timers.nowMs() - beganMs)
-    options.sendListRead({ type: 'listRead', ...stretch, records, ageMs, settlingMs: Math.ceil(directory.missingEntries.settlingMs()) })
+    const answeredForMs = Math.floor(storeWatch.answeredForMs(beganMs))
+    options.sendListRead({ type: 'listRead', ...stretch, records, ageMs, answeredForMs, isAfterBreak: storeWatch.hasSeenBreak() })
   }
 
   const servers = createFeedFollower({
@@ -126,17 +131,15 @@
     take: (records, isCopy) => {
       if (!isCopy) return directory.takeRecords(records)
       isCopyRead = true
-      directory.missingEntries.noteSettling(RELIST_GRACE_MS, 'the store has come back from an older copy')
+      storeWatch.noteRestored()
       directory.takeCopy(records)
     },
     takeKeys: directory.takeKeys,
     noteRead: noteListRead,
-    lost: fault => {
-      directory.missingEntries.noteOutage()
-      lost(fault)
-    },
+    noteAnswered: beganMs => { storeWatch.noteAnswered({ beganMs, answeredForMs: 0, isAfterBreak: false }) },
+    noteFailed: storeWatch.noteFailed,
+    lost,
     regained: outageMs => {
-      directory.missingEntries.noteRegained()
       options.storeRegained()
       // Guards against a network cut that leaves the read of the configuration waiting on a dead connection: it would wait for seconds
       // while requests are served by an older configuration. A router that receives no reads from others reads the list itself, which
@@ -158,10 +161,13 @@
     },
     reviewReads: () => { if (!options.mustReadDeployments()) deployments.pause() },
     takeListRead: (read, mayBeStale) => {
-      directory.missingEntries.noteSettling(read.settlingMs, 'another router doubts the store')
+      const beganMs = timers.nowMs() - read.ageMs
+      if (!mayBeStale) storeWatch.noteAnswered({ beganMs, answeredForMs: read.answeredForMs, isAfterBreak: read.isAfterBreak })
       if (!servers.offerRange(read)) return
       listChanges.take(read.records)
-      if (!mayBeStale) readSchedule.note(timers.nowMs() - read.ageMs)
+      if (mayBeStale) return
+      readSchedule.note(beganMs)
+      storeWatch.noteTaken(beganMs)
     },
     stop: () => {
       deployments.stop()
--- a/packages/sidecar/src/links/createRelayedReads.test.ts
+++ b/packages/sidecar/src/links/createRelayedReads.test.ts
@@ -6,7 +6,7 @@
 import type { ListRead } from '@figmount/fleet'
 
 const readOf = (toOffset: number, ageMs = 5): ListRead =>
-  ({ type: 'listRead', fromOffset: 0, toOffset, records: [], ageMs, settlingMs: 0 })
+  ({ type: 'listRead', fromOffset: 0, toOffset, records: [], ageMs, answeredForMs: 0, isAfterBreak: false })
 
 describe('createRelayedReads', () => {
   it('relays one of several reads that were made at the same time', () => {
