--- a/packages/fleet/src/messages/structures.ts
+++ b/packages/fleet/src/messages/structures.ts
@@ -27,7 +27,7 @@
   ['type', 'start', 'limitPerS'],
   ['streamId', 'serviceName', 'softwareVersion'],
   ['type', 'askId', 'streamId', 'serviceName'],
-  ['type', 'askId', 'softwareVersion'],
+  ['type', 'askId', 'softwareVersion', 'rememberedForMs'],
   ['identity', 'start', 'ageMs'],
   ['identity', 'ageMs'],
   ['contentHash', 'callerId'],
--- a/packages/fleet/src/messages/types.ts
+++ b/packages/fleet/src/messages/types.ts
@@ -147,11 +147,13 @@
   readonly serviceName: string
 }
 
-/** Answer to `OriginAsked`; no version if the agent does not know. */
+/** Answer to `OriginAsked`; no version if the agent does not know. An agent that has started again has forgotten what it was told. */
 export interface OriginAnswered {
   readonly type: 'originAnswered'
   readonly askId: number
   readonly softwareVersion: string | undefined
+  /** Time for which the agent has remembered all that it was told. */
+  readonly rememberedForMs: number
 }
 
 /** The organisations whose requests the agent counts for this router from now on; replaces the list sent before. */
--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -117,6 +117,8 @@
 export interface RouterStorePort extends StorePort {
   /** What routers tell each other where no agent runs; they write it. */
   readonly routerFeed: WritableFeed
+  /** The software versions that were in service of late; routers write them. */
+  readonly versionFeed: WritableFeed
 }
 
 /** The platform's store as agents use it. */
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -250,7 +250,9 @@
       return servers
     },
     versionsOf: serviceName => versions.of(serviceName, entries.values()),
+    takeVersions: versions.takeRecorded,
     knowsVersions: versions.areKnown,
+    loneVersionOf: versions.loneBefore,
     find: serverId => {
       const entry = entries.get(serverId)
       return entry && view(entry)
--- a/packages/gateway/src/directory/createSoftwareVersions.ts
+++ b/packages/gateway/src/directory/createSoftwareVersions.ts
@@ -1,22 +1,41 @@
 import type { TimerService } from '@figmount/base'
 import type { ServerEntry } from '@figmount/fleet'
+import type { RecordedVersions } from '../origins/versionRecords.js'
 
 /** Time for which a version counts after its last server has gone: callers may still take up streams that it began. */
 const RETENTION_MS = 120_000
 
+/** Routers see a version come at different times, and their times of day differ. */
+const ARRIVAL_SLACK_MS = 3_000
+
+/** A version that served alone until others came, a short while ago. */
+export interface LoneVersion {
+  readonly softwareVersion: string
+  /** Time since which the others may have begun streams, at most. */
+  readonly othersForMs: number
+}
+
 /** The software versions of services, including those whose servers have gone recently. */
 export interface SoftwareVersions {
   /** The server is no longer listed, or has another version now. */
   readonly noteGone: (entry: ServerEntry) => void
-  /** False as long as servers of further versions may have gone before this record began. */
+  /** Takes what routers had recorded when this one started. */
+  readonly takeRecorded: (recorded: readonly RecordedVersions[]) => void
+  /** False before that: servers of further versions may have gone just before. */
   readonly areKnown: () => boolean
   readonly of: (serviceName: string, listed: Iterable<ServerEntry>) => ReadonlySet<string>
+  /** The version that served alone before others came; undefined if there were several all the time, or if it is too long ago to matter. */
+  readonly loneBefore: (serviceName: string) => LoneVersion | undefined
 }
 
 /** Creates the record of one router. */
 export const createSoftwareVersions = (timers: TimerService): SoftwareVersions => {
-  const beganMs = timers.nowMs()
   const gone = new Map<string, { readonly serviceName: string, readonly softwareVersion: string, readonly goneMs: number }>()
+  /** By service, the version that serves alone now. */
+  const only = new Map<string, string>()
+  /** By service, the version that served alone before others came. */
+  const lone = new Map<string, { readonly softwareVersion: string, readonly untilMs: number }>()
+  let areRecordsTaken = false
 
   const trim = (): void => {
     const oldestMs = timers.nowMs() - RETENTION_MS
@@ -25,11 +44,39 @@
     }
   }
 
+  const noteGone = (serviceName: string, softwareVersion: string): void => {
+    gone.set(`${serviceName} ${softwareVersion}`, { serviceName, softwareVersion, goneMs: timers.nowMs() })
+  }
+
+  /** Notices when a second version comes. */
+  const compare = (serviceName: string, versions: ReadonlySet<string>): void => {
+    const [first] = versions
+    if (versions.size === 1 && first !== undefined) {
+      only.set(serviceName, first)
+      return
+    }
+    const softwareVersion = only.get(serviceName)
+    if (versions.size === 0 || softwareVersion === undefined) return
+    only.delete(serviceName)
+    lone.set(serviceName, { softwareVersion, untilMs: timers.nowMs() })
+  }
+
   return {
-    noteGone: ({ serviceName, softwareVersion }) => {
-      gone.set(`${serviceName} ${softwareVersion}`, { serviceName, softwareVersion, goneMs: timers.nowMs() })
+    noteGone: entry => { noteGone(entry.serviceName, entry.softwareVersion) },
+    takeRecorded: recorded => {
+      areRecordsTaken = true
+      for (const { serviceName, softwareVersions, lone: recordedLone } of recorded) {
+        for (const softwareVersion of softwareVersions) noteGone(serviceName, softwareVersion)
+        // What this router lists by now came while nobody else could tell.
+        lone.delete(serviceName)
+        only.delete(serviceName)
+        compare(serviceName, new Set(softwareVersions))
+        if (!recordedLone) continue
+        const ageMs = Math.max(0, timers.unixMs() - recordedLone.untilUnixMs)
+        lone.set(serviceName, { softwareVersion: recordedLone.softwareVersion, untilMs: timers.nowMs() - ageMs })
+      }
     },
-    areKnown: () => timers.nowMs() - beganMs >= RETENTION_MS,
+    areKnown: () => areRecordsTaken,
     of: (serviceName, listed) => {
       trim()
       const versions = new Set<string>()
@@ -39,7 +86,14 @@
       for (const old of gone.values()) {
         if (old.serviceName === serviceName) versions.add(old.softwareVersion)
       }
+      compare(serviceName, versions)
       return versions
+    },
+    loneBefore: serviceName => {
+      const known = lone.get(serviceName)
+      if (!known) return undefined
+      const ageMs = timers.nowMs() - known.untilMs
+      return ageMs < RETENTION_MS ? { softwareVersion: known.softwareVersion, othersForMs: ageMs + ARRIVAL_SLACK_MS } : undefined
     }
   }
 }
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -2,6 +2,8 @@
 import type { FailureShare } from '@figmount/decisions'
 import type { AgentState, AgentLoad, FeedRecord, ServerEntry, ServerStart } from '@figmount/fleet'
 import type { MissingEntries } from './createMissingEntries.js'
+import type { LoneVersion } from './createSoftwareVersions.js'
+import type { RecordedVersions } from '../origins/versionRecords.js'
 import type { OwnRequests } from './createOwnRequests.js'
 import type { PrefixIndex } from './createPrefixIndex.js'
 
@@ -50,8 +52,12 @@
   readonly find: (serverId: string) => KnownServer | undefined
   /** Software versions of the service's servers, of those listed now and of those that were listed a short while ago. */
   readonly versionsOf: (serviceName: string) => ReadonlySet<string>
-  /** False after the start of the router: servers of further versions may have gone just before. */
+  /** Takes the versions that routers had recorded when this one started. */
+  readonly takeVersions: (recorded: readonly RecordedVersions[]) => void
+  /** False before that: servers of further versions may have gone just before. */
   readonly knowsVersions: () => boolean
+  /** The version that served alone in the service before others came, if that matters still. */
+  readonly loneVersionOf: (serviceName: string) => LoneVersion | undefined
   /**
    * This start of the server has ended or was replaced, as its agent or a later start shows, whether it is still listed or not. A server
    * that merely disappeared from the list may still finish its requests.
--- a/packages/gateway/src/origins/createStreamOrigins.ts
+++ b/packages/gateway/src/origins/createStreamOrigins.ts
@@ -24,14 +24,24 @@
   readonly hasSeveralVersions: (serviceName: string) => boolean
   /** Engine addresses of the agents whose links are open. */
   readonly reachableAddresses: () => readonly string[]
+  /** Links to nearly all agents are open. */
+  readonly areAgentsReachable: () => boolean
   readonly send: (serverAddress: string, message: RouterMessage) => void
 }
 
+/** What is known of a stream's origin. */
+export type FoundOrigin =
+  | { readonly type: 'known', readonly softwareVersion: string }
+  /** Nobody was told of it in this time; 0 if some agent that may know of it did not answer. */
+  | { readonly type: 'unknown', readonly rememberedForMs: number }
+
+const UNANSWERED: FoundOrigin = { type: 'unknown', rememberedForMs: 0 }
+
 /** At which software version the router's streams began, and how to find out for those of other routers. */
 export interface StreamOrigins {
   readonly note: (origin: StreamOrigin) => void
-  /** The software version that began a stream; undefined if nobody knows. */
-  readonly find: (streamId: string, serviceName: string) => Promise<string | undefined>
+  /** Finds the software version that began a stream. */
+  readonly find: (streamId: string, serviceName: string) => Promise<FoundOrigin>
   readonly takeAnswer: (serverAddress: string, answer: OriginAnswered) => void
   readonly stop: Unsubscribe
 }
@@ -39,7 +49,9 @@
 interface OpenQuery {
   /** Agents that have not answered. */
   readonly askedAddresses: Set<string>
-  readonly settle: (softwareVersion: string | undefined) => void
+  /** Time for which each agent that does not know of it has remembered what it was told. */
+  readonly rememberedForMs: number[]
+  readonly settle: (found: FoundOrigin) => void
 }
 
 /**
@@ -48,7 +60,7 @@
  * Streams of a service with several versions are remembered by a few agents, chosen by the stream's id among those that the router
  * reaches; routers that reach the same agents choose the same ones. Of a service with one version the agents learn nothing.
  */
-export const createStreamOrigins = ({ timers, hasSeveralVersions, reachableAddresses, send }: Options): StreamOrigins => {
+export const createStreamOrigins = ({ timers, hasSeveralVersions, reachableAddresses, areAgentsReachable, send }: Options): StreamOrigins => {
   const own = new Map<string, StreamOrigin & { readonly notedMs: number }>()
   const mixedServices = new Set<string>()
   const openQueries = new Map<number, OpenQuery>()
@@ -86,17 +98,17 @@
     }
   }
 
-  const ask = async (streamId: string, serviceName: string): Promise<string | undefined> => await new Promise(resolve => {
+  const ask = async (streamId: string, serviceName: string): Promise<FoundOrigin> => await new Promise(resolve => {
     const askId = nextAskId++
     const keepers = keepersOf(streamId)
-    const settle = (softwareVersion: string | undefined): void => {
+    const settle = (found: FoundOrigin): void => {
       stopTimer()
       openQueries.delete(askId)
-      resolve(softwareVersion)
+      resolve(found)
     }
-    const stopTimer = timers.after(ANSWER_MS, () => { settle(undefined) })
-    if (keepers.length === 0) return settle(undefined)
-    openQueries.set(askId, { askedAddresses: new Set(keepers), settle })
+    const stopTimer = timers.after(ANSWER_MS, () => { settle(UNANSWERED) })
+    if (keepers.length === 0) return settle(UNANSWERED)
+    openQueries.set(askId, { askedAddresses: new Set(keepers), rememberedForMs: [], settle })
     for (const address of keepers) send(address, { type: 'originAsked', askId, streamId, serviceName })
   })
 
@@ -111,13 +123,17 @@
     },
     find: async (streamId, serviceName) => {
       const known = own.get(streamId)
-      if (known?.serviceName === serviceName) return known.softwareVersion
+      if (known?.serviceName === serviceName) return { type: 'known', softwareVersion: known.softwareVersion }
       return await ask(streamId, serviceName)
     },
-    takeAnswer: (serverAddress, { askId, softwareVersion }) => {
+    takeAnswer: (serverAddress, { askId, softwareVersion, rememberedForMs }) => {
       const query = openQueries.get(askId)
       if (!query?.askedAddresses.delete(serverAddress)) return
-      if (softwareVersion !== undefined || query.askedAddresses.size === 0) query.settle(softwareVersion)
+      if (softwareVersion !== undefined) return query.settle({ type: 'known', softwareVersion })
+      query.rememberedForMs.push(rememberedForMs)
+      if (query.askedAddresses.size > 0) return
+      // An agent that is not linked yet may be one that was told.
+      query.settle(areAgentsReachable() ? { type: 'unknown', rememberedForMs: Math.min(...query.rememberedForMs) } : UNANSWERED)
     },
     stop: stopReviewing
   }
--- a/packages/gateway/src/origins/createVersionLock.ts
+++ b/packages/gateway/src/origins/createVersionLock.ts
@@ -29,14 +29,25 @@
   return {
     resolve: async () => {
       if (!isTakenUp) return true
-      const versions = context.directory.versionsOf(serviceName)
-      const mayBeOthers = versions.size > 1 || !context.directory.knowsVersions()
-      if (mayBeOthers && caller.resumes !== '') softwareVersion = await context.origins.find(caller.resumes, serviceName)
-      if (softwareVersion !== undefined) return judge('its origin is known', versions.size)
-      if (versions.size > 1) return judge('nobody knows its origin', versions.size)
-      softwareVersion = [...versions][0]
-      judge('one version is known', versions.size)
-      return true
+      const { directory, origins } = context
+      const mayBeSeveral = directory.versionsOf(serviceName).size > 1 || !directory.knowsVersions()
+      const found = mayBeSeveral && caller.resumes !== '' ? await origins.find(caller.resumes, serviceName) : undefined
+      const versions = directory.versionsOf(serviceName)
+      const lone = directory.loneVersionOf(serviceName)
+      if (found?.type === 'known') {
+        softwareVersion = found.softwareVersion
+        return judge('its origin is known', versions.size)
+      }
+      // An empty memory is no fact: a router that has just started does not know what has gone before.
+      if (!directory.knowsVersions()) return judge('the versions of late are not known yet', versions.size)
+      if (versions.size <= 1) {
+        softwareVersion = [...versions][0]
+        judge('one version is known', versions.size)
+        return true
+      }
+      // Streams that began beside several versions are told to agents. One that nobody was told of began before.
+      if (found && lone && found.rememberedForMs >= lone.othersForMs) softwareVersion = lone.softwareVersion
+      return judge(softwareVersion === undefined ? 'nobody knows its origin' : 'it began before other versions came', versions.size)
     },
     mayServe: server => softwareVersion === undefined || server.entry.softwareVersion === softwareVersion,
     begin: server => {
--- a/packages/gateway/src/origins/origins.test.ts
+++ b/packages/gateway/src/origins/origins.test.ts
@@ -6,9 +6,10 @@
 import { createVersionLock } from './createVersionLock.js'
 
 import type { RouterMessage } from '@figmount/fleet'
+import type { LoneVersion } from '../directory/createSoftwareVersions.js'
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext, RoutedRequest } from '../requests/types.js'
-import type { StreamOrigins } from './createStreamOrigins.js'
+import type { FoundOrigin, StreamOrigins } from './createStreamOrigins.js'
 
 const SERVICE = 's'
 const AGENTS = ['a', 'b', 'c', 'd', 'e'] as const
@@ -21,6 +22,7 @@
   const sent: RouterMessage[] = []
   const routers: StreamOrigins[] = []
   let hasSeveral = true
+  let areAgentsReachable = true
 
   const send = (routerIndex: number, address: string, message: RouterMessage): void => {
     sent.push(message)
@@ -29,19 +31,25 @@
     if (message.type === 'streamsBegan') memory.note(message.origins)
     if (message.type !== 'originAsked') return
     const softwareVersion = memory.find(message.streamId, message.serviceName)
-    timers.after(2, () => { routers[routerIndex]?.takeAnswer(address, { type: 'originAnswered', askId: message.askId, softwareVersion }) })
+    timers.after(2, () => { routers[routerIndex]?.takeAnswer(address, { type: 'originAnswered', askId: message.askId, softwareVersion, rememberedForMs: memory.rememberedForMs() }) })
   }
 
   for (let index = 0; index < routerCount; index++) {
-    routers.push(createStreamOrigins({ timers, hasSeveralVersions: () => hasSeveral, reachableAddresses: () => AGENTS, send: (address, message) => { send(index, address, message) } }))
+    routers.push(createStreamOrigins({ timers, hasSeveralVersions: () => hasSeveral, reachableAddresses: () => AGENTS, areAgentsReachable: () => areAgentsReachable, send: (address, message) => { send(index, address, message) } }))
   }
 
-  const find = async (router: StreamOrigins | undefined, streamId: string, serviceName = SERVICE): Promise<string | undefined> => {
+  const ask = async (router: StreamOrigins | undefined, streamId: string, serviceName = SERVICE): Promise<FoundOrigin | undefined> => {
     const found = router?.find(streamId, serviceName)
     timers.advance(500)
     return await found
   }
-  return { timers, routers, memories, silent, sent, find, setSeveral: (several: boolean) => { hasSeveral = several } }
+  const find = async (router: StreamOrigins | undefined, streamId: string, serviceName = SERVICE): Promise<string | undefined> => {
+    const found = await ask(router, streamId, serviceName)
+    return found?.type === 'known' ? found.softwareVersion : undefined
+  }
+  const setSeveral = (several: boolean): void => { hasSeveral = several }
+  const setReachable = (reachable: boolean): void => { areAgentsReachable = reachable }
+  return { timers, routers, memories, silent, sent, ask, find, setSeveral, setReachable }
 }
 
 const note = (router: StreamOrigins | undefined, streamId: string, softwareVersion = 'v1'): void => { router?.note({ streamId, serviceName: SERVICE, softwareVersion }) }
@@ -69,6 +77,18 @@
     expect(await find(first, 'r1', 'other')).to.equal(undefined)
   })
 
+  it('are unknown for as long as all agents remember that were asked, and not at all while one is silent or not linked', async () => {
+    // Guards against an agent that has forgotten, or was not asked, and counts as one that was never told.
+    const { timers, routers: [first], silent, ask, setReachable } = setUp(1)
+    timers.advance(10_000)
+    expect(await ask(first, 'r1')).to.deep.equal({ type: 'unknown', rememberedForMs: 10_002 })
+    setReachable(false)
+    expect(await ask(first, 'r1')).to.deep.equal({ type: 'unknown', rememberedForMs: 0 })
+    setReachable(true)
+    for (const name of AGENTS) silent.add(name)
+    expect(await ask(first, 'r1')).to.deep.equal({ type: 'unknown', rememberedForMs: 0 })
+  })
+
   it('cost no message while a service has one version, and are told once it has two', async () => {
     // Guards against streams that began before the first server of the next version was listed.
     const { timers, routers: [first, second], sent, find, setSeveral } = setUp(2)
@@ -93,12 +113,20 @@
 describe('the version lock of a stream', () => {
   const serverOf = (softwareVersion: string): KnownServer => ({ entry: { softwareVersion } } as unknown as KnownServer)
 
-  const makeLock = (caller: { readonly lastEventId: string, readonly resumes: string }, versions: readonly string[], known?: string, knowsVersions = true) => {
+  interface Known {
+    readonly origin?: string
+    readonly knowsVersions?: boolean
+    readonly lone?: LoneVersion
+    readonly rememberedForMs?: number
+  }
+
+  const makeLock = (caller: { readonly lastEventId: string, readonly resumes: string }, versions: readonly string[], { origin, knowsVersions = true, lone, rememberedForMs = 0 }: Known = {}) => {
+    const found: FoundOrigin = origin === undefined ? { type: 'unknown', rememberedForMs } : { type: 'known', softwareVersion: origin }
     const noted: string[] = []
     const context = {
       events: { emit: () => {} },
-      directory: { versionsOf: () => new Set(versions), knowsVersions: () => knowsVersions },
-      origins: { find: async () => known, note: ({ streamId }: { readonly streamId: string }) => { noted.push(streamId) } }
+      directory: { versionsOf: () => new Set(versions), knowsVersions: () => knowsVersions, loneVersionOf: () => lone },
+      origins: { find: async () => found, note: ({ streamId }: { readonly streamId: string }) => { noted.push(streamId) } }
     } as unknown as GatewayContext
     const request = { caller: { requestId: 'own', ...caller }, route: { isResumable: true }, serviceName: SERVICE } as unknown as RoutedRequest
     return { lock: createVersionLock(context, request), noted }
@@ -115,7 +143,7 @@
   })
 
   it('keeps a stream that its caller takes up at the version that began it', async () => {
-    const { lock, noted } = makeLock({ lastEventId: '3', resumes: 'first' }, ['v1', 'v2'], 'v1')
+    const { lock, noted } = makeLock({ lastEventId: '3', resumes: 'first' }, ['v1', 'v2'], { origin: 'v1' })
     expect(await lock.resolve()).to.equal(true)
     expect([lock.mayServe(serverOf('v1')), lock.mayServe(serverOf('v2'))]).to.deep.equal([true, false])
     lock.begin(serverOf('v1'))
@@ -131,18 +159,31 @@
 
   it('keeps a stream at the version that began it also at a router that knows only the next one', async () => {
     // Guards against a router that has started after the last server of the version had gone: another version would go on with its streams.
-    const { lock } = makeLock({ lastEventId: '3', resumes: 'first' }, ['v2'], 'v1', false)
+    const { lock } = makeLock({ lastEventId: '3', resumes: 'first' }, ['v2'], { origin: 'v1', knowsVersions: false })
     expect(await lock.resolve()).to.equal(true)
     expect(lock.mayServe(serverOf('v2'))).to.equal(false)
-    const unknown = makeLock({ lastEventId: '3', resumes: 'first' }, ['v2'], undefined, false)
-    expect(await unknown.lock.resolve()).to.equal(true)
-    expect(unknown.lock.mayServe(serverOf('v2'))).to.equal(true)
+    const unknown = makeLock({ lastEventId: '3', resumes: 'first' }, ['v2'], { knowsVersions: false })
+    expect(await unknown.lock.resolve()).to.equal(false)
+    const recorded = makeLock({ lastEventId: '3', resumes: 'first' }, ['v2'])
+    expect(await recorded.lock.resolve()).to.equal(true)
+    expect(recorded.lock.mayServe(serverOf('v2'))).to.equal(true)
+  })
+
+  it('keeps a stream that no agent was told of at the version that served alone before the others came', async () => {
+    // Guards against a refusal for ever of streams that began while there was nothing to tell.
+    const lone = { softwareVersion: 'v1', othersForMs: 4_000 }
+    const { lock } = makeLock({ lastEventId: '3', resumes: 'first' }, ['v1', 'v2'], { lone, rememberedForMs: 4_000 })
+    expect(await lock.resolve()).to.equal(true)
+    expect([lock.mayServe(serverOf('v1')), lock.mayServe(serverOf('v2'))]).to.deep.equal([true, false])
+    // Agents that have started again since may have been told, and an unnamed stream can be any.
+    expect(await makeLock({ lastEventId: '3', resumes: 'first' }, ['v1', 'v2'], { lone, rememberedForMs: 3_999 }).lock.resolve()).to.equal(false)
+    expect(await makeLock({ lastEventId: '3', resumes: '' }, ['v1', 'v2'], { lone, rememberedForMs: 60_000 }).lock.resolve()).to.equal(false)
   })
 
   it('lets no server go on with a stream that nobody knows, unless there is one version', async () => {
     // Guards against a guess, and against a refusal where there is nothing to guess.
     expect(await makeLock({ lastEventId: '3', resumes: 'first' }, ['v1', 'v2']).lock.resolve()).to.equal(false)
-    expect(await makeLock({ lastEventId: '3', resumes: '' }, ['v1', 'v2'], 'v1').lock.resolve()).to.equal(false)
+    expect(await makeLock({ lastEventId: '3', resumes: '' }, ['v1', 'v2'], { origin: 'v1' }).lock.resolve()).to.equal(false)
     expect(await makeLock({ lastEventId: '3', resumes: 'first' }, ['v1']).lock.resolve()).to.equal(true)
   })
 })
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -23,6 +23,8 @@
 import { createQuotas } from '../limits/createQuotas.js'
 import { createRouterCount } from '../limits/createRouterCount.js'
 import { createStreamOrigins } from '../origins/createStreamOrigins.js'
+import { createVersionRecorder } from '../origins/createVersionRecorder.js'
+import { listVersions } from '../origins/listVersions.js'
 import { createColdLoads } from '../placing/createColdLoads.js'
 import { createOccupancyMeter } from '../placing/createOccupancyMeter.js'
 import { createQueueScaler } from '../placing/createQueueScaler.js'
@@ -34,8 +36,9 @@
 import { createServerLimits } from '../serverLimits/createServerLimits.js'
 import { createStop } from '../stopping/createStop.js'
 import { drain } from '../stopping/drain.js'
-import { AGENT_READY_TIMEOUT_MS, COPIES_KNOWN_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS, LEAVING_PERIOD_MS } from './constants.js'
+import { AGENT_READY_TIMEOUT_MS, COPIES_KNOWN_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS } from './constants.js'
 import { createDemandReporter } from './createDemandReporter.js'
+import { createLeavingPoll } from './createLeavingPoll.js'
 import { createReadDuty } from './createReadDuty.js'
 import { createRouterMembership } from './createRouterMembership.js'
 import { followFeeds } from './followFeeds.js'
@@ -219,8 +222,19 @@
     timers,
     hasSeveralVersions: serviceName => directory.versionsOf(serviceName).size > 1,
     reachableAddresses: agents.openAddresses,
+    areAgentsReachable: agents.isReady,
     send: (address, message) => { agents.find(address)?.send(message) }
   })
+  const stopRecording = createVersionRecorder({
+    feed: options.store.versionFeed,
+    timers,
+    events,
+    versions: () => listVersions(directory, timers),
+    takeRecorded: directory.takeVersions,
+    routerCount: membership.routerCount,
+    onRestored: options.store.onRestored,
+    random: options.random
+  })
   const refusedWants = createRefusedWants(events, (serviceName, address) => isServing(directory, serviceName, address))
   // A crash is kept by the few agents that were told of it; what disproves it must reach each of them.
   const crashNotifier = createCrashNotifier(timers, notice => {
@@ -303,18 +317,8 @@
     context.pool.retainStarts(directory.starts())
   }
   const demandReporter = createDemandReporter(context.demand, directory, agents)
-  let isLeavingPollDue = false
-  const pollLeaving = (): void => {
-    if (isLeavingPollDue || !directory.hasLeaving()) return
-    isLeavingPollDue = true
-    timers.after(LEAVING_PERIOD_MS, () => {
-      isLeavingPollDue = false
-      demandReporter.reportLeaving()
-      pollLeaving()
-    })
-  }
   const stops = [
-    directory.onState(pollLeaving),
+    directory.onState(createLeavingPoll(timers, directory, demandReporter.reportLeaving)),
     directory.onState(refusedWants.takeState),
     timers.every(DEMAND_PERIOD_MS, demandReporter.report),
     timers.every(FOLLOW_PERIOD_MS, follow),
@@ -322,7 +326,8 @@
     quotas.stop,
     membership.stop,
     routerFeed.stop,
-    origins.stop
+    origins.stop,
+    stopRecording
   ]
   metrics.gauge('requests_open', ingress.openCount)
   metrics.gauge('deadly_parts', partGuard.foundCount)
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -185,7 +185,7 @@
       .with({ type: 'unitsAsked' }, asked => { sendTo(link, options.limiters.ask(link.peer, asked)) })
       .with({ type: 'streamsBegan' }, ({ origins }) => { options.origins.note(origins) })
       .with({ type: 'originAsked' }, ({ askId, streamId, serviceName }) => {
-        sendTo(link, { type: 'originAnswered', askId, softwareVersion: options.origins.find(streamId, serviceName) })
+        sendTo(link, { type: 'originAnswered', askId, softwareVersion: options.origins.find(streamId, serviceName), rememberedForMs: options.origins.rememberedForMs() })
       })
       .with({ type: 'unitsReturned' }, returned => { options.limiters.returnUnits(link.peer, returned) })
       .with({ type: 'crash' }, notice => { forwardCrashes(link, notice) })
--- a/packages/sidecar/src/origins/createOriginMemory.ts
+++ b/packages/sidecar/src/origins/createOriginMemory.ts
@@ -11,10 +11,13 @@
 export interface OriginMemory {
   readonly note: (origins: readonly StreamOrigin[]) => void
   readonly find: (streamId: string, serviceName: string) => string | undefined
+  /** Time for which nothing was forgotten, of what callers may still take up. */
+  readonly rememberedForMs: () => number
 }
 
 /** Creates the memory of one agent. It keeps what it was told last of a stream. */
 export const createOriginMemory = (timers: TimerService): OriginMemory => {
+  let rememberedSinceMs = timers.nowMs()
   const known = new Map<string, { readonly softwareVersion: string, readonly notedMs: number }>()
 
   // Ordered by time.
@@ -22,6 +25,7 @@
     const oldestMs = timers.nowMs() - RETENTION_MS
     for (const [key, { notedMs }] of known) {
       if (known.size <= MAX_STREAMS && notedMs > oldestMs) return
+      if (notedMs > oldestMs) rememberedSinceMs = notedMs
       known.delete(key)
     }
   }
@@ -40,6 +44,7 @@
     find: (streamId, serviceName) => {
       trim()
       return known.get(keyOf(streamId, serviceName))?.softwareVersion
-    }
+    },
+    rememberedForMs: () => Math.floor(timers.nowMs() - rememberedSinceMs)
   }
 }
