--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -71,6 +71,20 @@
     expect(directory.find('a')?.entry.isDraining).to.equal(true)
   })
 
+  it('uses no server that was listed as draining, whichever entry lists the same start as ready later', () => {
+    // Guards against a record from before its leaving that comes by another way than the whole read of a store which has come back from an older copy.
+    const { directory, ids } = setUp()
+    const list = (startedAtUnixMs: number, isDraining: boolean): void => {
+      directory.takeRecords([{ key: 'a', value: Buffer.from(JSON.stringify({ ...entryOf('a', isDraining), startedAtUnixMs })), offset: 1 }])
+    }
+    list(1_000, false)
+    list(1_000, true)
+    list(1_000, false)
+    expect(ids()).to.deep.equal([])
+    list(2_000, false)
+    expect(ids()).to.deep.equal(['a'])
+  })
+
   it('uses a server again that has started again after it said that it leaves', () => {
     const { directory, ids } = setUp()
     const listStart = (startedAtUnixMs: number): void => {
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -95,8 +95,13 @@
   const takeEntry = (entry: ServerEntry, source: string): void => {
     const known = entries.get(entry.serverId)
     // An entry may be seconds old and belong to the start before the one that the agent has reported.
-    if (!isEarlierStart(entry, startOf(entry.serverId))) noteStart(entry)
-    if (departures.addressOf(entry.serverId) !== undefined && !entry.isDraining) events.emit(GatewayEvent.serverReturned, { peer: entry.serverId, reason: source })
+    const isOfEarlierStart = isEarlierStart(entry, startOf(entry.serverId))
+    if (!isOfEarlierStart) noteStart(entry)
+    // No start that drains takes requests again, whichever entry lists it as ready later.
+    if (entry.isDraining && !isOfEarlierStart) departures.noteLeaving({ serverId: entry.serverId, startedAtUnixMs: entry.startedAtUnixMs })
+    if (departures.addressOf(entry.serverId) !== undefined && !entry.isDraining) {
+      events.emit(GatewayEvent.serverReturned, { peer: entry.serverId, reason: source, detail: departures.isLeaving(startOf(entry.serverId)) ? 'left out' : 'taken again' })
+    }
     missingEntries.noteListed(entry.serverId)
     entries.set(entry.serverId, entry)
     if (known && known.softwareVersion !== entry.softwareVersion) versions.noteGone(known)
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -43,6 +43,6 @@
   partsProven: [2539, 'a backend server has written on parts of prompts under which others had died'],
   closeJudged: [2540, 'a backend server closed the connection of an answer without a length or chunks: whether the answer counts as complete'],
   entryDoubted: [2541, 'a backend server is missing in the list, which may be due to an outage of the store: it may get requests for a while'],
-  serverReturned: [2542, 'an entry lists a backend server as ready again that was draining or gone'],
+  serverReturned: [2542, 'an entry lists a backend server as ready again that was draining or gone: whether it is used'],
   takeUpJudged: [2543, 'a caller takes up a stream: at which software version it may go on, and who knew']
 })
