--- a/packages/gateway/src/directory/createMissingEntries.ts
+++ b/packages/gateway/src/directory/createMissingEntries.ts
@@ -24,6 +24,8 @@
   /** An entry is missing: its server is removed at once, or in case of doubt if it is not listed again in time. */
   readonly noteMissing: (serverId: string) => void
   readonly noteListed: (serverId: string) => void
+  /** Number of missing servers that may still get requests. */
+  readonly count: () => number
   /** Removes the servers that were not listed again in time. */
   readonly settle: () => void
 }
@@ -67,6 +69,7 @@
       events.emit(GatewayEvent.entryDoubted, { peer: serverId, reason: doubt?.reason ?? '', ...(untilMs < Infinity ? { waitMs: Math.round(untilMs - nowMs) } : {}) })
     },
     noteListed: serverId => { missing.delete(serverId) },
+    count: () => missing.size,
     settle
   }
 }
--- a/packages/gateway/src/origins/createVersionLock.ts
+++ b/packages/gateway/src/origins/createVersionLock.ts
@@ -23,6 +23,7 @@
 
   const judge = (reason: string, versionCount: number): boolean => {
     context.events.emit(GatewayEvent.takeUpJudged, { requestKey: caller.requestId, item: caller.resumes, service: serviceName, version: softwareVersion ?? '', count: versionCount, reason })
+    if (softwareVersion === undefined) context.metrics.count('take_ups_unknown_total')
     return softwareVersion !== undefined
   }
 
--- a/packages/gateway/src/origins/origins.test.ts
+++ b/packages/gateway/src/origins/origins.test.ts
@@ -125,6 +125,7 @@
     const noted: string[] = []
     const context = {
       events: { emit: () => {} },
+      metrics: { count: () => {} },
       directory: { versionsOf: () => new Set(versions), knowsVersions: () => knowsVersions, loneVersionOf: () => lone },
       origins: { find: async () => found, note: ({ streamId }: { readonly streamId: string }) => { noted.push(streamId) } }
     } as unknown as GatewayContext
