--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -99,7 +99,8 @@
     if (!isOfEarlierStart) noteStart(entry)
     // No start that drains takes requests again, whichever entry lists it as ready later.
     if (entry.isDraining && !isOfEarlierStart) departures.noteLeaving({ serverId: entry.serverId, startedAtUnixMs: entry.startedAtUnixMs })
-    if (departures.addressOf(entry.serverId) !== undefined && !entry.isDraining) {
+    const isReadyNow = !entry.isDraining && known?.isDraining !== false
+    if (isReadyNow && departures.addressOf(entry.serverId) !== undefined) {
       events.emit(GatewayEvent.serverReturned, { peer: entry.serverId, reason: source, detail: departures.isLeaving(startOf(entry.serverId)) ? 'left out' : 'taken again' })
     }
     missingEntries.noteListed(entry.serverId)
