Say after which death a run was sent, so that each router counts the same deaths in turn (BUDGET)

Cause: a part counts after two deaths in turn, the second under a run that was sent after the first death. Reports carry ages, and each report comes late by its own delay (gathered for 50 ms, links, a busy process). A safe call is repeated 1 ms after its first server died, so 10 ms more delay of the first report are enough for the run to look older than the death: in one of the plays router-2 had the first death at 2784 ms and the run of the second one at 2777 (2724 and 2725 at the router that saw both), and sent the part to a third engine. Agents keep what they were told, so routers that start are told the same wrong order.

Ruled out: a router that had not yet heard (both deaths stand in its log 140 ms before it sends), a proof of the part.

Now the router that sent the run says after which death it did so; at routers and agents this goes before the comparison of times.

--- a/packages/decisions/src/crashes/deadlyParts.test.ts
+++ b/packages/decisions/src/crashes/deadlyParts.test.ts
@@ -8,9 +8,11 @@
 
 const NEVER_TRIED = (): number => Infinity
 
+const NONE_BEFORE: ReadonlyMap<string, string> = new Map()
+
 /** A death at `atMs` under runs that were sent 50 ms before it. */
 const death = (atMs: number, ...partIds: readonly string[]): PartDeathView =>
-  ({ atMs, sentMs: new Map(partIds.map(partId => [partId, atMs - 50])) })
+  ({ startKey: `s${atMs}`, atMs, sentMs: new Map(partIds.map(partId => [partId, atMs - 50])), sentAfter: NONE_BEFORE })
 
 const proofs = (given: Readonly<Record<string, number>> = {}): ReadonlyMap<string, number> => new Map(Object.entries(given))
 
@@ -44,10 +46,24 @@
 
   it('are not those of servers that die at the same moment', () => {
     // Guards against refusing the busiest requests after several servers have lost their power together.
-    const together = [0, 1, 2, 3].map((offsetMs): PartDeathView => ({ atMs: 1_000 + offsetMs, sentMs: new Map([['busy', 900]]) }))
+    const together = [0, 1, 2, 3].map((offsetMs): PartDeathView =>
+      ({ startKey: `s${offsetMs}`, atMs: 1_000 + offsetMs, sentMs: new Map([['busy', 900]]), sentAfter: NONE_BEFORE }))
     expect(blamed(together)).to.deep.equal([])
   })
 
+  it('are found after two deaths of which a router saw the order, whatever the times say', () => {
+    const first = death(1_000, 'p')
+    const second: PartDeathView = { ...death(990, 'p'), sentAfter: new Map([['p', first.startKey]]) }
+    expect(blamed([first, second])).to.deep.equal([['p']])
+    expect(blamed([first, { ...second, sentAfter: new Map([['p', 'another']]) }])).to.deep.equal([])
+  })
+
+  it('are looked for to an end in reports that contradict each other', () => {
+    const first = { ...death(1_000, 'p'), sentAfter: new Map([['p', 's1010']]) }
+    const second = { ...death(1_010, 'p'), sentAfter: new Map([['p', 's1000']]) }
+    expect(blamed([first, second])).to.deep.equal([['p']])
+  })
+
   it('are found though they were harmless once', () => {
     expect(blamed([death(1_000, 'p'), death(2_000, 'p')], proofs({ p: 400 }))).to.deep.equal([['p']])
   })
--- a/packages/decisions/src/crashes/findDeadlyParts.ts
+++ b/packages/decisions/src/crashes/findDeadlyParts.ts
@@ -1,8 +1,11 @@
 /** The death of a server and the parts of the prompts that ran on it. */
 export interface PartDeathView {
+  readonly startKey: string
   readonly atMs: number
   /** By part: time at which the latest run with it was sent. */
   readonly sentMs: ReadonlyMap<string, number>
+  /** By part: key of the latest start that had died with it before that run was sent, as the run's router saw it. */
+  readonly sentAfter: ReadonlyMap<string, string>
 }
 
 /** What a router knows about parts of prompts. */
@@ -33,20 +36,32 @@
 /** Deaths under a part after which it counts as a possible cause: one hits all that ran on the server. */
 const MIN_DEATHS = 2
 
+/** Other routers report times late, each report by another delay: what the run's router saw goes before a comparison of times. */
+const isInTurn = (partId: string, before: PartDeathView, after: PartDeathView): boolean =>
+  after.sentAfter.get(partId) === before.startKey || (after.sentMs.get(partId) ?? -Infinity) > before.atMs
+
 /**
  * Counts the deaths under a part one after the other: a run must have been sent after the death before.
  *
  * Guards against blaming a part that many prompts share when several servers die at the same moment for another reason.
  */
 const countInTurn = (partId: string, deaths: readonly PartDeathView[]): number => {
-  let count = 0
-  let lastMs = -Infinity
-  for (const { atMs, sentMs } of deaths) {
-    if ((sentMs.get(partId) ?? -Infinity) <= lastMs) continue
-    count += 1
-    lastMs = atMs
+  const counts = new Map<PartDeathView, number>()
+
+  const countUpTo = (death: PartDeathView): number => {
+    const known = counts.get(death)
+    if (known !== undefined) return known
+    // Ends the search if reports contradict each other.
+    counts.set(death, 1)
+    let count = 1
+    for (const before of deaths) {
+      if (before !== death && isInTurn(partId, before, death)) count = Math.max(count, countUpTo(before) + 1)
+    }
+    counts.set(death, count)
+    return count
   }
-  return count
+
+  return Math.max(0, ...deaths.map(countUpTo))
 }
 
 const findSuspects = (deaths: readonly PartDeathView[], provenMs: ReadonlyMap<string, number>): readonly Suspect[] => {
--- a/packages/fleet/src/crashes/createPartHistory.test.ts
+++ b/packages/fleet/src/crashes/createPartHistory.test.ts
@@ -6,7 +6,7 @@
 import type { PartDeath } from './types.js'
 
 const death = (serverId: string, ageMs: number, ...partIds: readonly string[]): PartDeath =>
-  ({ start: { serverId, startedAtUnixMs: 1 }, ageMs, parts: partIds.map(partId => ({ partId, sentAgeMs: ageMs + 50, provenAgeMs: undefined })) })
+  ({ start: { serverId, startedAtUnixMs: 1 }, ageMs, parts: partIds.map(partId => ({ partId, sentAgeMs: ageMs + 50, provenAgeMs: undefined, sentAfter: undefined })) })
 
 describe('part history', () => {
   it('joins what several routers report of one death, and tells what is new', () => {
--- a/packages/fleet/src/crashes/createPartHistory.ts
+++ b/packages/fleet/src/crashes/createPartHistory.ts
@@ -16,9 +16,12 @@
 
 interface KnownDeath {
   readonly start: ServerStart
+  readonly startKey: string
   readonly atMs: number
   /** By part: time at which the latest run with it was sent. */
   readonly sentMs: Map<string, number>
+  /** By part: key of the latest start that had died with it before that run was sent. */
+  readonly sentAfter: Map<string, string>
 }
 
 /** Parts of prompts that were running when their backend servers died, and parts on which servers have written, as one process knows them. */
@@ -29,6 +32,8 @@
   readonly noteProof: (proof: PartProof) => boolean
   /** The latest proof of a part; undefined if none is known. */
   readonly proofOf: (partId: string) => PartProof | undefined
+  /** Key of the latest start that has died with the part before this time; undefined if none is known. */
+  readonly lastDeathBefore: (partId: string, sentMs: number) => string | undefined
   /** All known deaths, with the parts that no later run has disproved. */
   readonly deaths: () => readonly PartDeath[]
   /** The same for a decision, on the clock of this process. */
@@ -54,7 +59,8 @@
 
   const knownDeathOf = ({ start, ageMs }: PartDeath): KnownDeath => {
     const startKey = startKeyOf(start)
-    const known = deaths.get(startKey) ?? { start, atMs: timers.nowMs() - ageMs, sentMs: new Map<string, number>() }
+    const known = deaths.get(startKey) ??
+      { start, startKey, atMs: timers.nowMs() - ageMs, sentMs: new Map<string, number>(), sentAfter: new Map<string, string>() }
     deaths.set(startKey, known)
     return known
   }
@@ -80,17 +86,18 @@
     return atMs === undefined ? undefined : timers.nowMs() - atMs
   }
 
-  const suspectsOf = ({ start, atMs, sentMs }: KnownDeath): PartDeath => {
+  const suspectsOf = ({ start, atMs, sentMs, sentAfter }: KnownDeath): PartDeath => {
     const parts: PartRun[] = []
     for (const [partId, partSentMs] of sentMs) {
       if ((provenMs.get(partId) ?? -Infinity) > atMs) continue
-      parts.push({ partId, sentAgeMs: timers.nowMs() - partSentMs, provenAgeMs: provenAgeMs(partId) })
+      parts.push({ partId, sentAgeMs: timers.nowMs() - partSentMs, provenAgeMs: provenAgeMs(partId), sentAfter: sentAfter.get(partId) })
     }
     return { start, ageMs: timers.nowMs() - atMs, parts }
   }
 
-  const noteRun = (sentMs: Map<string, number>, { partId, sentAgeMs, provenAgeMs: ageMs }: PartRun): void => {
-    sentMs.set(partId, timers.nowMs() - sentAgeMs)
+  const noteRun = (death: KnownDeath, { partId, sentAgeMs, provenAgeMs: ageMs, sentAfter }: PartRun): void => {
+    death.sentMs.set(partId, timers.nowMs() - sentAgeMs)
+    if (sentAfter !== undefined) death.sentAfter.set(partId, sentAfter)
     if (ageMs !== undefined) keepProof(partId, Math.max(timers.nowMs() - ageMs, provenMs.get(partId) ?? -Infinity))
   }
 
@@ -98,10 +105,10 @@
     note: death => {
       trim()
       if (death.ageMs >= RETENTION_MS) return undefined
-      const { sentMs } = knownDeathOf(death)
-      const newParts = death.parts.filter(({ partId }) => !sentMs.has(partId)).slice(0, Math.max(0, MAX_PARTS_OF_DEATH - sentMs.size))
+      const known = knownDeathOf(death)
+      const newParts = death.parts.filter(({ partId }) => !known.sentMs.has(partId)).slice(0, Math.max(0, MAX_PARTS_OF_DEATH - known.sentMs.size))
       if (newParts.length === 0) return undefined
-      for (const run of newParts) noteRun(sentMs, run)
+      for (const run of newParts) noteRun(known, run)
       changeCount += 1
       return { ...death, parts: newParts }
     },
@@ -119,6 +126,14 @@
       const ageMs = provenAgeMs(partId)
       return ageMs === undefined ? undefined : { partId, sentAgeMs: ageMs }
     },
+    lastDeathBefore: (partId, sentMs) => {
+      let last: KnownDeath | undefined
+      for (const death of deaths.values()) {
+        const isBefore = death.sentMs.has(partId) && death.atMs < sentMs
+        if (isBefore && death.atMs > (last?.atMs ?? -Infinity)) last = death
+      }
+      return last?.startKey
+    },
     deaths: () => {
       trim()
       return [...deaths.values()].map(suspectsOf).filter(({ parts }) => parts.length > 0)
--- a/packages/fleet/src/crashes/types.ts
+++ b/packages/fleet/src/crashes/types.ts
@@ -30,6 +30,8 @@
   readonly sentAgeMs: number
   /** Time since the latest run with it was sent that proves it harmless at that time; undefined if none is known. */
   readonly provenAgeMs: number | undefined
+  /** Key of the latest start that had died with the part before that run was sent, as its router saw it; undefined if none is known. */
+  readonly sentAfter: string | undefined
 }
 
 /** The death of a backend server and the shared parts of prompts that it had begun to answer, or was about to. */
--- a/packages/fleet/src/messages/structures.test.ts
+++ b/packages/fleet/src/messages/structures.test.ts
@@ -22,7 +22,7 @@
   { type: 'unitsAnswered', askId: 1, outcome: 'taken', waitMs: 0 },
   { type: 'listRead', fromOffset: 1, toOffset: 2, records: [{ key: 'a', value: undefined, offset: 1 }], ageMs: 1, answeredForMs: 0, isAfterBreak: false },
   { type: 'wantSettled', wantId: 1, isReady: false, isLost: true, reason: 'gone' },
-  { type: 'crash', crashes: [], answered: [], partDeaths: [{ start: START, ageMs: 1, parts: [{ partId: 'p', sentAgeMs: 2, provenAgeMs: undefined }] }], partProofs: [{ partId: 'p', sentAgeMs: 3 }] },
+  { type: 'crash', crashes: [], answered: [], partDeaths: [{ start: START, ageMs: 1, parts: [{ partId: 'p', sentAgeMs: 2, provenAgeMs: undefined, sentAfter: undefined }] }], partProofs: [{ partId: 'p', sentAgeMs: 3 }] },
   { type: 'stateChange', changes: { goneStarts: [START], isUp: true, isDraining: false, followsDeployments: true } }
 ]
 
--- a/packages/fleet/src/messages/structures.ts
+++ b/packages/fleet/src/messages/structures.ts
@@ -31,6 +31,6 @@
   ['identity', 'start', 'ageMs'],
   ['identity', 'ageMs'],
   ['contentHash', 'callerId'],
-  ['partId', 'sentAgeMs', 'provenAgeMs'],
+  ['partId', 'sentAgeMs', 'provenAgeMs', 'sentAfter'],
   ['serverId', 'startedAtUnixMs']
 ]
--- a/packages/gateway/src/crashes/createPartGuard.ts
+++ b/packages/gateway/src/crashes/createPartGuard.ts
@@ -108,7 +108,7 @@
       const sentAgeMs = timers.nowMs() - sentMs
       const parts = sharedParts(caller).map(partId => {
         const proof = history.proofOf(partId)
-        return { partId, sentAgeMs, provenAgeMs: proof?.sentAgeMs }
+        return { partId, sentAgeMs, provenAgeMs: proof?.sentAgeMs, sentAfter: history.lastDeathBefore(partId, sentMs) }
       })
       const news = history.note({ start, ageMs: timers.nowMs() - brokenMs, parts })
       if (news) crashNotifier.notify({ partDeaths: [news] })
--- a/packages/gateway/src/routerFeed/addAge.ts
+++ b/packages/gateway/src/routerFeed/addAge.ts
@@ -5,8 +5,10 @@
 export const addAge = (notice: RouterNotice, ageMs: number): RouterNotice => {
   if (notice.type !== 'crash') return notice
   const ageProof = (proof: PartProof): PartProof => ({ ...proof, sentAgeMs: proof.sentAgeMs + ageMs })
-  const ageRun = ({ partId, sentAgeMs, provenAgeMs }: PartRun): PartRun =>
-    ({ partId, sentAgeMs: sentAgeMs + ageMs, provenAgeMs: provenAgeMs === undefined ? undefined : provenAgeMs + ageMs })
+  const ageRun = (run: PartRun): PartRun => {
+    const { sentAgeMs, provenAgeMs } = run
+    return { ...run, sentAgeMs: sentAgeMs + ageMs, provenAgeMs: provenAgeMs === undefined ? undefined : provenAgeMs + ageMs }
+  }
   return {
     ...notice,
     crashes: notice.crashes.map(crash => ({ ...crash, ageMs: crash.ageMs + ageMs })),
--- a/packages/gateway/src/routerFeed/routerFeedCodec.ts
+++ b/packages/gateway/src/routerFeed/routerFeedCodec.ts
@@ -29,7 +29,7 @@
 const identitySchema = z.object({ contentHash: z.string(), callerId: z.string() })
 const ageSchema = z.number().nonnegative()
 const partProofSchema = z.object({ partId: z.string(), sentAgeMs: ageSchema })
-const partRunSchema = partProofSchema.extend({ provenAgeMs: ageSchema.optional() })
+const partRunSchema = partProofSchema.extend({ provenAgeMs: ageSchema.optional(), sentAfter: z.string().optional() })
 
 const noticeSchema = z.discriminatedUnion('type', [
   z.object({
