--- a/packages/gateway/src/origins/createStreamOrigins.ts
+++ b/packages/gateway/src/origins/createStreamOrigins.ts
@@ -15,7 +15,7 @@
 /** Time limit for the agents' answers, which take a few ms. */
 const ANSWER_MS = 200
 
-/** How often it is checked whether a service has come to have several software versions. */
+/** How often it is checked whether a service has come to have several software versions, and whether other agents are to remember streams. */
 const REVIEW_PERIOD_MS = 250
 
 interface Options {
@@ -43,9 +43,17 @@
   /** Finds the software version that began a stream. */
   readonly find: (streamId: string, serviceName: string) => Promise<FoundOrigin>
   readonly takeAnswer: (serverAddress: string, answer: OriginAnswered) => void
+  /** The link to this agent broke: the agent may have forgotten what it was told. */
+  readonly noteLost: (serverAddress: string) => void
   readonly stop: Unsubscribe
 }
 
+interface OwnStream extends StreamOrigin {
+  readonly notedMs: number
+  /** Agents that remember it, as far as is known; none while its service has one version. */
+  readonly toldAddresses: readonly string[]
+}
+
 interface OpenQuery {
   /** Agents that have not answered. */
   readonly askedAddresses: Set<string>
@@ -58,18 +66,26 @@
  * Creates the origins of one router.
  *
  * Streams of a service with several versions are remembered by a few agents, chosen by the stream's id among those that the router
- * reaches; routers that reach the same agents choose the same ones. Of a service with one version the agents learn nothing.
+ * reaches; routers that reach the same agents choose the same ones. When agents are lost or come, others are told where the choice changes.
+ * Of a service with one version the agents learn nothing.
  */
 export const createStreamOrigins = ({ timers, hasSeveralVersions, reachableAddresses, areAgentsReachable, send }: Options): StreamOrigins => {
-  const own = new Map<string, StreamOrigin & { readonly notedMs: number }>()
-  const mixedServices = new Set<string>()
+  const own = new Map<string, OwnStream>()
+  const lostAddresses = new Set<string>()
+  let linkedAddresses: ReadonlySet<string> = new Set()
   const openQueries = new Map<number, OpenQuery>()
   let nextAskId = 1
 
-  const keepersOf = (streamId: string): readonly string[] => rankByRendezvous(streamId, reachableAddresses()).slice(0, KEEPER_COUNT)
+  const chooseKeepers = (streamId: string, addresses: readonly string[]): readonly string[] => rankByRendezvous(streamId, addresses).slice(0, KEEPER_COUNT)
 
-  const tell = ({ streamId, serviceName, softwareVersion }: StreamOrigin): void => {
-    for (const address of keepersOf(streamId)) send(address, { type: 'streamsBegan', origins: [{ streamId, serviceName, softwareVersion }] })
+  /** Tells those of the chosen agents that do not know of the stream. */
+  const tell = (stream: OwnStream, addresses: readonly string[]): void => {
+    const { streamId, serviceName, softwareVersion } = stream
+    const keepers = chooseKeepers(streamId, addresses)
+    for (const address of keepers) {
+      if (!stream.toldAddresses.includes(address)) send(address, { type: 'streamsBegan', origins: [{ streamId, serviceName, softwareVersion }] })
+    }
+    own.set(streamId, { ...stream, toldAddresses: keepers })
   }
 
   // Ordered by time.
@@ -81,26 +97,36 @@
     }
   }
 
-  /** Tells of the streams that began while a service had one version, once it has several. */
+  const forgetTold = (stream: OwnStream): void => {
+    if (stream.toldAddresses.length > 0) own.set(stream.streamId, { ...stream, toldAddresses: [] })
+  }
+
+  /** Tells of the streams that began while a service had one version, once it has several, and of all others where the agents have changed. */
   const review = (): void => {
     trim()
-    const services = new Set([...own.values()].map(({ serviceName }) => serviceName))
-    for (const serviceName of services) {
-      if (!hasSeveralVersions(serviceName)) {
-        mixedServices.delete(serviceName)
+    const addresses = reachableAddresses()
+    const added = addresses.filter(address => !linkedAddresses.has(address) || lostAddresses.has(address))
+    const areMixed = new Map<string, boolean>()
+    for (const stream of own.values()) {
+      const { serviceName } = stream
+      const isMixed = areMixed.get(serviceName) ?? hasSeveralVersions(serviceName)
+      areMixed.set(serviceName, isMixed)
+      if (!isMixed) {
+        forgetTold(stream)
         continue
       }
-      if (mixedServices.has(serviceName)) continue
-      mixedServices.add(serviceName)
-      for (const origin of own.values()) {
-        if (origin.serviceName === serviceName) tell(origin)
-      }
+      const toldAddresses = stream.toldAddresses.filter(address => !lostAddresses.has(address))
+      const hasKeepers = toldAddresses.length > 0 && toldAddresses.length === stream.toldAddresses.length
+      if (!hasKeepers) tell({ ...stream, toldAddresses }, addresses)
+      else if (added.length > 0) tell(stream, [...toldAddresses, ...added])
     }
+    linkedAddresses = new Set(addresses)
+    lostAddresses.clear()
   }
 
   const ask = async (streamId: string, serviceName: string): Promise<FoundOrigin> => await new Promise(resolve => {
     const askId = nextAskId++
-    const keepers = keepersOf(streamId)
+    const keepers = chooseKeepers(streamId, reachableAddresses())
     const settle = (found: FoundOrigin): void => {
       stopTimer()
       openQueries.delete(askId)
@@ -116,10 +142,10 @@
 
   return {
     note: origin => {
+      const stream = { ...origin, notedMs: timers.nowMs(), toldAddresses: [] }
       own.delete(origin.streamId)
-      own.set(origin.streamId, { ...origin, notedMs: timers.nowMs() })
-      if (mixedServices.has(origin.serviceName)) tell(origin)
-      else review()
+      own.set(origin.streamId, stream)
+      if (hasSeveralVersions(origin.serviceName)) tell(stream, reachableAddresses())
     },
     find: async (streamId, serviceName) => {
       const known = own.get(streamId)
@@ -135,6 +161,7 @@
       // An agent that is not linked yet may be one that was told.
       query.settle(areAgentsReachable() ? { type: 'unknown', rememberedForMs: Math.min(...query.rememberedForMs) } : UNANSWERED)
     },
+    noteLost: serverAddress => { lostAddresses.add(serverAddress) },
     stop: stopReviewing
   }
 }
--- a/packages/gateway/src/origins/origins.test.ts
+++ b/packages/gateway/src/origins/origins.test.ts
@@ -19,6 +19,7 @@
   const timers = createVirtualTimers()
   const memories = new Map(AGENTS.map(name => [name as string, createOriginMemory(timers)]))
   const silent = new Set<string>()
+  const away = new Set<string>()
   const sent: RouterMessage[] = []
   const routers: StreamOrigins[] = []
   let hasSeveral = true
@@ -27,7 +28,7 @@
   const send = (routerIndex: number, address: string, message: RouterMessage): void => {
     sent.push(message)
     const memory = memories.get(address)
-    if (!memory || silent.has(address)) return
+    if (!memory || silent.has(address) || away.has(address)) return
     if (message.type === 'streamsBegan') memory.note(message.origins)
     if (message.type !== 'originAsked') return
     const softwareVersion = memory.find(message.streamId, message.serviceName)
@@ -35,7 +36,7 @@
   }
 
   for (let index = 0; index < routerCount; index++) {
-    routers.push(createStreamOrigins({ timers, hasSeveralVersions: () => hasSeveral, reachableAddresses: () => AGENTS, areAgentsReachable: () => areAgentsReachable, send: (address, message) => { send(index, address, message) } }))
+    routers.push(createStreamOrigins({ timers, hasSeveralVersions: () => hasSeveral, reachableAddresses: () => AGENTS.filter(name => !away.has(name)), areAgentsReachable: () => areAgentsReachable, send: (address, message) => { send(index, address, message) } }))
   }
 
   const ask = async (router: StreamOrigins | undefined, streamId: string, serviceName = SERVICE): Promise<FoundOrigin | undefined> => {
@@ -49,7 +50,15 @@
   }
   const setSeveral = (several: boolean): void => { hasSeveral = several }
   const setReachable = (reachable: boolean): void => { areAgentsReachable = reachable }
-  return { timers, routers, memories, silent, sent, ask, find, setSeveral, setReachable }
+  /** The agent ends and forgets; routers lose their links to it. */
+  const end = (name: string): void => {
+    away.add(name)
+    memories.set(name, createOriginMemory(timers))
+    for (const router of routers) router.noteLost(name)
+  }
+  const start = (name: string): void => { away.delete(name) }
+  const knowing = (streamId: string): readonly string[] => AGENTS.filter(name => memories.get(name)?.find(streamId, SERVICE) !== undefined)
+  return { timers, routers, memories, silent, sent, ask, find, setSeveral, setReachable, end, start, knowing }
 }
 
 const note = (router: StreamOrigins | undefined, streamId: string, softwareVersion = 'v1'): void => { router?.note({ streamId, serviceName: SERVICE, softwareVersion }) }
@@ -101,6 +110,42 @@
     expect(await find(second, 'r1')).to.equal('v1')
   })
 
+  it('are remembered by other agents once those that were told have left, or have started again', async () => {
+    // Guards against streams that nobody goes on with after all routers were killed, though servers of their version are left.
+    const { timers, routers: [first, second], find, end, start, knowing } = setUp(2)
+    note(first, 'r1')
+    const told = knowing('r1')
+    for (const name of told) {
+      end(name)
+      timers.advance(500)
+    }
+    expect(await find(second, 'r1')).to.equal('v1')
+    for (const name of told) start(name)
+    timers.advance(500)
+    expect(knowing('r1')).to.include.members([...told])
+    for (const name of told) {
+      end(name)
+      start(name)
+      timers.advance(500)
+    }
+    expect(knowing('r1')).to.include.members([...told])
+  })
+
+  it('are told to agents that come while their service has several versions, and cost no message while nothing changes', async () => {
+    const { timers, routers: [first], sent, end, start, knowing } = setUp(1)
+    for (const name of ['a', 'b', 'c']) end(name)
+    timers.advance(500)
+    for (let index = 0; index < 20; index++) note(first, `r${index}`)
+    timers.advance(10_000)
+    expect(sent).to.have.length(40)
+    for (const name of ['a', 'b', 'c']) start(name)
+    timers.advance(500)
+    const tellCount = sent.length
+    for (let index = 0; index < 20; index++) expect(knowing(`r${index}`).length).to.be.at.least(3)
+    timers.advance(10_000)
+    expect(sent.length).to.equal(tellCount)
+  })
+
   it('are forgotten after two minutes', async () => {
     const { timers, routers: [first, second], memories, find } = setUp(2)
     note(first, 'r1')
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -151,6 +151,7 @@
         readDuty.lose(address)
         copyFetch.losePeer(address)
         quotas.noteLost(address)
+        origins.noteLost(address)
         coldLoads.lose(address)
         directory.loseAgent(address)
       }
