--- a/packages/gateway/src/testing/createTestRouter.ts
+++ b/packages/gateway/src/testing/createTestRouter.ts
@@ -111,6 +111,7 @@
     refusedWants,
     isFirstStart,
     areCopiesKnown: () => true,
+    haveAgentsReported: () => true,
     coldLoads,
     serverLimits: makeServerLimits(timers),
     deployment: () => deployment,
