--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -7,12 +7,6 @@
 /** Retry-after while a router has no deployment yet: it gets one within a second of its start. */
 export const NO_DEPLOYMENT_RETRY_MS = 500
 
-/** How often a request looks whether its router has heard from the agents: links to them are open within 0.3 s of a start. */
-export const AGENTS_CHECK_PERIOD_MS = 20
-
-/** Share of its time that a request waits for agents at most: a stream that is taken up again needs the rest for its own rest. */
-export const AGENTS_WAIT_SHARE = 0.1
-
 /** Reason with which a stopping router refuses or ends a request. */
 export const STOPPING_REASON = 'the router stops'
 
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -63,7 +63,6 @@
     unmetModels: createUnmetModels(timers),
     refusedWants: createRefusedWants(events, () => true),
     areCopiesKnown: () => true,
-    haveAgentsReported: () => true,
     crashes: createCrashHistory(timers),
     partGuard: makePartGuard(timers, events),
     serverLimits: makeServerLimits(timers),
@@ -125,23 +124,6 @@
     expect(statuses).to.deep.equal([503])
   })
 
-  it('refuses a request of which the agents tell a started router that engines died', async () => {
-    const { timers, context, request, asked, statuses } = setUp(() => undefined)
-    let hasHeard = false
-    timers.after(100, () => {
-      for (const serverId of ['x', 'y']) context.crashes.note({ identity: IDENTITY, start: { serverId, startedAtUnixMs: undefined }, ageMs: 0 })
-      hasHeard = true
-    })
-    const served = serveModel({ ...context, haveAgentsReported: () => hasHeard }, request)
-    for (let passedMs = 0; passedMs < 200; passedMs += 20) {
-      timers.advance(20)
-      await new Promise(resolve => { setImmediate(resolve) })
-    }
-    await served
-    expect(asked).to.deep.equal([])
-    expect(statuses).to.deep.equal([503])
-  })
-
   it('refuses the request after a few engines went down', async () => {
     const { context, request, asked, statuses } = setUp(() => ({ isReady: false, isLost: true, reason: 'the agent does not answer' }))
     await serveModel(context, request)
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -10,7 +10,6 @@
 import { awaitRetry } from '../retries/awaitRetry.js'
 import { LIMITED_REASON } from '../serverLimits/constants.js'
 import { holdBack } from '../serverLimits/holdBack.js'
-import { awaitAgents } from './awaitAgents.js'
 import { awaitAdapter } from './awaitAdapter.js'
 import { awaitModel } from './awaitModel.js'
 import { chooseServer } from './chooseServer.js'
@@ -62,7 +61,6 @@
     directory.serving(serviceName).filter(server => !excludedStarts.has(startKeyOf(server.start)) && versionLock.mayServe(server))
 
   context.demand.note(caller.modelName, caller.adapterName, caller.promptTokens)
-  await awaitAgents(context, request, bounds.callerLeavesMs())
   if (!await versionLock.resolve()) return giveUp('nobody knows which software version began the stream', UNKNOWN_ORIGIN_RETRY_MS)
 
   for (;;) {
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -52,8 +52,6 @@
   readonly isFirstStart: boolean
   /** False shortly after a restart, while agents have not reported which copies their engines have. */
   readonly areCopiesKnown: () => boolean
-  /** False after a start, until nearly all agents have told what they remember, or for as long as the router is not ready without them. */
-  readonly haveAgentsReported: () => boolean
   readonly occupancy: OccupancyMeter
   readonly dataCentre: string
   readonly deployment: () => Deployment | undefined
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -256,8 +256,6 @@
   const hasReported = (entry: ServerEntry): boolean => directory.find(entry.serverId)?.state !== undefined
   const areCopiesKnown = (): boolean =>
     options.isFirstStart || timers.nowMs() - startedMs > COPIES_KNOWN_MS || directory.entries().every(entry => !hasAgent(entry) || hasReported(entry))
-  const haveAgentsReported = (): boolean =>
-    agents.isReady() || timers.nowMs() - startedMs > AGENT_READY_TIMEOUT_MS || (directory.hasList() && !directory.entries().some(hasAgent))
   const context: GatewayContext = {
     timers,
     events,
@@ -284,7 +282,6 @@
     coldLoads,
     isFirstStart: options.isFirstStart,
     areCopiesKnown,
-    haveAgentsReported,
     occupancy: createOccupancyMeter(),
     dataCentre: options.dataCentre,
     deployment: feeds.deployment,
@@ -304,7 +301,8 @@
   // A router that has no links to the agents yet would refuse each request whose model must be loaded first.
   const isReady = (): boolean => {
     if (routerStop.isAsked() || !feeds.deployment() || !directory.hasList()) return false
-    return haveAgentsReported()
+    const hasAgents = directory.entries().some(hasAgent)
+    return !hasAgents || agents.isReady() || timers.nowMs() - startedMs > AGENT_READY_TIMEOUT_MS
   }
   const closeReady = await serveReadiness(options.readyAddress, isReady)
 
--- a/packages/gateway/src/testing/createTestRouter.ts
+++ b/packages/gateway/src/testing/createTestRouter.ts
@@ -111,7 +111,6 @@
     refusedWants,
     isFirstStart,
     areCopiesKnown: () => true,
-    haveAgentsReported: () => true,
     coldLoads,
     serverLimits: makeServerLimits(timers),
     deployment: () => deployment,
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -203,14 +203,13 @@
 
   const runLink = async (link: RouterLink): Promise<void> => {
     links.add(link)
-    // Sent before the state, by which the router knows that it has heard from this agent.
-    const knownCrashes = crashNotices.all()
-    if (knownCrashes) sendTo(link, knownCrashes)
     // Guards against a new router that starts from a state which the others never received: a change reverted before the next
     // comparison would not be sent, and the new router would keep it. So all routers start from the same state.
     const currentState = options.describe(census.count())
     if (sentState && currentState) sendFullState([link], { ...sentState.state, ...volatileFieldsOf(currentState) })
     else sendUpdate()
+    const knownCrashes = crashNotices.all()
+    if (knownCrashes) sendTo(link, knownCrashes)
     try {
       for await (const message of link.received) take(link, message)
     } finally {
