Keep what is known of a part's run in one map, and look for a part's last death in one place

The change for deaths in turn kept two maps by part (when the run was sent, after which death) beside each other in the history and in what the decision sees, and had a second loop for the last death under a part beside lastDeathMs. Now a death has one map of runs, and lastDeath serves both callers, with a time before which it looks.

--- a/packages/decisions/src/crashes/deadlyParts.test.ts
+++ b/packages/decisions/src/crashes/deadlyParts.test.ts
@@ -4,15 +4,16 @@
 import { findDeadlyParts } from './findDeadlyParts.js'
 import { judgePrompt } from './judgePrompt.js'
 
-import type { DeadlyParts, PartDeathView } from './findDeadlyParts.js'
+import type { DeadlyParts, PartDeathView, PartRunView } from './findDeadlyParts.js'
 
 const NEVER_TRIED = (): number => Infinity
 
-const NONE_BEFORE: ReadonlyMap<string, string> = new Map()
+/** A death at `atMs` under runs of these parts. */
+const deathWith = (atMs: number, run: PartRunView, ...partIds: readonly string[]): PartDeathView =>
+  ({ startKey: `s${atMs}`, atMs, runs: new Map(partIds.map(partId => [partId, run])) })
 
-/** A death at `atMs` under runs that were sent 50 ms before it. */
-const death = (atMs: number, ...partIds: readonly string[]): PartDeathView =>
-  ({ startKey: `s${atMs}`, atMs, sentMs: new Map(partIds.map(partId => [partId, atMs - 50])), sentAfter: NONE_BEFORE })
+/** The same, with runs that were sent 50 ms before it. */
+const death = (atMs: number, ...partIds: readonly string[]): PartDeathView => deathWith(atMs, { sentMs: atMs - 50, sentAfter: undefined }, ...partIds)
 
 const proofs = (given: Readonly<Record<string, number>> = {}): ReadonlyMap<string, number> => new Map(Object.entries(given))
 
@@ -46,21 +47,19 @@
 
   it('are not those of servers that die at the same moment', () => {
     // Guards against refusing the busiest requests after several servers have lost their power together.
-    const together = [0, 1, 2, 3].map((offsetMs): PartDeathView =>
-      ({ startKey: `s${offsetMs}`, atMs: 1_000 + offsetMs, sentMs: new Map([['busy', 900]]), sentAfter: NONE_BEFORE }))
+    const together = [0, 1, 2, 3].map(offsetMs => deathWith(1_000 + offsetMs, { sentMs: 900, sentAfter: undefined }, 'busy'))
     expect(blamed(together)).to.deep.equal([])
   })
 
   it('are found after two deaths of which a router saw the order, whatever the times say', () => {
     const first = death(1_000, 'p')
-    const second: PartDeathView = { ...death(990, 'p'), sentAfter: new Map([['p', first.startKey]]) }
-    expect(blamed([first, second])).to.deep.equal([['p']])
-    expect(blamed([first, { ...second, sentAfter: new Map([['p', 'another']]) }])).to.deep.equal([])
+    expect(blamed([first, deathWith(990, { sentMs: 940, sentAfter: first.startKey }, 'p')])).to.deep.equal([['p']])
+    expect(blamed([first, deathWith(990, { sentMs: 940, sentAfter: 'another' }, 'p')])).to.deep.equal([])
   })
 
   it('are looked for to an end in reports that contradict each other', () => {
-    const first = { ...death(1_000, 'p'), sentAfter: new Map([['p', 's1010']]) }
-    const second = { ...death(1_010, 'p'), sentAfter: new Map([['p', 's1000']]) }
+    const first = deathWith(1_000, { sentMs: 950, sentAfter: 's1010' }, 'p')
+    const second = deathWith(1_010, { sentMs: 960, sentAfter: 's1000' }, 'p')
     expect(blamed([first, second])).to.deep.equal([['p']])
   })
 
--- a/packages/decisions/src/crashes/findDeadlyParts.ts
+++ b/packages/decisions/src/crashes/findDeadlyParts.ts
@@ -1,11 +1,15 @@
+/** The latest run with a part on a server that died. */
+export interface PartRunView {
+  readonly sentMs: number
+  /** Key of the latest start that had died with the part before the run was sent, as the run's router saw it; undefined if none is known. */
+  readonly sentAfter: string | undefined
+}
+
 /** The death of a server and the parts of the prompts that ran on it. */
 export interface PartDeathView {
   readonly startKey: string
   readonly atMs: number
-  /** By part: time at which the latest run with it was sent. */
-  readonly sentMs: ReadonlyMap<string, number>
-  /** By part: key of the latest start that had died with it before that run was sent, as the run's router saw it. */
-  readonly sentAfter: ReadonlyMap<string, string>
+  readonly runs: ReadonlyMap<string, PartRunView>
 }
 
 /** What a router knows about parts of prompts. */
@@ -37,8 +41,10 @@
 const MIN_DEATHS = 2
 
 /** Other routers report times late, each report by another delay: what the run's router saw goes before a comparison of times. */
-const isInTurn = (partId: string, before: PartDeathView, after: PartDeathView): boolean =>
-  after.sentAfter.get(partId) === before.startKey || (after.sentMs.get(partId) ?? -Infinity) > before.atMs
+const isInTurn = (partId: string, before: PartDeathView, after: PartDeathView): boolean => {
+  const run = after.runs.get(partId)
+  return run !== undefined && (run.sentAfter === before.startKey || run.sentMs > before.atMs)
+}
 
 /**
  * Counts the deaths under a part one after the other: a run must have been sent after the death before.
@@ -67,7 +73,7 @@
 const findSuspects = (deaths: readonly PartDeathView[], provenMs: ReadonlyMap<string, number>): readonly Suspect[] => {
   const deathsOf = new Map<string, PartDeathView[]>()
   for (const death of deaths) {
-    for (const partId of death.sentMs.keys()) {
+    for (const partId of death.runs.keys()) {
       if (death.atMs < (provenMs.get(partId) ?? -Infinity)) continue
       const known = deathsOf.get(partId) ?? []
       known.push(death)
--- a/packages/fleet/src/crashes/createPartHistory.ts
+++ b/packages/fleet/src/crashes/createPartHistory.ts
@@ -14,14 +14,18 @@
 /** Maximum number of parts of which a proof is stored: those of the latest runs. */
 const MAX_PROVEN = 2_000
 
+interface KnownRun {
+  readonly sentMs: number
+  /** Key of the latest start that had died with the part before the run was sent. */
+  readonly sentAfter: string | undefined
+}
+
 interface KnownDeath {
   readonly start: ServerStart
   readonly startKey: string
   readonly atMs: number
-  /** By part: time at which the latest run with it was sent. */
-  readonly sentMs: Map<string, number>
-  /** By part: key of the latest start that had died with it before that run was sent. */
-  readonly sentAfter: Map<string, string>
+  /** By part: the latest run with it. */
+  readonly runs: Map<string, KnownRun>
 }
 
 /** Parts of prompts that were running when their backend servers died, and parts on which servers have written, as one process knows them. */
@@ -59,18 +63,18 @@
 
   const knownDeathOf = ({ start, ageMs }: PartDeath): KnownDeath => {
     const startKey = startKeyOf(start)
-    const known = deaths.get(startKey) ??
-      { start, startKey, atMs: timers.nowMs() - ageMs, sentMs: new Map<string, number>(), sentAfter: new Map<string, string>() }
+    const known = deaths.get(startKey) ?? { start, startKey, atMs: timers.nowMs() - ageMs, runs: new Map<string, KnownRun>() }
     deaths.set(startKey, known)
     return known
   }
 
-  const lastDeathMs = (partId: string): number => {
-    let lastMs = -Infinity
-    for (const { atMs, sentMs } of deaths.values()) {
-      if (sentMs.has(partId)) lastMs = Math.max(lastMs, atMs)
+  const lastDeath = (partId: string, beforeMs = Infinity): KnownDeath | undefined => {
+    let last: KnownDeath | undefined
+    for (const death of deaths.values()) {
+      if (!death.runs.has(partId) || death.atMs >= beforeMs) continue
+      if (death.atMs > (last?.atMs ?? -Infinity)) last = death
     }
-    return lastMs
+    return last
   }
 
   const keepProof = (partId: string, atMs: number): void => {
@@ -86,18 +90,17 @@
     return atMs === undefined ? undefined : timers.nowMs() - atMs
   }
 
-  const suspectsOf = ({ start, atMs, sentMs, sentAfter }: KnownDeath): PartDeath => {
+  const suspectsOf = ({ start, atMs, runs }: KnownDeath): PartDeath => {
     const parts: PartRun[] = []
-    for (const [partId, partSentMs] of sentMs) {
+    for (const [partId, { sentMs, sentAfter }] of runs) {
       if ((provenMs.get(partId) ?? -Infinity) > atMs) continue
-      parts.push({ partId, sentAgeMs: timers.nowMs() - partSentMs, provenAgeMs: provenAgeMs(partId), sentAfter: sentAfter.get(partId) })
+      parts.push({ partId, sentAgeMs: timers.nowMs() - sentMs, provenAgeMs: provenAgeMs(partId), sentAfter })
     }
     return { start, ageMs: timers.nowMs() - atMs, parts }
   }
 
-  const noteRun = (death: KnownDeath, { partId, sentAgeMs, provenAgeMs: ageMs, sentAfter }: PartRun): void => {
-    death.sentMs.set(partId, timers.nowMs() - sentAgeMs)
-    if (sentAfter !== undefined) death.sentAfter.set(partId, sentAfter)
+  const noteRun = (runs: Map<string, KnownRun>, { partId, sentAgeMs, provenAgeMs: ageMs, sentAfter }: PartRun): void => {
+    runs.set(partId, { sentMs: timers.nowMs() - sentAgeMs, sentAfter })
     if (ageMs !== undefined) keepProof(partId, Math.max(timers.nowMs() - ageMs, provenMs.get(partId) ?? -Infinity))
   }
 
@@ -105,10 +108,10 @@
     note: death => {
       trim()
       if (death.ageMs >= RETENTION_MS) return undefined
-      const known = knownDeathOf(death)
-      const newParts = death.parts.filter(({ partId }) => !known.sentMs.has(partId)).slice(0, Math.max(0, MAX_PARTS_OF_DEATH - known.sentMs.size))
+      const { runs } = knownDeathOf(death)
+      const newParts = death.parts.filter(({ partId }) => !runs.has(partId)).slice(0, Math.max(0, MAX_PARTS_OF_DEATH - runs.size))
       if (newParts.length === 0) return undefined
-      for (const run of newParts) noteRun(known, run)
+      for (const run of newParts) noteRun(runs, run)
       changeCount += 1
       return { ...death, parts: newParts }
     },
@@ -116,7 +119,7 @@
       const knownMs = provenMs.get(partId) ?? -Infinity
       const sentMs = timers.nowMs() - sentAgeMs
       keepProof(partId, Math.max(knownMs, sentMs))
-      const diedMs = deaths.size === 0 ? -Infinity : lastDeathMs(partId)
+      const diedMs = lastDeath(partId)?.atMs ?? -Infinity
       if (diedMs === -Infinity) return false
       const isNews = knownMs === -Infinity || (sentMs > diedMs && knownMs <= diedMs)
       if (isNews) changeCount += 1
@@ -126,14 +129,7 @@
       const ageMs = provenAgeMs(partId)
       return ageMs === undefined ? undefined : { partId, sentAgeMs: ageMs }
     },
-    lastDeathBefore: (partId, sentMs) => {
-      let last: KnownDeath | undefined
-      for (const death of deaths.values()) {
-        const isBefore = death.sentMs.has(partId) && death.atMs < sentMs
-        if (isBefore && death.atMs > (last?.atMs ?? -Infinity)) last = death
-      }
-      return last?.startKey
-    },
+    lastDeathBefore: (partId, sentMs) => lastDeath(partId, sentMs)?.startKey,
     deaths: () => {
       trim()
       return [...deaths.values()].map(suspectsOf).filter(({ parts }) => parts.length > 0)
