--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -46,6 +46,8 @@
   readonly upForMs?: number
   /** Time for which other processes have counted this one. */
   readonly countedForMs?: number
+  /** Number of the heartbeat that wrote an entry of a backend server. */
+  readonly heartbeatNumber?: number
   readonly tokenCount?: number
   readonly limitPerS?: number
   readonly durationMs?: number
--- a/packages/fleet/src/servers/types.ts
+++ b/packages/fleet/src/servers/types.ts
@@ -23,6 +23,8 @@
   /** Version of the server's software. What two versions write does not fit together. */
   readonly softwareVersion: string
   readonly slots: number
+  /** Number of the heartbeat that wrote the entry. It rises with each, and begins anew with each start. */
+  readonly heartbeatNumber: number
   readonly isDraining: boolean
   readonly models: readonly HeldModel[]
 }
--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -17,7 +17,7 @@
 const ADDRESS = '127.0.0.1:1'
 
 const ENTRY: ServerEntry =
-  { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: [] }
+  { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] }
 
 const NO_HANDLERS = { takeState: () => {}, takeLoad: () => {}, takeDeploymentAsked: () => {}, takeDeploymentPiece: () => {}, takeListRead: () => {}, takeNotice: () => {}, found: () => {}, takeOrigin: () => {}, takeUnits: () => {}, lost: () => {} }
 
--- a/packages/gateway/src/crashes/createBreakWatch.test.ts
+++ b/packages/gateway/src/crashes/createBreakWatch.test.ts
@@ -14,7 +14,7 @@
 
 const IDENTITY: RequestIdentity = { contentHash: 'h', callerId: 'c' }
 const ENTRY: ServerEntry =
-  { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: 'a:1', dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: [] }
+  { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: 'a:1', dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] }
 
 const requestOf = (identity: RequestIdentity): RoutedRequest => ({ identity, caller: { requestId: 'r', promptParts: [] } }) as unknown as RoutedRequest
 
--- a/packages/gateway/src/crashes/watchCrash.test.ts
+++ b/packages/gateway/src/crashes/watchCrash.test.ts
@@ -15,7 +15,7 @@
 const ADDRESS = 'a:1'
 const IDENTITY = { contentHash: 'h', callerId: 'c' }
 const ENTRY: ServerEntry =
-  { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: [] }
+  { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] }
 
 /** An agent's report after its engine's death. */
 const DEAD_STATE = makeAgentState('', { isUp: false, goneStarts: [{ serverId: 'a', startedAtUnixMs: undefined }] })
--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -14,7 +14,7 @@
 const ADDRESS = 'host:1'
 
 const entryOf = (serverId: string, isDraining = false): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining, models: [{ name: 'm', adapters: [] }] })
+  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining, models: [{ name: 'm', adapters: [] }] })
 
 const listed = (serverId: string, isDraining = false): FeedRecord =>
   ({ key: serverId, value: Buffer.from(JSON.stringify(entryOf(serverId, isDraining))), offset: 1 })
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -64,7 +64,7 @@
     newestStarts.delete(serverId)
     departures.note(serverId, entry.address)
     versions.noteGone(entry)
-    events.emit(GatewayEvent.serverLeft, { peer: serverId, reason })
+    events.emit(GatewayEvent.serverLeft, { peer: serverId, heartbeatNumber: entry.heartbeatNumber, reason })
   }
 
   const missingEntries = createMissingEntries(timers, events, remove)
@@ -101,15 +101,18 @@
     if (entry.isDraining && !isOfEarlierStart) departures.noteLeaving({ serverId: entry.serverId, startedAtUnixMs: entry.startedAtUnixMs })
     const isReadyNow = !entry.isDraining && known?.isDraining !== false
     if (isReadyNow && departures.addressOf(entry.serverId) !== undefined) {
-      events.emit(GatewayEvent.serverReturned, { peer: entry.serverId, reason: source, detail: departures.isLeaving(startOf(entry.serverId)) ? 'left out' : 'taken again' })
+      events.emit(GatewayEvent.serverReturned, { peer: entry.serverId, heartbeatNumber: entry.heartbeatNumber, reason: source, detail: departures.isLeaving(startOf(entry.serverId)) ? 'left out' : 'taken again' })
+    }
+    if (known && isSameStart(known, entry) && entry.heartbeatNumber < known.heartbeatNumber) {
+      events.emit(GatewayEvent.entryOutdated, { peer: entry.serverId, heartbeatNumber: entry.heartbeatNumber, reason: source, detail: String(known.heartbeatNumber) })
     }
     missingEntries.noteListed(entry.serverId)
     entries.set(entry.serverId, entry)
     if (known && known.softwareVersion !== entry.softwareVersion) versions.noteGone(known)
     if (!known) departures.forget(entry.serverId)
     if (entry.isDraining) departures.note(entry.serverId, entry.address)
-    if (!known) events.emit(GatewayEvent.serverTaken, { peer: entry.serverId, service: entry.serviceName, detail: entry.address })
-    if (!known?.isDraining && entry.isDraining) events.emit(GatewayEvent.serverLeft, { peer: entry.serverId, reason: 'listed as draining' })
+    if (!known) events.emit(GatewayEvent.serverTaken, { peer: entry.serverId, heartbeatNumber: entry.heartbeatNumber, service: entry.serviceName, detail: entry.address })
+    if (!known?.isDraining && entry.isDraining) events.emit(GatewayEvent.serverLeft, { peer: entry.serverId, heartbeatNumber: entry.heartbeatNumber, reason: 'listed as draining' })
     onEntry(entry)
   }
 
--- a/packages/gateway/src/directory/restarts.test.ts
+++ b/packages/gateway/src/directory/restarts.test.ts
@@ -29,7 +29,7 @@
   /** Takes a list entry of this start. */
   const list = (start: ServerStart, models: readonly string[] = [], more: Partial<ServerEntry> = {}): void => {
     const entry: ServerEntry = {
-      ...start, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: models.map(name => ({ name, adapters: [] })), ...more
+      ...start, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: models.map(name => ({ name, adapters: [] })), ...more
     }
     directory.takeRecords([{ key: entry.serverId, value: Buffer.from(JSON.stringify(entry)), offset: offset++ }])
   }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -44,5 +44,6 @@
   closeJudged: [2540, 'a backend server closed the connection of an answer without a length or chunks: whether the answer counts as complete'],
   entryDoubted: [2541, 'a backend server is missing in the list, which may be due to an outage of the store: it may get requests for a while'],
   serverReturned: [2542, 'an entry lists a backend server as ready again that was draining or gone: whether it is used'],
-  takeUpJudged: [2543, 'a caller takes up a stream: at which software version it may go on, and who knew']
+  takeUpJudged: [2543, 'a caller takes up a stream: at which software version it may go on, and who knew'],
+  entryOutdated: [2544, 'an entry of a backend server is of an earlier heartbeat than the one known of the same start']
 })
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -32,7 +32,7 @@
 const IDENTITY = { contentHash: 'h', callerId: 'c' }
 
 const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: [] })
+  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] })
 
 /** A router with two engines that have the model on disk; `answer` gives the outcome of each want, or undefined if it stays open. */
 const setUp = (answer: (address: string) => WantOutcome | undefined) => {
--- a/packages/gateway/src/retries/awaitRetry.test.ts
+++ b/packages/gateway/src/retries/awaitRetry.test.ts
@@ -15,7 +15,7 @@
 const START = { serverId: 'a', startedAtUnixMs: undefined }
 
 const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: [] })
+  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] })
 
 /** A router that has run for a window and has `sentCount` of its four retries in it, the first of which leaves it after a second. */
 const setUp = (sentCount: number) => {
--- a/packages/gateway/src/router/createDemandReporter.test.ts
+++ b/packages/gateway/src/router/createDemandReporter.test.ts
@@ -14,7 +14,7 @@
 const START: ServerStart = { serverId: 'a', startedAtUnixMs: undefined }
 
 const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: [] })
+  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] })
 
 const setUp = () => {
   const timers = createVirtualTimers()
--- a/packages/gateway/src/router/createListChanges.test.ts
+++ b/packages/gateway/src/router/createListChanges.test.ts
@@ -8,7 +8,7 @@
 import type { ListChanges } from './createListChanges.js'
 
 const ENTRY: ServerEntry =
-  { serverId: 'a', startedAtUnixMs: 1, serviceName: 's', address: 'a:1', dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining: false, models: [] }
+  { serverId: 'a', startedAtUnixMs: 1, serviceName: 's', address: 'a:1', dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] }
 
 const recordOf = (given: Partial<ServerEntry> = {}, offset = 0): FeedRecord =>
   ({ key: 'a', value: Buffer.from(JSON.stringify({ ...ENTRY, ...given })), offset })
--- a/packages/gateway/src/router/followFeeds.test.ts
+++ b/packages/gateway/src/router/followFeeds.test.ts
@@ -24,7 +24,7 @@
   Either.encase(() => JSON.parse(Buffer.from(bytes).toString()) as ServerEntry).mapLeft(error => makeFault('invalid', 'decode', key, error.message))
 
 const entryOf = (serverId: string, isDraining = false): ServerEntry =>
-  ({ serverId, startedAtUnixMs: 1, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, isDraining, models: [] })
+  ({ serverId, startedAtUnixMs: 1, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining, models: [] })
 
 /** A store with a list of servers that counts its reads. */
 const createStore = () => {
--- a/packages/gateway/src/testing/createTestRouter.ts
+++ b/packages/gateway/src/testing/createTestRouter.ts
@@ -52,7 +52,7 @@
 const SERVICE = 's'
 
 const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: SERVICE, address: serverId, dataCentre: 'east', softwareVersion: 'v1', slots: 8, isDraining: false, models: [] })
+  ({ serverId, startedAtUnixMs: undefined, serviceName: SERVICE, address: serverId, dataCentre: 'east', softwareVersion: 'v1', slots: 8, heartbeatNumber: 1, isDraining: false, models: [] })
 
 /** Opens wants as `createAgentLink` does. */
 const createTestLink = (timers: VirtualTimers, send: (message: RouterMessage) => void) => {
