Go by the number of the heartbeat among entries of one start, also after its removal (DRAIN)

What callers saw: requests at servers whose entries had been removed, from all routers and without any kill.

Cause: an entry's place in the log decided, and its number was dropped. A heartbeat that the store carried out seconds late counted as the sign of a server that lives: a removed one was taken again, and a listed one got back the address, models and slots of before.

Now a router keeps, of each start that left, whether it has said so (no entry takes that back) or the last heartbeat before its removal (a later one shows that it lives, as after a stretch without the store). Among entries of one start the higher number counts. What two reports say together does not depend on their order (mergeLeft, 500 drawn orders).

--- a/packages/gateway/src/crashes/watchCrash.test.ts
+++ b/packages/gateway/src/crashes/watchCrash.test.ts
@@ -170,7 +170,7 @@
     const { timers, crashes, list, unlist, reportDeath, interruptRun } = setUpRun()
     unlist()
     timers.advance(2_000)
-    list()
+    list({ heartbeatNumber: 2 })
     interruptRun()
     timers.advance(200)
     reportDeath()
--- a/packages/gateway/src/directory/createDepartures.ts
+++ b/packages/gateway/src/directory/createDepartures.ts
@@ -1,4 +1,4 @@
-import { isSameStart, startKeyOf } from '@figmount/fleet'
+import { startKeyOf } from '@figmount/fleet'
 
 import type { TimerService } from '@figmount/base'
 import type { ServerStart } from '@figmount/fleet'
@@ -6,9 +6,6 @@
 /** Longer than any request still runs on a server that is leaving or has died. */
 const RETENTION_MS = 60_000
 
-/** Servers that have said that they leave, stored at once: more than there are. */
-const MAX_LEAVING = 10_000
-
 /** A server that was draining or unlisted for this long before its end has exited gracefully: it serves for a second or more after that. */
 const GRACEFUL_EXIT_MS = 500
 
@@ -22,9 +19,6 @@
 export interface Departures {
   /** The server is draining or no longer listed; only the first call counts. */
   readonly note: (serverId: string, address: string) => void
-  /** The server says that it leaves; returns false if that is known. It holds until another start. */
-  readonly noteLeaving: (start: ServerStart) => boolean
-  readonly isLeaving: (start: ServerStart) => boolean
   /** An agent reports that these starts are gone; only the first report counts. */
   readonly noteGone: (starts: readonly ServerStart[]) => void
   /** The server is listed again, or has restarted. */
@@ -39,8 +33,6 @@
 export const createDepartures = (timers: TimerService): Departures => {
   const departures = new Map<string, Departure>()
   const goneMs = new Map<string, number>()
-  /** The last start of each server that has said that it leaves, in the order in which they did. */
-  const leaving = new Map<string, ServerStart>()
 
   // Both maps are ordered by time.
   const trim = (): void => {
@@ -55,21 +47,7 @@
     }
   }
 
-  const isLeaving = (start: ServerStart): boolean => {
-    const known = leaving.get(start.serverId)
-    return known !== undefined && isSameStart(known, start)
-  }
-
   return {
-    noteLeaving: start => {
-      if (isLeaving(start)) return false
-      leaving.delete(start.serverId)
-      leaving.set(start.serverId, start)
-      const [oldest] = leaving.keys()
-      if (leaving.size > MAX_LEAVING && oldest !== undefined) leaving.delete(oldest)
-      return true
-    },
-    isLeaving,
     note: (serverId, address) => {
       trim()
       if (!departures.has(serverId)) departures.set(serverId, { address, atMs: timers.nowMs() })
--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -99,6 +99,48 @@
     expect(ids()).to.deep.equal(['a'])
   })
 
+  it('uses no server whose entry was removed for an older heartbeat that is carried out late', () => {
+    // Guards against a write of before the removal that counts as the sign of a server that lives.
+    const { directory, ids } = setUp()
+    const list = (heartbeatNumber: number, startedAtUnixMs = 1_000): void => {
+      directory.takeRecords([{ key: 'a', value: Buffer.from(JSON.stringify({ ...entryOf('a'), startedAtUnixMs, heartbeatNumber })), offset: 1 }])
+    }
+    list(4)
+    list(5)
+    directory.takeRecords([gone('a')])
+    list(4)
+    list(5)
+    expect(ids()).to.deep.equal([])
+    list(6)
+    expect(ids()).to.deep.equal(['a'])
+    directory.takeRecords([gone('a')])
+    list(1, 2_000)
+    expect(ids()).to.deep.equal(['a'])
+  })
+
+  it('keeps the newer of two heartbeats of one start, in whichever order they come', () => {
+    // Guards against an address, models or slots of before that a late write brings back.
+    const { directory } = setUp()
+    const list = (heartbeatNumber: number, address: string, startedAtUnixMs: number): void => {
+      directory.takeRecords([{ key: 'a', value: Buffer.from(JSON.stringify({ ...entryOf('a'), startedAtUnixMs, heartbeatNumber, address })), offset: 1 }])
+    }
+    list(5, 'host:2', 1_000)
+    list(4, 'host:1', 1_000)
+    expect(directory.find('a')?.entry.address).to.equal('host:2')
+    list(1, 'host:3', 2_000)
+    expect(directory.find('a')?.entry.address).to.equal('host:3')
+  })
+
+  it('stops using a listed server that others know to have left after its entry was written', () => {
+    // Guards against a started router that has taken an older heartbeat for a sign of life.
+    const { directory, ids } = setUp()
+    directory.takeRecords([listed('a'), listed('b'), listed('c')])
+    directory.noteLeft({ serverId: 'a', startedAtUnixMs: undefined, lastHeartbeat: 1 }, 'recorded')
+    directory.noteLeft({ serverId: 'b', startedAtUnixMs: undefined, lastHeartbeat: 0 }, 'recorded')
+    directory.noteLeft({ serverId: 'c', startedAtUnixMs: undefined, lastHeartbeat: undefined }, 'recorded')
+    expect(ids()).to.deep.equal(['b'])
+  })
+
   it('learns that a server leaves before the server is listed', () => {
     const { directory, ids } = setUp()
     directory.noteLeaving({ serverId: 'a', startedAtUnixMs: undefined }, 'another router')
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -2,6 +2,7 @@
 import { isEarlierStart, isSameStart } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
+import { createLeavings } from '../leavings/createLeavings.js'
 import { MAX_REFUSED_KEYS } from './constants.js'
 import { createDepartures } from './createDepartures.js'
 import { createMissingEntries } from './createMissingEntries.js'
@@ -12,6 +13,7 @@
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { FailureShare } from '@figmount/decisions'
 import type { AgentLoad, AgentState, FeedRecord, ServerEntry, ServerStart, StorePort } from '@figmount/fleet'
+import type { LeftStart } from '../leavings/types.js'
 import type { Directory, KnownServer, StateListener } from './types.js'
 
 interface AgentReport {
@@ -40,6 +42,7 @@
   const failures = new Map<string, FailureShare>()
   const own = createOwnRequests()
   const departures = createDepartures(timers)
+  const leavings = createLeavings(timers)
   const versions = createSoftwareVersions(timers)
   const stateListeners = new Set<StateListener>()
   const replaced = new Set<string>()
@@ -67,7 +70,13 @@
     events.emit(GatewayEvent.serverLeft, { peer: serverId, heartbeatNumber: entry.heartbeatNumber, reason })
   }
 
-  const missingEntries = createMissingEntries(timers, events, remove)
+  const removeUnlisted = (serverId: string, reason: string): void => {
+    const entry = entries.get(serverId)
+    if (entry) leavings.note({ serverId, startedAtUnixMs: entry.startedAtUnixMs, lastHeartbeat: entry.heartbeatNumber })
+    remove(serverId, reason)
+  }
+
+  const missingEntries = createMissingEntries(timers, events, removeUnlisted)
 
   // Guards against mistaking a server that has restarted under the same id for its previous start, whose models, failures, requests and
   // cached prefixes are gone. It would get requests for models it no longer holds, and streams that ran on the previous start would
@@ -92,27 +101,38 @@
     if (entries.has(state.serverId) && !isStaleReport(state, startOf(state.serverId))) noteStart(state)
   }
 
+  // Guards against a heartbeat that the store carries out late, after newer ones of the same start, or after its server has left.
+  const isOutdated = (entry: ServerEntry, known: ServerEntry | undefined): boolean => {
+    if (leavings.isFromBefore(entry)) return true
+    return known !== undefined && isSameStart(known, entry) && entry.heartbeatNumber < known.heartbeatNumber
+  }
+
+  const logReturn = ({ serverId, heartbeatNumber }: ServerEntry, source: string, isLeftOut: boolean): void => {
+    events.emit(GatewayEvent.serverReturned, { peer: serverId, heartbeatNumber, reason: source, detail: isLeftOut ? 'left out' : 'taken again' })
+  }
+
   const takeEntry = (entry: ServerEntry, source: string): void => {
-    const known = entries.get(entry.serverId)
+    const { serverId, startedAtUnixMs, heartbeatNumber } = entry
+    const known = entries.get(serverId)
     // An entry may be seconds old and belong to the start before the one that the agent has reported.
-    const isOfEarlierStart = isEarlierStart(entry, startOf(entry.serverId))
+    const isOfEarlierStart = isEarlierStart(entry, startOf(serverId))
     if (!isOfEarlierStart) noteStart(entry)
     // No start that drains takes requests again, whichever entry lists it as ready later.
-    if (entry.isDraining && !isOfEarlierStart) departures.noteLeaving({ serverId: entry.serverId, startedAtUnixMs: entry.startedAtUnixMs })
+    if (entry.isDraining && !isOfEarlierStart) leavings.note({ serverId, startedAtUnixMs, lastHeartbeat: undefined })
+    const outdated = isOutdated(entry, known)
     const isReadyNow = !entry.isDraining && known?.isDraining !== false
-    if (isReadyNow && departures.addressOf(entry.serverId) !== undefined) {
-      events.emit(GatewayEvent.serverReturned, { peer: entry.serverId, heartbeatNumber: entry.heartbeatNumber, reason: source, detail: departures.isLeaving(startOf(entry.serverId)) ? 'left out' : 'taken again' })
-    }
-    if (known && isSameStart(known, entry) && entry.heartbeatNumber < known.heartbeatNumber) {
-      events.emit(GatewayEvent.entryOutdated, { peer: entry.serverId, heartbeatNumber: entry.heartbeatNumber, reason: source, detail: String(known.heartbeatNumber) })
+    if (isReadyNow && (outdated || departures.addressOf(serverId) !== undefined)) logReturn(entry, source, outdated || leavings.isLeaving(startOf(serverId)))
+    missingEntries.noteListed(serverId)
+    if (outdated) {
+      events.emit(GatewayEvent.entryOutdated, { peer: serverId, heartbeatNumber, reason: source, detail: String(known?.heartbeatNumber ?? leavings.find(serverId)?.lastHeartbeat) })
+      return
     }
-    missingEntries.noteListed(entry.serverId)
-    entries.set(entry.serverId, entry)
+    entries.set(serverId, entry)
     if (known && known.softwareVersion !== entry.softwareVersion) versions.noteGone(known)
-    if (!known) departures.forget(entry.serverId)
-    if (entry.isDraining) departures.note(entry.serverId, entry.address)
-    if (!known) events.emit(GatewayEvent.serverTaken, { peer: entry.serverId, heartbeatNumber: entry.heartbeatNumber, service: entry.serviceName, detail: entry.address })
-    if (!known?.isDraining && entry.isDraining) events.emit(GatewayEvent.serverLeft, { peer: entry.serverId, heartbeatNumber: entry.heartbeatNumber, reason: 'listed as draining' })
+    if (!known) departures.forget(serverId)
+    if (entry.isDraining) departures.note(serverId, entry.address)
+    if (!known) events.emit(GatewayEvent.serverTaken, { peer: serverId, heartbeatNumber, service: entry.serviceName, detail: entry.address })
+    if (!known?.isDraining && entry.isDraining) events.emit(GatewayEvent.serverLeft, { peer: serverId, heartbeatNumber, reason: 'listed as draining' })
     onEntry(entry)
   }
 
@@ -142,7 +162,7 @@
 
   // Guards against an entry from before its server left: the copy lists it as ready again, and its server may even still answer. A server
   // that runs renews its entry within two seconds.
-  const isOutdated = ({ key, value }: FeedRecord): boolean => {
+  const isOfServerThatLeft = ({ key, value }: FeedRecord): boolean => {
     if (!value || departures.addressOf(key) === undefined) return false
     return decodeServer(key, value).map(entry => !isEarlierStart(startOf(key), entry)).orDefault(false)
   }
@@ -172,17 +192,19 @@
     return state.serverId === start.serverId ? !isStaleReport(state, start) : isGone(report, start)
   }
 
-  const noteLeaving = (start: ServerStart, source: string): boolean => {
-    if (!departures.noteLeaving(start)) return false
-    const entry = entries.get(start.serverId)
-    if (entry) departures.note(start.serverId, entry.address)
-    events.emit(GatewayEvent.serverLeft, { peer: start.serverId, reason: source })
+  const noteLeft = (left: LeftStart, source: string): boolean => {
+    if (!leavings.note(left)) return false
+    const entry = entries.get(left.serverId)
+    if (entry && leavings.isFromBefore(entry)) remove(left.serverId, source)
+    if (left.lastHeartbeat !== undefined) return true
+    if (entry) departures.note(left.serverId, entry.address)
+    events.emit(GatewayEvent.serverLeft, { peer: left.serverId, reason: source })
     return true
   }
 
   const view = (listed: ServerEntry): KnownServer => {
     // Guards against a server whose entry cannot show that it leaves, as it does not reach the store or the store is away.
-    const entry = departures.isLeaving(startOf(listed.serverId)) ? { ...listed, isDraining: true } : listed
+    const entry = leavings.isLeaving(startOf(listed.serverId)) ? { ...listed, isDraining: true } : listed
     const report = reports.get(entry.address) ?? NO_REPORT
     const start = startOf(entry.serverId)
     const isReplaced = isGone(report, entry)
@@ -214,7 +236,7 @@
   return {
     takeRecords,
     takeCopy: records => {
-      takeRecords(records.filter(record => !isOutdated(record)), 'an older copy of the list')
+      takeRecords(records.filter(record => !isOfServerThatLeft(record)), 'an older copy of the list')
     },
     takeKeys: keys => {
       for (const serverId of [...entries.keys()]) {
@@ -293,7 +315,9 @@
       const nowMs = timers.nowMs()
       failures.set(serverId, noteOutcome(failures.get(serverId) ?? noFailures(nowMs), hasFailed, nowMs))
     },
-    noteLeaving,
+    noteLeaving: (start, source) => noteLeft({ ...start, lastHeartbeat: undefined }, source),
+    noteLeft,
+    leavings,
     noteReplaced: start => {
       if (isSameStart(start, startOf(start.serverId))) replaced.add(start.serverId)
     },
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -3,6 +3,8 @@
 import type { AgentState, AgentLoad, FeedRecord, ServerEntry, ServerStart } from '@figmount/fleet'
 import type { MissingEntries } from './createMissingEntries.js'
 import type { LoneVersion } from './createSoftwareVersions.js'
+import type { Leavings } from '../leavings/createLeavings.js'
+import type { LeftStart } from '../leavings/types.js'
 import type { RecordedVersions } from '../origins/versionRecords.js'
 import type { OwnRequests } from './createOwnRequests.js'
 import type { PrefixIndex } from './createPrefixIndex.js'
@@ -83,6 +85,10 @@
   readonly noteOutcome: (start: ServerStart, hasFailed: boolean) => void
   /** The server says that it leaves: it gets no new requests, whatever the list says; `source` is logged. Returns false if that is known. */
   readonly noteLeaving: (start: ServerStart, source: string) => boolean
+  /** Takes what is recorded of a server that has left; `source` is logged. Returns false if that is known. */
+  readonly noteLeft: (left: LeftStart, source: string) => boolean
+  /** The servers that are known to have left. */
+  readonly leavings: Leavings
   /** Another server has taken over the address. */
   readonly noteReplaced: (start: ServerStart) => void
   readonly prefixes: PrefixIndex
--- /dev/null
+++ b/packages/gateway/src/leavings/createLeavings.ts
@@ -0,0 +1,79 @@
+import { isSameStart } from '@figmount/fleet'
+
+import { isFromBefore, isSameLeft, mergeLeft } from './mergeLeft.js'
+
+import type { TimerService, Unsubscribe } from '@figmount/base'
+import type { ServerEntry, ServerStart } from '@figmount/fleet'
+import type { LeftStart } from './types.js'
+
+/** Starts that have left, kept at once: more than there are servers. */
+const MAX_LEFT = 10_000
+
+/** Time for which a start that has left is kept at least: servers still serve then, and older heartbeats arrive late. */
+const RETENTION_MS = 600_000
+
+/** The backend servers that have left, as one router knows from the list, their answers and other routers. */
+export interface Leavings {
+  /** Returns false if that is known. */
+  readonly note: (left: LeftStart) => boolean
+  /** The server has said that it leaves. It holds until another start. */
+  readonly isLeaving: (start: ServerStart) => boolean
+  /** The entry was written before its start left, and carried out later. */
+  readonly isFromBefore: (entry: ServerEntry) => boolean
+  readonly find: (serverId: string) => LeftStart | undefined
+  readonly forget: (serverId: string) => void
+  readonly all: () => readonly LeftStart[]
+  /** Those that have been known for so long that nobody needs them any more. */
+  readonly old: () => readonly LeftStart[]
+  /** Calls back with each start that is noted, after that. */
+  readonly onNoted: (listener: (left: LeftStart) => void) => Unsubscribe
+}
+
+interface KnownLeft {
+  readonly left: LeftStart
+  readonly notedMs: number
+}
+
+/** Creates the memory of one router. */
+export const createLeavings = (timers: TimerService): Leavings => {
+  /** By server, in the order in which they left. */
+  const known = new Map<string, KnownLeft>()
+  const listeners = new Set<(left: LeftStart) => void>()
+
+  const find = (serverId: string): LeftStart | undefined => known.get(serverId)?.left
+
+  return {
+    note: reported => {
+      const before = find(reported.serverId)
+      const left = mergeLeft(before, reported)
+      if (isSameLeft(before, left)) return false
+      known.delete(left.serverId)
+      known.set(left.serverId, { left, notedMs: timers.nowMs() })
+      const [oldestId] = known.keys()
+      if (known.size > MAX_LEFT && oldestId !== undefined) known.delete(oldestId)
+      for (const listener of [...listeners]) listener(left)
+      return true
+    },
+    isLeaving: start => {
+      const left = find(start.serverId)
+      return left !== undefined && left.lastHeartbeat === undefined && isSameStart(left, start)
+    },
+    isFromBefore: entry => isFromBefore(entry, find(entry.serverId)),
+    find,
+    forget: serverId => { known.delete(serverId) },
+    all: () => [...known.values()].map(({ left }) => left),
+    old: () => {
+      const oldestMs = timers.nowMs() - RETENTION_MS
+      const found: LeftStart[] = []
+      for (const { left, notedMs } of known.values()) {
+        if (notedMs > oldestMs) break
+        found.push(left)
+      }
+      return found
+    },
+    onNoted: listener => {
+      listeners.add(listener)
+      return () => { listeners.delete(listener) }
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/leavings/mergeLeft.test.ts
@@ -0,0 +1,45 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+
+import { isFromBefore, mergeLeft } from './mergeLeft.js'
+
+import type { ServerEntry } from '@figmount/fleet'
+import type { LeftStart } from './types.js'
+
+const left = (startedAtUnixMs: number | undefined, lastHeartbeat: number | undefined): LeftStart => ({ serverId: 'a', startedAtUnixMs, lastHeartbeat })
+
+const entry = (startedAtUnixMs: number, heartbeatNumber: number): ServerEntry => ({
+  serverId: 'a', startedAtUnixMs, serviceName: 's', address: 'a:1', dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber, isDraining: false, models: []
+})
+
+const drawnLeft = fc.record({
+  serverId: fc.constant('a'),
+  startedAtUnixMs: fc.integer({ min: 1, max: 3 }),
+  lastHeartbeat: fc.option(fc.integer({ min: 1, max: 5 }), { nil: undefined })
+})
+
+describe('reports on a server that has left', () => {
+  it('say the same together in whichever order they come, and twice', () => {
+    // Guards against routers that differ for good, as each has heard of a leaving in another order.
+    fc.assert(fc.property(fc.array(drawnLeft, { minLength: 1, maxLength: 6 }), fc.array(fc.nat(5), { maxLength: 6 }), (reports, repeats) => {
+      const again = repeats.flatMap(index => reports[index] ?? [])
+      const merge = (list: readonly LeftStart[]): LeftStart | undefined => list.reduce<LeftStart | undefined>(mergeLeft, undefined)
+      expect(merge([...again, ...[...reports].reverse()])).to.deep.equal(merge(reports))
+    }), { seed: 61, numRuns: 500 })
+  })
+
+  it('hold until a later heartbeat if the entry was removed, and for the whole start if the server has said so', () => {
+    expect(mergeLeft(left(1, 4), left(1, 7))).to.deep.equal(left(1, 7))
+    expect(mergeLeft(left(1, undefined), left(1, 7))).to.deep.equal(left(1, undefined))
+    expect(mergeLeft(left(1, undefined), left(2, 1))).to.deep.equal(left(2, 1))
+    expect(mergeLeft(left(2, 1), left(1, undefined))).to.deep.equal(left(2, 1))
+    expect(mergeLeft(left(undefined, 1), left(2, 3))).to.deep.equal(left(2, 3))
+  })
+
+  it('make entries of before the removal outdated, of that start alone', () => {
+    expect(isFromBefore(entry(1, 4), left(1, 4))).to.equal(true)
+    expect(isFromBefore(entry(1, 5), left(1, 4))).to.equal(false)
+    expect(isFromBefore(entry(2, 1), left(1, 4))).to.equal(false)
+    expect(isFromBefore(entry(1, 1), undefined)).to.equal(false)
+  })
+})
