Record in the store which servers have left, and read it before the list (DRAIN)

Cause: what a router has read of a leaving was its own memory alone.

Why this holds: routers write each start that left to a topic of figmount's own and follow it, so that it outlives all processes; a router that starts takes the list once it has read the topic (1 s at most, where the store keeps the topic from it). What the store loses with an older copy, any router that knows writes again. Routers are told of changed entries alone, so each knows another last heartbeat of a removed server; the record holds the highest. Removed by whoever has known it for ten minutes.

Ruled out: agents as keepers (they may end with the routers, and plain services have none); the router feed (its notices are overwritten by the next start of their router); reads at the start alone (a record written a moment later would be missed).

--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -119,6 +119,8 @@
   readonly routerFeed: WritableFeed
   /** The software versions that were in service of late; routers write them. */
   readonly versionFeed: WritableFeed
+  /** Starts of servers that have left; routers write them. */
+  readonly leavingFeed: WritableFeed
 }
 
 /** The platform's store as agents use it. */
--- /dev/null
+++ b/packages/gateway/src/leavings/createLeavingFeed.test.ts
@@ -0,0 +1,143 @@
+import { expect } from 'chai'
+import { createEventLog, createVirtualTimers } from '@figmount/base'
+
+import { createLeaseFeed, FeedMode } from '../../../sidecar/src/testing/createLeaseFeed.js'
+import { createLeavingFeed } from './createLeavingFeed.js'
+import { createLeavings } from './createLeavings.js'
+
+import type { InstanceName } from '@figmount/base'
+import type { LeftStart } from './types.js'
+
+const STEP_MS = 10
+
+const left = (serverId: string, lastHeartbeat?: number, startedAtUnixMs = 1): LeftStart => ({ serverId, startedAtUnixMs, lastHeartbeat })
+
+const setUp = () => {
+  const timers = createVirtualTimers()
+  const feed = createLeaseFeed(timers)
+  const restored = new Set<() => void>()
+
+  const join = () => {
+    const leavings = createLeavings(timers)
+    let hasRead = false
+    const { firstRead, stop } = createLeavingFeed({
+      feed,
+      timers,
+      events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers, writeLine: () => {} }),
+      leavings,
+      take: leavings.note,
+      routerCount: () => 4,
+      onRestored: listener => {
+        restored.add(listener)
+        return () => { restored.delete(listener) }
+      },
+      lost: () => {},
+      regained: () => {},
+      random: () => 0.5
+    })
+    firstRead.then(() => { hasRead = true }, () => {})
+    return { leavings, hasRead: () => hasRead, stop }
+  }
+  const pass = async (durationMs: number): Promise<void> => {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+      timers.advance(STEP_MS)
+      for (let turn = 0; turn < 10; turn++) await new Promise(resolve => { setImmediate(resolve) })
+    }
+  }
+  const appendCount = (): number => feed.calls.filter(name => name === 'append').length
+  return { feed, join, pass, appendCount }
+}
+
+describe('the record of servers that have left', () => {
+  it('tells a router that starts what others had noted, before its first read counts', async () => {
+    const { join, pass } = setUp()
+    const first = join()
+    await pass(100)
+    first.leavings.note(left('a'))
+    first.leavings.note(left('b', 7))
+    await pass(300)
+    first.stop()
+    const second = join()
+    expect(second.hasRead()).to.equal(false)
+    await pass(100)
+    expect(second.hasRead()).to.equal(true)
+    expect(second.leavings.all()).to.have.deep.members([left('a'), left('b', 7)])
+    second.stop()
+  })
+
+  it('is written once however many routers note it, and reaches those that have not', async () => {
+    const { join, pass, appendCount } = setUp()
+    const routers = [join(), join(), join()]
+    await pass(100)
+    routers[0]?.leavings.note(left('a'))
+    await pass(300)
+    for (const { leavings } of routers) leavings.note(left('a'))
+    await pass(1_000)
+    expect(appendCount()).to.equal(1)
+    for (const { leavings, stop } of routers) {
+      expect(leavings.all()).to.deep.equal([left('a')])
+      stop()
+    }
+  })
+
+  it('holds the last heartbeat that any router has read, whoever writes last', async () => {
+    // Guards against an older heartbeat that counts as new at routers that were told of changed entries alone.
+    const { join, pass } = setUp()
+    const routers = [join(), join(), join()]
+    await pass(100)
+    for (const [index, { leavings }] of routers.entries()) leavings.note(left('a', [4, 9, 2][index]))
+    await pass(1_000)
+    for (const { leavings, stop } of routers) {
+      expect(leavings.all()).to.deep.equal([left('a', 9)])
+      stop()
+    }
+  })
+
+  it('is written once the store answers, and does not keep a router from starting', async () => {
+    const { feed, join, pass } = setUp()
+    feed.setMode(FeedMode.Silent)
+    const router = join()
+    router.leavings.note(left('a'))
+    await pass(1_100)
+    expect(router.hasRead()).to.equal(true)
+    expect(feed.keys()).to.deep.equal([])
+    feed.setMode(FeedMode.Healthy)
+    await pass(4_000)
+    expect(feed.keys()).to.deep.equal(['a'])
+    router.stop()
+  })
+
+  it('outlasts what another writer leaves in its place', async () => {
+    // Guards against a healthy server that counts as gone, and against a leaving that is forgotten, by an odd record.
+    const { feed, join, pass } = setUp()
+    const first = join()
+    first.leavings.note(left('a'))
+    await pass(300)
+    await feedOdd(feed, ['a', 'b'], pass)
+    first.stop()
+    const second = join()
+    await pass(300)
+    expect(second.leavings.all()).to.deep.equal([left('a')])
+    second.stop()
+  })
+
+  it('is removed when nobody needs it any more, and forgotten by all', async () => {
+    const { feed, join, pass } = setUp()
+    const first = join()
+    first.leavings.note(left('a'))
+    await pass(300_000)
+    const second = join()
+    await pass(361_000)
+    expect(feed.keys()).to.deep.equal([])
+    expect(second.leavings.all()).to.deep.equal([])
+    first.stop()
+    second.stop()
+  })
+})
+
+/** Another writer's records, of which one is an empty map. */
+const feedOdd = async (feed: ReturnType<typeof setUp>['feed'], keys: readonly string[], pass: (durationMs: number) => Promise<void>): Promise<void> => {
+  const appended = feed.append(keys.map(key => ({ key, value: Buffer.from([0x80]) })), undefined, 1_000).run()
+  await pass(500)
+  await appended
+}
--- a/packages/gateway/src/router/followFeeds.test.ts
+++ b/packages/gateway/src/router/followFeeds.test.ts
@@ -4,6 +4,7 @@
 import { createEventLog, createVirtualTimers, makeFault } from '@figmount/base'
 import { makeRandom } from '@figmount/decisions'
 
+import { createLeaseFeed } from '../../../sidecar/src/testing/createLeaseFeed.js'
 import { createDirectory } from '../directory/createDirectory.js'
 import { followFeeds } from './followFeeds.js'
 
@@ -61,6 +62,7 @@
 const setUp = (routerCount: number, random: () => number, isLost: (from: number, to: number) => boolean = () => false) => {
   const timers: VirtualTimers = createVirtualTimers()
   const store = createStore()
+  const leavingFeed = createLeaseFeed(timers)
   const routers: TestRouter[] = []
   for (const id of ['a', 'b', 'c']) store.write(id, entryOf(id))
 
@@ -74,7 +76,7 @@
     const events = createEventLog({ instance: `r${index}` as InstanceName, role: 'router', timers })
     const directory = createDirectory({ timers, events, decodeServer, isServiceConfigured: () => true, onEntry: () => {} })
     const feeds = followFeeds({
-      store: store.port,
+      store: { ...store.port, leavingFeed },
       timers,
       events,
       directory,
@@ -84,6 +86,7 @@
       mustReadDeployments: () => true,
       storeRegained: () => {},
       sendListRead: read => { timers.after(STEP_MS, () => sendToOthers(index, read)) },
+      routerCount: () => routerCount,
       random
     })
     routers.push({ directory, feeds })
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -1,18 +1,20 @@
+import { EitherAsync } from 'purify-ts'
 import { BaseEvent } from '@figmount/base'
 import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
+import { createLeavingFeed } from '../leavings/createLeavingFeed.js'
 import { DUTY_REVIEW_MS, LIST_AGE_SHARE, LIST_SPREAD_SHARE } from './constants.js'
 import { createListChanges } from './createListChanges.js'
 import { createReadSchedule } from './createReadSchedule.js'
 import { createStoreWatch } from './createStoreWatch.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
-import type { Deployment, DeploymentCopy, FeedRead, FeedRecord, ListRead, StorePort } from '@figmount/fleet'
+import type { Deployment, DeploymentCopy, FeedRead, FeedRecord, KeyedFeed, ListRead, RouterStorePort, StorePort } from '@figmount/fleet'
 import type { Directory } from '../directory/types.js'
 
 interface Options {
-  readonly store: StorePort
+  readonly store: StorePort & Pick<RouterStorePort, 'leavingFeed'>
   readonly timers: TimerService
   readonly events: EventLog
   readonly directory: Directory
@@ -27,6 +29,7 @@
   readonly storeRegained: () => void
   /** Sends a read of the list to other routers, which saves them their own. */
   readonly sendListRead: (read: ListRead) => void
+  readonly routerCount: () => number
   readonly random: () => number
 }
 
@@ -48,7 +51,17 @@
   readonly stop: () => void
 }
 
-/** Follows the configuration and the list of servers. */
+/** A feed of which nothing is read as a whole before something else is known. */
+const readAfter = (known: Promise<void>, feed: KeyedFeed): KeyedFeed => ({
+  ...feed,
+  readNewest: (timeoutMs, control) => EitherAsync(async ({ fromPromise }) => {
+    const page = await fromPromise(feed.readNewest(timeoutMs, control).run())
+    await known
+    return page
+  })
+})
+
+/** Follows the configuration, the list of servers and what is recorded of those that have left. */
 export const followFeeds = (options: Options): Feeds => {
   const { store, timers, events, directory } = options
   const newest = createNewestDeployment({
@@ -90,6 +103,19 @@
     regained: outageMs => regained(store.deploymentFeed.name, outageMs)
   })
 
+  const leavings = createLeavingFeed({
+    feed: store.leavingFeed,
+    timers,
+    events,
+    leavings: directory.leavings,
+    take: left => { directory.noteLeft(left, 'recorded in the store') },
+    routerCount: options.routerCount,
+    onRestored: store.onRestored,
+    lost,
+    regained: outageMs => regained(store.leavingFeed.name, outageMs),
+    random: options.random
+  })
+
   const listChanges = createListChanges({
     decodeServer: store.decodeServer,
     hasAgentState: serverId => directory.find(serverId)?.state !== undefined
@@ -122,7 +148,7 @@
   }
 
   const servers = createFeedFollower({
-    feed: store.serverFeed,
+    feed: readAfter(leavings.firstRead, store.serverFeed),
     timers,
     events,
     onRestored: store.onRestored,
@@ -141,10 +167,11 @@
     lost,
     regained: outageMs => {
       options.storeRegained()
-      // Guards against a network cut that leaves the read of the configuration waiting on a dead connection: it would wait for seconds
+      // Guards against a network cut that leaves the reads that wait at the store on dead connections: they would wait for seconds
       // while requests are served by an older configuration. A router that receives no reads from others reads the list itself, which
       // shows the end of the cut; one that receives them also receives configurations.
       deployments.readNow()
+      leavings.readNow()
       regained(store.serverFeed.name, outageMs)
     }
   })
@@ -171,6 +198,7 @@
     },
     stop: () => {
       deployments.stop()
+      leavings.stop()
       servers.stop()
     }
   }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -168,6 +168,7 @@
     mustReadDeployments: () => readDuty.isDue(),
     storeRegained: () => { readDuty.noteRegained() },
     sendListRead: agents.relay,
+    routerCount: () => membership.routerCount(),
     random: options.random
   })
   const copySource = createCopySource(feeds.deploymentCopy)
