Let a delay that Node's timers can't hold end after the longest that they can (odd entries)

A time limit above 24.8 days in the configuration (timeout-ms is any positive number) made Node fire its timer after 1 ms, so that each request of the route ended at once.

--- a/packages/base/src/timers/createTimerService.ts
+++ b/packages/base/src/timers/createTimerService.ts
@@ -8,6 +8,9 @@
   readonly subscribers: Set<Callback>
 }
 
+/** Longest delay of Node's timers: with a longer one they fire at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1
+
 const callAll = (subscribers: ReadonlySet<Callback>): void => {
   for (const fire of [...subscribers]) {
     // An earlier callback of this tick may have unsubscribed this one.
@@ -31,7 +34,7 @@
     nowMs: () => performance.now(),
     unixMs: () => Date.now(),
     after: (delayMs, fire) => {
-      const timer = setTimeout(fire, delayMs).unref()
+      const timer = setTimeout(fire, Math.min(delayMs, MAX_DELAY_MS)).unref()
       return () => clearTimeout(timer)
     },
     // Subscribers with the same period share ticks: separate timers for hundreds of links would wake the process hundreds of times a second.
