--- a/packages/agent/src/plain/answerEnds.test.ts
+++ b/packages/agent/src/plain/answerEnds.test.ts
@@ -109,6 +109,21 @@
     expect({ callCount, pingCount }).to.deep.equal({ callCount: answers.length, pingCount: 0 })
   })
 
+  it('is not a break of its head, at any byte', async () => {
+    // Guards against an empty answer that counts as whole.
+    const head = `${HEAD}Content-Length: 0\r\n\r\n`
+    for (const end of [(socket: Socket) => { socket.end() }, (socket: Socket) => { setTimeout(() => socket.resetAndDestroy(), 5) }]) {
+      for (let byteCount = 0; byteCount < head.length; byteCount++) {
+        const port = await serve(socket => {
+          socket.write(head.slice(0, byteCount))
+          end(socket)
+        })
+        expect(bodyOf(await call(port, { repeatable: byteCount % 2 === 0 })), `${byteCount} bytes`).to.contain('failed')
+        server?.close()
+      }
+    }
+  })
+
   it('is not the close of a connection before the length or the last chunk', async () => {
     // Guards against answers with a frame that are cut short.
     for (const frame of ['Content-Length: 99\r\n\r\n', 'Transfer-Encoding: chunked\r\n\r\n99\r\n']) {
