Go by the newest record of a listed server, and by its highest heartbeat once it was removed

One entry of another writer with a high number would have shut its server out for the rest of its start, where the next heartbeat corrects any older one within 1.2 s. So the place in the log counts again while a server is listed; the number counts against the removal alone, the highest that was seen, so that one older heartbeat before it makes no room for a second.

--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -101,16 +101,13 @@
     if (entries.has(state.serverId) && !isStaleReport(state, startOf(state.serverId))) noteStart(state)
   }
 
-  // Guards against a heartbeat that the store carries out late, after newer ones of the same start, or after its server has left.
-  const isOutdated = (entry: ServerEntry, known: ServerEntry | undefined): boolean => {
-    if (leavings.isFromBefore(entry)) return true
-    return known !== undefined && isSameStart(known, entry) && entry.heartbeatNumber < known.heartbeatNumber
-  }
-
   const logReturn = ({ serverId, heartbeatNumber }: ServerEntry, source: string, isLeftOut: boolean): void => {
     events.emit(GatewayEvent.serverReturned, { peer: serverId, heartbeatNumber, reason: source, detail: isLeftOut ? 'left out' : 'taken again' })
   }
 
+  const highestHeartbeat = (entry: ServerEntry, known: ServerEntry | undefined): number =>
+    known && isSameStart(known, entry) ? Math.max(known.heartbeatNumber, entry.heartbeatNumber) : entry.heartbeatNumber
+
   const takeEntry = (entry: ServerEntry, source: string): void => {
     const { serverId, startedAtUnixMs, heartbeatNumber } = entry
     const known = entries.get(serverId)
@@ -119,15 +116,18 @@
     if (!isOfEarlierStart) noteStart(entry)
     // No start that drains takes requests again, whichever entry lists it as ready later.
     if (entry.isDraining && !isOfEarlierStart) leavings.note({ serverId, startedAtUnixMs, lastHeartbeat: undefined })
-    const outdated = isOutdated(entry, known)
+    // Guards against a heartbeat that the store carries out after its server has left.
+    const isLeftOut = leavings.isFromBefore(entry)
+    const highest = highestHeartbeat(entry, known)
+    if (isLeftOut || heartbeatNumber < highest) {
+      events.emit(GatewayEvent.entryOutdated, { peer: serverId, heartbeatNumber, reason: source, detail: isLeftOut ? 'its server has left' : `heartbeat ${highest} is known` })
+    }
     const isReadyNow = !entry.isDraining && known?.isDraining !== false
-    if (isReadyNow && (outdated || departures.addressOf(serverId) !== undefined)) logReturn(entry, source, outdated || leavings.isLeaving(startOf(serverId)))
+    if (isReadyNow && (isLeftOut || departures.addressOf(serverId) !== undefined)) logReturn(entry, source, isLeftOut || leavings.isLeaving(startOf(serverId)))
     missingEntries.noteListed(serverId)
-    if (outdated) {
-      events.emit(GatewayEvent.entryOutdated, { peer: serverId, heartbeatNumber, reason: source, detail: String(known?.heartbeatNumber ?? leavings.find(serverId)?.lastHeartbeat) })
-      return
-    }
-    entries.set(serverId, entry)
+    if (isLeftOut) return
+    // Among entries of a listed server the newest record counts: its next heartbeat replaces an older one, or one of another writer.
+    entries.set(serverId, { ...entry, heartbeatNumber: highest })
     if (known && known.softwareVersion !== entry.softwareVersion) versions.noteGone(known)
     if (!known) departures.forget(serverId)
     if (entry.isDraining) departures.note(serverId, entry.address)
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -334,6 +334,7 @@
   metrics.gauge('requests_open', ingress.openCount)
   metrics.gauge('deadly_parts', partGuard.foundCount)
   metrics.gauge('servers_known', () => directory.entries().length)
+  metrics.gauge('servers_left', () => directory.leavings.all().length)
   metrics.gauge('servers_doubted', directory.missingEntries.count)
 
   const stop = async (): Promise<void> => {
