Forget a leaving with its record only if it is not fresh, and log older entries in one place (DRAIN)

A removal by another writer, or one of figmount's own that the store carries out late, made all routers forget a leaving that they had read a moment ago. A router forgets with the record only what it has known for a minute, and writes again what it knows. The new test failed before.

--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -101,13 +101,21 @@
     if (entries.has(state.serverId) && !isStaleReport(state, startOf(state.serverId))) noteStart(state)
   }
 
-  const logReturn = ({ serverId, heartbeatNumber }: ServerEntry, source: string, isLeftOut: boolean): void => {
-    events.emit(GatewayEvent.serverReturned, { peer: serverId, heartbeatNumber, reason: source, detail: isLeftOut ? 'left out' : 'taken again' })
-  }
-
   const highestHeartbeat = (entry: ServerEntry, known: ServerEntry | undefined): number =>
     known && isSameStart(known, entry) ? Math.max(known.heartbeatNumber, entry.heartbeatNumber) : entry.heartbeatNumber
 
+  const logOlder = (entry: ServerEntry, known: ServerEntry | undefined, source: string): void => {
+    const { serverId, heartbeatNumber } = entry
+    const fields = { peer: serverId, heartbeatNumber, reason: source }
+    const isLeftOut = leavings.isFromBefore(entry)
+    const highest = highestHeartbeat(entry, known)
+    if (isLeftOut) events.emit(GatewayEvent.entryOutdated, { ...fields, detail: 'its server has left' })
+    else if (heartbeatNumber < highest) events.emit(GatewayEvent.entryOutdated, { ...fields, detail: `heartbeat ${highest} is known` })
+    const isReadyNow = !entry.isDraining && known?.isDraining !== false
+    if (!isReadyNow || departures.addressOf(serverId) === undefined) return
+    events.emit(GatewayEvent.serverReturned, { ...fields, detail: isLeftOut || leavings.isLeaving(startOf(serverId)) ? 'left out' : 'taken again' })
+  }
+
   const takeEntry = (entry: ServerEntry, source: string): void => {
     const { serverId, startedAtUnixMs, heartbeatNumber } = entry
     const known = entries.get(serverId)
@@ -116,18 +124,12 @@
     if (!isOfEarlierStart) noteStart(entry)
     // No start that drains takes requests again, whichever entry lists it as ready later.
     if (entry.isDraining && !isOfEarlierStart) leavings.note({ serverId, startedAtUnixMs, lastHeartbeat: undefined })
-    // Guards against a heartbeat that the store carries out after its server has left.
-    const isLeftOut = leavings.isFromBefore(entry)
-    const highest = highestHeartbeat(entry, known)
-    if (isLeftOut || heartbeatNumber < highest) {
-      events.emit(GatewayEvent.entryOutdated, { peer: serverId, heartbeatNumber, reason: source, detail: isLeftOut ? 'its server has left' : `heartbeat ${highest} is known` })
-    }
-    const isReadyNow = !entry.isDraining && known?.isDraining !== false
-    if (isReadyNow && (isLeftOut || departures.addressOf(serverId) !== undefined)) logReturn(entry, source, isLeftOut || leavings.isLeaving(startOf(serverId)))
+    logOlder(entry, known, source)
     missingEntries.noteListed(serverId)
-    if (isLeftOut) return
-    // Among entries of a listed server the newest record counts: its next heartbeat replaces an older one, or one of another writer.
-    entries.set(serverId, { ...entry, heartbeatNumber: highest })
+    // Guards against a heartbeat that the store carries out after its server has left.
+    if (leavings.isFromBefore(entry)) return
+    // While a server is listed its newest record counts: its next heartbeat replaces an older one, or one of another writer.
+    entries.set(serverId, { ...entry, heartbeatNumber: highestHeartbeat(entry, known) })
     if (known && known.softwareVersion !== entry.softwareVersion) versions.noteGone(known)
     if (!known) departures.forget(serverId)
     if (entry.isDraining) departures.note(serverId, entry.address)
--- a/packages/gateway/src/leavings/createLeavingFeed.test.ts
+++ b/packages/gateway/src/leavings/createLeavingFeed.test.ts
@@ -121,6 +121,20 @@
     second.stop()
   })
 
+  it('outlasts a removal that another writer makes, or that is carried out late', async () => {
+    // Guards against a leaving that all routers forget while older heartbeats of its server still come.
+    const { feed, join, pass } = setUp()
+    const router = join()
+    router.leavings.note(left('a'))
+    await pass(300)
+    const removed = feed.append([{ key: 'a', value: undefined }], undefined, 1_000).run()
+    await pass(500)
+    await removed
+    expect(router.leavings.all()).to.deep.equal([left('a')])
+    expect(feed.keys()).to.deep.equal(['a'])
+    router.stop()
+  })
+
   it('is removed when nobody needs it any more, and forgotten by all', async () => {
     const { feed, join, pass } = setUp()
     const first = join()
--- a/packages/gateway/src/leavings/createLeavings.ts
+++ b/packages/gateway/src/leavings/createLeavings.ts
@@ -12,6 +12,9 @@
 /** Time for which a start that has left is kept at least: servers still serve then, and older heartbeats arrive late. */
 const RETENTION_MS = 600_000
 
+/** A start that has been known for less is not forgotten because its record was removed: somebody else may have done that, or late. */
+const MIN_RETENTION_MS = 60_000
+
 /** The backend servers that have left, as one router knows from the list, their answers and other routers. */
 export interface Leavings {
   /** Returns false if that is known. */
@@ -21,6 +24,7 @@
   /** The entry was written before its start left, and carried out later. */
   readonly isFromBefore: (entry: ServerEntry) => boolean
   readonly find: (serverId: string) => LeftStart | undefined
+  /** Its record was removed: it is forgotten, unless this router has got to know it just now. */
   readonly forget: (serverId: string) => void
   readonly all: () => readonly LeftStart[]
   /** Those that have been known for so long that nobody needs them any more. */
@@ -60,7 +64,10 @@
     },
     isFromBefore: entry => isFromBefore(entry, find(entry.serverId)),
     find,
-    forget: serverId => { known.delete(serverId) },
+    forget: serverId => {
+      const { notedMs = Infinity } = known.get(serverId) ?? {}
+      if (timers.nowMs() - notedMs >= MIN_RETENTION_MS) known.delete(serverId)
+    },
     all: () => [...known.values()].map(({ left }) => left),
     old: () => {
       const oldestMs = timers.nowMs() - RETENTION_MS
