Go on with a feed after a record that its taker can't handle (odd entries)

An error that a taker throws ended the loop that follows the feed: the process went on by what it had read last, for good. The error is logged, and the next read goes on behind the record. The new test failed before: two of three records were never taken.

--- a/packages/fleet/src/feeds/createFeedFollower.test.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -20,6 +20,9 @@
 /** Stands for a read that never gets an answer, as on a connection that an intermediary has dropped without notice. */
 const NO_ANSWER = 'silent'
 
+/** Key of a record that its taker can't handle. */
+const POISON = 'poison'
+
 const setUp = (answers: Array<Answer | typeof NO_ANSWER>) => {
   const timers = createVirtualTimers()
   const taken: string[] = []
@@ -55,7 +58,12 @@
     waitMs: 0,
     dueInMs: () => Math.max(0, dueMs - timers.nowMs()),
     noteRead: () => { dueMs = timers.nowMs() + 100 },
-    take: records => { for (const { key, offset } of records) taken.push(`${key}@${offset}`) },
+    take: records => {
+      for (const { key, offset } of records) {
+        if (key === POISON) throw new RangeError('too deep')
+        taken.push(`${key}@${offset}`)
+      }
+    },
     takeKeys: known => { keys.push([...known]) },
     lost: () => { outages.push('lost') },
     regained: () => { outages.push('regained') }
@@ -70,6 +78,14 @@
 }
 
 describe('createFeedFollower', () => {
+  it('goes on after a record that its taker cannot handle', async () => {
+    // Guards against one odd record that stops a list from being followed for good.
+    const { follower, taken, pass } = setUp([page(2, record('a', 0), record(POISON, 1)), page(4, record('b', 2), record(POISON, 3)), page(5, record('c', 4))])
+    await pass(500)
+    follower.stop()
+    expect(taken).to.deep.equal(['a@0', 'b@2', 'c@4'])
+  })
+
   it('reads the newest record of each key first, then the records that follow', async () => {
     const { taken, keys, reads, pass } = setUp([page(5, record('a', 3)), page(6, record('a', 5))])
     await pass(150)
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -75,6 +75,15 @@
     return isRestored
   }
 
+  // Guards against a record that its taker can't handle: the feed would not be followed any more.
+  const takeSafely = (records: readonly FeedRecord[], isCopy: boolean): void => {
+    try {
+      options.take(records, isCopy)
+    } catch (error) {
+      options.events.emit(BaseEvent.unexpectedFault, { step: 'feeds.take', peer: feed.name, reason: error instanceof Error ? error.message : String(error) })
+    }
+  }
+
   const accept = (records: readonly FeedRecord[], isOwnRead = false, isCopy = false): void => {
     const newRecords: FeedRecord[] = []
     // The newest records come sorted by their keys.
@@ -88,7 +97,7 @@
       newestOffset.set(record.key, record.offset)
       newRecords.push(record)
     }
-    if (newRecords.length > 0 || isCopy) options.take(newRecords, isCopy)
+    if (newRecords.length > 0 || isCopy) takeSafely(newRecords, isCopy)
   }
 
   const acceptAll = (page: FeedPage): void => {
