--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -1,5 +1,5 @@
 import { Left, Right } from 'purify-ts'
-import { BaseEvent, makeFault, runInBackground, sleep } from '@figmount/base'
+import { BaseEvent, faultFrom, makeFault, runInBackground, sleep } from '@figmount/base'
 
 import { INITIAL_RETRY_MS, MAX_RETRY_MS, READ_GRACE_MS } from './constants.js'
 
@@ -80,7 +80,8 @@
     try {
       options.take(records, isCopy)
     } catch (error) {
-      options.events.emit(BaseEvent.unexpectedFault, { step: 'feeds.take', peer: feed.name, reason: error instanceof Error ? error.message : String(error) })
+      const { step, peer, message } = faultFrom('feeds.take', feed.name)(error)
+      options.events.emit(BaseEvent.unexpectedFault, { step, peer, reason: message })
     }
   }
 
--- a/packages/gateway/src/leavings/createLeavingFeed.test.ts
+++ b/packages/gateway/src/leavings/createLeavingFeed.test.ts
@@ -6,16 +6,19 @@
 import { createLeavings } from './createLeavings.js'
 
 import type { InstanceName } from '@figmount/base'
+import type { NewRecord } from '@figmount/fleet'
 import type { LeftStart } from './types.js'
 
 const STEP_MS = 10
 
+/** A map without fields, as the feed's records are encoded. */
+const EMPTY_MAP = Buffer.from([0x80])
+
 const left = (serverId: string, lastHeartbeat?: number, startedAtUnixMs = 1): LeftStart => ({ serverId, startedAtUnixMs, lastHeartbeat })
 
 const setUp = () => {
   const timers = createVirtualTimers()
   const feed = createLeaseFeed(timers)
-  const restored = new Set<() => void>()
 
   const join = () => {
     const leavings = createLeavings(timers)
@@ -27,10 +30,7 @@
       leavings,
       take: leavings.note,
       routerCount: () => 4,
-      onRestored: listener => {
-        restored.add(listener)
-        return () => { restored.delete(listener) }
-      },
+      onRestored: () => () => {},
       lost: () => {},
       regained: () => {},
       random: () => 0.5
@@ -44,8 +44,14 @@
       for (let turn = 0; turn < 10; turn++) await new Promise(resolve => { setImmediate(resolve) })
     }
   }
+  /** Appends records of another writer. */
+  const appendOther = async (records: readonly NewRecord[]): Promise<void> => {
+    const appended = feed.append(records, undefined, 1_000).run()
+    await pass(500)
+    await appended
+  }
   const appendCount = (): number => feed.calls.filter(name => name === 'append').length
-  return { feed, join, pass, appendCount }
+  return { feed, join, pass, appendOther, appendCount }
 }
 
 describe('the record of servers that have left', () => {
@@ -109,11 +115,11 @@
 
   it('outlasts what another writer leaves in its place', async () => {
     // Guards against a healthy server that counts as gone, and against a leaving that is forgotten, by an odd record.
-    const { feed, join, pass } = setUp()
+    const { join, pass, appendOther } = setUp()
     const first = join()
     first.leavings.note(left('a'))
     await pass(300)
-    await feedOdd(feed, ['a', 'b'], pass)
+    await appendOther(['a', 'b'].map(key => ({ key, value: EMPTY_MAP })))
     first.stop()
     const second = join()
     await pass(300)
@@ -123,13 +129,11 @@
 
   it('outlasts a removal that another writer makes, or that is carried out late', async () => {
     // Guards against a leaving that all routers forget while older heartbeats of its server still come.
-    const { feed, join, pass } = setUp()
+    const { feed, join, pass, appendOther } = setUp()
     const router = join()
     router.leavings.note(left('a'))
     await pass(300)
-    const removed = feed.append([{ key: 'a', value: undefined }], undefined, 1_000).run()
-    await pass(500)
-    await removed
+    await appendOther([{ key: 'a', value: undefined }])
     expect(router.leavings.all()).to.deep.equal([left('a')])
     expect(feed.keys()).to.deep.equal(['a'])
     router.stop()
@@ -148,10 +152,3 @@
     second.stop()
   })
 })
-
-/** Another writer's records, of which one is an empty map. */
-const feedOdd = async (feed: ReturnType<typeof setUp>['feed'], keys: readonly string[], pass: (durationMs: number) => Promise<void>): Promise<void> => {
-  const appended = feed.append(keys.map(key => ({ key, value: Buffer.from([0x80]) })), undefined, 1_000).run()
-  await pass(500)
-  await appended
-}
--- a/packages/gateway/src/leavings/createLeavingFeed.ts
+++ b/packages/gateway/src/leavings/createLeavingFeed.ts
@@ -65,7 +65,7 @@
 
   const listUnrecorded = (): readonly LeftStart[] => leavings.all().filter(left => {
     const before = recorded.get(left.serverId)
-    return !before || !isSameLeft(before, mergeLeft(before, left))
+    return !isSameLeft(before, mergeLeft(before, left))
   })
 
   const append = async (records: readonly NewRecord[]): Promise<boolean> => (await feed.append(records, undefined, APPEND_TIMEOUT_MS).run()).isRight()
