Spread routers' writes in one place, and take records of leavings in one branch

Cause: createLeavingFeed wrote the spread of createVersionRecorder again, the same 20 ms a router; it is spreadWriteMs in fleet/feeds now, each caller keeps its own longest spread. A record that can't be decoded and one that was removed left the map of recorded leavings in two branches. Leavings.find had no caller outside, and no listener of onNoted used what it was given. Behaviour is the same.

--- a/packages/gateway/src/leavings/createLeavingFeed.ts
+++ b/packages/gateway/src/leavings/createLeavingFeed.ts
@@ -1,5 +1,5 @@
 import { runInBackground, sleep } from '@figmount/base'
-import { createFeedFollower, LONG_POLL_MS } from '@figmount/fleet'
+import { createFeedFollower, LONG_POLL_MS, spreadWriteMs } from '@figmount/fleet'
 
 import { decodeLeft, encodeLeft } from './leavingRecords.js'
 import { isSameLeft, mergeLeft } from './mergeLeft.js'
@@ -15,8 +15,7 @@
 /** Time until a write that failed is repeated. */
 const RETRY_MS = 500
 
-/** Time over which routers spread their writes, for each of them, and at most: the first one makes those of the others unnecessary. */
-const SPREAD_PER_ROUTER_MS = 20
+/** Longest time over which routers spread their writes. */
 const MAX_SPREAD_MS = 500
 
 /** Longest wait for the first read: the store may keep this topic from a router and show it the list. */
@@ -75,7 +74,7 @@
     if (isWriting) return
     isWriting = true
     while (!stopping.signal.aborted && listUnrecorded().length > 0) {
-      await sleep(timers, random() * Math.min(MAX_SPREAD_MS, SPREAD_PER_ROUTER_MS * routerCount()), stopping.signal)
+      await sleep(timers, spreadWriteMs(routerCount(), MAX_SPREAD_MS, random()), stopping.signal)
       const unrecorded = listUnrecorded()
       if (unrecorded.length === 0 || stopping.signal.aborted) break
       if (await append(unrecorded.map(encodeLeft))) {
@@ -88,18 +87,14 @@
   const writeSoon = (): void => { runInBackground(events, 'leavings.write', write()) }
 
   const takeRecord = (record: FeedRecord): void => {
-    if (!record.value) {
-      recorded.delete(record.key)
-      return leavings.forget(record.key)
-    }
     const left = decodeLeft(record)
-    // What another writer left is replaced.
-    if (!left) {
-      recorded.delete(record.key)
-      return
+    if (left) {
+      recorded.set(left.serverId, left)
+      return take(left)
     }
-    recorded.set(left.serverId, left)
-    take(left)
+    // What another writer left is replaced.
+    recorded.delete(record.key)
+    if (!record.value) leavings.forget(record.key)
   }
 
   const follower = createFeedFollower({
--- a/packages/gateway/src/leavings/createLeavings.ts
+++ b/packages/gateway/src/leavings/createLeavings.ts
@@ -23,14 +23,13 @@
   readonly isLeaving: (start: ServerStart) => boolean
   /** The entry was written before its start left, and carried out later. */
   readonly isFromBefore: (entry: ServerEntry) => boolean
-  readonly find: (serverId: string) => LeftStart | undefined
   /** Its record was removed: it is forgotten, unless this router has got to know it just now. */
   readonly forget: (serverId: string) => void
   readonly all: () => readonly LeftStart[]
   /** Those that have been known for so long that nobody needs them any more. */
   readonly old: () => readonly LeftStart[]
-  /** Calls back with each start that is noted, after that. */
-  readonly onNoted: (listener: (left: LeftStart) => void) => Unsubscribe
+  /** Calls back after each start that is noted. */
+  readonly onNoted: (listener: () => void) => Unsubscribe
 }
 
 interface KnownLeft {
@@ -42,7 +41,7 @@
 export const createLeavings = (timers: TimerService): Leavings => {
   /** By server, in the order in which they left. */
   const known = new Map<string, KnownLeft>()
-  const listeners = new Set<(left: LeftStart) => void>()
+  const listeners = new Set<() => void>()
 
   const find = (serverId: string): LeftStart | undefined => known.get(serverId)?.left
 
@@ -55,7 +54,7 @@
       known.set(left.serverId, { left, notedMs: timers.nowMs() })
       const [oldestId] = known.keys()
       if (known.size > MAX_LEFT && oldestId !== undefined) known.delete(oldestId)
-      for (const listener of [...listeners]) listener(left)
+      for (const listener of [...listeners]) listener()
       return true
     },
     isLeaving: start => {
@@ -63,7 +62,6 @@
       return left !== undefined && left.lastHeartbeat === undefined && isSameStart(left, start)
     },
     isFromBefore: entry => isFromBefore(entry, find(entry.serverId)),
-    find,
     forget: serverId => {
       const { notedMs = Infinity } = known.get(serverId) ?? {}
       if (timers.nowMs() - notedMs >= MIN_RETENTION_MS) known.delete(serverId)
--- a/packages/gateway/src/origins/createVersionRecorder.ts
+++ b/packages/gateway/src/origins/createVersionRecorder.ts
@@ -1,4 +1,5 @@
 import { runInBackground, sleep } from '@figmount/base'
+import { spreadWriteMs } from '@figmount/fleet'
 
 import { decodeVersions, encodeVersions, sayTheSame } from './versionRecords.js'
 
@@ -15,8 +16,7 @@
 /** How often a router looks whether its versions differ from the recorded ones. */
 const REVIEW_MS = 250
 
-/** Time over which routers spread their writes, for each of them, and at most: the first one makes those of the others unnecessary. */
-const SPREAD_PER_ROUTER_MS = 20
+/** Longest time over which routers spread their writes. */
 const MAX_SPREAD_MS = 1_000
 
 interface Options {
@@ -69,7 +69,7 @@
   const pause = async (durationMs: number): Promise<void> => { await sleep(timers, durationMs, stopping.signal) }
 
   const record = async (): Promise<void> => {
-    await pause(random() * Math.min(MAX_SPREAD_MS, SPREAD_PER_ROUTER_MS * routerCount()))
+    await pause(spreadWriteMs(routerCount(), MAX_SPREAD_MS, random()))
     const isDone = await read() && await write()
     if (!isDone) await pause(RETRY_MS)
   }
