Make entries of servers for tests in one place

Cause: the new field heartbeatNumber had to be added to twelve literal entries, eleven of them in tests, as each spelled out all fields. makeServerEntry stands beside makeAgentState. No assertion has changed.

--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -4,20 +4,20 @@
 import { acceptLinks, NO_OFFSET } from '@figmount/peers'
 
 import { makeAgentState } from '../testing/makeAgentState.js'
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 
 import { STALE_DELIVERY_MS, DELAYED_AFTER_MS } from './constants.js'
 import { createAgentLinks } from './createAgentLinks.js'
 
 import type { AddressInfo } from 'node:net'
 import type { InstanceName } from '@figmount/base'
-import type { AgentMessage, ListRead, RouterMessage, ServerEntry } from '@figmount/fleet'
+import type { AgentMessage, ListRead, RouterMessage } from '@figmount/fleet'
 import type { Link } from '@figmount/peers'
 
 /** No program listens on this port. */
 const ADDRESS = '127.0.0.1:1'
 
-const ENTRY: ServerEntry =
-  { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] }
+const ENTRY = makeServerEntry('a', { address: ADDRESS })
 
 const NO_HANDLERS = { takeState: () => {}, takeLoad: () => {}, takeDeploymentAsked: () => {}, takeDeploymentPiece: () => {}, takeListRead: () => {}, takeNotice: () => {}, found: () => {}, takeOrigin: () => {}, takeUnits: () => {}, lost: () => {} }
 
--- a/packages/gateway/src/crashes/createBreakWatch.test.ts
+++ b/packages/gateway/src/crashes/createBreakWatch.test.ts
@@ -5,6 +5,7 @@
 import { createCrashHistory, RELIST_GRACE_MS } from '@figmount/fleet'
 
 import { createDirectory } from '../directory/createDirectory.js'
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 import { createBreakWatch } from './createBreakWatch.js'
 import { createCrashNotifier } from './createCrashNotifier.js'
 
@@ -13,8 +14,7 @@
 import type { RoutedRequest } from '../requests/types.js'
 
 const IDENTITY: RequestIdentity = { contentHash: 'h', callerId: 'c' }
-const ENTRY: ServerEntry =
-  { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: 'a:1', dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] }
+const ENTRY = makeServerEntry('a')
 
 const requestOf = (identity: RequestIdentity): RoutedRequest => ({ identity, caller: { requestId: 'r', promptParts: [] } }) as unknown as RoutedRequest
 
--- a/packages/gateway/src/crashes/watchCrash.test.ts
+++ b/packages/gateway/src/crashes/watchCrash.test.ts
@@ -6,6 +6,7 @@
 import { createDirectory } from '../directory/createDirectory.js'
 import { createCrashNotifier } from './createCrashNotifier.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 import { watchCrash } from './watchCrash.js'
 
 import type { InstanceName } from '@figmount/base'
@@ -14,8 +15,7 @@
 
 const ADDRESS = 'a:1'
 const IDENTITY = { contentHash: 'h', callerId: 'c' }
-const ENTRY: ServerEntry =
-  { serverId: 'a', startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] }
+const ENTRY = makeServerEntry('a', { address: ADDRESS })
 
 /** An agent's report after its engine's death. */
 const DEAD_STATE = makeAgentState('', { isUp: false, goneStarts: [{ serverId: 'a', startedAtUnixMs: undefined }] })
--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -5,6 +5,7 @@
 
 import { viewReplicas } from '../placing/viewServers.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 import { createDirectory } from './createDirectory.js'
 
 import type { InstanceName, VirtualTimers } from '@figmount/base'
@@ -14,7 +15,7 @@
 const ADDRESS = 'host:1'
 
 const entryOf = (serverId: string, isDraining = false): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining, models: [{ name: 'm', adapters: [] }] })
+  makeServerEntry(serverId, { address: ADDRESS, isDraining, models: [{ name: 'm', adapters: [] }] })
 
 const listed = (serverId: string, isDraining = false): FeedRecord =>
   ({ key: serverId, value: Buffer.from(JSON.stringify(entryOf(serverId, isDraining))), offset: 1 })
--- a/packages/gateway/src/directory/restarts.test.ts
+++ b/packages/gateway/src/directory/restarts.test.ts
@@ -4,6 +4,7 @@
 
 import { heldModel } from '../placing/viewServers.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 import { createDirectory } from './createDirectory.js'
 
 import type { InstanceName } from '@figmount/base'
@@ -28,9 +29,7 @@
   let offset = 0
   /** Takes a list entry of this start. */
   const list = (start: ServerStart, models: readonly string[] = [], more: Partial<ServerEntry> = {}): void => {
-    const entry: ServerEntry = {
-      ...start, serviceName: 's', address: ADDRESS, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: models.map(name => ({ name, adapters: [] })), ...more
-    }
+    const entry = makeServerEntry(start.serverId, { ...start, address: ADDRESS, models: models.map(name => ({ name, adapters: [] })), ...more })
     directory.takeRecords([{ key: entry.serverId, value: Buffer.from(JSON.stringify(entry)), offset: offset++ }])
   }
   const report = (start: ServerStart, given: Partial<AgentState> = {}): void => {
--- a/packages/gateway/src/leavings/mergeLeft.test.ts
+++ b/packages/gateway/src/leavings/mergeLeft.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 import { isFromBefore, mergeLeft } from './mergeLeft.js'
 
 import type { ServerEntry } from '@figmount/fleet'
@@ -8,9 +9,7 @@
 
 const left = (startedAtUnixMs: number | undefined, lastHeartbeat: number | undefined): LeftStart => ({ serverId: 'a', startedAtUnixMs, lastHeartbeat })
 
-const entry = (startedAtUnixMs: number, heartbeatNumber: number): ServerEntry => ({
-  serverId: 'a', startedAtUnixMs, serviceName: 's', address: 'a:1', dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber, isDraining: false, models: []
-})
+const entry = (startedAtUnixMs: number, heartbeatNumber: number): ServerEntry => makeServerEntry('a', { startedAtUnixMs, heartbeatNumber })
 
 const drawnLeft = fc.record({
   serverId: fc.constant('a'),
--- a/packages/gateway/src/requests/serveModel.test.ts
+++ b/packages/gateway/src/requests/serveModel.test.ts
@@ -12,6 +12,7 @@
 import { createStop } from '../stopping/createStop.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
 import { makePartGuard } from '../testing/makePartGuard.js'
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 import { makeServerLimits } from '../testing/makeServerLimits.js'
 import { MAX_LOST_LOADS } from './constants.js'
 import { createRefusedWants } from './createRefusedWants.js'
@@ -19,7 +20,6 @@
 import { serveModel } from './serveModel.js'
 
 import type { InstanceName } from '@figmount/base'
-import type { ServerEntry } from '@figmount/fleet'
 import type { WantOutcome } from '../agents/types.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
@@ -31,14 +31,11 @@
 
 const IDENTITY = { contentHash: 'h', callerId: 'c' }
 
-const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] })
-
 /** A router with two engines that have the model on disk; `answer` gives the outcome of each want, or undefined if it stays open. */
 const setUp = (answer: (address: string) => WantOutcome | undefined) => {
   const timers = createVirtualTimers()
   const events = createEventLog({ instance: 'r' as InstanceName, role: 'router', timers })
-  const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), isServiceConfigured: () => true, onEntry: () => {} })
+  const directory = createDirectory({ timers, events, decodeServer: key => Right(makeServerEntry(key)), isServiceConfigured: () => true, onEntry: () => {} })
   for (const serverId of ['a', 'b']) {
     directory.takeRecords([{ key: serverId, value: Buffer.from('x'), offset: 1 }])
     directory.takeState(`${serverId}:1`, makeAgentState(serverId, { onDisk: ['m'] }))
--- a/packages/gateway/src/retries/awaitRetry.test.ts
+++ b/packages/gateway/src/retries/awaitRetry.test.ts
@@ -3,25 +3,22 @@
 import { createEventLog, createMetrics, createVirtualTimers } from '@figmount/base'
 
 import { createDirectory } from '../directory/createDirectory.js'
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 import { awaitRetry } from './awaitRetry.js'
 import { createRetryBudget } from './createRetryBudget.js'
 
 import type { InstanceName } from '@figmount/base'
-import type { ServerEntry } from '@figmount/fleet'
 import type { GatewayContext, RoutedRequest } from '../requests/types.js'
 import type { GrantedRetry } from './awaitRetry.js'
 
 const LIMITS = { ratio: 0.2, windowMs: 10_000, slackCount: 40 }
 const START = { serverId: 'a', startedAtUnixMs: undefined }
 
-const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] })
-
 /** A router that has run for a window and has `sentCount` of its four retries in it, the first of which leaves it after a second. */
 const setUp = (sentCount: number) => {
   const timers = createVirtualTimers()
   const events = createEventLog({ instance: 'r' as InstanceName, role: 'router', timers })
-  const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), isServiceConfigured: () => true, onEntry: () => {} })
+  const directory = createDirectory({ timers, events, decodeServer: key => Right(makeServerEntry(key)), isServiceConfigured: () => true, onEntry: () => {} })
   directory.takeRecords([{ key: 'a', value: Buffer.from('x'), offset: 1 }])
   const metrics = createMetrics()
   const budget = createRetryBudget({ limits: LIMITS, timers, metrics, membership: { routerCount: () => 5, countedForMs: () => LIMITS.windowMs } })
--- a/packages/gateway/src/router/createDemandReporter.test.ts
+++ b/packages/gateway/src/router/createDemandReporter.test.ts
@@ -5,21 +5,19 @@
 import { createDemandMeter } from '../demand/createDemandMeter.js'
 import { createDirectory } from '../directory/createDirectory.js'
 import { makeAgentState } from '../testing/makeAgentState.js'
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 import { createDemandReporter } from './createDemandReporter.js'
 
 import type { InstanceName } from '@figmount/base'
-import type { RouterMessage, ServerEntry, ServerStart } from '@figmount/fleet'
+import type { RouterMessage, ServerStart } from '@figmount/fleet'
 import type { AgentLinks } from '../agents/createAgentLinks.js'
 
 const START: ServerStart = { serverId: 'a', startedAtUnixMs: undefined }
 
-const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] })
-
 const setUp = () => {
   const timers = createVirtualTimers()
   const events = createEventLog({ instance: 'r' as InstanceName, role: 'router', timers })
-  const directory = createDirectory({ timers, events, decodeServer: key => Right(entryOf(key)), isServiceConfigured: () => true, onEntry: () => {} })
+  const directory = createDirectory({ timers, events, decodeServer: key => Right(makeServerEntry(key)), isServiceConfigured: () => true, onEntry: () => {} })
   directory.takeRecords(['a', 'b'].map(key => ({ key, value: Buffer.from('x'), offset: 1 })))
   const meter = createDemandMeter(timers)
   const sent: RouterMessage[] = []
--- a/packages/gateway/src/router/createListChanges.test.ts
+++ b/packages/gateway/src/router/createListChanges.test.ts
@@ -2,13 +2,13 @@
 import { Either } from 'purify-ts'
 import { makeFault } from '@figmount/base'
 
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 import { createListChanges } from './createListChanges.js'
 
 import type { FeedRecord, ServerEntry } from '@figmount/fleet'
 import type { ListChanges } from './createListChanges.js'
 
-const ENTRY: ServerEntry =
-  { serverId: 'a', startedAtUnixMs: 1, serviceName: 's', address: 'a:1', dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining: false, models: [] }
+const ENTRY = makeServerEntry('a', { startedAtUnixMs: 1 })
 
 const recordOf = (given: Partial<ServerEntry> = {}, offset = 0): FeedRecord =>
   ({ key: 'a', value: Buffer.from(JSON.stringify({ ...ENTRY, ...given })), offset })
--- a/packages/gateway/src/router/followFeeds.test.ts
+++ b/packages/gateway/src/router/followFeeds.test.ts
@@ -6,6 +6,7 @@
 
 import { createLeaseFeed } from '../../../sidecar/src/testing/createLeaseFeed.js'
 import { createDirectory } from '../directory/createDirectory.js'
+import { makeServerEntry } from '../testing/makeServerEntry.js'
 import { followFeeds } from './followFeeds.js'
 
 import type { Fault, InstanceName, VirtualTimers } from '@figmount/base'
@@ -25,7 +26,7 @@
   Either.encase(() => JSON.parse(Buffer.from(bytes).toString()) as ServerEntry).mapLeft(error => makeFault('invalid', 'decode', key, error.message))
 
 const entryOf = (serverId: string, isDraining = false): ServerEntry =>
-  ({ serverId, startedAtUnixMs: 1, serviceName: 's', address: `${serverId}:1`, dataCentre: 'east', softwareVersion: 'v1', slots: 1, heartbeatNumber: 1, isDraining, models: [] })
+  makeServerEntry(serverId, { startedAtUnixMs: 1, isDraining })
 
 /** A store with a list of servers that counts its reads. */
 const createStore = () => {
--- a/packages/gateway/src/testing/createTestRouter.ts
+++ b/packages/gateway/src/testing/createTestRouter.ts
@@ -15,6 +15,7 @@
 import { createDemandReporter } from '../router/createDemandReporter.js'
 import { createStop } from '../stopping/createStop.js'
 import { makeServerLimits } from './makeServerLimits.js'
+import { makeServerEntry } from './makeServerEntry.js'
 
 import type { EventLog, InstanceName, VirtualTimers } from '@figmount/base'
 import type { AgentMessage, Deployment, EngineSpec, RouterMessage, ServerEntry } from '@figmount/fleet'
@@ -51,8 +52,7 @@
 
 const SERVICE = 's'
 
-const entryOf = (serverId: string): ServerEntry =>
-  ({ serverId, startedAtUnixMs: undefined, serviceName: SERVICE, address: serverId, dataCentre: 'east', softwareVersion: 'v1', slots: 8, heartbeatNumber: 1, isDraining: false, models: [] })
+const entryOf = (serverId: string): ServerEntry => makeServerEntry(serverId, { serviceName: SERVICE, address: serverId, slots: 8 })
 
 /** Opens wants as `createAgentLink` does. */
 const createTestLink = (timers: VirtualTimers, send: (message: RouterMessage) => void) => {
