--- a/review/4/run.ts
+++ b/review/4/run.ts
@@ -69,6 +69,7 @@
     service: PLAIN_SERVICE,
     host: address(1),
     take: ({ requestId, socket }, done) => {
+      note(`r-one runs ${requestId}`)
       setTimeout(() => {
         socket.write(encodeAnswer('200 OK', requestId, { 'Server-Seal': `seal-${requestId}` }, 'a record'))
         done()
--- a/review/lib/engine.ts
+++ b/review/lib/engine.ts
@@ -33,6 +33,10 @@
 export interface Engine extends ListedServer {
   /** Ends the engine as a crash does: its connections are closed, and its address refuses new ones. */
   readonly crash: () => void
+  /** Reports from now on that it leaves. */
+  readonly drain: () => void
+  /** Takes no more connections; closes those that serve no request, and the others after their answers. */
+  readonly stopListening: () => void
 }
 
 interface Order {
@@ -57,6 +61,7 @@
   let sequence = 0
   let runningCount = 0
   let isDead = false
+  let isDraining = false
 
   const models = (): readonly object[] => [...held].map(([name, adapters]) => ({ name, version: 1, adapters: [...adapters] }))
 
@@ -67,7 +72,7 @@
     busy: isBusy,
     sequence,
     born,
-    state: 'ready',
+    state: isDraining ? 'draining' : 'ready',
     waiting: 0,
     running: runningCount,
     'kv-used': 0,
@@ -134,7 +139,7 @@
     const body = await readBody(message)
     if (isDead) return
     if (message.url === '/health') {
-      response.writeHead(200, { 'Instance-Id': serverId, 'Content-Length': '0' }).end()
+      response.writeHead(isDraining ? 503 : 200, { 'Instance-Id': serverId, 'Content-Length': '0' }).end()
       return
     }
     if (message.url === '/-/report') {
@@ -165,6 +170,11 @@
     slots: SLOTS,
     born,
     models,
+    drain: () => { isDraining = true },
+    stopListening: () => {
+      server.close()
+      server.closeIdleConnections()
+    },
     crash: () => {
       isDead = true
       server.close()
--- a/review/lib/listing.ts
+++ b/review/lib/listing.ts
@@ -14,18 +14,21 @@
   readonly models: () => readonly object[]
 }
 
+/** Heartbeats of all servers, so that a server's go on where it changes its state. */
+const sequences = new WeakMap<ListedServer, number>()
+
 /** Writes a server's entry now and with each heartbeat until the returned function is called; `isRemoved` removes it then. */
-export const listServer = (store: Store, server: ListedServer): ((isRemoved: boolean) => void) => {
-  let sequence = 0
+export const listServer = (store: Store, server: ListedServer, state = 'ready'): ((isRemoved: boolean) => void) => {
   const write = (): void => {
-    sequence += 1
+    const sequence = (sequences.get(server) ?? 0) + 1
+    sequences.set(server, sequence)
     store.put('keyed.servers', server.serverId, {
       service: server.service,
       address: server.address,
       zone: 'east',
       version: server.version,
       slots: server.slots,
-      state: 'ready',
+      state,
       'cold-remaining-ms': 0,
       sequence,
       born: server.born,
--- a/review/lib/plainServer.ts
+++ b/review/lib/plainServer.ts
@@ -15,6 +15,8 @@
   readonly serverId: string
   readonly service: string
   readonly host: string
+  /** A free one unless given. */
+  readonly port?: number
   /** Called when a request was read whole; it writes the answer, and calls `done` when the connection may take the next one. */
   readonly take: (request: PlainRequest, done: () => void) => void
 }
@@ -22,6 +24,8 @@
 /** A plain server that writes its answers byte by byte. */
 export interface PlainServer extends ListedServer {
   readonly close: () => void
+  /** Ends the server as a crash of its process does: its system closes its connections in order and refuses new ones. */
+  readonly crash: () => void
 }
 
 const SLOTS = 6
@@ -29,7 +33,7 @@
 const fieldOf = (head: string, name: string): string => new RegExp(`^${name}: *(.*)$`, 'mi').exec(head)?.[1]?.trim() ?? ''
 
 /** Starts a server of plain requests on a free port. Health checks are answered at once. */
-export const startPlainServer = async ({ serverId, service, host, take }: PlainOptions): Promise<PlainServer> => {
+export const startPlainServer = async ({ serverId, service, host, port = 0, take }: PlainOptions): Promise<PlainServer> => {
   const sockets = new Set<Socket>()
 
   const serve = (socket: Socket): void => {
@@ -66,7 +70,7 @@
   const server = createServer(serve)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
-    server.listen(0, host, resolve)
+    server.listen(port, host, resolve)
   })
   return {
     serverId,
@@ -79,6 +83,10 @@
     close: () => {
       server.close()
       for (const socket of sockets) socket.destroy()
+    },
+    crash: () => {
+      server.close()
+      for (const socket of sockets) socket.end()
     }
   }
 }
--- a/review/lib/spoiledAnswers.ts
+++ b/review/lib/spoiledAnswers.ts
@@ -49,6 +49,7 @@
   const answerOrSpoil = (message: IncomingMessage, response: ServerResponse): void => {
     const requestId = headerOf(message, 'request-id')
     answerCount += Number(isInSpell())
+    note(`e-one runs ${requestId}`)
     if (hasTrouble && isInSpell() && answerCount >= FIRST_SPOILED && spoiledCount + 1 <= SPOILED_SHARE * answerCount) {
       spoiledCount += 1
       note(`the faulty engine spoils its answer to ${requestId}, its number ${answerCount} in the spell`)
@@ -116,9 +117,10 @@
     const agent = new Agent({ keepAlive: true, maxSockets: 1 })
     while (performance.now() - spellMs < SPELL_MS) {
       const requestId = `lookup-${lookupCount++}`
+      note(`a caller sends ${requestId} over a kept connection`)
       const answer = await call(caller, { path: '/lookup/a', requestId, deadlineMs: LOOKUP_DEADLINE_MS, body: 'tyre record', agent })
       if (answer.status === 0 && passedOn.has(requestId)) lost.push(requestId)
-      if (answer.status !== 200) note(`${requestId}: status ${answer.status} after ${answer.tookMs} ms${answer.status === 0 ? ', its connection was closed' : ''}`)
+      note(`${requestId}: status ${answer.status} after ${answer.tookMs} ms${answer.status === 0 ? ', its connection was closed' : ''}`)
       if (answer.status !== 200) await sleep(100)
     }
     agent.destroy()
@@ -128,8 +130,9 @@
   const sendDraft = (): void => {
     const index = draftCount++
     const caller = callers[index % ROUTER_COUNT] ?? ''
+    note(`a caller sends draft-${index}`)
     call(caller, { path: '/draft/a', requestId: `draft-${index}`, deadlineMs: DRAFT_DEADLINE_MS, headers: modelHeaders('m0') })
-      .then(answer => { if (!answer.isWhole) note(`draft-${index}: status ${answer.status}, not whole`) })
+      .then(answer => { note(`draft-${index}: status ${answer.status}, ${answer.isWhole ? 'whole' : 'not whole'}`) })
       .catch(() => {})
   }
   const drafts = setInterval(sendDraft, STREAM_PERIOD_MS)
