--- a/packages/base/src/binary/runBinary.ts
+++ b/packages/base/src/binary/runBinary.ts
@@ -2,8 +2,11 @@
 import { createEventLog } from '../events/createEventLog.js'
 import { createLineWriter } from '../logs/createLineWriter.js'
 import { createMetrics } from '../metrics/createMetrics.js'
+import { watchMemory } from '../metrics/watchMemory.js'
 import { describeSettingsFault, loadSettings } from '../settings/loadSettings.js'
+import { createStandstillWatch } from '../timers/createStandstillWatch.js'
 import { createTimerService } from '../timers/createTimerService.js'
+import { logUncaught } from './logUncaught.js'
 import { readArguments } from './readArguments.js'
 import { ExitCode } from './types.js'
 
@@ -88,6 +91,9 @@
   const instance = options.instanceOf(settings) as InstanceName
   const writeLine = args.eventLines ? createEventLineWriter(args.eventLinesPerS, timers, metrics) : undefined
   const events = createEventLog({ instance, role: options.role, timers, ...(writeLine ? { writeLine } : {}) })
+  logUncaught(events)
+  watchMemory(timers, events, metrics)
+  createStandstillWatch(timers, durationMs => { events.emit(BaseEvent.processStoodStill, { durationMs: Math.round(durationMs) }) })
   try {
     // Registered before the start: without a listener, an early SIGHUP would end the process.
     let reloadSettings = (): void => {}
--- a/packages/base/src/events/catalogue.ts
+++ b/packages/base/src/events/catalogue.ts
@@ -11,5 +11,8 @@
   settingsRefused: [1007, 'a changed settings file is invalid; the current settings stay in force'],
   storeRestored: [1008, 'the store has come back from an older copy: what was written last may be gone, and offsets are given out again'],
   recordDropped: [1009, 'a record that was read from the store counts as older than the one known under its key and is dropped'],
-  deploymentOutdated: [1010, 'a configuration older than the one in force was received and is not put in force']
+  deploymentOutdated: [1010, 'a configuration older than the one in force was received and is not put in force'],
+  processFailing: [1011, 'an exception that nothing caught: where it arose'],
+  processStoodStill: [1012, 'the process stood still for a while: what it knows is of before'],
+  memoryGrown: [1013, 'the process holds more memory than ever before']
 })
--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -64,6 +64,8 @@
   /** Ids of a stream's events: the last one that its caller has, and the first ones that each run added. */
   readonly lastEventId?: string
   readonly runStarts?: readonly string[]
+  /** Time until the end of a stop that was requested. */
+  readonly stopEndsInMs?: number
   readonly memoryMb?: number
   readonly memoryCapacityMb?: number
   readonly repeatable?: boolean
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -21,7 +21,7 @@
 export const openExchange = async (
   context: GatewayContext, request: RoutedRequest, server: KnownServer, lastEventId: string, retry: TakenRetry | undefined, signal: AbortSignal
 ): Promise<Either<SendFault, OpenAnswer>> => {
-  const { timers, codec } = context
+  const { timers, codec, stop } = context
   const sentMs = timers.nowMs()
   const leftMs = Math.max(1, Math.floor(request.untilMs - sentMs))
   const { serverId, address } = server.entry
@@ -31,6 +31,7 @@
     ageMs: Math.round(Math.min(timers.nowMs() - server.stateAsOfMs, Number.MAX_SAFE_INTEGER)),
     count: server.ownCount,
     waitMs: Math.round(timers.nowMs() - request.arrivedMs),
+    ...(stop.isAsked() ? { stopEndsInMs: Math.round(stop.lastRetryMs() - sentMs) } : {}),
     ...(lastEventId === '' ? {} : { lastEventId })
   })
   const forwarded = codec.encodeForward(request.headers, { serverId, deadlineMs: leftMs, priority: request.priority, organisationName: request.organisation?.name ?? '', lastEventId })
