Let a process go on after exceptions that nothing caught

Callers saw all open requests of a router break off at once when one server's answer, or one caller, made a listener throw: the exception ended the process, and the repeats did the same to the next router (FAULT and LOST at once).

Cause: nothing took exceptions that no place had caught; only a monitor logged them before Node ended the process.

After the start one handler now logs the exception, counts it (uncaught_exceptions_total) and goes on; a rejection that nothing handles comes the same way.

--- a/packages/base/src/binary/runBinary.ts
+++ b/packages/base/src/binary/runBinary.ts
@@ -6,8 +6,8 @@
 import { describeSettingsFault, loadSettings } from '../settings/loadSettings.js'
 import { createStandstillWatch } from '../timers/createStandstillWatch.js'
 import { createTimerService } from '../timers/createTimerService.js'
-import { logUncaught } from './logUncaught.js'
 import { readArguments } from './readArguments.js'
+import { surviveUncaught } from './surviveUncaught.js'
 import { ExitCode } from './types.js'
 
 import type * as z from 'zod'
@@ -91,7 +91,12 @@
   const instance = options.instanceOf(settings) as InstanceName
   const writeLine = args.eventLines ? createEventLineWriter(args.eventLinesPerS, timers, metrics) : undefined
   const events = createEventLog({ instance, role: options.role, timers, ...(writeLine ? { writeLine } : {}) })
-  logUncaught(events)
+  let hasStarted = false
+  const endStart = (error: unknown): never => {
+    const isListenError = (error as NodeJS.ErrnoException | undefined)?.syscall === 'listen'
+    return exitWith(isListenError ? ExitCode.Listen : ExitCode.Failed, `${options.name}: ${error instanceof Error ? error.message : String(error)}`)
+  }
+  surviveUncaught({ events, metrics, hasStarted: () => hasStarted, endStart })
   watchMemory(timers, events, metrics)
   createStandstillWatch(timers, durationMs => { events.emit(BaseEvent.processStoodStill, { durationMs: Math.round(durationMs) }) })
   try {
@@ -100,6 +105,7 @@
     process.on('SIGHUP', () => reloadSettings())
     const running = await options.start({ settings, events, timers, metrics })
     reloadSettings = () => reload(options, args.settings, events, running)
+    hasStarted = true
     events.emit(BaseEvent.processStarted, { detail: running.address })
     await waitForStop()
     events.emit(BaseEvent.processStopping)
@@ -107,7 +113,6 @@
     events.emit(BaseEvent.processStopped)
     process.exit(ExitCode.Ok)
   } catch (error) {
-    const isListenError = (error as NodeJS.ErrnoException).syscall === 'listen'
-    exitWith(isListenError ? ExitCode.Listen : ExitCode.Failed, `${options.name}: ${(error as Error).message}`)
+    endStart(error)
   }
 }
--- a/packages/base/src/events/catalogue.ts
+++ b/packages/base/src/events/catalogue.ts
@@ -12,7 +12,7 @@
   storeRestored: [1008, 'the store has come back from an older copy: what was written last may be gone, and offsets are given out again'],
   recordDropped: [1009, 'a record that was read from the store counts as older than the one known under its key and is dropped'],
   deploymentOutdated: [1010, 'a configuration older than the one in force was received and is not put in force'],
-  processFailing: [1011, 'an exception that nothing caught: where it arose'],
+  processFailing: [1011, 'an exception that nothing caught, and where it arose: a process that has started goes on'],
   processStoodStill: [1012, 'the process stood still for a while: what it knows is of before'],
   memoryGrown: [1013, 'the process holds more memory than ever before']
 })
