Let an odd message or a refused connection end its link and nothing else

Three faults at the links between processes, of one cause: no single place caught what a peer does. - A connection to an agent's port that asks for an upgrade without the key and is then reset ended the agent's process: Node takes its own listener off an upgraded connection, and refuse() added none (write ECONNRESET, uncaught). - A message that a router failed on ended its loop that opens the link to that agent: the engine was lost for this router for ever, and what the agent went on to send was kept without a reader. - A message that an agent failed on left the link open without a reader: the router was heard no more, and its messages were kept.

Now acceptLinks listens for errors from the first moment and closes the links whose reader failed, and one function, serveMessages, gives messages to their reader on both sides: a message that can't be taken closes that link with an event (badInput), and the peer opens it again. Connections to an agent's port that send no whole handshake are closed after 1.5 s instead of 60 s.

--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -1,5 +1,5 @@
 import { runInBackground, sleep } from '@figmount/base'
-import { HEARTBEAT_MS, openLink, packMessage } from '@figmount/peers'
+import { HEARTBEAT_MS, openLink, packMessage, serveMessages } from '@figmount/peers'
 
 import { GatewayEvent } from '../events.js'
 import { STALE_DELIVERY_MS, MIN_RECONNECT_DELAY_MS, DELAYED_AFTER_MS, MAX_RECONNECT_DELAY_MS } from './constants.js'
@@ -103,7 +103,7 @@
     isNew = true
     events.emit(GatewayEvent.agentFound, { peer: agentAddress })
     handlers.found(serverAddress)
-    for await (const message of open.received) take(message)
+    await serveMessages(open, events, take)
     link = undefined
     state = undefined
     settleAll('the agent does not answer')
--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -46,7 +46,7 @@
 }
 
 /** A router's link to a test agent that answers nothing; `sendState` sends it the agent's state, `sendListRead` a read of the list. */
-const setUpAgent = async () => {
+const setUpAgent = async (more: Partial<typeof NO_HANDLERS> = {}) => {
   const server = createServer()
   const timers = createTimerService()
   const instance = 'a' as InstanceName
@@ -60,13 +60,14 @@
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const { port } = server.address() as AddressInfo
   const staleFlags: boolean[] = []
-  const handlers = { ...NO_HANDLERS, takeListRead: (_read: ListRead, mayBeStale: boolean): void => { staleFlags.push(mayBeStale) } }
+  const handlers = { ...NO_HANDLERS, takeListRead: (_read: ListRead, mayBeStale: boolean): void => { staleFlags.push(mayBeStale) }, ...more }
   const links = createAgentLinks({ agentPort: port, context, handlers })
   links.follow([ENTRY], () => true)
   return {
     timers,
     links,
     receivedTypes,
+    openedCount: () => toRouters.length,
     sendState: () => { for (const link of toRouters) link.send(makeAgentState('a')) },
     sendListRead: () => { for (const link of toRouters) link.send({ type: 'listRead', fromOffset: 0, toOffset: 1, records: [], ageMs: 0, answeredForMs: 0, isAfterBreak: false }) },
     staleFlags,
@@ -158,6 +159,23 @@
     links.close()
   })
 
+  it('are opened again after a message that could not be taken', async () => {
+    // Guards against an engine that is lost for the router for ever, as its agent has once sent an odd message.
+    let takenCount = 0
+    const takeState = (): void => {
+      takenCount += 1
+      if (takenCount === 1) throw new Error('odd')
+    }
+    const { links, sendState, openedCount, close } = await setUpAgent({ takeState })
+    await until(() => links.find(ADDRESS)?.isOpen() ?? false)
+    sendState()
+    await until(() => openedCount() === 2 && (links.find(ADDRESS)?.isOpen() ?? false))
+    sendState()
+    await until(() => takenCount > 1)
+    expect(links.isReady()).to.equal(true)
+    close()
+  })
+
   it('refuse a want at once while the agent does not answer', async () => {
     const { links } = setUp()
     links.follow([ENTRY], () => true)
--- a/packages/peers/src/links/acceptLinks.ts
+++ b/packages/peers/src/links/acceptLinks.ts
@@ -15,7 +15,7 @@
 }
 
 const refuse = (socket: Duplex): void => {
-  socket.end('HTTP/1.1 401 Unauthorized\r\nconnection: close\r\n\r\n')
+  socket.end('HTTP/1.1 401 Unauthorized\r\nconnection: close\r\n\r\n', () => socket.destroy())
 }
 
 /** Accepts links at `/peer` of a listening server and calls `runLink` for each. */
@@ -26,6 +26,8 @@
 ): void => {
   const sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false })
   server.on('upgrade', (request, socket, head) => {
+    // Node takes its own listener off a connection that is upgraded: a reset would be an exception that nothing catches.
+    socket.on('error', () => socket.destroy())
     const peer = header(request, INSTANCE_HEADER)
     const proof = header(request, PROOF_HEADER)
     const isAuthenticated = request.url === '/peer' && checkProof(context.sharedKey, peer, proof, context.timers.unixMs())
@@ -35,7 +37,9 @@
     }
     sockets.handleUpgrade(request, socket, head, webSocket => {
       context.events.emit(PeerEvent.linkOpened, { peer })
-      runLink(wrapSocket<Send, Receive>(webSocket, peer, context)).catch((error: Error) => {
+      const link = wrapSocket<Send, Receive>(webSocket, peer, context)
+      runLink(link).catch((error: Error) => {
+        link.close('failed')
         context.events.emit(BaseEvent.unexpectedFault, { peer, step: 'links.run', reason: error.message })
       })
     })
--- a/packages/sidecar/src/links/serveRouters.test.ts
+++ b/packages/sidecar/src/links/serveRouters.test.ts
@@ -1,3 +1,4 @@
+import { connect } from 'node:net'
 import { expect } from 'chai'
 import { createEventLog, createTimerService } from '@figmount/base'
 import { MESSAGE_STRUCTURES } from '@figmount/fleet'
@@ -42,7 +43,7 @@
   })
   const open = async (router: string): Promise<Link<RouterMessage, AgentMessage>> =>
     (await openLink<RouterMessage, AgentMessage>(`127.0.0.1:${port}`, { ...context, instance: router as InstanceName }).run()).unsafeCoerce()
-  return { timers, links, open }
+  return { timers, links, open, port }
 }
 
 describe('an agent\'s links', () => {
@@ -67,6 +68,44 @@
     expect(copyCount).to.equal(1)
   })
 
+  it('are closed by a message that could not be taken, and no other link is', async () => {
+    // Guards against a router that is heard no more, and whose messages are kept for ever, as it has once sent an odd one.
+    const { timers, links, open } = await setUp(() => makeStateForTest())
+    const [odd, sound] = [await open('r0'), await open('r1')]
+    timers.after(100, () => { odd.send({ type: 'crash' } as RouterMessage) })
+    timers.after(1_500, () => { odd.close('the test ends') })
+    const oddTypes: string[] = []
+    const startedMs = timers.nowMs()
+    for await (const message of odd.received) oddTypes.push(message.type)
+    expect(timers.nowMs() - startedMs).to.be.below(1_000)
+    expect(sound.isOpen()).to.equal(true)
+    sound.close('the test ends')
+    links.close()
+  })
+
+  it('survive peers that are refused and reset their connection', async () => {
+    // Guards against a process that ends as a connection without the key is reset.
+    const { links, open, port } = await setUp(() => makeStateForTest())
+    const errors: Error[] = []
+    const note = (error: Error): void => { errors.push(error) }
+    process.on('uncaughtException', note)
+    for (let count = 0; count < 50; count++) {
+      const socket = connect(port, '127.0.0.1')
+      socket.on('error', nothing)
+      socket.once('connect', () => {
+        socket.write('GET /other HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n')
+        setTimeout(() => { socket.resetAndDestroy() }, count % 3)
+      })
+    }
+    await new Promise(resolve => { setTimeout(resolve, 300) })
+    process.off('uncaughtException', note)
+    const sound = await open('r0')
+    expect(sound.isOpen()).to.equal(true)
+    sound.close('the test ends')
+    links.close()
+    expect(errors.map(({ message }) => message)).to.deep.equal([])
+  })
+
   it('send a new router a change that is reverted before the next comparison', async () => {
     // Guards against a new router that keeps a draining state although the engine no longer drains.
     let state: AgentState = makeStateForTest()
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -2,7 +2,7 @@
 import { match } from 'ts-pattern'
 import { shouldReportLoad } from '@figmount/decisions'
 import { MESSAGE_STRUCTURES } from '@figmount/fleet'
-import { acceptLinks, createMessageCodec, HEARTBEAT_MS, NO_OFFSET, packMessage } from '@figmount/peers'
+import { acceptLinks, CONNECT_TIMEOUT_MS, createMessageCodec, HEARTBEAT_MS, NO_OFFSET, packMessage, serveMessages } from '@figmount/peers'
 
 import { createCrashNotices } from '../crashes/createCrashNotices.js'
 import { changedFields, volatileFieldsOf, pickFields, serializeFields } from './compareStates.js'
@@ -211,7 +211,7 @@
     const knownCrashes = crashNotices.all()
     if (knownCrashes) sendTo(link, knownCrashes)
     try {
-      for await (const message of link.received) take(link, message)
+      await serveMessages(link, events, message => { take(link, message) })
     } finally {
       links.delete(link)
       census.noteLost(link.peer)
@@ -221,7 +221,11 @@
     }
   }
 
-  const server = createServer((_request, response) => { response.writeHead(404).end() })
+  const server = createServer({
+    headersTimeout: CONNECT_TIMEOUT_MS,
+    requestTimeout: CONNECT_TIMEOUT_MS,
+    connectionsCheckingInterval: HEARTBEAT_MS
+  }, (_request, response) => { response.writeHead(404, { connection: 'close' }).end() })
   acceptLinks<AgentMessage, RouterMessage>(server, {
     instance: options.instance,
     sharedKey: options.sharedKey,
