--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -45,5 +45,6 @@
   entryDoubted: [2541, 'a backend server is missing in the list, which may be due to an outage of the store: it may get requests for a while'],
   serverReturned: [2542, 'an entry lists a backend server as ready again that was draining or gone: whether it is used'],
   takeUpJudged: [2543, 'a caller takes up a stream: at which software version it may go on, and who knew'],
-  entryOutdated: [2544, 'an entry of a backend server is of an earlier heartbeat than the one known of the same start']
+  entryOutdated: [2544, 'an entry of a backend server is of an earlier heartbeat than the one known of the same start'],
+  listenerThrew: [2550, 'reading what a backend server sent threw an exception: the exchange has ended']
 })
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -13,5 +13,8 @@
 /** Minimum idle time of a connection if a server announces a very short timeout. */
 export const MIN_IDLE_MS = 100
 
+/** Most header lines of an answer: Node's parser, which callers use too, keeps no more. */
+export const MAX_HEADER_LINES = 1_000
+
 /** Largest answer that is buffered before the caller gets it; a larger one counts as a fault of the server. */
 export const MAX_ANSWER_BYTES = 8 * 1024 * 1024
--- a/packages/gateway/src/forwarding/framing.ts
+++ b/packages/gateway/src/forwarding/framing.ts
@@ -18,10 +18,10 @@
  *
  * Guards against an answer without framing whose connection was reset: Node ends it as after an orderly close.
  */
-export const bytesEndOf = ({ message, framing, wasReset }: OpenAnswer): BytesEnd => {
+export const bytesEndOf = ({ message, framing, socket, wasReset }: OpenAnswer): BytesEnd => {
   if (!message.complete) return BytesEnd.BrokenOff
   if (framing !== Framing.Connection) return BytesEnd.Marked
-  return message.socket.readableEnded && !wasReset() ? BytesEnd.Closed : BytesEnd.BrokenOff
+  return socket.readableEnded && !wasReset() ? BytesEnd.Closed : BytesEnd.BrokenOff
 }
 
 /** What shows that an answer is complete. */
--- a/packages/gateway/src/forwarding/probeServer.ts
+++ b/packages/gateway/src/forwarding/probeServer.ts
@@ -2,6 +2,7 @@
 import { ProbeResult } from '@figmount/decisions'
 
 import { boundInterimAnswers } from './boundInterimAnswers.js'
+import { createListenerGuard } from './guardListener.js'
 
 import type { IncomingMessage } from 'node:http'
 import type { TimerService } from '@figmount/base'
@@ -13,6 +14,7 @@
   readonly codec: HeaderCodec
 }
 
+const STEP = 'forwarding.probe'
 const MISDIRECTED = 421
 
 /** Sends one health check to a server on a new connection, to find out whether the start in the entry still runs. */
@@ -36,9 +38,11 @@
     end(answer.serverId === serverId ? ProbeResult.Alive : ProbeResult.OtherServer)
   }
 
+  const guard = createListenerGuard(STEP, serverId, () => end(ProbeResult.Unclear))
   const stopTimer = timers.after(timeoutMs, () => end(ProbeResult.Unclear))
-  request.once('response', takeAnswer)
-  boundInterimAnswers(request, () => end(ProbeResult.Unclear))
-  request.on('error', (error: NodeJS.ErrnoException) => end(error.code === 'ECONNREFUSED' ? ProbeResult.Refused : ProbeResult.Unclear))
+  request.once('response', guard(takeAnswer))
+  boundInterimAnswers(request, guard, () => end(ProbeResult.Unclear))
+  request.on('error', guard((error: NodeJS.ErrnoException) => end(error.code === 'ECONNREFUSED' ? ProbeResult.Refused : ProbeResult.Unclear)))
+  request.once('close', guard(() => end(ProbeResult.Unclear)))
   request.end()
 })
--- a/packages/gateway/src/forwarding/readAnswer.ts
+++ b/packages/gateway/src/forwarding/readAnswer.ts
@@ -19,11 +19,11 @@
 /** Reads an answer to its end; a fault if it breaks off or is too large. */
 export const readAnswer = async (open: OpenAnswer, serverId: string): Promise<Either<Fault, ReadAnswer>> =>
   await new Promise(resolve => {
-    const { message, abort } = open
+    const { message, guard, abort } = open
     const chunks: Buffer[] = []
     let byteCount = 0
     const fail = (reason: string): void => resolve(Left(makeFault('unavailable', STEP, serverId, reason)))
-    message.on('data', (chunk: Buffer) => {
+    message.on('data', guard((chunk: Buffer) => {
       byteCount += chunk.length
       if (byteCount > MAX_ANSWER_BYTES) {
         fail(`answer of over ${MAX_ANSWER_BYTES} bytes`)
@@ -31,12 +31,12 @@
         return
       }
       chunks.push(chunk)
-    })
-    message.on('end', () => {
+    }))
+    message.on('end', guard(() => {
       const end = bytesEndOf(open)
       if (end === BytesEnd.BrokenOff) return fail('answer broke off')
       resolve(Right({ body: Buffer.concat(chunks), end }))
-    })
-    message.on('error', error => fail(error.message))
-    message.on('close', () => fail('connection closed'))
+    }))
+    message.on('error', guard((error: Error) => fail(error.message)))
+    message.on('close', guard(() => fail('connection closed')))
   })
--- a/packages/gateway/src/forwarding/sendToServer.test.ts
+++ b/packages/gateway/src/forwarding/sendToServer.test.ts
@@ -52,7 +52,7 @@
 
   const send = async (signal: AbortSignal, body = Buffer.from('wall'), mayBeInTransit = true): ReturnType<typeof sendToServer> => {
     const codec = { decodeAnswer: () => ({ requestId: '', serverId: SERVER_ID, isNotRun: false }) } as unknown as HeaderCodec
-    const context: SendContext = { pool, codec, timers }
+    const context: SendContext = { pool, codec, timers, noteThrown: ({ message }) => { throw new Error(message) } }
     const outbound: OutboundRequest = {
       start: { serverId: SERVER_ID, startedAtUnixMs: undefined },
       address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
--- a/packages/gateway/src/forwarding/sendToServer.ts
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -3,12 +3,14 @@
 import { Framing, framingOf, makeFault, watchReset } from '@figmount/base'
 
 import { boundInterimAnswers } from './boundInterimAnswers.js'
+import { checkHead } from './checkHead.js'
+import { createListenerGuard } from './guardListener.js'
 import { CONNECT_TIMEOUT_MS } from './constants.js'
 
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Either } from 'purify-ts'
-import type { FaultKind, TimerService } from '@figmount/base'
+import type { Fault, FaultKind, TimerService } from '@figmount/base'
 import type { HeaderCodec } from '@figmount/fleet'
 import type { ConnectionPool } from './createConnectionPool.js'
 import type { OpenAnswer, OutboundRequest, SendFault } from './types.js'
@@ -18,6 +20,8 @@
   readonly pool: ConnectionPool
   readonly codec: HeaderCodec
   readonly timers: TimerService
+  /** Takes what a listener on a server's bytes has thrown. */
+  readonly noteThrown: (fault: Fault) => void
 }
 
 const STEP = 'forwarding.send'
@@ -34,6 +38,7 @@
   let isConnected = false
   let hasHead = false
   let isSettled = false
+  let answered: IncomingMessage | undefined
 
   const request = httpRequest({
     host,
@@ -44,6 +49,8 @@
     agent: pool.agentFor(outbound.start),
     setHost: false
   })
+  // Without a bound of its own the parser leaves lines out, the length of the body among them; the size of a head is bounded anyway.
+  request.maxHeadersCount = 0
 
   // Guards against a request that reaches its server long after its caller has left: while the server's instance is paused or the network
   // is cut, an orderly close is delivered only after the delayed bytes. A reset makes the system discard them, but it is sent only once. A
@@ -69,13 +76,24 @@
     abort()
   }
 
+  const endThrown = (fault: Fault): void => {
+    context.noteThrown(fault)
+    fail('internal', fault.message)
+    answered?.destroy(new Error(fault.message))
+  }
+  const guard = createListenerGuard(STEP, outbound.start.serverId, endThrown)
+
   const takeAnswer = (message: IncomingMessage): void => {
     hasHead = true
+    answered = message
+    const flaw = checkHead(message)
+    if (flaw !== undefined) return fail('unavailable', `answer that can't be passed on: ${flaw}`)
+    const { socket } = message
     pool.noteAnswer(message)
     const answer = codec.decodeAnswer(message.rawHeaders)
     const framing = framingOf(message, outbound.method)
-    const wasReset = framing === Framing.Connection ? watchReset(message.socket) : () => false
-    settle(Right({ message, answer, framing, wasReset, abort }))
+    const wasReset = framing === Framing.Connection ? watchReset(socket) : () => false
+    settle(Right({ message, answer, framing, socket, guard, wasReset, abort }))
   }
 
   const noteConnected = (): void => {
@@ -87,7 +105,7 @@
     pool.noteUse(socket)
     socket.setNoDelay(true)
     if (!socket.connecting) return noteConnected()
-    socket.once('connect', noteConnected)
+    socket.once('connect', guard(noteConnected))
   }
 
   // Guards against an instance that is off: connection attempts to it stay pending for minutes. Nothing was sent, so the request can go to
@@ -95,11 +113,11 @@
   const stopConnectTimer = timers.after(CONNECT_TIMEOUT_MS, () => { if (!isConnected) fail('timeout', 'no connection in time') })
   const stopHeadTimer = timers.after(outbound.headTimeoutMs, () => fail('timeout', 'no answer in time'))
 
-  request.once('socket', takeSocket)
-  request.once('response', takeAnswer)
-  boundInterimAnswers(request, () => fail('unavailable', 'interim answers without end'))
-  request.on('error', (error: Error) => fail('unavailable', error.message))
-  request.once('close', () => fail('unavailable', 'connection closed'))
+  request.once('socket', guard(takeSocket))
+  request.once('response', guard(takeAnswer))
+  boundInterimAnswers(request, guard, () => fail('unavailable', 'interim answers without end'))
+  request.on('error', guard((error: Error) => fail('unavailable', error.message)))
+  request.once('close', guard(() => fail('unavailable', 'connection closed')))
   signal.addEventListener('abort', () => {
     fail('timeout', 'given up')
     abort()
--- a/packages/gateway/src/forwarding/types.ts
+++ b/packages/gateway/src/forwarding/types.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Fault, Framing } from '@figmount/base'
 import type { ServerAnswer, ServerStart } from '@figmount/fleet'
+import type { GuardListener } from './guardListener.js'
 
 /** A request as it is sent to a server. */
 export interface OutboundRequest {
@@ -23,6 +25,10 @@
   readonly message: IncomingMessage
   readonly answer: ServerAnswer
   readonly framing: Framing
+  /** The connection that brings the answer; Node takes it from the message when that is complete. */
+  readonly socket: Socket
+  /** Wraps each listener on the answer: what it throws ends the exchange. */
+  readonly guard: GuardListener
   /** The server has reset the connection of an answer that ends with it. */
   readonly wasReset: () => boolean
   /** Ends the exchange and its connection; the server stops working on the request. */
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -3,6 +3,7 @@
 import { ANSWER_GRACE_MS, REQUEST_ARRIVAL_MS } from './constants.js'
 
 import type { Either } from 'purify-ts'
+import type { Fault } from '@figmount/base'
 import type { KnownServer } from '../directory/types.js'
 import type { OpenAnswer, SendFault } from '../forwarding/types.js'
 import type { Arrival, TakenRetry } from '../retries/createRetryBudget.js'
@@ -36,7 +37,10 @@
   })
   const forwarded = codec.encodeForward(request.headers, { serverId, deadlineMs: leftMs, priority: request.priority, organisationName: request.organisation?.name ?? '', lastEventId })
   const framing = request.body.length > 0 || request.method !== 'GET' ? ['Content-Length', String(request.body.length)] : []
-  const opened = await sendToServer(context, {
+  const noteThrown = ({ step, message }: Fault): void => {
+    context.events.emit(GatewayEvent.listenerThrew, { requestKey: request.caller.requestId, peer: serverId, step, reason: message })
+  }
+  const opened = await sendToServer({ ...context, noteThrown }, {
     start: server.start,
     address,
     method: request.method,
--- a/packages/gateway/src/streams/relayEvents.test.ts
+++ b/packages/gateway/src/streams/relayEvents.test.ts
@@ -16,7 +16,7 @@
   let abortCount = 0
   let drain = (): void => {}
   const end = relayEvents({
-    answer: { message, abort: () => { abortCount += 1 } } as unknown as OpenAnswer,
+    answer: { message, guard: <Listener>(listener: Listener) => listener, abort: () => { abortCount += 1 } } as unknown as OpenAnswer,
     timers,
     take: () => Taken.Slowly,
     onceDrained: resume => { drain = resume },
--- a/packages/gateway/src/streams/relayEvents.ts
+++ b/packages/gateway/src/streams/relayEvents.ts
@@ -36,7 +36,7 @@
 /** Relays a server's events one by one until the stream ends or breaks off. */
 export const relayEvents = async ({ answer, timers, take, onceDrained, silenceMs }: Options): Promise<RelayEnd> =>
   await new Promise(resolve => {
-    const { message, abort } = answer
+    const { message, guard, abort } = answer
     const splitter = createEventSplitter()
     let lastDataMs = timers.nowMs()
     let isPaused = false
@@ -58,7 +58,7 @@
       abort()
     })
 
-    message.on('data', (chunk: Buffer) => {
+    message.on('data', guard((chunk: Buffer) => {
       // Buffered data may come after an abort.
       if (isOver) return
       lastDataMs = timers.nowMs()
@@ -74,18 +74,18 @@
       if (keepsUp) return
       isPaused = true
       message.pause()
-      onceDrained(() => {
+      onceDrained(guard(() => {
         isPaused = false
         lastDataMs = timers.nowMs()
         message.resume()
-      })
-    })
-    message.on('end', () => {
+      }))
+    }))
+    message.on('end', guard(() => {
       // A server may end in the middle of an event.
       if (splitter.rest().length > 0) return breakOff('broke off')
       const end = bytesEndOf(answer)
       finish(end, end === BytesEnd.BrokenOff ? 'broke off' : 'ended')
-    })
-    message.on('error', error => breakOff(error.message))
-    message.on('close', () => breakOff('connection closed'))
+    }))
+    message.on('error', guard((error: Error) => breakOff(error.message)))
+    message.on('close', guard(() => breakOff('connection closed')))
   })
