Run the requests of a connection in turn, so that none runs that cannot be answered (LOST), and pipelines keep one answer

Callers that sent a second request before the first answer saw the second one run and got no answer to it, if the first answer ended the connection (an answer without a length does). 20 callers that pipelined 200 requests each and read nothing made a router keep all their answers, and others were late.

Cause: every request was started as soon as its head was parsed, however many earlier ones of its connection were open.

If an earlier answer ends the connection, it never runs (counted, requests_never_run_total).

--- a/packages/gateway/src/ingress/startIngress.test.ts
+++ b/packages/gateway/src/ingress/startIngress.test.ts
@@ -5,7 +5,7 @@
 import { startIngress } from './startIngress.js'
 
 import type { AddressInfo, Socket } from 'node:net'
-import type { RequestListener } from 'node:http'
+import type { TakeRequest } from './startIngress.js'
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 
@@ -22,7 +22,7 @@
   while (!holds()) await new Promise(resolve => { setTimeout(resolve, 5) })
 }
 
-const setUp = async (take: (...parameters: Parameters<RequestListener>) => Promise<void>) => {
+const setUp = async (take: TakeRequest) => {
   const address = `127.0.0.1:${await freePort()}`
   const failures: string[] = []
   const ingress = await startIngress(address, take, error => { failures.push(error.message) })
@@ -93,4 +93,44 @@
     ingress.stopListening()
     ingress.close()
   })
+
+  it('lets a request run only once the earlier one of its connection is answered', async () => {
+    // Guards against answers kept for all pipelined requests of a caller that does not read.
+    let runningCount = 0
+    let mostRunning = 0
+    const { ingress, socket } = await setUp(async (_message, response, turn) => {
+      if (!await turn) return
+      runningCount += 1
+      mostRunning = Math.max(mostRunning, runningCount)
+      setTimeout(() => {
+        runningCount -= 1
+        response.end('x')
+      }, 5)
+    })
+    let text = ''
+    socket.on('data', chunk => { text += String(chunk) })
+    socket.write(REQUEST.repeat(5))
+    await until(() => (text.match(/200 OK/g) ?? []).length === 5)
+    expect(mostRunning).to.equal(1)
+    ingress.stopListening()
+    ingress.close()
+  })
+
+  it('lets no request run whose connection ended with an earlier answer', async () => {
+    // Guards against a request that runs and can never be answered.
+    const turns: boolean[] = []
+    const { ingress, socket } = await setUp(async (_message, response, turn) => {
+      const mayRun = await turn
+      turns.push(mayRun)
+      if (!mayRun) return
+      response.shouldKeepAlive = false
+      response.end('x')
+    })
+    socket.resume()
+    socket.write(REQUEST.repeat(3))
+    await until(() => turns.length === 3)
+    expect(turns).to.deep.equal([true, false, false])
+    ingress.stopListening()
+    ingress.close()
+  })
 })
--- a/packages/gateway/src/ingress/startIngress.ts
+++ b/packages/gateway/src/ingress/startIngress.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 
 import { MAX_HEADER_BYTES } from './constants.js'
+import { createTurns } from './createTurns.js'
 import { onceClosed } from './onceClosed.js'
 
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
@@ -40,13 +41,18 @@
   readonly isKept: boolean
 }
 
+/**
+ * Takes a request as soon as it arrives. `turn` resolves once the earlier requests of its connection are answered: before that nothing of it
+ * may be read or run. It resolves with false if the connection ended with an earlier answer: the request must never run.
+ */
+export type TakeRequest = (message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>) => Promise<void>
+
 /** Starts to accept requests. */
-export const startIngress = async (
-  address: string, take: (message: IncomingMessage, response: ServerResponse) => Promise<void>, onError: (error: Error) => void
-): Promise<Ingress> => {
+export const startIngress = async (address: string, take: TakeRequest, onError: (error: Error) => void): Promise<Ingress> => {
   let openCount = 0
   let isEnding = false
   const sockets = new Map<Socket, LatestRequest | undefined>()
+  const turns = createTurns()
 
   /**
    * Closes a connection only after the answer to its newest request.
@@ -74,8 +80,12 @@
     if (isEnding) closeAfterLatest(message.socket, latest)
     sockets.set(message.socket, latest)
     openCount += 1
-    onceClosed(message, response, () => { openCount -= 1 })
-    take(message, response).catch((error: Error) => {
+    const { turn, pass } = turns.join(message.socket, response)
+    onceClosed(message, response, () => {
+      openCount -= 1
+      pass()
+    })
+    take(message, response, turn).catch((error: Error) => {
       onError(error)
       if (response.headersSent) response.destroy()
       else response.writeHead(BAD_GATEWAY, { 'content-length': 0 }).end()
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -106,10 +106,14 @@
   await servePlain(context, request)
 }
 
-/** Takes one request from a caller and answers it. */
-export const takeRequest = async (context: GatewayContext, message: IncomingMessage, response: ServerResponse): Promise<void> => {
+/** Takes one request from a caller and answers it when its turn on its connection has come; its time counts from its arrival. */
+export const takeRequest = async (context: GatewayContext, message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>): Promise<void> => {
   const arrivedMs = context.timers.nowMs()
   const callerLeft = watchCallerLeft(message, response)
+  if (!await turn) {
+    context.metrics.count('requests_never_run_total')
+    return
+  }
   const limits = context.deployment()?.limits
   if (limits && headerBytesOf(message) > limits.headerBytes) return reject(context, response, Status.HeadersTooLarge, 'headers too large')
   const read = await readBody(message, limits?.bodyBytes ?? Infinity, context.stop)
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -293,7 +293,7 @@
 
   const ingress = await startIngress(
     options.callerAddress,
-    async (message, response) => await takeRequest(context, message, response),
+    async (message, response, turn) => await takeRequest(context, message, response, turn),
     error => { events.emit(BaseEvent.unexpectedFault, { step: 'ingress.take', reason: error.message }) }
   )
   limitCallers = ingress.limit
