Hold answers within one bound a process, so that callers that do not read cannot fill a router

100 callers that did not read an answer of 7 MB made a router keep all of them: a plain answer is read to its end before it is passed on, and the only bound (8 MB) was one for each.

A long answer (over 16 KB) now reserves its whole length of HELD_BYTES (64 MB, from the machine's 350) before more of it is read; without room its server is paused, in the order of arrival. While others wait, a holder that has moved no byte for 2 s is given up, the longest stalled first. Bodies are sent in pieces, which shows whether callers read.

--- a/packages/gateway/src/forwarding/readAnswer.ts
+++ b/packages/gateway/src/forwarding/readAnswer.ts
@@ -1,11 +1,13 @@
 import { Left, Right } from 'purify-ts'
 import { makeFault } from '@figmount/base'
 
+import { FREE_BYTES } from '../memory/constants.js'
 import { MAX_ANSWER_BYTES } from './constants.js'
 import { BytesEnd, bytesEndOf } from './framing.js'
 
 import type { Either } from 'purify-ts'
 import type { Fault } from '@figmount/base'
+import type { Hold } from '../memory/createHeldBytes.js'
 import type { OpenAnswer } from './types.js'
 
 const STEP = 'forwarding.readWhole'
@@ -14,28 +16,69 @@
 export interface ReadAnswer {
   readonly body: Buffer
   readonly end: BytesEnd
+  /** The room that the body takes; undefined for a short one. */
+  readonly hold: Hold | undefined
 }
 
-/** Reads an answer to its end; a fault if it breaks off or is too large. */
-export const readAnswer = async (open: OpenAnswer, serverId: string): Promise<Either<Fault, ReadAnswer>> =>
+interface Options {
+  readonly serverId: string
+  /** Aborts when the exchange must end. */
+  readonly signal: AbortSignal
+  /** Reserves room for the answer. */
+  readonly reserve: (bytes: number, granted: () => void) => Hold
+}
+
+/** The most that an answer can have: what it announces, or what is allowed. */
+const mostBytesOf = ({ message }: OpenAnswer): number => Math.min(Number(message.headers['content-length'] ?? MAX_ANSWER_BYTES), MAX_ANSWER_BYTES)
+
+/** Reads an answer to its end, a longer one only once there is room for all of it; a fault if it breaks off or is too large. */
+export const readAnswer = async (open: OpenAnswer, { serverId, signal, reserve }: Options): Promise<Either<Fault, ReadAnswer>> =>
   await new Promise(resolve => {
     const { message, guard, abort } = open
     const chunks: Buffer[] = []
     let byteCount = 0
-    const fail = (reason: string): void => resolve(Left(makeFault('unavailable', STEP, serverId, reason)))
+    let hold: Hold | undefined
+    let isOver = false
+
+    const finish = (result: Either<Fault, ReadAnswer>): void => {
+      if (isOver) return
+      isOver = true
+      signal.removeEventListener('abort', giveUp)
+      if (result.isLeft()) hold?.release()
+      resolve(result)
+    }
+    const fail = (reason: string): void => {
+      chunks.length = 0
+      finish(Left(makeFault('unavailable', STEP, serverId, reason)))
+    }
+    const giveUp = (): void => fail('given up')
+    const failAndAbort = (reason: string): void => {
+      fail(reason)
+      abort()
+    }
+
+    const awaitRoom = (): void => {
+      message.pause()
+      hold = reserve(mostBytesOf(open), () => { message.resume() })
+      hold.onStalled(() => failAndAbort('stalled, and others wait for its room'))
+    }
+
+    // A paused answer that was received completely does not report the end of its connection.
+    signal.addEventListener('abort', giveUp, { once: true })
+    if (signal.aborted) giveUp()
     message.on('data', guard((chunk: Buffer) => {
+      if (isOver) return
       byteCount += chunk.length
-      if (byteCount > MAX_ANSWER_BYTES) {
-        fail(`answer of over ${MAX_ANSWER_BYTES} bytes`)
-        abort()
-        return
-      }
+      if (byteCount > MAX_ANSWER_BYTES) return failAndAbort(`answer of over ${MAX_ANSWER_BYTES} bytes`)
       chunks.push(chunk)
+      hold?.moved()
+      if (!hold && byteCount > FREE_BYTES) awaitRoom()
     }))
     message.on('end', guard(() => {
       const end = bytesEndOf(open)
       if (end === BytesEnd.BrokenOff) return fail('answer broke off')
-      resolve(Right({ body: Buffer.concat(chunks), end }))
+      hold?.shrink(byteCount)
+      finish(Right({ body: Buffer.concat(chunks), end, hold }))
     }))
     message.on('error', guard((error: Error) => fail(error.message)))
     message.on('close', guard(() => fail('connection closed')))
--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -3,9 +3,11 @@
 import { GatewayEvent } from '../events.js'
 import { endAfterDrain } from '../streams/createEventSink.js'
 
+import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
 import type { AnswerEnd, EndProof } from '../forwarding/framing.js'
 import type { OpenAnswer } from '../forwarding/types.js'
+import type { Hold } from '../memory/createHeldBytes.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
 /** HTTP statuses of answers that the router itself gives. */
@@ -24,6 +26,9 @@
 /** The system takes this much of an answer at once: the smallest send buffer that it gives a connection by default. */
 const ONE_WRITE_BYTES = 16 * 1024
 
+/** Long bodies are sent in pieces, so that it shows whether their callers read. */
+const PIECE_BYTES = 64 * 1024
+
 const isOpen = ({ response }: RoutedRequest): boolean => !response.headersSent && !response.destroyed
 
 const elapsedMs = (context: GatewayContext, request: RoutedRequest): number =>
@@ -60,17 +65,20 @@
   readonly status: number
   readonly headers: RawHeaders
   readonly body: Buffer
+  /** The room that the body takes; undefined for a short one. */
+  readonly hold?: Hold | undefined
   /** Length that the server announced; of an answer without a body, the length of what it stands for. */
   readonly announcedLength: string | undefined
   readonly end: AnswerEnd
 }
 
 /** Makes the answer to pass on from a server's open one, once its body was read and shown to be complete. */
-export const completeAnswer = ({ codec }: GatewayContext, { message, framing }: OpenAnswer, body: Buffer, proof: EndProof, peer: string): CompleteAnswer => ({
+export const completeAnswer = ({ codec }: GatewayContext, { message, framing }: OpenAnswer, { body, hold }: Pick<CompleteAnswer, 'body' | 'hold'>, proof: EndProof, peer: string): CompleteAnswer => ({
   peer,
   status: message.statusCode ?? 0,
   headers: codec.encodeAnswer(message.rawHeaders),
   body,
+  hold,
   announcedLength: message.headers['content-length'],
   end: { framing, proof }
 })
@@ -88,9 +96,26 @@
   return end.framing === Framing.Connection && fitsOneWrite ? Framing.Connection : Framing.Length
 }
 
+/** Sends a body piece by piece, each once the caller has taken the one before; `moved` is called with each. */
+const sendBody = (response: ServerResponse, body: Buffer, moved: () => void): void => {
+  let sentBytes = 0
+  const sendMore = (): void => {
+    moved()
+    while (sentBytes < body.length) {
+      const piece = body.subarray(sentBytes, sentBytes + PIECE_BYTES)
+      sentBytes += piece.length
+      if (response.write(piece)) continue
+      response.once('drain', sendMore)
+      return
+    }
+    endAfterDrain(response)
+  }
+  sendMore()
+}
+
 /** Sends the caller a server's complete answer. */
 export const sendAnswer = (context: GatewayContext, request: RoutedRequest, answer: CompleteAnswer): void => {
-  const { peer, status, headers, body, announcedLength, end } = answer
+  const { peer, status, headers, body, hold, announcedLength, end } = answer
   const { response } = request
   const callerFraming = callerFramingOf(request, answer)
   noteAnswered(context, request, { peer, status, end, callerFraming })
@@ -103,8 +128,8 @@
   }
   const length = callerFraming === Framing.NoBody ? announcedLength : String(body.length)
   response.writeHead(status, [...headers, ...(length === undefined ? [] : ['content-length', length])])
-  response.write(body)
-  endAfterDrain(response)
+  hold?.onStalled(() => { response.destroy() })
+  sendBody(response, body, () => hold?.moved())
 }
 
 /** What is logged of a complete answer. */
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -1,6 +1,7 @@
 import { awaitProof } from '../ends/awaitProof.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
 import { BytesEnd } from '../forwarding/framing.js'
+import { holdForCaller } from '../memory/holdForCaller.js'
 import { relayEvents } from '../streams/relayEvents.js'
 import { completeAnswer, sendAnswer } from './endRequest.js'
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
@@ -76,15 +77,22 @@
     return { type: 'broken', reason: 'answer to another request' }
   }
   if (status === OK && !open.answer.isNotRun) return await relay(context, request, run, open)
-  const read = await readAnswer(open, serverId)
+  const read = await readAnswer(open, { serverId, signal, reserve: (bytes, granted) => holdForCaller(context, request, bytes, granted) })
   if (status === MISDIRECTED || open.answer.isNotRun) {
+    read.ifRight(({ hold }) => hold?.release())
     return { type: 'notRun', reason: `turned away with ${status}`, isMisdirected: status === MISDIRECTED }
   }
   if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
-  if (stream.hasBegun()) return { type: 'broken', reason: `status ${status}` }
-  const { body, end } = read.unsafeCoerce()
+  const { body, end, hold } = read.unsafeCoerce()
+  if (stream.hasBegun()) {
+    hold?.release()
+    return { type: 'broken', reason: `status ${status}` }
+  }
   const proof = await awaitProof(context, request, { ...run, end })
-  if (!proof) return { type: 'broken', reason: NO_PROOF_REASON }
-  sendAnswer(context, request, completeAnswer(context, open, body, proof, serverId))
+  if (!proof) {
+    hold?.release()
+    return { type: 'broken', reason: NO_PROOF_REASON }
+  }
+  sendAnswer(context, request, completeAnswer(context, open, { body, hold }, proof, serverId))
   return { type: 'answered' }
 }
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -7,6 +7,7 @@
 import { noteBroken } from '../crashes/noteBroken.js'
 import { awaitProof } from '../ends/awaitProof.js'
 import { readAnswer } from '../forwarding/readAnswer.js'
+import { holdForCaller } from '../memory/holdForCaller.js'
 import { awaitRetry } from '../retries/awaitRetry.js'
 import { LIMITED_REASON } from '../serverLimits/constants.js'
 import { holdBack } from '../serverLimits/holdBack.js'
@@ -77,16 +78,20 @@
     return { type: 'unknown', reason: 'answer to another request' }
   }
   const status = open.message.statusCode ?? 0
-  const read = await readAnswer(open, serverId)
+  const read = await readAnswer(open, { serverId, signal, reserve: (bytes, granted) => holdForCaller(context, request, bytes, granted) })
   if (open.answer.isNotRun || status === MISDIRECTED) {
+    read.ifRight(({ hold }) => hold?.release())
     if (status === MISDIRECTED) context.directory.noteReplaced(server.start)
     return { type: 'notRun', reason: `turned away with ${status}`, isMisdirected: status === MISDIRECTED }
   }
   if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
-  const { body, end } = read.unsafeCoerce()
+  const { body, end, hold } = read.unsafeCoerce()
   const proof = await awaitProof(context, request, { server, end, mayRunElsewhere, signal })
-  if (!proof) return { type: 'broken', reason: 'the connection was closed, and nothing shows that its server lives' }
-  const deliver = (): void => { sendAnswer(context, request, completeAnswer(context, open, body, proof, serverId)) }
+  if (!proof) {
+    hold?.release()
+    return { type: 'broken', reason: 'the connection was closed, and nothing shows that its server lives' }
+  }
+  const deliver = (): void => { sendAnswer(context, request, completeAnswer(context, open, { body, hold }, proof, serverId)) }
   noteAnswer(context, request)
   if (status >= FIRST_SERVER_ERROR) return { type: 'failed', status, deliver }
   deliver()
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -17,6 +17,7 @@
 import type { PendingRuns } from '../crashes/createPendingRuns.js'
 import type { CrashNotifier } from '../crashes/createCrashNotifier.js'
 import type { PartGuard } from '../crashes/createPartGuard.js'
+import type { HeldBytes } from '../memory/createHeldBytes.js'
 import type { LifeChecks } from '../ends/createLifeChecks.js'
 import type { StreamOrigins } from '../origins/createStreamOrigins.js'
 import type { ServerLimits } from '../serverLimits/createServerLimits.js'
@@ -43,6 +44,7 @@
   readonly partGuard: PartGuard
   readonly breakWatch: BreakWatch
   readonly lifeChecks: LifeChecks
+  readonly heldBytes: HeldBytes
   readonly pendingRuns: PendingRuns
   readonly serverLimits: ServerLimits
   readonly origins: StreamOrigins
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -20,6 +20,7 @@
 import { serveReadiness } from '../ingress/serveReadiness.js'
 import { startIngress } from '../ingress/startIngress.js'
 import { takeRequest } from '../ingress/takeRequest.js'
+import { createHeldBytes } from '../memory/createHeldBytes.js'
 import { createQuotas } from '../limits/createQuotas.js'
 import { createRouterCount } from '../limits/createRouterCount.js'
 import { createStreamOrigins } from '../origins/createStreamOrigins.js'
@@ -42,6 +43,7 @@
 import { createReadDuty } from './createReadDuty.js'
 import { createRouterMembership } from './createRouterMembership.js'
 import { followFeeds } from './followFeeds.js'
+import { showGauges } from './showGauges.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
 import type { ProbeResult, RetryLimits } from '@figmount/decisions'
@@ -278,6 +280,7 @@
     partGuard,
     breakWatch,
     lifeChecks: createLifeChecks(probe),
+    heldBytes: createHeldBytes({ timers, events, metrics }),
     pendingRuns: createPendingRuns(timers),
     queueScaler: createQueueScaler(timers),
     coldLoads,
@@ -331,11 +334,7 @@
     origins.stop,
     stopRecording
   ]
-  metrics.gauge('requests_open', ingress.openCount)
-  metrics.gauge('deadly_parts', partGuard.foundCount)
-  metrics.gauge('servers_known', () => directory.entries().length)
-  metrics.gauge('servers_left', () => directory.leavings.all().length)
-  metrics.gauge('servers_doubted', directory.missingEntries.count)
+  showGauges(context, ingress)
 
   const stop = async (): Promise<void> => {
     await drain({ stop: routerStop, ingress, timers, events })
