Send in a stop only what is expected to be answered within it

What callers saw: in a stop of 6 s, streams that waited for a model were all sent when it came, with too little of the stop left, and were cut at its end, although "not run" would have been true until the send; so were streams that came late.

Cause: the last time to send left 2 s or the route's objective for an answer, whatever answers of that kind take.

Fix: each router measures how long whole answers take from send to end, by route, model and size (tokens of prompt and answer, in powers of two), with wider kinds while there are few. In a stop a request is sent, and waits, only until such an answer still ends in time: with the 95th percentile of the last 32 answers if it may not run again, as its caller loses a cut answer, and with their median if it may, as another router takes it up; 10 % more in both cases. Without a measurement, or for shorter answers, the bounds are as before.

--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -45,7 +45,7 @@
   let lastPeer = ''
 
   const bounds: WaitBounds = {
-    lastSendMs: () => runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(route.objectiveMs),
+    lastSendMs: () => runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(route.objectiveMs, () => stop.answers.expectedMs(request, route.isResumable)),
     callerLeavesMs: () => Math.min(request.untilMs, stream.lastEventMs() + route.patienceMs)
   }
 
@@ -115,6 +115,8 @@
     const { end, sentMs } = run
     retry = undefined
     if (end.type === 'answered' || end.type === 'finished') noteAnswer(context, request)
+    // A run that goes on behind an event takes less time than a whole answer.
+    if (end.type === 'finished' && runCount === 0 && caller.lastEventId === '') stop.answers.note(request, timers.nowMs() - sentMs)
     if (end.type === 'answered') return
     if (end.type === 'finished') return stream.finish(serverId, end.answerEnd)
     // A run that the router aborted says nothing about the server.
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -158,7 +158,8 @@
   let deliverFailed: (() => void) | undefined
   let lastPeer = ''
 
-  const lastSendMs = (): number => runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs)
+  const lastSendMs = (): number =>
+    runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs, () => stop.answers.expectedMs(request, mayRunAgain))
 
   /** Retry-after of a request that servers have turned away: when the first of them takes requests again. */
   const earliestRetryMs = (): number => {
@@ -206,7 +207,7 @@
     const { end } = attempt
     const verdict = end.type === 'broken' ? watchBroken(context, request, server, end.reason, attempt) : undefined
     if (request.callerLeft.aborted) return noteCallerLeft(context, request)
-    if (end.type === 'answered') return
+    if (end.type === 'answered') return stop.answers.note(request, attempt.waitedMs)
     if (end.type === 'notRun' || end.type === 'notSent') {
       rejectionCount += 1
       if (rejectionCount >= MAX_REJECTIONS) return finish(end.reason)
--- a/packages/gateway/src/stopping/constants.ts
+++ b/packages/gateway/src/stopping/constants.ts
@@ -10,5 +10,11 @@
 /** Part of that margin in which the final answers of open requests are sent; a link delivers one in a few ms. */
 export const LAST_ANSWERS_MS = 200
 
-/** Minimum time from a request's send to the end of its answer: with less left, most streams would break off midway. */
+/** Minimum time from a request's send to the end of its answer. Answers of its kind that are known to take longer get more. */
 export const MIN_ANSWER_MS = 2_000
+
+/** Answers of a narrow kind that have to be measured before its times count, in place of those of a wider one. */
+export const MIN_KIND_ANSWERS = 4
+
+/** Most kinds of answers whose times a router keeps. */
+export const MAX_ANSWER_KINDS = 2_000
--- a/packages/gateway/src/stopping/createStop.ts
+++ b/packages/gateway/src/stopping/createStop.ts
@@ -1,4 +1,5 @@
 import { DRAIN_MARGIN_MS, LAME_DUCK_MS, MIN_ANSWER_MS } from './constants.js'
+import { createAnswerMeter } from './createAnswerMeter.js'
 
 import type { TimerService, Unsubscribe } from '@figmount/base'
 import type { RouterStop } from './types.js'
@@ -29,10 +30,11 @@
     isAsked,
     isClosing: () => timers.nowMs() >= closingMs(),
     isEnded: () => isEnded,
-    lastSendMs: objectiveMs => endMs() - Math.max(MIN_ANSWER_MS, objectiveMs),
+    lastSendMs: (objectiveMs, answerMs = () => 0) => isAsked() ? endMs() - Math.max(MIN_ANSWER_MS, objectiveMs, answerMs()) : Infinity,
     // Guards against a stream that stays incomplete because its server was lost late in the stop. A request that has run cannot be refused
     // any more, so it is retried until the end of the stop: if the retry is cut off there, its caller is no worse off.
     lastRetryMs: endMs,
+    answers: createAnswerMeter(),
     onAsked: listener => listen(askedListeners, listener),
     onEnded: listener => listen(endListeners, listener),
     ask: () => {
--- a/packages/gateway/src/stopping/stopping.test.ts
+++ b/packages/gateway/src/stopping/stopping.test.ts
@@ -51,6 +51,13 @@
     expect(stop.lastSendMs(MIN_ANSWER_MS + 500)).to.equal(LAST_SEND_MS - 500)
   })
 
+  it('reserves more time for answers that are known to take longer, and no less for shorter ones', () => {
+    const stop = createStop(createVirtualTimers(), STOP_MS)
+    stop.ask()
+    expect(stop.lastSendMs(OBJECTIVE_MS, () => MIN_ANSWER_MS + 1_000)).to.equal(LAST_SEND_MS - 1_000)
+    expect(stop.lastSendMs(OBJECTIVE_MS, () => 40)).to.equal(LAST_SEND_MS)
+  })
+
   it('allows retries of requests that have run until the end', () => {
     const stop = createStop(createVirtualTimers(), STOP_MS)
     expect(stop.lastRetryMs()).to.equal(Infinity)
