Let the streams of a leaving engine go on when it takes no more connections

An engine says that it leaves, takes no more connections 2.5 s later and finishes what it runs; within 0.1 s the routers cut all resumable streams there, though events arrived all the while.

Cause: the agent took the refused connection of its next question for the engine's death, also after the engine had said that it leaves, and a router cut a run on a report of death whether its connection brought events or not.

Fix: of an engine that has said that it leaves a refused connection shows only that it takes no more connections: its end closes the connections of its runs, a next start at the address answers, and one that falls silent still counts as down after two reports. And a report of death ends only a run that is silent: no event for longer than its events have paused so far (100 ms at least, half as long again). Engines that did not say that they leave count as down at the first refused connection, as before.

--- a/packages/gateway/src/requests/runOnServer.ts
+++ b/packages/gateway/src/requests/runOnServer.ts
@@ -1,6 +1,7 @@
 import { countsAsFailure } from '@figmount/decisions'
 
 import { DEATH_CHECK_PERIOD_MS, PROOF_MS } from '../crashes/constants.js'
+import { createRunPulse } from './createRunPulse.js'
 import { limitExchange } from './limitExchange.js'
 import { runStream } from './runStream.js'
 
@@ -37,14 +38,16 @@
   const { modelName, adapterName, promptParts } = request.caller
   const limit = limitExchange(context, request, 0)
   // Guards against an engine that dies without closing its connections: a stream that could be resumed elsewhere would send nothing
-  // until its caller leaves, although the engine's agent has reported the death.
+  // until its caller leaves, although the engine's agent has reported the death. Events that still come refute the report.
+  const pulse = createRunPulse(context.timers)
   const stopDeathChecks = request.route.isResumable
-    ? context.timers.every(DEATH_CHECK_PERIOD_MS, () => { if (directory.isDead(start)) limit.cut() })
+    ? context.timers.every(DEATH_CHECK_PERIOD_MS, () => { if (directory.isDead(start) && pulse.isSilent()) limit.cut() })
     : () => {}
   let isPending = true
   let startedMs = 0
   let isProven = false
   const noteEvent = (): void => {
+    pulse.noteEvent()
     if (isPending) versionLock.begin(choice.server)
     settlePending()
     if (context.timers.nowMs() - startedMs >= PROOF_MS) proveParts()
--- a/packages/sidecar/src/engine/watchEngine.ts
+++ b/packages/sidecar/src/engine/watchEngine.ts
@@ -1,4 +1,4 @@
-import { runInBackground, sleep } from '@figmount/base'
+import { FaultKind, runInBackground, sleep } from '@figmount/base'
 
 import { REPORT_TIMEOUT_MS, MISSED_REPORT_THRESHOLD } from './constants.js'
 
@@ -27,11 +27,16 @@
   const stopping = new AbortController()
   let pause = new AbortController()
   let missedCount = 0
+  let isLeaving = false
 
   const noteFault = (fault: Fault): void => {
+    const isRefused = fault.kind === FaultKind.Unavailable
+    // An engine that has said that it leaves takes no more connections from some time on, and finishes what it runs. Its end closes the
+    // connections of its runs; what starts at its address answers.
+    if (isRefused && isLeaving) return
     missedCount += 1
     // One missed report does not mean that the engine is down, but a refused connection does: no process listens there.
-    if (missedCount >= MISSED_REPORT_THRESHOLD || fault.kind === 'unavailable') down(fault)
+    if (missedCount >= MISSED_REPORT_THRESHOLD || isRefused) down(fault)
   }
 
   const pollUntilStopped = async (): Promise<void> => {
@@ -42,6 +47,7 @@
         Left: noteFault,
         Right: report => {
           missedCount = 0
+          isLeaving = report.isDraining
           take(report)
         }
       })
