--- a/packages/gateway/src/origins/createVersionLock.ts
+++ b/packages/gateway/src/origins/createVersionLock.ts
@@ -22,7 +22,17 @@
   let softwareVersion: string | undefined
 
   const judge = (reason: string, versionCount: number): boolean => {
-    context.events.emit(GatewayEvent.takeUpJudged, { requestKey: caller.requestId, item: caller.resumes, service: serviceName, version: softwareVersion ?? '', count: versionCount, reason })
+    const ageMs = context.list.ageMs()
+    context.events.emit(GatewayEvent.takeUpJudged, {
+      requestKey: caller.requestId,
+      item: caller.resumes,
+      service: serviceName,
+      version: softwareVersion ?? '',
+      count: versionCount,
+      reason,
+      ...(Number.isFinite(ageMs) ? { ageMs: Math.round(ageMs) } : {}),
+      ...(context.list.hasStoodStill() ? { detail: 'the process has stood still since its list was read' } : {})
+    })
     if (softwareVersion === undefined) context.metrics.count('take_ups_unknown_total')
     return softwareVersion !== undefined
   }
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -12,6 +12,7 @@
 import type { OccupancyMeter } from '../placing/createOccupancyMeter.js'
 import type { QueueScaler } from '../placing/createQueueScaler.js'
 import type { RetryBudget } from '../retries/createRetryBudget.js'
+import type { ListWatch } from '../router/createListWatch.js'
 import type { RouterNotice } from '../routerFeed/types.js'
 import type { BreakWatch } from '../crashes/createBreakWatch.js'
 import type { PendingRuns } from '../crashes/createPendingRuns.js'
@@ -48,6 +49,7 @@
   readonly pendingRuns: PendingRuns
   readonly serverLimits: ServerLimits
   readonly origins: StreamOrigins
+  readonly list: ListWatch
   readonly queueScaler: QueueScaler
   readonly coldLoads: ColdLoads
   /** False after a restart of the router: other processes may have been serving callers. */
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -6,12 +6,14 @@
 import { createLeavingFeed } from '../leavings/createLeavingFeed.js'
 import { DUTY_REVIEW_MS, LIST_AGE_SHARE, LIST_SPREAD_SHARE } from './constants.js'
 import { createListChanges } from './createListChanges.js'
+import { createListWatch } from './createListWatch.js'
 import { createReadSchedule } from './createReadSchedule.js'
 import { createStoreWatch } from './createStoreWatch.js'
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { Deployment, DeploymentCopy, FeedRead, FeedRecord, KeyedFeed, ListRead, RouterStorePort, StorePort } from '@figmount/fleet'
 import type { Directory } from '../directory/types.js'
+import type { ListWatch } from './createListWatch.js'
 
 interface Options {
   readonly store: StorePort & Pick<RouterStorePort, 'leavingFeed'>
@@ -48,6 +50,7 @@
   readonly reviewReads: () => void
   /** Applies another router's read; a possibly stale one does not postpone the router's own read. */
   readonly takeListRead: (read: ListRead, mayBeStale: boolean) => void
+  readonly list: ListWatch
   readonly stop: () => void
 }
 
@@ -128,6 +131,8 @@
     random: options.random
   })
 
+  const list = createListWatch(timers)
+
   const storeWatch = createStoreWatch({ timers, leaveMs: options.leaveMs, setDoubt: directory.missingEntries.setDoubt })
 
   /** The read that is taken now is the first one after the store has come back from an older copy. */
@@ -136,6 +141,7 @@
   const noteListRead = ({ stretch, isWhole, beganMs }: FeedRead): void => {
     readSchedule.note(beganMs)
     storeWatch.noteTaken(beganMs)
+    list.note(beganMs)
     const records = listChanges.take(stretch.records)
     // Guards against a server that others know to have left: they take it again by a record that renews what the copy says.
     if (isCopyRead) listChanges.reset()
@@ -195,11 +201,14 @@
       if (mayBeStale) return
       readSchedule.note(beganMs)
       storeWatch.noteTaken(beganMs)
+      list.note(beganMs)
     },
+    list,
     stop: () => {
       deployments.stop()
       leavings.stop()
       servers.stop()
+      list.stop()
     }
   }
 }
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -276,6 +276,7 @@
     quotas,
     serverLimits,
     origins,
+    list: feeds.list,
     crashNotifier,
     partGuard,
     breakWatch,
