Wait for an address that another process holds at the start

Cause: each server listened once and took a held address for a wrong one; serveRouters had no listener for it.

Now one function, listenWhenFree, tries every 250 ms while the address is held, with one event when the wait begins (1014) and one when it ends (1015); a stop ends the wait (code 0: SIGTERM during a start is heard now); a wrong address (EADDRNOTAVAIL, EACCES) ends the start as before with its line and code 4. Later errors of a listening server, such as no free descriptor, are events. Metrics are served beside the start, so they never keep it from serving. The readiness address comes first and says not ready until callers can connect: a start that ends has taken no request. A daemon stays alive while it only waits.

--- a/packages/base/src/binary/runBinary.test.ts
+++ b/packages/base/src/binary/runBinary.test.ts
@@ -8,7 +8,7 @@
 const programOf = (body: string): string => `
   import * as z from 'zod'
   import { runBinary } from '${new URL('./runBinary.ts', import.meta.url).href}'
-  const start = async ({ metrics }) => {
+  const start = async ({ metrics, timers, events, stopSignal }) => {
     ${body}
     return { address: 'a:1', stop: async () => { process.stdout.write(metrics.text()) } }
   }
@@ -45,7 +45,6 @@
   it('goes on after exceptions and rejections that nothing caught', async () => {
     // Guards against one request's exception that ends all requests of the process.
     const { code, output } = await run(`
-      setInterval(() => {}, 1_000)
       setTimeout(() => { throw new Error('first') }, 50)
       setTimeout(() => { Promise.reject(new Error('second')) }, 60)
       setTimeout(() => { throw undefined }, 70)
@@ -64,4 +63,27 @@
     expect(errors).to.contain('daemon: broken')
     expect(code).to.equal(1)
   })
+
+  it('ends in order if it is stopped while it waits for its address', async () => {
+    // Guards against a process that waits for an address for ever.
+    const { code, output } = await run(`
+      const { createServer } = await import('node:net')
+      const { listenWhenFree } = await import('${new URL('../sockets/listenWhenFree.ts', import.meta.url).href}')
+      const holder = createServer()
+      await new Promise(resolve => { holder.listen(0, '127.0.0.1', resolve) })
+      await listenWhenFree(createServer(), '127.0.0.1:' + holder.address().port, { timers, events, stopSignal })
+    `, 'addressAwaited')
+    expect(output).not.to.contain('processStarted')
+    expect(code).to.equal(0)
+  })
+
+  it('ends with a clear line and its own code if its address is wrong', async () => {
+    const { code, errors } = await run(`
+      const { createServer } = await import('node:net')
+      const { listenWhenFree } = await import('${new URL('../sockets/listenWhenFree.ts', import.meta.url).href}')
+      await listenWhenFree(createServer(), '192.0.2.1:80', { timers, events, stopSignal })
+    `, 'never')
+    expect(errors).to.match(/daemon: listen EADDRNOTAVAIL.*192\.0\.2\.1/)
+    expect(code).to.equal(4)
+  })
 })
--- a/packages/base/src/binary/runBinary.ts
+++ b/packages/base/src/binary/runBinary.ts
@@ -6,6 +6,7 @@
 import { describeSettingsFault, loadSettings } from '../settings/loadSettings.js'
 import { createStandstillWatch } from '../timers/createStandstillWatch.js'
 import { createTimerService } from '../timers/createTimerService.js'
+import { keepProcessAlive } from '../timers/keepProcessAlive.js'
 import { readArguments } from './readArguments.js'
 import { surviveUncaught } from './surviveUncaught.js'
 import { ExitCode } from './types.js'
@@ -85,6 +86,7 @@
     process.stdout.write(`${args.settings}: settings are valid\n`)
     return
   }
+  keepProcessAlive()
   const timers = createTimerService()
   const metrics = createMetrics()
   countOutputErrors(metrics)
@@ -92,6 +94,7 @@
   const writeLine = args.eventLines ? createEventLineWriter(args.eventLinesPerS, timers, metrics) : undefined
   const events = createEventLog({ instance, role: options.role, timers, ...(writeLine ? { writeLine } : {}) })
   let hasStarted = false
+  const stopping = new AbortController()
   const endStart = (error: unknown): never => {
     const isListenError = (error as NodeJS.ErrnoException | undefined)?.syscall === 'listen'
     return exitWith(isListenError ? ExitCode.Listen : ExitCode.Failed, `${options.name}: ${error instanceof Error ? error.message : String(error)}`)
@@ -100,19 +103,23 @@
   watchMemory(timers, events, metrics)
   createStandstillWatch(timers, durationMs => { events.emit(BaseEvent.processStoodStill, { durationMs: Math.round(durationMs) }) })
   try {
+    const stopAsked = waitForStop()
+    stopAsked.then(() => { stopping.abort() }, endStart)
     // Registered before the start: without a listener, an early SIGHUP would end the process.
     let reloadSettings = (): void => {}
     process.on('SIGHUP', () => reloadSettings())
-    const running = await options.start({ settings, events, timers, metrics })
+    const running = await options.start({ settings, events, timers, metrics, stopSignal: stopping.signal })
     reloadSettings = () => reload(options, args.settings, events, running)
     hasStarted = true
     events.emit(BaseEvent.processStarted, { detail: running.address })
-    await waitForStop()
+    await stopAsked
     events.emit(BaseEvent.processStopping)
     await running.stop()
     events.emit(BaseEvent.processStopped)
     process.exit(ExitCode.Ok)
   } catch (error) {
+    // Nothing is open yet.
+    if (stopping.signal.aborted && !hasStarted) process.exit(ExitCode.Ok)
     endStart(error)
   }
 }
--- a/packages/base/src/binary/types.ts
+++ b/packages/base/src/binary/types.ts
@@ -30,4 +30,6 @@
   readonly events: EventLog
   readonly timers: TimerService
   readonly metrics: Metrics
+  /** Aborted when a stop is asked for, also during the start. */
+  readonly stopSignal?: AbortSignal
 }
--- a/packages/base/src/events/catalogue.ts
+++ b/packages/base/src/events/catalogue.ts
@@ -14,5 +14,7 @@
   deploymentOutdated: [1010, 'a configuration older than the one in force was received and is not put in force'],
   processFailing: [1011, 'an exception that nothing caught, and where it arose: a process that has started goes on'],
   processStoodStill: [1012, 'the process stood still for a while: what it knows is of before'],
-  memoryGrown: [1013, 'the process holds more memory than ever before']
+  memoryGrown: [1013, 'the process holds more memory than ever before'],
+  addressAwaited: [1014, 'another process holds an address: the process waits for it'],
+  addressTaken: [1015, 'an address that was held is free: the process listens on it']
 })
--- a/packages/base/src/metrics/serveMetrics.test.ts
+++ b/packages/base/src/metrics/serveMetrics.test.ts
@@ -2,10 +2,16 @@
 import { connect } from 'node:net'
 import { expect } from 'chai'
 
+import { createEventLog } from '../events/createEventLog.js'
+import { createTimerService } from '../timers/createTimerService.js'
 import { serveRpc } from '../rpc/serveRpc.js'
 import { createMetrics } from './createMetrics.js'
 import { serveMetrics } from './serveMetrics.js'
 
+import type { InstanceName } from '../ids/types.js'
+
+const timers = createTimerService()
+
 const TEXT = 'figmount_ä 1\n'
 const LENGTH_LINE = `content-length: ${Buffer.byteLength(TEXT)}`
 
@@ -32,7 +38,7 @@
   // Guards against a scraper of HTTP/1.0 that takes the part for the whole which a killed process had sent.
   it('name their length', async () => {
     const address = await freeAddress()
-    const close = await serveMetrics(address, metrics)
+    const close = await serveMetrics(address, metrics, { timers, events: createEventLog({ instance: 'a' as InstanceName, role: 'r', timers }) })
     expect(await headOf(address, '/')).to.include(LENGTH_LINE)
     close()
   })
--- a/packages/gateway/src/ingress/startIngress.test.ts
+++ b/packages/gateway/src/ingress/startIngress.test.ts
@@ -1,12 +1,16 @@
 import { once } from 'node:events'
 import { connect, createServer } from 'node:net'
 import { expect } from 'chai'
+import { createEventLog, createTimerService } from '@figmount/base'
 
 import { startIngress } from './startIngress.js'
 
 import type { AddressInfo, Socket } from 'node:net'
+import type { InstanceName } from '@figmount/base'
 import type { TakeRequest } from './startIngress.js'
 
+const timers = createTimerService()
+
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 
 const freePort = async (): Promise<number> => {
@@ -25,7 +29,7 @@
 const setUp = async (take: TakeRequest) => {
   const address = `127.0.0.1:${await freePort()}`
   const failures: string[] = []
-  const ingress = await startIngress(address, take, error => { failures.push(error.message) })
+  const ingress = await startIngress(address, take, error => { failures.push(error.message) }, { timers, events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers }) })
   const socket: Socket = connect(Number(address.split(':')[1]), '127.0.0.1')
   await once(socket, 'connect')
   return { ingress, socket, failures }
--- a/packages/gateway/src/ingress/startIngress.ts
+++ b/packages/gateway/src/ingress/startIngress.ts
@@ -1,11 +1,13 @@
 import { createServer } from 'node:http'
+import { listenWhenFree } from '@figmount/base'
 
 import { MAX_HEADER_BYTES } from './constants.js'
 import { createTurns } from './createTurns.js'
 import { onceClosed } from './onceClosed.js'
 
-import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import type { ListenContext } from '@figmount/base'
 import type { CallerLimits } from '@figmount/fleet'
 
 /** The HTTP server for callers. */
@@ -22,15 +24,6 @@
   readonly close: () => void
 }
 
-/** Listens on `host:port`; resolves once it does. */
-export const listen = async (server: Server, address: string): Promise<void> => {
-  const [host = '', port = ''] = address.split(':')
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host, port: Number(port) }, resolve)
-  })
-}
-
 /** Status for a request whose handler failed. It does not claim that the request was not run, because it may have been. */
 const BAD_GATEWAY = 502
 
@@ -48,7 +41,9 @@
 export type TakeRequest = (message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>) => Promise<void>
 
 /** Starts to accept requests. */
-export const startIngress = async (address: string, take: TakeRequest, onError: (error: Error) => void): Promise<Ingress> => {
+export const startIngress = async (
+  address: string, take: TakeRequest, onError: (error: Error) => void, listening: ListenContext
+): Promise<Ingress> => {
   let openCount = 0
   let isEnding = false
   const sockets = new Map<Socket, LatestRequest | undefined>()
@@ -97,7 +92,7 @@
     socket.once('close', () => sockets.delete(socket))
   })
   server.requestTimeout = 0
-  await listen(server, address)
+  await listenWhenFree(server, address, listening)
   return {
     limit: limits => {
       server.headersTimeout = limits.headerTimeoutMs
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -43,6 +43,7 @@
 import { createReadDuty } from './createReadDuty.js'
 import { createRouterMembership } from './createRouterMembership.js'
 import { followFeeds } from './followFeeds.js'
+import { joinCalls } from './joinCalls.js'
 import { showGauges } from './showGauges.js'
 
 import type { InstanceName, ProcessContext, RunningProcess } from '@figmount/base'
@@ -295,33 +296,29 @@
     random: options.random
   }
 
-  const ingress = await startIngress(
-    options.callerAddress,
-    async (message, response, turn) => await takeRequest(context, message, response, turn),
-    error => { events.emit(BaseEvent.unexpectedFault, { step: 'ingress.take', reason: error.message }) }
-  )
-  limitCallers = ingress.limit
-  const known = feeds.deployment()
-  if (known) ingress.limit(known.limits)
+  const follow = (): void => {
+    agents.follow(directory.entries(), hasAgent)
+    context.pool.retainStarts(directory.starts())
+  }
+  const followSoon = joinCalls(timers, follow)
+
   // A router that has no links to the agents yet would refuse each request whose model must be loaded first.
+  let isListening = false
   const isReady = (): boolean => {
-    if (routerStop.isAsked() || !feeds.deployment() || !directory.hasList()) return false
+    if (!isListening || routerStop.isAsked() || !feeds.deployment() || !directory.hasList()) return false
     const hasAgents = directory.entries().some(hasAgent)
     return !hasAgents || agents.isReady() || timers.nowMs() - startedMs > AGENT_READY_TIMEOUT_MS
   }
-  const closeReady = await serveReadiness(options.readyAddress, isReady)
+  // Before callers can connect: a start that ends here has taken no request.
+  const closeReady = await serveReadiness(options.readyAddress, isReady, options.context)
+  const ingress = await startIngress(options.callerAddress, async (message, response, turn) => await takeRequest(context, message, response, turn), error => {
+    events.emit(BaseEvent.unexpectedFault, { step: 'ingress.take', reason: error.message })
+  }, options.context)
+  limitCallers = ingress.limit
+  const known = feeds.deployment()
+  if (known) ingress.limit(known.limits)
+  isListening = true
 
-  let isFollowDue = false
-  const followSoon = (): void => {
-    if (isFollowDue) return
-    isFollowDue = true
-    timers.after(0, follow)
-  }
-  const follow = (): void => {
-    isFollowDue = false
-    agents.follow(directory.entries(), hasAgent)
-    context.pool.retainStarts(directory.starts())
-  }
   const demandReporter = createDemandReporter(context.demand, directory, agents)
   const stops = [
     directory.onState(createLeavingPoll(timers, directory, demandReporter.reportLeaving)),
--- a/packages/sidecar/src/links/serveRouters.ts
+++ b/packages/sidecar/src/links/serveRouters.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http'
 import { match } from 'ts-pattern'
+import { listenWhenFree } from '@figmount/base'
 import { shouldReportLoad } from '@figmount/decisions'
 import { MESSAGE_STRUCTURES } from '@figmount/fleet'
 import { acceptLinks, CONNECT_TIMEOUT_MS, createMessageCodec, HEARTBEAT_MS, NO_OFFSET, packMessage, serveMessages } from '@figmount/peers'
@@ -26,6 +27,8 @@
   readonly sharedKey: string
   readonly timers: TimerService
   readonly events: EventLog
+  /** Ends the wait for the port. */
+  readonly stopSignal?: AbortSignal
   readonly noteSent?: (type: string, byteCount: number) => void
   /** Returns undefined until the agent has had a first result from its engine. */
   readonly describe: (routerCount: number) => AgentState | undefined
@@ -64,6 +67,8 @@
   readonly sendUpdate: () => void
   /** Sends one router a message, if it is linked. */
   readonly send: (router: string, message: AgentMessage) => void
+  /** Resolves once the agent's port is free and routers can open links. */
+  readonly listening: Promise<void>
   readonly close: () => void
 }
 
@@ -236,11 +241,12 @@
     onPeerOffset: () => {},
     ...(options.noteSent ? { noteSent: options.noteSent } : {})
   }, runLink)
-  server.listen(options.port, options.host)
+  const listening = listenWhenFree(server, `${options.host}:${options.port}`, options)
   const stopLoad = timers.every(LOAD_PERIOD_MS, sendLoad)
   const stopKeepAlive = timers.every(HEARTBEAT_MS / 2, keepAlive)
 
   return {
+    listening,
     sendUpdate,
     send: (router, message) => {
       for (const link of links) {
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -194,6 +194,7 @@
     sharedKey: options.sharedKey,
     timers,
     events,
+    ...(options.context.stopSignal ? { stopSignal: options.context.stopSignal } : {}),
     noteSent: countMessages(metrics),
     describe: describeIfKnown,
     describeLoad: () => describeEngineLoad(orderer),
@@ -224,6 +225,8 @@
   })
   const stopReviewTimer = timers.every(STATE_PERIOD_MS, reviewIfOverdue)
 
+  await links.listening
+
   return {
     address: `${options.host}:${options.port}`,
     stop: async () => {
