--- /dev/null
+++ b/packages/gateway/src/streams/createByteStore.ts
@@ -0,0 +1,45 @@
+/** Bytes that arrive in pieces. */
+export interface ByteStore {
+  readonly append: (bytes: Buffer) => void
+  readonly byteCount: () => number
+  /** The bytes so far, until the next call of `append`. */
+  readonly bytes: () => Buffer
+  /** Returns the bytes and begins anew. */
+  readonly take: () => Buffer
+}
+
+const FIRST_BYTES = 256
+
+/**
+ * Creates a store of bytes, kept in one buffer that doubles when it is full.
+ *
+ * Guards against pieces of few bytes, each of which would keep the memory that it was read into.
+ */
+export const createByteStore = (): ByteStore => {
+  let buffer: Buffer = Buffer.alloc(0)
+  let byteCount = 0
+
+  const reserve = (neededBytes: number): void => {
+    if (neededBytes <= buffer.length) return
+    const larger = Buffer.allocUnsafeSlow(Math.max(FIRST_BYTES, neededBytes, 2 * buffer.length))
+    buffer.copy(larger, 0, 0, byteCount)
+    buffer = larger
+  }
+
+  const bytes = (): Buffer => buffer.subarray(0, byteCount)
+
+  return {
+    append: added => {
+      reserve(byteCount + added.length)
+      byteCount += added.copy(buffer, byteCount)
+    },
+    byteCount: () => byteCount,
+    bytes,
+    take: () => {
+      const taken = bytes()
+      buffer = Buffer.alloc(0)
+      byteCount = 0
+      return taken
+    }
+  }
+}
--- a/packages/gateway/src/streams/createEventSplitter.ts
+++ b/packages/gateway/src/streams/createEventSplitter.ts
@@ -1,3 +1,6 @@
+import { createByteStore } from './createByteStore.js'
+import { MAX_EVENT_BYTES, MAX_EVENT_CHUNKS } from './constants.js'
+
 /** One event of a stream, with its bytes as received. */
 export interface StreamEvent {
   readonly bytes: Buffer
@@ -9,9 +12,12 @@
 
 /** Splits a byte stream into events. */
 export interface EventSplitter {
+  /** Returns the events that end in this chunk, up to one that is too long. */
   readonly push: (chunk: Buffer) => readonly StreamEvent[]
   /** Bytes of an event that is not complete yet. */
   readonly rest: () => Buffer
+  /** An event is longer than `MAX_EVENT_BYTES`, or comes in more than `MAX_EVENT_CHUNKS`: nothing more is taken. */
+  readonly isTooLong: () => boolean
 }
 
 const NEW_LINE = 0x0a
@@ -19,35 +25,63 @@
 const ID_LINE = /^id:[ ]?(.*)$/m
 const DATA_LINE = /^data(?::|$)/m
 
-/** Index after the blank line that ends the first event, or -1. */
-const endOfEvent = (bytes: Buffer): number => {
-  let lineStart = 0
-  for (let index = bytes.indexOf(NEW_LINE); index !== -1; index = bytes.indexOf(NEW_LINE, index + 1)) {
-    const lineEnd = index > lineStart && bytes[index - 1] === CARRIAGE_RETURN ? index - 1 : index
-    if (lineEnd === lineStart) return index + 1
-    lineStart = index + 1
-  }
-  return -1
-}
-
 const readEvent = (bytes: Buffer): StreamEvent => {
   const text = bytes.toString('latin1')
   return { bytes, eventId: (ID_LINE.exec(text)?.[1] ?? '').trim(), hasData: DATA_LINE.test(text) }
 }
 
-/** Creates a splitter for one `text/event-stream` body. */
+/** Creates a splitter for one `text/event-stream` body. Each byte is looked at once, and copied a bounded number of times. */
 export const createEventSplitter = (): EventSplitter => {
-  let pending: Buffer = Buffer.alloc(0)
+  const pending = createByteStore()
+  let chunkCount = 0
+  let lineBytes = 0
+  let lastByte: number | undefined
+  let isTooLong = false
+
+  /** Takes the end of a line; true if the line is empty. */
+  const endLine = (chunk: Buffer, lineStart: number, lineEnd: number): boolean => {
+    const byteCount = lineBytes + lineEnd - lineStart
+    const previous = lineEnd > lineStart ? chunk[lineEnd - 1] : lastByte
+    lineBytes = 0
+    return byteCount === 0 || (byteCount === 1 && previous === CARRIAGE_RETURN)
+  }
+
+  /** Keeps bytes of the event that is not complete; false if it is too long. */
+  const keep = (bytes: Buffer): boolean => {
+    chunkCount += 1
+    isTooLong = pending.byteCount() + bytes.length > MAX_EVENT_BYTES || chunkCount > MAX_EVENT_CHUNKS
+    if (!isTooLong) pending.append(bytes)
+    return !isTooLong
+  }
+
+  const takeEvent = (bytes: Buffer): StreamEvent | undefined => {
+    if (pending.byteCount() === 0 && bytes.length <= MAX_EVENT_BYTES) return readEvent(bytes)
+    if (!keep(bytes)) return undefined
+    chunkCount = 0
+    return readEvent(pending.take())
+  }
+
   return {
     push: chunk => {
-      pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk])
+      if (isTooLong || chunk.length === 0) return []
       const events: StreamEvent[] = []
-      for (let end = endOfEvent(pending); end !== -1; end = endOfEvent(pending)) {
-        events.push(readEvent(pending.subarray(0, end)))
-        pending = pending.subarray(end)
+      let eventStart = 0
+      let lineStart = 0
+      for (let index = chunk.indexOf(NEW_LINE); index !== -1; index = chunk.indexOf(NEW_LINE, index + 1)) {
+        const isEmpty = endLine(chunk, lineStart, index)
+        lineStart = index + 1
+        if (!isEmpty) continue
+        const event = takeEvent(chunk.subarray(eventStart, lineStart))
+        if (!event) return events
+        events.push(event)
+        eventStart = lineStart
       }
+      lineBytes += chunk.length - lineStart
+      lastByte = chunk.at(-1)
+      if (eventStart < chunk.length) keep(chunk.subarray(eventStart))
       return events
     },
-    rest: () => pending
+    rest: pending.bytes,
+    isTooLong: () => isTooLong
   }
 }
--- a/packages/gateway/src/streams/relayEvents.test.ts
+++ b/packages/gateway/src/streams/relayEvents.test.ts
@@ -3,6 +3,7 @@
 import { createVirtualTimers } from '@figmount/base'
 
 import { BytesEnd } from '../forwarding/framing.js'
+import { MAX_ASIDE_BYTES, MAX_ASIDE_COUNT, MAX_EVENT_BYTES } from './constants.js'
 import { relayEvents, Taken } from './relayEvents.js'
 
 import type { OpenAnswer } from '../forwarding/types.js'
@@ -10,7 +11,7 @@
 const SILENCE_MS = 2_000
 
 /** A stream to a reader that takes one event and then no more until it is drained. */
-const setUp = () => {
+const setUp = (taken: Taken = Taken.Slowly) => {
   const timers = createVirtualTimers()
   const message = Object.assign(new EventEmitter(), { pause: () => {}, resume: () => {} })
   let abortCount = 0
@@ -18,7 +19,7 @@
   const end = relayEvents({
     answer: { message, guard: <Listener>(listener: Listener) => listener, abort: () => { abortCount += 1 } } as unknown as OpenAnswer,
     timers,
-    take: () => Taken.Slowly,
+    take: () => taken,
     onceDrained: resume => { drain = resume },
     silenceMs: SILENCE_MS
   })
@@ -45,4 +46,33 @@
     expect(abortCount()).to.equal(1)
     expect(await end).to.deep.include({ end: BytesEnd.BrokenOff })
   })
+
+  // Guards against a server that sends comments, or parts of an event, while its caller waits for a piece.
+  it('ends a stream whose server sends nothing but comments, or an event that does not end', async () => {
+    for (const text of [': ping\n\n', 'x']) {
+      const { timers, message, end, abortCount } = setUp(Taken.InTime)
+      message.emit('data', Buffer.from('id: 1\ndata: x\n\n'))
+      for (let waitedMs = 0; waitedMs < SILENCE_MS; waitedMs += SILENCE_MS / 8) {
+        message.emit('data', Buffer.from(text))
+        timers.advance(SILENCE_MS / 8)
+      }
+      expect(abortCount()).to.equal(1)
+      expect(await end).to.deep.equal({ end: BytesEnd.BrokenOff, reason: `no event for ${SILENCE_MS} ms` })
+    }
+  })
+
+  // Guards against bytes without end that are no pieces, and against an event without end.
+  it('ends a stream with more bytes than an event, or what is no piece, may have', async () => {
+    const cases = [
+      [':\n\n'.repeat(MAX_ASIDE_COUNT + 1), 'comments without end'],
+      [`:${'x'.repeat(1_000)}\n\n`.repeat(MAX_ASIDE_BYTES / 1_000), 'comments without end'],
+      ['x'.repeat(MAX_EVENT_BYTES + 1), `an event of over ${MAX_EVENT_BYTES} bytes, or in too many chunks`]
+    ] as const
+    for (const [text, reason] of cases) {
+      const { message, end, abortCount } = setUp(Taken.InTime)
+      message.emit('data', Buffer.from(text))
+      expect(await end).to.deep.equal({ end: BytesEnd.BrokenOff, reason })
+      expect(abortCount()).to.equal(1)
+    }
+  })
 })
--- a/packages/gateway/src/streams/relayEvents.ts
+++ b/packages/gateway/src/streams/relayEvents.ts
@@ -1,4 +1,5 @@
 import { BytesEnd, bytesEndOf } from '../forwarding/framing.js'
+import { MAX_ASIDE_BYTES, MAX_ASIDE_COUNT, MAX_EVENT_BYTES } from './constants.js'
 import { createEventSplitter } from './createEventSplitter.js'
 
 import type { TimerService } from '@figmount/base'
@@ -29,7 +30,7 @@
   readonly take: (event: StreamEvent) => Taken
   /** Calls back once the reader can take more. */
   readonly onceDrained: (resume: () => void) => void
-  /** Time without data from the server after which the stream counts as broken. */
+  /** Time without a piece from the server after which the stream counts as broken. */
   readonly silenceMs: number
 }
 
@@ -38,7 +39,9 @@
   await new Promise(resolve => {
     const { message, guard, abort } = answer
     const splitter = createEventSplitter()
-    let lastDataMs = timers.nowMs()
+    let lastPieceMs = timers.nowMs()
+    let asideBytes = 0
+    let asideCount = 0
     let isPaused = false
     let isOver = false
 
@@ -48,35 +51,43 @@
       resolve({ end, reason })
     }
     const breakOff = (reason: string): void => { finish(BytesEnd.BrokenOff, reason) }
+    const cut = (reason: string): void => {
+      breakOff(reason)
+      abort()
+    }
+    const noteKind = ({ eventId, hasData, bytes }: StreamEvent): void => {
+      const isPiece = hasData || eventId !== ''
+      if (isPiece) lastPieceMs = timers.nowMs()
+      asideBytes = isPiece ? 0 : asideBytes + bytes.length
+      asideCount = isPiece ? 0 : asideCount + 1
+    }
 
     // Guards against a server that stops sending in the middle of a stream while its connection stays open: the caller would wait until
     // it gives up. Aborting the exchange lets a resumable stream continue on another server. While the reader is stalled, nothing is read
     // from the server, so that silence does not count.
     const stopWatching = timers.every(silenceMs / 4, () => {
-      if (isPaused || timers.nowMs() - lastDataMs < silenceMs) return
-      breakOff(`no event for ${silenceMs} ms`)
-      abort()
+      if (isPaused || timers.nowMs() - lastPieceMs < silenceMs) return
+      cut(`no event for ${silenceMs} ms`)
     })
 
     message.on('data', guard((chunk: Buffer) => {
       // Buffered data may come after an abort.
       if (isOver) return
-      lastDataMs = timers.nowMs()
       let keepsUp = true
       for (const event of splitter.push(chunk)) {
+        noteKind(event)
+        if (asideBytes > MAX_ASIDE_BYTES || asideCount > MAX_ASIDE_COUNT) return cut('comments without end')
         const taken = take(event)
-        if (taken === Taken.Gap) {
-          breakOff('an event is missing')
-          return abort()
-        }
+        if (taken === Taken.Gap) return cut('an event is missing')
         if (taken === Taken.Slowly) keepsUp = false
       }
+      if (splitter.isTooLong()) return cut(`an event of over ${MAX_EVENT_BYTES} bytes, or in too many chunks`)
       if (keepsUp) return
       isPaused = true
       message.pause()
       onceDrained(guard(() => {
         isPaused = false
-        lastDataMs = timers.nowMs()
+        lastPieceMs = timers.nowMs()
         message.resume()
       }))
     }))
