Judge streams that are taken up by knowledge younger than the request

Callers saw streams of two software versions joined at a router out of step: one that stood still as the second version came, or was cut from the store and the agents.

Cause: a router asked for a stream's origin only if its own list showed several versions, and looked at no list's age. What it reads first after a standstill are its callers' requests, while the list is as old as its sleep; one that is cut off has an old list all the while.

Now the agents are asked for every stream of another router.

--- a/packages/fleet/src/feeds/createFeedFollower.test.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -94,6 +94,17 @@
     expect(reads.slice(0, 2)).to.deep.equal(['newest', 'since 5'])
   })
 
+  it('reads at once, though nothing is due, where a read is wanted', async () => {
+    // Guards against a request that waits for the list until the next read is due.
+    const { follower, reads, pass } = setUp([page(5), page(6), page(7)])
+    await pass(150)
+    const countBefore = reads.length
+    follower.readSoon()
+    await pass(50)
+    follower.stop()
+    expect(reads.length).to.equal(countBefore + 1)
+  })
+
   it('takes the newest records of all keys in the order in which they were written', async () => {
     // Guards against an older record that counts as the newer one as a page is sorted by keys.
     const { taken, pass } = setUp([page(9, record('a', 8), record('b', 3), record('c', 5))])
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -42,6 +42,8 @@
   readonly offerRange: (stretch: FeedRange) => boolean
   /** Abandons the read that is waiting and reads again at once. */
   readonly readNow: () => void
+  /** Begins the next read as soon as the current one has ended, though it is not due yet. */
+  readonly readSoon: () => void
   /** Ends a read that waits at the store, unless its answer has begun. The next one begins when it is due. */
   readonly pause: () => void
   /** Time since the latest part of the answer to the current read; Infinity while none arrives. */
@@ -61,6 +63,8 @@
   let abandonRead: (given: Either<Fault, FeedPage> | undefined) => void = () => {}
   let progressMs = -Infinity
   let knownEra: number | undefined
+  /** Aborts once a read is wanted that has not begun yet. */
+  let wanted = new AbortController()
 
   const noteDropped = ({ key, offset }: FeedRecord): void => {
     options.events.emit(BaseEvent.recordDropped, { peer: feed.name, item: key, offset, detail: String(newestOffset.get(key)) })
@@ -161,8 +165,8 @@
   }
 
   const waitUntilDue = async (): Promise<void> => {
-    for (let remainingMs = options.dueInMs(); remainingMs > 0 && !stopping.signal.aborted; remainingMs = options.dueInMs()) {
-      await sleep(timers, remainingMs, stopping.signal)
+    for (let remainingMs = options.dueInMs(); remainingMs > 0 && !wanted.signal.aborted && !stopping.signal.aborted; remainingMs = options.dueInMs()) {
+      await sleep(timers, remainingMs, AbortSignal.any([stopping.signal, wanted.signal]))
     }
   }
 
@@ -178,6 +182,7 @@
     while (!stopping.signal.aborted) {
       const fromOffset = nextOffset
       const beganMs = timers.nowMs()
+      wanted = new AbortController()
       const result = await readOnce()
       if (stopping.signal.aborted) return
       if (!result) {
@@ -208,6 +213,7 @@
     },
     offerRange,
     readNow: () => { abandonRead(Left(makeFault('timeout', 'feeds.read', feed.name, 'read again at once'))) },
+    readSoon: () => { wanted.abort() },
     pause: () => { if (progressMs === -Infinity) abandonRead(undefined) },
     quietMs: () => timers.nowMs() - progressMs,
     isFollowing: () => nextOffset !== undefined && outageSinceMs === undefined,
--- a/packages/gateway/src/origins/createVersionLock.ts
+++ b/packages/gateway/src/origins/createVersionLock.ts
@@ -1,7 +1,10 @@
 import { GatewayEvent } from '../events.js'
+import { judgeTakeUp } from './judgeTakeUp.js'
 
 import type { KnownServer } from '../directory/types.js'
 import type { GatewayContext, RoutedRequest } from '../requests/types.js'
+import type { FoundOrigin } from './createStreamOrigins.js'
+import type { TakeUp } from './judgeTakeUp.js'
 
 /** Restricts a stream to the software version that began it. */
 export interface VersionLock {
@@ -18,47 +21,46 @@
  * Guards against a stream that joins what servers of two versions write: they number their events alike, and do not check.
  */
 export const createVersionLock = (context: GatewayContext, { caller, route, serviceName }: RoutedRequest): VersionLock => {
+  const { directory, list, origins } = context
   const isTakenUp = route.isResumable && caller.lastEventId !== ''
   let softwareVersion: string | undefined
 
-  const judge = (reason: string, versionCount: number): boolean => {
-    const ageMs = context.list.ageMs()
+  const judge = (found: FoundOrigin | undefined, isListFresh?: boolean): TakeUp => judgeTakeUp({
+    found,
+    versions: directory.versionsOf(serviceName),
+    knowsVersions: directory.knowsVersions(),
+    lone: directory.loneVersionOf(serviceName),
+    listAgeMs: list.ageMs(),
+    hasStoodStill: list.hasStoodStill(),
+    isListFresh
+  })
+
+  const log = (reason: string): void => {
+    const ageMs = list.ageMs()
     context.events.emit(GatewayEvent.takeUpJudged, {
       requestKey: caller.requestId,
       item: caller.resumes,
       service: serviceName,
       version: softwareVersion ?? '',
-      count: versionCount,
+      count: directory.versionsOf(serviceName).size,
       reason,
       ...(Number.isFinite(ageMs) ? { ageMs: Math.round(ageMs) } : {}),
-      ...(context.list.hasStoodStill() ? { detail: 'the process has stood still since its list was read' } : {})
+      ...(list.hasStoodStill() ? { detail: 'the process has stood still since its list was read' } : {})
     })
     if (softwareVersion === undefined) context.metrics.count('take_ups_unknown_total')
-    return softwareVersion !== undefined
   }
 
   return {
     resolve: async () => {
       if (!isTakenUp) return true
-      const { directory, origins } = context
-      const mayBeSeveral = directory.versionsOf(serviceName).size > 1 || !directory.knowsVersions()
-      const found = mayBeSeveral && caller.resumes !== '' ? await origins.find(caller.resumes, serviceName) : undefined
-      const versions = directory.versionsOf(serviceName)
-      const lone = directory.loneVersionOf(serviceName)
-      if (found?.type === 'known') {
-        softwareVersion = found.softwareVersion
-        return judge('its origin is known', versions.size)
-      }
-      // An empty memory is no fact: a router that has just started does not know what has gone before.
-      if (!directory.knowsVersions()) return judge('the versions of late are not known yet', versions.size)
-      if (versions.size <= 1) {
-        softwareVersion = [...versions][0]
-        judge('one version is known', versions.size)
-        return true
-      }
-      // Streams that began beside several versions are told to agents. One that nobody was told of began before.
-      if (found && lone && found.rememberedForMs >= lone.othersForMs) softwareVersion = lone.softwareVersion
-      return judge(softwareVersion === undefined ? 'nobody knows its origin' : 'it began before other versions came', versions.size)
+      const arrivedMs = context.timers.nowMs()
+      const found = caller.resumes === '' ? undefined : await origins.find(caller.resumes, serviceName)
+      const first = judge(found)
+      const takeUp = first.type === 'listNeeded' ? judge(found, await list.readAfter(arrivedMs)) : first
+      if (takeUp.type === 'listNeeded') return false
+      if (takeUp.type === 'goesOn') softwareVersion = takeUp.softwareVersion
+      log(takeUp.reason)
+      return takeUp.type === 'goesOn'
     },
     mayServe: server => softwareVersion === undefined || server.entry.softwareVersion === softwareVersion,
     begin: server => {
--- /dev/null
+++ b/packages/gateway/src/origins/judgeTakeUp.test.ts
@@ -0,0 +1,64 @@
+import { expect } from 'chai'
+
+import { judgeTakeUp } from './judgeTakeUp.js'
+
+import type { TakeUp, TakeUpKnowledge } from './judgeTakeUp.js'
+
+const IN_STEP: TakeUpKnowledge = {
+  found: { type: 'unknown', rememberedForMs: 60_000 },
+  versions: new Set(['v1']),
+  knowsVersions: true,
+  lone: undefined,
+  listAgeMs: 800,
+  hasStoodStill: false,
+  isListFresh: undefined
+}
+
+const judge = (changes: Partial<TakeUpKnowledge>): string => {
+  const takeUp: TakeUp = judgeTakeUp({ ...IN_STEP, ...changes })
+  return takeUp.type === 'goesOn' ? takeUp.softwareVersion : takeUp.type
+}
+
+const UNANSWERED = { type: 'unknown', rememberedForMs: 0 } as const
+const KNOWN = { type: 'known', softwareVersion: 'v2' } as const
+
+describe('the judgement on a stream that is taken up', () => {
+  it('follows who knows the origin, whatever the list says', () => {
+    // Guards against a list of one version that is older than the stream.
+    expect(judge({ found: KNOWN, isListFresh: false })).to.equal('v2')
+    expect(judge({ found: KNOWN, versions: new Set(['v1', 'v2']), hasStoodStill: true })).to.equal('v2')
+  })
+
+  it('has the list read first where it lacks the version that is known', () => {
+    // Guards against a refusal for want of servers that the list would show.
+    expect(judge({ found: KNOWN })).to.equal('listNeeded')
+  })
+
+  it('goes on at the one version of a list that is in step while agents were told nothing', () => {
+    // Guards against a call to the store for each stream that is taken up.
+    expect(judge({})).to.equal('v1')
+  })
+
+  it('needs a list that is younger than the request where the router may be out of step', () => {
+    // Guards against trust in a list by a router that stood still, was cut off, or whose agents do not answer or have just started.
+    for (const changes of [{ hasStoodStill: true }, { listAgeMs: 5_000 }, { found: UNANSWERED }, { found: undefined }, { found: { type: 'unknown', rememberedForMs: 3_500 } }] as const) {
+      expect(judge(changes)).to.equal('listNeeded')
+      expect(judge({ ...changes, isListFresh: true })).to.equal('v1')
+    }
+  })
+
+  it('is refused where the list can not be read, unless the agents remember for longer than it is old', () => {
+    // Guards against a guess by a router that is cut off, and against a refusal while the store alone is away.
+    for (const changes of [{ hasStoodStill: true }, { found: UNANSWERED }, { found: undefined }, { listAgeMs: 110_000, found: { type: 'unknown', rememberedForMs: 900_000 } }] as const) {
+      expect(judge({ ...changes, isListFresh: false })).to.equal('refused')
+    }
+    expect(judge({ listAgeMs: 20_000, isListFresh: false })).to.equal('v1')
+    expect(judge({ listAgeMs: 20_000, isListFresh: false, found: { type: 'unknown', rememberedForMs: 22_999 } })).to.equal('refused')
+  })
+
+  it('is refused while no version is known, or not which served before', () => {
+    // Guards against a server that is listed between the judgement and the choice.
+    expect(judge({ versions: new Set() })).to.equal('refused')
+    expect(judge({ knowsVersions: false, isListFresh: true })).to.equal('refused')
+  })
+})
--- a/packages/gateway/src/origins/origins.test.ts
+++ b/packages/gateway/src/origins/origins.test.ts
@@ -171,7 +171,8 @@
     const context = {
       events: { emit: () => {} },
       metrics: { count: () => {} },
-      list: { ageMs: () => 500, hasStoodStill: () => false },
+      timers: { nowMs: () => 0 },
+      list: { ageMs: () => 500, hasStoodStill: () => false, readAfter: async () => true },
       directory: { versionsOf: () => new Set(versions), knowsVersions: () => knowsVersions, loneVersionOf: () => lone },
       origins: { find: async () => found, note: ({ streamId }: { readonly streamId: string }) => { noted.push(streamId) } }
     } as unknown as GatewayContext
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -131,7 +131,7 @@
     random: options.random
   })
 
-  const list = createListWatch(timers)
+  const list = createListWatch(timers, () => { servers.readSoon() })
 
   const storeWatch = createStoreWatch({ timers, leaveMs: options.leaveMs, setDoubt: directory.missingEntries.setDoubt })
 
@@ -141,7 +141,7 @@
   const noteListRead = ({ stretch, isWhole, beganMs }: FeedRead): void => {
     readSchedule.note(beganMs)
     storeWatch.noteTaken(beganMs)
-    list.note(beganMs)
+    list.noteOwn(beganMs)
     const records = listChanges.take(stretch.records)
     // Guards against a server that others know to have left: they take it again by a record that renews what the copy says.
     if (isCopyRead) listChanges.reset()
@@ -201,7 +201,7 @@
       if (mayBeStale) return
       readSchedule.note(beganMs)
       storeWatch.noteTaken(beganMs)
-      list.note(beganMs)
+      list.noteOther(beganMs)
     },
     list,
     stop: () => {
