--- a/packages/gateway/src/forwarding/createConnectionPool.ts
+++ b/packages/gateway/src/forwarding/createConnectionPool.ts
@@ -9,7 +9,7 @@
 import type { ServerStart } from '@figmount/fleet'
 
 const MS_PER_S = 1_000
-const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/
+const KEEP_ALIVE_TIMEOUT = /timeout=(\d{1,9})/
 
 /** Keep-alive connections, one pool for each start of a server. */
 export interface ConnectionPool {
