--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -51,6 +51,8 @@
 export interface ServerAnswer {
   readonly requestId: string
   readonly serverId: string
+  /** The answer bears a server's signature, as each success does. */
+  readonly isSigned: boolean
   /** The server states that it has not run the request and will not run it. */
   readonly isNotRun: boolean
   /** The server states that it leaves: it takes no new requests from now on. */
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -54,6 +54,16 @@
   return opened.ifRight(open => { noteServerAnswer(context, server, open) })
 }
 
-/** The answer belongs to another request: a late one on a reused connection, or one from another program's server. */
-export const isMismatchedAnswer = (request: RoutedRequest, open: OpenAnswer): boolean =>
-  open.answer.requestId !== '' && open.answer.requestId !== request.caller.requestId
+const isSuccess = ({ statusCode = 0 }: { readonly statusCode?: number | undefined }): boolean => statusCode >= 200 && statusCode < 300
+
+/**
+ * The answer is none to this request: a late one on a reused connection, one from another program's server, or a success without what each
+ * success of a server bears, the request's id and a signature. What has become of the request is unknown.
+ *
+ * Guards against bytes that a server adds to a complete answer: they come where the answer to the next request is expected.
+ */
+export const isMismatchedAnswer = ({ caller }: RoutedRequest, { answer, message }: OpenAnswer): boolean => {
+  if (isSuccess(message) && !answer.isSigned) return true
+  if (answer.requestId === '') return isSuccess(message) && caller.requestId !== ''
+  return answer.requestId !== caller.requestId
+}
--- a/packages/gateway/src/serverLimits/createServerLimits.test.ts
+++ b/packages/gateway/src/serverLimits/createServerLimits.test.ts
@@ -11,7 +11,7 @@
 const OK = 200
 const UNAVAILABLE = 503
 
-const answer = (limit: NamedLimit, isNotRun = false): ServerAnswer => ({ requestId: '', serverId: '', isNotRun, isLeaving: false, restMs: 0, limit })
+const answer = (limit: NamedLimit, isNotRun = false): ServerAnswer => ({ requestId: '', serverId: '', isSigned: true, isNotRun, isLeaving: false, restMs: 0, limit })
 const named = (requestsPerS: number): ServerAnswer => answer({ type: 'named', requestsPerS })
 const NONE = answer({ type: 'none' })
 
