Hold streams for callers of HTTP/1.0 within the same bound

100 callers of HTTP/1.0 that did not read a stream of 7 MB made a router keep all of them: such a stream is held until its end, 8 MB each at most.

Past 16 KB the held sink now reserves the most that it may hold; without room the server is paused. The stream is sent block by block.

The fixture of createCallerStream.test.ts has the room that the stream's sink now needs; its checks are unchanged.

--- a/packages/gateway/src/requests/createCallerStream.test.ts
+++ b/packages/gateway/src/requests/createCallerStream.test.ts
@@ -4,6 +4,7 @@
 
 import { MAX_ANSWER_BYTES } from '../forwarding/constants.js'
 import { EndProof } from '../forwarding/framing.js'
+import { createHeldBytes } from '../memory/createHeldBytes.js'
 import { Taken } from '../streams/relayEvents.js'
 import { createCallerStream } from './createCallerStream.js'
 
@@ -15,6 +16,7 @@
   const written: string[] = []
   const response = Object.assign(new EventEmitter(), {
     headersSent: false,
+    req: { socket: new EventEmitter() },
     destroyed: false,
     useChunkedEncodingByDefault: takesChunks,
     writeHead: (status: number, headers: readonly string[]) => {
@@ -29,7 +31,8 @@
     end: () => { written.push('end') }
   })
   const events = createEventLog({ instance: 'r' as InstanceName, role: 'router', timers })
-  const context = { timers, events, metrics: createMetrics() } as unknown as GatewayContext
+  const metrics = createMetrics()
+  const context = { timers, events, metrics, heldBytes: createHeldBytes({ timers, events, metrics }) } as unknown as GatewayContext
   const request = { response, arrivedMs: 0, caller: { requestId: 'r1', lastEventId } } as unknown as RoutedRequest
   const stream = createCallerStream(context, request)
   const take = (eventId: number | ''): Taken => stream.take({ bytes: Buffer.from(`e${eventId}`), eventId: String(eventId), hasData: true })
--- a/packages/gateway/src/requests/createCallerStream.ts
+++ b/packages/gateway/src/requests/createCallerStream.ts
@@ -1,5 +1,6 @@
 import { beginRun, endRun, eventNumberOf, mayEnd, mayGoOn, openAccount, takeEvent } from '@figmount/decisions'
 
+import { holdForCaller } from '../memory/holdForCaller.js'
 import { createEventSink } from '../streams/createEventSink.js'
 import { Taken } from '../streams/relayEvents.js'
 import { noteAnswered } from './endRequest.js'
@@ -36,7 +37,7 @@
 /** Creates the caller's side of one stream. */
 export const createCallerStream = (context: GatewayContext, request: RoutedRequest): CallerStream => {
   const { response } = request
-  const sink = createEventSink(response)
+  const sink = createEventSink(response, (bytes, granted) => holdForCaller(context, request, bytes, granted))
   let head: { readonly status: number, readonly headers: RawHeaders } | undefined
   let account = openAccount<StreamEvent>(request.caller.lastEventId)
   let firstEventMs: number | undefined
@@ -82,7 +83,7 @@
       if (account.hasGap) return Taken.Gap
       return passOn(taken.passedOn)
     },
-    onceDrained: resume => { response.once('drain', resume) },
+    onceDrained: sink.onceDrained,
     finish: (peer, end) => {
       passOn(endRun(account).passedOn)
       begin()
--- a/packages/gateway/src/streams/createEventSink.ts
+++ b/packages/gateway/src/streams/createEventSink.ts
@@ -1,17 +1,21 @@
 import { Framing } from '@figmount/base'
 
 import { MAX_ANSWER_BYTES } from '../forwarding/constants.js'
+import { FREE_BYTES } from '../memory/constants.js'
 
 import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
+import type { Hold } from '../memory/createHeldBytes.js'
 
 /** Takes the events of one answer to a caller. */
 export interface EventSink {
   readonly framing: Framing
   /** Sends the head, unless that is done. */
   readonly begin: (status: number, headers: RawHeaders) => void
-  /** Returns false when the caller reads too slowly. */
+  /** Returns false when the caller reads too slowly, or there is no room to hold more for it. */
   readonly write: (bytes: Buffer) => boolean
+  /** Calls back once more can be taken. */
+  readonly onceDrained: (resume: () => void) => void
   readonly end: () => void
   /** The answer cannot be sent: it is longer than what is held. */
   readonly isTooLong: () => boolean
@@ -36,6 +40,7 @@
     response.flushHeaders()
   },
   write: bytes => response.write(bytes),
+  onceDrained: resume => { response.once('drain', resume) },
   end: () => { endAfterDrain(response) },
   isTooLong: () => false
 })
@@ -43,11 +48,33 @@
 /** Small pieces are joined to blocks of this size, as each piece keeps the memory that it was read into. */
 const BLOCK_BYTES = 64 * 1024
 
-const createHeldSink = (response: ServerResponse): EventSink => {
+/** Sends blocks one by one, each once the caller has taken the one before; `moved` is called with each. */
+const sendBlocks = (response: ServerResponse, blocks: readonly Buffer[], moved: () => void): void => {
+  let sentCount = 0
+  const sendMore = (): void => {
+    moved()
+    for (const block of blocks.slice(sentCount)) {
+      sentCount += 1
+      if (response.write(block)) continue
+      response.once('drain', sendMore)
+      return
+    }
+    endAfterDrain(response)
+  }
+  sendMore()
+}
+
+/** Reserves room for bytes that are held for a caller. */
+export type ReserveRoom = (bytes: number, granted: () => void) => Hold
+
+const createHeldSink = (response: ServerResponse, reserve: ReserveRoom): EventSink => {
   const blocks: Buffer[] = []
   let pieces: Buffer[] = []
   let pieceBytes = 0
   let byteCount = 0
+  let hold: Hold | undefined
+  let hasRoom = true
+  let resumeReading = (): void => {}
   let head: { readonly status: number, readonly headers: RawHeaders } | undefined
 
   const joinPieces = (): void => {
@@ -56,6 +83,15 @@
     pieceBytes = 0
   }
 
+  const awaitRoom = (): void => {
+    hasRoom = false
+    hold = reserve(MAX_ANSWER_BYTES, () => {
+      hasRoom = true
+      resumeReading()
+    })
+    hold.onStalled(() => { response.destroy() })
+  }
+
   return {
     framing: Framing.Length,
     begin: (status, headers) => { head ??= { status, headers } },
@@ -65,14 +101,20 @@
       pieces.push(bytes)
       pieceBytes += bytes.length
       if (pieceBytes >= BLOCK_BYTES) joinPieces()
-      return true
+      hold?.moved()
+      if (!hold && byteCount > FREE_BYTES) awaitRoom()
+      return hasRoom
+    },
+    onceDrained: resume => {
+      if (hasRoom) resume()
+      else resumeReading = resume
     },
     end: () => {
       if (!head) return
       response.writeHead(head.status, [...head.headers, 'content-length', String(byteCount)])
       joinPieces()
-      for (const block of blocks) response.write(block)
-      endAfterDrain(response)
+      hold?.shrink(byteCount)
+      sendBlocks(response, blocks, () => hold?.moved())
     },
     isTooLong: () => byteCount > MAX_ANSWER_BYTES
   }
@@ -84,5 +126,5 @@
  * Guards against an answer that ends with its connection: if the router's process ends, the system closes its connections in order, and a
  * part of the answer would look complete.
  */
-export const createEventSink = (response: ServerResponse): EventSink =>
-  response.useChunkedEncodingByDefault ? createChunkSink(response) : createHeldSink(response)
+export const createEventSink = (response: ServerResponse, reserve: ReserveRoom): EventSink =>
+  response.useChunkedEncodingByDefault ? createChunkSink(response) : createHeldSink(response, reserve)
