Refuse waits for a limited server at once when a stop leaves no time for them

What callers saw: in a stop of 6 s, requests that waited for servers which rest or name a limit, longer than the stop lasts, were refused as not run only at the last time to send, with most of their own time gone.

Cause: the wait for a turn knew the caller's time alone; the waits for models and adapters end at once (limitWait).

Fix: the wait for a turn has the time until the caller leaves or, for a request that has not run, until the last time to send; a wait that does not fit into the latter is refused with the Retry-After of a stopping router.

--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -49,6 +49,10 @@
     callerLeavesMs: () => Math.min(request.untilMs, stream.lastEventMs() + route.patienceMs)
   }
 
+  /** The stop ends the time in which the request may be sent, not its caller. */
+  const stopsFirst = (): boolean => runCount === 0 && bounds.lastSendMs() < bounds.callerLeavesMs()
+  const leftToSendMs = (): number => (stopsFirst() ? bounds.lastSendMs() : bounds.callerLeavesMs()) - timers.nowMs()
+
   const giveUp = (reason: string, retryAfterMs: number): void => {
     turn.end()
     retry?.noteArrival('none')
@@ -76,8 +80,9 @@
     if (!choice) {
       const holders = servers.filter(server => heldModel(server, caller.modelName))
       const noteWait = (waitMs: number): void => { context.queueScaler.note(context, request, free, waitMs) }
-      const held = await holdBack(context, request, turn, holders, bounds.callerLeavesMs() - timers.nowMs(), noteWait)
+      const held = await holdBack(context, request, turn, holders, leftToSendMs(), noteWait)
       if (held.type === 'waited') continue
+      if (held.type === 'hopeless' && stopsFirst()) return giveUp(STOPPING_REASON, STOPPING_RETRY_MS)
       const wait = await awaitModel(context, request, candidates, bounds)
       // An engine that dies during a load has cost its waiting callers only time: another engine is asked.
       if (wait.type === 'changed') continue
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -161,6 +161,10 @@
   const lastSendMs = (): number =>
     runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs, () => stop.answers.expectedMs(request, mayRunAgain))
 
+  /** The stop ends the time in which the request may be sent, not its caller. */
+  const stopsFirst = (): boolean => runCount === 0 && lastSendMs() < request.untilMs
+  const leftToSendMs = (): number => (stopsFirst() ? lastSendMs() : request.untilMs) - timers.nowMs()
+
   /** Retry-after of a request that servers have turned away: when the first of them takes requests again. */
   const earliestRetryMs = (): number => {
     const waitsMs = context.directory.serving(request.serviceName).map(({ start }) => turn.waitMs(start))
@@ -186,7 +190,8 @@
     if (servers.length === 0) return finish(sendCount > 0 ? 'no other server' : 'no server')
     const server = choose(context, servers.filter(({ start }) => turn.waitMs(start) === 0))
     if (!server) {
-      const held = await holdBack(context, request, turn, servers, request.untilMs - timers.nowMs(), () => {})
+      const held = await holdBack(context, request, turn, servers, leftToSendMs(), () => {})
+      if (held.type === 'hopeless' && stopsFirst()) return finish(STOPPING_REASON, STOPPING_RETRY_MS)
       if (held.type === 'hopeless') return finish(LIMITED_REASON, held.waitMs)
       continue
     }
