Go on at the version that was alone before only if several were known as the agents were asked

A stream that began at v2 could be joined with v1 where many engines came at once: a router that listed v1 alone asked the old agents, which were not told, as the keepers were chosen among the new ones; then it read the list, took v1 for the version that had been alone before, and the old agents' answers for a proof. The caller is refused as not run and comes back half a second later to the agents that know.

--- a/packages/gateway/src/origins/createVersionLock.ts
+++ b/packages/gateway/src/origins/createVersionLock.ts
@@ -25,9 +25,12 @@
   const isTakenUp = route.isResumable && caller.lastEventId !== ''
   let softwareVersion: string | undefined
 
-  const judge = (found: FoundOrigin | undefined, isListFresh?: boolean): TakeUp => judgeTakeUp({
+  const areSeveral = (): boolean => directory.versionsOf(serviceName).size > 1
+
+  const judge = (found: FoundOrigin | undefined, wereSeveral: boolean, isListFresh?: boolean): TakeUp => judgeTakeUp({
     found,
     versions: directory.versionsOf(serviceName),
+    wereSeveral,
     knowsVersions: directory.knowsVersions(),
     lone: directory.loneVersionOf(serviceName),
     listAgeMs: list.ageMs(),
@@ -54,9 +57,10 @@
     resolve: async () => {
       if (!isTakenUp) return true
       const arrivedMs = context.timers.nowMs()
+      const wereSeveral = areSeveral()
       const found = caller.resumes === '' ? undefined : await origins.find(caller.resumes, serviceName)
-      const first = judge(found)
-      const takeUp = first.type === 'listNeeded' ? judge(found, await list.readAfter(arrivedMs)) : first
+      const first = judge(found, wereSeveral)
+      const takeUp = first.type === 'listNeeded' ? judge(found, wereSeveral, await list.readAfter(arrivedMs)) : first
       if (takeUp.type === 'listNeeded') return false
       if (takeUp.type === 'goesOn') softwareVersion = takeUp.softwareVersion
       log(takeUp.reason)
--- a/packages/gateway/src/origins/judgeTakeUp.test.ts
+++ b/packages/gateway/src/origins/judgeTakeUp.test.ts
@@ -7,6 +7,7 @@
 const IN_STEP: TakeUpKnowledge = {
   found: { type: 'unknown', rememberedForMs: 60_000 },
   versions: new Set(['v1']),
+  wereSeveral: false,
   knowsVersions: true,
   lone: undefined,
   listAgeMs: 800,
@@ -56,6 +57,15 @@
     expect(judge({ listAgeMs: 20_000, isListFresh: false, found: { type: 'unknown', rememberedForMs: 22_999 } })).to.equal('refused')
   })
 
+  it('does not go on at the version that was alone before where the others are known only since the agents were asked', () => {
+    // Guards against an answer of agents that were not told, as the list did not show those that were.
+    const lone = { softwareVersion: 'v1', othersForMs: 3_000 }
+    const versions = new Set(['v1', 'v2'])
+    expect(judge({ lone, versions, wereSeveral: true })).to.equal('v1')
+    expect(judge({ lone, versions })).to.equal('refused')
+    expect(judge({ lone, versions, isListFresh: true })).to.equal('refused')
+  })
+
   it('is refused while no version is known, or not which served before', () => {
     // Guards against a server that is listed between the judgement and the choice.
     expect(judge({ versions: new Set() })).to.equal('refused')
--- a/packages/gateway/src/origins/judgeTakeUp.ts
+++ b/packages/gateway/src/origins/judgeTakeUp.ts
@@ -16,6 +16,8 @@
   readonly found: FoundOrigin | undefined
   /** The versions of the service that the router lists, or has listed of late. */
   readonly versions: ReadonlySet<string>
+  /** The router knew of several versions as it asked for the origin: it asked those that were told. */
+  readonly wereSeveral: boolean
   /** The router knows which versions served before it started. */
   readonly knowsVersions: boolean
   readonly lone: LoneVersion | undefined
@@ -45,7 +47,7 @@
  * for the only one.
  */
 export const judgeTakeUp = (knowledge: TakeUpKnowledge): TakeUp => {
-  const { found, versions, knowsVersions, lone, listAgeMs, hasStoodStill, isListFresh } = knowledge
+  const { found, versions, wereSeveral, knowsVersions, lone, listAgeMs, hasStoodStill, isListFresh } = knowledge
   const canRead = isListFresh === undefined
   if (found?.type === 'known') {
     // Its servers may have come since the list was read.
@@ -58,7 +60,7 @@
   if (only === undefined) return { type: 'refused', reason: 'no version is known' }
   if (versions.size > 1) {
     // Streams that began beside several versions are told to agents. One that nobody was told of began before.
-    if (found && lone && found.rememberedForMs >= lone.othersForMs) return { type: 'goesOn', softwareVersion: lone.softwareVersion, reason: 'it began before other versions came' }
+    if (wereSeveral && found && lone && found.rememberedForMs >= lone.othersForMs) return { type: 'goesOn', softwareVersion: lone.softwareVersion, reason: 'it began before other versions came' }
     return { type: 'refused', reason: 'nobody knows its origin' }
   }
   const goesOn = { type: 'goesOn', softwareVersion: only, reason: 'one version is known' } as const
