--- a/packages/base/src/events/catalogue.ts
+++ b/packages/base/src/events/catalogue.ts
@@ -16,5 +16,6 @@
   processStoodStill: [1012, 'the process stood still for a while: what it knows is of before'],
   memoryGrown: [1013, 'the process holds more memory than ever before'],
   addressAwaited: [1014, 'another process holds an address: the process waits for it'],
-  addressTaken: [1015, 'an address that was held is free: the process listens on it']
+  addressTaken: [1015, 'an address that was held is free: the process listens on it'],
+  recordsBounded: [1016, 'a topic of the store holds more than a process can: what is beyond the bound is not taken']
 })
