Bound what all links of a process keep for peers that do not read

Each link might keep 16 MB of unsent bytes, so that 24 routers that read too slowly let an agent keep 384 MB, more than its machine has. Now all links of a process together keep 32 MB: beyond it a link that sends is closed, unless it has less than 1 MB unsent.

--- a/packages/peers/src/links/constants.ts
+++ b/packages/peers/src/links/constants.ts
@@ -13,6 +13,12 @@
 /** A link with more unsent bytes than this is closed: its peer has stopped reading. */
 export const MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
+/** All links of a process together; beyond it a link that sends is closed unless it has few unsent bytes. */
+export const MAX_PROCESS_BUFFERED_BYTES = 32 * 1024 * 1024
+
+/** A link with fewer unsent bytes than this is not closed for the sake of others. */
+export const SMALL_BUFFERED_BYTES = 1024 * 1024
+
 /** Header with the proof that the sender has the shared key, and header with the sender's instance name. */
 export const PROOF_HEADER = 'figmount-proof'
 export const INSTANCE_HEADER = 'figmount-instance'
--- a/packages/peers/src/links/wrapSocket.ts
+++ b/packages/peers/src/links/wrapSocket.ts
@@ -1,6 +1,6 @@
 import { BaseEvent } from '@figmount/base'
 
-import { HEARTBEAT_MS, MAX_BUFFERED_BYTES, SILENCE_TIMEOUT_MS } from './constants.js'
+import { HEARTBEAT_MS, MAX_BUFFERED_BYTES, MAX_PROCESS_BUFFERED_BYTES, SILENCE_TIMEOUT_MS, SMALL_BUFFERED_BYTES } from './constants.js'
 import { createMessageCodec } from './createMessageCodec.js'
 import { createMessageQueue } from './createMessageQueue.js'
 import { PeerEvent } from './events.js'
@@ -40,16 +40,33 @@
   return { bytes: codec.pack(envelope), body }
 }
 
+/** Sockets of all open links of the process. */
+const openSockets = new Set<WebSocket>()
+
+const processBufferedBytes = (): number => {
+  let sum = 0
+  for (const { bufferedAmount } of openSockets) sum += bufferedAmount
+  return sum
+}
+
+/** True if the socket's peer has stopped reading, or reads too slowly for what all links of the process may keep. */
+const isOverfull = ({ bufferedAmount }: WebSocket): boolean => {
+  if (bufferedAmount > MAX_BUFFERED_BYTES) return true
+  return bufferedAmount > SMALL_BUFFERED_BYTES && processBufferedBytes() > MAX_PROCESS_BUFFERED_BYTES
+}
+
 /** Creates a link on an open socket and closes it when the peer goes silent. */
 export const wrapSocket = <Send, Receive>(socket: WebSocket, peer: string, context: LinkContext): Link<Send, Receive> => {
   const inbox = createMessageQueue<Receive>()
   const codec = context.codec ?? defaultCodec
   let isOpen = true
+  openSockets.add(socket)
   let lastHeardMs = context.timers.nowMs()
 
   const finish = (reason: string): void => {
     if (!isOpen) return
     isOpen = false
+    openSockets.delete(socket)
     stopWatching()
     context.events.emit(PeerEvent.linkClosed, { peer, reason })
     inbox.end()
@@ -83,7 +100,7 @@
     context.noteSent?.((body as TypedMessage).type, bytes.length)
     socket.send(bytes)
     // Guards against a peer that stops reading: without a bound, the unsent messages would exhaust the router's memory.
-    if (socket.bufferedAmount > MAX_BUFFERED_BYTES) finish('peer does not read')
+    if (isOverfull(socket)) finish('peer does not read')
   }
 
   return {
