Take no agent's state without the lists that each request looks through

A state whose lists are missing or no lists, as of an agent of another version, was kept by the router, and each later request for that engine's models failed on it. Now such a state closes the link, with an event, and the earlier one does not count any more; the link is opened again.

--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -3,6 +3,7 @@
 
 import { GatewayEvent } from '../events.js'
 import { STALE_DELIVERY_MS, MIN_RECONNECT_DELAY_MS, DELAYED_AFTER_MS, MAX_RECONNECT_DELAY_MS } from './constants.js'
+import { isWholeState } from './isWholeState.js'
 
 import type { AgentMessage, AgentState, RouterMessage } from '@figmount/fleet'
 import type { Link, LinkContext, PackedMessage } from '@figmount/peers'
@@ -71,6 +72,7 @@
   }
 
   const takeState = (next: AgentState): void => {
+    if (!isWholeState(next)) throw new Error('malformed state')
     state = next
     handlers.takeState(serverAddress, next)
   }
--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -68,6 +68,7 @@
     links,
     receivedTypes,
     openedCount: () => toRouters.length,
+    sendOdd: (message: object) => { for (const link of toRouters) link.send(message as AgentMessage) },
     sendState: () => { for (const link of toRouters) link.send(makeAgentState('a')) },
     sendListRead: () => { for (const link of toRouters) link.send({ type: 'listRead', fromOffset: 0, toOffset: 1, records: [], ageMs: 0, answeredForMs: 0, isAfterBreak: false }) },
     staleFlags,
@@ -176,6 +177,20 @@
     close()
   })
 
+  it('take no state without the lists that each request looks through', async () => {
+    // Guards against an odd state that each later request for the engine's models fails on.
+    let takenCount = 0
+    const { links, sendOdd, openedCount, close } = await setUpAgent({ takeState: () => { takenCount += 1 } })
+    const odd = [{ models: 5 }, { models: [null] }, { models: [{ name: 'm' }] }, { queuedModels: undefined }, { goneStarts: 'x' }]
+    for (const [index, fields] of odd.entries()) {
+      await until(() => openedCount() === index + 1 && (links.find(ADDRESS)?.isOpen() ?? false))
+      sendOdd({ ...makeAgentState('a'), ...fields })
+    }
+    await until(() => openedCount() === odd.length + 1)
+    expect(takenCount).to.equal(0)
+    close()
+  })
+
   it('refuse a want at once while the agent does not answer', async () => {
     const { links } = setUp()
     links.follow([ENTRY], () => true)
