Read on after a result that its listener failed on

Callers would see a router whose list of servers never changes again, or an engine whose agent orders no more loads: a listener of the reads that threw once ended their loop for good (readers of feeds outside the taker of records, the agent's polls of its engine).

Both loops now log the exception (unexpectedFault) and go on; a feed pauses first as after a failed read, so that no loop runs hot. The wait of a feed that a request may end early has one signal in place of two that were joined anew each time.

--- a/packages/fleet/src/feeds/createFeedFollower.test.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -23,6 +23,9 @@
 /** Key of a record that its taker can't handle. */
 const POISON = 'poison'
 
+/** Key that the taker of keys can't handle. */
+const ODD_KEY = 'odd'
+
 const setUp = (answers: Array<Answer | typeof NO_ANSWER>) => {
   const timers = createVirtualTimers()
   const taken: string[] = []
@@ -64,7 +67,10 @@
         taken.push(`${key}@${offset}`)
       }
     },
-    takeKeys: known => { keys.push([...known]) },
+    takeKeys: known => {
+      if (known.has(ODD_KEY)) throw new RangeError('odd')
+      keys.push([...known])
+    },
     lost: () => { outages.push('lost') },
     regained: () => { outages.push('regained') }
   })
@@ -86,6 +92,14 @@
     expect(taken).to.deep.equal(['a@0', 'b@2', 'c@4'])
   })
 
+  it('goes on after keys that their taker cannot handle', async () => {
+    // Guards against a list that is read no more as a listener has thrown once.
+    const { follower, taken, pass } = setUp([page(2, record(ODD_KEY, 0)), page(4, record('b', 2))])
+    await pass(1_000)
+    follower.stop()
+    expect(taken).to.deep.equal(['odd@0', 'b@2'])
+  })
+
   it('reads the newest record of each key first, then the records that follow', async () => {
     const { taken, keys, reads, pass } = setUp([page(5, record('a', 3)), page(6, record('a', 5))])
     await pass(150)
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -79,13 +79,17 @@
     return isRestored
   }
 
+  const noteThrown = (error: unknown): void => {
+    const { step, peer, message } = faultFrom('feeds.take', feed.name)(error)
+    options.events.emit(BaseEvent.unexpectedFault, { step, peer, reason: message })
+  }
+
   // Guards against a record that its taker can't handle: the feed would not be followed any more.
   const takeSafely = (records: readonly FeedRecord[], isCopy: boolean): void => {
     try {
       options.take(records, isCopy)
     } catch (error) {
-      const { step, peer, message } = faultFrom('feeds.take', feed.name)(error)
-      options.events.emit(BaseEvent.unexpectedFault, { step, peer, reason: message })
+      noteThrown(error)
     }
   }
 
@@ -166,7 +170,7 @@
 
   const waitUntilDue = async (): Promise<void> => {
     for (let remainingMs = options.dueInMs(); remainingMs > 0 && !wanted.signal.aborted && !stopping.signal.aborted; remainingMs = options.dueInMs()) {
-      await sleep(timers, remainingMs, AbortSignal.any([stopping.signal, wanted.signal]))
+      await sleep(timers, remainingMs, wanted.signal)
     }
   }
 
@@ -177,6 +181,17 @@
     options.lost(fault)
   }
 
+  /** Returns true if the read was answered and its answer taken. What a listener throws must not end the reads for good. */
+  const noteResult = (result: Either<Fault, FeedPage>, fromOffset: number | undefined, beganMs: number): boolean => {
+    try {
+      result.caseOf({ Left: fault => { noteFault(fault, beganMs) }, Right: page => { noteAnswer(page, fromOffset, beganMs) } })
+      return result.isRight()
+    } catch (error) {
+      noteThrown(error)
+      return false
+    }
+  }
+
   const follow = async (): Promise<void> => {
     let retryMs = INITIAL_RETRY_MS
     while (!stopping.signal.aborted) {
@@ -189,8 +204,8 @@
         await waitUntilDue()
         continue
       }
-      result.caseOf({ Left: fault => { noteFault(fault, beganMs) }, Right: page => { noteAnswer(page, fromOffset, beganMs) } })
-      if (result.isRight()) {
+      const isTaken = noteResult(result, fromOffset, beganMs)
+      if (isTaken) {
         retryMs = INITIAL_RETRY_MS
         if (nextOffset !== undefined) await waitUntilDue()
         continue
@@ -220,6 +235,7 @@
     stop: () => {
       stopRestores()
       stopping.abort()
+      wanted.abort()
     }
   }
 }
--- a/packages/sidecar/src/engine/watchEngine.test.ts
+++ b/packages/sidecar/src/engine/watchEngine.test.ts
@@ -17,7 +17,7 @@
 const SILENT: Either<Fault, ServerReport> = Left(makeFault('timeout', 'engine.report', 'e', 'no answer'))
 
 /** Returns the number of reports that were read when the engine counted as down first; undefined if it never did. */
-const pollsUntilDown = async (reports: ReadonlyArray<Either<Fault, ServerReport>>): Promise<number | undefined> => {
+const pollsUntilDown = async (reports: ReadonlyArray<Either<Fault, ServerReport>>, take = (): void => {}): Promise<number | undefined> => {
   const timers = createVirtualTimers()
   let readCount = 0
   let downAfter: number | undefined
@@ -27,7 +27,7 @@
     timers,
     events: createEventLog({ instance: 'a' as InstanceName, role: 'agent', timers }),
     nextPollMs: () => POLL_MS,
-    take: () => {},
+    take,
     down: () => { downAfter ??= readCount }
   })
   for (let poll = 0; poll < reports.length + 3; poll++) {
@@ -56,4 +56,9 @@
   it('counts the next start at the address as down once it refuses connections', async () => {
     expect(await pollsUntilDown([makeReport(true), REFUSED, makeReport(false), REFUSED])).to.equal(4)
   })
+
+  it('polls on after a report that its taker failed on', async () => {
+    // Guards against an agent that reads no report any more, so that its engine loads no models.
+    expect(await pollsUntilDown([makeReport(false), REFUSED], () => { throw new RangeError('odd') })).to.equal(2)
+  })
 })
--- a/packages/sidecar/src/engine/watchEngine.ts
+++ b/packages/sidecar/src/engine/watchEngine.ts
@@ -1,4 +1,4 @@
-import { FaultKind, runInBackground, sleep } from '@figmount/base'
+import { BaseEvent, FaultKind, faultFrom, runInBackground, sleep } from '@figmount/base'
 
 import { REPORT_TIMEOUT_MS, MISSED_REPORT_THRESHOLD } from './constants.js'
 
@@ -39,18 +39,23 @@
     if (missedCount >= MISSED_REPORT_THRESHOLD || isRefused) down(fault)
   }
 
+  const noteReport = (report: ServerReport): void => {
+    missedCount = 0
+    isLeaving = report.isDraining
+    take(report)
+  }
+
   const pollUntilStopped = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       const result = await engine.readReport(REPORT_TIMEOUT_MS).run()
       if (stopping.signal.aborted) return
-      result.caseOf({
-        Left: noteFault,
-        Right: report => {
-          missedCount = 0
-          isLeaving = report.isDraining
-          take(report)
-        }
-      })
+      // What a listener throws must not end the polls for good.
+      try {
+        result.caseOf({ Left: noteFault, Right: noteReport })
+      } catch (error) {
+        const { step, peer, message } = faultFrom('engine.take', 'engine')(error)
+        events.emit(BaseEvent.unexpectedFault, { step, peer, reason: message })
+      }
       pause = new AbortController()
       await sleep(timers, nextPollMs(), pause.signal)
     }
