--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -45,7 +45,7 @@
   let lastPeer = ''
 
   const bounds: WaitBounds = {
-    lastSendMs: () => runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(route.objectiveMs, () => stop.answers.expectedMs(request, route.isResumable)),
+    lastSendMs: () => runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(route.objectiveMs, () => stop.answers.expectedMs(request)),
     callerLeavesMs: () => Math.min(request.untilMs, stream.lastEventMs() + route.patienceMs)
   }
 
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -159,7 +159,7 @@
   let lastPeer = ''
 
   const lastSendMs = (): number =>
-    runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs, () => stop.answers.expectedMs(request, mayRunAgain))
+    runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs, () => stop.answers.expectedMs(request))
 
   /** The stop ends the time in which the request may be sent, not its caller. */
   const stopsFirst = (): boolean => runCount === 0 && lastSendMs() < request.untilMs
--- a/packages/gateway/src/stopping/createAnswerMeter.test.ts
+++ b/packages/gateway/src/stopping/createAnswerMeter.test.ts
@@ -15,16 +15,16 @@
       meter.note(makeRequest('m0'), 1_000)
       meter.note(makeRequest('m1', 400), 3_000)
     }
-    expect(meter.expectedMs(makeRequest('m0'), false)).to.be.closeTo(1_100, 1)
-    expect(meter.expectedMs(makeRequest('m1', 400), false)).to.be.closeTo(3_300, 1)
-    expect(meter.expectedMs(makeRequest('m2', 400), false)).to.be.closeTo(3_300, 1)
+    expect(meter.expectedMs(makeRequest('m0'))).to.be.closeTo(1_100, 1)
+    expect(meter.expectedMs(makeRequest('m1', 400))).to.be.closeTo(3_300, 1)
+    expect(meter.expectedMs(makeRequest('m2', 400))).to.be.closeTo(3_300, 1)
   })
 
   it('uses all answers of the route while there are few, and none of another route', () => {
     const meter = createAnswerMeter()
     meter.note(makeRequest('m0'), 3_000)
-    expect(meter.expectedMs(makeRequest('m1', 4_000), false)).to.be.closeTo(3_300, 1)
-    expect(meter.expectedMs(makeRequest('m0', 40, 'audit'), false)).to.equal(0)
+    expect(meter.expectedMs(makeRequest('m1', 4_000))).to.be.closeTo(3_300, 1)
+    expect(meter.expectedMs(makeRequest('m0', 40, 'audit'))).to.equal(0)
   })
 
   it('forgets the kinds that were answered longest ago', () => {
@@ -32,6 +32,6 @@
     const meter = createAnswerMeter()
     meter.note(makeRequest('m0', 40, 'first'), 3_000)
     for (let count = 0; count < MAX_ANSWER_KINDS; count++) meter.note(makeRequest('m0', 40, `r${count}`), 1_000)
-    expect(meter.expectedMs(makeRequest('m0', 40, 'first'), false)).to.equal(0)
+    expect(meter.expectedMs(makeRequest('m0', 40, 'first'))).to.equal(0)
   })
 })
--- a/packages/gateway/src/stopping/createAnswerMeter.ts
+++ b/packages/gateway/src/stopping/createAnswerMeter.ts
@@ -16,7 +16,7 @@
   /** Adds a whole answer that took `tookMs`. */
   readonly note: (request: AnsweredRequest, tookMs: number) => void
   /** Time within which an answer to the request is expected to end, in ms; 0 without any measurement. */
-  readonly expectedMs: (request: AnsweredRequest, mayRunAgain: boolean) => number
+  readonly expectedMs: (request: AnsweredRequest) => number
 }
 
 const sizeClassOf = (tokenCount: number | undefined): number => Math.ceil(Math.log2(1 + (tokenCount ?? 0)))
@@ -58,6 +58,6 @@
       }
       trim()
     },
-    expectedMs: (request, mayRunAgain) => expectAnswerMs(findTimes(kindsOf(request)), mayRunAgain)
+    expectedMs: request => expectAnswerMs(findTimes(kindsOf(request)))
   }
 }
