Call all subscribers of a tick though one of them throws

One timer that throws at each tick kept all later subscribers of its period from being called, among them the heartbeats of all links. What a subscriber throws goes to the last resort now, and the others are called.

--- a/packages/base/src/timers/createTimerService.ts
+++ b/packages/base/src/timers/createTimerService.ts
@@ -11,10 +11,19 @@
 /** Longest delay of Node's timers: with a longer one they fire at once. */
 const MAX_DELAY_MS = 2 ** 31 - 1
 
+/** Calls a subscriber; what it throws goes to the process's last resort, and the others of its tick are called all the same. */
+const callSafely = (fire: Callback): void => {
+  try {
+    fire()
+  } catch (error) {
+    process.nextTick(() => { throw error })
+  }
+}
+
 const callAll = (subscribers: ReadonlySet<Callback>): void => {
   for (const fire of [...subscribers]) {
     // An earlier callback of this tick may have unsubscribed this one.
-    if (subscribers.has(fire)) fire()
+    if (subscribers.has(fire)) callSafely(fire)
   }
 }
 
