Run no call behind an answer with which Node ends the connection (LOST)

A caller of HTTP/1.0 with a kept connection that sent calls together lost the answer to the call behind one without a body: Node closes the connection, and the line of calls looked only at what the answer had announced. The new test failed before.

--- a/packages/gateway/src/ingress/createTurns.ts
+++ b/packages/gateway/src/ingress/createTurns.ts
@@ -73,7 +73,7 @@
         pass: () => {
           if (!isRunning) return
           line.runningCount -= 1
-          if (socket.destroyed || !response.shouldKeepAlive) line.isEnded = true
+          if (socket.destroyed || socket.writableEnded || !response.shouldKeepAlive) line.isEnded = true
           letNextRun(line)
         }
       }
--- a/packages/gateway/src/ingress/startIngress.test.ts
+++ b/packages/gateway/src/ingress/startIngress.test.ts
@@ -120,6 +120,22 @@
     ingress.close()
   })
 
+  it('lets no request run behind an answer without a body to a caller of HTTP/1.0', async () => {
+    // Guards against a request that runs and can never be answered, as Node ends the connection with such an answer.
+    const turns: boolean[] = []
+    const { ingress, socket } = await setUp(async (_message, response, turn) => {
+      const mayRun = await turn
+      turns.push(mayRun)
+      if (mayRun) response.writeHead(204).end()
+    })
+    socket.resume()
+    socket.write('GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n'.repeat(2))
+    await until(() => turns.length === 2)
+    expect(turns).to.deep.equal([true, false])
+    ingress.stopListening()
+    ingress.close()
+  })
+
   it('lets no request run whose connection ended with an earlier answer', async () => {
     // Guards against a request that runs and can never be answered.
     const turns: boolean[] = []
