--- a/packages/gateway/src/ingress/startIngress.ts
+++ b/packages/gateway/src/ingress/startIngress.ts
@@ -36,7 +36,7 @@
 
 /**
  * Takes a request as soon as it arrives. `turn` resolves once the earlier requests of its connection are answered: before that nothing of it
- * may be read or run. It resolves with false if the connection ended with an earlier answer: the request must never run.
+ * may run. It resolves with false if the connection ended with an earlier answer: the request must never run.
  */
 export type TakeRequest = (message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>) => Promise<void>
 
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -110,13 +110,16 @@
 export const takeRequest = async (context: GatewayContext, message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>): Promise<void> => {
   const arrivedMs = context.timers.nowMs()
   const callerLeft = watchCallerLeft(message, response)
+  const limits = context.deployment()?.limits
+  const isHeadTooLong = limits !== undefined && headerBytesOf(message) > limits.headerBytes
+  // Read while it waits: Node notices that a caller has left only while it reads the connection.
+  const reading = isHeadTooLong ? undefined : readBody(message, limits?.bodyBytes ?? Infinity, context.stop)
   if (!await turn) {
     context.metrics.count('requests_never_run_total')
     return
   }
-  const limits = context.deployment()?.limits
-  if (limits && headerBytesOf(message) > limits.headerBytes) return reject(context, response, Status.HeadersTooLarge, 'headers too large')
-  const read = await readBody(message, limits?.bodyBytes ?? Infinity, context.stop)
+  if (!reading) return reject(context, response, Status.HeadersTooLarge, 'headers too large')
+  const read = await reading
   if (read.type === 'brokenOff') return
   if (read.type === 'tooLarge') return reject(context, response, Status.TooLarge, 'body too large')
   const decoded = context.codec.decodeRequest(message.rawHeaders)
