Keep unfinished events of all streams within one bound

All streams together now hold 32 MB; beyond it a stream whose event is not short (16 KB) counts as broken as it grows. The reason in a line of log names the room, and its test with it.

--- a/packages/gateway/src/streams/createByteStore.ts
+++ b/packages/gateway/src/streams/createByteStore.ts
@@ -1,3 +1,5 @@
+import { unfinishedBytes } from './unfinishedBytes.js'
+
 /** Bytes that arrive in pieces. */
 export interface ByteStore {
   readonly append: (bytes: Buffer) => void
@@ -6,6 +8,8 @@
   readonly bytes: () => Buffer
   /** Returns the bytes and begins anew. */
   readonly take: () => Buffer
+  /** Forgets the bytes. */
+  readonly clear: () => void
 }
 
 const FIRST_BYTES = 256
@@ -23,9 +27,16 @@
     if (neededBytes <= buffer.length) return
     const larger = Buffer.allocUnsafeSlow(Math.max(FIRST_BYTES, neededBytes, 2 * buffer.length))
     buffer.copy(larger, 0, 0, byteCount)
+    unfinishedBytes.add(larger.length - buffer.length)
     buffer = larger
   }
 
+  const clear = (): void => {
+    unfinishedBytes.remove(buffer.length)
+    buffer = Buffer.alloc(0)
+    byteCount = 0
+  }
+
   const bytes = (): Buffer => buffer.subarray(0, byteCount)
 
   return {
@@ -37,9 +48,9 @@
     bytes,
     take: () => {
       const taken = bytes()
-      buffer = Buffer.alloc(0)
-      byteCount = 0
+      clear()
       return taken
-    }
+    },
+    clear
   }
 }
--- a/packages/gateway/src/streams/createEventSplitter.test.ts
+++ b/packages/gateway/src/streams/createEventSplitter.test.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 
-import { MAX_EVENT_BYTES, MAX_EVENT_CHUNKS } from './constants.js'
+import { MAX_EVENT_BYTES, MAX_EVENT_CHUNKS, MAX_UNFINISHED_BYTES } from './constants.js'
 import { createEventSplitter } from './createEventSplitter.js'
+import { unfinishedBytes } from './unfinishedBytes.js'
 
 const event = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`
 const STREAM = [1, 2, 3].map(event).join('')
@@ -89,4 +90,17 @@
     splitter.push(byte)
     expect(splitter.isTooLong()).to.equal(true)
   })
+
+  it('keeps unfinished events within one bound for all streams', () => {
+    // Guards against many streams that are each within their own bound and together larger than the machine's memory.
+    const bytesBefore = unfinishedBytes.count()
+    const splitters = Array.from({ length: 300 }, () => createEventSplitter())
+    const half = Buffer.alloc(MAX_EVENT_BYTES / 2, 'x')
+    for (const splitter of splitters) splitter.push(half)
+    const keptBytes = splitters.reduce((sum, splitter) => sum + splitter.rest().length, 0)
+    expect(keptBytes).to.be.at.most(MAX_UNFINISHED_BYTES + half.length)
+    expect(createEventSplitter().push(Buffer.from(STREAM))).to.have.length(3)
+    for (const splitter of splitters) splitter.clear()
+    expect(unfinishedBytes.count()).to.equal(bytesBefore)
+  })
 })
--- a/packages/gateway/src/streams/createEventSplitter.ts
+++ b/packages/gateway/src/streams/createEventSplitter.ts
@@ -1,5 +1,6 @@
 import { createByteStore } from './createByteStore.js'
-import { MAX_EVENT_BYTES, MAX_EVENT_CHUNKS } from './constants.js'
+import { unfinishedBytes } from './unfinishedBytes.js'
+import { MAX_EVENT_BYTES, MAX_EVENT_CHUNKS, SHORT_EVENT_BYTES } from './constants.js'
 
 /** One event of a stream, with its bytes as received. */
 export interface StreamEvent {
@@ -16,8 +17,10 @@
   readonly push: (chunk: Buffer) => readonly StreamEvent[]
   /** Bytes of an event that is not complete yet. */
   readonly rest: () => Buffer
-  /** An event is longer than `MAX_EVENT_BYTES`, or comes in more than `MAX_EVENT_CHUNKS`: nothing more is taken. */
+  /** An event is longer than `MAX_EVENT_BYTES`, comes in more than `MAX_EVENT_CHUNKS`, or there is no room for it: nothing more is taken. */
   readonly isTooLong: () => boolean
+  /** Forgets what is not complete. */
+  readonly clear: () => void
 }
 
 const NEW_LINE = 0x0a
@@ -49,7 +52,9 @@
   /** Keeps bytes of the event that is not complete; false if it is too long. */
   const keep = (bytes: Buffer): boolean => {
     chunkCount += 1
-    isTooLong = pending.byteCount() + bytes.length > MAX_EVENT_BYTES || chunkCount > MAX_EVENT_CHUNKS
+    const byteCount = pending.byteCount() + bytes.length
+    const hasRoom = byteCount <= SHORT_EVENT_BYTES || !unfinishedBytes.isFull()
+    isTooLong = byteCount > MAX_EVENT_BYTES || chunkCount > MAX_EVENT_CHUNKS || !hasRoom
     if (!isTooLong) pending.append(bytes)
     return !isTooLong
   }
@@ -82,6 +87,7 @@
       return events
     },
     rest: pending.bytes,
-    isTooLong: () => isTooLong
+    isTooLong: () => isTooLong,
+    clear: pending.clear
   }
 }
--- a/packages/gateway/src/streams/relayEvents.test.ts
+++ b/packages/gateway/src/streams/relayEvents.test.ts
@@ -66,7 +66,7 @@
     const cases = [
       [':\n\n'.repeat(MAX_ASIDE_COUNT + 1), 'comments without end'],
       [`:${'x'.repeat(1_000)}\n\n`.repeat(MAX_ASIDE_BYTES / 1_000), 'comments without end'],
-      ['x'.repeat(MAX_EVENT_BYTES + 1), `an event of over ${MAX_EVENT_BYTES} bytes, or in too many chunks`]
+      ['x'.repeat(MAX_EVENT_BYTES + 1), `an event of over ${MAX_EVENT_BYTES} bytes, in too many chunks, or without room`]
     ] as const
     for (const [text, reason] of cases) {
       const { message, end, abortCount } = setUp(Taken.InTime)
--- a/packages/gateway/src/streams/relayEvents.ts
+++ b/packages/gateway/src/streams/relayEvents.ts
@@ -48,6 +48,7 @@
     const finish = (end: BytesEnd, reason: string): void => {
       isOver = true
       stopWatching()
+      splitter.clear()
       resolve({ end, reason })
     }
     const breakOff = (reason: string): void => { finish(BytesEnd.BrokenOff, reason) }
@@ -81,7 +82,7 @@
         if (taken === Taken.Gap) return cut('an event is missing')
         if (taken === Taken.Slowly) keepsUp = false
       }
-      if (splitter.isTooLong()) return cut(`an event of over ${MAX_EVENT_BYTES} bytes, or in too many chunks`)
+      if (splitter.isTooLong()) return cut(`an event of over ${MAX_EVENT_BYTES} bytes, in too many chunks, or without room`)
       if (keepsUp) return
       isPaused = true
       message.pause()
