Go on with a stream after a time out of step only if the agents remember all of it (ORDER)

The watch of the list keeps when the router was out of step of late (a standstill, or over 2 s without a read); streams then go on at the one listed version only if agents answer that they remember from before that.

--- a/packages/gateway/src/origins/createVersionLock.ts
+++ b/packages/gateway/src/origins/createVersionLock.ts
@@ -35,6 +35,7 @@
     lone: directory.loneVersionOf(serviceName),
     listAgeMs: list.ageMs(),
     hasStoodStill: list.hasStoodStill(),
+    outOfStepAgoMs: list.outOfStepAgoMs(),
     isListFresh
   })
 
--- a/packages/gateway/src/origins/judgeTakeUp.test.ts
+++ b/packages/gateway/src/origins/judgeTakeUp.test.ts
@@ -12,6 +12,7 @@
   lone: undefined,
   listAgeMs: 800,
   hasStoodStill: false,
+  outOfStepAgoMs: Infinity,
   isListFresh: undefined
 }
 
@@ -48,6 +49,16 @@
     }
   })
 
+  it('is refused after a time out of step unless the agents remember all of it, also with a fresh list', () => {
+    // Guards against a version that came, began streams and went while the router slept.
+    for (const found of [UNANSWERED, undefined, { type: 'unknown', rememberedForMs: 12_999 }] as const) {
+      expect(judge({ found, outOfStepAgoMs: 10_000 })).to.equal('listNeeded')
+      expect(judge({ found, outOfStepAgoMs: 10_000, isListFresh: true })).to.equal('refused')
+    }
+    expect(judge({ outOfStepAgoMs: 10_000, isListFresh: true })).to.equal('v1')
+    expect(judge({ found: KNOWN, outOfStepAgoMs: 10_000, isListFresh: true })).to.equal('v2')
+  })
+
   it('is refused where the list can not be read, unless the agents remember for longer than it is old', () => {
     // Guards against a guess by a router that is cut off, and against a refusal while the store alone is away.
     for (const changes of [{ hasStoodStill: true }, { found: UNANSWERED }, { found: undefined }, { listAgeMs: 110_000, found: { type: 'unknown', rememberedForMs: 900_000 } }] as const) {
--- a/packages/gateway/src/origins/judgeTakeUp.ts
+++ b/packages/gateway/src/origins/judgeTakeUp.ts
@@ -25,6 +25,8 @@
   readonly listAgeMs: number
   /** The process has stood still since then. */
   readonly hasStoodStill: boolean
+  /** Time since the list was last read before the router was out of step; Infinity if it was not of late. */
+  readonly outOfStepAgoMs: number
   /** The list was read after the request had arrived; undefined if that was not tried. */
   readonly isListFresh: boolean | undefined
 }
@@ -40,6 +42,10 @@
 const isFromOneVersion = ({ found, listAgeMs }: TakeUpKnowledge): boolean =>
   found?.type === 'unknown' && listAgeMs <= MAX_AGE_MS && found.rememberedForMs >= listAgeMs + SLACK_MS
 
+/** Streams that began elsewhere while the router was out of step were told to the agents that answered; or it was not out of step of late. */
+const isAccountedFor = ({ found, outOfStepAgoMs }: TakeUpKnowledge): boolean =>
+  outOfStepAgoMs === Infinity || (found?.type === 'unknown' && found.rememberedForMs >= outOfStepAgoMs + SLACK_MS)
+
 /**
  * Judges at which software version a stream goes on.
  *
@@ -64,8 +70,10 @@
     return { type: 'refused', reason: 'nobody knows its origin' }
   }
   const goesOn = { type: 'goesOn', softwareVersion: only, reason: 'one version is known' } as const
+  // A fresh list shows what serves now, not what has served meanwhile.
+  if (!canRead && !isAccountedFor(knowledge)) return { type: 'refused', reason: 'nobody knows its origin, and the router was out of step' }
   if (isListFresh) return goesOn
-  const isTrusted = !hasStoodStill && isFromOneVersion(knowledge)
+  const isTrusted = !hasStoodStill && isFromOneVersion(knowledge) && isAccountedFor(knowledge)
   if (isTrusted && (!canRead || listAgeMs <= IN_STEP_MS)) return goesOn
   return canRead ? { type: 'listNeeded' } : { type: 'refused', reason: 'nobody knows its origin, and the list is old' }
 }
--- a/packages/gateway/src/origins/origins.test.ts
+++ b/packages/gateway/src/origins/origins.test.ts
@@ -172,7 +172,7 @@
       events: { emit: () => {} },
       metrics: { count: () => {} },
       timers: { nowMs: () => 0 },
-      list: { ageMs: () => 500, hasStoodStill: () => false, readAfter: async () => true },
+      list: { ageMs: () => 500, hasStoodStill: () => false, outOfStepAgoMs: () => Infinity, readAfter: async () => true },
       directory: { versionsOf: () => new Set(versions), knowsVersions: () => knowsVersions, loneVersionOf: () => lone },
       origins: { find: async () => found, note: ({ streamId }: { readonly streamId: string }) => { noted.push(streamId) } }
     } as unknown as GatewayContext
--- a/packages/gateway/src/router/createListWatch.ts
+++ b/packages/gateway/src/router/createListWatch.ts
@@ -8,6 +8,12 @@
 /** Time after a standstill in which arrives what has lain in sockets meanwhile. */
 const LATE_DELIVERY_MS = 300
 
+/** A router in step reads the list, or hears of it, at least this often. */
+const MAX_GAP_MS = 2_000
+
+/** Time for which callers may take up streams that began while the router was out of step. */
+const RETENTION_MS = 120_000
+
 /** How old one router's list of servers is. */
 export interface ListWatch {
   /** The records of another router's read that began then were taken. Just after a standstill it doesn't count, as it may be late. */
@@ -20,6 +26,8 @@
   readonly ageMs: () => number
   /** The process has stood still since that read began. */
   readonly hasStoodStill: () => boolean
+  /** Time since the list was last read before the router was out of step; Infinity if it was not of late. */
+  readonly outOfStepAgoMs: () => number
   readonly stop: Unsubscribe
 }
 
@@ -30,7 +38,22 @@
   let asOfMs = -Infinity
   let ownAsOfMs = -Infinity
 
-  const note = (beganMs: number): void => { asOfMs = Math.max(asOfMs, beganMs) }
+  let gapBeganMs = -Infinity
+  let gapEndedMs = -Infinity
+
+  const hasStoodStill = (): boolean => standstills.wokeMs() > asOfMs
+
+  /** Several gaps of late count as one. */
+  const noteGap = (): void => {
+    const nowMs = timers.nowMs()
+    if (nowMs - gapEndedMs > RETENTION_MS) gapBeganMs = asOfMs
+    gapEndedMs = nowMs
+  }
+
+  const note = (beganMs: number): void => {
+    if (asOfMs > -Infinity && (hasStoodStill() || beganMs - asOfMs > MAX_GAP_MS)) noteGap()
+    asOfMs = Math.max(asOfMs, beganMs)
+  }
 
   return {
     noteOther: beganMs => { if (timers.nowMs() - standstills.wokeMs() >= LATE_DELIVERY_MS) note(beganMs) },
@@ -51,7 +74,8 @@
       review()
     }),
     ageMs: () => timers.nowMs() - asOfMs,
-    hasStoodStill: () => standstills.wokeMs() > asOfMs,
+    hasStoodStill,
+    outOfStepAgoMs: () => timers.nowMs() - gapEndedMs > RETENTION_MS ? Infinity : timers.nowMs() - gapBeganMs,
     stop: standstills.stop
   }
 }
