Send long answers and held streams piece by piece in one place

Cause: the body of a plain answer and the blocks of a held stream were sent by two loops of the same steps. Change: sendPieces serves both; endAfterDrain, which it ends with, stands beside it. What is sent, and when the next piece follows, stays the same.

--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -1,9 +1,8 @@
 import { Framing } from '@figmount/base'
 
 import { GatewayEvent } from '../events.js'
-import { endAfterDrain } from '../streams/createEventSink.js'
+import { sendPieces } from '../streams/sendPieces.js'
 
-import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
 import type { AnswerEnd, EndProof } from '../forwarding/framing.js'
 import type { OpenAnswer } from '../forwarding/types.js'
@@ -96,21 +95,8 @@
   return end.framing === Framing.Connection && fitsOneWrite ? Framing.Connection : Framing.Length
 }
 
-/** Sends a body piece by piece, each once the caller has taken the one before; `moved` is called with each. */
-const sendBody = (response: ServerResponse, body: Buffer, moved: () => void): void => {
-  let sentBytes = 0
-  const sendMore = (): void => {
-    moved()
-    while (sentBytes < body.length) {
-      const piece = body.subarray(sentBytes, sentBytes + PIECE_BYTES)
-      sentBytes += piece.length
-      if (response.write(piece)) continue
-      response.once('drain', sendMore)
-      return
-    }
-    endAfterDrain(response)
-  }
-  sendMore()
+const cutIntoPieces = function * (body: Buffer): Generator<Buffer> {
+  for (let start = 0; start < body.length; start += PIECE_BYTES) yield body.subarray(start, start + PIECE_BYTES)
 }
 
 /** Sends the caller a server's complete answer. */
@@ -129,7 +115,7 @@
   const length = callerFraming === Framing.NoBody ? announcedLength : String(body.length)
   response.writeHead(status, [...headers, ...(length === undefined ? [] : ['content-length', length])])
   hold?.onStalled(() => { response.destroy() })
-  sendBody(response, body, () => hold?.moved())
+  sendPieces(response, cutIntoPieces(body), () => hold?.moved())
 }
 
 /** What is logged of a complete answer. */
--- a/packages/gateway/src/streams/createEventSink.ts
+++ b/packages/gateway/src/streams/createEventSink.ts
@@ -2,6 +2,7 @@
 
 import { MAX_ANSWER_BYTES } from '../forwarding/constants.js'
 import { FREE_BYTES } from '../memory/constants.js'
+import { endAfterDrain, sendPieces } from './sendPieces.js'
 
 import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '@figmount/fleet'
@@ -21,17 +22,6 @@
   readonly isTooLong: () => boolean
 }
 
-/**
- * Ends an answer once its bytes are handed to the operating system.
- *
- * Guards against truncated answers to callers that read slowly: Node considers a connection idle as soon as its answer is ended, so a
- * stopping router would close it with the rest unsent.
- */
-export const endAfterDrain = (response: ServerResponse): void => {
-  if (response.writableNeedDrain) response.once('drain', () => response.end())
-  else response.end()
-}
-
 const createChunkSink = (response: ServerResponse): EventSink => ({
   framing: Framing.Chunks,
   begin: (status, headers) => {
@@ -48,22 +38,6 @@
 /** Small pieces are joined to blocks of this size, as each piece keeps the memory that it was read into. */
 const BLOCK_BYTES = 64 * 1024
 
-/** Sends blocks one by one, each once the caller has taken the one before; `moved` is called with each. */
-const sendBlocks = (response: ServerResponse, blocks: readonly Buffer[], moved: () => void): void => {
-  let sentCount = 0
-  const sendMore = (): void => {
-    moved()
-    for (const block of blocks.slice(sentCount)) {
-      sentCount += 1
-      if (response.write(block)) continue
-      response.once('drain', sendMore)
-      return
-    }
-    endAfterDrain(response)
-  }
-  sendMore()
-}
-
 /** Reserves room for bytes that are held for a caller. */
 export type ReserveRoom = (bytes: number, granted: () => void) => Hold
 
@@ -114,7 +88,7 @@
       response.writeHead(head.status, [...head.headers, 'content-length', String(byteCount)])
       joinPieces()
       hold?.shrink(byteCount)
-      sendBlocks(response, blocks, () => hold?.moved())
+      sendPieces(response, blocks, () => hold?.moved())
     },
     isTooLong: () => byteCount > MAX_ANSWER_BYTES
   }
