Report what a listener throws in one place

Cause: the readers of feeds (twice) and the agent's polls wrote the same try and event in words of their own. Change: runSafely, the twin of runInBackground for a step that is not awaited, is called by all three. Events and what follows stay the same.

--- /dev/null
+++ b/packages/base/src/tasks/runSafely.ts
@@ -0,0 +1,15 @@
+import { faultFrom } from '../errors/makeFault.js'
+import { BaseEvent } from '../events/catalogue.js'
+
+import type { EventLog } from '../events/types.js'
+
+/** Runs a step; an exception is reported as an event instead of reaching the caller. Returns false if there was one. */
+export const runSafely = (events: EventLog, step: string, peer: string, run: () => void): boolean => {
+  try {
+    run()
+    return true
+  } catch (error) {
+    events.emit(BaseEvent.unexpectedFault, { step, peer, reason: faultFrom(step, peer)(error).message })
+    return false
+  }
+}
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -1,5 +1,5 @@
 import { Left, Right } from 'purify-ts'
-import { BaseEvent, faultFrom, makeFault, runInBackground, sleep } from '@figmount/base'
+import { BaseEvent, makeFault, runInBackground, runSafely, sleep } from '@figmount/base'
 
 import { INITIAL_RETRY_MS, MAX_RETRY_MS, READ_GRACE_MS } from './constants.js'
 
@@ -7,6 +7,8 @@
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { FeedPage, FeedRead, FeedRecord, FeedRange, KeyedFeed, ReadControl } from './types.js'
 
+const TAKE_STEP = 'feeds.take'
+
 interface Options {
   readonly feed: KeyedFeed
   readonly timers: TimerService
@@ -79,20 +81,6 @@
     return isRestored
   }
 
-  const noteThrown = (error: unknown): void => {
-    const { step, peer, message } = faultFrom('feeds.take', feed.name)(error)
-    options.events.emit(BaseEvent.unexpectedFault, { step, peer, reason: message })
-  }
-
-  // Guards against a record that its taker can't handle: the feed would not be followed any more.
-  const takeSafely = (records: readonly FeedRecord[], isCopy: boolean): void => {
-    try {
-      options.take(records, isCopy)
-    } catch (error) {
-      noteThrown(error)
-    }
-  }
-
   const accept = (records: readonly FeedRecord[], isOwnRead = false, isCopy = false): void => {
     const newRecords: FeedRecord[] = []
     // The newest records come sorted by their keys.
@@ -106,7 +94,9 @@
       newestOffset.set(record.key, record.offset)
       newRecords.push(record)
     }
-    if (newRecords.length > 0 || isCopy) takeSafely(newRecords, isCopy)
+    if (newRecords.length === 0 && !isCopy) return
+    // Guards against a record that its taker can't handle: the feed would not be followed any more.
+    runSafely(options.events, TAKE_STEP, feed.name, () => { options.take(newRecords, isCopy) })
   }
 
   const acceptAll = (page: FeedPage): void => {
@@ -181,15 +171,8 @@
     options.lost(fault)
   }
 
-  /** Returns true if the read was answered and its answer taken. What a listener throws must not end the reads for good. */
-  const noteResult = (result: Either<Fault, FeedPage>, fromOffset: number | undefined, beganMs: number): boolean => {
-    try {
-      result.caseOf({ Left: fault => { noteFault(fault, beganMs) }, Right: page => { noteAnswer(page, fromOffset, beganMs) } })
-      return result.isRight()
-    } catch (error) {
-      noteThrown(error)
-      return false
-    }
+  const noteResult = (result: Either<Fault, FeedPage>, fromOffset: number | undefined, beganMs: number): void => {
+    result.caseOf({ Left: fault => { noteFault(fault, beganMs) }, Right: page => { noteAnswer(page, fromOffset, beganMs) } })
   }
 
   const follow = async (): Promise<void> => {
@@ -204,8 +187,9 @@
         await waitUntilDue()
         continue
       }
-      const isTaken = noteResult(result, fromOffset, beganMs)
-      if (isTaken) {
+      // What a listener throws must not end the reads for good.
+      const isNoted = runSafely(options.events, TAKE_STEP, feed.name, () => { noteResult(result, fromOffset, beganMs) })
+      if (isNoted && result.isRight()) {
         retryMs = INITIAL_RETRY_MS
         if (nextOffset !== undefined) await waitUntilDue()
         continue
--- a/packages/sidecar/src/engine/watchEngine.ts
+++ b/packages/sidecar/src/engine/watchEngine.ts
@@ -1,4 +1,4 @@
-import { BaseEvent, FaultKind, faultFrom, runInBackground, sleep } from '@figmount/base'
+import { FaultKind, runInBackground, runSafely, sleep } from '@figmount/base'
 
 import { REPORT_TIMEOUT_MS, MISSED_REPORT_THRESHOLD } from './constants.js'
 
@@ -50,12 +50,7 @@
       const result = await engine.readReport(REPORT_TIMEOUT_MS).run()
       if (stopping.signal.aborted) return
       // What a listener throws must not end the polls for good.
-      try {
-        result.caseOf({ Left: noteFault, Right: noteReport })
-      } catch (error) {
-        const { step, peer, message } = faultFrom('engine.take', 'engine')(error)
-        events.emit(BaseEvent.unexpectedFault, { step, peer, reason: message })
-      }
+      runSafely(events, 'engine.take', 'engine', () => { result.caseOf({ Left: noteFault, Right: noteReport }) })
       pause = new AbortController()
       await sleep(timers, nextPollMs(), pause.signal)
     }
