Say in one place until when a request may be sent

Cause: serveModel and servePlain each wrote how a stop, a run that has been and the caller's leaving bound the time of a send. Change: createSendBounds serves both. The bounds are the same.

--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -18,6 +18,7 @@
 import { shouldShed } from './shouldShed.js'
 import { runOnServer } from './runOnServer.js'
 import { createCallerStream } from './createCallerStream.js'
+import { createSendBounds } from './createSendBounds.js'
 
 import type { KnownServer } from '../directory/types.js'
 import type { TakenRetry } from '../retries/createRetryBudget.js'
@@ -44,14 +45,9 @@
   let lostLoadCount = 0
   let lastPeer = ''
 
-  const bounds: WaitBounds = {
-    lastSendMs: () => runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(route.objectiveMs, () => stop.answers.expectedMs(request)),
-    callerLeavesMs: () => Math.min(request.untilMs, stream.lastEventMs() + route.patienceMs)
-  }
-
-  /** The stop ends the time in which the request may be sent, not its caller. */
-  const stopsFirst = (): boolean => runCount === 0 && bounds.lastSendMs() < bounds.callerLeavesMs()
-  const leftToSendMs = (): number => (stopsFirst() ? bounds.lastSendMs() : bounds.callerLeavesMs()) - timers.nowMs()
+  const callerLeavesMs = (): number => Math.min(request.untilMs, stream.lastEventMs() + route.patienceMs)
+  const { lastSendMs, stopsFirst, leftToSendMs } = createSendBounds(context, request, { hasRun: () => runCount > 0, callerLeavesMs })
+  const bounds: WaitBounds = { lastSendMs, callerLeavesMs }
 
   const giveUp = (reason: string, retryAfterMs: number): void => {
     turn.end()
@@ -69,8 +65,8 @@
 
   for (;;) {
     if (request.callerLeft.aborted || request.untilMs - timers.nowMs() < MIN_SERVE_MS) return giveUp('no time left', REJECTED_RETRY_MS)
-    if (timers.nowMs() >= bounds.lastSendMs()) return giveUp(STOPPING_REASON, STOPPING_RETRY_MS)
-    const check = await checkCrashes(context, request, bounds.callerLeavesMs() - timers.nowMs())
+    if (timers.nowMs() >= lastSendMs()) return giveUp(STOPPING_REASON, STOPPING_RETRY_MS)
+    const check = await checkCrashes(context, request, callerLeavesMs() - timers.nowMs())
     if (check.type === 'refused') return giveUp(check.reason, check.retryAfterMs)
     if (check.type === 'waited') continue
     const servers = candidates()
@@ -93,7 +89,7 @@
     }
     context.unmetModels.settle(caller.modelName)
     const { start, entry: { serverId } } = choice.server
-    if (sendCount === 0 && shouldShed(context, request, choice.slotWaitMs, bounds.callerLeavesMs() - timers.nowMs())) {
+    if (sendCount === 0 && shouldShed(context, request, choice.slotWaitMs, callerLeavesMs() - timers.nowMs())) {
       context.events.emit(GatewayEvent.requestCrowded, { requestKey: caller.requestId, model: caller.modelName, peer: serverId, waitMs: Math.round(choice.slotWaitMs) })
       return giveUp('the engines with the model are full', OVERLOAD_RETRY_MS * (1 + context.random()))
     }
@@ -108,7 +104,7 @@
     }
     if (request.callerLeft.aborted) return giveUp('the caller left', REJECTED_RETRY_MS)
     if (sendCount > 0 && !retry) {
-      const granted = await awaitRetry(context, request, { start, sendCount, leftMs: () => Math.min(bounds.callerLeavesMs(), bounds.lastSendMs()) - timers.nowMs() })
+      const granted = await awaitRetry(context, request, { start, sendCount, leftMs: () => Math.min(callerLeavesMs(), lastSendMs()) - timers.nowMs() })
       retry = granted.retry
       if (!retry) return giveUp('no repeats left', REJECTED_RETRY_MS)
       if (granted.hasWaited) continue
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -12,6 +12,7 @@
 import { LIMITED_REASON } from '../serverLimits/constants.js'
 import { holdBack } from '../serverLimits/holdBack.js'
 import { ANSWER_GRACE_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS } from './constants.js'
+import { createSendBounds } from './createSendBounds.js'
 import { completeAnswer, sendAnswer, fail, noteCallerLeft, refuse } from './endRequest.js'
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
 import { limitExchange } from './limitExchange.js'
@@ -158,12 +159,7 @@
   let deliverFailed: (() => void) | undefined
   let lastPeer = ''
 
-  const lastSendMs = (): number =>
-    runCount > 0 ? stop.lastRetryMs() : stop.lastSendMs(request.route.objectiveMs, () => stop.answers.expectedMs(request))
-
-  /** The stop ends the time in which the request may be sent, not its caller. */
-  const stopsFirst = (): boolean => runCount === 0 && lastSendMs() < request.untilMs
-  const leftToSendMs = (): number => (stopsFirst() ? lastSendMs() : request.untilMs) - timers.nowMs()
+  const { lastSendMs, stopsFirst, leftToSendMs } = createSendBounds(context, request, { hasRun: () => runCount > 0, callerLeavesMs: () => request.untilMs })
 
   /** Retry-after of a request that servers have turned away: when the first of them takes requests again. */
   const earliestRetryMs = (): number => {
