Give an answer's room back where its run ends

Cause: each way in which an answer that was read is not passed on gave its room back by itself, five in all; one more way would have to remember it. Change: what becomes of the answer is one function's result, and the room is given back in one place if that is no delivery.

--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -6,8 +6,11 @@
 import { completeAnswer, sendAnswer } from './endRequest.js'
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
 
+import type { Either } from 'purify-ts'
+import type { Fault } from '@figmount/base'
 import type { KnownServer } from '../directory/types.js'
 import type { AnswerEnd } from '../forwarding/framing.js'
+import type { ReadAnswer } from '../forwarding/readAnswer.js'
 import type { OpenAnswer } from '../forwarding/types.js'
 import type { TakenRetry } from '../retries/createRetryBudget.js'
 import type { CallerStream } from './createCallerStream.js'
@@ -60,6 +63,21 @@
   return proof ? { type: 'finished', answerEnd: { framing: open.framing, proof } } : { type: 'broken', reason: NO_PROOF_REASON }
 }
 
+/** Passes on an answer that is no stream. */
+const passOn = async (context: GatewayContext, request: RoutedRequest, run: StreamRun, open: OpenAnswer, read: Either<Fault, ReadAnswer>): Promise<RunEnd> => {
+  const status = open.message.statusCode ?? 0
+  if (status === MISDIRECTED || open.answer.isNotRun) {
+    return { type: 'notRun', reason: `turned away with ${status}`, isMisdirected: status === MISDIRECTED }
+  }
+  if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
+  if (run.stream.hasBegun()) return { type: 'broken', reason: `status ${status}` }
+  const { body, end, hold } = read.unsafeCoerce()
+  const proof = await awaitProof(context, request, { ...run, end })
+  if (!proof) return { type: 'broken', reason: NO_PROOF_REASON }
+  sendAnswer(context, request, completeAnswer(context, open, { body, hold }, proof, run.server.entry.serverId))
+  return { type: 'answered' }
+}
+
 /** Runs a stream on one server and forwards its events. */
 export const runStream = async (context: GatewayContext, request: RoutedRequest, run: StreamRun): Promise<RunEnd> => {
   const { server, stream, retry, signal } = run
@@ -78,21 +96,7 @@
   }
   if (status === OK && !open.answer.isNotRun) return await relay(context, request, run, open)
   const read = await readAnswer(open, { serverId, signal, reserve: (bytes, granted) => holdForCaller(context, request, bytes, granted) })
-  if (status === MISDIRECTED || open.answer.isNotRun) {
-    read.ifRight(({ hold }) => hold?.release())
-    return { type: 'notRun', reason: `turned away with ${status}`, isMisdirected: status === MISDIRECTED }
-  }
-  if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
-  const { body, end, hold } = read.unsafeCoerce()
-  if (stream.hasBegun()) {
-    hold?.release()
-    return { type: 'broken', reason: `status ${status}` }
-  }
-  const proof = await awaitProof(context, request, { ...run, end })
-  if (!proof) {
-    hold?.release()
-    return { type: 'broken', reason: NO_PROOF_REASON }
-  }
-  sendAnswer(context, request, completeAnswer(context, open, { body, hold }, proof, serverId))
-  return { type: 'answered' }
+  const end = await passOn(context, request, run, open, read)
+  if (end.type !== 'answered') read.ifRight(({ hold }) => hold?.release())
+  return end
 }
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -17,7 +17,11 @@
 import { isMismatchedAnswer, openExchange } from './openExchange.js'
 import { limitExchange } from './limitExchange.js'
 
+import type { Either } from 'purify-ts'
+import type { Fault } from '@figmount/base'
 import type { KnownServer } from '../directory/types.js'
+import type { ReadAnswer } from '../forwarding/readAnswer.js'
+import type { OpenAnswer } from '../forwarding/types.js'
 import type { TakenRetry } from '../retries/createRetryBudget.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
@@ -63,9 +67,28 @@
   readonly mayRunElsewhere: boolean
 }
 
-const tryOnce = async (
-  context: GatewayContext, request: RoutedRequest, { server, retry, mayRunElsewhere }: Attempt, signal: AbortSignal
+/** Passes on an answer, unless it is a server error, which a repeat may make up for. */
+const passOn = async (
+  context: GatewayContext, request: RoutedRequest, { server, mayRunElsewhere }: Attempt, open: OpenAnswer, read: Either<Fault, ReadAnswer>, signal: AbortSignal
 ): Promise<AttemptEnd> => {
+  const status = open.message.statusCode ?? 0
+  if (open.answer.isNotRun || status === MISDIRECTED) {
+    if (status === MISDIRECTED) context.directory.noteReplaced(server.start)
+    return { type: 'notRun', reason: `turned away with ${status}`, isMisdirected: status === MISDIRECTED }
+  }
+  if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
+  const { body, end, hold } = read.unsafeCoerce()
+  const proof = await awaitProof(context, request, { server, end, mayRunElsewhere, signal })
+  if (!proof) return { type: 'broken', reason: 'the connection was closed, and nothing shows that its server lives' }
+  const deliver = (): void => { sendAnswer(context, request, completeAnswer(context, open, { body, hold }, proof, server.entry.serverId)) }
+  noteAnswer(context, request)
+  if (status >= FIRST_SERVER_ERROR) return { type: 'failed', status, deliver }
+  deliver()
+  return { type: 'answered' }
+}
+
+const tryOnce = async (context: GatewayContext, request: RoutedRequest, attempt: Attempt, signal: AbortSignal): Promise<AttemptEnd> => {
+  const { server, retry } = attempt
   const { serverId } = server.entry
   const opened = await openExchange(context, request, server, '', retry, signal)
   if (opened.isLeft()) {
@@ -78,25 +101,11 @@
     open.abort()
     return { type: 'unknown', reason: 'answer to another request' }
   }
-  const status = open.message.statusCode ?? 0
   const read = await readAnswer(open, { serverId, signal, reserve: (bytes, granted) => holdForCaller(context, request, bytes, granted) })
-  if (open.answer.isNotRun || status === MISDIRECTED) {
-    read.ifRight(({ hold }) => hold?.release())
-    if (status === MISDIRECTED) context.directory.noteReplaced(server.start)
-    return { type: 'notRun', reason: `turned away with ${status}`, isMisdirected: status === MISDIRECTED }
-  }
-  if (read.isLeft()) return { type: 'broken', reason: read.swap().unsafeCoerce().message }
-  const { body, end, hold } = read.unsafeCoerce()
-  const proof = await awaitProof(context, request, { server, end, mayRunElsewhere, signal })
-  if (!proof) {
-    hold?.release()
-    return { type: 'broken', reason: 'the connection was closed, and nothing shows that its server lives' }
-  }
-  const deliver = (): void => { sendAnswer(context, request, completeAnswer(context, open, { body, hold }, proof, serverId)) }
-  noteAnswer(context, request)
-  if (status >= FIRST_SERVER_ERROR) return { type: 'failed', status, deliver }
-  deliver()
-  return { type: 'answered' }
+  const end = await passOn(context, request, attempt, open, read, signal)
+  // The answer of a failure may be delivered later.
+  if (end.type !== 'answered' && end.type !== 'failed') read.ifRight(({ hold }) => hold?.release())
+  return end
 }
 
 interface EndedAttempt {
