Hand a send what it uses

Cause: each send copied the whole context of the router to add one function to it. Change: the four parts that a send uses are named.

--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -40,7 +40,7 @@
   const noteThrown = ({ step, message }: Fault): void => {
     context.events.emit(GatewayEvent.listenerThrew, { requestKey: request.caller.requestId, peer: serverId, step, reason: message })
   }
-  const opened = await sendToServer({ ...context, noteThrown }, {
+  const opened = await sendToServer({ pool: context.pool, codec, timers, noteThrown }, {
     start: server.start,
     address,
     method: request.method,
