Let the next call's turn follow from the one before

Cause: the line of a connection's calls kept a count that was 0 or 1, a flag and a list of closures, for one call at a time. Change: a connection keeps the turn of its next call, which is that of the one before and how that ended. A call runs, or never runs, in the same cases.

--- a/packages/gateway/src/ingress/createTurns.ts
+++ b/packages/gateway/src/ingress/createTurns.ts
@@ -1,5 +1,3 @@
-import { MAX_RUNNING_PER_CONNECTION } from './constants.js'
-
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
@@ -11,20 +9,12 @@
   readonly pass: () => void
 }
 
-/** Lets the requests of each connection run in the order of their arrival. */
+/** Lets the requests of each connection run one by one, in the order of their arrival. */
 export interface Turns {
   readonly join: (socket: Socket, response: ServerResponse) => PlaceInTurn
 }
 
-interface Waiting {
-  readonly begin: (mayRun: boolean) => void
-}
-
-interface Line {
-  runningCount: number
-  isEnded: boolean
-  readonly waiting: Waiting[]
-}
+const isGoingOn = (socket: Socket, response: ServerResponse): boolean => !socket.destroyed && !socket.writableEnded && response.shouldKeepAlive
 
 /**
  * Creates the turns of the requests of all connections.
@@ -33,50 +23,16 @@
  * run, or still runs, when an earlier answer ends its connection: it could not be answered.
  */
 export const createTurns = (): Turns => {
-  const lines = new WeakMap<Socket, Line>()
-
-  const lineOf = (socket: Socket): Line => {
-    const line = lines.get(socket) ?? { runningCount: 0, isEnded: false, waiting: [] }
-    lines.set(socket, line)
-    return line
-  }
-
-  const letNextRun = (line: Line): void => {
-    if (line.isEnded) {
-      for (const { begin } of line.waiting.splice(0)) begin(false)
-      return
-    }
-    const next = line.waiting.shift()
-    if (!next) return
-    line.runningCount += 1
-    next.begin(true)
-  }
+  /** The turn of each connection's next request. */
+  const nextTurns = new WeakMap<Socket, Promise<boolean>>()
 
   return {
     join: (socket, response) => {
-      const line = lineOf(socket)
-      if (line.isEnded) return { turn: Promise.resolve(false), pass: () => {} }
-      let isRunning = line.runningCount < MAX_RUNNING_PER_CONNECTION
-      if (isRunning) line.runningCount += 1
-      const turn = isRunning
-        ? Promise.resolve(true)
-        : new Promise<boolean>(resolve => {
-          line.waiting.push({
-            begin: mayRun => {
-              isRunning = mayRun
-              resolve(mayRun)
-            }
-          })
-        })
-      return {
-        turn,
-        pass: () => {
-          if (!isRunning) return
-          line.runningCount -= 1
-          if (socket.destroyed || socket.writableEnded || !response.shouldKeepAlive) line.isEnded = true
-          letNextRun(line)
-        }
-      }
+      const turn = nextTurns.get(socket) ?? Promise.resolve(true)
+      let pass = (): void => {}
+      const over = new Promise<boolean>(resolve => { pass = () => { resolve(isGoingOn(socket, response)) } })
+      nextTurns.set(socket, turn.then(async mayRun => mayRun && await over))
+      return { turn, pass }
     }
   }
 }
