Keep the times of streams that are taken up in one place

Cause: the time for which callers may take streams up stood three times, and how often a router in step reads the list twice. Change: origins/constants has both. The values are the same.

--- a/packages/gateway/src/directory/createSoftwareVersions.ts
+++ b/packages/gateway/src/directory/createSoftwareVersions.ts
@@ -1,10 +1,9 @@
+import { RETENTION_MS } from '../origins/constants.js'
+
 import type { TimerService } from '@figmount/base'
 import type { ServerEntry } from '@figmount/fleet'
 import type { RecordedVersions } from '../origins/versionRecords.js'
 
-/** Time for which a version counts after its last server has gone: callers may still take up streams that it began. */
-const RETENTION_MS = 120_000
-
 /** Routers see a version come at different times, and their times of day differ. */
 const ARRIVAL_SLACK_MS = 3_000
 
@@ -28,7 +27,7 @@
   readonly loneBefore: (serviceName: string) => LoneVersion | undefined
 }
 
-/** Creates the record of one router. */
+/** Creates the record of one router. A version counts for `RETENTION_MS` after its last server has gone, as callers may take up its streams. */
 export const createSoftwareVersions = (timers: TimerService): SoftwareVersions => {
   const gone = new Map<string, { readonly serviceName: string, readonly softwareVersion: string, readonly goneMs: number }>()
   /** By service, the version that serves alone now. */
--- a/packages/gateway/src/origins/createStreamOrigins.ts
+++ b/packages/gateway/src/origins/createStreamOrigins.ts
@@ -1,11 +1,10 @@
 import { rankByRendezvous } from '@figmount/base'
 
+import { RETENTION_MS } from './constants.js'
+
 import type { TimerService, Unsubscribe } from '@figmount/base'
 import type { OriginAnswered, RouterMessage, StreamOrigin } from '@figmount/fleet'
 
-/** Time for which callers may take a stream up again. */
-const RETENTION_MS = 120_000
-
 /** Streams remembered at once. */
 const MAX_STREAMS = 20_000
 
--- a/packages/gateway/src/origins/judgeTakeUp.ts
+++ b/packages/gateway/src/origins/judgeTakeUp.ts
@@ -1,9 +1,8 @@
+import { IN_STEP_MS } from './constants.js'
+
 import type { LoneVersion } from '../directory/createSoftwareVersions.js'
 import type { FoundOrigin } from './createStreamOrigins.js'
 
-/** Age up to which the list is that of a router in step, which reads it or hears of it at least this often. */
-const IN_STEP_MS = 2_000
-
 /** Routers see a version come at different times, and their clocks' readings of a read's start differ. */
 const SLACK_MS = 3_000
 
--- a/packages/gateway/src/router/createListWatch.ts
+++ b/packages/gateway/src/router/createListWatch.ts
@@ -1,5 +1,7 @@
 import { createStandstillWatch } from '@figmount/base'
 
+import { IN_STEP_MS, RETENTION_MS } from '../origins/constants.js'
+
 import type { TimerService, Unsubscribe } from '@figmount/base'
 
 /** Time limit for a read of the list while a request waits: the store answers in 4 ms, in 0.3 s at its slowest. */
@@ -8,12 +10,6 @@
 /** Time after a standstill in which arrives what has lain in sockets meanwhile. */
 const LATE_DELIVERY_MS = 300
 
-/** A router in step reads the list, or hears of it, at least this often. */
-const MAX_GAP_MS = 2_000
-
-/** Time for which callers may take up streams that began while the router was out of step. */
-const RETENTION_MS = 120_000
-
 /** How old one router's list of servers is. */
 export interface ListWatch {
   /** The records of another router's read that began then were taken. Just after a standstill it doesn't count, as it may be late. */
@@ -51,7 +47,7 @@
   }
 
   const note = (beganMs: number): void => {
-    if (asOfMs > -Infinity && (hasStoodStill() || beganMs - asOfMs > MAX_GAP_MS)) noteGap()
+    if (asOfMs > -Infinity && (hasStoodStill() || beganMs - asOfMs > IN_STEP_MS)) noteGap()
     asOfMs = Math.max(asOfMs, beganMs)
   }
 
