--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -46,6 +46,7 @@
   serverReturned: [2542, 'an entry lists a backend server as ready again that was draining or gone: whether it is used'],
   takeUpJudged: [2543, 'a caller takes up a stream: at which software version it may go on, and who knew'],
   entryOutdated: [2544, 'an entry of a backend server is of an earlier heartbeat than the one known of the same start'],
+  answerMismatched: [2545, 'what a backend server sent is not the answer to this request: its connection is closed, and whether the request has run is unknown'],
   listenerThrew: [2550, 'reading what a backend server sent threw an exception: the exchange has ended'],
   heldBytesFull: [2555, 'the room for bytes held for callers is taken: long answers wait for it'],
   heldBytesFree: [2556, 'no answer waits for room any more'],
--- a/packages/gateway/src/forwarding/constants.ts
+++ b/packages/gateway/src/forwarding/constants.ts
@@ -13,6 +13,9 @@
 /** Minimum idle time of a connection if a server announces a very short timeout. */
 export const MIN_IDLE_MS = 100
 
+/** Most requests on one connection, all of whose ids are remembered. */
+export const MAX_REQUESTS_PER_CONNECTION = 256
+
 /** Most header lines of an answer: Node's parser, which callers use too, keeps no more. */
 export const MAX_HEADER_LINES = 1_000
 
--- a/packages/gateway/src/forwarding/sendToServer.test.ts
+++ b/packages/gateway/src/forwarding/sendToServer.test.ts
@@ -34,6 +34,7 @@
   let server: Server
   let pool: ConnectionPool
   let connections: Seen[]
+  let requestCount = 0
 
   const listen = async (answer: string, readsAtOnce = true): Promise<void> => {
     server = createServer({ pauseOnConnect: !readsAtOnce }, socket => {
@@ -54,6 +55,7 @@
     const codec = { decodeAnswer: () => ({ requestId: '', serverId: SERVER_ID, isNotRun: false }) } as unknown as HeaderCodec
     const context: SendContext = { pool, codec, timers, noteThrown: ({ message }) => { throw new Error(message) } }
     const outbound: OutboundRequest = {
+      requestId: `r${requestCount++}`,
       start: { serverId: SERVER_ID, startedAtUnixMs: undefined },
       address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
       method: 'POST',
--- a/packages/gateway/src/forwarding/sendToServer.ts
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -46,7 +46,7 @@
     method: outbound.method,
     path: outbound.url,
     headers: outbound.headers,
-    agent: pool.agentFor(outbound.start),
+    agent: pool.agentFor(outbound.start, outbound.requestId),
     setHost: false
   })
   // Without a bound of its own the parser leaves lines out, the length of the body among them; the size of a head is bounded anyway.
@@ -72,7 +72,7 @@
   }
 
   const fail = (kind: FaultKind, message: string): void => {
-    settle(Left({ fault: makeFault(kind, STEP, outbound.start.serverId, message), mayHaveRun: isConnected }))
+    settle(Left({ fault: makeFault(kind, STEP, outbound.start.serverId, message), mayHaveRun: isConnected, isMismatched: false }))
     abort()
   }
 
@@ -102,7 +102,7 @@
   }
 
   const takeSocket = (socket: Socket): void => {
-    pool.noteUse(socket)
+    pool.noteUse(socket, outbound.requestId)
     socket.setNoDelay(true)
     if (!socket.connecting) return noteConnected()
     socket.once('connect', guard(noteConnected))
--- a/packages/gateway/src/forwarding/types.ts
+++ b/packages/gateway/src/forwarding/types.ts
@@ -6,6 +6,8 @@
 
 /** A request as it is sent to a server. */
 export interface OutboundRequest {
+  /** As its caller has named it; empty if it has not. */
+  readonly requestId: string
   readonly start: ServerStart
   /** host:port */
   readonly address: string
@@ -40,4 +42,6 @@
   readonly fault: Fault
   /** False when the request cannot have reached the server. */
   readonly mayHaveRun: boolean
+  /** Something else than the answer came in its place. */
+  readonly isMismatched: boolean
 }
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -1,3 +1,7 @@
+import { Left, Right } from 'purify-ts'
+import { FaultKind, makeFault } from '@figmount/base'
+
+import { findMismatch } from '../forwarding/findMismatch.js'
 import { sendToServer } from '../forwarding/sendToServer.js'
 import { GatewayEvent } from '../events.js'
 import { ANSWER_GRACE_MS, REQUEST_ARRIVAL_MS } from './constants.js'
@@ -9,7 +13,17 @@
 import type { Arrival, TakenRetry } from '../retries/createRetryBudget.js'
 import type { GatewayContext, RoutedRequest } from './types.js'
 
-/** Takes what an answer says of its server, whichever request it answers. */
+const STEP = 'requests.openExchange'
+
+/** Ends an exchange with what is not the answer to its request: what has become of the request is unknown. */
+const endMismatched = (context: GatewayContext, { caller }: RoutedRequest, peer: string, { abort, message }: OpenAnswer, reason: string): SendFault => {
+  abort()
+  context.metrics.count('mismatched_answers_total')
+  context.events.emit(GatewayEvent.answerMismatched, { requestKey: caller.requestId, peer, reason, statusCode: message.statusCode ?? 0 })
+  return { fault: makeFault(FaultKind.Conflict, STEP, peer, reason), mayHaveRun: true, isMismatched: true }
+}
+
+/** Takes what the answer to a request says of its server. */
 const noteServerAnswer = (context: GatewayContext, { start }: KnownServer, { answer, message }: OpenAnswer): void => {
   context.serverLimits.noteAnswer(start, answer, message.statusCode ?? 0)
   if (answer.isLeaving && context.directory.noteLeaving(start, 'its answers say that it leaves')) context.tellRouters({ type: 'serverLeaving', start })
@@ -40,7 +54,8 @@
   const noteThrown = ({ step, message }: Fault): void => {
     context.events.emit(GatewayEvent.listenerThrew, { requestKey: request.caller.requestId, peer: serverId, step, reason: message })
   }
-  const opened = await sendToServer({ pool: context.pool, codec, timers, noteThrown }, {
+  const sent = await sendToServer({ pool: context.pool, codec, timers, noteThrown }, {
+    requestId: request.caller.requestId,
     start: server.start,
     address,
     method: request.method,
@@ -50,20 +65,10 @@
     headTimeoutMs: leftMs + ANSWER_GRACE_MS,
     mayBeInTransit: () => context.directory.lastMessageMs(address) < sentMs + REQUEST_ARRIVAL_MS
   }, signal)
+  const opened = sent.chain(open => {
+    const mismatch = findMismatch(request.caller.requestId, open.answer, open.message.statusCode ?? 0)
+    return mismatch === undefined ? Right(open) : Left(endMismatched(context, request, serverId, open, mismatch))
+  })
   retry?.noteArrival(arrivalOf(opened))
   return opened.ifRight(open => { noteServerAnswer(context, server, open) })
 }
-
-const isSuccess = ({ statusCode = 0 }: { readonly statusCode?: number | undefined }): boolean => statusCode >= 200 && statusCode < 300
-
-/**
- * The answer is none to this request: a late one on a reused connection, one from another program's server, or a success without what each
- * success of a server bears, the request's id and a signature. What has become of the request is unknown.
- *
- * Guards against bytes that a server adds to a complete answer: they come where the answer to the next request is expected.
- */
-export const isMismatchedAnswer = ({ caller }: RoutedRequest, { answer, message }: OpenAnswer): boolean => {
-  if (isSuccess(message) && !answer.isSigned) return true
-  if (answer.requestId === '') return isSuccess(message) && caller.requestId !== ''
-  return answer.requestId !== caller.requestId
-}
--- a/packages/gateway/src/requests/runStream.ts
+++ b/packages/gateway/src/requests/runStream.ts
@@ -4,7 +4,7 @@
 import { holdForCaller } from '../memory/holdForCaller.js'
 import { relayEvents } from '../streams/relayEvents.js'
 import { completeAnswer, sendAnswer } from './endRequest.js'
-import { isMismatchedAnswer, openExchange } from './openExchange.js'
+import { openExchange } from './openExchange.js'
 
 import type { Either } from 'purify-ts'
 import type { Fault } from '@figmount/base'
@@ -90,10 +90,6 @@
   }
   const open = opened.unsafeCoerce()
   const status = open.message.statusCode ?? 0
-  if (isMismatchedAnswer(request, open)) {
-    open.abort()
-    return { type: 'broken', reason: 'answer to another request' }
-  }
   if (status === OK && !open.answer.isNotRun) return await relay(context, request, run, open)
   const read = await readAnswer(open, { serverId, signal, reserve: (bytes, granted) => holdForCaller(context, request, bytes, granted) })
   const end = await passOn(context, request, run, open, read)
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -14,7 +14,7 @@
 import { ANSWER_GRACE_MS, REJECTED_RETRY_MS, MIN_SERVE_MS, MAX_REJECTIONS, NO_SERVER_RETRY_MS, STOPPING_REASON, STOPPING_RETRY_MS } from './constants.js'
 import { createSendBounds } from './createSendBounds.js'
 import { completeAnswer, sendAnswer, fail, noteCallerLeft, refuse } from './endRequest.js'
-import { isMismatchedAnswer, openExchange } from './openExchange.js'
+import { openExchange } from './openExchange.js'
 import { limitExchange } from './limitExchange.js'
 
 import type { Either } from 'purify-ts'
@@ -32,7 +32,7 @@
   | { readonly type: 'notSent', readonly reason: string }
   /** Without a complete answer: the server may have died. */
   | { readonly type: 'broken', readonly reason: string }
-  /** An answer to another request: the server lives. */
+  /** Something else than its answer came: the server has not closed the connection. */
   | { readonly type: 'unknown', readonly reason: string }
   /** A complete answer with a server error. */
   | { readonly type: 'failed', readonly status: number, readonly deliver: () => void }
@@ -92,15 +92,12 @@
   const { serverId } = server.entry
   const opened = await openExchange(context, request, server, '', retry, signal)
   if (opened.isLeft()) {
-    const { fault, mayHaveRun } = opened.swap().unsafeCoerce()
+    const { fault, mayHaveRun, isMismatched } = opened.swap().unsafeCoerce()
+    if (isMismatched) return { type: 'unknown', reason: fault.message }
     return { type: mayHaveRun ? 'broken' : 'notSent', reason: fault.message }
   }
   const open = opened.unsafeCoerce()
   context.pendingRuns.noteAlive(server.start)
-  if (isMismatchedAnswer(request, open)) {
-    open.abort()
-    return { type: 'unknown', reason: 'answer to another request' }
-  }
   const read = await readAnswer(open, { serverId, signal, reserve: (bytes, granted) => holdForCaller(context, request, bytes, granted) })
   const end = await passOn(context, request, attempt, open, read, signal)
   // The answer of a failure may be delivered later.
