--- a/packages/sidecar/src/engine/constants.ts
+++ b/packages/sidecar/src/engine/constants.ts
@@ -13,6 +13,9 @@
 /** Timeout of a report. It arrives within a few ms as the engine runs on the same machine; a busy machine takes longer. */
 export const REPORT_TIMEOUT_MS = 300
 
+/** Reports in a row that may be late copies of earlier ones. After so many the engine is what they say. */
+export const MAX_OUTDATED_REPORTS = 2
+
 /** Number of consecutive reports without an answer after which the engine counts as down. */
 export const MISSED_REPORT_THRESHOLD = 2
 
