--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -297,6 +297,13 @@
       const server = view(entry)
       return server.isReplaced || server.state?.isUp === false
     },
+    isLeaving: start => {
+      const entry = entries.get(start.serverId)
+      if (entry && !isSameStart(start, startOf(start.serverId))) return false
+      const { state } = reports.get(entry?.address ?? departures.addressOf(start.serverId) ?? '') ?? NO_REPORT
+      if (state && state.serverId !== '' && !isSameStart(state, start)) return false
+      return !entry || view(entry).entry.isDraining
+    },
     hasExitedGracefully: departures.hasExitedGracefully,
     entries: configuredEntries,
     lastMessageMs: address => (reports.get(address) ?? NO_REPORT).lastMessageMs,
--- a/packages/gateway/src/directory/types.ts
+++ b/packages/gateway/src/directory/types.ts
@@ -65,6 +65,8 @@
    * that merely disappeared from the list may still finish its requests.
    */
   readonly isDead: (start: ServerStart) => boolean
+  /** This start of the server is draining or not listed any more, and no other one has shown up in its place. */
+  readonly isLeaving: (start: ServerStart) => boolean
   /** True if this start of a server, on which a run was interrupted at `brokenMs`, was draining or unlisted for a while before it ended. */
   readonly hasExitedGracefully: (start: ServerStart, brokenMs: number) => boolean
   /** Addresses of engines whose agents wait for the end of a model's requests to unload it. */
--- a/packages/gateway/src/requests/runOnServer.ts
+++ b/packages/gateway/src/requests/runOnServer.ts
@@ -38,10 +38,11 @@
   const { modelName, adapterName, promptParts } = request.caller
   const limit = limitExchange(context, request, 0)
   // Guards against an engine that dies without closing its connections: a stream that could be resumed elsewhere would send nothing
-  // until its caller leaves, although the engine's agent has reported the death. Events that still come refute the report.
+  // until its caller leaves, although the engine's agent has reported the death. Events that still come refute the report. An engine that
+  // leaves may refuse connections, which its agent takes for its death, and finish what it runs; its end closes their connections.
   const pulse = createRunPulse(context.timers)
   const stopDeathChecks = request.route.isResumable
-    ? context.timers.every(DEATH_CHECK_PERIOD_MS, () => { if (directory.isDead(start) && pulse.isSilent()) limit.cut() })
+    ? context.timers.every(DEATH_CHECK_PERIOD_MS, () => { if (pulse.isSilent() && directory.isDead(start) && !directory.isLeaving(start)) limit.cut() })
     : () => {}
   let isPending = true
   let startedMs = 0
