Go on with links and records after a part that they told has thrown

A router's link to an agent was not opened again after a handler of its opening or loss threw, so its engine got no loads from this router; software versions and leavings were not recorded any more.

The loops now report what they told threw (unexpectedFault) and go on. Three new tests, red before (the link never came back; 0 records written for 1, twice), green now.

--- a/packages/gateway/src/agents/createAgentLink.ts
+++ b/packages/gateway/src/agents/createAgentLink.ts
@@ -1,4 +1,4 @@
-import { runInBackground, sleep } from '@figmount/base'
+import { runInBackground, runSafely, sleep } from '@figmount/base'
 import { HEARTBEAT_MS, openLink, packMessage, serveMessages } from '@figmount/peers'
 
 import { GatewayEvent } from '../events.js'
@@ -104,12 +104,12 @@
     link = open
     isNew = true
     events.emit(GatewayEvent.agentFound, { peer: agentAddress })
-    handlers.found(serverAddress)
+    runSafely(events, 'agents.found', agentAddress, () => handlers.found(serverAddress))
     await serveMessages(open, events, take)
     link = undefined
     state = undefined
     settleAll('the agent does not answer')
-    handlers.lost(serverAddress)
+    runSafely(events, 'agents.lost', agentAddress, () => handlers.lost(serverAddress))
     events.emit(GatewayEvent.agentLost, { peer: agentAddress })
   }
 
--- a/packages/gateway/src/agents/createAgentLinks.test.ts
+++ b/packages/gateway/src/agents/createAgentLinks.test.ts
@@ -68,6 +68,7 @@
     links,
     receivedTypes,
     openedCount: () => toRouters.length,
+    closeLinks: () => { for (const link of toRouters) link.close('test') },
     sendOdd: (message: object) => { for (const link of toRouters) link.send(message as AgentMessage) },
     sendState: () => { for (const link of toRouters) link.send(makeAgentState('a')) },
     sendListRead: () => { for (const link of toRouters) link.send({ type: 'listRead', fromOffset: 0, toOffset: 1, records: [], ageMs: 0, answeredForMs: 0, isAfterBreak: false }) },
@@ -120,6 +121,20 @@
     expect(staleFlags).to.deep.equal([false, true])
   })
 
+  it('are opened again after handlers that failed', async () => {
+    // Guards against an agent that a router never reaches again.
+    const fail = (): void => { throw new RangeError('odd') }
+    const { links, openedCount, sendState, closeLinks, close } = await setUpAgent({ found: fail, lost: fail })
+    await until(() => links.find(ADDRESS)?.isOpen() ?? false)
+    closeLinks()
+    await until(() => openedCount() === 2)
+    await until(() => {
+      sendState()
+      return links.isReady()
+    })
+    close()
+  })
+
   it('end a want in time when the agent stops answering', async () => {
     // Guards against waits that end after their callers have left.
     const { timers, links, receivedTypes, close } = await setUpAgent()
--- a/packages/gateway/src/leavings/createLeavingFeed.test.ts
+++ b/packages/gateway/src/leavings/createLeavingFeed.test.ts
@@ -6,7 +6,7 @@
 import { createLeavings } from './createLeavings.js'
 
 import type { InstanceName } from '@figmount/base'
-import type { NewRecord } from '@figmount/fleet'
+import type { NewRecord, WritableFeed } from '@figmount/fleet'
 import type { LeftStart } from './types.js'
 
 const STEP_MS = 10
@@ -20,11 +20,11 @@
   const timers = createVirtualTimers()
   const feed = createLeaseFeed(timers)
 
-  const join = () => {
+  const join = (own: WritableFeed = feed) => {
     const leavings = createLeavings(timers)
     let hasRead = false
     const { firstRead, stop } = createLeavingFeed({
-      feed,
+      feed: own,
       timers,
       events: createEventLog({ instance: 'r' as InstanceName, role: 'router', timers, writeLine: () => {} }),
       leavings,
@@ -71,6 +71,24 @@
     second.stop()
   })
 
+  it('is written although an earlier write failed in an unexpected way', async () => {
+    // Guards against leavings that are never recorded again.
+    const { feed, join, pass, appendCount } = setUp()
+    let isOdd = true
+    const append: typeof feed.append = (...call) => {
+      if (isOdd) throw new RangeError('odd')
+      return feed.append(...call)
+    }
+    const router = join({ ...feed, append })
+    await pass(100)
+    router.leavings.note(left('a'))
+    await pass(1_000)
+    isOdd = false
+    await pass(2_000)
+    expect(appendCount()).to.equal(1)
+    router.stop()
+  })
+
   it('is written once however many routers note it, and reaches those that have not', async () => {
     const { join, pass, appendCount } = setUp()
     const routers = [join(), join(), join()]
--- a/packages/gateway/src/leavings/createLeavingFeed.ts
+++ b/packages/gateway/src/leavings/createLeavingFeed.ts
@@ -1,4 +1,4 @@
-import { runInBackground, sleep } from '@figmount/base'
+import { runInBackground, runTaskSafely, sleep } from '@figmount/base'
 import { createFeedFollower, LONG_POLL_MS, spreadWriteMs } from '@figmount/fleet'
 
 import { decodeLeft, encodeLeft } from './leavingRecords.js'
@@ -69,17 +69,20 @@
 
   const append = async (records: readonly NewRecord[]): Promise<boolean> => (await feed.append(records, undefined, APPEND_TIMEOUT_MS).run()).isRight()
 
+  const writeOnce = async (): Promise<void> => {
+    const unrecorded = listUnrecorded()
+    if (unrecorded.length === 0 || stopping.signal.aborted) return
+    if (!await append(unrecorded.map(encodeLeft))) return await sleep(timers, RETRY_MS, stopping.signal)
+    for (const left of unrecorded) recorded.set(left.serverId, left)
+  }
+
   /** Writes until all is recorded. What others write meanwhile is left out. */
   const write = async (): Promise<void> => {
     if (isWriting) return
     isWriting = true
     while (!stopping.signal.aborted && listUnrecorded().length > 0) {
       await sleep(timers, spreadWriteMs(routerCount(), MAX_SPREAD_MS, random()), stopping.signal)
-      const unrecorded = listUnrecorded()
-      if (unrecorded.length === 0 || stopping.signal.aborted) break
-      if (await append(unrecorded.map(encodeLeft))) {
-        for (const left of unrecorded) recorded.set(left.serverId, left)
-      } else await sleep(timers, RETRY_MS, stopping.signal)
+      if (!await runTaskSafely(events, 'leavings.write', '', writeOnce)) await sleep(timers, RETRY_MS, stopping.signal)
     }
     isWriting = false
   }
--- a/packages/gateway/src/origins/createVersionRecorder.test.ts
+++ b/packages/gateway/src/origins/createVersionRecorder.test.ts
@@ -19,14 +19,24 @@
   const restored = new Set<() => void>()
   let listed = versionsOf('v1')
 
-  const join = () => {
+  const join = (fails: { readonly take?: boolean, readonly listOnce?: boolean } = {}) => {
+    let listFailsNext = fails.listOnce
     const recorded: RecordedVersions[][] = []
     const stop = createVersionRecorder({
       feed,
       timers,
       events,
-      versions: () => [listed],
-      takeRecorded: taken => { recorded.push([...taken]) },
+      versions: () => {
+        if (listFailsNext) {
+          listFailsNext = false
+          throw new RangeError('odd')
+        }
+        return [listed]
+      },
+      takeRecorded: taken => {
+        if (fails.take) throw new RangeError('odd')
+        recorded.push([...taken])
+      },
       routerCount: () => 4,
       onRestored: listener => {
         restored.add(listener)
@@ -75,6 +85,17 @@
     second.stop()
   })
 
+  it('is written by a router whose other parts have failed on it', async () => {
+    // Guards against versions that are never recorded again, and streams of two versions that are joined after a kill of all.
+    for (const fails of [{ take: true }, { listOnce: true }]) {
+      const { join, pass, appendCount } = setUp()
+      const router = join(fails)
+      await pass(2_000)
+      expect(appendCount()).to.equal(1)
+      router.stop()
+    }
+  })
+
   it('is read and written once the store answers', async () => {
     // Guards against a router that takes no answer for an empty record.
     const { feed, join, pass, appendCount } = setUp()
--- a/packages/gateway/src/origins/createVersionRecorder.ts
+++ b/packages/gateway/src/origins/createVersionRecorder.ts
@@ -1,4 +1,4 @@
-import { runInBackground, sleep } from '@figmount/base'
+import { runInBackground, runSafely, runTaskSafely, sleep } from '@figmount/base'
 import { spreadWriteMs } from '@figmount/fleet'
 
 import { decodeVersions, encodeVersions, sayTheSame } from './versionRecords.js'
@@ -68,7 +68,8 @@
 
   const pause = async (durationMs: number): Promise<void> => { await sleep(timers, durationMs, stopping.signal) }
 
-  const record = async (): Promise<void> => {
+  const review = async (): Promise<void> => {
+    if (listChanged().length === 0) return
     await pause(spreadWriteMs(routerCount(), MAX_SPREAD_MS, random()))
     const isDone = await read() && await write()
     if (!isDone) await pause(RETRY_MS)
@@ -77,9 +78,9 @@
   const run = async (): Promise<void> => {
     while (!stopping.signal.aborted && !await read()) await pause(RETRY_MS)
     if (stopping.signal.aborted) return
-    takeRecorded([...recorded.values()])
+    runSafely(events, 'origins.takeRecorded', '', () => takeRecorded([...recorded.values()]))
     while (!stopping.signal.aborted) {
-      if (listChanged().length > 0) await record()
+      await runTaskSafely(events, 'origins.recordVersions', '', review)
       await pause(REVIEW_MS)
     }
   }
