--- a/packages/gateway/src/forwarding/readAnswer.ts
+++ b/packages/gateway/src/forwarding/readAnswer.ts
@@ -1,5 +1,5 @@
 import { Left, Right } from 'purify-ts'
-import { makeFault } from '@figmount/base'
+import { createByteStore, hasTinyChunks, makeFault } from '@figmount/base'
 
 import { FREE_BYTES } from '../memory/constants.js'
 import { MAX_ANSWER_BYTES } from './constants.js'
@@ -35,8 +35,8 @@
 export const readAnswer = async (open: OpenAnswer, { serverId, signal, reserve }: Options): Promise<Either<Fault, ReadAnswer>> =>
   await new Promise(resolve => {
     const { message, guard, abort } = open
-    const chunks: Buffer[] = []
-    let byteCount = 0
+    const received = createByteStore()
+    let chunkCount = 0
     let hold: Hold | undefined
     let isOver = false
 
@@ -48,7 +48,7 @@
       resolve(result)
     }
     const fail = (reason: string): void => {
-      chunks.length = 0
+      received.clear()
       finish(Left(makeFault('unavailable', STEP, serverId, reason)))
     }
     const giveUp = (): void => fail('given up')
@@ -68,17 +68,19 @@
     if (signal.aborted) giveUp()
     message.on('data', guard((chunk: Buffer) => {
       if (isOver) return
-      byteCount += chunk.length
+      chunkCount += 1
+      const byteCount = received.byteCount() + chunk.length
       if (byteCount > MAX_ANSWER_BYTES) return failAndAbort(`answer of over ${MAX_ANSWER_BYTES} bytes`)
-      chunks.push(chunk)
+      if (hasTinyChunks(byteCount, chunkCount)) return failAndAbort('answer in too many short chunks')
+      received.append(chunk)
       hold?.moved()
       if (!hold && byteCount > FREE_BYTES) awaitRoom()
     }))
     message.on('end', guard(() => {
       const end = bytesEndOf(open)
       if (end === BytesEnd.BrokenOff) return fail('answer broke off')
-      hold?.shrink(byteCount)
-      finish(Right({ body: Buffer.concat(chunks), end, hold }))
+      hold?.shrink(received.byteCount())
+      finish(Right({ body: received.take(), end, hold }))
     }))
     message.on('error', guard((error: Error) => fail(error.message)))
     message.on('close', guard(() => fail('connection closed')))
--- a/packages/gateway/src/ingress/readBody.ts
+++ b/packages/gateway/src/ingress/readBody.ts
@@ -1,3 +1,5 @@
+import { createByteStore } from '@figmount/base'
+
 import type { IncomingMessage } from 'node:http'
 import type { Stop } from '../stopping/types.js'
 
@@ -15,19 +17,14 @@
  */
 export const readBody = async (message: IncomingMessage, maxBytes: number, stop: Stop): Promise<BodyRead> =>
   await new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let byteCount = 0
+    const received = createByteStore()
     const unsubscribe = stop.onEnded(() => resolve({ type: 'stopped' }))
     message.on('data', (chunk: Buffer) => {
-      byteCount += chunk.length
-      if (byteCount <= maxBytes) {
-        chunks.push(chunk)
-        return
-      }
+      if (received.byteCount() + chunk.length <= maxBytes) return received.append(chunk)
       message.pause()
       resolve({ type: 'tooLarge' })
     })
-    message.on('end', () => resolve({ type: 'whole', body: Buffer.concat(chunks) }))
+    message.on('end', () => resolve({ type: 'whole', body: received.take() }))
     message.on('error', () => resolve({ type: 'brokenOff' }))
     message.on('close', () => {
       unsubscribe()
--- a/packages/gateway/src/streams/createEventSplitter.ts
+++ b/packages/gateway/src/streams/createEventSplitter.ts
@@ -1,4 +1,5 @@
-import { createByteStore } from './createByteStore.js'
+import { createByteStore } from '@figmount/base'
+
 import { unfinishedBytes } from './unfinishedBytes.js'
 import { MAX_EVENT_BYTES, MAX_EVENT_CHUNKS, SHORT_EVENT_BYTES } from './constants.js'
 
@@ -35,7 +36,7 @@
 
 /** Creates a splitter for one `text/event-stream` body. Each byte is looked at once, and copied a bounded number of times. */
 export const createEventSplitter = (): EventSplitter => {
-  const pending = createByteStore()
+  const pending = createByteStore(unfinishedBytes.add)
   let chunkCount = 0
   let lineBytes = 0
   let lastByte: number | undefined
