Bound callers' bodies together, by their requests' time and by their chunks

Bodies over 32 KB share 64 MB a process; one that finds no room is refused at once as not run, with a time to come back, which is true, as nothing of it was sent. A body whose request's time is up is refused, too. One that comes in over 4,096 chunks of under 8 bytes on the mean is answered 413. Behind each of these the connection is closed, so that nothing more is read of it.

--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -3,13 +3,14 @@
 
 import { shortHash } from '../crashes/shortHash.js'
 import { GatewayEvent } from '../events.js'
-import { STOPPING_REASON, STOPPING_RETRY_MS, NO_DEPLOYMENT_RETRY_MS } from '../requests/constants.js'
+import { STOPPING_REASON, STOPPING_RETRY_MS, NO_DEPLOYMENT_RETRY_MS, OVERLOAD_RETRY_MS, REJECTED_RETRY_MS } from '../requests/constants.js'
 import { organisationOf, isKeyRequired, unitsOf } from '../limits/organisationOf.js'
 import { takeQuota } from '../limits/takeQuota.js'
 import { Status } from '../requests/endRequest.js'
 import { serveModel } from '../requests/serveModel.js'
 import { servePlain } from '../requests/servePlain.js'
 import { onceClosed } from './onceClosed.js'
+import { MAX_BODY_MS } from './constants.js'
 import { readBody } from './readBody.js'
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -113,7 +114,11 @@
   const limits = context.deployment()?.limits
   const isHeadTooLong = limits !== undefined && headerBytesOf(message) > limits.headerBytes
   // Read while it waits: Node notices that a caller has left only while it reads the connection.
-  const reading = isHeadTooLong ? undefined : readBody(message, limits?.bodyBytes ?? Infinity, context.stop)
+  const decoded = context.codec.decodeRequest(message.rawHeaders)
+  const leftMs = decoded.map(({ deadlineMs = MAX_BODY_MS }) => Math.min(deadlineMs, MAX_BODY_MS)).orDefault(MAX_BODY_MS)
+  const share = context.bodyRoom.open()
+  onceClosed(message, response, share.end)
+  const reading = isHeadTooLong ? undefined : readBody(message, { maxBytes: limits?.bodyBytes ?? Infinity, leftMs, share, stop: context.stop, timers: context.timers })
   if (!await turn) {
     context.metrics.count('requests_never_run_total')
     return
@@ -121,10 +126,14 @@
   if (!reading) return reject(context, response, Status.HeadersTooLarge, 'headers too large')
   const read = await reading
   if (read.type === 'brokenOff') return
+  // What is left of the body is not read any more.
+  if (read.type !== 'whole' && read.type !== 'stopped') response.shouldKeepAlive = false
   if (read.type === 'tooLarge') return reject(context, response, Status.TooLarge, 'body too large')
-  const decoded = context.codec.decodeRequest(message.rawHeaders)
+  if (read.type === 'tinyChunks') return reject(context, response, Status.TooLarge, 'body in too many short chunks')
   if (decoded.isLeft()) return reject(context, response, Status.BadRequest, decoded.swap().unsafeCoerce().message)
   const caller = decoded.unsafeCoerce()
+  if (read.type === 'noRoom') return refuseUnrouted(context, response, caller.requestId, 'no room for its body', OVERLOAD_RETRY_MS)
+  if (read.type === 'late') return refuseUnrouted(context, response, caller.requestId, 'its body did not come in time', REJECTED_RETRY_MS)
   if (read.type === 'stopped' || context.stop.isClosing()) return refuseUnrouted(context, response, caller.requestId, STOPPING_REASON, STOPPING_RETRY_MS)
   const deployment = context.deployment()
   if (!deployment || !context.directory.hasList()) return refuseUnrouted(context, response, caller.requestId, 'no deployment known yet', NO_DEPLOYMENT_RETRY_MS)
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -18,6 +18,7 @@
 import type { PendingRuns } from '../crashes/createPendingRuns.js'
 import type { CrashNotifier } from '../crashes/createCrashNotifier.js'
 import type { PartGuard } from '../crashes/createPartGuard.js'
+import type { BodyRoom } from '../memory/createBodyRoom.js'
 import type { HeldBytes } from '../memory/createHeldBytes.js'
 import type { LifeChecks } from '../ends/createLifeChecks.js'
 import type { StreamOrigins } from '../origins/createStreamOrigins.js'
@@ -46,6 +47,7 @@
   readonly breakWatch: BreakWatch
   readonly lifeChecks: LifeChecks
   readonly heldBytes: HeldBytes
+  readonly bodyRoom: BodyRoom
   readonly pendingRuns: PendingRuns
   readonly serverLimits: ServerLimits
   readonly origins: StreamOrigins
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -20,6 +20,7 @@
 import { serveReadiness } from '../ingress/serveReadiness.js'
 import { startIngress } from '../ingress/startIngress.js'
 import { takeRequest } from '../ingress/takeRequest.js'
+import { createBodyRoom } from '../memory/createBodyRoom.js'
 import { createHeldBytes } from '../memory/createHeldBytes.js'
 import { createQuotas } from '../limits/createQuotas.js'
 import { createRouterCount } from '../limits/createRouterCount.js'
@@ -283,6 +284,7 @@
     breakWatch,
     lifeChecks: createLifeChecks(probe),
     heldBytes: createHeldBytes({ timers, events, metrics }),
+    bodyRoom: createBodyRoom(),
     pendingRuns: createPendingRuns(timers),
     queueScaler: createQueueScaler(timers),
     coldLoads,
