--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -9,11 +9,12 @@
 import { Status } from '../requests/endRequest.js'
 import { serveModel } from '../requests/serveModel.js'
 import { servePlain } from '../requests/servePlain.js'
-import { onceClosed } from './onceClosed.js'
 import { MAX_BODY_MS } from './constants.js'
+import { onceClosed } from './onceClosed.js'
 import { readBody } from './readBody.js'
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { BodyShare } from '../memory/createBodyRoom.js'
 import type { CallerRequest, Deployment, Organisation, RequestIdentity, Route } from '@figmount/fleet'
 import type { GatewayContext, RoutedRequest } from '../requests/types.js'
 
@@ -54,9 +55,10 @@
   response.end()
 }
 
-const watchCallerLeft = (message: IncomingMessage, response: ServerResponse): AbortSignal => {
+const watchCallerLeft = (message: IncomingMessage, response: ServerResponse, share: BodyShare): AbortSignal => {
   const leaving = new AbortController()
   onceClosed(message, response, () => {
+    share.end()
     if (!response.writableFinished) leaving.abort()
   })
   return leaving.signal
@@ -110,14 +112,13 @@
 /** Takes one request from a caller and answers it when its turn on its connection has come; its time counts from its arrival. */
 export const takeRequest = async (context: GatewayContext, message: IncomingMessage, response: ServerResponse, turn: Promise<boolean>): Promise<void> => {
   const arrivedMs = context.timers.nowMs()
-  const callerLeft = watchCallerLeft(message, response)
+  const share = context.bodyRoom.open()
+  const callerLeft = watchCallerLeft(message, response, share)
   const limits = context.deployment()?.limits
   const isHeadTooLong = limits !== undefined && headerBytesOf(message) > limits.headerBytes
-  // Read while it waits: Node notices that a caller has left only while it reads the connection.
   const decoded = context.codec.decodeRequest(message.rawHeaders)
   const leftMs = decoded.map(({ deadlineMs = MAX_BODY_MS }) => Math.min(deadlineMs, MAX_BODY_MS)).orDefault(MAX_BODY_MS)
-  const share = context.bodyRoom.open()
-  onceClosed(message, response, share.end)
+  // Read while it waits: Node notices that a caller has left only while it reads the connection.
   const reading = isHeadTooLong ? undefined : readBody(message, { maxBytes: limits?.bodyBytes ?? Infinity, leftMs, share, stop: context.stop, timers: context.timers })
   if (!await turn) {
     context.metrics.count('requests_never_run_total')
