--- a/packages/gateway/src/forwarding/createConnectionPool.ts
+++ b/packages/gateway/src/forwarding/createConnectionPool.ts
@@ -1,5 +1,4 @@
 import { Agent } from 'node:http'
-
 import { closeOnIdleBytes, expectBytes } from '@figmount/base'
 import { startKeyOf } from '@figmount/fleet'
 
