Report what a step or a task throws by one function

Measured: lint and types clean, 49 unit tests of links, feeds, records and the engine's watch green.

--- a/packages/base/src/tasks/runSafely.ts
+++ b/packages/base/src/tasks/runSafely.ts
@@ -1,5 +1,4 @@
-import { faultFrom } from '../errors/makeFault.js'
-import { BaseEvent } from '../events/catalogue.js'
+import { reportThrown } from './reportThrown.js'
 
 import type { EventLog } from '../events/types.js'
 
@@ -9,7 +8,7 @@
     run()
     return true
   } catch (error) {
-    events.emit(BaseEvent.unexpectedFault, { step, peer, reason: faultFrom(step, peer)(error).message })
+    reportThrown(events, step, peer, error)
     return false
   }
 }
