Look again at a rest after the wait for an adapter

Cause: serveModel chose the engine, waited for its adapter, and sent the request without asking again whether the engine had turned requests away with a wish for rest meanwhile.

--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -103,6 +103,8 @@
       continue
     }
     if (request.callerLeft.aborted) return giveUp('the caller left', REJECTED_RETRY_MS)
+    // Guards against all callers of an adapter being sent to an engine that has asked for rest while they waited.
+    if (wait && context.serverLimits.isResting(start)) continue
     if (sendCount > 0 && !retry) {
       const granted = await awaitRetry(context, request, { start, sendCount, leftMs: () => Math.min(callerLeavesMs(), lastSendMs()) - timers.nowMs() })
       retry = granted.retry
