--- a/packages/decisions/src/queueing/constants.ts
+++ b/packages/decisions/src/queueing/constants.ts
@@ -15,8 +15,8 @@
   lengthWeightMs: 30,
   /**
    * Delay of the virtual arrival per token that the caller, or its tenant, was served recently; equal to `lengthWeightMs`.
-   * At 5, a caller that sends too much slows down the others (their p99 is 5.4 s instead of 2.4 s). At 60 and more, the age of a
-   * request no longer outweighs a small difference in served tokens, and short requests wait a third longer.
+   * Much less, and a caller that sends too much slows down the others; twice as much, and the age of a request no longer outweighs a
+   * small difference in served tokens.
    */
   servedWeightMs: 30,
   /** Served tokens are rescaled when the growing weight of new ones reaches two to this power. */
--- a/packages/records/src/proposals/findCandidates.ts
+++ b/packages/records/src/proposals/findCandidates.ts
@@ -9,8 +9,8 @@
   for (const { name, leaving, stopping } of instances) {
     const agent = state.agents.get(name)
     // Guards against rights that oscillate: a stopping agent releases its rights and then has the least promised memory,
-    // so a proposer whose list is a second old granted them to it again, twenty times a second. The last grant arrived after
-    // the agent's exit and needed a void; a caller waited 48 s. The agent's own announcement is never that late.
+    // so a proposer with an old list granted them to it again and again, and the last grant, after the agent's exit, needed a void.
+    // The agent's own announcement is never that late.
     if (leaving || stopping || !agent || agent.gone || agent.draining) continue
     for (const service of agent.services) {
       const group = candidates.get(service)
--- a/packages/records/src/rights/keysProtocol.test.ts
+++ b/packages/records/src/rights/keysProtocol.test.ts
@@ -48,7 +48,7 @@
   })
 
   it('permits a key only once if its timestamp is at the upper bound and its holder releases the right', () => {
-    // Found by the search with seed 815, run 1084. A caller's clock is 4 s ahead and the holder's is 2 s
+    // Found by the search (seed 815, run 1084): a caller's clock is 4 s ahead and the holder's is 2 s
     // ahead, so the key is accepted; in the same millisecond the holder releases the right. The caller
     // resends, and the next holder must not treat the key as issued within its own tenure.
     const steps: ReadonlyArray<readonly [KeysStep['kind'], number, number]> = [
