Judge the length and the chunks of a body in one place

Change: createBodyStore (base) counts its chunks and says what would be wrong with the body if it had the next one; hasTinyChunks lies in it. Bounds, order of the checks and reasons are as before. The event splitter keeps its own count: its bound is another one.

--- a/packages/gateway/src/forwarding/readAnswer.ts
+++ b/packages/gateway/src/forwarding/readAnswer.ts
@@ -1,17 +1,22 @@
 import { Left, Right } from 'purify-ts'
-import { createByteStore, hasTinyChunks, makeFault } from '@figmount/base'
+import { createBodyStore, makeFault } from '@figmount/base'
 
 import { FREE_BYTES } from '../memory/constants.js'
 import { MAX_ANSWER_BYTES } from './constants.js'
 import { BytesEnd, bytesEndOf } from './framing.js'
 
 import type { Either } from 'purify-ts'
-import type { Fault } from '@figmount/base'
+import type { BodyFlaw, Fault } from '@figmount/base'
 import type { Hold } from '../memory/createHeldBytes.js'
 import type { OpenAnswer } from './types.js'
 
 const STEP = 'forwarding.readWhole'
 
+const FLAW_REASONS: Readonly<Record<BodyFlaw, string>> = {
+  tooLarge: `answer of over ${MAX_ANSWER_BYTES} bytes`,
+  tinyChunks: 'answer in too many short chunks'
+}
+
 /** An answer that was read to its end. */
 export interface ReadAnswer {
   readonly body: Buffer
@@ -35,8 +40,7 @@
 export const readAnswer = async (open: OpenAnswer, { serverId, signal, reserve }: Options): Promise<Either<Fault, ReadAnswer>> =>
   await new Promise(resolve => {
     const { message, guard, abort } = open
-    const received = createByteStore()
-    let chunkCount = 0
+    const received = createBodyStore(MAX_ANSWER_BYTES)
     let hold: Hold | undefined
     let isOver = false
 
@@ -68,13 +72,11 @@
     if (signal.aborted) giveUp()
     message.on('data', guard((chunk: Buffer) => {
       if (isOver) return
-      chunkCount += 1
-      const byteCount = received.byteCount() + chunk.length
-      if (byteCount > MAX_ANSWER_BYTES) return failAndAbort(`answer of over ${MAX_ANSWER_BYTES} bytes`)
-      if (hasTinyChunks(byteCount, chunkCount)) return failAndAbort('answer in too many short chunks')
+      const flaw = received.flawWith(chunk)
+      if (flaw) return failAndAbort(FLAW_REASONS[flaw])
       received.append(chunk)
       hold?.moved()
-      if (!hold && byteCount > FREE_BYTES) awaitRoom()
+      if (!hold && received.byteCount() > FREE_BYTES) awaitRoom()
     }))
     message.on('end', guard(() => {
       const end = bytesEndOf(open)
--- a/packages/gateway/src/ingress/readBody.ts
+++ b/packages/gateway/src/ingress/readBody.ts
@@ -1,9 +1,9 @@
-import { createByteStore, hasTinyChunks } from '@figmount/base'
+import { createBodyStore } from '@figmount/base'
 
 import { FREE_BODY_BYTES } from '../memory/constants.js'
 
 import type { IncomingMessage } from 'node:http'
-import type { TimerService } from '@figmount/base'
+import type { BodyFlaw, TimerService } from '@figmount/base'
 import type { BodyShare } from '../memory/createBodyRoom.js'
 import type { Stop } from '../stopping/types.js'
 
@@ -36,8 +36,7 @@
  */
 export const readBody = async (message: IncomingMessage, { maxBytes, leftMs, share, stop, timers }: Options): Promise<BodyRead> =>
   await new Promise(resolve => {
-    const received = createByteStore(share.note)
-    let chunkCount = 0
+    const received = createBodyStore(maxBytes, share.note)
     let isOver = false
     let unsubscribe = (): void => {}
 
@@ -49,7 +48,7 @@
       if (read.type !== 'whole') received.clear()
       resolve(read)
     }
-    const giveUp = (type: 'tooLarge' | 'tinyChunks' | 'noRoom' | 'late'): void => {
+    const giveUp = (type: BodyFlaw | 'noRoom' | 'late'): void => {
       message.pause()
       finish({ type })
     }
@@ -58,11 +57,9 @@
 
     message.on('data', (chunk: Buffer) => {
       if (isOver) return
-      chunkCount += 1
-      const byteCount = received.byteCount() + chunk.length
-      if (byteCount > maxBytes) return giveUp('tooLarge')
-      if (hasTinyChunks(byteCount, chunkCount)) return giveUp('tinyChunks')
-      if (byteCount > FREE_BODY_BYTES && share.isFull()) return giveUp('noRoom')
+      const flaw = received.flawWith(chunk)
+      if (flaw) return giveUp(flaw)
+      if (received.byteCount() + chunk.length > FREE_BODY_BYTES && share.isFull()) return giveUp('noRoom')
       received.append(chunk)
     })
     message.on('end', () => {
