Log how late a process reads, and whether a caller had left before its send

Event 1017 and late_ms_total tell how late a process's timers run; 2508 has sentForMs if a server had the request, and requests_left_unsent_total counts the others. No decision changes.

--- a/packages/base/src/binary/runBinary.ts
+++ b/packages/base/src/binary/runBinary.ts
@@ -5,6 +5,7 @@
 import { watchMemory } from '../metrics/watchMemory.js'
 import { describeSettingsFault, loadSettings } from '../settings/loadSettings.js'
 import { createStandstillWatch } from '../timers/createStandstillWatch.js'
+import { watchLateness } from '../timers/watchLateness.js'
 import { createTimerService } from '../timers/createTimerService.js'
 import { keepProcessAlive } from '../timers/keepProcessAlive.js'
 import { readArguments } from './readArguments.js'
@@ -101,6 +102,7 @@
   }
   surviveUncaught({ events, metrics, hasStarted: () => hasStarted, endStart })
   watchMemory(timers, events, metrics)
+  watchLateness(timers, events, metrics)
   createStandstillWatch(timers, durationMs => { events.emit(BaseEvent.processStoodStill, { durationMs: Math.round(durationMs) }) })
   try {
     const stopAsked = waitForStop()
--- a/packages/base/src/events/catalogue.ts
+++ b/packages/base/src/events/catalogue.ts
@@ -17,5 +17,6 @@
   memoryGrown: [1013, 'the process holds more memory than ever before'],
   addressAwaited: [1014, 'another process holds an address: the process waits for it'],
   addressTaken: [1015, 'an address that was held is free: the process listens on it'],
-  recordsBounded: [1016, 'a topic of the store holds more than a process can: what is beyond the bound is not taken']
+  recordsBounded: [1016, 'a topic of the store holds more than a process can: what is beyond the bound is not taken'],
+  processLate: [1017, 'the timers of the process run late: what arrives at its connections is read as late']
 })
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -9,7 +9,7 @@
   requestFailed: [2505, 'a request ended without an answer and may have run'],
   requestRepeated: [2506, 'a request is retried on another backend server, or on the same one'],
   streamResumed: [2507, 'a stream is resumed on another backend server'],
-  requestLeft: [2508, 'the caller left before the end'],
+  requestLeft: [2508, 'the caller left before the end: since when a server had its request, if one had it'],
   modelAwaited: [2509, 'a request waits for a model or an adapter that an agent was asked to load'],
   serverTaken: [2510, 'a backend server was added and may get requests'],
   serverLeft: [2511, 'a backend server was removed and gets no more requests'],
--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -155,8 +155,11 @@
   })
 }
 
-/** Logs that the caller left. */
-export const noteCallerLeft = (context: GatewayContext, request: RoutedRequest): void => {
+/** Logs that the caller left. `sentForMs`: time since the last send to a server that still had the request; undefined if none had it. */
+export const noteCallerLeft = (context: GatewayContext, request: RoutedRequest, sentForMs?: number): void => {
   context.metrics.count('requests_left_total')
-  context.events.emit(GatewayEvent.requestLeft, { requestKey: request.caller.requestId, waitMs: elapsedMs(context, request) })
+  if (sentForMs === undefined) context.metrics.count('requests_left_unsent_total')
+  context.events.emit(GatewayEvent.requestLeft, {
+    requestKey: request.caller.requestId, waitMs: elapsedMs(context, request), ...(sentForMs === undefined ? {} : { sentForMs: Math.round(sentForMs) })
+  })
 }
--- a/packages/gateway/src/requests/serveModel.ts
+++ b/packages/gateway/src/requests/serveModel.ts
@@ -126,7 +126,7 @@
     const wasAborted = request.callerLeft.aborted || timers.nowMs() >= request.untilMs || stop.isEnded()
     if (end.type === 'broken') noteBroken(context, request, serverId, end.reason, timers.nowMs() - sentMs)
     if (end.type === 'broken') watchCrash(context, request, choice.server, run, wasAborted)
-    if (request.callerLeft.aborted) return noteCallerLeft(context, request)
+    if (request.callerLeft.aborted) return noteCallerLeft(context, request, end.type === 'notRun' ? undefined : timers.nowMs() - sentMs)
     // A server that wants rest may be asked again after it.
     if (end.type !== 'notRun' || !context.serverLimits.isResting(start)) excludedStarts.add(startKeyOf(start))
     if (end.type === 'notRun') {
--- a/packages/gateway/src/requests/servePlain.ts
+++ b/packages/gateway/src/requests/servePlain.ts
@@ -213,7 +213,7 @@
     retry = undefined
     const { end } = attempt
     const verdict = end.type === 'broken' ? watchBroken(context, request, server, end.reason, attempt) : undefined
-    if (request.callerLeft.aborted) return noteCallerLeft(context, request)
+    if (request.callerLeft.aborted) return noteCallerLeft(context, request, end.type === 'notSent' ? undefined : attempt.waitedMs)
     if (end.type === 'answered') return stop.answers.note(request, attempt.waitedMs)
     if (end.type === 'notRun' || end.type === 'notSent') {
       rejectionCount += 1
