Send no request before its connection has been read again

A late router reads a request and sent it in the same turn of the event loop, while the end of its connection lay behind it in the system's buffer; new connections are also taken up one a turn, so each of them was sent first and cut a turn later.

One mechanism for every send: openExchange passes the read barrier, which resolves once all connections have been polled after the call, and once more where the connection to the server had to be opened.

--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -53,6 +53,8 @@
   readonly durationMs?: number
   readonly waitMs?: number
   readonly retryAfterMs?: number
+  /** Time that the process took before a send to read what had arrived at its connections. */
+  readonly readWaitMs?: number
   /** Time since a request's last send to a server that still had it; left out if none had it. */
   readonly sentForMs?: number
   /** Age of the information on which a decision was based. */
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -25,6 +25,8 @@
 export { createLineWriter } from './logs/createLineWriter.js'
 export type { LineSink, LineWriter } from './logs/createLineWriter.js'
 export { closeOnIdleBytes, expectBytes } from './sockets/idleBytes.js'
+export { createReadBarrier } from './sockets/createReadBarrier.js'
+export type { ReadBarrier } from './sockets/createReadBarrier.js'
 export { listenWhenFree } from './sockets/listenWhenFree.js'
 export type { ListenContext } from './sockets/listenWhenFree.js'
 export { serveMetrics } from './metrics/serveMetrics.js'
--- /dev/null
+++ b/packages/base/src/sockets/createReadBarrier.test.ts
@@ -0,0 +1,69 @@
+import { createServer, connect } from 'node:net'
+import { once } from 'node:events'
+import { spawn } from 'node:child_process'
+import { expect } from 'chai'
+
+import { createReadBarrier } from './createReadBarrier.js'
+
+import type { AddressInfo, Socket } from 'node:net'
+
+const NEVER = new AbortController().signal
+
+/** Keeps the process from reading. */
+const standStill = (durationMs: number): void => {
+  const untilMs = performance.now() + durationMs
+  while (performance.now() < untilMs);
+}
+
+describe('the read barrier', () => {
+  it('passes after the ends of connections that lay unread behind their bytes', async () => {
+    // Guards against requests that are served before it is read that their callers have left.
+    const { pass } = createReadBarrier({ nowMs: () => performance.now() })
+    const left = new Set<Socket>()
+    const results: boolean[] = []
+    const server = createServer({ allowHalfOpen: true }, socket => {
+      socket.once('end', () => { left.add(socket) })
+      socket.once('data', () => { pass(NEVER).then(() => { results.push(left.has(socket)) }, () => {}) })
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const { port } = server.address() as AddressInfo
+    const leave = `const s = require('node:net').connect(${port}, '127.0.0.1', () => { s.end('x') })`
+    const callers = Array.from({ length: 5 }, () => spawn(process.execPath, ['-e', leave], { stdio: 'ignore' }))
+    standStill(1_000)
+    while (results.length < callers.length) await new Promise(resolve => { setTimeout(resolve, 10) })
+    for (const caller of callers) caller.kill()
+    expect(results).to.deep.equal([true, true, true, true, true])
+    server.close()
+  })
+
+  it('passes again for one that waits behind long work', async () => {
+    // Guards against a send whose caller left while those before it were sent.
+    let isLeft = false
+    const { pass } = createReadBarrier({ nowMs: () => performance.now() })
+    const server = createServer(socket => { socket.once('data', () => { isLeft = true }) })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const caller = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    await once(caller, 'connect')
+    await new Promise(resolve => { setTimeout(resolve, 20) })
+    const first = pass(NEVER).then(() => {
+      caller.write('x')
+      standStill(100)
+    })
+    const second = pass(NEVER).then(() => isLeft)
+    await first
+    expect(await second).to.equal(true)
+    caller.destroy()
+    server.close()
+  })
+
+  it('passes at the next turn for a signal that has aborted', async () => {
+    // Guards against a stop that waits for a busy process.
+    const ending = new AbortController()
+    ending.abort()
+    let nowMs = 0
+    const { pass } = createReadBarrier({ nowMs: () => { nowMs += 1_000; return nowMs } })
+    await pass(ending.signal)
+  })
+})
--- a/packages/gateway/src/forwarding/sendToServer.test.ts
+++ b/packages/gateway/src/forwarding/sendToServer.test.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events'
 import { maxHeaderSize } from 'node:http'
 import { createServer } from 'node:net'
-import { createTimerService, sleep } from '@figmount/base'
+import { createReadBarrier, createTimerService, sleep } from '@figmount/base'
 import { expect } from 'chai'
 
 import { createConnectionPool } from './createConnectionPool.js'
@@ -53,7 +53,7 @@
 
   const send = async (signal: AbortSignal, body = Buffer.from('wall'), mayBeInTransit = true): ReturnType<typeof sendToServer> => {
     const codec = { decodeAnswer: () => ({ requestId: '', serverId: SERVER_ID, isNotRun: false }) } as unknown as HeaderCodec
-    const context: SendContext = { pool, codec, timers, noteThrown: ({ message }) => { throw new Error(message) } }
+    const context: SendContext = { pool, codec, timers, reads: createReadBarrier(timers), noteThrown: ({ message }) => { throw new Error(message) } }
     const outbound: OutboundRequest = {
       requestId: `r${requestCount++}`,
       start: { serverId: SERVER_ID, startedAtUnixMs: undefined },
--- a/packages/gateway/src/forwarding/sendToServer.ts
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -10,7 +10,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Either } from 'purify-ts'
-import type { Fault, FaultKind, TimerService } from '@figmount/base'
+import type { Fault, FaultKind, ReadBarrier, TimerService } from '@figmount/base'
 import type { HeaderCodec } from '@figmount/fleet'
 import type { ConnectionPool } from './createConnectionPool.js'
 import type { OpenAnswer, OutboundRequest, SendFault } from './types.js'
@@ -20,6 +20,7 @@
   readonly pool: ConnectionPool
   readonly codec: HeaderCodec
   readonly timers: TimerService
+  readonly reads: ReadBarrier
   /** Takes what a listener on a server's bytes has thrown. */
   readonly noteThrown: (fault: Fault) => void
 }
@@ -33,9 +34,10 @@
 export const sendToServer = async (
   context: SendContext, outbound: OutboundRequest, signal: AbortSignal
 ): Promise<Either<SendFault, OpenAnswer>> => await new Promise(resolve => {
-  const { pool, codec, timers } = context
+  const { pool, codec, timers, reads } = context
   const [host = '', port = ''] = outbound.address.split(':')
   let isConnected = false
+  let isSent = false
   let hasHead = false
   let isSettled = false
   let answered: IncomingMessage | undefined
@@ -58,7 +60,7 @@
   // is destroyed already: its connection may serve the next one.
   const abort = (): void => {
     const { socket } = request
-    const isInTransit = !hasHead && !request.destroyed && outbound.mayBeInTransit()
+    const isInTransit = isSent && !hasHead && !request.destroyed && outbound.mayBeInTransit()
     if (isInTransit && socket && !socket.connecting) socket.resetAndDestroy()
     request.destroy()
   }
@@ -72,7 +74,7 @@
   }
 
   const fail = (kind: FaultKind, message: string): void => {
-    settle(Left({ fault: makeFault(kind, STEP, outbound.start.serverId, message), mayHaveRun: isConnected, isMismatched: false }))
+    settle(Left({ fault: makeFault(kind, STEP, outbound.start.serverId, message), mayHaveRun: isSent, isMismatched: false }))
     abort()
   }
 
@@ -96,16 +98,32 @@
     settle(Right({ message, answer, framing, socket, guard, wasReset, abort }))
   }
 
+  const write = (): void => {
+    if (isSettled) return
+    isSent = true
+    request.end(outbound.body.length > 0 ? outbound.body : undefined)
+  }
+
   const noteConnected = (): void => {
     isConnected = true
     stopConnectTimer()
   }
 
+  // Guards against a caller that leaves while the connection is opened: its request is written only then.
+  const writeWhenRead = (): void => {
+    noteConnected()
+    reads.pass(signal).then(guard(write), () => {})
+  }
+
   const takeSocket = (socket: Socket): void => {
     pool.noteUse(socket, outbound.requestId)
     socket.setNoDelay(true)
-    if (!socket.connecting) return noteConnected()
-    socket.once('connect', guard(noteConnected))
+    if (socket.connecting) {
+      socket.once('connect', guard(writeWhenRead))
+      return
+    }
+    noteConnected()
+    write()
   }
 
   // Guards against an instance that is off: connection attempts to it stay pending for minutes. Nothing was sent, so the request can go to
@@ -122,6 +140,5 @@
     fail('timeout', 'given up')
     abort()
   }, { once: true })
-  if (signal.aborted) return fail('timeout', 'given up')
-  request.end(outbound.body.length > 0 ? outbound.body : undefined)
+  if (signal.aborted) fail('timeout', 'given up')
 })
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -36,16 +36,23 @@
 export const openExchange = async (
   context: GatewayContext, request: RoutedRequest, server: KnownServer, lastEventId: string, retry: TakenRetry | undefined, signal: AbortSignal
 ): Promise<Either<SendFault, OpenAnswer>> => {
-  const { timers, codec, stop } = context
+  const { timers, codec, stop, reads } = context
+  const chosenMs = timers.nowMs()
+  await reads.pass(signal)
+  if (signal.aborted) {
+    retry?.noteArrival('none')
+    return Left({ fault: makeFault(FaultKind.Timeout, STEP, server.entry.serverId, 'given up before it was sent'), mayHaveRun: false, isMismatched: false })
+  }
   const sentMs = timers.nowMs()
   const leftMs = Math.max(1, Math.floor(request.untilMs - sentMs))
   const { serverId, address } = server.entry
   context.events.emit(GatewayEvent.requestSent, {
     requestKey: request.caller.requestId,
     peer: serverId,
-    ageMs: Math.round(Math.min(timers.nowMs() - server.stateAsOfMs, Number.MAX_SAFE_INTEGER)),
+    ageMs: Math.round(Math.min(sentMs - server.stateAsOfMs, Number.MAX_SAFE_INTEGER)),
     count: server.ownCount,
-    waitMs: Math.round(timers.nowMs() - request.arrivedMs),
+    waitMs: Math.round(sentMs - request.arrivedMs),
+    readWaitMs: Math.round(sentMs - chosenMs),
     ...(stop.isAsked() ? { stopEndsInMs: Math.round(stop.lastRetryMs() - sentMs) } : {}),
     ...(lastEventId === '' ? {} : { lastEventId })
   })
@@ -54,7 +61,7 @@
   const noteThrown = ({ step, message }: Fault): void => {
     context.events.emit(GatewayEvent.listenerThrew, { requestKey: request.caller.requestId, peer: serverId, step, reason: message })
   }
-  const sent = await sendToServer({ pool: context.pool, codec, timers, noteThrown }, {
+  const sent = await sendToServer({ pool: context.pool, codec, timers, reads, noteThrown }, {
     requestId: request.caller.requestId,
     start: server.start,
     address,
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http'
-import type { EventLog, Metrics, TimerService } from '@figmount/base'
+import type { EventLog, Metrics, ReadBarrier, TimerService } from '@figmount/base'
 import type { CallerRequest, CrashHistory, Deployment, HeaderCodec, Organisation, RawHeaders, RequestIdentity, Route } from '@figmount/fleet'
 import type { AgentLinks } from '../agents/createAgentLinks.js'
 import type { DemandMeter } from '../demand/createDemandMeter.js'
@@ -39,6 +39,8 @@
   readonly unmetModels: UnmetModels
   readonly refusedWants: RefusedWants
   readonly pool: ConnectionPool
+  /** Passed before each send to a server. */
+  readonly reads: ReadBarrier
   readonly budget: RetryBudget
   readonly quotas: Quotas
   readonly crashes: CrashHistory
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -1,4 +1,4 @@
-import { BaseEvent, countMessages } from '@figmount/base'
+import { BaseEvent, countMessages, createReadBarrier } from '@figmount/base'
 import { planFetch } from '@figmount/decisions'
 import { createCopyFetch, createCopySource, createCrashHistory, createPartHistory, findEngine, findModel, MESSAGE_STRUCTURES } from '@figmount/fleet'
 import { createMessageCodec, NO_OFFSET } from '@figmount/peers'
@@ -273,6 +273,7 @@
     unmetModels: createUnmetModels(timers),
     refusedWants,
     pool: createConnectionPool(),
+    reads: createReadBarrier(timers),
     budget: createRetryBudget({ limits: options.retryLimits, timers, metrics, membership }),
     crashes,
     quotas,
