Order nothing at an engine for callers that have left

The same cause in agents: an agent that stood still read a want and ordered an unload for it before it read, in the same bytes behind it, that the want had been dropped: a model in use was unloaded for nobody. An orderer with wants passes the read barrier before it plans, and again after the notice of an unload, and orders nothing if no want is left.

The test of a report that crosses an order waits for the order first, as it is no longer sent in the same tick; it asserts what it did.

--- a/packages/base/src/sockets/createReadBarrier.test.ts
+++ b/packages/base/src/sockets/createReadBarrier.test.ts
@@ -7,8 +7,6 @@
 
 import type { AddressInfo, Socket } from 'node:net'
 
-const NEVER = new AbortController().signal
-
 /** Keeps the process from reading. */
 const standStill = (durationMs: number): void => {
   const untilMs = performance.now() + durationMs
@@ -23,7 +21,7 @@
     const results: boolean[] = []
     const server = createServer({ allowHalfOpen: true }, socket => {
       socket.once('end', () => { left.add(socket) })
-      socket.once('data', () => { pass(NEVER).then(() => { results.push(left.has(socket)) }, () => {}) })
+      socket.once('data', () => { pass().then(() => { results.push(left.has(socket)) }, () => {}) })
     })
     server.listen(0, '127.0.0.1')
     await once(server, 'listening')
@@ -47,11 +45,11 @@
     const caller = connect((server.address() as AddressInfo).port, '127.0.0.1')
     await once(caller, 'connect')
     await new Promise(resolve => { setTimeout(resolve, 20) })
-    const first = pass(NEVER).then(() => {
+    const first = pass().then(() => {
       caller.write('x')
       standStill(100)
     })
-    const second = pass(NEVER).then(() => isLeft)
+    const second = pass().then(() => isLeft)
     await first
     expect(await second).to.equal(true)
     caller.destroy()
--- a/packages/base/src/sockets/createReadBarrier.ts
+++ b/packages/base/src/sockets/createReadBarrier.ts
@@ -3,7 +3,7 @@
 /** Waits until a process has read what has arrived at its connections. */
 export interface ReadBarrier {
   /** Resolves once everything that had arrived before the call has been read, the ends of connections too, or the signal has aborted. */
-  readonly pass: (signal: AbortSignal) => Promise<void>
+  readonly pass: (signal?: AbortSignal) => Promise<void>
 }
 
 /** Age of the last read up to which what it showed holds. */
@@ -38,7 +38,7 @@
       do {
         await nextPoll()
         // Those that passed before may have taken long.
-      } while (!signal.aborted && nowMs() - readMs > MAX_READ_AGE_MS)
+      } while (signal?.aborted !== true && nowMs() - readMs > MAX_READ_AGE_MS)
     }
   }
 }
--- a/packages/gateway/src/testing/createTestAgent.ts
+++ b/packages/gateway/src/testing/createTestAgent.ts
@@ -90,6 +90,7 @@
   const orderer = createOrderer({
     engine: engine.port,
     timers,
+    reads: { pass: async () => {} },
     events,
     demand,
     wants,
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -7,7 +7,7 @@
 import { createLostOrders } from './createLostOrders.js'
 import { loadMsOf, planNextOrder } from './viewEngine.js'
 
-import type { EventLog, Fault, TimerService } from '@figmount/base'
+import type { EventLog, Fault, ReadBarrier, TimerService } from '@figmount/base'
 import type { ColdWant, PlannedOrder } from '@figmount/decisions'
 import type { EnginePort, EngineSpec, ServerReport } from '@figmount/fleet'
 import type { DemandTotals } from '../demand/createDemandTotals.js'
@@ -32,6 +32,8 @@
 interface Options {
   readonly engine: EnginePort
   readonly timers: TimerService
+  /** Passed before an order is planned for wants. */
+  readonly reads: ReadBarrier
   readonly events: EventLog
   readonly demand: DemandTotals
   readonly wants: WantRegistry
@@ -76,7 +78,7 @@
 
 /** Creates the orderer of one agent. No other process sends orders to its engine. */
 export const createOrderer = (options: Options): Orderer => {
-  const { timers, events, leases } = options
+  const { timers, events, leases, reads } = options
   const heldSinceMs = new Map<string, number>()
   let report: ServerReport | undefined
   const modelDrain = createModelDrain(timers, options.changed)
@@ -173,7 +175,12 @@
     })
   }
 
+  const isWanted = (): boolean => options.wants.open().length > 0
+
   const sendNextOrder = async (): Promise<void> => {
+    // Guards against orders for callers that have left: the messages that drop their wants may lie unread behind these.
+    const isForWants = isWanted()
+    if (isForWants) await reads.pass()
     const spec = options.spec()
     if (isAwaitingReport) return
     if (!report || !spec || options.serverId() === '' || report.isDraining) return reviewLeases([])
@@ -197,9 +204,13 @@
     if (!isWholeUnload) modelDrain.drain(drainingModel)
     if (!planned) return
     const plannedOrderCount = report.orderCount
-    if (isWholeUnload) await modelDrain.beginUnload(planned.modelName)
+    if (isWholeUnload) {
+      await modelDrain.beginUnload(planned.modelName)
+      if (isForWants) await reads.pass()
+    }
+    const isForNobody = isForWants && !isWanted()
     // After a restart the same id may show the same order count, but the plan was made for what the earlier start held.
-    if (!report || report.orderCount !== plannedOrderCount || startNumber !== plannedForStart || options.serverId() === '') {
+    if (isForNobody || !report || report.orderCount !== plannedOrderCount || startNumber !== plannedForStart || options.serverId() === '') {
       modelDrain.cancelUnload()
       return
     }
--- a/packages/sidecar/src/engine/ordererLeases.test.ts
+++ b/packages/sidecar/src/engine/ordererLeases.test.ts
@@ -66,6 +66,8 @@
     orderer.take(reportOf())
     want('b')
     orderer.review()
+    // The order is sent once connections have been read.
+    await Promise.resolve()
     orderer.take(reportOf())
     expect(orderer.currentLoad()?.modelName).to.equal('b')
     await pass(50)
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import { countMessages } from '@figmount/base'
+import { countMessages, createReadBarrier } from '@figmount/base'
 import { planFetch } from '@figmount/decisions'
 import { createCopyFetch, createCopySource } from '@figmount/fleet'
 
@@ -96,6 +96,7 @@
   const orderer = createOrderer({
     engine: options.engine,
     timers,
+    reads: createReadBarrier(timers),
     events,
     demand,
     wants,
