--- a/packages/router/src/requests/types.ts
+++ b/packages/router/src/requests/types.ts
@@ -1,4 +1,4 @@
-import type { AttemptId, EventLog, InstanceName, Metrics, ModelId, TimerService } from '@figmount/base'
+import type { AttemptId, EventLog, InstanceName, Metrics, ModelId, ReadBarrier, TimerService } from '@figmount/base'
 import type { ChooseBackend, ChooseRetryAfter, RoutingCandidate } from '@figmount/decisions'
 import type { RefusalNote, RunRequest } from '@figmount/peers'
 import type { RecordsClient } from '@figmount/records'
@@ -38,6 +38,8 @@
   readonly newAttemptId: () => AttemptId
   readonly random: () => number
   readonly timers: TimerService
+  /** Passed before an attempt of a repeatable request is sent. */
+  readonly reads: ReadBarrier
   readonly events: EventLog
   readonly metrics: Metrics
 }
--- a/packages/router/src/router/createServeContext.ts
+++ b/packages/router/src/router/createServeContext.ts
@@ -1,4 +1,4 @@
-import { makeAttemptId } from '@figmount/base'
+import { createReadBarrier, makeAttemptId } from '@figmount/base'
 
 import { createCallerShares } from '../retries/createCallerShares.js'
 import { createRefusalLog } from '../retries/createRefusalLog.js'
@@ -55,6 +55,7 @@
     newAttemptId: () => makeAttemptId(instance, incarnation, attemptCount++),
     random,
     timers,
+    reads: createReadBarrier(timers),
     events,
     metrics
   }
