Pass the read barrier as a request is read, before any work on it

By its log a slow router's turn of the event loop takes up to a second, as it works on each request while it reads, and each send waited for a whole such turn.

A request now passes the barrier right after it was read: turns only read, and work on requests goes on in slices of 50 ms between them, so a request of a caller that has left costs no work at all. Sends behind a wait, and writes on connections that had to be opened, pass it again only if the process has not read for 250 ms.

--- a/packages/base/src/sockets/createReadBarrier.test.ts
+++ b/packages/base/src/sockets/createReadBarrier.test.ts
@@ -64,4 +64,15 @@
     const { pass } = createReadBarrier({ nowMs: () => { nowMs += 1_000; return nowMs } })
     await pass(ending.signal)
   })
+
+  it('tells that the process has not read for long', async () => {
+    // Guards against sends behind a standstill by what was read before it.
+    const { pass, isLate } = createReadBarrier({ nowMs: () => performance.now() })
+    await pass()
+    expect(isLate()).to.equal(false)
+    standStill(300)
+    expect(isLate()).to.equal(true)
+    await pass()
+    expect(isLate()).to.equal(false)
+  })
 })
--- a/packages/base/src/sockets/createReadBarrier.ts
+++ b/packages/base/src/sockets/createReadBarrier.ts
@@ -4,10 +4,15 @@
 export interface ReadBarrier {
   /** Resolves once everything that had arrived before the call has been read, the ends of connections too, or the signal has aborted. */
   readonly pass: (signal?: AbortSignal) => Promise<void>
+  /** The connections have not been read for so long that what they have shown may not hold any more. */
+  readonly isLate: () => boolean
 }
 
-/** Age of the last read up to which what it showed holds. */
-const MAX_READ_AGE_MS = 50
+/** Age up to which a read holds: half of the time within which the platform's servers must hear of callers that leave. */
+const MAX_READ_AGE_MS = 250
+
+/** Work that those who have passed do in one turn before connections are read again. */
+const MAX_TURN_WORK_MS = 50
 
 /**
  * Creates the read barrier of one process.
@@ -16,20 +21,17 @@
  * event loop later. Timers that are due also run before connections are read.
  */
 export const createReadBarrier = ({ nowMs }: Pick<TimerService, 'nowMs'>): ReadBarrier => {
-  let isMarked = false
-  let readMs = -Infinity
+  let polledMs = nowMs()
 
-  const markRead = (): void => {
-    isMarked = false
-    readMs = nowMs()
+  const notePoll = (): void => {
+    polledMs = nowMs()
+    // Runs right after each poll, before all others that wait for it. Without a reference it lets the loop idle.
+    setImmediate(notePoll).unref()
   }
+  setImmediate(notePoll).unref()
 
   /** Resolves in order, right after the event loop has polled all connections. */
-  const nextPoll = async (): Promise<void> => await new Promise(resolve => {
-    if (!isMarked) setImmediate(markRead)
-    isMarked = true
-    setImmediate(resolve)
-  })
+  const nextPoll = async (): Promise<void> => await new Promise(resolve => { setImmediate(resolve) })
 
   return {
     pass: async signal => {
@@ -37,8 +39,8 @@
       await nextPoll()
       do {
         await nextPoll()
-        // Those that passed before may have taken long.
-      } while (signal?.aborted !== true && nowMs() - readMs > MAX_READ_AGE_MS)
-    }
+      } while (signal?.aborted !== true && nowMs() - polledMs > MAX_TURN_WORK_MS)
+    },
+    isLate: () => nowMs() - polledMs > MAX_READ_AGE_MS
   }
 }
--- a/packages/gateway/src/forwarding/sendToServer.ts
+++ b/packages/gateway/src/forwarding/sendToServer.ts
@@ -104,26 +104,20 @@
     request.end(outbound.body.length > 0 ? outbound.body : undefined)
   }
 
-  const noteConnected = (): void => {
+  // Guards against a caller that leaves while the connection is opened, or while the process stands still: its request is written only
+  // then.
+  const writeWhenRead = (): void => {
     isConnected = true
     stopConnectTimer()
-  }
-
-  // Guards against a caller that leaves while the connection is opened: its request is written only then.
-  const writeWhenRead = (): void => {
-    noteConnected()
+    if (!reads.isLate()) return write()
     reads.pass(signal).then(guard(write), () => {})
   }
 
   const takeSocket = (socket: Socket): void => {
     pool.noteUse(socket, outbound.requestId)
     socket.setNoDelay(true)
-    if (socket.connecting) {
-      socket.once('connect', guard(writeWhenRead))
-      return
-    }
-    noteConnected()
-    write()
+    if (socket.connecting) socket.once('connect', guard(writeWhenRead))
+    else writeWhenRead()
   }
 
   // Guards against an instance that is off: connection attempts to it stay pending for minutes. Nothing was sent, so the request can go to
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -6,7 +6,7 @@
 import { STOPPING_REASON, STOPPING_RETRY_MS, NO_DEPLOYMENT_RETRY_MS, OVERLOAD_RETRY_MS, REJECTED_RETRY_MS } from '../requests/constants.js'
 import { organisationOf, isKeyRequired, unitsOf } from '../limits/organisationOf.js'
 import { takeQuota } from '../limits/takeQuota.js'
-import { Status } from '../requests/endRequest.js'
+import { noteCallerLeft, Status } from '../requests/endRequest.js'
 import { serveModel } from '../requests/serveModel.js'
 import { servePlain } from '../requests/servePlain.js'
 import { MAX_BODY_MS } from './constants.js'
@@ -127,6 +127,12 @@
   if (!reading) return reject(context, response, Status.HeadersTooLarge, 'headers too large')
   const read = await reading
   if (read.type === 'brokenOff') return
+  // Guards against work for a caller that has left: the end of its connection may lie unread behind the request.
+  await context.reads.pass(callerLeft)
+  if (callerLeft.aborted) {
+    decoded.ifRight(caller => { noteCallerLeft(context, { caller, arrivedMs }) })
+    return
+  }
   // What is left of the body is not read any more.
   if (read.type !== 'whole' && read.type !== 'stopped') response.shouldKeepAlive = false
   if (read.type === 'tooLarge') return reject(context, response, Status.TooLarge, 'body too large')
--- a/packages/gateway/src/requests/endRequest.ts
+++ b/packages/gateway/src/requests/endRequest.ts
@@ -30,7 +30,7 @@
 
 const isOpen = ({ response }: RoutedRequest): boolean => !response.headersSent && !response.destroyed
 
-const elapsedMs = (context: GatewayContext, request: RoutedRequest): number =>
+const elapsedMs = (context: GatewayContext, request: Pick<RoutedRequest, 'arrivedMs'>): number =>
   Math.round(context.timers.nowMs() - request.arrivedMs)
 
 /** Refuses a request that has not run and will not, with a retry-after. Its units are returned to the organisation's quota. */
@@ -156,7 +156,7 @@
 }
 
 /** Logs that the caller left. `sentForMs`: time since the last send to a server that still had the request; undefined if none had it. */
-export const noteCallerLeft = (context: GatewayContext, request: RoutedRequest, sentForMs?: number): void => {
+export const noteCallerLeft = (context: GatewayContext, request: Pick<RoutedRequest, 'caller' | 'arrivedMs'>, sentForMs?: number): void => {
   context.metrics.count('requests_left_total')
   if (sentForMs === undefined) context.metrics.count('requests_left_unsent_total')
   context.events.emit(GatewayEvent.requestLeft, {
--- a/packages/gateway/src/requests/openExchange.ts
+++ b/packages/gateway/src/requests/openExchange.ts
@@ -38,7 +38,7 @@
 ): Promise<Either<SendFault, OpenAnswer>> => {
   const { timers, codec, stop, reads } = context
   const chosenMs = timers.nowMs()
-  await reads.pass(signal)
+  if (reads.isLate()) await reads.pass(signal)
   if (signal.aborted) {
     retry?.noteArrival('none')
     return Left({ fault: makeFault(FaultKind.Timeout, STEP, server.entry.serverId, 'given up before it was sent'), mayHaveRun: false, isMismatched: false })
--- a/packages/gateway/src/testing/createTestAgent.ts
+++ b/packages/gateway/src/testing/createTestAgent.ts
@@ -90,7 +90,7 @@
   const orderer = createOrderer({
     engine: engine.port,
     timers,
-    reads: { pass: async () => {} },
+    reads: { pass: async () => {}, isLate: () => false },
     events,
     demand,
     wants,
--- a/packages/router/src/testing/createTestBench.ts
+++ b/packages/router/src/testing/createTestBench.ts
@@ -76,7 +76,7 @@
     shares: createCallerShares(100),
     chooseBackend: chooseFirstReady,
     chooseRetryAfter: retryAfterFixed,
-    reads: { pass: async () => {} },
+    reads: { pass: async () => {}, isLate: () => false },
     newAttemptId: () => makeAttemptId(ROUTER, INCARNATION, attemptCount++),
     random: () => 0.5,
     timers,
--- a/packages/sidecar/src/testing/setUpOrderer.ts
+++ b/packages/sidecar/src/testing/setUpOrderer.ts
@@ -78,7 +78,7 @@
       }
     },
     timers,
-    reads: { pass: async () => {} },
+    reads: { pass: async () => {}, isLate: () => false },
     events: createEventLog({ instance: 'a' as InstanceName, role: 'agent', timers }),
     demand,
     wants,
