--- a/packages/base/src/events/types.ts
+++ b/packages/base/src/events/types.ts
@@ -53,7 +53,7 @@
   readonly durationMs?: number
   readonly waitMs?: number
   readonly retryAfterMs?: number
-  /** Time that the process took before a send to read what had arrived at its connections. */
+  /** Time that the process took to read what had arrived at its connections, before work on a request or a send. */
   readonly readWaitMs?: number
   /** Time since a request's last send to a server that still had it; left out if none had it. */
   readonly sentForMs?: number
--- a/packages/base/src/sockets/createReadBarrier.ts
+++ b/packages/base/src/sockets/createReadBarrier.ts
@@ -37,9 +37,11 @@
     pass: async signal => {
       // The poll of this turn may have shown the request without what lies behind it.
       await nextPoll()
-      do {
-        await nextPoll()
-      } while (signal?.aborted !== true && nowMs() - polledMs > MAX_TURN_WORK_MS)
+      const begunMs = polledMs
+      await nextPoll()
+      // The process may have stood still in the middle of that poll, after it had asked what there was to read.
+      if (polledMs - begunMs > MAX_READ_AGE_MS) await nextPoll()
+      while (signal?.aborted !== true && nowMs() - polledMs > MAX_TURN_WORK_MS) await nextPoll()
     },
     isLate: () => nowMs() - polledMs > MAX_READ_AGE_MS
   }
--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -64,10 +64,20 @@
   return leaving.signal
 }
 
-const serve = async (
-  context: GatewayContext, deployment: Deployment, caller: CallerRequest, route: Route,
-  message: IncomingMessage, response: ServerResponse, body: Buffer, arrivedMs: number, callerLeft: AbortSignal
-): Promise<void> => {
+/** A request that was read completely. */
+interface ReadRequest {
+  readonly caller: CallerRequest
+  readonly message: IncomingMessage
+  readonly response: ServerResponse
+  readonly body: Buffer
+  readonly arrivedMs: number
+  /** Time for which it has waited until connections had been read again. */
+  readonly readWaitMs: number
+  readonly callerLeft: AbortSignal
+}
+
+const serve = async (context: GatewayContext, deployment: Deployment, route: Route, read: ReadRequest): Promise<void> => {
+  const { caller, message, response, body, arrivedMs, readWaitMs, callerLeft } = read
   const serviceName = pickService(route, context.random()) ?? ''
   const organisation = organisationOf(deployment, route, caller)
   const deadlineMs = caller.deadlineMs ?? route.timeoutMs
@@ -100,7 +110,8 @@
     version: String(deployment.version),
     tokenCount: caller.promptTokens,
     ...(caller.lastEventId === '' ? {} : { lastEventId: caller.lastEventId }),
-    waitMs: Math.round(request.untilMs - arrivedMs)
+    waitMs: Math.round(request.untilMs - arrivedMs),
+    readWaitMs: Math.round(readWaitMs)
   })
   if (organisation && !await takeQuota(context, request, organisation)) return
   context.budget.noteRequest(serviceName)
@@ -128,7 +139,9 @@
   const read = await reading
   if (read.type === 'brokenOff') return
   // Guards against work for a caller that has left: the end of its connection may lie unread behind the request.
+  const readMs = context.timers.nowMs()
   await context.reads.pass(callerLeft)
+  const readWaitMs = context.timers.nowMs() - readMs
   if (callerLeft.aborted) {
     decoded.ifRight(caller => { noteCallerLeft(context, { caller, arrivedMs }) })
     return
@@ -147,5 +160,5 @@
   const route = deployment.routeTable.find(message.headers.host ?? '', message.url ?? '/')
   if (!route) return reject(context, response, Status.NotFound, `no route for ${message.headers.host ?? ''}${message.url ?? ''}`)
   if (isKeyRequired(deployment, route) && !organisationOf(deployment, route, caller)) return refuseKey(context, response, caller, route)
-  await serve(context, deployment, caller, route, message, response, read.body, arrivedMs, callerLeft)
+  await serve(context, deployment, route, { caller, message, response, body: read.body, arrivedMs, readWaitMs, callerLeft })
 }
