Keep one listener a caller's connection for all its requests, and poll up to three times behind a standstill

Each pipelined request added listeners of its own for each event that ends its connection, and their removal grew with their number.

--- a/packages/base/src/sockets/createReadBarrier.ts
+++ b/packages/base/src/sockets/createReadBarrier.ts
@@ -11,6 +11,9 @@
 /** Age up to which a read holds: half of the time within which the platform's servers must hear of callers that leave. */
 const MAX_READ_AGE_MS = 250
 
+/** Polls after which what they have shown counts, however long each took: a process that is always late must go on. */
+const MAX_POLLS = 3
+
 /** Work that those who have passed do in one turn before connections are read again. */
 const MAX_TURN_WORK_MS = 50
 
@@ -37,10 +40,12 @@
     pass: async signal => {
       // The poll of this turn may have shown the request without what lies behind it.
       await nextPoll()
-      const begunMs = polledMs
-      await nextPoll()
-      // The process may have stood still in the middle of that poll, after it had asked what there was to read.
-      if (polledMs - begunMs > MAX_READ_AGE_MS) await nextPoll()
+      for (let pollCount = 0; pollCount < MAX_POLLS; pollCount++) {
+        const begunMs = polledMs
+        await nextPoll()
+        // The process may have stood still in the middle of that poll, after it had asked what there was to read.
+        if (polledMs - begunMs <= MAX_READ_AGE_MS) break
+      }
       while (signal?.aborted !== true && nowMs() - polledMs > MAX_TURN_WORK_MS) await nextPoll()
     },
     isLate: () => nowMs() - polledMs > MAX_READ_AGE_MS
--- a/packages/gateway/src/forwarding/sendToServer.test.ts
+++ b/packages/gateway/src/forwarding/sendToServer.test.ts
@@ -51,9 +51,9 @@
     await once(server, 'listening')
   }
 
-  const send = async (signal: AbortSignal, body = Buffer.from('wall'), mayBeInTransit = true): ReturnType<typeof sendToServer> => {
+  const send = async (signal: AbortSignal, body = Buffer.from('wall'), mayBeInTransit = true, reads = createReadBarrier(timers)): ReturnType<typeof sendToServer> => {
     const codec = { decodeAnswer: () => ({ requestId: '', serverId: SERVER_ID, isNotRun: false }) } as unknown as HeaderCodec
-    const context: SendContext = { pool, codec, timers, reads: createReadBarrier(timers), noteThrown: ({ message }) => { throw new Error(message) } }
+    const context: SendContext = { pool, codec, timers, reads, noteThrown: ({ message }) => { throw new Error(message) } }
     const outbound: OutboundRequest = {
       requestId: `r${requestCount++}`,
       start: { serverId: SERVER_ID, startedAtUnixMs: undefined },
@@ -106,6 +106,17 @@
     expect(seen.byteCount).to.be.lessThan(LONG_BODY.length)
   })
 
+  it('writes nothing for a caller that left while the connection was opened', async () => {
+    // Guards against a request that is written first when a standstill ends, before it is read that its caller has left.
+    await listen(NO_BODY_ANSWER)
+    const leaving = new AbortController()
+    const pass = async (): Promise<void> => { leaving.abort() }
+    const sent = await send(leaving.signal, Buffer.from('wall'), true, { pass, isLate: () => true })
+    expect(sent.swap().map(({ mayHaveRun }) => mayHaveRun).extract()).to.equal(false)
+    await sleep(timers, 50)
+    expect(connections.map(({ byteCount }) => byteCount)).to.deep.equal([0])
+  })
+
   it('resets the connection of a request that may be in transit', async () => {
     await listen('')
     const leaving = new AbortController()
--- a/packages/gateway/src/ingress/onceClosed.ts
+++ b/packages/gateway/src/ingress/onceClosed.ts
@@ -1,8 +1,22 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 
-/** Events that end a connection, in their order; after the first two its caller gets no answer. */
+/** Events that end a caller's connection. Its close comes a turn of the event loop after its end, and Node answers nothing between them. */
 const END_EVENTS = ['end', 'error', 'close'] as const
 
+/** What to call once a connection ends. */
+const closersBySocket = new WeakMap<Socket, Set<() => void>>()
+
+const closersOf = (socket: Socket): Set<() => void> => {
+  const known = closersBySocket.get(socket)
+  if (known) return known
+  const closers = new Set<() => void>()
+  closersBySocket.set(socket, closers)
+  const closeAll = (): void => { for (const close of [...closers]) close() }
+  for (const event of END_EVENTS) socket.once(event, closeAll)
+  return closers
+}
+
 /**
  * Calls back once a request is over: its answer was sent, or its caller has closed or reset the connection.
  *
@@ -10,15 +24,12 @@
  * response, which was not assigned the connection yet. The request stayed counted as open and was still served.
  */
 export const onceClosed = ({ socket }: IncomingMessage, response: ServerResponse, closed: () => void): void => {
-  let isClosed = false
+  const closers = closersOf(socket)
   const close = (): void => {
-    // The end of a connection triggers several of the events.
-    if (isClosed) return
-    isClosed = true
     response.off('close', close)
-    for (const event of END_EVENTS) socket.off(event, close)
-    closed()
+    // The end of a connection may trigger this and the response's own event.
+    if (closers.delete(close)) closed()
   }
   response.once('close', close)
-  for (const event of END_EVENTS) socket.once(event, close)
+  closers.add(close)
 }
