--- a/packages/base/src/sockets/createReadBarrier.ts
+++ b/packages/base/src/sockets/createReadBarrier.ts
@@ -14,9 +14,6 @@
 /** Polls after which what they have shown counts, however long each took: a process that is always late must go on. */
 const MAX_POLLS = 3
 
-/** Work that those who have passed do in one turn before connections are read again. */
-const MAX_TURN_WORK_MS = 50
-
 /**
  * Creates the read barrier of one process.
  *
@@ -33,6 +30,8 @@
   }
   setImmediate(notePoll).unref()
 
+  const isLate = (): boolean => nowMs() - polledMs > MAX_READ_AGE_MS
+
   /** Resolves in order, right after the event loop has polled all connections. */
   const nextPoll = async (): Promise<void> => await new Promise(resolve => { setImmediate(resolve) })
 
@@ -46,8 +45,9 @@
         // The process may have stood still in the middle of that poll, after it had asked what there was to read.
         if (polledMs - begunMs <= MAX_READ_AGE_MS) break
       }
-      while (signal?.aborted !== true && nowMs() - polledMs > MAX_TURN_WORK_MS) await nextPoll()
+      // Those that have passed before may have worked for long.
+      while (signal?.aborted !== true && isLate()) await nextPoll()
     },
-    isLate: () => nowMs() - polledMs > MAX_READ_AGE_MS
+    isLate
   }
 }
