Answer what can't be served before the read barrier, and keep orders that are not for wants

An order of the demand's that was planned as the last want went would have been dropped with it: only wants that were there at the plan count.

--- a/packages/gateway/src/ingress/takeRequest.ts
+++ b/packages/gateway/src/ingress/takeRequest.ts
@@ -138,14 +138,6 @@
   if (!reading) return reject(context, response, Status.HeadersTooLarge, 'headers too large')
   const read = await reading
   if (read.type === 'brokenOff') return
-  // Guards against work for a caller that has left: the end of its connection may lie unread behind the request.
-  const readMs = context.timers.nowMs()
-  await context.reads.pass(callerLeft)
-  const readWaitMs = context.timers.nowMs() - readMs
-  if (callerLeft.aborted) {
-    decoded.ifRight(caller => { noteCallerLeft(context, { caller, arrivedMs }) })
-    return
-  }
   // What is left of the body is not read any more.
   if (read.type !== 'whole' && read.type !== 'stopped') response.shouldKeepAlive = false
   if (read.type === 'tooLarge') return reject(context, response, Status.TooLarge, 'body too large')
@@ -155,6 +147,11 @@
   if (read.type === 'noRoom') return refuseUnrouted(context, response, caller.requestId, 'no room for its body', OVERLOAD_RETRY_MS)
   if (read.type === 'late') return refuseUnrouted(context, response, caller.requestId, 'its body did not come in time', REJECTED_RETRY_MS)
   if (read.type === 'stopped' || context.stop.isClosing()) return refuseUnrouted(context, response, caller.requestId, STOPPING_REASON, STOPPING_RETRY_MS)
+  // Guards against work for a caller that has left: the end of its connection may lie unread behind the request.
+  const readMs = context.timers.nowMs()
+  await context.reads.pass(callerLeft)
+  const readWaitMs = context.timers.nowMs() - readMs
+  if (callerLeft.aborted) return noteCallerLeft(context, { caller, arrivedMs })
   const deployment = context.deployment()
   if (!deployment || !context.directory.hasList()) return refuseUnrouted(context, response, caller.requestId, 'no deployment known yet', NO_DEPLOYMENT_RETRY_MS)
   const route = deployment.routeTable.find(message.headers.host ?? '', message.url ?? '/')
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -39,7 +39,7 @@
   readonly unmetModels: UnmetModels
   readonly refusedWants: RefusedWants
   readonly pool: ConnectionPool
-  /** Passed before each send to a server. */
+  /** Passed before work on a request, and before a send of a process that is late. */
   readonly reads: ReadBarrier
   readonly budget: RetryBudget
   readonly quotas: Quotas
--- a/packages/sidecar/src/engine/createOrderer.ts
+++ b/packages/sidecar/src/engine/createOrderer.ts
@@ -179,8 +179,7 @@
 
   const sendNextOrder = async (): Promise<void> => {
     // Guards against orders for callers that have left: the messages that drop their wants may lie unread behind these.
-    const isForWants = isWanted()
-    if (isForWants) await reads.pass()
+    if (isWanted()) await reads.pass()
     const spec = options.spec()
     if (isAwaitingReport) return
     if (!report || !spec || options.serverId() === '' || report.isDraining) return reviewLeases([])
@@ -204,6 +203,7 @@
     if (!isWholeUnload) modelDrain.drain(drainingModel)
     if (!planned) return
     const plannedOrderCount = report.orderCount
+    const isForWants = isWanted()
     if (isWholeUnload) {
       await modelDrain.beginUnload(planned.modelName)
       if (isForWants) await reads.pass()
