--- a/packages/router/src/requests/runAttempt.ts
+++ b/packages/router/src/requests/runAttempt.ts
@@ -54,12 +54,6 @@
 export const runAttempt = async function * (options: RunOptions): AsyncGenerator<AnswerPart, AttemptOutcome> {
   const { context, admitted, agent, attemptId, signal } = options
   const { repeatable } = admitted.run
-  if (repeatable) {
-    await context.reads.pass(signal)
-    // Connect reports that a caller has left one turn after the end of its connection was read.
-    await context.reads.pass(signal)
-    if (signal.aborted) return { kind: 'callerLeft' }
-  }
   const answer: MutableAnswer = { state: beginAnswer(attemptId, options.doneTokens.length) }
   const channel = context.links.linkTo(agent).openAttempt(attemptId, () => answer.state.nextFrame)
 
--- a/packages/router/src/requests/serveRepeatable.ts
+++ b/packages/router/src/requests/serveRepeatable.ts
@@ -118,6 +118,11 @@
     const quarantined = quarantineRefusal(context, admitted)
     if (quarantined) return yield { kind: 'refusal', note: finalRefusal(quarantined, admitted, progress) }
     if (context.timers.nowMs() >= admitted.deadlineAtMs) return yield { kind: 'refusal', note: finalRefusal(deadlineRefusal(''), admitted, progress) }
+    // Guards against an attempt for a caller that has left. Before the choice of an agent: its link may be lost meanwhile.
+    await context.reads.pass(signal)
+    // Connect reports that a caller has left one turn after the end of its connection was read.
+    await context.reads.pass(signal)
+    if (signal.aborted) return
     const placement = yield * awaitWithWaitingFrames(context.timers, choosePlacement(context, admitted, progress))
     if (placement.kind === 'refuse') return yield { kind: 'refusal', note: finalRefusal(lastNote ?? placement.note, admitted, progress) }
     const untrackSend = trackSend(context, admitted, placement.candidate.instance)
--- a/packages/router/src/requests/types.ts
+++ b/packages/router/src/requests/types.ts
@@ -38,7 +38,7 @@
   readonly newAttemptId: () => AttemptId
   readonly random: () => number
   readonly timers: TimerService
-  /** Passed before an attempt of a repeatable request is sent. */
+  /** Passed before an agent is chosen for an attempt of a repeatable request. */
   readonly reads: ReadBarrier
   readonly events: EventLog
   readonly metrics: Metrics
