--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -6,7 +6,7 @@
 import { buffer } from 'node:stream/consumers'
 
 const settings = JSON.parse(process.argv[2])
-const { id, host, port, listedAddress, service, version, zone, store, heartbeatMs, firstBeatMs = 0, slots, engine, unframedHalvesMs } = settings
+const { id, host, port, listedAddress, service, version, zone, store, heartbeatMs, firstBeatMs = 0, slots, engine, unframedHalvesMs, workMs = 0 } = settings
 const born = Date.now()
 let beating
 let beats = 0
@@ -112,11 +112,11 @@
     response.shouldKeepAlive = false
     response.useChunkedEncodingByDefault = false
   }
-  response.writeHead(200, { 'Request-Id': requestId, 'Server-Seal': `seal.${id}.${born}` })
   if (unframedHalvesMs === undefined) {
-    response.end(text)
+    setTimeout(() => { response.writeHead(200, { 'Request-Id': requestId, 'Server-Seal': `seal.${id}.${born}` }).end(text) }, workMs)
     return
   }
+  response.writeHead(200, { 'Request-Id': requestId, 'Server-Seal': `seal.${id}.${born}` })
   response.write(text.slice(0, middle))
   setTimeout(() => { response.end(text.slice(middle)) }, unframedHalvesMs)
 }
