--- a/packages/gateway/src/directory/createDirectory.test.ts
+++ b/packages/gateway/src/directory/createDirectory.test.ts
@@ -139,9 +139,9 @@
     // Guards against a started router that has taken an older heartbeat for a sign of life.
     const { directory, ids } = setUp()
     directory.takeRecords([listed('a'), listed('b'), listed('c')])
-    directory.noteLeft({ serverId: 'a', startedAtUnixMs: undefined, lastHeartbeat: 1 }, 'recorded')
-    directory.noteLeft({ serverId: 'b', startedAtUnixMs: undefined, lastHeartbeat: 0 }, 'recorded')
-    directory.noteLeft({ serverId: 'c', startedAtUnixMs: undefined, lastHeartbeat: undefined }, 'recorded')
+    directory.noteLeft({ serverId: 'a', startedAtUnixMs: undefined, lastHeartbeat: 1, earlierTimes: [] }, 'recorded')
+    directory.noteLeft({ serverId: 'b', startedAtUnixMs: undefined, lastHeartbeat: 0, earlierTimes: [] }, 'recorded')
+    directory.noteLeft({ serverId: 'c', startedAtUnixMs: undefined, lastHeartbeat: undefined, earlierTimes: [] }, 'recorded')
     expect(ids()).to.deep.equal(['b'])
   })
 
--- a/packages/gateway/src/directory/createDirectory.ts
+++ b/packages/gateway/src/directory/createDirectory.ts
@@ -3,6 +3,9 @@
 
 import { GatewayEvent } from '../events.js'
 import { createLeavings } from '../leavings/createLeavings.js'
+import { createStartOrder } from '../leavings/createStartOrder.js'
+import { sortTimes } from '../leavings/mergeLeft.js'
+import { isGone, isStaleReport, NO_REPORT } from './agentReports.js'
 import { MAX_REFUSED_KEYS } from './constants.js'
 import { createDepartures } from './createDepartures.js'
 import { createMissingEntries } from './createMissingEntries.js'
@@ -12,17 +15,11 @@
 
 import type { EventLog, Fault, TimerService } from '@figmount/base'
 import type { FailureShare } from '@figmount/decisions'
-import type { AgentLoad, AgentState, FeedRecord, ServerEntry, ServerStart, StorePort } from '@figmount/fleet'
+import type { AgentState, FeedRecord, ServerEntry, ServerStart, StorePort } from '@figmount/fleet'
 import type { LeftStart } from '../leavings/types.js'
+import type { AgentReport } from './agentReports.js'
 import type { Directory, KnownServer, StateListener } from './types.js'
 
-interface AgentReport {
-  readonly state: AgentState | undefined
-  readonly load: AgentLoad | undefined
-  readonly stateAsOfMs: number
-  readonly lastMessageMs: number
-}
-
 interface Options {
   readonly timers: TimerService
   readonly events: EventLog
@@ -32,8 +29,6 @@
   readonly onEntry: (entry: ServerEntry) => void
 }
 
-const NO_REPORT: AgentReport = { state: undefined, load: undefined, stateAsOfMs: -Infinity, lastMessageMs: -Infinity }
-
 /** Creates the directory of one router. */
 export const createDirectory = ({ timers, events, decodeServer, isServiceConfigured, onEntry }: Options): Directory => {
   const entries = new Map<string, ServerEntry>()
@@ -42,17 +37,23 @@
   const failures = new Map<string, FailureShare>()
   const own = createOwnRequests()
   const departures = createDepartures(timers)
-  const leavings = createLeavings(timers)
+  const order = createStartOrder(timers)
+  const leavings = createLeavings(timers, order)
   const versions = createSoftwareVersions(timers)
   const stateListeners = new Set<StateListener>()
   const replaced = new Set<string>()
   const prefixes = createPrefixIndex()
   const refusedKeys = new Set<string>()
   const leavingAddresses = new Set<string>()
+  /** Entries that were left out, by server. */
+  const leftOut = new Map<string, ServerEntry>()
   let isListRead = false
 
   const startOf = (serverId: string): ServerStart => newestStarts.get(serverId) ?? { serverId, startedAtUnixMs: undefined }
 
+  const leftStart = (start: ServerStart, lastHeartbeat: number | undefined): LeftStart =>
+    ({ serverId: start.serverId, startedAtUnixMs: start.startedAtUnixMs, lastHeartbeat, earlierTimes: sortTimes(order.earlierTimes(start)) })
+
   const forget = (serverId: string): void => {
     prefixes.forget(serverId)
     failures.delete(serverId)
@@ -72,7 +73,10 @@
 
   const removeUnlisted = (serverId: string, reason: string): void => {
     const entry = entries.get(serverId)
-    if (entry) leavings.note({ serverId, startedAtUnixMs: entry.startedAtUnixMs, lastHeartbeat: entry.heartbeatNumber })
+    const start = entry && newestStarts.get(serverId)
+    // The entry may be a late one of an earlier start, or the current start may not have written one yet.
+    if (entry && start && !isSameStart(entry, start)) leavings.note(leftStart(start, 0))
+    else if (entry) leavings.note(leftStart(entry, entry.heartbeatNumber))
     remove(serverId, reason)
   }
 
@@ -86,17 +90,15 @@
     if (startedAtUnixMs === undefined || newestStarts.get(serverId)?.startedAtUnixMs === startedAtUnixMs) return
     const isRestart = !isSameStart(start, startOf(serverId))
     newestStarts.set(serverId, start)
+    order.note(start, leavings.timesBefore(start))
+    // Guards against a server whose clock was set back before this start: routers that start later would take it for one that has left.
+    if (order.earlierTimes(start).some(time => time > startedAtUnixMs)) leavings.note(leftStart(start, 0))
     if (!isRestart) return
     forget(serverId)
     departures.forget(serverId)
     events.emit(GatewayEvent.serverRestarted, { peer: serverId })
   }
 
-  // The agent sees its engine's starts in order, whatever the engine's clock says: a start that it reports as gone is no later than the
-  // one that it reports as current. A report may also be older than the list entry; then it shows no restart.
-  const isStaleReport = (state: AgentState, start: ServerStart): boolean =>
-    isEarlierStart(state, start) && !state.goneStarts.some(gone => isSameStart(gone, start))
-
   const noteReport = (state: AgentState): void => {
     if (entries.has(state.serverId) && !isStaleReport(state, startOf(state.serverId))) noteStart(state)
   }
@@ -110,6 +112,7 @@
     const isLeftOut = leavings.isFromBefore(entry)
     const highest = highestHeartbeat(entry, known)
     if (isLeftOut) events.emit(GatewayEvent.entryOutdated, { ...fields, detail: 'its server has left' })
+    else if (order.isKnownBefore(entry)) events.emit(GatewayEvent.entryOutdated, { ...fields, detail: 'a later start is known' })
     else if (heartbeatNumber < highest) events.emit(GatewayEvent.entryOutdated, { ...fields, detail: `heartbeat ${highest} is known` })
     const isReadyNow = !entry.isDraining && known?.isDraining !== false
     if (!isReadyNow || departures.addressOf(serverId) === undefined) return
@@ -117,17 +120,22 @@
   }
 
   const takeEntry = (entry: ServerEntry, source: string): void => {
-    const { serverId, startedAtUnixMs, heartbeatNumber } = entry
+    const { serverId, heartbeatNumber } = entry
     const known = entries.get(serverId)
+    order.noteEntry(entry)
     // An entry may be seconds old and belong to the start before the one that the agent has reported.
-    const isOfEarlierStart = isEarlierStart(entry, startOf(serverId))
-    if (!isOfEarlierStart) noteStart(entry)
+    const isOfEarlierStart = order.isBefore(entry)
+    if (!isOfEarlierStart && !leavings.isFromBefore(entry)) noteStart(entry)
     // No start that drains takes requests again, whichever entry lists it as ready later.
-    if (entry.isDraining && !isOfEarlierStart) leavings.note({ serverId, startedAtUnixMs, lastHeartbeat: undefined })
+    if (entry.isDraining && !isOfEarlierStart) leavings.note(leftStart(entry, undefined))
     logOlder(entry, known, source)
     missingEntries.noteListed(serverId)
-    // Guards against a heartbeat that the store carries out after its server has left.
-    if (leavings.isFromBefore(entry)) return
+    // Guards against a heartbeat that the store carries out after its server has left, or started again.
+    if (leavings.isFromBefore(entry) || order.isKnownBefore(entry)) {
+      leftOut.set(serverId, entry)
+      return
+    }
+    leftOut.delete(serverId)
     // While a server is listed its newest record counts: its next heartbeat replaces an older one, or one of another writer.
     entries.set(serverId, { ...entry, heartbeatNumber: highestHeartbeat(entry, known) })
     if (known && known.softwareVersion !== entry.softwareVersion) versions.noteGone(known)
@@ -151,6 +159,7 @@
   const takeRecord = (record: FeedRecord, source: string): void => {
     if (!record.value) {
       refusedKeys.delete(record.key)
+      leftOut.delete(record.key)
       return missingEntries.noteMissing(record.key)
     }
     decodeServer(record.key, record.value).caseOf({
@@ -175,16 +184,6 @@
     isListRead = true
   }
 
-  // A start that the agent reports as current is not gone, even if an earlier one under the same id is.
-  const isGone = ({ state }: AgentReport, start: ServerStart): boolean => {
-    if (!state || state.serverId === start.serverId) return false
-    if (state.serverId !== '') return true
-    for (const gone of state.goneStarts) {
-      if (isSameStart(gone, start) || isEarlierStart(start, gone)) return true
-    }
-    return false
-  }
-
   // A server may disappear from the list before its agent reports the death, or between that report and a check of it.
   const isDeadUnlisted = (start: ServerStart): boolean => {
     const report = reports.get(departures.addressOf(start.serverId) ?? '') ?? NO_REPORT
@@ -194,8 +193,16 @@
     return state.serverId === start.serverId ? !isStaleReport(state, start) : isGone(report, start)
   }
 
+  // Guards against a server that goes on writing after its clock was set back: routers that read for others pass on its first entry alone.
+  const reviewLeftOut = (serverId: string, source: string): void => {
+    const entry = leftOut.get(serverId)
+    if (entry && !leavings.isFromBefore(entry)) takeEntry(entry, source)
+  }
+
   const noteLeft = (left: LeftStart, source: string): boolean => {
     if (!leavings.note(left)) return false
+    order.learn(left, left.earlierTimes)
+    reviewLeftOut(left.serverId, source)
     const entry = entries.get(left.serverId)
     if (entry && leavings.isFromBefore(entry)) remove(left.serverId, source)
     if (left.lastHeartbeat !== undefined) return true
@@ -244,6 +251,9 @@
       for (const serverId of [...entries.keys()]) {
         if (!keys.has(serverId)) missingEntries.noteMissing(serverId)
       }
+      for (const serverId of [...leftOut.keys()]) {
+        if (!keys.has(serverId)) leftOut.delete(serverId)
+      }
       isListRead = true
     },
     missingEntries,
@@ -324,7 +334,7 @@
       const nowMs = timers.nowMs()
       failures.set(serverId, noteOutcome(failures.get(serverId) ?? noFailures(nowMs), hasFailed, nowMs))
     },
-    noteLeaving: (start, source) => noteLeft({ ...start, lastHeartbeat: undefined }, source),
+    noteLeaving: (start, source) => noteLeft(leftStart(start, undefined), source),
     noteLeft,
     leavings,
     noteReplaced: start => {
--- a/packages/gateway/src/directory/restarts.test.ts
+++ b/packages/gateway/src/directory/restarts.test.ts
@@ -32,10 +32,11 @@
     const entry = makeServerEntry(start.serverId, { ...start, address: ADDRESS, models: models.map(name => ({ name, adapters: [] })), ...more })
     directory.takeRecords([{ key: entry.serverId, value: Buffer.from(JSON.stringify(entry)), offset: offset++ }])
   }
+  const remove = (): void => { directory.takeRecords([{ key: 'a', value: undefined, offset: offset++ }]) }
   const report = (start: ServerStart, given: Partial<AgentState> = {}): void => {
     directory.takeState(ADDRESS, makeAgentState(start.serverId, { startedAtUnixMs: start.startedAtUnixMs, ...given }))
   }
-  return { timers, directory, list, report }
+  return { timers, directory, list, remove, report }
 }
 
 const holds = (directory: Directory, modelName: string): boolean => {
@@ -81,6 +82,52 @@
     expect(directory.serving('s')).to.have.length(1)
   })
 
+  it('lists a server whose clock was set back as soon as it goes on writing', () => {
+    // Guards against sound servers that get no calls for a minute, as they started again after their clocks had been set back.
+    const { timers, directory, list, remove } = setUp()
+    list(second, ['m'])
+    timers.advance(20_000)
+    remove()
+    timers.advance(5_000)
+    list(first, ['m'], { heartbeatNumber: 1 })
+    expect(directory.serving('s'), 'one entry may be a late write').to.have.length(0)
+    timers.advance(1_200)
+    list(first, ['m'], { heartbeatNumber: 2 })
+    expect(directory.serving('s')).to.have.length(1)
+    list(second, ['m'], { heartbeatNumber: 50 })
+    expect(holds(directory, 'm'), 'an older entry of the start before').to.equal(true)
+    remove()
+    list(second, ['m'], { heartbeatNumber: 51 })
+    expect(directory.serving('s'), 'an entry of the start before its removal').to.have.length(0)
+  })
+
+  it('lists no server again by several late entries of an earlier start', () => {
+    // Guards against taking two late writes for a server that goes on writing.
+    const { timers, directory, list, remove } = setUp()
+    list(second)
+    remove()
+    for (let heartbeatNumber = 1; heartbeatNumber < 6; heartbeatNumber++) {
+      list(first, [], { heartbeatNumber })
+      expect(directory.serving('s')).to.have.length(0)
+      timers.advance(1_200)
+    }
+  })
+
+  it('lists a server whose clock was set back once another router has seen it go on', () => {
+    // Guards against a router that is told of the first entry of a start alone, or starts later.
+    const { timers, directory, list, remove } = setUp()
+    list(second)
+    timers.advance(20_000)
+    remove()
+    list(first)
+    expect(directory.serving('s')).to.have.length(0)
+    directory.noteLeft({ ...first, lastHeartbeat: 0, earlierTimes: [2_000] }, 'recorded')
+    expect(directory.serving('s')).to.have.length(1)
+    remove()
+    list(second, [], { heartbeatNumber: 9 })
+    expect(directory.serving('s')).to.have.length(0)
+  })
+
   it('forgets the models, cached prefixes and failures of the previous start', () => {
     // Guards against sending prompts to a restarted engine for prefixes that it no longer caches.
     const { directory, list } = setUp()
--- a/packages/gateway/src/leavings/createLeavingFeed.test.ts
+++ b/packages/gateway/src/leavings/createLeavingFeed.test.ts
@@ -4,6 +4,7 @@
 import { createLeaseFeed, FeedMode } from '../../../sidecar/src/testing/createLeaseFeed.js'
 import { createLeavingFeed } from './createLeavingFeed.js'
 import { createLeavings } from './createLeavings.js'
+import { createStartOrder } from './createStartOrder.js'
 
 import type { InstanceName } from '@figmount/base'
 import type { NewRecord, WritableFeed } from '@figmount/fleet'
@@ -14,14 +15,18 @@
 /** A map without fields, as the feed's records are encoded. */
 const EMPTY_MAP = Buffer.from([0x80])
 
-const left = (serverId: string, lastHeartbeat?: number, startedAtUnixMs = 1): LeftStart => ({ serverId, startedAtUnixMs, lastHeartbeat })
+const left = (serverId: string, lastHeartbeat?: number, startedAtUnixMs = 1): LeftStart =>
+  ({ serverId, startedAtUnixMs, lastHeartbeat, earlierTimes: [] })
+
+/** A start after the server's clock was set back. */
+const setBack: LeftStart = { ...left('c', 0, 5), earlierTimes: [6, 7] }
 
 const setUp = () => {
   const timers = createVirtualTimers()
   const feed = createLeaseFeed(timers)
 
   const join = (own: WritableFeed = feed) => {
-    const leavings = createLeavings(timers)
+    const leavings = createLeavings(timers, createStartOrder(timers))
     let hasRead = false
     const { firstRead, stop } = createLeavingFeed({
       feed: own,
@@ -61,13 +66,14 @@
     await pass(100)
     first.leavings.note(left('a'))
     first.leavings.note(left('b', 7))
+    first.leavings.note(setBack)
     await pass(300)
     first.stop()
     const second = join()
     expect(second.hasRead()).to.equal(false)
     await pass(100)
     expect(second.hasRead()).to.equal(true)
-    expect(second.leavings.all()).to.have.deep.members([left('a'), left('b', 7)])
+    expect(second.leavings.all()).to.have.deep.members([left('a'), left('b', 7), setBack])
     second.stop()
   })
 
--- a/packages/gateway/src/leavings/createLeavings.ts
+++ b/packages/gateway/src/leavings/createLeavings.ts
@@ -1,9 +1,11 @@
 import { isEarlierStart, isSameStart } from '@figmount/fleet'
 
-import { isFromBefore, isSameLeft, mergeLeft } from './mergeLeft.js'
+import { KNOWN_LATE_WRITE_MS, mayBeLateWrite } from './createStartOrder.js'
+import { isFromBefore, isKnownBefore, isSameLeft, mergeLeft } from './mergeLeft.js'
 
 import type { TimerService, Unsubscribe } from '@figmount/base'
 import type { ServerEntry, ServerStart } from '@figmount/fleet'
+import type { StartOrder } from './createStartOrder.js'
 import type { LeftStart } from './types.js'
 
 /** Starts that have left, kept at once: more than there are servers. */
@@ -15,9 +17,6 @@
 /** A start that has been known for less is not forgotten because its record was removed: somebody else may have done that, or late. */
 const MIN_RETENTION_MS = 60_000
 
-/** Time for which an entry of a start before the one that left is taken for a late write, not for a server whose clock was set back. */
-const LATE_WRITE_MS = 60_000
-
 /** The backend servers that have left, as one router knows from the list, their answers and other routers. */
 export interface Leavings {
   /** Returns false if that is known. */
@@ -26,6 +25,8 @@
   readonly isLeaving: (start: ServerStart) => boolean
   /** The entry was written before its start, or a later one, left, and carried out later. */
   readonly isFromBefore: (entry: ServerEntry) => boolean
+  /** Start times of the starts that are before this one, as its server has left before it. */
+  readonly timesBefore: (start: ServerStart) => readonly number[]
   /** Its record was removed: it is forgotten, unless this router has got to know it just now. */
   readonly forget: (serverId: string) => void
   readonly all: () => readonly LeftStart[]
@@ -41,13 +42,24 @@
 }
 
 /** Creates the memory of one router. */
-export const createLeavings = (timers: TimerService): Leavings => {
+export const createLeavings = (timers: TimerService, order: Pick<StartOrder, 'seenMs' | 'earlierTimes' | 'goesOn'>): Leavings => {
   /** By server, in the order in which they left. */
   const known = new Map<string, KnownLeft>()
   const listeners = new Set<() => void>()
 
   const find = (serverId: string): LeftStart | undefined => known.get(serverId)?.left
 
+  const wasCurrentBefore = (left: LeftStart, start: ServerStart): boolean =>
+    left.startedAtUnixMs !== undefined && order.earlierTimes(start).includes(left.startedAtUnixMs)
+
+  const isOfEarlierStart = (entry: ServerEntry, { left, notedMs }: KnownLeft): boolean => {
+    const sinceNotedMs = timers.nowMs() - notedMs
+    if (isKnownBefore(entry, left)) return sinceNotedMs < KNOWN_LATE_WRITE_MS
+    if (!isEarlierStart(entry, left) || wasCurrentBefore(left, entry)) return false
+    const sinceSeenMs = timers.nowMs() - (order.seenMs(left) ?? timers.nowMs())
+    return mayBeLateWrite(Math.max(sinceNotedMs, sinceSeenMs), order.goesOn(entry))
+  }
+
   return {
     note: reported => {
       const before = find(reported.serverId)
@@ -65,9 +77,13 @@
       return left !== undefined && left.lastHeartbeat === undefined && isSameStart(left, start)
     },
     isFromBefore: entry => {
-      const { left, notedMs = -Infinity } = known.get(entry.serverId) ?? {}
-      if (isFromBefore(entry, left)) return true
-      return left !== undefined && isEarlierStart(entry, left) && timers.nowMs() - notedMs < LATE_WRITE_MS
+      const found = known.get(entry.serverId)
+      return found !== undefined && (isFromBefore(entry, found.left) || isOfEarlierStart(entry, found))
+    },
+    timesBefore: start => {
+      const left = find(start.serverId)
+      if (!left) return []
+      return isSameStart(left, start) || left.startedAtUnixMs === undefined ? left.earlierTimes : [...left.earlierTimes, left.startedAtUnixMs]
     },
     forget: serverId => {
       const { notedMs = Infinity } = known.get(serverId) ?? {}
--- a/packages/gateway/src/leavings/mergeLeft.test.ts
+++ b/packages/gateway/src/leavings/mergeLeft.test.ts
@@ -7,14 +7,16 @@
 import type { ServerEntry } from '@figmount/fleet'
 import type { LeftStart } from './types.js'
 
-const left = (startedAtUnixMs: number | undefined, lastHeartbeat: number | undefined): LeftStart => ({ serverId: 'a', startedAtUnixMs, lastHeartbeat })
+const left = (startedAtUnixMs: number | undefined, lastHeartbeat: number | undefined, earlierTimes: readonly number[] = []): LeftStart =>
+  ({ serverId: 'a', startedAtUnixMs, lastHeartbeat, earlierTimes })
 
 const entry = (startedAtUnixMs: number, heartbeatNumber: number): ServerEntry => makeServerEntry('a', { startedAtUnixMs, heartbeatNumber })
 
 const drawnLeft = fc.record({
   serverId: fc.constant('a'),
   startedAtUnixMs: fc.integer({ min: 1, max: 3 }),
-  lastHeartbeat: fc.option(fc.integer({ min: 1, max: 5 }), { nil: undefined })
+  lastHeartbeat: fc.option(fc.integer({ min: 1, max: 5 }), { nil: undefined }),
+  earlierTimes: fc.constant([])
 })
 
 describe('reports on a server that has left', () => {
@@ -35,6 +37,13 @@
     expect(mergeLeft(left(undefined, 1), left(2, 3))).to.deep.equal(left(2, 3))
   })
 
+  it('go by the order in which starts were seen, not by a clock that was set back', () => {
+    // Guards against a server that leaves and is listed again, as an earlier start of it has the later time.
+    expect(mergeLeft(left(2, 4), left(1, 0, [2]))).to.deep.equal(left(1, 0, [2]))
+    expect(mergeLeft(left(1, 0, [2]), left(2, undefined))).to.deep.equal(left(1, 0, [2]))
+    expect(mergeLeft(left(1, 0, [2]), left(1, 6, [3]))).to.deep.equal(left(1, 6, [2, 3]))
+  })
+
   it('make entries of before the removal outdated, of that start alone', () => {
     expect(isFromBefore(entry(1, 4), left(1, 4))).to.equal(true)
     expect(isFromBefore(entry(1, 5), left(1, 4))).to.equal(false)
