--- a/packages/decisions/src/copies/copies.test.ts
+++ b/packages/decisions/src/copies/copies.test.ts
@@ -3,25 +3,25 @@
 import { mustReadStore } from './mustReadStore.js'
 import { planFetch } from './planFetch.js'
 
-import type { FetchView } from './planFetch.js'
+import type { FetchPlan, FetchView } from './planFetch.js'
 import type { ReaderView } from './mustReadStore.js'
 
 const LINK_BYTES_PER_MS = 1_250
 const STEP_MS = 10
 
-const behind: FetchView = { behindMs: 1_000, readsStore: true, readQuietMs: Infinity, fetchQuietMs: undefined }
+const behind: FetchView = { behindMs: 1_000, readsStore: true, readQuietMs: Infinity, mayReadAgain: false, fetchQuietMs: undefined }
 
-const relying: ReaderView = { hasConfiguration: true, linkMbps: 10, followingCount: 3, sinceOutageMs: Infinity, failedFetchCount: 0 }
+const relying: ReaderView = { hasConfiguration: true, linkMbps: 10, followingCount: 3, sinceOutageMs: Infinity, failedFetchCount: 0, behindMs: 0, isFetching: false }
 
 /** Copies that a router asks for until one has come through a link that they share. */
-const countCopies = (copyBytes: number, plan: (view: FetchView) => 'fetch' | 'wait'): number => {
+const countCopies = (copyBytes: number, plan: (view: FetchView) => FetchPlan): number => {
   let askedCount = 0
   let queuedBytes = copyBytes
   let fetchQuietMs: number | undefined
   for (let nowMs = 0; queuedBytes > 0 && nowMs < 20_000; nowMs += STEP_MS) {
     queuedBytes -= LINK_BYTES_PER_MS * STEP_MS
     if (fetchQuietMs !== undefined) fetchQuietMs += STEP_MS
-    if (plan({ behindMs: nowMs, readsStore: true, readQuietMs: 0, fetchQuietMs }) === 'wait') continue
+    if (plan({ behindMs: nowMs, readsStore: true, readQuietMs: 0, mayReadAgain: false, fetchQuietMs }) === 'wait') continue
     askedCount += 1
     fetchQuietMs = 0
     queuedBytes += copyBytes
@@ -44,6 +44,13 @@
     expect(planFetch(behind)).to.equal('fetch')
   })
 
+  it('are asked for after another own read where that costs less', () => {
+    // Guards against agents that all fetch from one router on a narrow link, as their own reads wait on dead connections.
+    expect(planFetch({ ...behind, behindMs: 100, mayReadAgain: true })).to.equal('wait')
+    expect(planFetch({ ...behind, mayReadAgain: true })).to.equal('readAgain')
+    expect(planFetch({ ...behind, readQuietMs: 20, mayReadAgain: true })).to.equal('wait')
+  })
+
   it('are asked for elsewhere when a read or a peer falls silent', () => {
     // Guards against a read, or a peer, on a dead connection.
     expect(planFetch({ ...behind, readQuietMs: 200 })).to.equal('fetch')
@@ -62,5 +69,8 @@
     expect(mustReadStore({ ...relying, followingCount: 2 })).to.equal(true)
     expect(mustReadStore({ ...relying, sinceOutageMs: 20_000 })).to.equal(true)
     expect(mustReadStore({ ...relying, failedFetchCount: 2 })).to.equal(true)
+    expect(mustReadStore({ ...relying, behindMs: 100 })).to.equal(false)
+    expect(mustReadStore({ ...relying, behindMs: 200 })).to.equal(true)
+    expect(mustReadStore({ ...relying, behindMs: 200, isFetching: true })).to.equal(false)
   })
 })
--- a/packages/fleet/src/copies/copies.test.ts
+++ b/packages/fleet/src/copies/copies.test.ts
@@ -30,7 +30,7 @@
 }
 
 /** A process that fetches from peers, which answer after `PIECE_MS`. */
-const setUp = (peerNames: readonly string[], readsStore = false) => {
+const setUp = (peerNames: readonly string[], readsStore = false, readsAgain = false) => {
   const timers = createVirtualTimers()
   const peers = new Map<string, Peer>()
   const sources = new Map<string, ReturnType<typeof createCopySource>>()
@@ -38,6 +38,7 @@
   const taken: FeedRecord[] = []
   let ownVersion = 1
   let byteCount = 0
+  let readAgainCount = 0
   let isRefusing = false
 
   for (const name of peerNames) {
@@ -59,8 +60,10 @@
     ownVersion: () => ownVersion,
     readsStore: () => readsStore,
     readQuietMs: () => Infinity,
-    plan: ({ behindMs, readsStore, fetchQuietMs }) => {
+    ...(readsAgain ? { readAgain: () => { readAgainCount += 1 } } : {}),
+    plan: ({ behindMs, readsStore, mayReadAgain, fetchQuietMs }) => {
       if (fetchQuietMs !== undefined) return fetchQuietMs >= 400 ? 'fetch' : 'wait'
+      if (mayReadAgain && behindMs >= 150) return 'readAgain'
       return !readsStore || behindMs >= 150 ? 'fetch' : 'wait'
     },
     ask: (peer, request) => {
@@ -83,7 +86,7 @@
   const pass = (durationMs: number): void => {
     for (let passedMs = 0; passedMs < durationMs; passedMs += 10) timers.advance(10)
   }
-  return { peers, fetch, asked, taken, offer, pass, learn: (version: number) => { ownVersion = version }, byteCount: () => byteCount, refuse: () => { isRefusing = true } }
+  return { peers, fetch, asked, taken, offer, pass, learn: (version: number) => { ownVersion = version }, byteCount: () => byteCount, readAgainCount: () => readAgainCount, refuse: () => { isRefusing = true } }
 }
 
 const peersAsked = (asked: ReadonlyArray<readonly [peer: string, version: number, index: number]>): readonly string[] => [...new Set(asked.map(([peer]) => peer))]
@@ -107,6 +110,19 @@
     expect(piece?.bytes.length).to.be.below(1_000)
   })
 
+  it('comes after one more own read where the process may begin that again', () => {
+    // Guards against a process that never fetches, as it goes on reading on dead connections.
+    const { asked, taken, offer, pass, readAgainCount } = setUp(['a'], true, true)
+    offer('a', makeRecord(5))
+    pass(250)
+    expect([readAgainCount(), asked.length]).to.deep.equal([1, 0])
+    pass(1_000)
+    expect(taken).to.have.length(1)
+    offer('a', makeRecord(6))
+    pass(250)
+    expect(readAgainCount()).to.equal(2)
+  })
+
   it('waits a while if the process reads the store, and is not begun if that brings it', () => {
     const { asked, taken, offer, pass, learn } = setUp(['a'], true)
     offer('a', makeRecord(5))
--- a/packages/fleet/src/copies/createCopyFetch.ts
+++ b/packages/fleet/src/copies/createCopyFetch.ts
@@ -19,7 +19,15 @@
   readonly readsStore: () => boolean
   /** Time since the latest part of the answer to the process's own read; Infinity while no answer arrives. */
   readonly readQuietMs: () => number
-  readonly plan: (view: { readonly behindMs: number, readonly readsStore: boolean, readonly readQuietMs: number, readonly fetchQuietMs: number | undefined }) => 'fetch' | 'wait'
+  readonly plan: (view: {
+    readonly behindMs: number
+    readonly readsStore: boolean
+    readonly readQuietMs: number
+    readonly mayReadAgain: boolean
+    readonly fetchQuietMs: number | undefined
+  }) => 'fetch' | 'readAgain' | 'wait'
+  /** Begins the own read of the store again; without it the process fetches at once. */
+  readonly readAgain?: () => void
   /** Asks a peer for a piece; the process has been behind for `behindMs`. */
   readonly ask: (peer: string, asked: DeploymentAsked, behindMs: number) => void
   readonly take: (record: FeedRecord) => void
@@ -33,6 +41,8 @@
   readonly losePeer: (peer: string) => void
   /** Fetches that failed since the process was last up to date. */
   readonly failedCount: () => number
+  /** A peer has been asked for a newer configuration. */
+  readonly isFetching: () => boolean
 }
 
 interface OpenFetch {
@@ -53,6 +63,8 @@
   const offers = new Map<string, number>()
   let open: OpenFetch | undefined
   let behindSinceMs: number | undefined
+  /** When the own read began again; undefined if it has not since the process was up to date. */
+  let readAgainMs: number | undefined
   let failedCount = 0
   let isReviewDue = false
   let takenVersion = -Infinity
@@ -93,18 +105,24 @@
     if (newerOffers().length === 0) {
       open = undefined
       behindSinceMs = undefined
+      readAgainMs = undefined
       failedCount = 0
       return
     }
     const nowMs = timers.nowMs()
     behindSinceMs ??= nowMs
     const plan = options.plan({
-      behindMs: nowMs - behindSinceMs,
+      behindMs: nowMs - (readAgainMs ?? behindSinceMs),
       readsStore: options.readsStore(),
       readQuietMs: options.readQuietMs(),
+      mayReadAgain: options.readAgain !== undefined && readAgainMs === undefined,
       fetchQuietMs: open && nowMs - open.quietSinceMs
     })
     if (plan === 'fetch') begin()
+    if (plan === 'readAgain') {
+      readAgainMs = nowMs
+      options.readAgain?.()
+    }
     reviewLater()
   }
 
@@ -149,6 +167,7 @@
       offers.delete(peer)
       if (open?.peer === peer) open = undefined
     },
-    failedCount: () => failedCount
+    failedCount: () => failedCount,
+    isFetching: () => open !== undefined
   }
 }
--- a/packages/fleet/src/feeds/createFeedFollower.test.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.test.ts
@@ -20,6 +20,8 @@
 /** Stands for a read that never gets an answer, as on a connection that an intermediary has dropped without notice. */
 const NO_ANSWER = 'silent'
 
+const endAt = (offset: number) => (): EitherAsync<Fault, number> => EitherAsync.liftEither(Right(offset))
+
 /** Key of a record that its taker can't handle. */
 const POISON = 'poison'
 
@@ -32,6 +34,7 @@
   const keys: string[][] = []
   const outages: string[] = []
   const reads: string[] = []
+  const missed: number[] = []
   let dueMs = 0
   let part: () => void = () => {}
   let restored: () => void = () => {}
@@ -71,6 +74,7 @@
       if (known.has(ODD_KEY)) throw new RangeError('odd')
       keys.push([...known])
     },
+    missed: endOffset => { missed.push(endOffset) },
     lost: () => { outages.push('lost') },
     regained: () => { outages.push('regained') }
   })
@@ -80,7 +84,7 @@
       await new Promise(resolve => { setImmediate(resolve) })
     }
   }
-  return { follower, taken, keys, outages, reads, pass, part: () => { part() }, restore: () => { restored() } }
+  return { follower, taken, keys, outages, reads, missed, pass, part: () => { part() }, restore: () => { restored() } }
 }
 
 describe('createFeedFollower', () => {
@@ -119,6 +123,50 @@
     expect(reads.length).to.equal(countBefore + 1)
   })
 
+  it('begins a read again that has missed records', async () => {
+    // Guards against a read that waits on a dead connection, which looks as if nothing were new.
+    const { follower, taken, reads, missed, pass } = setUp([page(5), NO_ANSWER, page(7, record('a', 6))])
+    await pass(150)
+    await follower.checkEnd(endAt(5))
+    expect(follower.behindMs()).to.equal(0)
+    expect(reads).to.deep.equal(['newest', 'since 5'])
+    await follower.checkEnd(endAt(7))
+    await pass(20)
+    follower.stop()
+    expect(missed).to.deep.equal([7])
+    expect(reads.slice(0, 3)).to.deep.equal(['newest', 'since 5', 'since 5'])
+    expect(taken).to.deep.equal(['a@6'])
+    expect(follower.behindMs()).to.equal(0)
+  })
+
+  it('gives a read its time that has begun again, and no answer ends it for good', async () => {
+    // Guards against a slow store from which no read is waited for long enough, and against a second dead connection.
+    const { follower, reads, missed, pass } = setUp([page(5), NO_ANSWER, NO_ANSWER])
+    await pass(150)
+    for (let count = 0; count < 3; count++) {
+      await follower.checkEnd(endAt(7))
+      await pass(100)
+    }
+    expect(reads).to.deep.equal(['newest', 'since 5', 'since 5'])
+    expect(follower.behindMs()).to.be.greaterThan(200)
+    await pass(1_500)
+    await follower.checkEnd(endAt(7))
+    await pass(20)
+    follower.stop()
+    expect(reads.slice(0, 4)).to.deep.equal(['newest', 'since 5', 'since 5', 'since 5'])
+    expect(missed).to.deep.equal([7])
+  })
+
+  it('asks for the end once more if nobody answers', async () => {
+    // Guards against a question over a connection that is dead, too.
+    const { follower, missed, pass } = setUp([page(5), NO_ANSWER])
+    await pass(150)
+    const answers = [Left(makeFault('timeout', 'end', 'store', 'no answer')), Right(6)]
+    await follower.checkEnd(() => EitherAsync.liftEither(answers.shift() ?? Right(0)))
+    follower.stop()
+    expect(missed).to.deep.equal([6])
+  })
+
   it('takes the newest records of all keys in the order in which they were written', async () => {
     // Guards against an older record that counts as the newer one as a page is sorted by keys.
     const { taken, pass } = setUp([page(9, record('a', 8), record('b', 3), record('c', 5))])
--- a/packages/fleet/src/feeds/createFeedFollower.ts
+++ b/packages/fleet/src/feeds/createFeedFollower.ts
@@ -1,11 +1,11 @@
 import { Left, Right } from 'purify-ts'
 import { BaseEvent, makeFault, runInBackground, runSafely, sleep } from '@figmount/base'
 
-import { INITIAL_RETRY_MS, MAX_RETRY_MS, READ_GRACE_MS } from './constants.js'
+import { APPENDED_GRACE_MS, CHECK_TIMEOUT_MS, INITIAL_RETRY_MS, MAX_RETRY_MS, READ_GRACE_MS } from './constants.js'
 
 import type { Either } from 'purify-ts'
 import type { EventLog, Fault, TimerService } from '@figmount/base'
-import type { FeedPage, FeedRead, FeedRecord, FeedRange, KeyedFeed, ReadControl } from './types.js'
+import type { CheckedFeed, FeedPage, FeedRead, FeedRecord, FeedRange, KeyedFeed, ReadControl } from './types.js'
 
 const TAKE_STEP = 'feeds.take'
 
@@ -30,6 +30,8 @@
   readonly noteRead?: (read: FeedRead) => void
   /** Called when the store has answered a read, before the records are taken. */
   readonly noteAnswered?: (beganMs: number) => void
+  /** Called when the end of the feed shows records which the read that waits has not brought. */
+  readonly missed?: (endOffset: number, waitedMs: number) => void
   /** Called with each read that fails, while `lost` is called with the first one of an outage. */
   readonly noteFailed?: (beganMs: number) => void
   readonly lost: (fault: Fault) => void
@@ -46,6 +48,12 @@
   readonly readNow: () => void
   /** Begins the next read as soon as the current one has ended, though it is not due yet. */
   readonly readSoon: () => void
+  /** Asks for the end of the feed, beside the read that waits: one on a dead connection looks like one for which there is nothing new. */
+  readonly checkEnd: (readEnd: CheckedFeed['readEnd']) => Promise<void>
+  /** The store has just appended records that end here. A read that waits has brought them a moment later. */
+  readonly noteAppended: (endOffset: number) => void
+  /** Time since the end of the feed showed records that have not been taken; 0 if they have. */
+  readonly behindMs: () => number
   /** Ends a read that waits at the store, unless its answer has begun. The next one begins when it is due. */
   readonly pause: () => void
   /** Time since the latest part of the answer to the current read; Infinity while none arrives. */
@@ -65,6 +73,10 @@
   let abandonRead: (given: Either<Fault, FeedPage> | undefined) => void = () => {}
   let progressMs = -Infinity
   let knownEra: number | undefined
+  let readBeganMs = -Infinity
+  /** The end of the feed when records were last missed, and since when. */
+  let missed = { endOffset: -1, sinceMs: Infinity }
+  let isChecking = false
   /** Aborts once a read is wanted that has not begun yet. */
   let wanted = new AbortController()
 
@@ -109,18 +121,21 @@
     options.takeKeys(keys)
   }
 
+  const isBehind = (): boolean => nextOffset !== undefined && missed.endOffset > nextOffset
+
   // Guards against a connection that has died silently, without an answer or an error. The read times out and is repeated on
   // another connection.
   const readStore = async (control: ReadControl): Promise<Either<Fault, FeedPage>> => {
     if (nextOffset === undefined) return await feed.readNewest(READ_GRACE_MS, control).run()
     // After an outage the store may have come back from an older copy, which a read that waits there would show late.
-    const waitMs = outageSinceMs === undefined ? options.waitMs : 0
+    const waitMs = outageSinceMs === undefined && !isBehind() ? options.waitMs : 0
     return await feed.readSince(nextOffset, waitMs, waitMs + READ_GRACE_MS, control).run()
   }
 
   /** One read; undefined if it was paused. A late result of an abandoned read is ignored: the next read returns the same records. */
   const readOnce = async (): Promise<Either<Fault, FeedPage> | undefined> => {
     const ending = new AbortController()
+    readBeganMs = timers.nowMs()
     const control = { signal: ending.signal, noteProgress: () => { if (!ending.signal.aborted) progressMs = timers.nowMs() } }
     const abandoned = new Promise<Either<Fault, FeedPage> | undefined>(resolve => {
       abandonRead = given => {
@@ -158,6 +173,30 @@
     return true
   }
 
+  const pause = (): void => { if (progressMs === -Infinity) abandonRead(undefined) }
+
+  const noteEnd = (endOffset: number): void => {
+    const nowMs = timers.nowMs()
+    if (nextOffset === undefined || endOffset <= nextOffset) return
+    const isNew = endOffset > missed.endOffset
+    if (isNew) options.missed?.(endOffset, nowMs - readBeganMs)
+    if (isNew) missed = { endOffset, sinceMs: isBehind() ? missed.sinceMs : nowMs }
+    // A read that has begun since is given its time.
+    if (isNew || nowMs - readBeganMs >= READ_GRACE_MS) pause()
+  }
+
+  const checkEnd = async (readEnd: CheckedFeed['readEnd']): Promise<void> => {
+    if (isChecking) return
+    isChecking = true
+    try {
+      const first = await readEnd(CHECK_TIMEOUT_MS).run()
+      const answer = first.isRight() ? first : await readEnd(CHECK_TIMEOUT_MS).run()
+      answer.ifRight(noteEnd)
+    } finally {
+      isChecking = false
+    }
+  }
+
   const waitUntilDue = async (): Promise<void> => {
     for (let remainingMs = options.dueInMs(); remainingMs > 0 && !wanted.signal.aborted && !stopping.signal.aborted; remainingMs = options.dueInMs()) {
       await sleep(timers, remainingMs, wanted.signal)
@@ -213,7 +252,10 @@
     offerRange,
     readNow: () => { abandonRead(Left(makeFault('timeout', 'feeds.read', feed.name, 'read again at once'))) },
     readSoon: () => { wanted.abort() },
-    pause: () => { if (progressMs === -Infinity) abandonRead(undefined) },
+    checkEnd,
+    noteAppended: endOffset => { timers.after(APPENDED_GRACE_MS, () => { noteEnd(endOffset) }) },
+    behindMs: () => isBehind() ? timers.nowMs() - missed.sinceMs : 0,
+    pause,
     quietMs: () => timers.nowMs() - progressMs,
     isFollowing: () => nextOffset !== undefined && outageSinceMs === undefined,
     stop: () => {
--- a/packages/fleet/src/feeds/types.ts
+++ b/packages/fleet/src/feeds/types.ts
@@ -58,6 +58,12 @@
   readonly readSince: (offset: number, waitMs: number, timeoutMs: number, control?: ReadControl) => EitherAsync<Fault, FeedPage>
 }
 
+/** A feed whose end can be asked for. */
+export interface CheckedFeed extends KeyedFeed {
+  /** Offset after the newest record. The answer holds no records. */
+  readonly readEnd: (timeoutMs: number) => EitherAsync<Fault, number>
+}
+
 /** A record to be appended to a feed. */
 export interface NewRecord {
   readonly key: string
--- a/packages/fleet/src/ports/types.ts
+++ b/packages/fleet/src/ports/types.ts
@@ -2,7 +2,7 @@
 import type { Either, EitherAsync } from 'purify-ts'
 import type { Fault } from '@figmount/base'
 import type { Deployment } from '../deployment/types.js'
-import type { KeyedFeed, WritableFeed } from '../feeds/types.js'
+import type { CheckedFeed, KeyedFeed, WritableFeed } from '../feeds/types.js'
 import type { ServerEntry, ServerReport } from '../servers/types.js'
 
 /** One part of a prompt. Requests with the same part share its id. */
@@ -105,7 +105,7 @@
 
 /** The platform's store. */
 export interface StorePort {
-  readonly deploymentFeed: KeyedFeed
+  readonly deploymentFeed: CheckedFeed
   readonly serverFeed: KeyedFeed
   /** Calls back when the store has come back from an older copy: what was written last may be gone. Returns a function that ends it. */
   readonly onRestored: (listener: () => void) => () => void
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -50,5 +50,6 @@
   listenerThrew: [2550, 'reading what a backend server sent threw an exception: the exchange has ended'],
   heldBytesFull: [2555, 'the room for bytes held for callers is taken: long answers wait for it'],
   heldBytesFree: [2556, 'no answer waits for room any more'],
-  holderStalled: [2557, 'an answer of which no byte was received or taken is given up, as others wait for its room']
+  holderStalled: [2557, 'an answer of which no byte was received or taken is given up, as others wait for its room'],
+  readMissed: [2558, 'the store has more than the read that waits there has brought: it may wait on a dead connection and begins again']
 })
--- a/packages/gateway/src/leavings/createLeavingFeed.test.ts
+++ b/packages/gateway/src/leavings/createLeavingFeed.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import { EitherAsync } from 'purify-ts'
 import { createEventLog, createVirtualTimers } from '@figmount/base'
 
 import { createLeaseFeed, FeedMode } from '../../../sidecar/src/testing/createLeaseFeed.js'
@@ -95,6 +96,25 @@
     router.stop()
   })
 
+  it('is read again after an own record if the read waits on a dead connection', async () => {
+    // Guards against a router to which nothing is told any more, as something has forgotten its connection.
+    const { feed, join, pass } = setUp()
+    let isDead = true
+    const readSince: typeof feed.readSince = (...call) => isDead ? EitherAsync(async () => await new Promise(() => {})) : feed.readSince(...call)
+    const first = join({ ...feed, readSince })
+    const second = join()
+    await pass(100)
+    isDead = false
+    second.leavings.note(left('a'))
+    await pass(1_000)
+    expect(first.leavings.all()).to.deep.equal([])
+    first.leavings.note(left('b'))
+    await pass(1_000)
+    expect(first.leavings.all()).to.have.deep.members([left('a'), left('b')])
+    first.stop()
+    second.stop()
+  })
+
   it('is written once however many routers note it, and reaches those that have not', async () => {
     const { join, pass, appendCount } = setUp()
     const routers = [join(), join(), join()]
--- a/packages/gateway/src/leavings/createLeavingFeed.ts
+++ b/packages/gateway/src/leavings/createLeavingFeed.ts
@@ -46,6 +46,8 @@
   readonly firstRead: Promise<void>
   /** Abandons the read that is waiting and reads again at once. */
   readonly readNow: () => void
+  /** Begins the read that waits at the store again, unless its answer has begun. */
+  readonly readAgain: () => void
   readonly stop: () => void
 }
 
@@ -67,7 +69,11 @@
     return !isSameLeft(before, mergeLeft(before, left))
   })
 
-  const append = async (records: readonly NewRecord[]): Promise<boolean> => (await feed.append(records, undefined, APPEND_TIMEOUT_MS).run()).isRight()
+  const append = async (records: readonly NewRecord[]): Promise<boolean> => {
+    const result = await feed.append(records, undefined, APPEND_TIMEOUT_MS).run()
+    result.ifRight(appended => { if (appended.type === 'appended') follower.noteAppended(appended.offset + records.length) })
+    return result.isRight()
+  }
 
   const writeOnce = async (): Promise<void> => {
     const unrecorded = listUnrecorded()
@@ -135,6 +141,7 @@
   return {
     firstRead,
     readNow: follower.readNow,
+    readAgain: follower.pause,
     stop: () => {
       stopping.abort()
       stopNoting()
--- a/packages/gateway/src/router/createReadDuty.ts
+++ b/packages/gateway/src/router/createReadDuty.ts
@@ -1,13 +1,15 @@
 import { mustReadStore } from '@figmount/decisions'
 
 import type { TimerService } from '@figmount/base'
+import type { CopyFetch } from '@figmount/fleet'
+import type { Feeds } from './followFeeds.js'
 
 interface Options {
   readonly timers: TimerService
   /** Bandwidth of the router's own link. */
   readonly linkMbps: number
-  readonly hasConfiguration: () => boolean
-  readonly failedFetchCount: () => number
+  readonly feeds: Pick<Feeds, 'deployment' | 'deploymentBehindMs'>
+  readonly copyFetch: Pick<CopyFetch, 'failedCount' | 'isFetching'>
 }
 
 /** Whether a router reads the configuration from the store itself or relies on the agents. */
@@ -20,7 +22,7 @@
 }
 
 /** Creates the read duty of one router. */
-export const createReadDuty = ({ timers, linkMbps, hasConfiguration, failedFetchCount }: Options): ReadDuty => {
+export const createReadDuty = ({ timers, linkMbps, feeds, copyFetch }: Options): ReadDuty => {
   const following = new Set<string>()
   let regainedMs = -Infinity
   return {
@@ -31,11 +33,13 @@
     lose: address => { following.delete(address) },
     noteRegained: () => { regainedMs = timers.nowMs() },
     isDue: () => mustReadStore({
-      hasConfiguration: hasConfiguration(),
+      hasConfiguration: feeds.deployment() !== undefined,
       linkMbps,
       followingCount: following.size,
       sinceOutageMs: timers.nowMs() - regainedMs,
-      failedFetchCount: failedFetchCount()
+      failedFetchCount: copyFetch.failedCount(),
+      behindMs: feeds.deploymentBehindMs(),
+      isFetching: copyFetch.isFetching()
     })
   }
 }
--- a/packages/gateway/src/router/followFeeds.test.ts
+++ b/packages/gateway/src/router/followFeeds.test.ts
@@ -10,7 +10,7 @@
 import { followFeeds } from './followFeeds.js'
 
 import type { Fault, InstanceName, VirtualTimers } from '@figmount/base'
-import type { FeedPage, FeedRecord, KeyedFeed, ListRead, ServerEntry, StorePort } from '@figmount/fleet'
+import type { CheckedFeed, FeedPage, FeedRecord, KeyedFeed, ListRead, ServerEntry, StorePort } from '@figmount/fleet'
 import type { Directory } from '../directory/types.js'
 import type { Feeds } from './followFeeds.js'
 
@@ -32,6 +32,7 @@
 const createStore = () => {
   const records: FeedRecord[] = []
   let readCount = 0
+  let checkCount = 0
   let isDown = false
   const read = (page: () => FeedPage): EitherAsync<Fault, FeedPage> => {
     readCount += 1
@@ -42,8 +43,12 @@
     readNewest: () => read(() => ({ records: [...new Map(records.map(record => [record.key, record])).values()], nextOffset: records.length, isExpired: false })),
     readSince: offset => read(() => ({ records: records.slice(offset), nextOffset: records.length, isExpired: false }))
   }
-  const deploymentFeed: KeyedFeed = {
+  const deploymentFeed: CheckedFeed = {
     name: 'config',
+    readEnd: () => {
+      checkCount += 1
+      return EitherAsync.liftEither(Right(0))
+    },
     readNewest: () => EitherAsync.liftEither(Right({ records: [], nextOffset: 0, isExpired: false })),
     readSince: () => EitherAsync(async () => await new Promise<FeedPage>(() => {}))
   }
@@ -51,7 +56,7 @@
     records.push({ key, value: entry && Buffer.from(JSON.stringify(entry)), offset: records.length })
   }
   const port: StorePort = { serverFeed, deploymentFeed, onRestored: () => () => {}, isDeploymentKey: () => true, decodeServer, decodeDeployment: key => Left(makeFault('invalid', 'decode', key, 'none')) }
-  return { port, write, readCount: () => readCount, setDown: (down: boolean) => { isDown = down } }
+  return { port, write, readCount: () => readCount, checkCount: () => checkCount, setDown: (down: boolean) => { isDown = down } }
 }
 
 interface TestRouter {
@@ -60,7 +65,7 @@
 }
 
 /** Routers that receive each other's reads, except those that `isLost` drops. */
-const setUp = (routerCount: number, random: () => number, isLost: (from: number, to: number) => boolean = () => false) => {
+const setUp = (routerCount: number, random: () => number, isLost: (from: number, to: number) => boolean = () => false, applyMs = LEAVE_MS) => {
   const timers: VirtualTimers = createVirtualTimers()
   const store = createStore()
   const leavingFeed = createLeaseFeed(timers)
@@ -82,6 +87,7 @@
       events,
       directory,
       leaveMs: LEAVE_MS,
+      applyMs,
       deploymentTaken: () => {},
       deploymentHeld: () => {},
       mustReadDeployments: () => true,
@@ -132,6 +138,25 @@
     expect(store.readCount() - atStart).to.be.within(7, 60)
   })
 
+  it('costs one question for the end of the configuration each time, however many routers there are', async () => {
+    // Guards against a price of news that grows with the processes.
+    const { store, routers, pass } = setUp(30, makeRandom(SEED))
+    await pass(500)
+    const [readsBefore, checksBefore] = [store.readCount(), store.checkCount()]
+    await pass(18_000)
+    stopAll(routers)
+    const readCount = store.readCount() - readsBefore
+    expect(store.checkCount() - checksBefore).to.be.within(readCount - 1, readCount + 1)
+  })
+
+  it('comes as often as a configuration must be in force, where that is sooner', async () => {
+    // Guards against a platform that gives a change less time than a server that leaves.
+    const { store, routers, pass } = setUp(1, () => 0, () => false, LEAVE_MS / 4)
+    await pass(LEAVE_MS)
+    stopAll(routers)
+    expect(store.checkCount()).to.be.at.least(8)
+  })
+
   it('shows each router in time that a server leaves, whichever reads of others it receives', async () => {
     await fc.assert(fc.asyncProperty(fc.infiniteStream(fc.double({ min: 0, max: 1, maxExcluded: true, noNaN: true })), fc.double({ min: 0, max: 1, noNaN: true }), async (draws, lostShare) => {
       const random = (): number => draws.next().value ?? 0
--- a/packages/gateway/src/router/followFeeds.ts
+++ b/packages/gateway/src/router/followFeeds.ts
@@ -1,5 +1,5 @@
 import { EitherAsync } from 'purify-ts'
-import { BaseEvent } from '@figmount/base'
+import { BaseEvent, runInBackground } from '@figmount/base'
 import { createFeedFollower, createNewestDeployment, LONG_POLL_MS } from '@figmount/fleet'
 
 import { GatewayEvent } from '../events.js'
@@ -22,6 +22,8 @@
   readonly directory: Directory
   /** Time within which routers must stop using a leaving server. */
   readonly leaveMs: number
+  /** Time within which a configuration must be in force. */
+  readonly applyMs: number
   readonly deploymentTaken: (deployment: Deployment) => void
   /** The router has a newer configuration, which others may lack. */
   readonly deploymentHeld: (version: number) => void
@@ -44,6 +46,8 @@
   readonly deploymentCopy: () => DeploymentCopy | undefined
   /** Time since the latest part of the answer to the router's read of the configuration; Infinity while none arrives. */
   readonly deploymentQuietMs: () => number
+  /** Time since the store was seen to have a newer configuration; 0 if it has none. */
+  readonly deploymentBehindMs: () => number
   /** Takes a configuration that a peer has sent. */
   readonly takeDeployment: (record: FeedRecord) => void
   /** Ends the read of the configuration that waits at the store, if the router need not read it. */
@@ -102,6 +106,10 @@
     dueInMs: () => options.mustReadDeployments() ? 0 : DUTY_REVIEW_MS,
     take: takeDeployments,
     takeKeys: () => {},
+    missed: (offset, waitedMs) => {
+      leavings.readAgain()
+      events.emit(GatewayEvent.readMissed, { peer: store.deploymentFeed.name, offset, waitMs: Math.round(waitedMs) })
+    },
     lost,
     regained: outageMs => regained(store.deploymentFeed.name, outageMs)
   })
@@ -124,10 +132,12 @@
     hasAgentState: serverId => directory.find(serverId)?.state !== undefined
   })
 
+  // The configuration is asked for with each read of the list.
+  const knownWithinMs = Math.min(options.leaveMs, options.applyMs)
   const readSchedule = createReadSchedule({
     timers,
-    periodMs: options.leaveMs * LIST_AGE_SHARE,
-    spreadMs: options.leaveMs * LIST_SPREAD_SHARE,
+    periodMs: knownWithinMs * LIST_AGE_SHARE,
+    spreadMs: knownWithinMs * LIST_SPREAD_SHARE,
     random: options.random
   })
 
@@ -138,7 +148,14 @@
   /** The read that is taken now is the first one after the store has come back from an older copy. */
   let isCopyRead = false
 
+  // Guards against reads of the configuration that wait on dead connections, at all processes at once. Of the routers that hear of each other's reads
+  // of the list one alone reads at a time, so this costs all of them together one call more, over a connection that has just answered.
+  const checkDeployments = (): void => {
+    runInBackground(events, 'feeds.checkDeployments', deployments.checkEnd(store.deploymentFeed.readEnd))
+  }
+
   const noteListRead = ({ stretch, isWhole, beganMs }: FeedRead): void => {
+    checkDeployments()
     readSchedule.note(beganMs)
     storeWatch.noteTaken(beganMs)
     list.noteOwn(beganMs)
@@ -187,6 +204,7 @@
     deploymentVersion: newest.version,
     deploymentCopy: newest.copy,
     deploymentQuietMs: deployments.quietMs,
+    deploymentBehindMs: deployments.behindMs,
     // Its version decides: the sender may have read an earlier era of the store, or a later one.
     takeDeployment: record => {
       deployments.offerNewest(record)
--- a/packages/gateway/src/router/startGateway.ts
+++ b/packages/gateway/src/router/startGateway.ts
@@ -1,6 +1,5 @@
 import { BaseEvent, countMessages, createReadBarrier } from '@figmount/base'
-import { planFetch } from '@figmount/decisions'
-import { createCopyFetch, createCopySource, createCrashHistory, createPartHistory, findEngine, findModel, MESSAGE_STRUCTURES } from '@figmount/fleet'
+import { createCrashHistory, createPartHistory, findEngine, findModel, MESSAGE_STRUCTURES } from '@figmount/fleet'
 import { createMessageCodec, NO_OFFSET } from '@figmount/peers'
 
 import { createAgentLinks } from '../agents/createAgentLinks.js'
@@ -14,7 +13,6 @@
 import { createUnmetModels } from '../demand/createUnmetModels.js'
 import { createDirectory } from '../directory/createDirectory.js'
 import { createLifeChecks } from '../ends/createLifeChecks.js'
-import { GatewayEvent } from '../events.js'
 import { createConnectionPool } from '../forwarding/createConnectionPool.js'
 import { probeServer } from '../forwarding/probeServer.js'
 import { serveReadiness } from '../ingress/serveReadiness.js'
@@ -40,8 +38,8 @@
 import { drain } from '../stopping/drain.js'
 import { AGENT_READY_TIMEOUT_MS, COPIES_KNOWN_MS, DEMAND_PERIOD_MS, FOLLOW_PERIOD_MS } from './constants.js'
 import { createDemandReporter } from './createDemandReporter.js'
+import { createDeploymentCopies } from './createDeploymentCopies.js'
 import { createLeavingPoll } from './createLeavingPoll.js'
-import { createReadDuty } from './createReadDuty.js'
 import { createRouterMembership } from './createRouterMembership.js'
 import { followFeeds } from './followFeeds.js'
 import { joinCalls } from './joinCalls.js'
@@ -73,6 +71,8 @@
   readonly stopMs: number
   /** Time within which the router must stop using a leaving server. */
   readonly leaveMs: number
+  /** Time within which a configuration must be in force. */
+  readonly applyMs: number
   readonly codec: HeaderCodec
   readonly store: RouterStorePort
   readonly random: () => number
@@ -132,16 +132,14 @@
         limitRouterCount.note(state.routerCount)
         coldLoads.takeState(address, state)
         directory.takeState(address, state)
-        readDuty.noteState(address, state.followsDeployments)
-        copyFetch.noteOffer(address, state.deploymentVersion)
-        feeds.reviewReads()
+        copies.takeState(address, state)
       },
       takeLoad: directory.takeLoad,
       takeDeploymentAsked: (address, asked) => {
-        const piece = copySource.pieceOf(asked)
+        const piece = copies.pieceOf(asked)
         if (piece) agents.find(address)?.send(piece)
       },
-      takeDeploymentPiece: (address, piece) => { copyFetch.takePiece(address, piece) },
+      takeDeploymentPiece: (address, piece) => { copies.takePiece(address, piece) },
       takeListRead: (read, mayBeStale) => { feeds.takeListRead(read, mayBeStale) },
       takeNotice,
       takeOrigin: (address, answer) => { origins.takeAnswer(address, answer) },
@@ -152,8 +150,7 @@
       },
       takeUnits: (address, answer) => { quotas.takeAnswer(address, answer) },
       lost: address => {
-        readDuty.lose(address)
-        copyFetch.losePeer(address)
+        copies.lose(address)
         quotas.noteLost(address)
         origins.noteLost(address)
         coldLoads.lose(address)
@@ -167,33 +164,16 @@
     events,
     directory,
     leaveMs: options.leaveMs,
+    applyMs: options.applyMs,
     deploymentTaken: deployment => { limitCallers(deployment.limits) },
     deploymentHeld: version => { agents.relay({ type: 'deploymentHeld', version }) },
-    mustReadDeployments: () => readDuty.isDue(),
-    storeRegained: () => { readDuty.noteRegained() },
+    mustReadDeployments: () => copies.isReadDue(),
+    storeRegained: () => { copies.noteRegained() },
     sendListRead: agents.relay,
     routerCount: () => membership.routerCount(),
     random: options.random
   })
-  const copySource = createCopySource(feeds.deploymentCopy)
-  const copyFetch = createCopyFetch({
-    timers,
-    ownVersion: feeds.deploymentVersion,
-    readsStore: () => readDuty.isDue(),
-    readQuietMs: feeds.deploymentQuietMs,
-    plan: planFetch,
-    ask: (address, asked, behindMs) => {
-      if (asked.index === 0) events.emit(GatewayEvent.deploymentAsked, { peer: address, version: String(asked.version), waitMs: Math.round(behindMs) })
-      agents.find(address)?.send(asked)
-    },
-    take: feeds.takeDeployment
-  })
-  const readDuty = createReadDuty({
-    timers,
-    linkMbps: options.linkMbps,
-    hasConfiguration: () => feeds.deployment() !== undefined,
-    failedFetchCount: copyFetch.failedCount
-  })
+  const copies = createDeploymentCopies({ timers, events, feeds, agents, linkMbps: options.linkMbps })
   const limitRouterCount = createRouterCount(timers)
   const routerFeed = createRouterFeed({
     feed: options.store.routerFeed,
@@ -328,6 +308,7 @@
     directory.onState(refusedWants.takeState),
     timers.every(DEMAND_PERIOD_MS, demandReporter.report),
     timers.every(FOLLOW_PERIOD_MS, follow),
+    timers.every(FOLLOW_PERIOD_MS, copies.reviewLaggards),
     timers.every(REPLICA_PERIOD_MS, () => watchReplicas(context)),
     quotas.stop,
     membership.stop,
--- a/packages/gateway/src/routerFeed/createRouterFeed.test.ts
+++ b/packages/gateway/src/routerFeed/createRouterFeed.test.ts
@@ -1,10 +1,12 @@
 import { expect } from 'chai'
+import { EitherAsync } from 'purify-ts'
 import { createEventLog, createVirtualTimers } from '@figmount/base'
 
 import { createLeaseFeed, FeedMode } from '../../../sidecar/src/testing/createLeaseFeed.js'
 import { createRouterFeed } from './createRouterFeed.js'
 
 import type { InstanceName } from '@figmount/base'
+import type { WritableFeed } from '@figmount/fleet'
 import type { RouterNotice } from './types.js'
 
 const IDENTITY = { contentHash: 'h', callerId: 'c' }
@@ -15,11 +17,11 @@
   const timers = createVirtualTimers()
   const feed = createLeaseFeed(timers)
   const listeners = new Set<() => void>()
-  const join = (name: string) => {
+  const join = (name: string, own: WritableFeed = feed) => {
     const counts: number[] = []
     const notices: RouterNotice[] = []
     const router = createRouterFeed({
-      feed,
+      feed: own,
       instance: name,
       timers,
       events: createEventLog({ instance: name as InstanceName, role: 'router', timers }),
@@ -57,6 +59,22 @@
     first.stop()
   })
 
+  it('is read again at the next own record if the read waits on a dead connection', async () => {
+    // Guards against routers that do not hear of a request that kills servers, as something has forgotten their connections.
+    const { feed, join, pass } = setUp()
+    let isDead = true
+    const readSince: typeof feed.readSince = (...call) => isDead ? EitherAsync(async () => await new Promise(() => {})) : feed.readSince(...call)
+    const first = join('r0', { ...feed, readSince })
+    const second = join('r1')
+    await pass(2_000)
+    isDead = false
+    second.send(CRASH)
+    await pass(6_000)
+    expect(first.notices).to.have.length(1)
+    first.stop()
+    second.stop()
+  })
+
   it('takes a router for counted once the others have had the time to read of it, and no longer in an outage', async () => {
     const { feed, join, pass } = setUp()
     const router = join('r0')
--- a/packages/gateway/src/routerFeed/createRouterFeed.ts
+++ b/packages/gateway/src/routerFeed/createRouterFeed.ts
@@ -74,6 +74,8 @@
     const result = await feed.append(records, undefined, APPEND_TIMEOUT_MS).run()
     isWriting = false
     if (result.isLeft()) return
+    // Guards against a read that waits on a dead connection: what the other routers tell would come when its wait is over.
+    result.ifRight(appended => { if (appended.type === 'appended') follower?.noteAppended(appended.offset + records.length) })
     waiting = waiting.filter(record => !records.includes(record))
     await write()
   }
@@ -124,6 +126,7 @@
     dueInMs: () => options.isNeeded() ? 0 : REVIEW_MS,
     take,
     takeKeys: () => {},
+    missed: (offset, waitedMs) => { events.emit(GatewayEvent.readMissed, { peer: feed.name, offset, waitMs: Math.round(waitedMs) }) },
     lost: fault => { events.emit(GatewayEvent.feedLost, { step: fault.step, peer: fault.peer, reason: fault.message }) },
     regained: outageMs => { events.emit(GatewayEvent.feedRegained, { peer: feed.name, durationMs: Math.round(outageMs) }) }
   })
--- a/packages/sidecar/src/sidecar/followDeployment.test.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.test.ts
@@ -17,7 +17,7 @@
   const timers = createVirtualTimers()
   const read = () => EitherAsync.liftEither(away)
   const store = {
-    deploymentFeed: { name: 'op', readNewest: read, readSince: read },
+    deploymentFeed: { name: 'op', readNewest: read, readSince: read, readEnd: () => EitherAsync.liftEither(Right(0)) },
     onRestored: () => () => {},
     isDeploymentKey: (key: string) => key === 'config',
     decodeDeployment: (_key: string, value: Uint8Array) => Right({ version: Number(Buffer.from(value).toString()) } as Deployment)
--- a/packages/sidecar/src/sidecar/followDeployment.ts
+++ b/packages/sidecar/src/sidecar/followDeployment.ts
@@ -23,6 +23,8 @@
   readonly take: (record: FeedRecord) => void
   /** Time since the latest part of the answer to the agent's read; Infinity while none arrives. */
   readonly quietMs: () => number
+  /** Begins the read that waits at the store again, unless its answer has begun. */
+  readonly readAgain: () => void
   /** The latest read of the store has succeeded. */
   readonly isFollowing: () => boolean
   readonly stop: () => void
@@ -65,6 +67,7 @@
       newest.take([record])
     },
     quietMs: follower.quietMs,
+    readAgain: follower.pause,
     isFollowing: follower.isFollowing,
     stop: follower.stop
   }
--- a/packages/sidecar/src/sidecar/startSidecar.ts
+++ b/packages/sidecar/src/sidecar/startSidecar.ts
@@ -58,6 +58,7 @@
     ownVersion: deployments.version,
     readsStore: () => true,
     readQuietMs: deployments.quietMs,
+    readAgain: deployments.readAgain,
     plan: planFetch,
     ask: (router, asked) => { links.send(router, asked) },
     take: deployments.take
