Leave a change that peers offer to the fetch on narrow links

Suspected: a router on a narrow link that had asked for the end of the configuration read it by itself 0.15 s later, uncompressed, before its fetch from an agent had begun.

--- a/packages/decisions/src/copies/mustReadStore.ts
+++ b/packages/decisions/src/copies/mustReadStore.ts
@@ -11,8 +11,8 @@
   readonly failedFetchCount: number
   /** Time since the store was seen to have a newer configuration; 0 if it has none. */
   readonly behindMs: number
-  /** A peer is sending a newer configuration. */
-  readonly isFetching: boolean
+  /** A peer offers a newer configuration. */
+  readonly isOffered: boolean
 }
 
 /** On a link of this bandwidth a configuration of 1 MB takes less than a tenth of a second. */
@@ -21,7 +21,7 @@
 /** One agent may read on a connection that is dead, or be cut off. Where all of them are, `behindMs` shows it. */
 const MIN_FOLLOWING = 3
 
-/** Time for which a newer configuration may come from a peer, once the store is known to have it. */
+/** Time in which a peer offers a newer configuration, once the store is known to have it. */
 const PEER_GRACE_MS = 150
 
 /** Time after an outage in which reads that agents began before it may still wait on dead connections: their longest wait, and some. */
@@ -36,9 +36,9 @@
  * Load pattern: every router reads a large configuration in the same moment as the callers' requests go on. A narrow link is then busy
  * for a quarter of a second or more, and heartbeats, answers and questions to limiters wait behind it.
  */
-export const mustReadStore = ({ hasConfiguration, linkMbps, followingCount, sinceOutageMs, failedFetchCount, behindMs, isFetching }: ReaderView): boolean => {
+export const mustReadStore = ({ hasConfiguration, linkMbps, followingCount, sinceOutageMs, failedFetchCount, behindMs, isOffered }: ReaderView): boolean => {
   if (!hasConfiguration || linkMbps >= WIDE_LINK_MBPS) return true
   if (followingCount < MIN_FOLLOWING || failedFetchCount >= MAX_FAILED_FETCHES) return true
-  if (behindMs >= PEER_GRACE_MS && !isFetching) return true
+  if (behindMs >= PEER_GRACE_MS && !isOffered) return true
   return sinceOutageMs < AFTER_OUTAGE_MS
 }
--- a/packages/fleet/src/copies/createCopyFetch.ts
+++ b/packages/fleet/src/copies/createCopyFetch.ts
@@ -41,8 +41,8 @@
   readonly losePeer: (peer: string) => void
   /** Fetches that failed since the process was last up to date. */
   readonly failedCount: () => number
-  /** A peer has been asked for a newer configuration. */
-  readonly isFetching: () => boolean
+  /** A peer offers a newer configuration. */
+  readonly isOffered: () => boolean
 }
 
 interface OpenFetch {
@@ -168,6 +168,6 @@
       if (open?.peer === peer) open = undefined
     },
     failedCount: () => failedCount,
-    isFetching: () => open !== undefined
+    isOffered: () => newerOffers().length > 0
   }
 }
--- a/packages/gateway/src/router/createReadDuty.ts
+++ b/packages/gateway/src/router/createReadDuty.ts
@@ -9,7 +9,7 @@
   /** Bandwidth of the router's own link. */
   readonly linkMbps: number
   readonly feeds: Pick<Feeds, 'deployment' | 'deploymentBehindMs'>
-  readonly copyFetch: Pick<CopyFetch, 'failedCount' | 'isFetching'>
+  readonly copyFetch: Pick<CopyFetch, 'failedCount' | 'isOffered'>
 }
 
 /** Whether a router reads the configuration from the store itself or relies on the agents. */
@@ -39,7 +39,7 @@
       sinceOutageMs: timers.nowMs() - regainedMs,
       failedFetchCount: copyFetch.failedCount(),
       behindMs: feeds.deploymentBehindMs(),
-      isFetching: copyFetch.isFetching()
+      isOffered: copyFetch.isOffered()
     })
   }
 }
