Let no single entry of an earlier start become the current one

What would be seen: a store that comes back from an older copy lists a start of before, more than a minute after its server has started again. The router took it for the current start: runs on the real one counted as dead, and its entries were left out for a minute.

Cause: a start that was known to be earlier was believed after a minute, whether it went on writing or not. It must have written two heartbeats now, as one that was never seen. restarts.test.ts 'keeps to the current start' red without this, green with it.

--- a/packages/gateway/src/directory/restarts.test.ts
+++ b/packages/gateway/src/directory/restarts.test.ts
@@ -101,6 +101,21 @@
     expect(directory.serving('s'), 'an entry of the start before its removal').to.have.length(0)
   })
 
+  it('keeps to the current start when one entry of an earlier one comes minutes later', () => {
+    // Guards against a store that comes back from an older copy: the runs on the current start would count as dead.
+    const { timers, directory, list } = setUp()
+    list(first, ['n'])
+    list(second, ['m'])
+    timers.advance(120_000)
+    list(first, ['n'], { heartbeatNumber: 9 })
+    expect(directory.isDead(second)).to.equal(false)
+    expect(holds(directory, 'm')).to.equal(true)
+    list({ serverId: 'a', startedAtUnixMs: 500 }, ['n'], { heartbeatNumber: 9 })
+    expect(directory.isDead(second)).to.equal(false)
+    list(second, ['m'], { heartbeatNumber: 90 })
+    expect(holds(directory, 'm')).to.equal(true)
+  })
+
   it('lists no server again by several late entries of an earlier start', () => {
     // Guards against taking two late writes for a server that goes on writing.
     const { timers, directory, list, remove } = setUp()
--- a/packages/gateway/src/leavings/createStartOrder.ts
+++ b/packages/gateway/src/leavings/createStartOrder.ts
@@ -32,15 +32,15 @@
   readonly learn: (start: ServerStart, earlierTimes: readonly number[]) => void
   /** An entry was read, of whichever start. */
   readonly noteEntry: (entry: ServerEntry) => void
-  /** Two heartbeats of the entry's start have been read, the later one with the higher number. */
-  readonly goesOn: (entry: ServerEntry) => boolean
+  /** Two heartbeats of the start have been read last, the later one with the higher number. */
+  readonly goesOn: (start: ServerStart) => boolean
   /** Start times of the starts before this one; none if it is not the current one. */
   readonly earlierTimes: (start: ServerStart) => readonly number[]
   /** When a start was first seen; undefined if it is not the current one. */
   readonly seenMs: (start: ServerStart) => number | undefined
   /** The entry's start is before the current one, or may be: its clock says so, and late writes may still arrive. */
   readonly isBefore: (entry: ServerEntry) => boolean
-  /** The start was seen before the current one. */
+  /** The start was seen before the current one, and does not go on for longer than late writes arrive. */
   readonly isKnownBefore: (start: ServerStart) => boolean
 }
 
@@ -82,15 +82,19 @@
     return seen && isSameStart(seen.start, start) ? seen : undefined
   }
 
-  const isKnownBefore = ({ serverId, startedAtUnixMs }: ServerStart): boolean => {
-    const seen = current.get(serverId)
-    if (!seen || startedAtUnixMs === undefined || timers.nowMs() - seen.seenMs >= KNOWN_LATE_WRITE_MS) return false
-    return seen.earlier.includes(startedAtUnixMs)
+  const goesOn = (start: ServerStart): boolean => {
+    const seen = newestEntries.get(start.serverId)
+    return seen !== undefined && isSameStart(seen.start, start) && seen.goesOn
   }
 
-  const goesOn = (entry: ServerEntry): boolean => {
-    const seen = newestEntries.get(entry.serverId)
-    return seen !== undefined && isSameStart(seen.start, entry) && seen.goesOn
+  // A single entry never makes another start the current one: it may stand in an older copy of the store.
+  const isLate = (start: ServerStart, { seenMs }: SeenStart, maxLateMs: number): boolean =>
+    timers.nowMs() - seenMs < maxLateMs || !goesOn(start)
+
+  const isKnownBefore = (start: ServerStart): boolean => {
+    const seen = current.get(start.serverId)
+    if (!seen || start.startedAtUnixMs === undefined || !seen.earlier.includes(start.startedAtUnixMs)) return false
+    return isLate(start, seen, KNOWN_LATE_WRITE_MS)
   }
 
   const note = ({ serverId, startedAtUnixMs }: ServerStart, earlierTimes: readonly number[]): void => {
@@ -120,8 +124,7 @@
     isBefore: entry => {
       const seen = current.get(entry.serverId)
       if (!seen || isSameStart(seen.start, entry)) return false
-      if (isKnownBefore(entry)) return true
-      return isEarlierStart(entry, seen.start) && mayBeLateWrite(timers.nowMs() - seen.seenMs, goesOn(entry))
+      return isKnownBefore(entry) || (isEarlierStart(entry, seen.start) && isLate(entry, seen, LATE_WRITE_MS))
     },
     isKnownBefore
   }
