--- a/packages/gateway/src/leavings/createLeavings.ts
+++ b/packages/gateway/src/leavings/createLeavings.ts
@@ -2,6 +2,7 @@
 
 import { KNOWN_LATE_WRITE_MS, mayBeLateWrite } from './createStartOrder.js'
 import { isFromBefore, isKnownBefore, isSameLeft, mergeLeft } from './mergeLeft.js'
+import { setNewest } from './setNewest.js'
 
 import type { TimerService, Unsubscribe } from '@figmount/base'
 import type { ServerEntry, ServerStart } from '@figmount/fleet'
@@ -65,10 +66,7 @@
       const before = find(reported.serverId)
       const left = mergeLeft(before, reported)
       if (isSameLeft(before, left)) return false
-      known.delete(left.serverId)
-      known.set(left.serverId, { left, notedMs: timers.nowMs() })
-      const [oldestId] = known.keys()
-      if (known.size > MAX_LEFT && oldestId !== undefined) known.delete(oldestId)
+      setNewest(known, left.serverId, { left, notedMs: timers.nowMs() }, MAX_LEFT)
       for (const listener of [...listeners]) listener()
       return true
     },
--- a/packages/gateway/src/leavings/createStartOrder.ts
+++ b/packages/gateway/src/leavings/createStartOrder.ts
@@ -1,5 +1,7 @@
 import { isEarlierStart, isSameStart } from '@figmount/fleet'
 
+import { setNewest } from './setNewest.js'
+
 import type { TimerService } from '@figmount/base'
 import type { ServerEntry, ServerStart } from '@figmount/fleet'
 
@@ -56,14 +58,6 @@
   readonly goesOn: boolean
 }
 
-/** Sets the value of a key that counts as the newest one, and drops the oldest one beyond the bound. */
-const setNewest = <T>(map: Map<string, T>, key: string, value: T): void => {
-  map.delete(key)
-  map.set(key, value)
-  const [oldestKey] = map.keys()
-  if (map.size > MAX_SERVERS && oldestKey !== undefined) map.delete(oldestKey)
-}
-
 /**
  * Creates the order of one router.
  *
@@ -102,7 +96,7 @@
     if (findCurrent(start)) return
     const before = current.get(serverId)
     const earlier = new Set([...earlierTimes, ...(before ? timesUpTo(before) : [])])
-    setNewest(current, serverId, { start, seenMs: timers.nowMs(), earlier: [...earlier].filter(time => time !== startedAtUnixMs) })
+    setNewest(current, serverId, { start, seenMs: timers.nowMs(), earlier: [...earlier].filter(time => time !== startedAtUnixMs) }, MAX_SERVERS)
   }
 
   return {
@@ -116,7 +110,7 @@
       const before = newestEntries.get(serverId)
       const isSame = before !== undefined && isSameStart(before.start, entry)
       const firstHeartbeat = isSame ? before.firstHeartbeat : heartbeatNumber
-      setNewest(newestEntries, serverId, { start: { serverId, startedAtUnixMs }, firstHeartbeat, goesOn: heartbeatNumber > firstHeartbeat })
+      setNewest(newestEntries, serverId, { start: { serverId, startedAtUnixMs }, firstHeartbeat, goesOn: heartbeatNumber > firstHeartbeat }, MAX_SERVERS)
     },
     goesOn,
     earlierTimes: start => findCurrent(start)?.earlier ?? [],
