--- a/packages/base/src/rpc/serveRpc.ts
+++ b/packages/base/src/rpc/serveRpc.ts
@@ -1,6 +1,7 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 
 import { createHttpListener } from '../listeners/createHttpListener.js'
+import { createMetricsPage } from '../metrics/createMetricsPage.js'
 
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
@@ -41,9 +42,10 @@
 /** Serves RPCs, `/metrics` and `/healthz` on one port over HTTP/1.1. */
 export const serveRpc = async (options: Options): Promise<RpcServer> => {
   const { isHealthy = () => true } = options
+  const page = options.metrics && createMetricsPage(options.metrics)
   const fallback = (request: IncomingMessage, response: ServerResponse): void => {
     if (request.url === '/healthz') return isHealthy() ? sendText(response, 200, 'ok\n') : sendText(response, 503, 'leaving\n')
-    if (request.url === '/metrics' && options.metrics) return sendText(response, 200, options.metrics.text())
+    if (request.url === '/metrics' && page) return sendText(response, 200, page())
     if (options.handlePlain?.(request, response)) return
     sendText(response, 404, 'not found\n')
   }
