--- a/packages/base/src/listeners/createConnectionRoom.ts
+++ b/packages/base/src/listeners/createConnectionRoom.ts
@@ -59,10 +59,11 @@
   const isFull = (): boolean => heldBytes > limits.heldBytes
   const queue = createRoomQueue(() => !isFull())
 
-  /** Takes a connection out of the counts: its descriptor is free as soon as it is destroyed. */
+  /** Takes a connection out of the counts and the queue: its descriptor is free as soon as it is destroyed. */
   const take = (connection: Connection): boolean => {
     if (!open.delete(connection)) return false
     byStage[connection.stage].delete(connection)
+    queue.leave(connection)
     connection.listener.openCount -= 1
     return true
   }
@@ -157,7 +158,7 @@
     hold: (changeBytes, changeAheadBytes) => { hold(connection, changeBytes, changeAheadBytes) },
     move: stage => { move(connection, stage) },
     isFull,
-    onceRoom: queue.wait
+    onceRoom: proceed => { queue.wait(connection, proceed) }
   })
 
   timers.every(REVIEW_PERIOD_MS, review)
